Add design, build, core types, settings, telemetry and operator text

Cause: the repository is empty; parallel work needs agreed interfaces first. Conclusion: the base for the vertical slices.

--- /dev/null
+++ b/src/camphormux/core/random.hpp
@@ -0,0 +1,54 @@
+#ifndef CAMPHORMUX_CORE_RANDOM_HPP_
+#define CAMPHORMUX_CORE_RANDOM_HPP_
+
+#include <cassert>
+#include <cstdint>
+#include <random>
+
+#include "camphormux/core/time.hpp"
+
+namespace camphormux::core {
+
+/// @brief Source of random numbers that is handed to decisions, so that a
+/// fixed seed repeats a run.
+struct Random {
+  std::mt19937_64 engine;
+};
+
+/// @brief Makes a source with a fixed seed.
+/// @param seed Any number.
+/// @return The source.
+[[nodiscard]] inline Random SeededRandom(std::uint64_t seed) {
+  return Random{std::mt19937_64{seed}};
+}
+
+/// @brief Draws an integer below a bound.
+/// @param random The source.
+/// @param bound Exclusive upper bound; must be positive.
+/// @return A number in [0, bound).
+[[nodiscard]] inline std::uint64_t Below(Random& random, std::uint64_t bound) {
+  assert(bound > 0);
+  return std::uniform_int_distribution<std::uint64_t>{0,
+                                                      bound - 1}(random.engine);
+}
+
+/// @brief Draws a number from the unit interval.
+/// @param random The source.
+/// @return A number in [0, 1).
+[[nodiscard]] inline double UnitInterval(Random& random) {
+  return std::uniform_real_distribution<double>{0.0, 1.0}(random.engine);
+}
+
+/// @brief Draws a duration for jitter.
+/// @param random The source.
+/// @param bound Inclusive upper bound; must not be negative.
+/// @return A duration in [0, bound].
+[[nodiscard]] inline Millis Jitter(Random& random, Millis bound) {
+  assert(bound.count() >= 0);
+  return Millis{static_cast<Millis::rep>(
+      Below(random, static_cast<std::uint64_t>(bound.count()) + 1))};
+}
+
+}  // namespace camphormux::core
+
+#endif  // CAMPHORMUX_CORE_RANDOM_HPP_
--- /dev/null
+++ b/src/camphormux/log/fwd.hpp
@@ -0,0 +1,14 @@
+#ifndef CAMPHORMUX_LOG_FWD_HPP_
+#define CAMPHORMUX_LOG_FWD_HPP_
+
+namespace camphormux::log {
+
+enum class AppendError;
+enum class ReadError;
+struct StoredRecord;
+struct ReadResult;
+struct LogPort;
+
+}  // namespace camphormux::log
+
+#endif  // CAMPHORMUX_LOG_FWD_HPP_
--- /dev/null
+++ b/src/camphormux/telemetry/log.cpp
@@ -0,0 +1,57 @@
+#include "camphormux/telemetry/log.hpp"
+
+#include <memory>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/mdc.h>
+
+namespace camphormux::telemetry {
+namespace internal {
+
+log4cxx::LevelPtr ToLog4cxx(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return log4cxx::Level::getDebug();
+    case Level::kInfo:
+      return log4cxx::Level::getInfo();
+    case Level::kWarning:
+      return log4cxx::Level::getWarn();
+    case Level::kError:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+}  // namespace internal
+
+void ConfigureLog(const std::string& process, Level lowest) {
+  const auto layout = std::make_shared<log4cxx::JSONLayout>();
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, LOG4CXX_STR("System.err"));
+  const auto root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(appender);
+  root->setLevel(internal::ToLog4cxx(lowest));
+  log4cxx::MDC::put("process", process);
+}
+
+void Log(Level level, std::string_view message,
+         std::initializer_list<Field> fields) {
+  const auto logger = log4cxx::Logger::getRootLogger();
+  const auto severity = internal::ToLog4cxx(level);
+  if (!logger->isEnabledFor(severity)) {
+    return;
+  }
+  for (const Field& field : fields) {
+    log4cxx::MDC::put(field.name, field.value);
+  }
+  logger->forcedLog(severity, std::string(message));
+  for (const Field& field : fields) {
+    log4cxx::MDC::remove(field.name);
+  }
+}
+
+}  // namespace camphormux::telemetry
--- /dev/null
+++ b/src/camphormux/telemetry/log.hpp
@@ -0,0 +1,32 @@
+#ifndef CAMPHORMUX_TELEMETRY_LOG_HPP_
+#define CAMPHORMUX_TELEMETRY_LOG_HPP_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace camphormux::telemetry {
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+/// @brief A named value of a log line.
+struct Field {
+  std::string name;
+  std::string value;
+};
+
+/// @brief Sends log lines as JSON to standard error. Call once, before Log.
+/// @param process Value of the field "process" of each line.
+/// @param lowest Lines below this level are dropped.
+void ConfigureLog(const std::string& process, Level lowest);
+
+/// @brief Writes one log line.
+/// @param level Severity.
+/// @param message What happened, without variable parts.
+/// @param fields The variable parts.
+void Log(Level level, std::string_view message,
+         std::initializer_list<Field> fields = {});
+
+}  // namespace camphormux::telemetry
+
+#endif  // CAMPHORMUX_TELEMETRY_LOG_HPP_
