Make the sources clean under the linter

Cause: the first run of the linter rejected 3-way comparison, accessor names and two by-value parameters.

--- a/src/camphormux/settings/reader.cpp
+++ b/src/camphormux/settings/reader.cpp
@@ -115,7 +115,7 @@
 
 std::string ReadText(Reader& reader, std::string_view section,
                      std::string_view key,
-                     std::optional<std::string> fallback) {
+                     const std::optional<std::string>& fallback) {
   const IniEntry* entry = Find(reader, section, key);
   if (entry != nullptr && !entry->value.empty()) {
     return entry->value;
--- a/src/camphormux/settings/reader.hpp
+++ b/src/camphormux/settings/reader.hpp
@@ -54,7 +54,7 @@
 /// @return The value; empty after a problem.
 std::string ReadText(Reader& reader, std::string_view section,
                      std::string_view key,
-                     std::optional<std::string> fallback = std::nullopt);
+                     const std::optional<std::string>& fallback = std::nullopt);
 
 /// @brief Reads an integer within bounds.
 /// @param reader The reader.
--- a/src/camphormux/text/parse.cpp
+++ b/src/camphormux/text/parse.cpp
@@ -35,11 +35,10 @@
 
 constexpr const char* kNameRule = "1 to 63 of the characters a-z, 0-9, - and _";
 
-std::string ReadName(Reader& reader, const std::string& section,
-                     const std::string& key,
-                     std::optional<std::string> fallback = std::nullopt) {
-  const std::string name =
-      settings::ReadText(reader, section, key, std::move(fallback));
+std::string ReadName(
+    Reader& reader, const std::string& section, const std::string& key,
+    const std::optional<std::string>& fallback = std::nullopt) {
+  std::string name = settings::ReadText(reader, section, key, fallback);
   const settings::IniEntry* entry = settings::Find(reader, section, key);
   if (entry != nullptr && !name.empty() && !IsName(name)) {
     settings::Reject(reader, *entry, kNameRule);
