Add HTTP client and server adapters

Cause: log client, stand-ins and controllers all need control-path HTTP. Change: libcurl multi handle on Asio that tells whether a request was sent and never resends what changes something; RESTinio server on a given event loop. Conclusion: one HTTP adapter for all programs off the traffic path.

--- /dev/null
+++ b/src/camphormux/http/client.hpp
@@ -0,0 +1,67 @@
+#ifndef CAMPHORMUX_HTTP_CLIENT_HPP_
+#define CAMPHORMUX_HTTP_CLIENT_HPP_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+#include "camphormux/core/result.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/http/message.hpp"
+
+namespace camphormux::http {
+
+/// @brief A request of the control path. Bodies are held in memory.
+struct ClientRequest {
+  std::string method = "GET";
+  std::string url;
+  Headers headers;
+  std::string body;
+  core::Millis timeout = std::chrono::seconds(5);
+  std::size_t max_response_bytes = std::size_t{16} << 20;
+};
+
+/// @brief A complete response.
+struct ClientResponse {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
+enum class ClientError { kConnect, kTimeout, kCut, kTooLarge, kBadRequest };
+
+/// @brief Why there is no response. If `sent` is false the server cannot have
+/// seen the request.
+struct ClientFailure {
+  ClientError error = ClientError::kConnect;
+  bool sent = false;
+};
+
+using ClientResult = core::Result<ClientResponse, ClientFailure>;
+
+/// @brief libcurl client on an Asio event loop. Use it on the loop's thread
+/// only. Callbacks run on the loop, never inside `Send`.
+class Client {
+ public:
+  /// @param loop Event loop; outlives the client.
+  explicit Client(asio::io_context& loop);
+  /// Drops requests in flight without calling their callbacks.
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// @brief Sends a request. Never resends by itself.
+  /// @param request The request.
+  /// @param done Called once with the result.
+  void Send(ClientRequest request, std::function<void(ClientResult)> done);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace camphormux::http
+
+#endif  // CAMPHORMUX_HTTP_CLIENT_HPP_
--- /dev/null
+++ b/test/http/client_server_test.cpp
@@ -0,0 +1,109 @@
+#include <optional>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/http/client.hpp"
+#include "camphormux/http/server.hpp"
+
+namespace camphormux::http {
+namespace {
+
+constexpr core::Millis kLimit = std::chrono::seconds(20);
+
+std::uint16_t FreePort() {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+std::string Url(std::uint16_t port, const std::string& path) {
+  return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+ClientResult Exchange(asio::io_context& loop, ClientRequest request) {
+  Client client(loop);
+  std::optional<ClientResult> result;
+  client.Send(std::move(request), [&](ClientResult answer) {
+    result = std::move(answer);
+    loop.stop();
+  });
+  loop.restart();
+  loop.run_for(kLimit);
+  EXPECT_TRUE(result.has_value());
+  return result.value_or(ClientFailure{});
+}
+
+// Guards against lost bodies, queries and headers in either direction.
+TEST(ClientServerTest, CarriesTheWholeExchange) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  Server server(loop, {"127.0.0.1", port},
+                [](const ServerRequest& request, const Respond& respond) {
+                  const std::string* header =
+                      FindHeader(request.headers, "x-test");
+                  respond({201,
+                           request.method + request.path +
+                               request.query.at("a") + request.body,
+                           "text/plain",
+                           {{"X-Echo", header ? *header : ""}}});
+                });
+  ClientRequest request;
+  request.method = "POST";
+  request.url = Url(port, "/v1/x?a=1%202");
+  request.headers = {{"X-Test", "yes"}};
+  request.body = std::string(100'000, 'b');
+  const ClientResult result = Exchange(loop, request);
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result.value().status, 201);
+  EXPECT_EQ(result.value().body, "POST/v1/x1 2" + request.body);
+  EXPECT_EQ(*FindHeader(result.value().headers, "x-echo"), "yes");
+}
+
+// Guards against a failure that claims less than may have happened.
+TEST(ClientServerTest, TellsWhetherTheRequestWasSent) {
+  asio::io_context loop;
+  ClientRequest request;
+  request.url = Url(FreePort(), "/");
+  const ClientResult refused = Exchange(loop, request);
+  ASSERT_FALSE(refused.has_value());
+  EXPECT_EQ(refused.error().error, ClientError::kConnect);
+  EXPECT_FALSE(refused.error().sent);
+
+  const std::uint16_t port = FreePort();
+  std::vector<Respond> kept;
+  Server silent(loop, {"127.0.0.1", port},
+                [&kept](const ServerRequest&, const Respond& respond) {
+                  kept.push_back(respond);
+                });
+  request.url = Url(port, "/");
+  request.timeout = core::Millis(200);
+  const ClientResult late = Exchange(loop, request);
+  ASSERT_FALSE(late.has_value());
+  EXPECT_EQ(late.error().error, ClientError::kTimeout);
+  EXPECT_TRUE(late.error().sent);
+}
+
+// Guards against a truncated answer that is taken for a whole one.
+TEST(ClientServerTest, RejectsATruncatedAnswer) {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::socket socket(loop);
+  acceptor.async_accept(socket, [&](const asio::error_code&) {
+    asio::write(socket,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab")));
+    socket.close();
+  });
+  ClientRequest request;
+  request.url = Url(acceptor.local_endpoint().port(), "/");
+  const ClientResult result = Exchange(loop, request);
+  ASSERT_FALSE(result.has_value());
+  EXPECT_EQ(result.error().error, ClientError::kCut);
+}
+
+}  // namespace
+}  // namespace camphormux::http
