Add log port, state fold, tailer and platform stand-in

Gateways and controllers need the shared state before they can be assembled. Adds the HTTP port of the log service, the record and state codecs, the fold with its checks, the tailer, a plain appender that sends one record per entry, and the stand-in for the platform with its fault routes.

The state keeps the generations of removed hosts, so that a returning host never gets a generation twice.

--- a/src/camphormux/log/fwd.hpp
+++ b/src/camphormux/log/fwd.hpp
@@ -8,6 +8,9 @@
 struct StoredRecord;
 struct ReadResult;
 struct LogPort;
+struct Batch;
+struct AppenderOptions;
+class Appender;
 
 }  // namespace camphormux::log
 
--- /dev/null
+++ b/src/camphormux/log/http_port.hpp
@@ -0,0 +1,19 @@
+#ifndef CAMPHORMUX_LOG_HTTP_PORT_HPP_
+#define CAMPHORMUX_LOG_HTTP_PORT_HPP_
+
+#include "camphormux/core/units.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/log/log_port.hpp"
+
+namespace camphormux::log {
+
+/// @brief Makes a port that speaks HTTP with the platform's log service.
+/// @param client HTTP client; outlives the port.
+/// @param platform Address of the platform.
+/// @return The port.
+[[nodiscard]] LogPort MakeHttpPort(http::Client& client,
+                                   const core::Address& platform);
+
+}  // namespace camphormux::log
+
+#endif  // CAMPHORMUX_LOG_HTTP_PORT_HPP_
--- a/src/camphormux/state/fleet_state.hpp
+++ b/src/camphormux/state/fleet_state.hpp
@@ -64,6 +64,15 @@
   friend bool operator==(const ZoneLease&, const ZoneLease&) = default;
 };
 
+/// @brief A host that left the fleet. Its generation is kept, so that a host
+/// that returns never gets a generation that it had before.
+struct RemovedHost {
+  core::Generation generation;
+  core::LogOffset offset;
+
+  friend bool operator==(const RemovedHost&, const RemovedHost&) = default;
+};
+
 /// @brief When a host was last maintained.
 struct MaintenanceRecord {
   core::WallTime last_done;
@@ -111,6 +120,7 @@
   core::LogOffset next;  ///< First offset that is not applied yet.
   AcceptedText text;     ///< Revision 0 until a text is accepted.
   std::map<core::HostId, Host> hosts;
+  std::map<core::HostId, RemovedHost> removed_hosts;  ///< The latest ones.
   std::map<core::ZoneName, ZoneLease> leases;
   std::map<core::HostId, MaintenanceRecord> maintenance;
   std::map<core::ProcessId, Presence> presence;
--- a/src/camphormux/state/fwd.hpp
+++ b/src/camphormux/state/fwd.hpp
@@ -8,6 +8,7 @@
 enum class ProcessRole;
 struct Host;
 struct HostShape;
+struct RemovedHost;
 struct ZoneLease;
 struct MaintenanceRecord;
 struct Presence;
@@ -25,6 +26,8 @@
 struct PresenceNotice;
 struct SnapshotChunk;
 
+class Tailer;
+
 }  // namespace camphormux::state
 
 #endif  // CAMPHORMUX_STATE_FWD_HPP_
--- /dev/null
+++ b/src/camphormux/state/tailer.cpp
@@ -0,0 +1,122 @@
+#include "camphormux/state/tailer.hpp"
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/core/random.hpp"
+#include "camphormux/state/fold.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::state {
+namespace internal {
+
+constexpr std::size_t kReadBytes = std::size_t{1} << 20;
+// A read waits so long for the next record; roll-out needs no polling.
+constexpr core::Millis kReadWait{1000};
+constexpr core::Millis kFirstBackoff{50};
+constexpr core::Millis kMaxBackoff{2000};
+
+}  // namespace internal
+
+struct Tailer::Impl : std::enable_shared_from_this<Tailer::Impl> {
+  Impl(asio::io_context& loop, log::LogPort log_port,
+       std::function<void(const FleetState&)> changed)
+      : port(std::move(log_port)),
+        on_change(std::move(changed)),
+        timer(loop),
+        random(core::SeededRandom(std::random_device{}())) {}
+
+  void Read() {
+    const core::MonotonicTime sent = core::MonotonicNow();
+    port.read(log::kStateStream, state.next, internal::kReadBytes,
+              internal::kReadWait,
+              [weak = weak_from_this(), sent](log::ReadAnswer answer) {
+                if (const auto self = weak.lock()) {
+                  self->OnAnswer(sent, std::move(answer));
+                }
+              });
+  }
+
+  void OnAnswer(core::MonotonicTime sent, log::ReadAnswer answer) {
+    if (!answer.has_value()) {
+      OnFailure(answer.error());
+      return;
+    }
+    backoff = internal::kFirstBackoff;
+    const bool changed = ApplyRecords(answer.value());
+    if (state.next >= answer.value().next) {
+      at_end = true;
+      confirmed = core::MonotonicNow();
+      confirmed_sent = sent;
+    }
+    if (changed) {
+      on_change(state);
+    }
+    Read();
+  }
+
+  bool ApplyRecords(const log::ReadResult& result) {
+    for (const log::StoredRecord& record : result.records) {
+      const auto skipped = ApplyEncoded(state, record.data, record.offset);
+      if (skipped) {
+        telemetry::Log(telemetry::Level::kWarning, "skipped a record",
+                       {{"offset", std::to_string(record.offset.value)},
+                        {"reason", *skipped}});
+      }
+    }
+    return !result.records.empty();
+  }
+
+  void OnFailure(const log::ReadFailure& failure) {
+    if (failure.error == log::ReadError::kBelowEarliest && failure.earliest) {
+      telemetry::Log(telemetry::Level::kError, "records expired unread",
+                     {{"next", std::to_string(state.next.value)},
+                      {"earliest", std::to_string(failure.earliest->value)}});
+      at_end = false;
+      state.next = *failure.earliest;
+    }
+    timer.expires_after(backoff / 2 + core::Jitter(random, backoff / 2));
+    backoff = std::min(backoff * 2, internal::kMaxBackoff);
+    timer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+      const auto self = weak.lock();
+      if (self && !error) {
+        self->Read();
+      }
+    });
+  }
+
+  log::LogPort port;
+  std::function<void(const FleetState&)> on_change;
+  asio::steady_timer timer;
+  core::Random random;
+  FleetState state;
+  bool at_end = false;
+  core::MonotonicTime confirmed;
+  core::MonotonicTime confirmed_sent;
+  core::Millis backoff = internal::kFirstBackoff;
+};
+
+Tailer::Tailer(asio::io_context& loop, log::LogPort port,
+               std::function<void(const FleetState&)> on_change)
+    : impl_(std::make_shared<Impl>(loop, std::move(port),
+                                   std::move(on_change))) {}
+
+Tailer::~Tailer() = default;
+
+void Tailer::Start() { impl_->Read(); }
+
+const FleetState& Tailer::state() const { return impl_->state; }
+
+bool Tailer::at_end() const { return impl_->at_end; }
+
+core::MonotonicTime Tailer::last_confirmed() const { return impl_->confirmed; }
+
+core::MonotonicTime Tailer::last_confirmed_sent() const {
+  return impl_->confirmed_sent;
+}
+
+}  // namespace camphormux::state
--- /dev/null
+++ b/src/camphormux/state/tailer.hpp
@@ -0,0 +1,52 @@
+#ifndef CAMPHORMUX_STATE_TAILER_HPP_
+#define CAMPHORMUX_STATE_TAILER_HPP_
+
+#include <functional>
+#include <memory>
+
+#include <asio/io_context.hpp>
+
+#include "camphormux/core/time.hpp"
+#include "camphormux/log/log_port.hpp"
+#include "camphormux/state/fleet_state.hpp"
+
+namespace camphormux::state {
+
+/// @brief Follows the state stream and keeps the fold of its records. Use it
+/// on the loop's thread only.
+class Tailer {
+ public:
+  /// @param loop Event loop; outlives the tailer.
+  /// @param port The log.
+  /// @param on_change Called after each answer that changed the state.
+  Tailer(asio::io_context& loop, log::LogPort port,
+         std::function<void(const FleetState&)> on_change);
+  ~Tailer();
+  Tailer(const Tailer&) = delete;
+  Tailer& operator=(const Tailer&) = delete;
+
+  /// @brief Starts to read; goes on until the tailer is destroyed.
+  void Start();
+
+  /// @return The state so far.
+  [[nodiscard]] const FleetState& state() const;
+
+  /// @return Whether the log's end was reached at least once.
+  [[nodiscard]] bool at_end() const;
+
+  /// @return When the last answer that showed the log's end arrived; the
+  /// clock's epoch if none did.
+  [[nodiscard]] core::MonotonicTime last_confirmed() const;
+
+  /// @return When the read was sent whose answer last showed the log's end. All
+  /// records that were on the log then are in the state.
+  [[nodiscard]] core::MonotonicTime last_confirmed_sent() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace camphormux::state
+
+#endif  // CAMPHORMUX_STATE_TAILER_HPP_
--- /dev/null
+++ b/test/platform_standin/host_routes.cpp
@@ -0,0 +1,166 @@
+#include <memory>
+#include <utility>
+
+#include "routes.hpp"
+#include "service.hpp"
+
+namespace camphormux::standin {
+
+void Service::HandleHost(const http::ServerRequest& request, const Path& path,
+                         const http::Respond& respond) {
+  if (path.size() == 2) {
+    respond(internal::Answer(200, LaggingList(fleet_, core::MonotonicNow())));
+    return;
+  }
+  const auto host = fleet_.hosts.find(path[2]);
+  if (host == fleet_.hosts.end()) {
+    respond(internal::NotFound("host " + path[2]));
+    return;
+  }
+  if (path.size() == 3) {
+    HostStatus(host->second, respond);
+  } else if (path[3] == "tasks" && path.size() >= 5) {
+    HandleTask(request, path, host->second, respond);
+  } else if (path.size() == 4) {
+    HandleEffect(host->second, path[3], internal::ParseBody(request.body),
+                 respond);
+  } else {
+    respond(internal::NotFound("path " + request.path));
+  }
+}
+
+void Service::HostStatus(const PlatformHost& host,
+                         const http::Respond& respond) {
+  nlohmann::json own{{"pool", host.pool},
+                     {"service", host.service},
+                     {"generation", host.generation},
+                     {"draining", host.draining},
+                     {"active_requests", 0},
+                     {"boot_id", "boot-" + std::to_string(host.boots)}};
+  if (!endpoints_) {
+    respond(internal::Answer(200, own));
+    return;
+  }
+  // The endpoint's own values are the true ones.
+  Forward("GET", "/control/hosts/" + host.id, nullptr,
+          [own, respond](const http::ServerResponse& response) mutable {
+            const auto actual = internal::ParseBody(response.body);
+            if (response.status != 200 || !actual.is_object()) {
+              respond(response);
+              return;
+            }
+            own.update(actual);
+            respond(internal::Answer(200, own));
+          });
+}
+
+void Service::HandleEffect(PlatformHost& host, const std::string& what,
+                           const nlohmann::json& body,
+                           const http::Respond& respond) {
+  const auto epoch = internal::BodyNumber(body, "epoch");
+  if (!epoch) {
+    respond(internal::Failure(400, "bad_request", "epoch is missing"));
+    return;
+  }
+  if (!AdmitEpoch(fleet_, host.zone, *epoch)) {
+    respond(internal::Failure(409, "old_epoch", "the epoch is not in force"));
+    return;
+  }
+  const http::Respond change = AsChange(respond);
+  const std::string control = "/control/hosts/" + host.id;
+  const auto generation = internal::BodyNumber(body, "generation");
+  if (what == "reboot") {
+    const std::string id = internal::BodyText(body, "maintenance_id");
+    if (host.maintenance_ids.insert(id).second) {
+      ++host.boots;
+    }
+    Forward("PUT", control + "/reboot", {{"maintenance_id", id}}, change);
+    return;
+  }
+  if (!generation || (what != "pool" && what != "drain")) {
+    respond(internal::Failure(400, "bad_request", "generation is missing"));
+    return;
+  }
+  if (*generation < host.generation) {
+    respond(internal::Failure(409, "old_generation",
+                              "the host has a higher generation"));
+    return;
+  }
+  host.generation = *generation;
+  host.draining = what == "drain";
+  if (host.draining) {
+    Forward("PUT", control + "/drain", {{"generation", *generation}}, change);
+    return;
+  }
+  host.pool = internal::BodyText(body, "pool");
+  host.service = internal::BodyText(body, "service");
+  Forward("PUT", control + "/assignment",
+          {{"service", host.service}, {"generation", *generation}}, change);
+}
+
+void Service::HandleTask(const http::ServerRequest& request, const Path& path,
+                         PlatformHost& host, const http::Respond& respond) {
+  const nlohmann::json body = internal::ParseBody(request.body);
+  const std::string& id = path[4];
+  const http::Respond change = AsChange(respond);
+  const auto epoch = internal::BodyNumber(body, "epoch");
+  if (epoch && !AdmitEpoch(fleet_, host.zone, *epoch)) {
+    respond(internal::Failure(409, "old_epoch", "the epoch is not in force"));
+    return;
+  }
+  if (request.method == "PUT") {
+    if (!PutTask(fleet_, host, id, body, core::MonotonicNow())) {
+      respond(internal::Failure(400, "bad_request",
+                                "job, lease_ms or limits is missing"));
+      return;
+    }
+    change(internal::Answer(200, nlohmann::json::object()));
+    return;
+  }
+  const auto task = host.tasks.find(id);
+  if (request.method == "DELETE") {
+    if (task != host.tasks.end()) {
+      host.tasks.erase(task);
+    }
+    change(internal::Answer(200, nlohmann::json::object()));
+    return;
+  }
+  if (task == host.tasks.end() || path.size() != 6) {
+    respond(internal::NotFound("task " + id));
+    return;
+  }
+  if (path[5] == "throttle" && task->second.state == "running") {
+    task->second.state = "throttled";
+  } else if (path[5] == "checkpoint") {
+    task->second.state = "checkpointed";
+  }
+  change(internal::Answer(200, nlohmann::json::object()));
+}
+
+void Service::Forward(const std::string& method, const std::string& path,
+                      const nlohmann::json& body,
+                      const http::Respond& respond) {
+  if (!endpoints_) {
+    respond(internal::Answer(200, nlohmann::json::object()));
+    return;
+  }
+  http::ClientRequest request;
+  request.method = method;
+  request.url = "http://" + endpoints_->ip + ":" +
+                std::to_string(endpoints_->port) + path;
+  if (!body.is_null()) {
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = body.dump();
+  }
+  client_.Send(std::move(request), [respond](const http::ClientResult& result) {
+    if (!result.has_value()) {
+      respond(
+          internal::Failure(503, "unavailable", "the host does not answer"));
+      return;
+    }
+    respond(
+        {result.value().status, result.value().body, "application/json", {}});
+  });
+}
+
+}  // namespace camphormux::standin
--- /dev/null
+++ b/test/platform_standin/log_store.hpp
@@ -0,0 +1,68 @@
+#ifndef CAMPHORMUX_TEST_PLATFORM_STANDIN_LOG_STORE_HPP_
+#define CAMPHORMUX_TEST_PLATFORM_STANDIN_LOG_STORE_HPP_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphormux/core/time.hpp"
+#include "camphormux/log/log_port.hpp"
+
+namespace camphormux::standin {
+
+/// @brief Limits of the log service.
+struct LogLimits {
+  core::Millis retention = std::chrono::minutes(10);
+  double appends_per_second = 300.0;  ///< Shared by all streams.
+  double burst = 30.0;                ///< Appends that may come at once.
+  std::size_t max_record_bytes = std::size_t{1} << 20;
+};
+
+/// @brief Records of all streams, in memory.
+class LogStore {
+ public:
+  explicit LogStore(LogLimits limits) : limits_(limits) {}
+
+  /// @brief Takes one append out of the shared allowance.
+  /// @return Whether there was any left.
+  [[nodiscard]] bool TakeAllowance(core::MonotonicTime now);
+
+  /// @brief Appends a record and wakes the readers that wait for it.
+  core::LogOffset Append(const std::string& stream, std::string data,
+                         core::WallTime time);
+
+  /// @brief Reads records; at least one if there is any.
+  /// @return The records, or the earliest offset if `from` is below it.
+  [[nodiscard]] log::ReadAnswer Read(const std::string& stream,
+                                     core::LogOffset from,
+                                     std::size_t max_bytes);
+
+  /// @brief Calls a function once at the next append to a stream.
+  void OnAppend(const std::string& stream, std::function<void()> wake);
+
+  /// @brief Drops records that were appended before a time.
+  void ExpireBefore(core::WallTime time);
+
+  [[nodiscard]] const LogLimits& limits() const { return limits_; }
+  void SetAppendsPerSecond(double rate) { limits_.appends_per_second = rate; }
+
+ private:
+  struct Stream {
+    core::LogOffset next;
+    std::deque<log::StoredRecord> records;
+    std::vector<std::function<void()>> waiting;
+  };
+
+  LogLimits limits_;
+  double allowance_ = 0;
+  std::optional<core::MonotonicTime> allowance_time_;
+  std::map<std::string, Stream> streams_;
+};
+
+}  // namespace camphormux::standin
+
+#endif  // CAMPHORMUX_TEST_PLATFORM_STANDIN_LOG_STORE_HPP_
--- /dev/null
+++ b/test/platform_standin/service.hpp
@@ -0,0 +1,82 @@
+#ifndef CAMPHORMUX_TEST_PLATFORM_STANDIN_SERVICE_HPP_
+#define CAMPHORMUX_TEST_PLATFORM_STANDIN_SERVICE_HPP_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "camphormux/core/random.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/http/server.hpp"
+#include "fleet.hpp"
+#include "log_store.hpp"
+
+namespace camphormux::standin {
+
+/// @brief Faults that the control routes bring about.
+struct Faults {
+  bool outage = false;      ///< The whole platform answers 503.
+  bool log_outage = false;  ///< Only the log service answers 503.
+  core::Millis delay{0};    ///< Added to every answer.
+  /// Share of the changes that take effect without an answer.
+  double lost_probability = 0;
+  std::uint64_t lost_count = 0;  ///< So many of the next changes as well.
+};
+
+/// @brief The platform's HTTP interface and its control routes.
+class Service {
+ public:
+  Service(asio::io_context& loop, LogStore store, Fleet fleet,
+          std::optional<core::Address> endpoints, std::uint64_t seed);
+
+  /// @brief Handles a request.
+  void Handle(const http::ServerRequest& request, const http::Respond& respond);
+
+ private:
+  using Path = std::vector<std::string>;
+
+  void Dispatch(const http::ServerRequest& request,
+                const http::Respond& respond);
+  void HandleStream(const http::ServerRequest& request, const Path& path,
+                    const http::Respond& respond);
+  void Append(const std::string& stream, const std::string& body,
+              const http::Respond& respond);
+  void ReadOrWait(const std::string& stream, core::LogOffset from,
+                  std::size_t max_bytes, core::MonotonicTime until,
+                  const http::Respond& respond);
+  void HandleHost(const http::ServerRequest& request, const Path& path,
+                  const http::Respond& respond);
+  void HostStatus(const PlatformHost& host, const http::Respond& respond);
+  void HandleEffect(PlatformHost& host, const std::string& what,
+                    const nlohmann::json& body, const http::Respond& respond);
+  void HandleTask(const http::ServerRequest& request, const Path& path,
+                  PlatformHost& host, const http::Respond& respond);
+  http::ServerResponse HandleControl(const Path& path,
+                                     const nlohmann::json& body);
+  http::ServerResponse ControlHost(const Path& path,
+                                   const nlohmann::json& body);
+  void Forward(const std::string& method, const std::string& path,
+               const nlohmann::json& body, const http::Respond& respond);
+  void Later(core::Millis delay, std::function<void()> action);
+  void Tick();
+  http::Respond AsChange(const http::Respond& respond);
+
+  asio::io_context& loop_;
+  http::Client client_;
+  asio::steady_timer tick_;
+  LogStore store_;
+  Fleet fleet_;
+  std::optional<core::Address> endpoints_;
+  Faults faults_;
+  core::Random random_;
+};
+
+}  // namespace camphormux::standin
+
+#endif  // CAMPHORMUX_TEST_PLATFORM_STANDIN_SERVICE_HPP_
