Append with group commit, back-off and read-back

One record per entry exhausts the log's shared allowance. The appender now sends one batch at a time and gathers entries meanwhile, backs off with jitter, reads a lost answer back before it resends, bounds its queue and refuses at once while the log is down. The batcher is a pure decision.

--- /dev/null
+++ b/src/camphormux/log/batcher.cpp
@@ -0,0 +1,249 @@
+#include "camphormux/log/batcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphormux::log {
+namespace internal {
+
+void Complete(Batcher& batcher, const PendingEntry& entry,
+              const AppendResult& result, BatcherEffects& effects) {
+  batcher.queued_bytes -= entry.bytes.size();
+  effects.completions.push_back({entry.number, result});
+}
+
+void CompleteInFlight(Batcher& batcher, const AppendResult& result,
+                      BatcherEffects& effects) {
+  for (const PendingEntry& entry : batcher.in_flight) {
+    Complete(batcher, entry, result, effects);
+  }
+  batcher.in_flight.clear();
+  batcher.in_doubt = false;
+}
+
+// Moves waiting entries into a new batch, at least one.
+void FormBatch(Batcher& batcher) {
+  std::size_t bytes = 0;
+  while (!batcher.waiting.empty() &&
+         batcher.in_flight.size() < batcher.options.max_batch_entries) {
+    bytes += batcher.waiting.front().bytes.size();
+    if (!batcher.in_flight.empty() && bytes > batcher.options.max_batch_bytes) {
+      break;
+    }
+    batcher.in_flight.push_back(std::move(batcher.waiting.front()));
+    batcher.waiting.pop_front();
+  }
+  batcher.batch_id =
+      batcher.options.writer + "-" + std::to_string(batcher.next_batch++);
+}
+
+void SendBatch(Batcher& batcher, BatcherEffects& effects) {
+  Batch batch{batcher.batch_id, {}};
+  for (const PendingEntry& entry : batcher.in_flight) {
+    batch.entries.push_back(entry.bytes);
+  }
+  batcher.phase = BatcherPhase::kAppending;
+  effects.append = EncodeBatch(batch);
+}
+
+void StartRead(Batcher& batcher, BatcherPhase phase, core::LogOffset from,
+               BatcherEffects& effects) {
+  batcher.phase = phase;
+  batcher.read_from = from;
+  effects.read = from;
+}
+
+// Starts whatever comes next when no call is outstanding.
+void Proceed(Batcher& batcher, BatcherEffects& effects) {
+  if (batcher.in_doubt) {
+    StartRead(batcher, BatcherPhase::kReadingBack, batcher.read_from, effects);
+    return;
+  }
+  if (batcher.in_flight.empty() && batcher.waiting.empty()) {
+    batcher.phase = BatcherPhase::kIdle;
+    return;
+  }
+  if (!batcher.not_below) {
+    StartRead(batcher, BatcherPhase::kProbing, core::LogOffset{0}, effects);
+    return;
+  }
+  if (batcher.in_flight.empty()) {
+    FormBatch(batcher);
+  }
+  SendBatch(batcher, effects);
+}
+
+void Succeed(Batcher& batcher, core::LogOffset offset,
+             BatcherEffects& effects) {
+  batcher.failures = 0;
+  batcher.backoff = core::Millis{0};
+  batcher.not_below = core::Next(offset);
+  CompleteInFlight(batcher, offset, effects);
+  Proceed(batcher, effects);
+}
+
+// Fails the entries that are too old to be tried again. Entries of a batch in
+// doubt share one result, since the batch may still turn up as a whole.
+void GiveUp(Batcher& batcher, AppendError error, core::MonotonicTime now,
+            BatcherEffects& effects) {
+  const core::MonotonicTime limit = now - batcher.options.give_up_after;
+  if (!batcher.in_flight.empty() && batcher.in_flight.front().queued <= limit) {
+    CompleteInFlight(batcher, AppendError::kNoAnswer, effects);
+  }
+  while (!batcher.waiting.empty() && batcher.waiting.front().queued <= limit) {
+    Complete(batcher, batcher.waiting.front(), error, effects);
+    batcher.waiting.pop_front();
+  }
+}
+
+// Puts a batch that is certainly not on the log back into the queue, so that
+// entries that arrived meanwhile join it.
+void Requeue(Batcher& batcher) {
+  batcher.waiting.insert(batcher.waiting.begin(),
+                         std::make_move_iterator(batcher.in_flight.begin()),
+                         std::make_move_iterator(batcher.in_flight.end()));
+  batcher.in_flight.clear();
+}
+
+void BackOff(Batcher& batcher, AppendError error, BatcherEffects& effects) {
+  const bool throttled = error == AppendError::kThrottled;
+  batcher.failures = throttled ? 0 : batcher.failures + 1;
+  batcher.backoff =
+      std::clamp(batcher.backoff * 2, batcher.options.first_backoff,
+                 throttled ? batcher.options.max_throttle_backoff
+                           : batcher.options.max_backoff);
+  batcher.phase = BatcherPhase::kBackingOff;
+  const core::Millis half = batcher.backoff / 2;
+  effects.timer = half + core::Jitter(batcher.random, half);
+}
+
+void OnProbe(Batcher& batcher, const ReadAnswer& answer,
+             core::MonotonicTime now, BatcherEffects& effects) {
+  if (answer.has_value()) {
+    batcher.not_below = answer.value().next;
+  } else if (answer.error().error == ReadError::kBelowEarliest) {
+    batcher.not_below = answer.error().earliest;
+  } else {
+    GiveUp(batcher, AppendError::kUnavailable, now, effects);
+    BackOff(batcher, AppendError::kUnavailable, effects);
+    return;
+  }
+  Proceed(batcher, effects);
+}
+
+const StoredRecord* FindBatch(const ReadResult& result,
+                              const std::string& batch_id) {
+  for (const StoredRecord& record : result.records) {
+    const auto batch = DecodeBatch(record.data);
+    if (batch && batch->id == batch_id) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+void OnReadBack(Batcher& batcher, const ReadResult& result,
+                BatcherEffects& effects) {
+  const StoredRecord* found = FindBatch(result, batcher.batch_id);
+  if (found != nullptr) {
+    Succeed(batcher, found->offset, effects);
+    return;
+  }
+  if (!result.records.empty()) {
+    batcher.read_from = core::Next(result.records.back().offset);
+  }
+  if (batcher.read_from < result.next) {
+    StartRead(batcher, BatcherPhase::kReadingBack, batcher.read_from, effects);
+    return;
+  }
+  // The log's end was reached without the batch, so it is sent again under the
+  // same id. A late first copy would repeat the whole batch; readers apply
+  // records once by their own ids, epochs and phases.
+  SendBatch(batcher, effects);
+}
+
+}  // namespace internal
+
+Batcher MakeBatcher(AppenderOptions options) {
+  Batcher batcher;
+  batcher.random = core::SeededRandom(options.seed);
+  batcher.options = std::move(options);
+  return batcher;
+}
+
+std::uint64_t Enqueue(Batcher& batcher, std::string bytes,
+                      core::MonotonicTime now, BatcherEffects& effects) {
+  const std::uint64_t number = batcher.next_entry++;
+  const std::size_t queued = batcher.waiting.size() + batcher.in_flight.size();
+  const AppenderOptions& options = batcher.options;
+  if (bytes.size() > options.max_batch_bytes) {
+    effects.completions.push_back({number, AppendError::kTooLarge});
+    return number;
+  }
+  if (queued >= options.max_queued_entries ||
+      batcher.queued_bytes + bytes.size() > options.max_queued_bytes) {
+    effects.completions.push_back({number, AppendError::kThrottled});
+    return number;
+  }
+  if (options.refuse_after_failures > 0 && queued > 0 &&
+      batcher.failures >= options.refuse_after_failures) {
+    effects.completions.push_back({number, AppendError::kUnavailable});
+    return number;
+  }
+  batcher.queued_bytes += bytes.size();
+  batcher.waiting.push_back({number, std::move(bytes), now});
+  if (batcher.phase == BatcherPhase::kIdle) {
+    internal::Proceed(batcher, effects);
+  }
+  return number;
+}
+
+void OnAppendAnswer(Batcher& batcher, const AppendResult& answer,
+                    core::MonotonicTime now, BatcherEffects& effects) {
+  if (answer.has_value()) {
+    internal::Succeed(batcher, answer.value(), effects);
+    return;
+  }
+  const AppendError error = answer.error();
+  if (error == AppendError::kTooLarge) {
+    internal::CompleteInFlight(batcher, error, effects);
+    internal::Proceed(batcher, effects);
+    return;
+  }
+  if (error == AppendError::kNoAnswer) {
+    batcher.in_doubt = true;
+    batcher.read_from = *batcher.not_below;
+  } else if (!batcher.in_doubt) {
+    internal::Requeue(batcher);
+  }
+  internal::GiveUp(batcher, error, now, effects);
+  internal::BackOff(batcher, error, effects);
+}
+
+void OnReadAnswer(Batcher& batcher, const ReadAnswer& answer,
+                  core::MonotonicTime now, BatcherEffects& effects) {
+  if (batcher.phase == BatcherPhase::kProbing) {
+    internal::OnProbe(batcher, answer, now, effects);
+    return;
+  }
+  if (answer.has_value()) {
+    internal::OnReadBack(batcher, answer.value(), effects);
+    return;
+  }
+  if (answer.error().error == ReadError::kBelowEarliest) {
+    // The batch may have been on the log and have expired unread.
+    batcher.not_below = answer.error().earliest;
+    internal::CompleteInFlight(batcher, AppendError::kNoAnswer, effects);
+    internal::Proceed(batcher, effects);
+    return;
+  }
+  internal::GiveUp(batcher, AppendError::kUnavailable, now, effects);
+  internal::BackOff(batcher, AppendError::kUnavailable, effects);
+}
+
+void OnTimer(Batcher& batcher, core::MonotonicTime /*now*/,
+             BatcherEffects& effects) {
+  internal::Proceed(batcher, effects);
+}
+
+}  // namespace camphormux::log
--- a/src/camphormux/log/fwd.hpp
+++ b/src/camphormux/log/fwd.hpp
@@ -10,6 +10,8 @@
 struct LogPort;
 struct Batch;
 struct AppenderOptions;
+struct Batcher;
+struct BatcherEffects;
 class Appender;
 
 }  // namespace camphormux::log
--- /dev/null
+++ b/src/camphormux/ownership/lease.cpp
@@ -0,0 +1,155 @@
+#include "camphormux/ownership/lease.hpp"
+
+#include <utility>
+
+namespace camphormux::ownership {
+namespace internal {
+
+// Notes a renewal that was not seen before.
+void Observe(Lease& lease, const LogView& view, core::MonotonicTime now) {
+  const core::Epoch epoch =
+      view.lease == nullptr ? core::Epoch{} : view.lease->epoch;
+  const core::LogOffset renewal =
+      view.lease == nullptr ? core::LogOffset{} : view.lease->last_renewal;
+  if (lease.has_seen && epoch == lease.seen_epoch &&
+      renewal == lease.seen_renewal) {
+    return;
+  }
+  lease.has_seen = true;
+  lease.seen_epoch = epoch;
+  lease.seen_renewal = renewal;
+  lease.seen_at = now;
+  lease.jitter = core::Jitter(lease.random, lease.options.max_jitter);
+}
+
+bool IsOwn(const Lease& lease, const LogView& view) {
+  return view.lease != nullptr && view.lease->holder == lease.self &&
+         view.lease->epoch == lease.epoch;
+}
+
+// Another holder, or another epoch: what was claimed or held is gone.
+void BecomeContender(Lease& lease) {
+  lease.role = Role::kContender;
+  lease.epoch = core::Epoch{};
+  lease.confirmed_at.reset();
+  lease.outstanding = false;
+}
+
+// Whether the log was read to its end without a renewal until the lease was
+// over. A process that was paused must read again first, because answers that
+// waited for it show an old end.
+bool IsExpired(const Lease& lease, const LogView& view) {
+  return view.complete_until &&
+         *view.complete_until >=
+             lease.seen_at + lease.options.duration + lease.jitter;
+}
+
+LeaseStep Claim(Lease& lease, core::MonotonicTime now) {
+  const core::Epoch wanted = core::Next(lease.seen_epoch);
+  if (lease.role != Role::kClaiming || lease.epoch != wanted) {
+    lease.claimed_at = now;
+  }
+  lease.role = Role::kClaiming;
+  lease.epoch = wanted;
+  lease.sent_at = now;
+  lease.outstanding = true;
+  lease.confirmed_at.reset();
+  return {state::LeaseClaim{lease.zone, lease.self, lease.epoch}, {}};
+}
+
+LeaseStep AdvanceContender(Lease& lease, const LogView& view,
+                           core::MonotonicTime now) {
+  // A zone without a lease waits too, so that one of several starting
+  // processes claims before the others.
+  if (!IsExpired(lease, view)) {
+    return {};
+  }
+  return Claim(lease, now);
+}
+
+LeaseStep AdvanceClaiming(Lease& lease, const LogView& view,
+                          core::MonotonicTime now) {
+  if (IsOwn(lease, view)) {
+    lease.role = Role::kHolder;
+    // If the claim was sent more than once, the first copy may be the one on
+    // the log; the time to decide counts from it.
+    lease.confirmed_at = lease.claimed_at;
+    lease.outstanding = false;
+    return {};
+  }
+  if (lease.seen_epoch >= lease.epoch) {
+    BecomeContender(lease);
+    return {};
+  }
+  // The log was read beyond the claim's sending without finding it. A late
+  // copy of it has the same epoch and holder, so a second one does no harm.
+  const bool missing =
+      view.complete_until &&
+      *view.complete_until >= lease.sent_at + lease.options.resend_after;
+  return missing ? Claim(lease, now) : LeaseStep{};
+}
+
+LeaseStep AdvanceHolder(Lease& lease, const LogView& view,
+                        core::MonotonicTime now) {
+  if (!IsOwn(lease, view)) {
+    BecomeContender(lease);
+    return {};
+  }
+  const core::Millis wait = lease.outstanding ? lease.options.resend_after
+                                              : lease.options.renew_period;
+  if (now < lease.sent_at + wait) {
+    return {};
+  }
+  lease.sent_at = now;
+  lease.outstanding = true;
+  return {{}, state::LeaseRenew{lease.zone, lease.self, lease.epoch}};
+}
+
+}  // namespace internal
+
+Lease MakeLease(core::ZoneName zone, core::ProcessId self, LeaseOptions options,
+                core::Random random) {
+  Lease lease;
+  lease.zone = std::move(zone);
+  lease.self = std::move(self);
+  lease.options = options;
+  lease.random = random;
+  return lease;
+}
+
+LeaseStep Advance(Lease& lease, const LogView& view, core::MonotonicTime now) {
+  internal::Observe(lease, view, now);
+  switch (lease.role) {
+    case Role::kContender:
+      return internal::AdvanceContender(lease, view, now);
+    case Role::kClaiming:
+      return internal::AdvanceClaiming(lease, view, now);
+    case Role::kHolder:
+      return internal::AdvanceHolder(lease, view, now);
+  }
+  return {};
+}
+
+void OnAppended(Lease& lease, core::MonotonicTime sent_at) {
+  // A claim counts only when the state shows that it came first.
+  if (lease.role != Role::kHolder) {
+    return;
+  }
+  if (sent_at == lease.sent_at) {
+    lease.outstanding = false;
+  }
+  if (!lease.confirmed_at || *lease.confirmed_at < sent_at) {
+    lease.confirmed_at = sent_at;
+  }
+}
+
+std::optional<core::Epoch> MayDecide(const Lease& lease,
+                                     core::MonotonicTime now) {
+  if (lease.role != Role::kHolder || !lease.confirmed_at ||
+      now > *lease.confirmed_at + lease.options.decide_for) {
+    return std::nullopt;
+  }
+  return lease.epoch;
+}
+
+}  // namespace camphormux::ownership
