--- a/src/camphormux/state/codec.cpp
+++ b/src/camphormux/state/codec.cpp
@@ -103,6 +103,7 @@
               {"index", record.index},
               {"count", record.count},
               {"digest", record.digest},
+              {"recovery", std::uint64_t{record.recovery}},
               {"data", json::binary(std::vector<std::uint8_t>(
                            record.data.begin(), record.data.end()))}};
 }
@@ -225,6 +226,9 @@
   reader.Read("count", record.count);
   reader.Read("digest", record.digest);
   reader.Read("data", record.data);
+  std::optional<std::uint64_t> recovery;
+  reader.ReadOptional("recovery", recovery);
+  record.recovery = recovery.value_or(0) != 0;
   return Finish(reader, std::move(record));
 }
 
--- a/src/camphormux/state/records.hpp
+++ b/src/camphormux/state/records.hpp
@@ -120,6 +120,8 @@
   std::uint32_t count = 0;
   std::uint64_t digest = 0;  ///< Of the whole encoded state.
   std::string data;
+  /// Whether records after `at` were lost by every process.
+  bool recovery = false;
 
   friend bool operator==(const SnapshotChunk&, const SnapshotChunk&) = default;
 };
--- a/src/camphormux/state/tailer.cpp
+++ b/src/camphormux/state/tailer.cpp
@@ -8,7 +8,6 @@
 #include <asio/steady_timer.hpp>
 
 #include "camphormux/core/random.hpp"
-#include "camphormux/state/fold.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::state {
@@ -32,52 +31,43 @@
 
   void Read() {
     const core::MonotonicTime sent = core::MonotonicNow();
-    port.read(log::kStateStream, state.next, internal::kReadBytes,
+    port.read(log::kStateStream, follower.read_from, internal::kReadBytes,
               internal::kReadWait,
-              [weak = weak_from_this(), sent](log::ReadAnswer answer) {
+              [weak = weak_from_this(), sent](const log::ReadAnswer& answer) {
                 if (const auto self = weak.lock()) {
-                  self->OnAnswer(sent, std::move(answer));
+                  self->OnAnswer(sent, answer);
                 }
               });
   }
 
-  void OnAnswer(core::MonotonicTime sent, log::ReadAnswer answer) {
+  void OnAnswer(core::MonotonicTime sent, const log::ReadAnswer& answer) {
     if (!answer.has_value()) {
       OnFailure(answer.error());
       return;
     }
     backoff = internal::kFirstBackoff;
-    const bool changed = ApplyRecords(answer.value());
-    if (state.next >= answer.value().next) {
-      at_end = true;
+    const FollowResult result = OnRead(follower, answer.value());
+    for (const SkippedRecord& skipped : result.skipped) {
+      telemetry::Log(telemetry::Level::kWarning, "skipped a record",
+                     {{"offset", std::to_string(skipped.offset.value)},
+                      {"reason", skipped.reason}});
+    }
+    if (follower.at_end) {
       confirmed = core::MonotonicNow();
       confirmed_sent = sent;
     }
-    if (changed) {
-      on_change(state);
+    if (result.changed) {
+      on_change(follower.state);
     }
     Read();
   }
 
-  bool ApplyRecords(const log::ReadResult& result) {
-    for (const log::StoredRecord& record : result.records) {
-      const auto skipped = ApplyEncoded(state, record.data, record.offset);
-      if (skipped) {
-        telemetry::Log(telemetry::Level::kWarning, "skipped a record",
-                       {{"offset", std::to_string(record.offset.value)},
-                        {"reason", *skipped}});
-      }
-    }
-    return !result.records.empty();
-  }
-
   void OnFailure(const log::ReadFailure& failure) {
     if (failure.error == log::ReadError::kBelowEarliest && failure.earliest) {
-      telemetry::Log(telemetry::Level::kError, "records expired unread",
-                     {{"next", std::to_string(state.next.value)},
+      telemetry::Log(telemetry::Level::kWarning, "records expired unread",
+                     {{"from", std::to_string(follower.read_from.value)},
                       {"earliest", std::to_string(failure.earliest->value)}});
-      at_end = false;
-      state.next = *failure.earliest;
+      OnBelowEarliest(follower, *failure.earliest);
     }
     timer.expires_after(backoff / 2 + core::Jitter(random, backoff / 2));
     backoff = std::min(backoff * 2, internal::kMaxBackoff);
@@ -93,8 +83,7 @@
   std::function<void(const FleetState&)> on_change;
   asio::steady_timer timer;
   core::Random random;
-  FleetState state;
-  bool at_end = false;
+  Follower follower;
   core::MonotonicTime confirmed;
   core::MonotonicTime confirmed_sent;
   core::Millis backoff = internal::kFirstBackoff;
@@ -109,9 +98,16 @@
 
 void Tailer::Start() { impl_->Read(); }
 
-const FleetState& Tailer::state() const { return impl_->state; }
+const FleetState& Tailer::state() const { return impl_->follower.state; }
+
+Readiness Tailer::ready() const {
+  const auto reason = WhyNotReady(impl_->follower);
+  return {!reason.has_value(), reason.value_or("")};
+}
+
+const Follower& Tailer::follower() const { return impl_->follower; }
 
-bool Tailer::at_end() const { return impl_->at_end; }
+bool Tailer::at_end() const { return impl_->follower.at_end; }
 
 core::MonotonicTime Tailer::last_confirmed() const { return impl_->confirmed; }
 
--- a/src/camphormux/state/tailer.hpp
+++ b/src/camphormux/state/tailer.hpp
@@ -3,15 +3,23 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <asio/io_context.hpp>
 
 #include "camphormux/core/time.hpp"
 #include "camphormux/log/log_port.hpp"
 #include "camphormux/state/fleet_state.hpp"
+#include "camphormux/state/follower.hpp"
 
 namespace camphormux::state {
 
+/// @brief Whether a process may serve from the state.
+struct Readiness {
+  bool ready = false;
+  std::string reason;  ///< Why not.
+};
+
 /// @brief Follows the state stream and keeps the fold of its records. Use it
 /// on the loop's thread only.
 class Tailer {
@@ -31,7 +39,15 @@
   /// @return The state so far.
   [[nodiscard]] const FleetState& state() const;
 
-  /// @return Whether the log's end was reached at least once.
+  /// @return Whether the state was complete at least once; a process that
+  /// starts must not serve before.
+  [[nodiscard]] Readiness ready() const;
+
+  /// @return How the log was read; for snapshots and metrics.
+  [[nodiscard]] const Follower& follower() const;
+
+  /// @return Whether the state is that of the log's end as last read; false
+  /// until the end was reached, and again while lost records are made up for.
   [[nodiscard]] bool at_end() const;
 
   /// @return When the last answer that showed the log's end arrived; the
--- a/test/state/codec_test.cpp
+++ b/test/state/codec_test.cpp
@@ -21,7 +21,8 @@
           Step("h", HostPhase::kReleased, 2),
           MaintenanceDone{{"a"}, {1}, {"h"}, core::WallTime{core::Millis{7}}},
           PresenceNotice{{"g"}, ProcessRole::kGateway, {"a"}, {"::1", 9}, {2}},
-          SnapshotChunk{"s", {9}, 0, 1, 0xFFFFFFFFFFFFFFFFULL, {"\0\xFF", 2}}};
+          SnapshotChunk{
+              "s", {9}, 0, 1, 0xFFFFFFFFFFFFFFFFULL, {"\0\xFF", 2}, true}};
 }
 
 // Guards against a field that is lost or changed on the log.
