--- a/src/camphormux/state/state_codec.cpp
+++ b/src/camphormux/state/state_codec.cpp
@@ -4,7 +4,6 @@
 
 #include <xxhash.h>
 
-#include "camphormux/state/fold.hpp"
 #include "camphormux/state/json_fields.hpp"
 #include "camphormux/text/parse.hpp"
 
@@ -267,8 +266,4 @@
   return XXH64(data.data(), data.size(), 0);
 }
 
-std::uint64_t Digest(const FleetState& state) {
-  return DigestBytes(EncodeState(state));
-}
-
 }  // namespace camphormux::state
--- a/test/platform_standin/platform_standin_test.cpp
+++ b/test/platform_standin/platform_standin_test.cpp
@@ -65,7 +65,7 @@
     request.body = body;
     std::optional<http::ClientResult> result;
     client_.Send(std::move(request),
-                 [&](http::ClientResult answer) { result = answer; });
+                 [&](const http::ClientResult& answer) { result = answer; });
     EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
     return result.value_or(http::ClientFailure{});
   }
