--- a/src/camphormux/core/ids.hpp
+++ b/src/camphormux/core/ids.hpp
@@ -62,19 +62,22 @@
 
 }  // namespace camphormux::core
 
+namespace std {
+
 template <typename Tag>
-struct std::hash<camphormux::core::Name<Tag>> {
-  std::size_t operator()(
-      const camphormux::core::Name<Tag>& name) const noexcept {
-    return std::hash<std::string>{}(name.value);
+struct hash<camphormux::core::Name<Tag>> {
+  size_t operator()(const camphormux::core::Name<Tag>& name) const noexcept {
+    return hash<string>{}(name.value);
   }
 };
 
 template <typename Tag>
-struct std::hash<camphormux::core::Ordinal<Tag>> {
-  std::size_t operator()(camphormux::core::Ordinal<Tag> number) const noexcept {
-    return std::hash<std::uint64_t>{}(number.value);
+struct hash<camphormux::core::Ordinal<Tag>> {
+  size_t operator()(camphormux::core::Ordinal<Tag> number) const noexcept {
+    return hash<uint64_t>{}(number.value);
   }
 };
 
+}  // namespace std
+
 #endif  // CAMPHORMUX_CORE_IDS_HPP_
