--- a/src/camphormux/settings/ini.cpp
+++ b/src/camphormux/settings/ini.cpp
@@ -16,6 +16,7 @@
 struct ParseState {
   std::string_view rest;
   int line = 0;
+  bool indented = false;  ///< Whether the current line starts with a space.
   IniFile file;
   Problems problems;
   std::set<std::pair<std::string, std::string>> seen;
@@ -30,6 +31,7 @@
   const std::size_t length =
       end == std::string_view::npos ? state.rest.size() : end + 1;
   ++state.line;
+  state.indented = state.rest.front() == ' ' || state.rest.front() == '\t';
   if (length >= static_cast<std::size_t>(size)) {
     state.problems.push_back({state.file.name, state.line, "",
                               std::to_string(length) + " bytes in one line",
@@ -46,13 +48,21 @@
 int HandleEntry(void* user, const char* section, const char* key,
                 const char* value) {
   auto& state = *static_cast<ParseState*>(user);
+  auto& entries = state.file.entries;
+  const bool continues = state.indented && !entries.empty() &&
+                         entries.back().section == section &&
+                         entries.back().key == key;
+  if (continues) {
+    entries.back().value.append(" ").append(value);
+    return 1;
+  }
   if (!state.seen.emplace(section, key).second) {
     state.problems.push_back({state.file.name, state.line,
                               std::string(section) + "." + key,
                               "a second value", "each key once in a section"});
     return 1;
   }
-  state.file.entries.push_back({section, key, value, state.line});
+  entries.push_back({section, key, value, state.line});
   return 1;
 }
 
--- a/src/camphormux/settings/ini.hpp
+++ b/src/camphormux/settings/ini.hpp
@@ -34,7 +34,8 @@
 
 using Problems = std::vector<Problem>;
 
-/// @brief Parses an INI text.
+/// @brief Parses an INI text. A line has fewer than 200 bytes; an indented line
+/// continues the value above it.
 /// @param name File name for messages.
 /// @param text The text.
 /// @return The entries, or one problem for each line that is not INI and each
--- a/test/settings/reader_test.cpp
+++ b/test/settings/reader_test.cpp
@@ -55,6 +55,15 @@
   EXPECT_EQ(ParseAddress("::1:80"), std::nullopt);
 }
 
+// Guards against long lists that do not fit one line.
+TEST(IniTest, JoinsIndentedLinesToTheValueAbove) {
+  const IniFile file = Parsed("[s]\nlist = a,\n  b,\n  c\nother = 1\n");
+  ASSERT_EQ(file.entries.size(), 2U);
+  EXPECT_EQ(SplitList(file.entries[0].value),
+            (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(file.entries[0].line, 2);
+}
+
 // Guards against a value that silently replaces an earlier one.
 TEST(IniTest, RejectsKeysThatStandTwiceAndLinesThatAreNotIni) {
   const auto twice = ParseIni("a.ini", "[s]\nk = 1\nk = 2\n");
