Add the control step and the command line's publishing

Cause: nothing drove hosts through their phases or published a text. Change: a pure control step with registration, assignment and phases; status, explain, admin answers and the platform client; arguments, line diff, publish with read-back and history of the command line.

--- /dev/null
+++ b/src/camphormux/cli/line_diff.hpp
@@ -0,0 +1,42 @@
+#ifndef CAMPHORMUX_CLI_LINE_DIFF_HPP_
+#define CAMPHORMUX_CLI_LINE_DIFF_HPP_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphormux/state/records.hpp"
+
+namespace camphormux::cli {
+
+enum class DiffKind { kSame, kRemoved, kAdded };
+
+/// @brief One line of a comparison of two texts.
+struct DiffLine {
+  DiffKind kind = DiffKind::kSame;
+  std::string line;
+
+  friend bool operator==(const DiffLine&, const DiffLine&) = default;
+};
+
+/// @brief Compares two texts line by line.
+/// @param before The old text.
+/// @param after The new text.
+/// @return All lines of both texts in order; the unchanged ones stand once.
+[[nodiscard]] std::vector<DiffLine> DiffLines(std::string_view before,
+                                              std::string_view after);
+
+/// @brief Formats the changed lines with a few unchanged ones around them.
+/// @param lines A comparison.
+/// @return Lines that begin with "+", "-" or " "; empty if nothing changed.
+[[nodiscard]] std::string FormatDiff(const std::vector<DiffLine>& lines);
+
+/// @brief Turns a comparison into edits of the old text.
+/// @param lines A comparison.
+/// @return The edits in descending order of lines.
+[[nodiscard]] std::vector<state::LineEdit> ToEdits(
+    const std::vector<DiffLine>& lines);
+
+}  // namespace camphormux::cli
+
+#endif  // CAMPHORMUX_CLI_LINE_DIFF_HPP_
--- /dev/null
+++ b/src/camphormux/cli/options.cpp
@@ -0,0 +1,231 @@
+#include "camphormux/cli/options.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+#include "camphormux/settings/reader.hpp"
+
+namespace camphormux::cli {
+namespace internal {
+
+/// What a verb takes; `operands` excludes the verb.
+struct VerbRule {
+  Verb verb;
+  std::string_view name;
+  std::size_t operands;
+  bool needs_platform;
+  bool needs_controller;
+  std::string_view synopsis;
+  std::string_view text;
+};
+
+constexpr std::array kVerbs{
+    VerbRule{Verb::kCheck, "check", 1, false, false,
+             "check FILE [--platform IP:PORT]",
+             "Checks an operator text and prints every problem.\n"
+             "Exit codes: 0 valid, 2 bad usage, 3 text invalid."},
+    VerbRule{Verb::kDiff, "diff", 1, true, false,
+             "diff FILE --platform IP:PORT",
+             "Compares FILE with the text in force: changed lines, hosts that\n"
+             "move at least, and services with too few hosts.\n"
+             "Exit codes: 0 ok, 3 text invalid, 5 platform unreachable."},
+    VerbRule{Verb::kPublish, "publish", 1, true, false,
+             "publish FILE --platform IP:PORT [--base N] [--author NAME]",
+             "Puts FILE in force. --base is the revision that FILE was edited\n"
+             "from; only the first text of a deployment needs none.\n"
+             "Exit codes: 0 accepted, 1 outcome not known in time, 3 text\n"
+             "invalid, 4 conflict with a newer revision, 5 platform\n"
+             "unreachable."},
+    VerbRule{Verb::kStatus, "status", 0, false, true,
+             "status --controller IP:PORT",
+             "Shows revision, leases, hosts per pool and phase, moves in\n"
+             "flight, maintenance and cut-off zones.\n"
+             "Exit codes: 0 ok, 1 the controller does not answer."},
+    VerbRule{Verb::kExplain, "explain", 2, false, true,
+             "explain (service|host|job) NAME --controller IP:PORT",
+             "Shows the constraint, the figures and the revision behind a\n"
+             "service's size, a host's pool or a job's place.\n"
+             "Exit codes: 0 ok, 1 unknown name or no answer."},
+    VerbRule{Verb::kHistory, "history", 0, true, false,
+             "history --platform IP:PORT",
+             "Lists the published texts that the log still keeps, with their\n"
+             "outcomes.\n"
+             "Exit codes: 0 ok, 5 platform unreachable."},
+};
+
+constexpr std::string_view kFlags =
+    "Flags:\n"
+    "  --platform IP:PORT    the platform's log service\n"
+    "  --controller IP:PORT  admin server of a controller\n"
+    "  --output text|json    form of the output (default: text)\n"
+    "  --author NAME         who publishes (default: $USER)\n"
+    "  --base N              revision that the file was edited from\n"
+    "  --help                this text\n";
+
+const VerbRule& RuleOf(Verb verb) {
+  return *std::find_if(
+      kVerbs.begin(), kVerbs.end(),
+      [verb](const VerbRule& rule) { return rule.verb == verb; });
+}
+
+const VerbRule* RuleNamed(std::string_view name) {
+  const auto found =
+      std::find_if(kVerbs.begin(), kVerbs.end(),
+                   [name](const VerbRule& rule) { return rule.name == name; });
+  return found == kVerbs.end() ? nullptr : &*found;
+}
+
+std::optional<std::string> SetAddress(std::optional<core::Address>& target,
+                                      const std::string& flag,
+                                      const std::string& value) {
+  target = settings::ParseAddress(value);
+  if (!target) {
+    return flag + ": found '" + value +
+           "', expected an IP number and a port, as 127.0.0.1:80";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> SetBase(Command& command, const std::string& value) {
+  std::uint64_t number = 0;
+  const char* end = value.data() + value.size();
+  const auto [last, error] = std::from_chars(value.data(), end, number);
+  if (error != std::errc{} || last != end) {
+    return "--base: found '" + value + "', expected a revision number";
+  }
+  command.base = core::Revision{number};
+  return std::nullopt;
+}
+
+/// Returns what is wrong with the value, or nothing.
+std::optional<std::string> SetFlag(Command& command, const std::string& flag,
+                                   const std::string& value) {
+  if (flag == "--platform") {
+    return SetAddress(command.platform, flag, value);
+  }
+  if (flag == "--controller") {
+    return SetAddress(command.controller, flag, value);
+  }
+  if (flag == "--author") {
+    command.author = value;
+    return std::nullopt;
+  }
+  if (flag == "--base") {
+    return SetBase(command, value);
+  }
+  if (flag == "--output" && (value == "text" || value == "json")) {
+    command.output = value == "json" ? Output::kJson : Output::kText;
+    return std::nullopt;
+  }
+  return flag == "--output"
+             ? "--output: found '" + value + "', expected text or json"
+             : flag + ": unknown flag";
+}
+
+std::optional<std::string> CheckOperands(
+    const VerbRule& rule, const std::vector<std::string>& operands,
+    const Command& command) {
+  if (operands.size() != rule.operands) {
+    return "usage: camphormux " + std::string(rule.synopsis);
+  }
+  if (rule.needs_platform && !command.platform) {
+    return std::string(rule.name) + ": --platform is missing";
+  }
+  if (rule.needs_controller && !command.controller) {
+    return std::string(rule.name) + ": --controller is missing";
+  }
+  if (rule.verb == Verb::kExplain && operands[0] != "service" &&
+      operands[0] != "host" && operands[0] != "job") {
+    return "explain: found '" + operands[0] +
+           "', expected service, host or job";
+  }
+  return std::nullopt;
+}
+
+/// Splits the arguments into flags, which are set, and operands.
+core::Result<std::vector<std::string>, UsageError> TakeFlags(
+    Command& command, const std::vector<std::string>& arguments) {
+  std::vector<std::string> operands;
+  for (std::size_t i = 0; i < arguments.size(); ++i) {
+    const std::string& argument = arguments[i];
+    if (argument == "--help") {
+      command.help = true;
+      continue;
+    }
+    if (!argument.starts_with("--")) {
+      operands.push_back(argument);
+      continue;
+    }
+    const std::size_t equals = argument.find('=');
+    if (equals == std::string::npos && i + 1 == arguments.size()) {
+      return UsageError{argument + ": its value is missing"};
+    }
+    const std::string value = equals == std::string::npos
+                                  ? arguments[++i]
+                                  : argument.substr(equals + 1);
+    const auto problem = SetFlag(command, argument.substr(0, equals), value);
+    if (problem) {
+      return UsageError{*problem};
+    }
+  }
+  return operands;
+}
+
+}  // namespace internal
+
+core::Result<Command, UsageError> ParseArguments(
+    const std::vector<std::string>& arguments) {
+  Command command;
+  auto taken = internal::TakeFlags(command, arguments);
+  if (!taken.has_value()) {
+    return taken.error();
+  }
+  std::vector<std::string> operands = std::move(taken.value());
+  if (operands.empty()) {
+    if (command.help) {
+      return command;
+    }
+    return UsageError{"a verb is missing; see camphormux --help"};
+  }
+  const internal::VerbRule* rule = internal::RuleNamed(operands.front());
+  if (rule == nullptr) {
+    return UsageError{"'" + operands.front() +
+                      "' is no verb; see camphormux --help"};
+  }
+  command.verb = rule->verb;
+  operands.erase(operands.begin());
+  if (command.help) {
+    return command;
+  }
+  const auto problem = internal::CheckOperands(*rule, operands, command);
+  if (problem) {
+    return UsageError{*problem};
+  }
+  if (rule->verb == Verb::kExplain) {
+    command.subject_kind = operands[0];
+    command.subject_name = operands[1];
+  } else if (rule->operands == 1) {
+    command.file = operands[0];
+  }
+  return command;
+}
+
+std::string Usage(std::optional<Verb> verb) {
+  std::string text;
+  if (verb) {
+    const internal::VerbRule& rule = internal::RuleOf(*verb);
+    text.append("usage: camphormux ").append(rule.synopsis).append("\n\n");
+    text.append(rule.text).append("\n\n");
+  } else {
+    text = "usage: camphormux VERB ... [flags]\n\nVerbs:\n";
+    for (const internal::VerbRule& rule : internal::kVerbs) {
+      text.append("  ").append(rule.synopsis).append("\n");
+    }
+    text.append("\n`camphormux VERB --help` describes a verb.\n\n");
+  }
+  return text.append(internal::kFlags);
+}
+
+}  // namespace camphormux::cli
--- /dev/null
+++ b/src/camphormux/controller/collector.hpp
@@ -0,0 +1,58 @@
+#ifndef CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
+#define CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "camphormux/controller/observation.hpp"
+#include "camphormux/controller/platform_client.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/state/fleet_state.hpp"
+
+namespace camphormux::controller {
+
+/// @brief Asks the platform about hosts and sends it calls; keeps what it
+/// answered. Questions that fail are asked again at their next turn.
+class Collector {
+ public:
+  /// @param port Access to the platform.
+  /// @param zone Zone whose hosts are asked for.
+  Collector(PlatformPort port, core::ZoneName zone);
+
+  /// @brief Starts the questions that are due.
+  /// @param state The shared state.
+  /// @param now The time.
+  void Poll(const state::FleetState& state, core::MonotonicTime now);
+
+  /// @brief Sends calls; their answers appear in `seen().answers`.
+  /// @param calls The calls.
+  void Send(const std::vector<PlatformCall>& calls);
+
+  /// @return What was observed; the owner adds lease, log and gateways and
+  /// removes answers that a step has taken.
+  [[nodiscard]] Observations& seen() { return *seen_; }
+
+ private:
+  /// Questions without an answer; shared with callbacks that may outlive the
+  /// collector.
+  struct Pending {
+    bool list = false;
+    std::set<core::HostId> reports;
+  };
+
+  void AskList(core::MonotonicTime now);
+  void AskReport(const core::HostId& host, core::MonotonicTime now);
+
+  PlatformPort port_;
+  core::ZoneName zone_;
+  std::shared_ptr<Observations> seen_;
+  std::shared_ptr<Pending> pending_;
+  core::MonotonicTime list_asked_;
+  std::map<core::HostId, core::MonotonicTime> report_asked_;
+};
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
--- /dev/null
+++ b/src/camphormux/controller/observation.hpp
@@ -0,0 +1,67 @@
+#ifndef CAMPHORMUX_CONTROLLER_OBSERVATION_HPP_
+#define CAMPHORMUX_CONTROLLER_OBSERVATION_HPP_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphormux/controller/platform_call.hpp"
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/state/fleet_state.hpp"
+
+namespace camphormux::controller {
+
+/// @brief A host of the platform's list, which lags.
+struct ListedHost {
+  core::HostId id;
+  core::ZoneName zone;
+  core::RackName rack;
+  state::HostShape shape;
+  core::Address address;
+  bool leaving = false;
+};
+
+/// @brief The platform's answer about one host.
+struct HostReport {
+  bool known = true;  ///< False if the platform says that it has no such host.
+  std::optional<core::PoolName> pool;
+  core::Generation generation;
+  bool draining = false;
+  int active_requests = 0;
+  std::string boot_id;        ///< Changes with each start of the host.
+  core::MonotonicTime asked;  ///< When the question was sent.
+};
+
+/// @brief Load of one service as one gateway sees it.
+struct GatewayDemand {
+  double arrivals_per_second = 0.0;
+  double concurrency = 0.0;  ///< Requests at endpoints.
+  double queued = 0.0;
+  double refused_per_second = 0.0;
+};
+
+/// @brief What is known of a gateway.
+struct GatewayView {
+  core::ProcessId process;
+  core::LogOffset applied;    ///< First offset that it has not applied.
+  core::MonotonicTime heard;  ///< When its last news was sent, or watched for.
+  std::map<core::ServiceName, GatewayDemand> demand;
+};
+
+/// @brief Everything a control step sees apart from the shared state.
+struct Observations {
+  std::optional<core::Epoch> lease;  ///< Set while the lease is provably held.
+  core::MonotonicTime log_read;      ///< Last time the log's end was read.
+  std::optional<std::map<core::HostId, ListedHost>>
+      listed;  ///< None: never answered.
+  std::map<core::HostId, HostReport> reports;
+  std::vector<GatewayView> gateways;
+  std::vector<CallAnswer> answers;  ///< Since the previous step.
+};
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_OBSERVATION_HPP_
--- /dev/null
+++ b/src/camphormux/controller/phases.cpp
@@ -0,0 +1,208 @@
+#include "camphormux/controller/phases.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace camphormux::controller {
+namespace internal {
+
+using state::Host;
+using state::HostPhase;
+
+/// A host with everything its next phase depends on.
+struct Situation {
+  const StepInput& input;
+  const Host& host;
+  core::Epoch epoch;
+  const HostReport* report;  ///< None until the platform answered.
+  StepMemory& memory;
+  StepResult& result;
+};
+
+/// Sends a call, but repeats the same one only after a pause.
+void SendPaced(Situation& at, const PlatformCall& call) {
+  const auto found = at.memory.calls.find(at.host.id);
+  if (found != at.memory.calls.end() && found->second.call == call &&
+      at.input.now - found->second.sent < kCallRepeat) {
+    return;
+  }
+  at.memory.calls[at.host.id] = {call, at.input.now, std::nullopt};
+  at.result.calls.push_back(call);
+}
+
+/// Whether this controller's own call was answered and the report was asked
+/// for afterwards. An effect that is only seen may be that of an earlier
+/// holder, whose late calls the platform refuses once it saw this epoch.
+bool ReportFollows(const Situation& at, const PlatformCall& call) {
+  const auto found = at.memory.calls.find(at.host.id);
+  return at.report != nullptr && at.report->known &&
+         found != at.memory.calls.end() && found->second.call == call &&
+         found->second.done && at.report->asked > *found->second.done;
+}
+
+core::ServiceName ServiceOf(const state::FleetState& state,
+                            const core::PoolName& pool) {
+  if (state.text.parsed) {
+    for (const auto& [name, service] : state.text.parsed->services) {
+      if (service.pool == pool) {
+        return name;
+      }
+    }
+  }
+  return core::ServiceName{pool.value};
+}
+
+PlatformCall PoolCall(const Situation& at) {
+  PlatformCall call{CallKind::kPool,
+                    at.host.id,
+                    at.epoch,
+                    at.host.generation,
+                    at.host.pool.value_or(core::PoolName{}),
+                    {},
+                    {}};
+  call.service = ServiceOf(at.input.state, call.pool);
+  return call;
+}
+
+PlatformCall DrainCall(const Situation& at) {
+  return {
+      CallKind::kDrain, at.host.id, at.epoch, at.host.generation, {}, {}, {}};
+}
+
+bool InForce(const Situation& at) {
+  return at.report->pool == at.host.pool &&
+         at.report->generation == at.host.generation && !at.report->draining;
+}
+
+void Record(Situation& at, HostPhase phase) {
+  at.result.records.emplace_back(NextPhase(at.host, at.epoch, phase));
+}
+
+void AdvanceAssigned(Situation& at) {
+  const PlatformCall call = PoolCall(at);
+  if (ReportFollows(at, call) && InForce(at)) {
+    Record(at, HostPhase::kAdmitted);
+    return;
+  }
+  SendPaced(at, call);
+}
+
+void KeepAdmitted(Situation& at) {
+  const bool differs = at.report != nullptr && at.report->known && !InForce(at);
+  if (differs) {
+    SendPaced(at, PoolCall(at));
+  }
+}
+
+void AdvanceDraining(Situation& at) {
+  const PlatformCall call = DrainCall(at);
+  const bool drained = ReportFollows(at, call) && at.report->draining &&
+                       at.report->generation == at.host.generation;
+  if (!drained) {
+    SendPaced(at, call);
+  }
+  if (!Acknowledged(at.input.seen.gateways, at.host.phase_offset,
+                    at.memory.watching_since, at.input.now)) {
+    at.memory.drain_acknowledged.erase(at.host.id);
+    return;
+  }
+  const auto acknowledged =
+      at.memory.drain_acknowledged.try_emplace(at.host.id, at.input.now).first;
+  // A report from before the acknowledgements may miss a request that a
+  // gateway sent in between.
+  if (drained && at.report->active_requests == 0 &&
+      at.report->asked > acknowledged->second) {
+    Record(at, HostPhase::kEmpty);
+  }
+}
+
+/// Identifies a restart across holders: the drain that led to it.
+std::string MaintenanceId(const Host& host) {
+  return fmt::format("{}-{}-{}", host.id.value, host.generation.value,
+                     host.phase_offset.value);
+}
+
+void AdvanceMaintenance(Situation& at) {
+  if (at.report == nullptr) {
+    return;
+  }
+  const auto [before, first] =
+      at.memory.boot_before.try_emplace(at.host.id, at.report->boot_id);
+  const PlatformCall call{
+      CallKind::kReboot,     at.host.id, at.epoch, {}, {}, {},
+      MaintenanceId(at.host)};
+  if (!first && ReportFollows(at, call) &&
+      at.report->boot_id != before->second) {
+    at.result.records.emplace_back(state::MaintenanceDone{
+        at.host.zone, at.epoch, at.host.id, at.input.wall});
+    Record(at, HostPhase::kAdmitted);
+    at.memory.boot_before.erase(at.host.id);
+    return;
+  }
+  SendPaced(at, call);
+}
+
+void AdvanceEmpty(Situation& at) {
+  at.memory.drain_acknowledged.erase(at.host.id);
+  if (at.host.drain_reason == state::DrainReason::kMaintenance) {
+    AdvanceMaintenance(at);
+  } else if (at.host.drain_reason == state::DrainReason::kMove) {
+    Record(at, HostPhase::kReleased);
+  }
+}
+
+}  // namespace internal
+
+bool Acknowledged(const std::vector<GatewayView>& gateways,
+                  core::LogOffset offset, core::MonotonicTime watching_since,
+                  core::MonotonicTime now) {
+  return std::all_of(
+      gateways.begin(), gateways.end(), [&](const GatewayView& gateway) {
+        const auto heard = std::max(gateway.heard, watching_since);
+        return gateway.applied > offset || now - heard >= kGatewayDead;
+      });
+}
+
+state::Assign NextPhase(const state::Host& host, core::Epoch epoch,
+                        state::HostPhase phase) {
+  const bool leaves = phase == state::HostPhase::kReleased;
+  const bool drained = phase == state::HostPhase::kEmpty;
+  return {host.zone,
+          epoch,
+          host.id,
+          phase,
+          drained ? host.drain_reason : state::DrainReason::kNone,
+          leaves ? std::nullopt : host.pool,
+          host.generation};
+}
+
+void AdvanceHost(const StepInput& input, const state::Host& host,
+                 StepMemory& memory, StepResult& result) {
+  const auto report = input.seen.reports.find(host.id);
+  internal::Situation at{
+      input,
+      host,
+      *input.seen.lease,
+      report == input.seen.reports.end() ? nullptr : &report->second,
+      memory,
+      result};
+  switch (host.phase) {
+    case state::HostPhase::kReleased:
+      break;
+    case state::HostPhase::kAssigned:
+      internal::AdvanceAssigned(at);
+      break;
+    case state::HostPhase::kAdmitted:
+      internal::KeepAdmitted(at);
+      break;
+    case state::HostPhase::kDraining:
+      internal::AdvanceDraining(at);
+      break;
+    case state::HostPhase::kEmpty:
+      internal::AdvanceEmpty(at);
+      break;
+  }
+}
+
+}  // namespace camphormux::controller
--- /dev/null
+++ b/src/camphormux/controller/step.hpp
@@ -0,0 +1,91 @@
+#ifndef CAMPHORMUX_CONTROLLER_STEP_HPP_
+#define CAMPHORMUX_CONTROLLER_STEP_HPP_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphormux/controller/observation.hpp"
+#include "camphormux/controller/platform_call.hpp"
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/state/fleet_state.hpp"
+#include "camphormux/state/records.hpp"
+
+namespace camphormux::controller {
+
+/// Age of the view of the log above which no decision is made.
+inline constexpr core::Millis kStaleLog = std::chrono::seconds(4);
+/// Silence after which a gateway counts as dead: 8 missed heartbeats.
+inline constexpr core::Millis kGatewayDead = std::chrono::seconds(8);
+/// Time between two steps above which the process itself was paused.
+inline constexpr core::Millis kOwnPause = std::chrono::seconds(2);
+/// Pause before a call without visible effect is repeated.
+inline constexpr core::Millis kCallRepeat = std::chrono::seconds(1);
+/// Share of a zone's hosts that may vanish from the list at once.
+inline constexpr double kDoubtfulDrop = 0.2;
+
+/// @brief Why a step made no decision.
+enum class IdleReason {
+  kNone,
+  kNoLease,
+  kStaleLog,
+  kNoText,
+  kNoHostList,
+  kDoubtfulHostList,
+};
+
+/// @brief Words for an idle reason.
+/// @param reason The reason.
+/// @return A short text; empty for `kNone`.
+[[nodiscard]] const char* Describe(IdleReason reason);
+
+/// @brief The last platform call for a host.
+struct SentCall {
+  PlatformCall call;
+  core::MonotonicTime sent;
+  std::optional<core::MonotonicTime> done;  ///< When it was answered with 200.
+};
+
+/// @brief What a controller remembers between steps. Losing it is harmless:
+/// the next holder repeats the calls.
+struct StepMemory {
+  std::map<core::HostId, SentCall> calls;
+  /// When every live gateway had acknowledged a host's drain.
+  std::map<core::HostId, core::MonotonicTime> drain_acknowledged;
+  /// Boot ids before a maintenance restart.
+  std::map<core::HostId, std::string> boot_before;
+  core::Epoch refused_epoch;  ///< Highest epoch that got a 409.
+  core::MonotonicTime last_step;
+  /// Since when steps follow each other without a pause of the process. The
+  /// silence of a gateway before that may be this process's own pause.
+  core::MonotonicTime watching_since;
+};
+
+/// @brief Input of a control step.
+struct StepInput {
+  const state::FleetState& state;
+  const Observations& seen;
+  core::ZoneName zone;
+  core::MonotonicTime now;
+  core::WallTime wall;
+};
+
+/// @brief Output of a control step.
+struct StepResult {
+  IdleReason idle = IdleReason::kNone;
+  std::vector<state::Record> records;  ///< One batch, in order.
+  std::vector<PlatformCall> calls;
+  std::vector<core::HostId> missing;  ///< Hosts that the list lacks.
+};
+
+/// @brief Decides what a zone's lease holder does next. Pure.
+/// @param input State, observations and time.
+/// @param memory Memory of the previous step; updated.
+/// @return Records to append and calls to send.
+[[nodiscard]] StepResult Step(const StepInput& input, StepMemory& memory);
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_STEP_HPP_
