--- /dev/null
+++ b/src/camphormux/moves/moves.cpp
@@ -0,0 +1,337 @@
+#include "camphormux/moves/moves.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "camphormux/moves/zone_view.hpp"
+
+namespace camphormux::moves {
+namespace internal {
+
+/// A pool that lacks hosts; the most urgent one is served first.
+struct Deficit {
+  PoolIndex pool = 0;
+  int missing = 0;
+  MoveCause cause = MoveCause::kBelowNeeded;
+};
+
+/// How cheaply a pool gives a host; lower is better.
+using DonorCost = std::tuple<int, double, core::PoolName>;
+
+bool IsSpare(const ZoneView& view, PoolIndex pool) {
+  return view.input->pools[pool].pool == view.input->spare_pool;
+}
+
+/// Hosts above which a pool has too many; the spare pool never has.
+int UpperSize(const ZoneView& view, PoolIndex pool) {
+  const PoolTarget& target = view.input->pools[pool];
+  constexpr int kNoBound = 1 << 30;
+  return IsSpare(view, pool) ? kNoBound
+                             : std::max(target.wanted, target.needed);
+}
+
+std::vector<Deficit> FindDeficits(const ZoneView& view) {
+  std::vector<Deficit> deficits;
+  for (PoolIndex i = 0; i < view.pools.size(); ++i) {
+    const PoolTarget& target = view.input->pools[i];
+    const int needed = std::max(target.needed, target.floor);
+    const int missing = needed - Strength(view.pools[i]);
+    if (missing > 0) {
+      const bool below_floor = Strength(view.pools[i]) < target.floor;
+      deficits.push_back(
+          {i, missing,
+           below_floor ? MoveCause::kBelowFloor : MoveCause::kBelowNeeded});
+    }
+  }
+  std::stable_sort(deficits.begin(), deficits.end(),
+                   [&view](const Deficit& a, const Deficit& b) {
+                     const auto key = [&view](const Deficit& deficit) {
+                       return std::tuple(
+                           deficit.cause != MoveCause::kBelowFloor,
+                           -view.input->pools[deficit.pool].priority,
+                           -deficit.missing);
+                     };
+                     return key(a) < key(b);
+                   });
+  return deficits;
+}
+
+MoveReason ReasonOf(const ZoneView& view, MoveCause cause, PoolIndex to) {
+  const PoolTarget& target = view.input->pools[to];
+  return {cause, Strength(view.pools[to]),
+          std::max(target.needed, target.floor), 0, 0};
+}
+
+/// Reverses drains of pools that lack hosts again; cheaper than a new move.
+void ReverseDrains(ZoneView& view, MoveDecision& decision) {
+  std::vector<std::size_t> kept;
+  for (const std::size_t host : view.draining) {
+    const state::Host& item = view.input->hosts[host];
+    const PoolIndex pool = view.pool_of_name.at(*item.pool);
+    PoolCount& count = view.pools[pool];
+    const PoolTarget& target = view.input->pools[pool];
+    const int needed = std::max(target.needed, target.floor);
+    if (Strength(count) >= needed || view.input->missing.contains(item.id)) {
+      kept.push_back(host);
+      continue;
+    }
+    decision.reversals.push_back(
+        {item.id, *item.pool, Strength(count), needed});
+    ++count.available;
+    ++count.members;
+    --count.leaving;
+  }
+  view.draining = std::move(kept);
+}
+
+/// Reverses drains that no deficit awaits any more and whose pool may keep
+/// the host.
+void ReverseUnneededDrains(ZoneView& view, int unbound,
+                           MoveDecision& decision) {
+  for (const std::size_t host : view.draining) {
+    const state::Host& item = view.input->hosts[host];
+    const PoolIndex pool = view.pool_of_name.at(*item.pool);
+    PoolCount& count = view.pools[pool];
+    const bool keeps = Strength(count) < UpperSize(view, pool);
+    if (unbound <= 0 || !keeps || view.input->missing.contains(item.id)) {
+      continue;
+    }
+    --unbound;
+    decision.reversals.push_back(
+        {item.id, *item.pool, Strength(count), view.input->pools[pool].needed});
+    ++count.available;
+    ++count.members;
+    --count.leaving;
+  }
+}
+
+/// Binds released hosts to the most urgent deficits, the rest to the spare
+/// pool.
+void AssignReleased(ZoneView& view, std::vector<Deficit>& deficits,
+                    MoveDecision& decision) {
+  const auto spare = view.pool_of_name.find(view.input->spare_pool);
+  for (const std::size_t host : view.released) {
+    const auto deficit =
+        std::find_if(deficits.begin(), deficits.end(),
+                     [](const Deficit& d) { return d.missing > 0; });
+    const bool needed = deficit != deficits.end();
+    if (!needed && spare == view.pool_of_name.end()) {
+      continue;
+    }
+    const PoolIndex to = needed ? deficit->pool : spare->second;
+    const MoveCause cause = needed ? deficit->cause : MoveCause::kNewHost;
+    decision.assignments.push_back({view.input->hosts[host].id, std::nullopt,
+                                    view.input->pools[to].pool,
+                                    ReasonOf(view, cause, to)});
+    ++view.pools[to].arriving;
+    ++view.pools[to].members;
+    if (needed) {
+      --deficit->missing;
+    }
+  }
+}
+
+/// Counts hosts that are draining already towards the deficits.
+int BindDraining(const ZoneView& view, std::vector<Deficit>& deficits) {
+  int unbound = static_cast<int>(view.draining.size());
+  for (Deficit& deficit : deficits) {
+    const int bound = std::min(unbound, deficit.missing);
+    deficit.missing -= bound;
+    unbound -= bound;
+  }
+  return unbound;
+}
+
+/// Whether a pool may give a host without losing demand or its budget.
+bool MayGive(const ZoneView& view, PoolIndex from, PoolIndex to) {
+  const PoolCount& count = view.pools[from];
+  const PoolTarget& target = view.input->pools[from];
+  return from != to && Strength(count) - 1 >= target.needed &&
+         count.available - 1 >= MinimumAfterDrain(view, from);
+}
+
+DonorCost CostOf(const ZoneView& view, PoolIndex from) {
+  constexpr double kNever = 1e18;
+  const PoolTarget& target = view.input->pools[from];
+  if (Strength(view.pools[from]) > UpperSize(view, from)) {
+    return {0, 0.0, target.pool};  // Would move to the spare pool anyway.
+  }
+  if (IsSpare(view, from)) {
+    return {1, 0.0, target.pool};
+  }
+  // The pool that surges last keeps its loss the longest.
+  const double idle_ms =
+      target.until_next_surge
+          ? static_cast<double>(target.until_next_surge->count())
+          : kNever;
+  return {2, -idle_ms, target.pool};
+}
+
+std::optional<PoolIndex> ChooseDonor(const ZoneView& view, PoolIndex to,
+                                     std::size_t& host, MoveBlock& block) {
+  std::optional<PoolIndex> best;
+  DonorCost best_cost;
+  for (PoolIndex from = 0; from < view.pools.size(); ++from) {
+    const bool surplus = from != to && Strength(view.pools[from]) >
+                                           view.input->pools[from].needed;
+    if (surplus && block == MoveBlock::kNoDonor) {
+      block = MoveBlock::kBudget;
+    }
+    if (!MayGive(view, from, to)) {
+      continue;
+    }
+    const std::optional<std::size_t> candidate = ChooseHost(view, from, to);
+    if (!candidate) {
+      block = MoveBlock::kInFlight;
+      continue;
+    }
+    DonorCost cost = CostOf(view, from);
+    if (!best || cost < best_cost) {
+      best = from;
+      best_cost = std::move(cost);
+      host = *candidate;
+    }
+  }
+  return best;
+}
+
+Move MakeMove(const ZoneView& view, std::size_t host, PoolIndex from,
+              PoolIndex to, MoveCause cause) {
+  MoveReason reason = ReasonOf(view, cause, to);
+  reason.from_hosts = view.pools[from].available;
+  reason.from_minimum = MinimumAfterDrain(view, from);
+  return {view.input->hosts[host].id, view.input->pools[from].pool,
+          view.input->pools[to].pool, reason};
+}
+
+/// Drains the cheapest donors' hosts for the pools that lack hosts.
+void FillDeficits(ZoneView& view, const std::vector<Deficit>& deficits,
+                  MoveDecision& decision) {
+  for (const Deficit& deficit : deficits) {
+    MoveBlock block = MoveBlock::kNoDonor;
+    int missing = deficit.missing;
+    for (; missing > 0; --missing) {
+      std::size_t host = 0;
+      const std::optional<PoolIndex> from =
+          ChooseDonor(view, deficit.pool, host, block);
+      if (!from) {
+        break;
+      }
+      decision.drains.push_back(
+          MakeMove(view, host, *from, deficit.pool, deficit.cause));
+      TakeHost(view, host, *from);
+    }
+    if (missing > 0) {
+      const PoolTarget& target = view.input->pools[deficit.pool];
+      decision.shortfalls.push_back({target.pool,
+                                     Strength(view.pools[deficit.pool]),
+                                     target.needed, block});
+    }
+  }
+}
+
+/// Drains what pools no longer want into the spare pool.
+void ReturnSurplus(ZoneView& view, MoveDecision& decision) {
+  const auto spare = view.pool_of_name.find(view.input->spare_pool);
+  if (spare == view.pool_of_name.end()) {
+    return;
+  }
+  for (PoolIndex from = 0; from < view.pools.size(); ++from) {
+    while (Strength(view.pools[from]) > UpperSize(view, from) &&
+           MayGive(view, from, spare->second)) {
+      const std::optional<std::size_t> host =
+          ChooseHost(view, from, spare->second);
+      if (!host) {
+        break;
+      }
+      decision.drains.push_back(
+          MakeMove(view, *host, from, spare->second, MoveCause::kToSpare));
+      TakeHost(view, *host, from);
+    }
+  }
+}
+
+/// Drains hosts whose pool the text removed.
+void DrainOrphans(ZoneView& view, MoveDecision& decision) {
+  const auto spare = view.pool_of_name.find(view.input->spare_pool);
+  if (spare == view.pool_of_name.end()) {
+    return;
+  }
+  for (const std::size_t host : view.orphans) {
+    int& in_flight = view.in_flight_of_rack[view.rack_of_host[host]];
+    if (in_flight >= view.input->limits.in_flight_per_rack) {
+      continue;
+    }
+    ++in_flight;
+    const state::Host& item = view.input->hosts[host];
+    decision.drains.push_back(
+        {item.id, item.pool, view.input->spare_pool,
+         ReasonOf(view, MoveCause::kUnknownPool, spare->second)});
+  }
+}
+
+void ReportFrozen(const ZoneView& view, MoveDecision& decision) {
+  decision.frozen = true;
+  for (const Deficit& deficit : FindDeficits(view)) {
+    const PoolTarget& target = view.input->pools[deficit.pool];
+    decision.shortfalls.push_back({target.pool,
+                                   Strength(view.pools[deficit.pool]),
+                                   target.needed, MoveBlock::kManyMissing});
+  }
+}
+
+}  // namespace internal
+
+bool ManyMissing(const std::vector<state::Host>& hosts,
+                 const std::set<core::HostId>& missing, double share) {
+  const auto count = std::count_if(hosts.begin(), hosts.end(),
+                                   [&missing](const state::Host& host) {
+                                     return missing.contains(host.id);
+                                   });
+  return static_cast<double>(count) > share * static_cast<double>(hosts.size());
+}
+
+int BudgetMinimum(int floor, double host_availability, int members) {
+  // Rounding errors of the product must not demand one host more.
+  constexpr double kTolerance = 1e-9;
+  const double share = host_availability * members - kTolerance;
+  return std::max(floor, static_cast<int>(std::ceil(std::max(0.0, share))));
+}
+
+MoveDecision DecideMoves(const MoveInput& input) {
+  MoveDecision decision;
+  internal::ZoneView view = internal::MakeView(input);
+  if (ManyMissing(input.hosts, input.missing, input.limits.missing_share)) {
+    internal::ReportFrozen(view, decision);
+    return decision;
+  }
+  internal::ReverseDrains(view, decision);
+  std::vector<internal::Deficit> deficits = internal::FindDeficits(view);
+  internal::AssignReleased(view, deficits, decision);
+  const int unbound = internal::BindDraining(view, deficits);
+  internal::ReverseUnneededDrains(view, unbound, decision);
+  internal::FillDeficits(view, deficits, decision);
+  internal::ReturnSurplus(view, decision);
+  internal::DrainOrphans(view, decision);
+  return decision;
+}
+
+std::vector<PoolTarget> TargetsOf(const text::OperatorText& text,
+                                  const sizing::Sizes& sizes,
+                                  const core::ZoneName& zone) {
+  std::vector<PoolTarget> targets;
+  for (const auto& [name, size] : sizes.services) {
+    const auto found = size.zones.find(zone);
+    if (found == size.zones.end()) {
+      continue;
+    }
+    const text::Service& service = text.services.at(name);
+    targets.push_back({size.pool, found->second.floor, found->second.needed,
+                       found->second.wanted, service.host_availability,
+                       service.priority, size.until_next_surge});
+  }
+  return targets;
+}
+
+}  // namespace camphormux::moves
--- /dev/null
+++ b/src/camphormux/sizing/sizing.cpp
@@ -0,0 +1,296 @@
+#include "camphormux/sizing/sizing.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "camphormux/sizing/zones.hpp"
+
+namespace camphormux::sizing {
+namespace internal {
+
+/// Share of a host's slots that is planned for use.
+constexpr double kPlannedUse = 0.85;
+/// A size is raised when demand exceeds this share of its slots; the gap to
+/// `kPlannedUse` keeps noise from raising it.
+constexpr double kRaiseUse = 0.95;
+/// Time in which a backlog should be worked off.
+constexpr double kBacklogSeconds = 2.0;
+/// Weight of a new sample in smoothed figures (about 10 samples).
+constexpr double kSmoothing = 0.1;
+/// Demand above this multiple of the calm level starts a surge.
+constexpr double kSurgeRatio = 2.0;
+/// A surge ends when demand falls below this share of its peak.
+constexpr double kSurgeEndShare = 0.5;
+/// Demand that reaches this share of the remembered peak within a surge plans
+/// for that peak.
+constexpr double kPeakShare = 0.3;
+/// Share of the last second's rise that a first surge is expected to go on
+/// rising.
+constexpr double kGrowthShare = 0.5;
+/// Share of the remembered peak that a smaller surge leaves of it.
+constexpr double kPeakDecay = 0.8;
+/// A size that demand needs falls no earlier than this after it rose.
+constexpr core::Millis kNeededHold = std::chrono::seconds(4);
+/// Hold time when moves and idle hosts weigh the same.
+constexpr core::Millis kBaseHold = std::chrono::seconds(60);
+constexpr core::Millis kMinHold = std::chrono::seconds(5);
+constexpr core::Millis kMaxHold = std::chrono::minutes(30);
+constexpr double kDefaultServiceTimeSeconds = 0.1;
+/// Below this many slots a rise is no surge.
+constexpr double kMinSurgeSlots = 2.0;
+
+using Rates = std::map<core::ServiceName, double>;
+
+DemandSample SampleOf(const SizingInput& input, const core::ServiceName& name) {
+  const auto found = input.demand.find(name);
+  return found == input.demand.end() ? DemandSample{} : found->second;
+}
+
+/// Calls that the services of the text make to each service, by the callers'
+/// observed arrivals.
+Rates CallRates(const SizingInput& input) {
+  Rates calls;
+  for (const auto& [name, service] : input.text->services) {
+    const double arrivals = SampleOf(input, name).arrivals_per_s;
+    for (const text::Dependency& dependency : service.depends_on) {
+      calls[dependency.service] += arrivals * dependency.calls_per_request;
+    }
+  }
+  return calls;
+}
+
+double Smooth(double old_value, double sample) {
+  return old_value + kSmoothing * (sample - old_value);
+}
+
+/// Learns the time of a request while nothing waits or is refused; under
+/// overload the requests that run say nothing about the demand.
+void LearnServiceTime(const DemandSample& sample, ServiceMemory& memory) {
+  const bool calm = sample.queued < 1.0 && sample.refused_per_s <= 0.0;
+  if (!calm || sample.arrivals_per_s < 1.0 || sample.running <= 0.0) {
+    return;
+  }
+  const double observed = sample.running / sample.arrivals_per_s;
+  memory.service_time_s = memory.service_time_s <= 0.0
+                              ? observed
+                              : Smooth(memory.service_time_s, observed);
+}
+
+double ServiceTime(const ServiceMemory& memory) {
+  return memory.service_time_s > 0.0 ? memory.service_time_s
+                                     : kDefaultServiceTimeSeconds;
+}
+
+/// Slots that arrivals, requests in flight and the backlog fill.
+double DemandSlots(const DemandSample& sample, double arrivals,
+                   double service_time_s) {
+  const double steady =
+      std::max(arrivals * service_time_s, RunningNow(sample, service_time_s));
+  return steady + sample.queued * service_time_s / kBacklogSeconds;
+}
+
+void StartSurge(core::MonotonicTime now, ServiceMemory& memory) {
+  if (memory.surge_start) {
+    const core::Millis interval = now - *memory.surge_start;
+    memory.surge_interval = memory.surge_interval.count() == 0
+                                ? interval
+                                : (memory.surge_interval + interval) / 2;
+  }
+  memory.surge_start = now;
+  memory.surging = true;
+  memory.current_peak_slots = 0.0;
+}
+
+void EndSurge(ServiceMemory& memory) {
+  memory.surging = false;
+  memory.peak_slots =
+      std::max(memory.current_peak_slots, memory.peak_slots * kPeakDecay);
+}
+
+/// Follows surges and returns the slots to plan for: on the leading edge the
+/// next step of the rise, or the peak of earlier surges.
+double PlanSlots(double slots, core::MonotonicTime now, ServiceMemory& memory) {
+  const bool rise =
+      slots > kSurgeRatio * memory.calm_slots && slots > kMinSurgeSlots;
+  if (!memory.surging && rise) {
+    StartSurge(now, memory);
+  }
+  double planned = slots;
+  if (memory.surging) {
+    const double growth = std::max(0.0, slots - memory.previous_slots);
+    memory.current_peak_slots = std::max(memory.current_peak_slots, slots);
+    const bool near_peak = slots > kPeakShare * memory.peak_slots;
+    const bool rising = slots >= kSurgeEndShare * memory.current_peak_slots;
+    if (memory.peak_slots <= 0.0) {
+      planned = slots + kGrowthShare * growth;
+    } else if (near_peak && rising) {
+      planned = std::max(slots, memory.peak_slots);
+    }
+    if (!rising) {
+      EndSurge(memory);
+    }
+  } else {
+    memory.calm_slots =
+        memory.calm_slots <= 0.0 ? slots : Smooth(memory.calm_slots, slots);
+  }
+  memory.previous_slots = slots;
+  return planned;
+}
+
+int HostsFor(double slots, int slots_per_host, double use) {
+  return static_cast<int>(std::ceil(slots / (slots_per_host * use)));
+}
+
+/// Raises a held size at once; lowers it only after its hold time.
+void HoldSize(int target, core::MonotonicTime now, core::Millis hold, int& size,
+              core::MonotonicTime& until) {
+  if (target >= size) {
+    size = target;
+    until = now + hold;
+  } else if (now >= until) {
+    size = target;
+  }
+}
+
+SizeConstraint ConstraintOf(const SizeReason& reason, const TotalSize& total,
+                            int min_hosts) {
+  if (total.needed <= min_hosts) {
+    return SizeConstraint::kMinHosts;
+  }
+  if (total.needed > reason.demand_hosts) {
+    return SizeConstraint::kHold;
+  }
+  if (reason.planned_slots > reason.demand_slots) {
+    return SizeConstraint::kLeadingEdge;
+  }
+  return reason.from_callers_per_s > reason.arrivals_per_s
+             ? SizeConstraint::kDependencies
+             : SizeConstraint::kDemand;
+}
+
+TotalSize HoldTotals(const SizeReason& reason, int min_hosts,
+                     core::MonotonicTime now, ServiceMemory& memory) {
+  const int raise =
+      HostsFor(reason.planned_slots, reason.slots_per_host, kRaiseUse);
+  const bool fits = raise <= memory.needed;
+  const int target =
+      fits ? std::min(reason.demand_hosts, memory.needed) : reason.demand_hosts;
+  HoldSize(std::max(target, min_hosts), now, kNeededHold, memory.needed,
+           memory.needed_until);
+  HoldSize(memory.needed, now, reason.hold, memory.wanted, memory.wanted_until);
+  return {memory.needed, std::max(memory.needed, memory.wanted)};
+}
+
+std::optional<core::Millis> UntilNextSurge(const ServiceMemory& memory,
+                                           core::MonotonicTime now) {
+  if (memory.surge_interval.count() == 0 || !memory.surge_start) {
+    return std::nullopt;
+  }
+  return std::max(core::Millis{0},
+                  *memory.surge_start + memory.surge_interval - now);
+}
+
+/// Sizes one service over all zones and writes its reason.
+TotalSize SizeService(const SizingInput& input, const text::Service& service,
+                      double calls, ServiceMemory& memory, ServiceSize& size) {
+  const DemandSample sample = SampleOf(input, service.name);
+  LearnServiceTime(sample, memory);
+  // Calls show a caller's surge before they arrive; the calm part of the other
+  // arrivals is added to them.
+  const double arrivals = std::max(
+      sample.arrivals_per_s, calls > 0.0 ? memory.external_per_s + calls : 0.0);
+  if (!memory.surging) {
+    const double external = std::max(0.0, sample.arrivals_per_s - calls);
+    memory.external_per_s = Smooth(memory.external_per_s, external);
+  }
+  SizeReason& reason = size.reason;
+  reason.arrivals_per_s = sample.arrivals_per_s;
+  reason.from_callers_per_s = calls;
+  reason.service_time_s = ServiceTime(memory);
+  reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s);
+  reason.planned_slots = PlanSlots(reason.demand_slots, input.now, memory);
+  reason.slots_per_host = service.slots_per_host;
+  reason.demand_hosts =
+      HostsFor(reason.planned_slots, service.slots_per_host, kPlannedUse);
+  reason.hold = HoldTime(input.text->policy);
+  const TotalSize total =
+      HoldTotals(reason, service.min_hosts, input.now, memory);
+  reason.constraint = ConstraintOf(reason, total, service.min_hosts);
+  size.surging = memory.surging;
+  size.until_next_surge = UntilNextSurge(memory, input.now);
+  return total;
+}
+
+void MarkReduced(Sizes& sizes) {
+  for (auto& [name, size] : sizes.services) {
+    for (const auto& [zone, zone_size] : size.zones) {
+      if (zone_size.reduced) {
+        size.reason.constraint = SizeConstraint::kFleet;
+      }
+    }
+  }
+}
+
+}  // namespace internal
+
+core::Millis HoldTime(const text::Policy& policy) {
+  constexpr double kSmallestWeight = 0.001;
+  const double ratio = std::max(policy.moves_weight, kSmallestWeight) /
+                       std::max(policy.buffer_weight, kSmallestWeight);
+  const double hold = static_cast<double>(internal::kBaseHold.count()) * ratio;
+  return core::Millis{static_cast<core::Millis::rep>(
+      std::clamp(hold, static_cast<double>(internal::kMinHold.count()),
+                 static_cast<double>(internal::kMaxHold.count())))};
+}
+
+double RunningNow(const DemandSample& sample, double service_time_s) {
+  const double age_s = static_cast<double>(sample.report_age.count()) / 1000.0;
+  if (age_s <= 0.0) {
+    return sample.running + sample.started_since_report;
+  }
+  const double still = std::max(0.0, 1.0 - age_s / service_time_s);
+  const double started = std::min(1.0, service_time_s / age_s);
+  return sample.running * still + sample.started_since_report * started;
+}
+
+Sizes DecideSizes(SizingState& state, const SizingInput& input) {
+  Sizes sizes;
+  std::map<core::ServiceName, internal::TotalSize> totals;
+  const internal::Rates calls = internal::CallRates(input);
+  std::erase_if(state.services, [&](const auto& entry) {
+    return !input.text->services.contains(entry.first);
+  });
+  for (const auto& [name, service] : input.text->services) {
+    ServiceSize& size = sizes.services[name];
+    size.service = name;
+    size.pool = service.pool;
+    const auto found = calls.find(name);
+    totals[name] = internal::SizeService(
+        input, service, found == calls.end() ? 0.0 : found->second,
+        state.services[name], size);
+  }
+  internal::DivideOverZones(input, totals, sizes);
+  internal::MarkReduced(sizes);
+  return sizes;
+}
+
+Sizes ProportionalSizes(const SizingInput& input, double service_time_s) {
+  Sizes sizes;
+  std::map<core::ServiceName, internal::TotalSize> totals;
+  for (const auto& [name, service] : input.text->services) {
+    ServiceSize& size = sizes.services[name];
+    size.service = name;
+    size.pool = service.pool;
+    const double arrivals = internal::SampleOf(input, name).arrivals_per_s;
+    const int hosts = std::max(
+        service.min_hosts,
+        internal::HostsFor(arrivals * service_time_s, service.slots_per_host,
+                           internal::kPlannedUse));
+    totals[name] = {hosts, hosts};
+  }
+  internal::DivideOverZones(input, totals, sizes);
+  return sizes;
+}
+
+}  // namespace camphormux::sizing
--- /dev/null
+++ b/test/moves/moves_test.cpp
@@ -0,0 +1,131 @@
+#include "camphormux/moves/moves.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace camphormux::moves {
+namespace {
+
+using state::DrainReason;
+using state::HostPhase;
+
+/// Adds admitted hosts of a pool, four to a rack.
+void AddHosts(MoveInput& input, const char* pool, int count) {
+  for (int i = 0; i < count; ++i) {
+    state::Host host;
+    const std::size_t number = input.hosts.size();
+    host.id = {"h" + std::to_string(100 + number)};
+    host.rack = {"r" + std::to_string(number / 4)};
+    host.pool = core::PoolName{pool};
+    host.phase = HostPhase::kAdmitted;
+    input.hosts.push_back(host);
+  }
+}
+
+MoveInput MakeInput() {
+  MoveInput input;
+  input.spare_pool = {"spare"};
+  AddHosts(input, "x", 4);
+  AddHosts(input, "y", 4);
+  AddHosts(input, "spare", 4);
+  input.pools = {{{"x"}, 2, 2, 4, 0.5, 2, {}},
+                 {{"y"}, 2, 2, 4, 0.5, 1, {}},
+                 {{"spare"}, 1, 1, 1, 0.25, 1, {}}};
+  return input;
+}
+
+// Guards against moves without need: sizes between needed and wanted rest.
+TEST(DecideMovesTest, KeepsHostsWithinTheBand) {
+  const MoveDecision decision = DecideMoves(MakeInput());
+  EXPECT_TRUE(decision.drains.empty());
+  EXPECT_TRUE(decision.assignments.empty());
+  EXPECT_TRUE(decision.reversals.empty());
+}
+
+// Guards against taking from a pool in use while spare hosts are left.
+TEST(DecideMovesTest, TakesSpareHostsFirstAndNeverBelowTheNeed) {
+  MoveInput input = MakeInput();
+  input.pools[0].needed = 9;
+  const MoveDecision decision = DecideMoves(input);
+  ASSERT_EQ(decision.drains.size(), 5U);
+  for (std::size_t i = 0; i < 5; ++i) {
+    const Move& move = decision.drains[i];
+    EXPECT_EQ(move.from->value, i < 3 ? "spare" : "y");
+    EXPECT_EQ(move.to.value, "x");
+    EXPECT_EQ(move.reason.cause, MoveCause::kBelowNeeded);
+    EXPECT_GT(move.reason.from_hosts, move.reason.from_minimum);
+  }
+}
+
+// Guards against a planned drain that breaks the donor's budget.
+TEST(DecideMovesTest, RespectsTheAvailabilityBudget) {
+  MoveInput input = MakeInput();
+  input.pools[0].needed = 9;
+  input.pools[1].host_availability = 1.0;
+  input.hosts[4].phase = HostPhase::kDraining;
+  input.hosts[4].drain_reason = DrainReason::kMaintenance;
+  const MoveDecision decision = DecideMoves(input);
+  EXPECT_EQ(decision.drains.size(), 3U);
+  ASSERT_EQ(decision.shortfalls.size(), 1U);
+  EXPECT_EQ(decision.shortfalls[0].block, MoveBlock::kBudget);
+}
+
+// Guards against finishing a move whose surge has ended.
+TEST(DecideMovesTest, ReversesDrainsThatNobodyNeeds) {
+  MoveInput input = MakeInput();
+  for (const std::size_t host : {std::size_t{4}, std::size_t{8}}) {
+    input.hosts[host].phase = HostPhase::kDraining;
+    input.hosts[host].drain_reason = DrainReason::kMove;
+  }
+  const MoveDecision decision = DecideMoves(input);
+  ASSERT_EQ(decision.reversals.size(), 2U);
+  EXPECT_EQ(decision.reversals[0].pool.value, "y");
+  EXPECT_TRUE(decision.drains.empty());
+  input.pools[0].needed = 6;
+  EXPECT_TRUE(DecideMoves(input).reversals.empty());
+}
+
+// Guards against a released host that stays in no pool or is bound to a pool
+// whose need is over.
+TEST(DecideMovesTest, BindsReleasedHostsWhenTheyAreFree) {
+  MoveInput input = MakeInput();
+  input.hosts[8].phase = HostPhase::kReleased;
+  input.hosts[8].pool.reset();
+  EXPECT_EQ(DecideMoves(input).assignments.at(0).to.value, "spare");
+  input.pools[1].needed = 5;
+  const MoveDecision decision = DecideMoves(input);
+  EXPECT_EQ(decision.assignments.at(0).to.value, "y");
+  EXPECT_TRUE(decision.drains.empty());
+}
+
+// Guards against a mass move in answer to a correlated failure or a wrong
+// host list.
+TEST(DecideMovesTest, KeepsTheAssignmentWhenManyHostsAreMissing) {
+  MoveInput input = MakeInput();
+  input.pools[0].needed = 6;
+  input.missing = {input.hosts[0].id, input.hosts[1].id};
+  EXPECT_FALSE(DecideMoves(input).drains.empty());
+  input.missing.insert(input.hosts[2].id);
+  const MoveDecision decision = DecideMoves(input);
+  EXPECT_TRUE(decision.frozen);
+  EXPECT_TRUE(decision.drains.empty());
+  ASSERT_EQ(decision.shortfalls.size(), 1U);
+  EXPECT_EQ(decision.shortfalls[0].block, MoveBlock::kManyMissing);
+}
+
+// Guards against more hosts in motion than the limits allow.
+TEST(DecideMovesTest, BoundsMovesInFlight) {
+  MoveInput input = MakeInput();
+  input.pools[0].needed = 8;
+  input.limits.in_flight_per_pool = 1;
+  EXPECT_EQ(DecideMoves(input).drains.size(), 2U);
+  input.limits.in_flight_per_pool = 6;
+  input.limits.in_flight_per_rack = 2;
+  const MoveDecision decision = DecideMoves(input);
+  EXPECT_EQ(decision.drains.size(), 4U);
+  EXPECT_TRUE(decision.shortfalls.empty());
+}
+
+}  // namespace
+}  // namespace camphormux::moves
--- /dev/null
+++ b/test/sizing/sizing_test.cpp
@@ -0,0 +1,148 @@
+#include "camphormux/sizing/sizing.hpp"
+
+#include <chrono>
+
+#include <gtest/gtest.h>
+
+namespace camphormux::sizing {
+namespace {
+
+using std::chrono::seconds;
+
+text::OperatorText MakeText() {
+  text::OperatorText text;
+  for (const char* zone : {"a", "b"}) {
+    text.zones[{zone}] = {{zone}, {"r"}};
+  }
+  for (const char* name : {"front", "back", "spare"}) {
+    text::Service service;
+    service.name = {name};
+    service.pool = {name};
+    service.min_hosts = 2;
+    text.services[{name}] = service;
+  }
+  text.services[{"front"}].depends_on = {{{"back"}, 0.5}};
+  text.services[{"front"}].priority = 2;
+  text.spare_pool = {"spare"};
+  return text;
+}
+
+/// Steps the decision with one request a second filling 0.1 slots.
+struct Stepper {
+  text::OperatorText text = MakeText();
+  SizingState state;
+  SizingInput input;
+
+  Stepper() {
+    input.text = &text;
+    input.usable_hosts = {{{"a"}, 20}, {{"b"}, 20}};
+  }
+
+  ServiceSize Step(const char* name, double arrivals) {
+    input.demand[{name}].arrivals_per_s = arrivals;
+    input.demand[{name}].running = arrivals * 0.1;
+    input.now += seconds(1);
+    return DecideSizes(state, input).services.at({name});
+  }
+};
+
+int Needed(const ServiceSize& size) {
+  int sum = 0;
+  for (const auto& [zone, zone_size] : size.zones) {
+    sum += zone_size.needed;
+  }
+  return sum;
+}
+
+int Wanted(const ServiceSize& size) {
+  int sum = 0;
+  for (const auto& [zone, zone_size] : size.zones) {
+    sum += zone_size.wanted;
+  }
+  return sum;
+}
+
+// Guards against a surge that is followed late or dropped at once.
+TEST(DecideSizesTest, RisesAtOnceAndFallsAfterTheHoldTime) {
+  Stepper stepper;
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Needed(stepper.Step("front", 50)), 2);
+  }
+  EXPECT_GE(Needed(stepper.Step("front", 800)), 12);
+  stepper.Step("front", 800);
+  ServiceSize size = stepper.Step("front", 50);
+  EXPECT_GE(Needed(size), 12);
+  for (int i = 0; i < 10; ++i) {
+    size = stepper.Step("front", 50);
+  }
+  EXPECT_EQ(Needed(size), 2);
+  EXPECT_GE(Wanted(size), 12);
+  for (int i = 0; i < 80; ++i) {
+    size = stepper.Step("front", 50);
+  }
+  EXPECT_EQ(Wanted(size), 2);
+}
+
+// Guards against a second surge that waits for demand to reach its peak.
+TEST(DecideSizesTest, PlansForTheRememberedPeakOnTheLeadingEdge) {
+  Stepper stepper;
+  for (const int arrivals : {50, 50, 50, 900, 900, 900, 50, 50, 50, 50,
+                             50, 50, 50, 50,  50,  50,  50, 50, 50, 50}) {
+    stepper.Step("front", arrivals);
+  }
+  const ServiceSize size = stepper.Step("front", 300);
+  EXPECT_EQ(size.reason.constraint, SizeConstraint::kLeadingEdge);
+  EXPECT_GE(Needed(size), 13);
+}
+
+// Guards against a dependency that learns of a caller's surge by overload.
+TEST(DecideSizesTest, PropagatesCallersDemand) {
+  Stepper stepper;
+  stepper.input.usable_hosts = {{{"a"}, 40}, {{"b"}, 40}};
+  stepper.input.demand[{"back"}] = {10.0, 0.0, 0.0, 1.0, {}, 0.0};
+  stepper.Step("front", 50);
+  stepper.Step("front", 1600);
+  const Sizes sizes = DecideSizes(stepper.state, stepper.input);
+  const ServiceSize& back = sizes.services.at({"back"});
+  EXPECT_GE(Needed(back), 11);
+  EXPECT_GE(back.reason.from_callers_per_s, 800.0);
+}
+
+// Guards against work that started after the lagging report being missed.
+TEST(RunningNowTest, CountsWorkStartedSinceTheReport) {
+  DemandSample sample;
+  sample.running = 10.0;
+  sample.started_since_report = 40.0;
+  sample.report_age = seconds(2);
+  EXPECT_DOUBLE_EQ(RunningNow(sample, 4.0), 45.0);
+  EXPECT_DOUBLE_EQ(RunningNow(sample, 0.1), 2.0);
+}
+
+// Guards against a zone that is promised more hosts than it has, and against
+// the loss falling on the more important service.
+TEST(DecideSizesTest, ReducesTheLowestPriorityFirst) {
+  Stepper stepper;
+  stepper.input.usable_hosts = {{{"a"}, 10}, {{"b"}, 10}};
+  stepper.Step("front", 700);
+  const ServiceSize back = stepper.Step("back", 1300);
+  EXPECT_EQ(back.reason.constraint, SizeConstraint::kFleet);
+  const Sizes sizes = DecideSizes(stepper.state, stepper.input);
+  EXPECT_GE(Needed(sizes.services.at({"front"})), 10);
+  for (const char* zone : {"a", "b"}) {
+    int sum = 0;
+    for (const auto& [name, size] : sizes.services) {
+      EXPECT_GE(size.zones.at({zone}).needed, size.zones.at({zone}).floor);
+      sum += size.zones.at({zone}).needed;
+    }
+    EXPECT_LE(sum, 10);
+  }
+}
+
+// Guards against policy weights without effect.
+TEST(HoldTimeTest, GrowsWithTheWeightOfMoves) {
+  EXPECT_GT(HoldTime({5.0, 1.0, 1.0}), HoldTime({1.0, 1.0, 1.0}));
+  EXPECT_LT(HoldTime({1.0, 5.0, 1.0}), HoldTime({1.0, 1.0, 1.0}));
+}
+
+}  // namespace
+}  // namespace camphormux::sizing
