--- a/src/camphormux/text/fwd.hpp
+++ b/src/camphormux/text/fwd.hpp
@@ -11,6 +11,17 @@
 struct Team;
 struct MaintenancePlan;
 struct OperatorText;
+struct FleetHost;
+struct LineChange;
+
+enum class FindingKind;
+struct Finding;
+struct CheckOptions;
+
+struct KeyChange;
+struct PoolChange;
+struct UnderBudget;
+struct TextDiff;
 
 }  // namespace camphormux::text
 
