Add the history checker

The promises of design section 2 need a judge outside the system. The checker reads caller histories and execution journals and gives a verdict for each of eight promises; asks through a gateway that was killed or paused on purpose are excused and counted. history_test breaks each promise once and passes.

--- /dev/null
+++ b/test/history/check.cpp
@@ -0,0 +1,260 @@
+#include "test/history/check.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace camphormux::history {
+namespace internal {
+
+using Runs = std::vector<const Arrival*>;
+
+/// Runs looked up by what names them.
+struct Index {
+  std::unordered_map<std::string, Runs> by_identity;
+  std::unordered_map<std::string, Runs> by_request;
+  std::unordered_map<std::string, Runs> by_key;
+  /// Identity of the run that sent a body.
+  std::unordered_map<std::string, std::string> identity_of_digest;
+  std::unordered_map<std::string, const Ask*> ask_of_request;
+};
+
+Index MakeIndex(const History& history) {
+  Index index;
+  for (const Arrival& arrival : history.arrivals) {
+    if (!arrival.ran) {
+      continue;
+    }
+    index.by_identity[arrival.identity].push_back(&arrival);
+    index.by_request[arrival.request_id].push_back(&arrival);
+    if (!arrival.key.empty()) {
+      index.by_key[arrival.key].push_back(&arrival);
+    }
+    index.identity_of_digest.emplace(arrival.digest, arrival.identity);
+  }
+  for (const Ask& ask : history.asks) {
+    if (!ask.request_id.empty()) {
+      index.ask_of_request.emplace(ask.request_id, &ask);
+    }
+  }
+  return index;
+}
+
+Runs RunsOf(const std::unordered_map<std::string, Runs>& index,
+            const std::string& name) {
+  const auto found = index.find(name);
+  return found == index.end() ? Runs{} : found->second;
+}
+
+std::string Name(const Ask& ask) {
+  return "identity " + ask.identity + ", request " + ask.request_id +
+         ", gateway " + ask.gateway;
+}
+
+bool Disturbed(const History& history, const std::string& gateway, Micros from,
+               Micros to) {
+  return std::any_of(history.disturbances.begin(), history.disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       return disturbance.gateway == gateway &&
+                              disturbance.from <= to && from <= disturbance.to;
+                     });
+}
+
+void CheckAnswer(const Ask& ask, const Index& index, Verdict& verdict) {
+  const Runs runs = RunsOf(index.by_identity, ask.identity);
+  const bool own = std::any_of(
+      runs.begin(), runs.end(),
+      [&ask](const Arrival* run) { return run->digest == ask.digest; });
+  if (own) {
+    return;
+  }
+  const auto other = index.identity_of_digest.find(ask.digest);
+  if (other != index.identity_of_digest.end()) {
+    verdict.breaches.push_back(
+        {Promise::kAnswerOwn, Name(ask) + ": body of " + other->second});
+  } else {
+    verdict.breaches.push_back(
+        {Promise::kAnswerWhole, Name(ask) + ": body " + ask.digest +
+                                    " left no endpoint, status " +
+                                    std::to_string(ask.status)});
+  }
+}
+
+void CheckNotRun(const Ask& ask, const Index& index, Verdict& verdict) {
+  const Runs runs = ask.request_id.empty()
+                        ? RunsOf(index.by_identity, ask.identity)
+                        : RunsOf(index.by_request, ask.request_id);
+  if (!runs.empty()) {
+    verdict.breaches.push_back(
+        {Promise::kNotRunDidNotRun, Name(ask) + ": ran on " + runs[0]->host});
+  }
+}
+
+void CheckUnknown(const Ask& ask, const Index& index, Verdict& verdict) {
+  const Runs runs = RunsOf(index.by_request, ask.request_id);
+  if (std::any_of(runs.begin(), runs.end(), [](const Arrival* run) {
+        return run->outcome == "answered";
+      })) {
+    ++verdict.unknown_but_sent;
+  }
+}
+
+void CheckAsk(const Ask& ask, const History& history, const Index& index,
+              Verdict& verdict) {
+  ++verdict.asks;
+  if (ask.outcome == "answered") {
+    ++verdict.answered;
+    CheckAnswer(ask, index, verdict);
+  } else if (ask.outcome == "not-run") {
+    ++verdict.not_run;
+    CheckNotRun(ask, index, verdict);
+  } else if (ask.outcome == "unknown") {
+    ++verdict.unknown;
+    CheckUnknown(ask, index, verdict);
+  } else if (Disturbed(history, ask.gateway, ask.sent, ask.end)) {
+    ++verdict.excused;
+  } else {
+    verdict.breaches.push_back({Promise::kAnswerNotLost,
+                                Name(ask) + ": outcome '" + ask.outcome +
+                                    "', status " + std::to_string(ask.status)});
+  }
+}
+
+std::string Hosts(const Runs& runs) {
+  std::string hosts;
+  for (const Arrival* run : runs) {
+    hosts += hosts.empty() ? "" : ", ";
+    hosts += run->host;
+  }
+  return hosts;
+}
+
+void CheckKeys(const Index& index, Verdict& verdict) {
+  for (const auto& [key, runs] : index.by_key) {
+    if (runs.size() > 1) {
+      verdict.breaches.push_back(
+          {Promise::kKeyRunsOnce, "key " + key + " ran on " + Hosts(runs)});
+    }
+  }
+}
+
+/// A request without key is sent once by its caller, so that its identity
+/// counts as well as its request id: the latter is unknown to a caller whose
+/// gateway died.
+void CheckRequests(const History& history, const Index& index,
+                   Verdict& verdict) {
+  for (const Ask& ask : history.asks) {
+    if (ask.repeatable) {
+      continue;
+    }
+    const Runs runs = ask.key.empty()
+                          ? RunsOf(index.by_identity, ask.identity)
+                          : RunsOf(index.by_request, ask.request_id);
+    if (runs.size() > 1) {
+      verdict.breaches.push_back(
+          {Promise::kRequestRunsOnce, Name(ask) + ": ran on " + Hosts(runs)});
+    }
+  }
+}
+
+void CheckLeaving(const History& history, const Index& index,
+                  Verdict& verdict) {
+  std::map<std::pair<std::string, std::uint64_t>, Micros> drained;
+  for (const DrainEvent& drain : history.drains) {
+    drained.try_emplace({drain.host, drain.generation}, drain.at);
+  }
+  for (const Arrival& arrival : history.arrivals) {
+    const auto drain = drained.find({arrival.host, arrival.generation});
+    if (drain == drained.end() ||
+        arrival.start <= drain->second + kLeavingGrace) {
+      continue;
+    }
+    const auto ask = index.ask_of_request.find(arrival.request_id);
+    // A paused gateway cannot act on a sign; it wakes with an old view.
+    if (ask != index.ask_of_request.end() &&
+        Disturbed(history, ask->second->gateway, drain->second,
+                  arrival.start)) {
+      ++verdict.excused;
+      continue;
+    }
+    verdict.breaches.push_back(
+        {Promise::kLeavingGetsNoWork,
+         "host " + arrival.host + ", request " + arrival.request_id + ": " +
+             std::to_string((arrival.start - drain->second) / 1000) +
+             " ms after its drain"});
+  }
+}
+
+void CheckOneService(const History& history, Verdict& verdict) {
+  std::map<std::string, Runs> by_host;
+  for (const Arrival& arrival : history.arrivals) {
+    if (arrival.ran) {
+      by_host[arrival.host].push_back(&arrival);
+    }
+  }
+  for (auto& [host, runs] : by_host) {
+    std::sort(runs.begin(), runs.end(), [](const Arrival* a, const Arrival* b) {
+      return a->start < b->start;
+    });
+    // Latest end of a run so far, for each service.
+    std::map<std::string, Micros> ends;
+    for (const Arrival* run : runs) {
+      for (const auto& [service, end] : ends) {
+        if (service != run->service && run->start < end) {
+          verdict.breaches.push_back({Promise::kOneServicePerHost,
+                                      "host " + host + " ran " + service +
+                                          " and " + run->service + " at " +
+                                          std::to_string(run->start) + " us"});
+        }
+      }
+      Micros& end = ends[run->service];
+      end = std::max(end, run->end);
+    }
+  }
+}
+
+}  // namespace internal
+
+std::string_view Describe(Promise promise) {
+  switch (promise) {
+    case Promise::kAnswerNotLost:
+      return "answer-not-lost";
+    case Promise::kAnswerOwn:
+      return "answer-own";
+    case Promise::kAnswerWhole:
+      return "answer-whole";
+    case Promise::kNotRunDidNotRun:
+      return "not-run-did-not-run";
+    case Promise::kKeyRunsOnce:
+      return "key-runs-once";
+    case Promise::kRequestRunsOnce:
+      return "request-runs-once";
+    case Promise::kLeavingGetsNoWork:
+      return "leaving-gets-no-work";
+    case Promise::kOneServicePerHost:
+      return "one-service-per-host";
+  }
+  return "unknown";
+}
+
+Verdict Check(const History& history) {
+  Verdict verdict;
+  const internal::Index index = internal::MakeIndex(history);
+  for (const Arrival& arrival : history.arrivals) {
+    ++(arrival.ran ? verdict.runs : verdict.refusals);
+  }
+  for (const Ask& ask : history.asks) {
+    internal::CheckAsk(ask, history, index, verdict);
+  }
+  internal::CheckKeys(index, verdict);
+  internal::CheckRequests(history, index, verdict);
+  internal::CheckLeaving(history, index, verdict);
+  internal::CheckOneService(history, verdict);
+  std::stable_sort(
+      verdict.breaches.begin(), verdict.breaches.end(),
+      [](const Breach& a, const Breach& b) { return a.promise < b.promise; });
+  return verdict;
+}
+
+}  // namespace camphormux::history
--- /dev/null
+++ b/test/history/check_test.cpp
@@ -0,0 +1,145 @@
+#include "test/history/check.hpp"
+
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace camphormux::history {
+namespace {
+
+/// A history in which every promise holds: one answered request and one that
+/// an endpoint refused.
+History Sound() {
+  History history;
+  std::istringstream callers(
+      R"({"identity":"a","request_id":"r1","key":"k1","service":"venue","gateway":"g:1","repeatable":false,"sent_us":1000,"end_us":9000,"outcome":"answered","status":200,"digest":"d1"})"
+      "\n"
+      R"({"identity":"b","request_id":"r2","key":"","service":"gate","gateway":"g:2","repeatable":false,"sent_us":1000,"end_us":9000,"outcome":"not-run","status":503,"digest":"e"})"
+      "\n");
+  std::istringstream journal(
+      R"({"kind":"run","request_id":"r1","key":"k1","host":"h1","service":"venue","generation":1,"method":"POST","path":"/venue/holds/a?x=1","start_us":2000,"end_us":4000,"outcome":"answered","digest":"d1"})"
+      "\n"
+      R"({"kind":"refused","request_id":"r2","key":"","host":"h2","service":"gate","generation":1,"method":"GET","path":"/gate/x/b","start_us":2000,"reason":"slots"})"
+      "\n"
+      R"({"kind":"drain","host":"h1","service":"venue","generation":1,"boot_id":1,"at_us":3000})"
+      "\n");
+  ReadCallerHistory(callers, history);
+  ReadJournal(journal, history);
+  EXPECT_EQ(history.bad_lines, 0U);
+  return history;
+}
+
+void ExpectOnly(const History& history, Promise promise) {
+  const Verdict verdict = Check(history);
+  ASSERT_EQ(verdict.breaches.size(), 1U) << Describe(promise);
+  EXPECT_EQ(verdict.breaches[0].promise, promise) << verdict.breaches[0].detail;
+}
+
+// Guards against a checker that finds fault with a sound history.
+TEST(CheckTest, AcceptsASoundHistory) {
+  const Verdict verdict = Check(Sound());
+  EXPECT_TRUE(verdict.breaches.empty());
+  EXPECT_EQ(verdict.answered, 1U);
+  EXPECT_EQ(verdict.not_run, 1U);
+  EXPECT_EQ(verdict.runs, 1U);
+  EXPECT_EQ(verdict.refusals, 1U);
+}
+
+// Guards against answers that get lost, unless their gateway was killed.
+TEST(CheckTest, FindsLostAnswers) {
+  History history = Sound();
+  history.asks[0].outcome = "none";
+  ExpectOnly(history, Promise::kAnswerNotLost);
+  history.disturbances.push_back({"g:2", 1000, 9000});
+  ExpectOnly(history, Promise::kAnswerNotLost);
+  history.disturbances.push_back({"g:1", 8000, 20000});
+  EXPECT_EQ(Check(history).excused, 1U);
+  EXPECT_TRUE(Check(history).breaches.empty());
+}
+
+// Guards against answers of another request and answers that were cut.
+TEST(CheckTest, FindsCrossedAndTruncatedAnswers) {
+  History history = Sound();
+  Arrival other = history.arrivals[0];
+  other.identity = "z";
+  other.request_id = "r9";
+  other.key = "k9";
+  other.digest = "d9";
+  history.arrivals.push_back(other);
+  history.asks[0].digest = "d9";
+  ExpectOnly(history, Promise::kAnswerOwn);
+  history.asks[0].digest = "half";
+  ExpectOnly(history, Promise::kAnswerWhole);
+}
+
+// Guards against `not-run` for a request that an endpoint started.
+TEST(CheckTest, FindsNotRunThatRan) {
+  History history = Sound();
+  history.arrivals[1].ran = true;
+  ExpectOnly(history, Promise::kNotRunDidNotRun);
+  history.asks[1].request_id.clear();
+  ExpectOnly(history, Promise::kNotRunDidNotRun);
+}
+
+// Guards against a key that runs under two request ids.
+TEST(CheckTest, FindsKeysThatRanTwice) {
+  History history = Sound();
+  Arrival again = history.arrivals[0];
+  again.request_id = "r3";
+  again.host = "h3";
+  history.arrivals.push_back(again);
+  ExpectOnly(history, Promise::kKeyRunsOnce);
+}
+
+// Guards against a request without key that is sent again; a repeatable one
+// may be.
+TEST(CheckTest, FindsRequestsThatRanTwice) {
+  History history = Sound();
+  history.asks[1].outcome = "unknown";
+  history.arrivals[1].ran = true;
+  history.arrivals.push_back(history.arrivals[1]);
+  ExpectOnly(history, Promise::kRequestRunsOnce);
+  history.asks[1].repeatable = true;
+  EXPECT_TRUE(Check(history).breaches.empty());
+}
+
+// Guards against work that keeps coming to a leaving endpoint, also when it
+// refuses that work.
+TEST(CheckTest, FindsWorkAtLeavingEndpoints) {
+  History history = Sound();
+  Arrival late = history.arrivals[1];
+  late.host = "h1";
+  late.start = 3000 + kLeavingGrace;
+  history.arrivals.push_back(late);
+  EXPECT_TRUE(Check(history).breaches.empty());
+  history.arrivals.back().start += 1;
+  ExpectOnly(history, Promise::kLeavingGetsNoWork);
+  history.arrivals.back().generation = 2;
+  EXPECT_TRUE(Check(history).breaches.empty());
+}
+
+// Guards against a host in two pools; runs one after the other are allowed.
+TEST(CheckTest, FindsHostsThatServeTwoServices) {
+  History history = Sound();
+  Arrival other = history.arrivals[0];
+  other.service = "gate";
+  other.request_id = "r5";
+  other.key = "k5";
+  other.start = 4000;
+  other.end = 5000;
+  history.arrivals.push_back(other);
+  EXPECT_TRUE(Check(history).breaches.empty());
+  history.arrivals.back().start = 3999;
+  ExpectOnly(history, Promise::kOneServicePerHost);
+}
+
+// Guards against lines that are skipped in silence.
+TEST(CheckTest, CountsUnreadableLines) {
+  History history;
+  std::istringstream lines("{\"identity\":\"a\"}\nnot json\n");
+  ReadCallerHistory(lines, history);
+  EXPECT_EQ(history.bad_lines, 2U);
+}
+
+}  // namespace
+}  // namespace camphormux::history
--- /dev/null
+++ b/test/history/main.cpp
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <gflags/gflags.h>
+
+#include "test/history/check.hpp"
+
+DEFINE_string(callers, "", "caller histories, separated by commas");
+DEFINE_string(journals, "", "execution journals, separated by commas");
+DEFINE_string(faults, "", "fault list of the run; empty: none");
+DEFINE_uint64(show, 5, "breaches of each promise to print");
+
+namespace camphormux::history {
+namespace {
+
+constexpr int kExitBreach = 1;
+constexpr int kExitUsage = 2;
+
+/// Reads each file of a list separated by commas; false if one is unreadable.
+bool ReadFiles(const std::string& list, History& history,
+               void (*read)(std::istream&, History&)) {
+  std::size_t start = 0;
+  while (start < list.size()) {
+    const std::size_t end = std::min(list.find(',', start), list.size());
+    const std::string path = list.substr(start, end - start);
+    std::ifstream file(path);
+    if (!file) {
+      std::fprintf(stderr, "cannot read '%s'\n", path.c_str());
+      return false;
+    }
+    read(file, history);
+    start = end + 1;
+  }
+  return true;
+}
+
+void Print(const char* name, std::uint64_t value) {
+  std::printf("%-24s %llu\n", name,
+              static_cast<unsigned long long>(value));  // NOLINT
+}
+
+void Report(const History& history, const Verdict& verdict) {
+  Print("requests", verdict.asks);
+  Print("answered", verdict.answered);
+  Print("not-run", verdict.not_run);
+  Print("unknown", verdict.unknown);
+  Print("unknown-but-sent", verdict.unknown_but_sent);
+  Print("excused", verdict.excused);
+  Print("runs", verdict.runs);
+  Print("refusals", verdict.refusals);
+  Print("unreadable-lines", history.bad_lines);
+  for (const Promise promise : kPromises) {
+    std::uint64_t count = 0;
+    for (const Breach& breach : verdict.breaches) {
+      if (breach.promise == promise && ++count <= FLAGS_show) {
+        std::fprintf(stderr, "%s: %s\n", Describe(promise).data(),
+                     breach.detail.c_str());
+      }
+    }
+    std::printf("promise %-22s %s (%llu)\n", Describe(promise).data(),
+                count == 0 ? "held" : "BROKEN",
+                static_cast<unsigned long long>(count));  // NOLINT
+  }
+  Print("breaches", verdict.breaches.size());
+}
+
+int Main() {
+  History history;
+  if (FLAGS_callers.empty() || FLAGS_journals.empty()) {
+    std::fprintf(stderr, "--callers and --journals are mandatory\n");
+    return kExitUsage;
+  }
+  if (!ReadFiles(FLAGS_callers, history, ReadCallerHistory) ||
+      !ReadFiles(FLAGS_journals, history, ReadJournal) ||
+      !ReadFiles(FLAGS_faults, history, ReadDisturbances)) {
+    return kExitUsage;
+  }
+  const Verdict verdict = Check(history);
+  Report(history, verdict);
+  // A history that cannot be read proves nothing.
+  const bool good = verdict.breaches.empty() && history.bad_lines == 0;
+  return good ? 0 : kExitBreach;
+}
+
+}  // namespace
+}  // namespace camphormux::history
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "checks caller histories against execution journals; exit code 1 if a "
+      "promise is broken");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return camphormux::history::Main();
+}
