Extract the libcurl event loop driver into CurlLoop

The gateway's data path needs its own libcurl transfers (streaming, pause, fresh connections) on the same Asio driver that http::Client uses.

--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -3,20 +3,15 @@
 #include <map>
 #include <utility>
 
-#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <strings.h>
 
+#include "camphormux/http/curl_loop.hpp"
+
 namespace camphormux::http {
 namespace internal {
 
-struct GlobalCurl {
-  GlobalCurl() { curl_global_init(CURL_GLOBAL_DEFAULT); }
-  ~GlobalCurl() { curl_global_cleanup(); }
-};
-
 struct CurlDeleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
@@ -31,15 +26,6 @@
   bool too_large = false;
 };
 
-/// A socket that libcurl watches.
-struct Watch {
-  explicit Watch(asio::io_context& loop) : descriptor(loop) {}
-  asio::posix::stream_descriptor descriptor;
-  int wanted = 0;  ///< CURL_POLL_* bits.
-  bool reading = false;
-  bool writing = false;
-};
-
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
@@ -98,55 +84,28 @@
 
 }  // namespace internal
 
-struct Client::Impl : std::enable_shared_from_this<Client::Impl> {
+struct Client::Impl {
   explicit Impl(asio::io_context& event_loop)
-      : loop(event_loop), timer(event_loop), multi(curl_multi_init()) {}
-  ~Impl() { curl_multi_cleanup(multi); }
-  Impl(const Impl&) = delete;
-  Impl& operator=(const Impl&) = delete;
+      : loop(event_loop), curl(event_loop, [this](CURL* easy, CURLcode code) {
+          Finish(easy, code);
+        }) {}
 
-  void Configure();
   void Close();
   void Start(std::shared_ptr<internal::Transfer> transfer);
-  void UpdateWatch(curl_socket_t socket, int wanted);
-  void Wait(curl_socket_t socket,
-            const std::shared_ptr<internal::Watch>& watch);
-  void Act(curl_socket_t socket, int events);
-  void Collect();
-  void SetTimer(long timeout_ms);  // NOLINT(google-runtime-int)
-
-  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* user,
-                      void* socket_data);
-  static int OnTimer(CURLM* multi, long timeout_ms,  // NOLINT
-                     void* user);
-  static int OnClose(void* user, curl_socket_t socket);
+  void Finish(CURL* easy, CURLcode code);
 
   asio::io_context& loop;
-  asio::steady_timer timer;
-  CURLM* multi;
   bool closed = false;
-  std::map<curl_socket_t, std::shared_ptr<internal::Watch>> watches;
   std::map<CURL*, std::shared_ptr<internal::Transfer>> transfers;
+  CurlLoop curl;
 };
 
-void Client::Impl::Configure() {
-  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
-  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
-  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
-}
-
 void Client::Impl::Close() {
   closed = true;
-  timer.cancel();
   for (const auto& [easy, transfer] : transfers) {
-    curl_multi_remove_handle(multi, easy);
+    curl.Remove(easy);
   }
   transfers.clear();
-  for (const auto& [socket, watch] : watches) {
-    watch->descriptor.release();
-  }
-  watches.clear();
 }
 
 void Client::Impl::Start(std::shared_ptr<internal::Transfer> transfer) {
@@ -182,134 +141,24 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &internal::OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnClose);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   transfers.emplace(easy, std::move(transfer));
-  curl_multi_add_handle(multi, easy);
+  curl.Add(easy);
 }
 
-int Client::Impl::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
-                           void* user, void* /*socket_data*/) {
-  static_cast<Impl*>(user)->UpdateWatch(socket, what);
-  return 0;
-}
-
-int Client::Impl::OnTimer(CURLM* /*multi*/, long timeout_ms,  // NOLINT
-                          void* user) {
-  static_cast<Impl*>(user)->SetTimer(timeout_ms);
-  return 0;
-}
-
-int Client::Impl::OnClose(void* user, curl_socket_t socket) {
-  auto& impl = *static_cast<Impl*>(user);
-  const auto found = impl.watches.find(socket);
-  if (found != impl.watches.end()) {
-    found->second->descriptor.release();
-    found->second->wanted = 0;
-    impl.watches.erase(found);
-  }
-  return close(socket);
-}
-
-void Client::Impl::UpdateWatch(curl_socket_t socket, int wanted) {
-  if (closed) {
-    return;
-  }
-  auto& watch = watches[socket];
-  if (!watch) {
-    watch = std::make_shared<internal::Watch>(loop);
-    watch->descriptor.assign(socket);
-  }
-  watch->wanted = wanted == CURL_POLL_REMOVE ? 0 : wanted;
-  if (watch->wanted == 0) {
-    watch->descriptor.release();
-    watches.erase(socket);
+void Client::Impl::Finish(CURL* easy, CURLcode code) {
+  const auto transfer = transfers.at(easy);
+  transfers.erase(easy);
+  if (code != CURLE_OK) {
+    transfer->done(internal::ToFailure(*transfer, code));
     return;
   }
-  Wait(socket, watch);
+  long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  transfer->response.status = static_cast<int>(status);
+  transfer->done(std::move(transfer->response));
 }
 
-void Client::Impl::Wait(curl_socket_t socket,
-                        const std::shared_ptr<internal::Watch>& watch) {
-  const auto wait = [&](int poll_bit, int select_bit,
-                        bool internal::Watch::*busy,
-                        asio::posix::stream_descriptor::wait_type type) {
-    if ((watch->wanted & poll_bit) == 0 || (*watch).*busy) {
-      return;
-    }
-    (*watch).*busy = true;
-    watch->descriptor.async_wait(
-        type, [self = shared_from_this(), socket, watch, select_bit,
-               busy](const asio::error_code& error) {
-          (*watch).*busy = false;
-          const auto found = self->watches.find(socket);
-          if (self->closed || found == self->watches.end() ||
-              found->second != watch) {
-            return;
-          }
-          self->Act(socket, error ? CURL_CSELECT_ERR : select_bit);
-          const auto again = self->watches.find(socket);
-          if (again != self->watches.end() && again->second == watch) {
-            self->Wait(socket, watch);
-          }
-        });
-  };
-  using Type = asio::posix::stream_descriptor;
-  wait(CURL_POLL_IN, CURL_CSELECT_IN, &internal::Watch::reading,
-       Type::wait_read);
-  wait(CURL_POLL_OUT, CURL_CSELECT_OUT, &internal::Watch::writing,
-       Type::wait_write);
-}
-
-void Client::Impl::Act(curl_socket_t socket, int events) {
-  int running = 0;
-  curl_multi_socket_action(multi, socket, events, &running);
-  Collect();
-}
-
-void Client::Impl::Collect() {
-  int left = 0;
-  while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    CURL* easy = message->easy_handle;
-    const CURLcode code = message->data.result;
-    const auto transfer = transfers.at(easy);
-    transfers.erase(easy);
-    curl_multi_remove_handle(multi, easy);
-    if (code != CURLE_OK) {
-      transfer->done(internal::ToFailure(*transfer, code));
-    } else {
-      long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
-      curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-      transfer->response.status = static_cast<int>(status);
-      transfer->done(std::move(transfer->response));
-    }
-    if (closed) {
-      return;
-    }
-  }
-}
-
-void Client::Impl::SetTimer(long timeout_ms) {  // NOLINT
-  timer.cancel();
-  if (timeout_ms < 0 || closed) {
-    return;
-  }
-  timer.expires_after(core::Millis(timeout_ms));
-  timer.async_wait([self = shared_from_this()](const asio::error_code& error) {
-    if (!error && !self->closed) {
-      self->Act(CURL_SOCKET_TIMEOUT, 0);
-    }
-  });
-}
-
-Client::Client(asio::io_context& loop) {
-  static const internal::GlobalCurl global;
-  impl_ = std::make_shared<Impl>(loop);
-  impl_->Configure();
-}
+Client::Client(asio::io_context& loop) { impl_ = std::make_shared<Impl>(loop); }
 
 Client::~Client() { impl_->Close(); }
 
--- a/src/camphormux/http/fwd.hpp
+++ b/src/camphormux/http/fwd.hpp
@@ -9,6 +9,7 @@
 struct ClientFailure;
 enum class ClientError;
 class Client;
+class CurlLoop;
 
 struct ServerRequest;
 struct ServerResponse;
