Assemble the controller and the command line

Cause: the parts had no programs. Change: the controller process follows the state, holds its zone's lease, steps and serves its admin server; the command line runs its six verbs; tests of the step, of publishing and a property over two controllers of one zone.

--- /dev/null
+++ b/src/camphormux/cli/run.cpp
@@ -0,0 +1,324 @@
+#include "camphormux/cli/run.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "camphormux/cli/history.hpp"
+#include "camphormux/cli/line_diff.hpp"
+#include "camphormux/cli/publish.hpp"
+#include "camphormux/cli/text_effect.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/log/http_port.hpp"
+#include "camphormux/text/parse.hpp"
+
+namespace camphormux::cli {
+namespace internal {
+
+using nlohmann::json;
+
+/// Longest time of one exchange with the log or a controller.
+constexpr core::Millis kExchangeLimit = std::chrono::seconds(5);
+/// An accepted text is in force within 5 s; a slow log gets some more.
+constexpr core::Millis kPublishLimit = std::chrono::seconds(30);
+
+/// An operator text that was read and checked.
+struct CheckedText {
+  std::string source;
+  text::OperatorText parsed;
+};
+
+/// The event loop and the log that a verb uses.
+struct PlatformAccess {
+  explicit PlatformAccess(const core::Address& platform)
+      : client(loop),
+        session(loop, log::MakeHttpPort(client, platform), kExchangeLimit) {}
+
+  asio::io_context loop;
+  http::Client client;
+  LogSession session;
+};
+
+json ToJson(const settings::Problems& problems) {
+  json list = json::array();
+  for (const settings::Problem& problem : problems) {
+    list.push_back({{"file", problem.file},
+                    {"line", problem.line},
+                    {"key", problem.key},
+                    {"found", problem.found},
+                    {"expected", problem.expected}});
+  }
+  return list;
+}
+
+ExitCode ReportProblems(const Command& command, const Streams& streams,
+                        const settings::Problems& problems) {
+  if (command.output == Output::kJson) {
+    streams.out << json{{"valid", false}, {"problems", ToJson(problems)}}.dump(
+                       2)
+                << "\n";
+  }
+  for (const settings::Problem& problem : problems) {
+    streams.err << settings::Describe(problem) << "\n";
+  }
+  return ExitCode::kTextInvalid;
+}
+
+core::Result<std::string, UsageError> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return UsageError{"cannot read " + path};
+  }
+  return text.str();
+}
+
+/// Reads and checks the command's file; reports what is wrong.
+std::optional<CheckedText> ReadText(const Command& command,
+                                    const Streams& streams, ExitCode& code) {
+  const auto source = ReadFile(command.file);
+  if (!source.has_value()) {
+    streams.err << source.error().message << "\n";
+    code = ExitCode::kUsage;
+    return std::nullopt;
+  }
+  auto parsed = text::ParseOperatorText(command.file, source.value());
+  if (!parsed.has_value()) {
+    code = ReportProblems(command, streams, parsed.error());
+    return std::nullopt;
+  }
+  return CheckedText{source.value(), std::move(parsed.value())};
+}
+
+ExitCode Unreachable(const Command& command, const Streams& streams) {
+  streams.err << fmt::format("the platform at {}:{} does not answer\n",
+                             command.platform->ip, command.platform->port);
+  return ExitCode::kPlatformUnreachable;
+}
+
+ExitCode RunCheck(const Command& command, const Streams& streams) {
+  ExitCode code = ExitCode::kOk;
+  if (!ReadText(command, streams, code)) {
+    return code;
+  }
+  streams.out << (command.output == Output::kJson
+                      ? std::string(R"({"valid": true, "problems": []})")
+                      : command.file + ": valid")
+              << "\n";
+  return ExitCode::kOk;
+}
+
+json ToJson(const TextEffect& effect) {
+  json shortages = json::array();
+  for (const Shortage& shortage : effect.shortages) {
+    shortages.push_back({{"service", shortage.service.value},
+                         {"wanted", shortage.wanted},
+                         {"possible", shortage.possible}});
+  }
+  return {{"moved_hosts", effect.moved_hosts}, {"shortages", shortages}};
+}
+
+void PrintEffect(const TextEffect& effect, std::ostream& out) {
+  out << fmt::format("hosts that change pools, at least: {}\n",
+                     effect.moved_hosts);
+  for (const Shortage& shortage : effect.shortages) {
+    out << fmt::format("service {}: {} hosts demanded, {} possible\n",
+                       shortage.service.value, shortage.wanted,
+                       shortage.possible);
+  }
+}
+
+ExitCode RunDiff(const Command& command, const Streams& streams) {
+  ExitCode code = ExitCode::kOk;
+  const auto checked = ReadText(command, streams, code);
+  if (!checked) {
+    return code;
+  }
+  PlatformAccess access(*command.platform);
+  state::FleetState state;
+  if (!CatchUp(access.session, state).has_value()) {
+    return Unreachable(command, streams);
+  }
+  const std::string diff =
+      FormatDiff(DiffLines(state.text.source, checked->source));
+  const TextEffect effect = EstimateEffect(state, checked->parsed);
+  if (command.output == Output::kJson) {
+    json body = ToJson(effect);
+    body["revision"] = state.text.revision.value;
+    body["diff"] = diff;
+    streams.out << body.dump(2) << "\n";
+    return ExitCode::kOk;
+  }
+  streams.out << fmt::format("compared with revision {}\n",
+                             state.text.revision.value)
+              << diff;
+  PrintEffect(effect, streams.out);
+  return ExitCode::kOk;
+}
+
+core::AppendId NewAppendId() {
+  std::random_device device;
+  const auto part = [&device] {
+    return (std::uint64_t{device()} << 32) | device();
+  };
+  return core::AppendId{fmt::format("{:016x}{:016x}", part(), part())};
+}
+
+std::string AuthorOf(const Command& command) {
+  if (!command.author.empty()) {
+    return command.author;
+  }
+  const char* user = std::getenv("USER");
+  return user == nullptr ? "unknown" : user;
+}
+
+ExitCode ReportFailure(const Command& command, const Streams& streams,
+                       PublishError error) {
+  switch (error) {
+    case PublishError::kBaseMissing:
+      streams.err << "publish: a text is in force; give the revision that "
+                     "the file was edited from as --base N (see status)\n";
+      return ExitCode::kUsage;
+    case PublishError::kTooLarge:
+      streams.err << "publish: the text is larger than a record of the log\n";
+      return ExitCode::kTextInvalid;
+    case PublishError::kOutcomeUnknown:
+      streams.err << "publish: the outcome is not known; see history before "
+                     "publishing again\n";
+      return ExitCode::kFailure;
+    case PublishError::kUnreachable:
+      break;
+  }
+  return Unreachable(command, streams);
+}
+
+ExitCode ReportAccepted(const Command& command, const Streams& streams,
+                        const state::PublishOutcome& outcome) {
+  if (command.output == Output::kJson) {
+    streams.out << json{{"outcome", "accepted"},
+                        {"revision", outcome.accepted->value},
+                        {"offset", outcome.offset.value}}
+                       .dump(2)
+                << "\n";
+  } else {
+    streams.out << fmt::format("accepted as revision {}\n",
+                               outcome.accepted->value);
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode ReportRejected(const Command& command, const Streams& streams,
+                        const PublishReport& report,
+                        const std::string& source) {
+  const std::string diff =
+      FormatDiff(DiffLines(report.in_force.source, source));
+  if (command.output == Output::kJson) {
+    streams.out << json{{"outcome", "rejected"},
+                        {"reason", report.outcome.reason},
+                        {"base", report.outcome.base.value},
+                        {"in_force", report.in_force.revision.value},
+                        {"diff", diff}}
+                       .dump(2)
+                << "\n";
+    return ExitCode::kConflict;
+  }
+  streams.err << fmt::format(
+      "rejected: {}\nrevision {} by {} is in force; - is its text, + is {}\n",
+      report.outcome.reason, report.in_force.revision.value,
+      report.in_force.author, command.file);
+  streams.err << diff;
+  return ExitCode::kConflict;
+}
+
+ExitCode RunPublish(const Command& command, const Streams& streams) {
+  ExitCode code = ExitCode::kOk;
+  const auto checked = ReadText(command, streams, code);
+  if (!checked) {
+    return code;
+  }
+  PlatformAccess access(*command.platform);
+  const PublishResult result = PublishText(
+      access.session,
+      {NewAppendId(), AuthorOf(command), checked->source, command.base},
+      kPublishLimit);
+  if (!result.has_value()) {
+    return ReportFailure(command, streams, result.error());
+  }
+  return result.value().outcome.accepted
+             ? ReportAccepted(command, streams, result.value().outcome)
+             : ReportRejected(command, streams, result.value(),
+                              checked->source);
+}
+
+ExitCode RunHistory(const Command& command, const Streams& streams) {
+  PlatformAccess access(*command.platform);
+  const HistoryResult entries = ReadHistory(access.session);
+  if (!entries.has_value()) {
+    return Unreachable(command, streams);
+  }
+  streams.out << (command.output == Output::kJson
+                      ? HistoryJson(entries.value()) + "\n"
+                      : HistoryText(entries.value()));
+  return ExitCode::kOk;
+}
+
+/// Asks a controller's admin server and prints its answer.
+ExitCode Ask(const Command& command, const Streams& streams,
+             const std::string& path) {
+  asio::io_context loop;
+  http::Client client(loop);
+  http::ClientRequest request;
+  request.timeout = kExchangeLimit;
+  request.url = fmt::format("http://{}:{}{}?output={}", command.controller->ip,
+                            command.controller->port, path,
+                            command.output == Output::kJson ? "json" : "text");
+  std::optional<http::ClientResult> result;
+  client.Send(std::move(request), [&](http::ClientResult answer) {
+    result = std::move(answer);
+    loop.stop();
+  });
+  loop.run();
+  if (!result || !result->has_value()) {
+    streams.err << fmt::format("the controller at {}:{} does not answer\n",
+                               command.controller->ip,
+                               command.controller->port);
+    return ExitCode::kFailure;
+  }
+  const http::ClientResponse& response = result->value();
+  const bool ok = response.status == 200;
+  (ok ? streams.out : streams.err) << response.body << "\n";
+  return ok ? ExitCode::kOk : ExitCode::kFailure;
+}
+
+}  // namespace internal
+
+ExitCode Run(const Command& command, const Streams& streams) {
+  if (command.help || !command.verb) {
+    streams.out << Usage(command.verb);
+    return ExitCode::kOk;
+  }
+  switch (*command.verb) {
+    case Verb::kCheck:
+      return internal::RunCheck(command, streams);
+    case Verb::kDiff:
+      return internal::RunDiff(command, streams);
+    case Verb::kPublish:
+      return internal::RunPublish(command, streams);
+    case Verb::kHistory:
+      return internal::RunHistory(command, streams);
+    case Verb::kStatus:
+      return internal::Ask(command, streams, "/status");
+    case Verb::kExplain:
+      return internal::Ask(
+          command, streams,
+          "/explain/" + command.subject_kind + "/" + command.subject_name);
+  }
+  return ExitCode::kUsage;
+}
+
+}  // namespace camphormux::cli
--- /dev/null
+++ b/src/camphormux/controller/app.cpp
@@ -0,0 +1,334 @@
+#include "camphormux/controller/app.hpp"
+
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/controller/admin.hpp"
+#include "camphormux/controller/collector.hpp"
+#include "camphormux/controller/lease.hpp"
+#include "camphormux/controller/meters.hpp"
+#include "camphormux/controller/platform_client.hpp"
+#include "camphormux/controller/step.hpp"
+#include "camphormux/controller/watch.hpp"
+#include "camphormux/core/random.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/http/server.hpp"
+#include "camphormux/log/appender.hpp"
+#include "camphormux/log/http_port.hpp"
+#include "camphormux/state/codec.hpp"
+#include "camphormux/state/tailer.hpp"
+#include "camphormux/telemetry/log.hpp"
+#include "camphormux/telemetry/trace.hpp"
+
+namespace camphormux::controller {
+namespace internal {
+
+using telemetry::Level;
+
+constexpr std::size_t kSpanQueue = 1024;
+/// Longest wait for records on their way when the process stops.
+constexpr core::Millis kStopLimit = std::chrono::seconds(5);
+constexpr core::Millis kStopPoll{20};
+
+/// A batch of decided records that is not in the state yet.
+struct PendingBatch {
+  std::optional<core::LogOffset> offset;  ///< Once the log answered.
+  /// When the log gave no answer: a state read after this time decides.
+  std::optional<core::MonotonicTime> unknown_since;
+};
+
+/// Whether the state shows what became of the batch.
+bool IsSettled(const PendingBatch& batch, const state::Tailer& tailer) {
+  if (batch.offset) {
+    return tailer.state().next > *batch.offset;
+  }
+  return batch.unknown_since &&
+         tailer.last_confirmed_sent() > *batch.unknown_since;
+}
+
+std::int64_t UnixNanos() {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace internal
+
+struct App::Impl : std::enable_shared_from_this<App::Impl> {
+  Impl(asio::io_context& event_loop, const Settings& checked);
+
+  void Start();
+  void Stop(std::function<void()> done);
+  void Close();
+  void Schedule();
+  void Tick();
+  void Announce();
+  void StepLease(core::MonotonicTime now);
+  void StepControl(core::MonotonicTime now);
+  void CountAnswers();
+  void AppendBatch(const std::vector<state::Record>& records);
+  void Report(const StepInput& input, const StepResult& result,
+              std::int64_t started);
+  void WaitForRecords(core::MonotonicTime deadline, std::function<void()> done);
+  [[nodiscard]] StatusInput Status() const;
+  [[nodiscard]] std::optional<std::string> NotReady() const;
+
+  asio::io_context& loop;
+  Settings settings;
+  core::Random random;
+  http::Client client;
+  log::LogPort port;
+  state::Tailer tailer;
+  log::Appender appender;
+  Collector collector;
+  Watch watch;
+  LeaseMemory lease;
+  StepMemory memory;
+  StepResult last;
+  Meters meters;
+  telemetry::SpanExporter spans;
+  asio::steady_timer timer;
+  std::optional<internal::PendingBatch> pending;
+  std::optional<http::Server> admin;
+  bool announced = false;
+  bool stopping = false;
+};
+
+App::Impl::Impl(asio::io_context& event_loop, const Settings& checked)
+    : loop(event_loop),
+      settings(checked),
+      random(core::SeededRandom(std::random_device{}())),
+      client(loop),
+      port(log::MakeHttpPort(client, settings.platform)),
+      tailer(loop, port, [](const state::FleetState&) {}),
+      appender(loop, port, log::kStateStream),
+      collector(MakePlatformPort(client, settings.platform), settings.zone),
+      spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
+      timer(loop) {
+  last.idle = IdleReason::kNoLease;
+}
+
+void App::Impl::Start() {
+  admin.emplace(
+      loop, settings.admin,
+      [this](const http::ServerRequest& request, const http::Respond& respond) {
+        respond(AnswerAdmin(request, {Status(), meters.registry, NotReady()}));
+      });
+  tailer.Start();
+  Schedule();
+  telemetry::Log(internal::Level::kInfo, "controller started",
+                 {{"zone", settings.zone.value}});
+}
+
+void App::Impl::Close() {
+  stopping = true;
+  timer.cancel();
+  if (admin) {
+    admin->Close();
+  }
+}
+
+void App::Impl::Schedule() {
+  timer.expires_after(settings.step);
+  timer.async_wait([self = weak_from_this()](const asio::error_code& error) {
+    const auto impl = self.lock();
+    if (!error && impl && !impl->stopping) {
+      impl->Tick();
+      impl->Schedule();
+    }
+  });
+}
+
+void App::Impl::Tick() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  UpdateWatch(tailer.state(), now, watch);
+  collector.Poll(tailer.state(), now);
+  Announce();
+  StepLease(now);
+  if (pending && internal::IsSettled(*pending, tailer)) {
+    pending.reset();
+  }
+  if (!pending) {
+    StepControl(now);
+  }
+}
+
+void App::Impl::Announce() {
+  if (announced || !tailer.at_end()) {
+    return;
+  }
+  announced = true;
+  const auto incarnation =
+      static_cast<std::uint64_t>(core::WallNow().time_since_epoch().count());
+  const state::PresenceNotice notice{
+      settings.process, state::ProcessRole::kController, settings.zone,
+      settings.peer, core::Incarnation{incarnation}};
+  appender.Append(state::EncodeRecords({notice}),
+                  [self = weak_from_this()](const log::AppendResult& result) {
+                    const auto impl = self.lock();
+                    if (impl) {
+                      impl->announced = result.has_value();
+                    }
+                  });
+}
+
+void App::Impl::StepLease(core::MonotonicTime now) {
+  const bool at_end =
+      tailer.at_end() && now - tailer.last_confirmed_sent() <= kStaleLog;
+  const auto record =
+      LeaseStep({tailer.state(), settings.process, settings.zone, at_end, now},
+                lease, random);
+  if (!record) {
+    return;
+  }
+  appender.Append(state::EncodeRecords({*record}),
+                  [self = weak_from_this()](const log::AppendResult& result) {
+                    const auto impl = self.lock();
+                    if (!impl || !impl->lease.in_flight) {
+                      return;
+                    }
+                    if (result.has_value()) {
+                      impl->lease.in_flight->offset = result.value();
+                    } else {
+                      impl->lease.in_flight.reset();
+                    }
+                  });
+}
+
+void App::Impl::StepControl(core::MonotonicTime now) {
+  Observations& seen = collector.seen();
+  seen.lease = ProvenLease(lease, now);
+  seen.log_read = tailer.last_confirmed_sent();
+  seen.gateways.clear();
+  for (const auto& [id, gateway] : watch.gateways) {
+    seen.gateways.push_back(gateway);
+  }
+  CountAnswers();
+  const std::int64_t started = internal::UnixNanos();
+  const StepInput input{tailer.state(), seen, settings.zone, now,
+                        core::WallNow()};
+  StepResult result = Step(input, memory);
+  Report(input, result, started);
+  seen.answers.clear();
+  AppendBatch(result.records);
+  collector.Send(result.calls);
+  last = std::move(result);
+}
+
+void App::Impl::CountAnswers() {
+  for (const CallAnswer& answer : collector.seen().answers) {
+    if (answer.outcome == CallOutcome::kStaleEpoch) {
+      meters.stale_calls.Increment();
+    } else if (answer.outcome == CallOutcome::kFailed) {
+      meters.failed_calls.Increment();
+    }
+  }
+}
+
+void App::Impl::AppendBatch(const std::vector<state::Record>& records) {
+  if (records.empty()) {
+    return;
+  }
+  pending.emplace();
+  appender.Append(state::EncodeRecords(records),
+                  [self = weak_from_this()](const log::AppendResult& result) {
+                    const auto impl = self.lock();
+                    if (!impl || !impl->pending) {
+                      return;
+                    }
+                    if (result.has_value()) {
+                      impl->pending->offset = result.value();
+                      return;
+                    }
+                    impl->meters.append_failures.Increment();
+                    impl->pending->unknown_since = core::MonotonicNow();
+                  });
+}
+
+void App::Impl::Report(const StepInput& input, const StepResult& result,
+                       std::int64_t started) {
+  CountStep(meters, input, result);
+  const std::int64_t ended = internal::UnixNanos();
+  constexpr double kNanosPerSecond = 1e9;
+  meters.step_time.Observe(static_cast<double>(ended - started) /
+                           kNanosPerSecond);
+  if (result.idle != last.idle) {
+    const bool decides = result.idle == IdleReason::kNone;
+    telemetry::Log(decides ? internal::Level::kInfo : internal::Level::kWarning,
+                   decides ? "decisions start" : "decisions stop",
+                   {{"reason", Describe(result.idle)},
+                    {"missing_hosts", std::to_string(result.missing.size())}});
+  }
+  if (result.records.empty() && result.calls.empty()) {
+    return;
+  }
+  telemetry::Log(internal::Level::kDebug, "step decided",
+                 {{"records", std::to_string(result.records.size())},
+                  {"calls", std::to_string(result.calls.size())}});
+  spans.Export({telemetry::NewTrace(random, settings.trace_ratio),
+                "",
+                "controller decision",
+                started,
+                ended,
+                {{"records", std::to_string(result.records.size())},
+                 {"calls", std::to_string(result.calls.size())}}});
+}
+
+StatusInput App::Impl::Status() const {
+  const core::MonotonicTime now = core::MonotonicNow();
+  return {tailer.state(),
+          collector.seen(),
+          last,
+          settings.process,
+          settings.zone,
+          CutOffZones(watch, settings.zone, tailer.last_confirmed_sent(), now),
+          now,
+          core::WallNow()};
+}
+
+std::optional<std::string> App::Impl::NotReady() const {
+  if (stopping) {
+    return "the process stops";
+  }
+  if (!tailer.at_end()) {
+    return "the shared state is not read to the log's end";
+  }
+  return std::nullopt;
+}
+
+void App::Impl::Stop(std::function<void()> done) {
+  telemetry::Log(internal::Level::kInfo, "controller stops",
+                 {{"records_in_flight", pending ? "yes" : "no"}});
+  stopping = true;
+  timer.cancel();
+  WaitForRecords(core::MonotonicNow() + internal::kStopLimit, std::move(done));
+}
+
+void App::Impl::WaitForRecords(core::MonotonicTime deadline,
+                               std::function<void()> done) {
+  const bool settled = !pending || internal::IsSettled(*pending, tailer);
+  if (settled || core::MonotonicNow() >= deadline) {
+    done();
+    return;
+  }
+  timer.expires_after(internal::kStopPoll);
+  timer.async_wait([self = shared_from_this(), deadline,
+                    done = std::move(done)](const asio::error_code&) {
+    self->WaitForRecords(deadline, done);
+  });
+}
+
+App::App(asio::io_context& loop, const Settings& settings)
+    : impl_(std::make_shared<Impl>(loop, settings)) {}
+
+App::~App() { impl_->Close(); }
+
+void App::Start() { impl_->Start(); }
+
+void App::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+
+}  // namespace camphormux::controller
--- a/src/camphormux/controller/collector.hpp
+++ b/src/camphormux/controller/collector.hpp
@@ -33,6 +33,7 @@
   /// @return What was observed; the owner adds lease, log and gateways and
   /// removes answers that a step has taken.
   [[nodiscard]] Observations& seen() { return *seen_; }
+  [[nodiscard]] const Observations& seen() const { return *seen_; }
 
  private:
   /// Questions without an answer; shared with callbacks that may outlive the
--- /dev/null
+++ b/src/camphormux/controller/meters.hpp
@@ -0,0 +1,45 @@
+#ifndef CAMPHORMUX_CONTROLLER_METERS_HPP_
+#define CAMPHORMUX_CONTROLLER_METERS_HPP_
+
+#include <memory>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "camphormux/controller/step.hpp"
+
+namespace camphormux::controller {
+
+/// @brief Metrics of a controller.
+struct Meters {
+  prometheus::Registry registry;
+  prometheus::Counter& steps;
+  prometheus::Counter& records;
+  prometheus::Counter& append_failures;
+  prometheus::Counter& calls;
+  prometheus::Counter& stale_calls;
+  prometheus::Counter& failed_calls;
+  prometheus::Counter& doubtful_lists;
+  prometheus::Gauge& deciding;
+  prometheus::Gauge& missing_hosts;
+  prometheus::Gauge& revision;
+  prometheus::Gauge& offset;
+  prometheus::Gauge& skipped_records;
+  prometheus::Gauge& log_age;
+  prometheus::Histogram& step_time;
+
+  Meters();
+};
+
+/// @brief Counts a step.
+/// @param meters The metrics.
+/// @param input What the step saw.
+/// @param result What the step decided.
+void CountStep(Meters& meters, const StepInput& input,
+               const StepResult& result);
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_METERS_HPP_
--- a/src/camphormux/controller/phases.cpp
+++ b/src/camphormux/controller/phases.cpp
@@ -123,21 +123,30 @@
                      host.phase_offset.value);
 }
 
+/// Whether the first accepted restart call is so old that an unchanged boot id
+/// means that an earlier holder's call, with the same id, did the restart.
+bool IsSettled(Situation& at) {
+  const core::MonotonicTime accepted =
+      at.memory.restart_accepted.try_emplace(at.host.id, at.input.now)
+          .first->second;
+  return at.input.now - accepted >= kRestartSettled;
+}
+
 void AdvanceMaintenance(Situation& at) {
   if (at.report == nullptr) {
     return;
   }
-  const auto [before, first] =
-      at.memory.boot_before.try_emplace(at.host.id, at.report->boot_id);
+  const std::string& before =
+      at.memory.boot_before.try_emplace(at.host.id, at.report->boot_id)
+          .first->second;
   const PlatformCall call{
       CallKind::kReboot,     at.host.id, at.epoch, {}, {}, {},
       MaintenanceId(at.host)};
-  if (!first && ReportFollows(at, call) &&
-      at.report->boot_id != before->second) {
+  if (ReportFollows(at, call) &&
+      (at.report->boot_id != before || IsSettled(at))) {
     at.result.records.emplace_back(state::MaintenanceDone{
         at.host.zone, at.epoch, at.host.id, at.input.wall});
     Record(at, HostPhase::kAdmitted);
-    at.memory.boot_before.erase(at.host.id);
     return;
   }
   SendPaced(at, call);
--- a/src/camphormux/controller/platform_client.cpp
+++ b/src/camphormux/controller/platform_client.cpp
@@ -36,13 +36,20 @@
   return host;
 }
 
+/// A 409 for an old generation says nothing about the lease.
+bool IsOldGeneration(const std::string& body) {
+  const json error = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  return error.is_object() && error.value("code", "") == "old_generation";
+}
+
 CallOutcome ToOutcome(const http::ClientResult& result) {
   if (!result.has_value()) {
     return CallOutcome::kFailed;
   }
   const int status = result.value().status;
   if (status == kConflict) {
-    return CallOutcome::kStaleEpoch;
+    return IsOldGeneration(result.value().body) ? CallOutcome::kFailed
+                                                : CallOutcome::kStaleEpoch;
   }
   return status == kOk || status == kNoContent ? CallOutcome::kDone
                                                : CallOutcome::kFailed;
@@ -126,35 +133,35 @@
   return request;
 }
 
-PlatformPort MakePlatformPort(const std::shared_ptr<http::Client>& client,
+PlatformPort MakePlatformPort(http::Client& client,
                               const core::Address& platform) {
   PlatformPort port;
-  port.list = [client, platform](auto done) {
+  port.list = [&client, platform](auto done) {
     http::ClientRequest request;
     request.url = internal::Url(platform, "/v1/hosts");
     request.timeout = internal::kTimeout;
-    client->Send(std::move(request), [done](const http::ClientResult& result) {
+    client.Send(std::move(request), [done](const http::ClientResult& result) {
       const bool ok =
           result.has_value() && result.value().status == internal::kOk;
       done(ok ? ParseHostList(result.value().body) : std::nullopt);
     });
   };
-  port.report = [client, platform](const core::HostId& host, auto done) {
+  port.report = [&client, platform](const core::HostId& host, auto done) {
     http::ClientRequest request;
     request.url = internal::Url(platform, "/v1/hosts/" + host.value);
     request.timeout = internal::kTimeout;
     const core::MonotonicTime asked = core::MonotonicNow();
-    client->Send(
-        std::move(request), [done, asked](const http::ClientResult& result) {
-          std::optional<HostReport> report = internal::ToReport(result);
-          if (report) {
-            report->asked = asked;
-          }
-          done(std::move(report));
-        });
+    client.Send(std::move(request),
+                [done, asked](const http::ClientResult& result) {
+                  std::optional<HostReport> report = internal::ToReport(result);
+                  if (report) {
+                    report->asked = asked;
+                  }
+                  done(std::move(report));
+                });
   };
-  port.send = [client, platform](const PlatformCall& call, auto done) {
-    client->Send(
+  port.send = [&client, platform](const PlatformCall& call, auto done) {
+    client.Send(
         ToRequest(call, platform),
         [done, call](const http::ClientResult& result) {
           done({call, internal::ToOutcome(result), core::MonotonicNow()});
--- a/src/camphormux/controller/platform_client.hpp
+++ b/src/camphormux/controller/platform_client.hpp
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,11 +29,11 @@
 };
 
 /// @brief Makes a port that speaks HTTP.
-/// @param client HTTP client of the event loop.
+/// @param client HTTP client of the event loop; outlives the port.
 /// @param platform Address of the platform.
 /// @return The port.
-[[nodiscard]] PlatformPort MakePlatformPort(
-    const std::shared_ptr<http::Client>& client, const core::Address& platform);
+[[nodiscard]] PlatformPort MakePlatformPort(http::Client& client,
+                                            const core::Address& platform);
 
 /// @brief Parses the body of `GET /v1/hosts`.
 /// @param body JSON.
--- a/src/camphormux/controller/step.cpp
+++ b/src/camphormux/controller/step.cpp
@@ -32,16 +32,15 @@
   std::erase_if(memory.calls, [&](const auto& item) {
     return gone(item.first) || item.second.call.epoch != input.seen.lease;
   });
-  std::erase_if(memory.drain_acknowledged, [&](const auto& item) {
-    const auto host = input.state.hosts.find(item.first);
-    return host == input.state.hosts.end() ||
-           host->second.phase != state::HostPhase::kDraining;
-  });
-  std::erase_if(memory.boot_before, [&](const auto& item) {
-    const auto host = input.state.hosts.find(item.first);
-    return host == input.state.hosts.end() ||
-           host->second.phase != state::HostPhase::kEmpty;
-  });
+  const auto not_in = [&](state::HostPhase phase) {
+    return [&input, phase](const auto& item) {
+      const auto host = input.state.hosts.find(item.first);
+      return host == input.state.hosts.end() || host->second.phase != phase;
+    };
+  };
+  std::erase_if(memory.drain_acknowledged, not_in(state::HostPhase::kDraining));
+  std::erase_if(memory.boot_before, not_in(state::HostPhase::kEmpty));
+  std::erase_if(memory.restart_accepted, not_in(state::HostPhase::kEmpty));
 }
 
 /// Restarts the watch over gateways after a pause of this process.
--- a/src/camphormux/controller/step.hpp
+++ b/src/camphormux/controller/step.hpp
@@ -23,6 +23,8 @@
 inline constexpr core::Millis kOwnPause = std::chrono::seconds(2);
 /// Pause before a call without visible effect is repeated.
 inline constexpr core::Millis kCallRepeat = std::chrono::seconds(1);
+/// Time after an accepted restart call in which the boot id changes.
+inline constexpr core::Millis kRestartSettled = std::chrono::seconds(60);
 /// Share of a zone's hosts that may vanish from the list at once.
 inline constexpr double kDoubtfulDrop = 0.2;
 
@@ -56,6 +58,8 @@
   std::map<core::HostId, core::MonotonicTime> drain_acknowledged;
   /// Boot ids before a maintenance restart.
   std::map<core::HostId, std::string> boot_before;
+  /// When a restart call was first known to be accepted.
+  std::map<core::HostId, core::MonotonicTime> restart_accepted;
   core::Epoch refused_epoch;  ///< Highest epoch that got a 409.
   core::MonotonicTime last_step;
   /// Since when steps follow each other without a pause of the process. The
--- /dev/null
+++ b/src/camphormux/controller/watch.hpp
@@ -0,0 +1,47 @@
+#ifndef CAMPHORMUX_CONTROLLER_WATCH_HPP_
+#define CAMPHORMUX_CONTROLLER_WATCH_HPP_
+
+#include <map>
+#include <vector>
+
+#include "camphormux/controller/observation.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/state/fleet_state.hpp"
+
+namespace camphormux::controller {
+
+/// Time without a lease renewal after which a zone counts as cut off.
+inline constexpr core::Millis kZoneCutOff = std::chrono::seconds(10);
+
+/// @brief When things of the shared state were last seen to change.
+struct Watch {
+  struct Zone {
+    state::ZoneLease lease;
+    core::MonotonicTime changed;
+  };
+  std::map<core::ZoneName, Zone> zones;
+  std::map<core::ProcessId, GatewayView> gateways;
+};
+
+/// @brief Notes lease renewals of all zones and gateways that announced
+/// themselves.
+/// @param state The shared state.
+/// @param now The time.
+/// @param watch Updated.
+void UpdateWatch(const state::FleetState& state, core::MonotonicTime now,
+                 Watch& watch);
+
+/// @brief Lists the zones without a renewal for `kZoneCutOff`. If the log was
+/// not read for that long, the own zone is the one that is cut off.
+/// @param watch The watch.
+/// @param own_zone The controller's zone.
+/// @param log_read Last time the log's end was read.
+/// @param now The time.
+/// @return The zones.
+[[nodiscard]] std::vector<core::ZoneName> CutOffZones(
+    const Watch& watch, const core::ZoneName& own_zone,
+    core::MonotonicTime log_read, core::MonotonicTime now);
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_WATCH_HPP_
--- /dev/null
+++ b/test/cli/publish_test.cpp
@@ -0,0 +1,134 @@
+#include "camphormux/cli/publish.hpp"
+
+#include <deque>
+
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/cli/history.hpp"
+#include "camphormux/state/codec.hpp"
+
+namespace camphormux::cli {
+namespace {
+
+constexpr core::Millis kLimit = std::chrono::seconds(20);
+
+/// Log in memory; `answers` says what becomes of the next appends.
+struct FakeLog {
+  enum class Answer { kNormal, kLostAfterEffect, kLostBefore, kUnavailable };
+
+  asio::io_context loop;
+  std::vector<std::string> records;
+  std::deque<Answer> answers;
+  std::size_t appends = 0;
+
+  log::AppendResult Append(std::string data) {
+    ++appends;
+    const Answer answer = answers.empty() ? Answer::kNormal : answers.front();
+    if (!answers.empty()) {
+      answers.pop_front();
+    }
+    if (answer == Answer::kUnavailable) {
+      return log::AppendError::kUnavailable;
+    }
+    if (answer == Answer::kLostBefore) {
+      return log::AppendError::kNoAnswer;
+    }
+    records.push_back(std::move(data));
+    return answer == Answer::kNormal
+               ? log::AppendResult(core::LogOffset{records.size() - 1})
+               : log::AppendResult(log::AppendError::kNoAnswer);
+  }
+
+  log::LogPort Port() {
+    log::LogPort port;
+    port.append = [this](const std::string&, std::string data, auto done) {
+      asio::post(loop, [this, data, done] { done(Append(data)); });
+    };
+    port.read = [this](const std::string&, core::LogOffset from, std::size_t,
+                       core::Millis, auto done) {
+      asio::post(loop, [this, from, done] {
+        log::ReadResult result{{}, core::LogOffset{records.size()}, {}};
+        for (std::size_t i = from.value; i < records.size(); ++i) {
+          result.records.push_back({core::LogOffset{i}, {}, records[i]});
+        }
+        done(std::move(result));
+      });
+    };
+    return port;
+  }
+};
+
+std::string Text(int min_hosts) {
+  return "[deployment]\nname = test\nspare_pool = web\n[zone a]\nregion = r\n"
+         "[service web]\nmin_hosts = " +
+         std::to_string(min_hosts) + "\n";
+}
+
+PublishRequest Request(const std::string& id, int min_hosts,
+                       std::optional<core::Revision> base) {
+  return {core::AppendId{id}, "amina", Text(min_hosts), base};
+}
+
+// Guards against a publisher that takes a lost answer for a failure, or puts
+// the text on the log twice with two revisions.
+TEST(PublishTest, ReadsTheOutcomeBackWhenAnswersAreLost) {
+  using Answer = FakeLog::Answer;
+  for (const Answer answer :
+       {Answer::kLostAfterEffect, Answer::kLostBefore, Answer::kUnavailable}) {
+    FakeLog log;
+    log.answers = {answer};
+    LogSession session(log.loop, log.Port(), kLimit);
+    const auto result = PublishText(session, Request("1", 1, {}), kLimit);
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result.value().outcome.accepted, core::Revision{1});
+    EXPECT_EQ(result.value().in_force.source, Text(1));
+  }
+}
+
+// Guards against two racing publishers that are both told "accepted".
+TEST(PublishTest, OneOfTwoRacingPublishersGetsAConflict) {
+  FakeLog log;
+  LogSession session(log.loop, log.Port(), kLimit);
+  ASSERT_TRUE(PublishText(session, Request("1", 1, {}), kLimit).has_value());
+  const auto first =
+      PublishText(session, Request("2", 2, core::Revision{1}), kLimit);
+  const auto second =
+      PublishText(session, Request("3", 3, core::Revision{1}), kLimit);
+  ASSERT_TRUE(first.has_value() && second.has_value());
+  EXPECT_EQ(first.value().outcome.accepted, core::Revision{2});
+  EXPECT_FALSE(second.value().outcome.accepted);
+  EXPECT_EQ(second.value().in_force.source, Text(2));
+}
+
+// Guards against an edit that silently replaces a text its author never saw.
+TEST(PublishTest, DemandsTheBaseOfALaterText) {
+  FakeLog log;
+  LogSession session(log.loop, log.Port(), kLimit);
+  ASSERT_TRUE(PublishText(session, Request("1", 1, {}), kLimit).has_value());
+  const auto result = PublishText(session, Request("2", 2, {}), kLimit);
+  ASSERT_FALSE(result.has_value());
+  EXPECT_EQ(result.error(), PublishError::kBaseMissing);
+  EXPECT_EQ(log.appends, 1U);
+}
+
+// Guards against an invalid text on the log that changes the state or stops
+// later publishers.
+TEST(PublishTest, SkipsAnInvalidTextOnTheLog) {
+  FakeLog log;
+  log.records = {
+      "not a record",
+      state::EncodeRecords({state::Publish{
+          core::AppendId{"0"}, "x", {}, "[nonsense]\na = b\n", {}}})};
+  LogSession session(log.loop, log.Port(), kLimit);
+  const auto result = PublishText(session, Request("1", 1, {}), kLimit);
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result.value().outcome.accepted, core::Revision{1});
+  const auto history = ReadHistory(session);
+  ASSERT_TRUE(history.has_value());
+  ASSERT_EQ(history.value().size(), 2U);
+  EXPECT_FALSE(history.value()[0].outcome.accepted);
+}
+
+}  // namespace
+}  // namespace camphormux::cli
--- /dev/null
+++ b/test/controller/step_test.cpp
@@ -0,0 +1,244 @@
+#include "camphormux/controller/step.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "camphormux/core/random.hpp"
+#include "test/controller/fake_fleet.hpp"
+
+namespace camphormux::controller {
+namespace {
+
+using state::HostPhase;
+
+/// More steps than any sequence of phases needs.
+constexpr int kManySteps = 60;
+constexpr core::Millis kStepTime{500};
+constexpr int kHosts = 6;
+
+/// A zone with one controller that holds the lease and a text in force.
+class StepTest : public testing::Test {
+ protected:
+  StepTest() {
+    log_.Append({PublishOf("1", {}, TextWith(4))});
+    controller_.Claim(log_);
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      now_ += kStepTime;
+      RunStep(controller_, log_, platform_, now_);
+    }
+    log_.Read(controller_.state, log_.records.size());
+  }
+
+  /// Steps until a host is in the phase, or for many steps.
+  bool RunUntil(HostPhase phase) {
+    for (int i = 0; i < kManySteps && CountIn(phase) == 0; ++i) {
+      Run(1);
+    }
+    return CountIn(phase) > 0;
+  }
+
+  long CountIn(HostPhase phase) const {
+    return std::count_if(
+        controller_.state.hosts.begin(), controller_.state.hosts.end(),
+        [phase](const auto& item) { return item.second.phase == phase; });
+  }
+
+  long CountAdmitted(const std::string& pool) const {
+    return std::count_if(controller_.state.hosts.begin(),
+                         controller_.state.hosts.end(), [&](const auto& item) {
+                           return item.second.phase == HostPhase::kAdmitted &&
+                                  item.second.pool == core::PoolName{pool};
+                         });
+  }
+
+  /// Publishes a text without the pool of service web, so that its hosts move.
+  void RenamePool() {
+    std::string text = TextWith(4);
+    text.replace(text.find("service web"), 11, "service shop");
+    log_.Append({PublishOf("2", core::Revision{1}, text)});
+  }
+
+  FakeLog log_;
+  FakePlatform platform_ = MakePlatform(kHosts);
+  FakeController controller_{{"c1"}, {}, {}, {}};
+  core::MonotonicTime now_{std::chrono::hours(1)};
+};
+
+// Guards against hosts that never reach the pools that the text demands.
+TEST_F(StepTest, FillsPoolsFromThePlatformsList) {
+  Run(kManySteps);
+  EXPECT_EQ(CountAdmitted("web"), 4);
+  EXPECT_EQ(CountAdmitted("spare"), 2);
+  for (const auto& [id, host] : controller_.state.hosts) {
+    EXPECT_EQ(host.generation, core::Generation{1});
+    EXPECT_EQ(platform_.hosts.at(id).pool, *host.pool);
+  }
+}
+
+// Guards against a lost answer that stops a host or assigns it twice.
+TEST_F(StepTest, ConvergesWhenAnswersAreLost) {
+  core::Random random = core::SeededRandom(11);
+  for (int i = 0; i < 10 * kManySteps; ++i) {
+    now_ += kStepTime;
+    log_.Read(controller_.state, log_.records.size());
+    platform_.Observe(controller_.seen, now_);
+    const StepResult result = controller_.Decide(now_);
+    log_.Append(result.records);
+    for (const PlatformCall& call : result.calls) {
+      const bool arrives = core::Below(random, 2) == 0;
+      const bool answered = core::Below(random, 2) == 0;
+      const CallOutcome outcome =
+          arrives ? platform_.Take(call) : CallOutcome::kFailed;
+      controller_.seen.answers.push_back(
+          {call, answered ? outcome : CallOutcome::kFailed, now_});
+    }
+  }
+  EXPECT_EQ(CountIn(HostPhase::kAdmitted), kHosts);
+  for (const auto& [id, host] : controller_.state.hosts) {
+    EXPECT_EQ(host.generation, core::Generation{1});
+  }
+}
+
+// Guards against a host that leaves its pool while a gateway may still send
+// to it or a request runs on it.
+TEST_F(StepTest, EmptiesAHostOnlyAfterGatewaysAndRequests) {
+  Run(kManySteps);
+  RenamePool();
+  FakeHost& busy = platform_.hosts.begin()->second;
+  const core::HostId busy_id = platform_.hosts.begin()->first;
+  busy.active = 1;
+  controller_.seen.gateways = {{{"g1"}, controller_.state.next, now_, {}}};
+  for (int i = 0; i < 10; ++i) {
+    controller_.seen.gateways[0].heard = now_;
+    Run(1);
+  }
+  EXPECT_EQ(CountIn(HostPhase::kDraining), 4);
+  controller_.seen.gateways[0].applied = controller_.state.next;
+  for (int i = 0; i < 10; ++i) {
+    controller_.seen.gateways[0].heard = now_;
+    Run(1);
+  }
+  EXPECT_EQ(CountIn(HostPhase::kDraining), 1);
+  EXPECT_EQ(controller_.state.hosts.at(busy_id).phase, HostPhase::kDraining);
+  busy.active = 0;
+  Run(kManySteps);
+  EXPECT_EQ(CountAdmitted("shop"), 4);
+}
+
+// Guards against a dead gateway that keeps every drain from ending.
+TEST_F(StepTest, DoesNotWaitForADeadGateway) {
+  Run(kManySteps);
+  RenamePool();
+  controller_.seen.gateways = {{{"g1"}, {}, now_, {}}};
+  Run(kManySteps);
+  EXPECT_EQ(CountAdmitted("shop"), 4);
+}
+
+// Guards against a move that a new holder cannot finish, in any phase.
+TEST_F(StepTest, ANewHolderContinuesFromEveryPhase) {
+  for (const HostPhase phase :
+       {HostPhase::kReleased, HostPhase::kAssigned, HostPhase::kAdmitted,
+        HostPhase::kDraining, HostPhase::kEmpty}) {
+    log_ = {};
+    platform_ = MakePlatform(kHosts);
+    controller_ = {{"c1"}, {}, {}, {}};
+    log_.Append({PublishOf("1", {}, TextWith(4))});
+    controller_.Claim(log_);
+    Run(kManySteps);
+    RenamePool();
+    ASSERT_TRUE(RunUntil(phase));
+    controller_ = {{"c2"}, {}, {}, {}};
+    log_.Read(controller_.state, log_.records.size());
+    controller_.Claim(log_);
+    Run(kManySteps);
+    EXPECT_EQ(CountAdmitted("shop"), 4) << static_cast<int>(phase);
+    EXPECT_EQ(CountAdmitted("spare"), 2) << static_cast<int>(phase);
+  }
+}
+
+// Guards against a holder that was paused past its lease and still changes
+// the state or the platform.
+TEST_F(StepTest, APausedHolderChangesNothing) {
+  Run(kManySteps);
+  RenamePool();
+  Run(1);
+  now_ += kStepTime;
+  log_.Read(controller_.state, log_.records.size());
+  platform_.Observe(controller_.seen, now_);
+  FakeController paused = controller_;
+  const StepResult late = paused.Decide(now_);
+  ASSERT_FALSE(late.calls.empty());
+
+  controller_ = {{"c2"}, {}, {}, {}};
+  log_.Read(controller_.state, log_.records.size());
+  controller_.Claim(log_);
+  Run(kManySteps);
+  const auto hosts = controller_.state.hosts;
+  for (const PlatformCall& call : late.calls) {
+    EXPECT_EQ(platform_.Take(call), CallOutcome::kStaleEpoch);
+    paused.seen.answers.push_back({call, CallOutcome::kStaleEpoch, now_});
+  }
+  log_.Append({state::Assign{kZone, *paused.seen.lease, hosts.begin()->first,
+                             HostPhase::kDraining, state::DrainReason::kMove,
+                             hosts.begin()->second.pool,
+                             hosts.begin()->second.generation}});
+  log_.Read(controller_.state, log_.records.size());
+  EXPECT_EQ(controller_.state.hosts, hosts);
+  EXPECT_EQ(paused.Decide(now_).idle, IdleReason::kNoLease);
+}
+
+// Guards against decisions on a view of the log that may be outdated.
+TEST_F(StepTest, StopsOnAStaleLog) {
+  Run(1);
+  controller_.seen.log_read = now_;
+  controller_.BelieveInLease();
+  const StepInput input{controller_.state,
+                        controller_.seen,
+                        kZone,
+                        now_ + kStaleLog + core::Millis(1),
+                        {}};
+  EXPECT_EQ(Step(input, controller_.memory).idle, IdleReason::kStaleLog);
+}
+
+// Guards against mass moves because the platform's list is wrong.
+TEST_F(StepTest, DoubtsAListThatDropsManyHosts) {
+  Run(kManySteps);
+  now_ += kStepTime;
+  platform_.Observe(controller_.seen, now_);
+  controller_.seen.listed->erase(core::HostId{"h0"});
+  EXPECT_EQ(controller_.Decide(now_).idle, IdleReason::kNone);
+  controller_.seen.listed->erase(core::HostId{"h1"});
+  const StepResult result = controller_.Decide(now_);
+  EXPECT_EQ(result.idle, IdleReason::kDoubtfulHostList);
+  EXPECT_TRUE(result.records.empty() && result.calls.empty());
+  EXPECT_EQ(result.missing.size(), 2U);
+}
+
+// Guards against a host that stays in the fleet after the platform dropped it.
+TEST_F(StepTest, RemovesAHostThatThePlatformDenies) {
+  Run(kManySteps);
+  platform_.hosts.at(core::HostId{"h0"}).listed = false;
+  Run(2);
+  EXPECT_FALSE(controller_.state.hosts.contains(core::HostId{"h0"}));
+}
+
+// Guards against a maintenance restart that happens twice or never ends.
+TEST_F(StepTest, RestartsAHostOnceAndReturnsIt) {
+  Run(kManySteps);
+  const state::Host host = controller_.state.hosts.begin()->second;
+  log_.Append({state::Assign{
+      kZone, *controller_.seen.lease, host.id, HostPhase::kDraining,
+      state::DrainReason::kMaintenance, host.pool, host.generation}});
+  Run(kManySteps);
+  EXPECT_EQ(platform_.reboots, 1);
+  EXPECT_EQ(CountIn(HostPhase::kAdmitted), kHosts);
+  EXPECT_TRUE(controller_.state.maintenance.contains(host.id));
+  EXPECT_EQ(controller_.state.hosts.at(host.id).pool, host.pool);
+}
+
+}  // namespace
+}  // namespace camphormux::controller
