--- /dev/null
+++ b/src/camphormux/admission/fair_queue.cpp
@@ -0,0 +1,113 @@
+#include "camphormux/admission/fair_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphormux::admission {
+namespace internal {
+
+void Append(FairQueue& queue, Ticket ticket) {
+  const auto [found, added] = queue.by_caller.try_emplace(ticket.caller);
+  if (added) {
+    queue.turns.push_back(ticket.caller);
+  }
+  found->second.push_back(std::move(ticket));
+  ++queue.size;
+}
+
+void RemoveCaller(FairQueue& queue, const std::string& caller) {
+  queue.turns.remove(caller);
+  queue.by_caller.erase(caller);
+}
+
+std::string BusiestCaller(const FairQueue& queue) {
+  const auto busiest = std::max_element(
+      queue.turns.begin(), queue.turns.end(),
+      [&](const std::string& a, const std::string& b) {
+        return queue.by_caller.at(a).size() < queue.by_caller.at(b).size();
+      });
+  return *busiest;
+}
+
+Ticket TakeNewest(FairQueue& queue, const std::string& caller) {
+  auto& tickets = queue.by_caller.at(caller);
+  Ticket newest = std::move(tickets.back());
+  tickets.pop_back();
+  --queue.size;
+  if (tickets.empty()) {
+    RemoveCaller(queue, caller);
+  }
+  return newest;
+}
+
+}  // namespace internal
+
+PushResult Push(FairQueue& queue, Ticket ticket, std::size_t capacity) {
+  if (capacity == 0) {
+    return {};
+  }
+  if (queue.size < capacity) {
+    internal::Append(queue, std::move(ticket));
+    return {true, std::nullopt};
+  }
+  const std::string busiest = internal::BusiestCaller(queue);
+  const auto own = queue.by_caller.find(ticket.caller);
+  const std::size_t own_size =
+      own == queue.by_caller.end() ? 0 : own->second.size();
+  if (own_size + 1 > queue.by_caller.at(busiest).size()) {
+    return {};
+  }
+  PushResult result{true, internal::TakeNewest(queue, busiest)};
+  internal::Append(queue, std::move(ticket));
+  return result;
+}
+
+void PushFront(FairQueue& queue, Ticket ticket) {
+  const auto [found, added] = queue.by_caller.try_emplace(ticket.caller);
+  if (added) {
+    queue.turns.push_front(ticket.caller);
+  }
+  found->second.push_front(std::move(ticket));
+  ++queue.size;
+}
+
+std::optional<Ticket> Pop(FairQueue& queue) {
+  if (queue.turns.empty()) {
+    return std::nullopt;
+  }
+  const std::string caller = queue.turns.front();
+  queue.turns.pop_front();
+  auto& tickets = queue.by_caller.at(caller);
+  Ticket ticket = std::move(tickets.front());
+  tickets.pop_front();
+  --queue.size;
+  if (tickets.empty()) {
+    queue.by_caller.erase(caller);
+  } else {
+    queue.turns.push_back(caller);
+  }
+  return ticket;
+}
+
+std::vector<Ticket> RemoveExpired(FairQueue& queue,
+                                  core::MonotonicTime earliest_end) {
+  std::vector<Ticket> expired;
+  for (auto turn = queue.turns.begin(); turn != queue.turns.end();) {
+    auto& tickets = queue.by_caller.at(*turn);
+    const auto kept = std::stable_partition(
+        tickets.begin(), tickets.end(),
+        [&](const Ticket& ticket) { return ticket.deadline >= earliest_end; });
+    std::move(kept, tickets.end(), std::back_inserter(expired));
+    tickets.erase(kept, tickets.end());
+    if (tickets.empty()) {
+      queue.by_caller.erase(*turn);
+      turn = queue.turns.erase(turn);
+    } else {
+      ++turn;
+    }
+  }
+  queue.size -= expired.size();
+  return expired;
+}
+
+}  // namespace camphormux::admission
--- /dev/null
+++ b/src/camphormux/admission/service_queue.hpp
@@ -0,0 +1,126 @@
+#ifndef CAMPHORMUX_ADMISSION_SERVICE_QUEUE_HPP_
+#define CAMPHORMUX_ADMISSION_SERVICE_QUEUE_HPP_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "camphormux/admission/fair_queue.hpp"
+#include "camphormux/core/time.hpp"
+
+namespace camphormux::admission {
+
+enum class Priority { kUrgent, kNormal };
+
+/// @brief Why a request was not admitted.
+enum class Refusal {
+  kQueueFull,
+  kDeadline,  ///< It would not be answered before its deadline.
+};
+
+/// @brief Bounds of a service's queue in one traffic thread.
+struct QueueLimits {
+  std::size_t capacity = 256;  ///< For each priority.
+  int urgent_turns = 4;        ///< Urgent requests for each normal one.
+};
+
+/// @brief Observed speed of a service; predicts waits.
+struct ServiceRate {
+  double run_ms = 0.0;  ///< Moving average of run times; 0: unknown.
+  /// When a run time was last seen. Without this, one slow phase could refuse
+  /// all requests for ever, as refused requests give no new run times.
+  std::optional<core::MonotonicTime> run_seen;
+  double interval_ms = 0.0;  ///< Between starts while requests wait.
+  std::optional<core::MonotonicTime> last_start;  ///< While requests wait.
+};
+
+/// @brief Requests of one service that wait for an endpoint.
+struct ServiceQueue {
+  std::array<FairQueue, 2> by_priority;
+  int urgent_in_a_row = 0;
+  ServiceRate rate;
+};
+
+/// @brief Result of an admission.
+struct Admission {
+  std::optional<Refusal> refusal;
+  std::optional<Ticket> displaced;  ///< A request that is shed instead.
+};
+
+/// @brief A request that was taken from the queue.
+struct NextTicket {
+  Ticket ticket;
+  Priority priority = Priority::kNormal;
+};
+
+/// @brief Returns how many requests wait.
+/// @param queue The queue.
+/// @return Both priorities together.
+[[nodiscard]] std::size_t Waiting(const ServiceQueue& queue) noexcept;
+
+/// @brief Predicts when a new request would start.
+/// @param queue The queue.
+/// @param priority Priority of the request.
+/// @param limits The limits.
+/// @return The wait; 0 as long as no rate was observed.
+[[nodiscard]] core::Millis PredictedWait(const ServiceQueue& queue,
+                                         Priority priority,
+                                         const QueueLimits& limits);
+
+/// @brief Returns when a request that starts at a time would end.
+/// @param rate The observed speed.
+/// @param start When it starts.
+/// @param now The time; run times that were seen long ago do not count.
+/// @return The start and the average run time.
+[[nodiscard]] core::MonotonicTime PredictedEnd(const ServiceRate& rate,
+                                               core::MonotonicTime start,
+                                               core::MonotonicTime now);
+
+/// @brief Admits a request to the queue, if it can be answered in time.
+/// @param queue The queue.
+/// @param ticket The request.
+/// @param priority Its priority.
+/// @param limits The limits.
+/// @param now The time.
+/// @return Why it was refused, or which other request is shed for it.
+[[nodiscard]] Admission Admit(ServiceQueue& queue, Ticket ticket,
+                              Priority priority, const QueueLimits& limits,
+                              core::MonotonicTime now);
+
+/// @brief Takes the next request: urgent ones first, a normal one after each
+/// `urgent_turns` urgent ones.
+/// @param queue The queue.
+/// @param limits The limits.
+/// @return The request with its priority, or nothing.
+[[nodiscard]] std::optional<NextTicket> TakeNext(ServiceQueue& queue,
+                                                 const QueueLimits& limits);
+
+/// @brief Notes that a request that was taken starts.
+/// @param rate The observed speed.
+/// @param now The time.
+void ObserveStart(ServiceRate& rate, core::MonotonicTime now);
+
+/// @brief Puts a request back that found no endpoint.
+/// @param queue The queue.
+/// @param next The request as taken.
+void PutBack(ServiceQueue& queue, NextTicket next);
+
+/// @brief Removes the requests that would end after their deadline if they
+/// started now.
+/// @param queue The queue.
+/// @param now The time.
+/// @return The removed requests.
+[[nodiscard]] std::vector<Ticket> RemoveLate(ServiceQueue& queue,
+                                             core::MonotonicTime now);
+
+/// @brief Notes how long a request ran.
+/// @param rate The observed speed.
+/// @param run_time From the attempt's start to its end.
+/// @param now The time.
+void ObserveRun(ServiceRate& rate, core::Millis run_time,
+                core::MonotonicTime now);
+
+}  // namespace camphormux::admission
+
+#endif  // CAMPHORMUX_ADMISSION_SERVICE_QUEUE_HPP_
--- /dev/null
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -0,0 +1,160 @@
+#ifndef CAMPHORMUX_GATEWAY_DISPATCHER_HPP_
+#define CAMPHORMUX_GATEWAY_DISPATCHER_HPP_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/admission/retry_budget.hpp"
+#include "camphormux/admission/service_queue.hpp"
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/random.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/gateway/caller_server.hpp"
+#include "camphormux/gateway/exchange.hpp"
+#include "camphormux/gateway/key_store_port.hpp"
+#include "camphormux/gateway/service_metrics.hpp"
+#include "camphormux/gateway/upstream.hpp"
+#include "camphormux/routing/choice.hpp"
+#include "camphormux/routing/endpoint_health.hpp"
+#include "camphormux/routing/route_table.hpp"
+#include "camphormux/telemetry/trace.hpp"
+
+namespace camphormux::gateway {
+
+/// @brief Makes a key store that refuses every claim.
+/// @param loop Event loop of the traffic thread; outlives the port.
+/// @return The port.
+[[nodiscard]] KeyStorePort UnavailableKeyStore(asio::io_context& loop);
+
+/// @brief What a dispatcher is made of.
+struct DispatcherOptions {
+  core::ZoneName zone;
+  std::string id_prefix;  ///< Unique over threads and restarts.
+  core::Bytes max_body;
+  core::Bytes max_header;
+  double trace_ratio = 0.0;
+  routing::Limits routing;
+  admission::QueueLimits queue;
+  admission::RetryDelay retry_delay;
+};
+
+/// @brief Request path of one traffic thread: admission, choice of endpoints,
+/// attempts, responses. Use it on its event loop only, but for
+/// `open_requests`.
+class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
+ public:
+  /// @param loop Event loop of the thread; outlives the dispatcher.
+  /// @param options Settings.
+  /// @param random Seeded source of the thread.
+  /// @param metrics Time series; outlive the dispatcher.
+  /// @param spans Span exporter; outlives the dispatcher.
+  /// @param keys Idempotency keys.
+  Dispatcher(asio::io_context& loop, DispatcherOptions options,
+             core::Random random, MetricsStore& metrics,
+             telemetry::SpanExporter& spans, KeyStorePort keys);
+
+  /// @brief Starts the periodic work.
+  void Start();
+
+  /// @brief Takes a caller's request over.
+  /// @param request The request.
+  /// @param response The way back; gets exactly one response.
+  void Handle(CallerRequest request, std::shared_ptr<CallerResponse> response);
+
+  /// @brief Replaces the routes.
+  /// @param table The new routes.
+  void SetTable(std::shared_ptr<const routing::RouteTable> table);
+
+  /// @brief Restricts requests to the own zone while the view of the log is too
+  /// old.
+  /// @param own_zone_only Whether the view is too old.
+  void SetOwnZoneOnly(bool own_zone_only);
+
+  /// @brief Makes each response from now on the last one of its connection.
+  void CloseConnections();
+
+  /// @brief Ends all open requests with their true outcome.
+  void Abandon();
+
+  /// @return Requests without a complete response. Thread-safe.
+  [[nodiscard]] int open_requests() const;
+
+ private:
+  using ExchangePtr = std::shared_ptr<Exchange>;
+
+  struct ServiceState {
+    admission::ServiceQueue queue;
+    admission::RetryBudget retries;
+    ServiceMetrics* metrics = nullptr;
+  };
+
+  // Admission (dispatcher.cpp).
+  ExchangePtr NewExchange(CallerRequest request,
+                          std::shared_ptr<CallerResponse> response);
+  void Accept(const ExchangePtr& exchange);
+  void Claim(const ExchangePtr& exchange);
+  void OnClaim(const ExchangePtr& exchange, ClaimResult result);
+  void Enqueue(const ExchangePtr& exchange);
+  void Requeue(const ExchangePtr& exchange);
+  void Pump(const core::ServiceName& service);
+  bool StartNext(const routing::ServiceRoutes& routes, ServiceState& state,
+                 std::vector<admission::NextTicket>& skipped);
+  void Tick();
+  void ExpireQueued(ServiceState& state, core::MonotonicTime now);
+  void ExpireClaims(core::MonotonicTime now);
+  [[nodiscard]] const routing::ServiceRoutes* RoutesOf(
+      const core::ServiceName& service) const;
+
+  // Attempts (dispatcher_attempts.cpp).
+  void StartAttempt(const ExchangePtr& exchange, ServiceState& state,
+                    const routing::Endpoint& endpoint);
+  BodyStep OnHead(Exchange& exchange, AnswerHead head);
+  BodyStep OnBody(const ExchangePtr& exchange, std::string_view part);
+  void BeginStream(Exchange& exchange);
+  void WriteStream(const ExchangePtr& exchange, std::string part);
+  void OnWritten(const ExchangePtr& exchange, std::size_t bytes, bool ok);
+  void OnEnd(const ExchangePtr& exchange, const AttemptEnd& end);
+  void ReportAttempt(Exchange& exchange, const AttemptEnd& end,
+                     Verdict verdict);
+  void RetryOrFail(const ExchangePtr& exchange, const AttemptEnd& end,
+                   Verdict verdict);
+  void ScheduleRetry(const ExchangePtr& exchange, core::Millis pause);
+
+  // Responses (dispatcher_replies.cpp).
+  void SendAnswer(Exchange& exchange);
+  void SendStored(Exchange& exchange, StoredAnswer answer);
+  void EndStream(Exchange& exchange, bool whole);
+  void Fail(Exchange& exchange, const ErrorReply& reply);
+  void Finish(Exchange& exchange, Outcome outcome);
+  void ExportSpan(const Exchange& exchange, telemetry::Span span);
+
+  asio::io_context& loop_;
+  DispatcherOptions options_;
+  core::Random random_;
+  MetricsStore& metrics_;
+  telemetry::SpanExporter& spans_;
+  KeyStorePort keys_;
+  Upstream upstream_;
+  asio::steady_timer tick_;
+  std::shared_ptr<const routing::RouteTable> table_;
+  routing::PoolHealth health_;
+  std::map<core::ServiceName, ServiceState> services_;
+  std::unordered_map<std::uint64_t, ExchangePtr> exchanges_;
+  std::unordered_map<std::uint64_t, ExchangePtr> claiming_;
+  std::uint64_t last_id_ = 0;
+  bool own_zone_only_ = false;
+  bool closing_ = false;
+  std::atomic<int> open_requests_ = 0;
+};
+
+}  // namespace camphormux::gateway
+
+#endif  // CAMPHORMUX_GATEWAY_DISPATCHER_HPP_
--- /dev/null
+++ b/src/camphormux/gateway/dispatcher_attempts.cpp
@@ -0,0 +1,241 @@
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "camphormux/gateway/dispatcher.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::gateway {
+namespace internal {
+
+/// Answers up to this size are passed on only when they are whole; larger ones
+/// are streamed.
+constexpr std::size_t kWholeAnswerBytes = std::size_t{64} << 10;
+/// Bytes of a streamed answer that may wait for a slow caller.
+constexpr std::size_t kUnwrittenBytes = std::size_t{256} << 10;
+
+double Seconds(core::Millis duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+ErrorReply LostReply(const AttemptEnd& end) {
+  if (end.error == AttemptError::kTimeout) {
+    return {504, Outcome::kUnknown, "answer_timeout",
+            "the request may have run; no answer came in time", ""};
+  }
+  return {502, Outcome::kUnknown, "answer_lost",
+          "the request may have run; its answer was lost", ""};
+}
+
+ErrorReply NotRunReply(Verdict verdict) {
+  if (verdict == Verdict::kRefused) {
+    return {503, Outcome::kNotRun, "endpoints_busy",
+            "the endpoints refused the request", ""};
+  }
+  return {503, Outcome::kNotRun, "endpoints_unreachable",
+          "no endpoint could be reached", ""};
+}
+
+}  // namespace internal
+
+void Dispatcher::StartAttempt(const ExchangePtr& exchange, ServiceState& state,
+                              const routing::Endpoint& endpoint) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  state.metrics->queued->Decrement();
+  state.metrics->running->Increment();
+  state.metrics->attempts->Increment();
+  state.metrics->queue_wait->Observe(
+      internal::Seconds(now - exchange->queued_since));
+  ExportSpan(*exchange, {telemetry::ChildOf(exchange->trace, random_),
+                         exchange->trace.span_id,
+                         "queue wait",
+                         exchange->queued_unix_nanos,
+                         UnixNanos(),
+                         {}});
+  exchange->waiting = false;
+  ++exchange->attempts;
+  exchange->attempt = CurrentAttempt{};
+  exchange->attempt.host = endpoint.host;
+  exchange->attempt.generation = endpoint.generation;
+  exchange->attempt.start = now;
+  exchange->attempt.start_unix_nanos = UnixNanos();
+  exchange->attempt.trace = telemetry::ChildOf(exchange->trace, random_);
+  routing::OnStart(health_, endpoint.host);
+  AttemptObserver observer;
+  observer.on_head = [this, exchange](AnswerHead head) {
+    return OnHead(*exchange, std::move(head));
+  };
+  observer.on_body = [this, exchange](std::string_view part) {
+    return OnBody(exchange, part);
+  };
+  observer.on_end = [this, exchange](const AttemptEnd& end) {
+    OnEnd(exchange, end);
+  };
+  exchange->attempt.id = upstream_.Start(
+      ToAttemptRequest(*exchange, endpoint.address, now), std::move(observer));
+}
+
+BodyStep Dispatcher::OnHead(Exchange& exchange, AnswerHead head) {
+  CurrentAttempt& attempt = exchange.attempt;
+  attempt.first_byte = core::MonotonicNow();
+  attempt.facts = ToFacts(head, exchange.request_id);
+  attempt.head = std::move(head);
+  return JudgeHead(*attempt.facts) == Verdict::kLost ? BodyStep::kStop
+                                                     : BodyStep::kContinue;
+}
+
+BodyStep Dispatcher::OnBody(const ExchangePtr& exchange,
+                            std::string_view part) {
+  CurrentAttempt& attempt = exchange->attempt;
+  ResponseStream& stream = exchange->stream;
+  if (exchange->finished || stream.caller_gone) {
+    return BodyStep::kStop;
+  }
+  if (!attempt.facts || JudgeHead(*attempt.facts) != Verdict::kAnswered) {
+    return BodyStep::kContinue;  // The text of a refusal is not used.
+  }
+  if (!stream.started) {
+    attempt.body.append(part);
+    if (attempt.body.size() > internal::kWholeAnswerBytes) {
+      BeginStream(*exchange);
+      WriteStream(exchange, std::exchange(attempt.body, {}));
+    }
+    return BodyStep::kContinue;
+  }
+  if (stream.unwritten_bytes >= internal::kUnwrittenBytes) {
+    stream.paused = true;
+    return BodyStep::kPause;
+  }
+  WriteStream(exchange, std::string(part));
+  return stream.caller_gone ? BodyStep::kStop : BodyStep::kContinue;
+}
+
+void Dispatcher::BeginStream(Exchange& exchange) {
+  exchange.stream.started = true;
+  const AnswerHead& head = exchange.attempt.head;
+  http::Headers headers = EndToEndHeaders(head.headers);
+  for (http::Header& header :
+       OutcomeHeaders(Outcome::kAnswered, exchange.request_id)) {
+    headers.push_back(std::move(header));
+  }
+  exchange.response->Begin(head.status, std::move(headers),
+                           head.content_length);
+}
+
+void Dispatcher::WriteStream(const ExchangePtr& exchange, std::string part) {
+  const std::size_t bytes = part.size();
+  exchange->stream.unwritten_bytes += bytes;
+  exchange->response->Write(
+      std::move(part), [weak = weak_from_this(), exchange, bytes](bool ok) {
+        if (const auto self = weak.lock()) {
+          self->OnWritten(exchange, bytes, ok);
+        }
+      });
+}
+
+void Dispatcher::OnWritten(const ExchangePtr& exchange, std::size_t bytes,
+                           bool ok) {
+  ResponseStream& stream = exchange->stream;
+  stream.unwritten_bytes -= bytes;
+  stream.caller_gone = stream.caller_gone || !ok;
+  const bool resume = stream.paused &&
+                      (stream.caller_gone ||
+                       stream.unwritten_bytes <= internal::kUnwrittenBytes / 2);
+  if (!resume) {
+    return;
+  }
+  stream.paused = false;
+  // A failed write is reported inside `Write`, where libcurl must not be
+  // called.
+  asio::post(loop_, [weak = weak_from_this(), id = exchange->attempt.id] {
+    if (const auto self = weak.lock()) {
+      self->upstream_.Resume(id);
+    }
+  });
+}
+
+void Dispatcher::OnEnd(const ExchangePtr& exchange, const AttemptEnd& end) {
+  const Verdict verdict = JudgeAttempt(exchange->attempt.facts, end);
+  ReportAttempt(*exchange, end, verdict);
+  exchange->attempt.id = 0;
+  if (exchange->finished) {
+    // The response was sent at the end of a shutdown.
+  } else if (exchange->stream.started) {
+    EndStream(*exchange, verdict == Verdict::kAnswered);
+  } else if (verdict == Verdict::kAnswered) {
+    SendAnswer(*exchange);
+  } else {
+    RetryOrFail(exchange, end, verdict);
+  }
+  Pump(exchange->options.service);
+}
+
+void Dispatcher::ReportAttempt(Exchange& exchange, const AttemptEnd& end,
+                               Verdict verdict) {
+  const CurrentAttempt& attempt = exchange.attempt;
+  const core::MonotonicTime now = core::MonotonicNow();
+  exchange.metrics->running->Decrement();
+  ServiceState& state = services_[exchange.options.service];
+  if (verdict == Verdict::kAnswered) {
+    admission::ObserveRun(state.queue.rate, now - attempt.start, now);
+  } else if (verdict == Verdict::kRefused) {
+    exchange.metrics->refused->Increment();
+  } else if (verdict == Verdict::kLost) {
+    exchange.metrics->dropped->Increment();
+  }
+  routing::AttemptReport report;
+  report.host = attempt.host;
+  report.generation = attempt.generation;
+  report.outcome = exchange.stream.caller_gone
+                       ? routing::AttemptOutcome::kCancelled
+                       : ToRouting(attempt.facts, verdict);
+  report.latency = attempt.first_byte.value_or(now) - attempt.start;
+  report.connection_closed = attempt.head.closes_connection;
+  static const routing::ServiceRoutes no_routes;
+  const routing::ServiceRoutes* routes = RoutesOf(exchange.options.service);
+  routing::OnFinish(health_, report, routes == nullptr ? no_routes : *routes,
+                    options_.routing, now, random_);
+  ExportSpan(exchange, {attempt.trace,
+                        exchange.trace.span_id,
+                        "attempt",
+                        attempt.start_unix_nanos,
+                        UnixNanos(),
+                        {{"host", attempt.host.value},
+                         {"whole", end.error ? "false" : "true"}}});
+}
+
+void Dispatcher::RetryOrFail(const ExchangePtr& exchange, const AttemptEnd& end,
+                             Verdict verdict) {
+  exchange->may_have_run = exchange->may_have_run || verdict == Verdict::kLost;
+  exchange->previous = exchange->attempt.host;
+  const core::Millis pause =
+      admission::BackOff(options_.retry_delay, exchange->attempts, random_);
+  const ExchangeFacts facts{exchange->repeatable, exchange->may_have_run,
+                            exchange->attempts, core::MonotonicNow() + pause,
+                            exchange->deadline};
+  const routing::ServiceRoutes* routes = RoutesOf(exchange->options.service);
+  const bool has_other = routes != nullptr && routes->endpoints.size() > 1;
+  ServiceState& state = services_[exchange->options.service];
+  if (has_other && MayRetry(facts, verdict) &&
+      admission::Spend(state.retries)) {
+    exchange->metrics->retries->Increment();
+    ScheduleRetry(exchange, pause);
+    return;
+  }
+  Fail(*exchange, exchange->may_have_run ? internal::LostReply(end)
+                                         : internal::NotRunReply(verdict));
+}
+
+void Dispatcher::ScheduleRetry(const ExchangePtr& exchange,
+                               core::Millis pause) {
+  const auto timer = std::make_shared<asio::steady_timer>(loop_, pause);
+  timer->async_wait([weak = weak_from_this(), exchange,
+                     timer](const asio::error_code& error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->Requeue(exchange);
+    }
+  });
+}
+
+}  // namespace camphormux::gateway
--- /dev/null
+++ b/src/camphormux/gateway/gateway.cpp
@@ -0,0 +1,253 @@
+#include "camphormux/gateway/gateway.hpp"
+
+#include <random>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "camphormux/routing/endpoint_health.hpp"
+#include "camphormux/telemetry/log.hpp"
+#include "camphormux/telemetry/metrics.hpp"
+
+namespace camphormux::gateway {
+namespace internal {
+
+constexpr core::Millis kTickPeriod = std::chrono::seconds(1);
+/// A view of the log older than this is not trusted about other zones.
+constexpr core::Millis kOldestView = std::chrono::seconds(10);
+constexpr core::Millis kIdlePollPeriod{20};
+/// Time to write the responses of requests that the bound cut off.
+constexpr core::Millis kLastWrites{500};
+constexpr std::size_t kSpanQueue = 4096;
+constexpr int kEndpointConnections = 64;
+
+DispatcherOptions ToOptions(const GatewaySettings& settings, int thread,
+                            std::uint64_t life) {
+  DispatcherOptions options;
+  options.zone = settings.zone;
+  options.id_prefix = settings.process.value + "-" + std::to_string(life) +
+                      "-" + std::to_string(thread);
+  options.max_body = settings.max_body;
+  options.max_header = settings.max_header;
+  options.trace_ratio = settings.trace_ratio;
+  options.routing.connection_share = routing::ConnectionShare(
+      kEndpointConnections, settings.max_gateways, settings.threads);
+  return options;
+}
+
+nlohmann::json ToJson(const ServiceMetrics& metrics) {
+  return {{"requests", metrics.arrivals->Value()},
+          {"answered", metrics.answered->Value()},
+          {"not_run", metrics.not_run->Value()},
+          {"unknown", metrics.unknown->Value()},
+          {"shed", metrics.shed->Value()},
+          {"attempts", metrics.attempts->Value()},
+          {"retries", metrics.retries->Value()},
+          {"refused", metrics.refused->Value()},
+          {"queued", metrics.queued->Value()},
+          {"running", metrics.running->Value()}};
+}
+
+}  // namespace internal
+
+Gateway::Gateway(asio::io_context& control, GatewaySettings settings,
+                 std::shared_ptr<prometheus::Registry> registry,
+                 KeyStoreFactory keys)
+    : control_(control),
+      settings_(std::move(settings)),
+      registry_(std::move(registry)),
+      metrics_(registry_),
+      spans_("camphormux-gateway", settings_.trace_file, internal::kSpanQueue),
+      log_age_(telemetry::AddGauge(*registry_,
+                                   "camphormux_gateway_log_age_seconds",
+                                   "Time since the log last answered.")),
+      spans_dropped_(telemetry::AddGauge(
+          *registry_, "camphormux_gateway_spans_dropped",
+          "Spans that were dropped because the export queue was full.")),
+      last_contact_(core::MonotonicNow()),
+      tick_(control),
+      shutdown_(control),
+      admin_(control, settings_.admin,
+             [this](const http::ServerRequest& request,
+                    const http::Respond& respond) {
+               respond(Answer(request.path));
+             }) {
+  std::random_device entropy;
+  const std::uint64_t life =
+      (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
+  for (int i = 0; i < settings_.threads; ++i) {
+    threads_.push_back(std::make_unique<TrafficThread>(
+        settings_.callers, internal::ToOptions(settings_, i, life),
+        core::SeededRandom(life + static_cast<std::uint64_t>(i)), metrics_,
+        spans_, keys));
+  }
+  Tick();
+}
+
+Gateway::~Gateway() { threads_.clear(); }
+
+void Gateway::ForEachThread(const std::function<void(Dispatcher&)>& action) {
+  for (const auto& thread : threads_) {
+    thread->Post(action);
+  }
+}
+
+void Gateway::Publish(const state::FleetState& state) {
+  table_ = std::make_shared<const routing::RouteTable>(
+      routing::BuildRouteTable(state));
+  ForEachThread(
+      [table = table_](Dispatcher& dispatcher) { dispatcher.SetTable(table); });
+}
+
+void Gateway::NoteLogContact() {
+  last_contact_ = core::MonotonicNow();
+  UpdateOwnZoneOnly();
+}
+
+void Gateway::SetDigest(std::function<std::uint64_t()> digest) {
+  digest_ = std::move(digest);
+}
+
+void Gateway::Tick() {
+  UpdateOwnZoneOnly();
+  log_age_.Set(
+      std::chrono::duration<double>(core::MonotonicNow() - last_contact_)
+          .count());
+  spans_dropped_.Set(static_cast<double>(spans_.dropped()));
+  tick_.expires_after(internal::kTickPeriod);
+  tick_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::UpdateOwnZoneOnly() {
+  const bool old = core::MonotonicNow() - last_contact_ > internal::kOldestView;
+  if (old == own_zone_only_) {
+    return;
+  }
+  own_zone_only_ = old;
+  telemetry::Log(telemetry::Level::kWarning,
+                 old ? "the view of the log is too old; only hosts of the own "
+                       "zone are used"
+                     : "the log answers again; hosts of all zones are used");
+  ForEachThread(
+      [old](Dispatcher& dispatcher) { dispatcher.SetOwnZoneOnly(old); });
+}
+
+void Gateway::Shutdown(std::function<void()> done) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  on_stopped_ = std::move(done);
+  telemetry::Log(telemetry::Level::kInfo, "shutdown started");
+  ForEachThread([](Dispatcher& dispatcher) { dispatcher.CloseConnections(); });
+  const core::MonotonicTime bound = core::MonotonicNow() +
+                                    settings_.shutdown_grace +
+                                    settings_.shutdown_timeout;
+  shutdown_.expires_after(settings_.shutdown_grace);
+  shutdown_.async_wait([this, bound](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    for (const auto& thread : threads_) {
+      thread->StopAccepting();
+    }
+    AwaitIdle(bound);
+  });
+}
+
+void Gateway::AwaitIdle(core::MonotonicTime bound) {
+  int busy = 0;
+  for (const auto& thread : threads_) {
+    busy += thread->busy();
+  }
+  if (core::MonotonicNow() >= bound && busy > 0) {
+    Abandon();
+    return;
+  }
+  shutdown_.expires_after(internal::kIdlePollPeriod);
+  shutdown_.async_wait([this, bound, busy](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    if (busy == 0) {
+      on_stopped_();
+    } else {
+      AwaitIdle(bound);
+    }
+  });
+}
+
+void Gateway::Abandon() {
+  telemetry::Log(telemetry::Level::kWarning,
+                 "open requests are ended at the shutdown bound");
+  ForEachThread([](Dispatcher& dispatcher) { dispatcher.Abandon(); });
+  shutdown_.expires_after(internal::kLastWrites);
+  shutdown_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      on_stopped_();
+    }
+  });
+}
+
+std::string Gateway::NotReadyReason() const {
+  if (stopping_) {
+    return "shutting down";
+  }
+  if (!table_ || table_->services.empty()) {
+    return "no accepted operator text was read from the log";
+  }
+  return "";
+}
+
+http::ServerResponse Gateway::Answer(const std::string& path) const {
+  if (path == "/metrics") {
+    return {200,
+            telemetry::RenderMetrics(*registry_),
+            "text/plain; version=0.0.4",
+            {}};
+  }
+  if (path == "/healthz") {
+    return {200, R"({"status":"alive"})", "application/json", {}};
+  }
+  if (path == "/readyz") {
+    const std::string reason = NotReadyReason();
+    return {
+        reason.empty() ? 200 : 503,
+        nlohmann::json{{"ready", reason.empty()}, {"reason", reason}}.dump(),
+        "application/json",
+        {}};
+  }
+  if (path == "/state") {
+    return {200, StateJson(), "application/json", {}};
+  }
+  return {404, R"({"error":{"code":"unknown_path"}})", "application/json", {}};
+}
+
+std::string Gateway::StateJson() const {
+  nlohmann::json services = nlohmann::json::object();
+  for (const auto& [name, metrics] : metrics_.All()) {
+    services[name.value] = internal::ToJson(metrics);
+  }
+  if (table_) {
+    for (const auto& [name, routes] : table_->services) {
+      services[name.value]["endpoints"] = routes.endpoints.size();
+    }
+  }
+  const core::Millis age = core::MonotonicNow() - last_contact_;
+  return nlohmann::json{{"process", settings_.process.value},
+                        {"zone", settings_.zone.value},
+                        {"next_offset", table_ ? table_->next.value : 0},
+                        {"revision", table_ ? table_->revision.value : 0},
+                        {"digest", digest_ ? digest_() : 0},
+                        {"log_age_ms", age.count()},
+                        {"own_zone_only", own_zone_only_},
+                        {"shutting_down", stopping_},
+                        {"services", services}}
+      .dump();
+}
+
+}  // namespace camphormux::gateway
--- /dev/null
+++ b/src/camphormux/gateway/gateway.hpp
@@ -0,0 +1,88 @@
+#ifndef CAMPHORMUX_GATEWAY_GATEWAY_HPP_
+#define CAMPHORMUX_GATEWAY_GATEWAY_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <prometheus/registry.h>
+
+#include "camphormux/core/time.hpp"
+#include "camphormux/gateway/gateway_settings.hpp"
+#include "camphormux/gateway/service_metrics.hpp"
+#include "camphormux/gateway/traffic_thread.hpp"
+#include "camphormux/http/server.hpp"
+#include "camphormux/routing/route_table.hpp"
+#include "camphormux/state/fleet_state.hpp"
+#include "camphormux/telemetry/trace.hpp"
+
+namespace camphormux::gateway {
+
+/// @brief The gateway's control side: publishes routes to the traffic threads,
+/// answers operators, ends the process gracefully. Use it on the control
+/// thread only.
+class Gateway {
+ public:
+  /// @param control Event loop of the control thread; outlives the gateway.
+  /// @param settings Checked settings.
+  /// @param registry Metric registry.
+  /// @param keys Makes the key store of each traffic thread.
+  /// @throws std::exception if an address cannot be bound.
+  Gateway(asio::io_context& control, GatewaySettings settings,
+          std::shared_ptr<prometheus::Registry> registry, KeyStoreFactory keys);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /// @brief Publishes the routes of a new state.
+  /// @param state The fleet state.
+  void Publish(const state::FleetState& state);
+
+  /// @brief Notes that the log answered, even without new records.
+  void NoteLogContact();
+
+  /// @brief Sets where `/state` reads the state's digest.
+  /// @param digest Computes the digest.
+  void SetDigest(std::function<std::uint64_t()> digest);
+
+  /// @brief Ends the process gracefully: not ready, grace, no new connections,
+  /// open requests, bounded by the settings. Further calls have no effect.
+  /// @param done Called when the process may exit.
+  void Shutdown(std::function<void()> done);
+
+ private:
+  void Tick();
+  void UpdateOwnZoneOnly();
+  void AwaitIdle(core::MonotonicTime bound);
+  void Abandon();
+  void ForEachThread(const std::function<void(Dispatcher&)>& action);
+  [[nodiscard]] http::ServerResponse Answer(const std::string& path) const;
+  [[nodiscard]] std::string NotReadyReason() const;
+  [[nodiscard]] std::string StateJson() const;
+
+  asio::io_context& control_;
+  GatewaySettings settings_;
+  std::shared_ptr<prometheus::Registry> registry_;
+  MetricsStore metrics_;
+  telemetry::SpanExporter spans_;
+  prometheus::Gauge& log_age_;
+  prometheus::Gauge& spans_dropped_;
+  std::vector<std::unique_ptr<TrafficThread>> threads_;
+  std::shared_ptr<const routing::RouteTable> table_;
+  std::function<std::uint64_t()> digest_;
+  core::MonotonicTime last_contact_;
+  bool own_zone_only_ = false;
+  bool stopping_ = false;
+  std::function<void()> on_stopped_;
+  asio::steady_timer tick_;
+  asio::steady_timer shutdown_;
+  http::Server admin_;
+};
+
+}  // namespace camphormux::gateway
+
+#endif  // CAMPHORMUX_GATEWAY_GATEWAY_HPP_
--- /dev/null
+++ b/src/camphormux/gateway/traffic_thread.hpp
@@ -0,0 +1,63 @@
+#ifndef CAMPHORMUX_GATEWAY_TRAFFIC_THREAD_HPP_
+#define CAMPHORMUX_GATEWAY_TRAFFIC_THREAD_HPP_
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include "camphormux/core/random.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/gateway/caller_server.hpp"
+#include "camphormux/gateway/dispatcher.hpp"
+#include "camphormux/gateway/key_store_port.hpp"
+#include "camphormux/gateway/service_metrics.hpp"
+#include "camphormux/telemetry/trace.hpp"
+
+namespace camphormux::gateway {
+
+/// @brief Makes the key store of one traffic thread on its event loop.
+using KeyStoreFactory = std::function<KeyStorePort(asio::io_context& loop)>;
+
+/// @brief A thread with its own event loop, server, client and routing state.
+class TrafficThread {
+ public:
+  /// @param address Callers' address; shared by all traffic threads.
+  /// @param options Settings of the dispatcher.
+  /// @param random Seeded source.
+  /// @param metrics Time series; outlive the thread.
+  /// @param spans Span exporter; outlives the thread.
+  /// @param keys Makes the key store.
+  /// @throws std::exception if the address cannot be bound.
+  TrafficThread(const core::Address& address, DispatcherOptions options,
+                core::Random random, MetricsStore& metrics,
+                telemetry::SpanExporter& spans, const KeyStoreFactory& keys);
+  /// Stops the event loop and joins the thread.
+  ~TrafficThread();
+  TrafficThread(const TrafficThread&) = delete;
+  TrafficThread& operator=(const TrafficThread&) = delete;
+
+  /// @brief Runs a function on the thread.
+  /// @param action Gets the thread's dispatcher.
+  void Post(std::function<void(Dispatcher&)> action);
+
+  /// @brief Stops accepting connections.
+  void StopAccepting();
+
+  /// @return Requests that are open or whose response is not written.
+  /// Thread-safe.
+  [[nodiscard]] int busy() const;
+
+ private:
+  asio::io_context loop_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::shared_ptr<Dispatcher> dispatcher_;
+  std::unique_ptr<CallerServer> server_;
+  std::thread thread_;
+};
+
+}  // namespace camphormux::gateway
+
+#endif  // CAMPHORMUX_GATEWAY_TRAFFIC_THREAD_HPP_
--- /dev/null
+++ b/src/camphormux/gateway/upstream.cpp
@@ -0,0 +1,289 @@
+#include "camphormux/gateway/upstream.hpp"
+
+#include <charconv>
+#include <map>
+#include <utility>
+
+#include <curl/curl.h>
+#include <strings.h>
+
+#include "camphormux/http/curl_loop.hpp"
+
+namespace camphormux::gateway {
+namespace internal {
+
+struct CurlDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+struct Attempt {
+  Upstream::AttemptId id = 0;
+  AttemptRequest request;
+  AttemptObserver observer;
+  std::unique_ptr<CURL, CurlDeleter> easy;
+  std::unique_ptr<curl_slist, CurlDeleter> header_lines;
+  AnswerHead head;
+  bool head_done = false;
+  bool malformed = false;  ///< Lengths of the answer contradict each other.
+  bool stopped = false;
+};
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+std::string_view Trim(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+bool SameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+int ParseStatus(std::string_view status_line) {
+  const std::size_t space = status_line.find(' ');
+  int status = 0;
+  if (space != std::string_view::npos) {
+    const std::string_view digits = status_line.substr(space + 1);
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+  }
+  return status;
+}
+
+void ReadLength(Attempt& attempt, std::string_view value) {
+  std::uint64_t length = 0;
+  const auto [end, error] =
+      std::from_chars(value.data(), value.data() + value.size(), length);
+  const bool whole = error == std::errc() && end == value.data() + value.size();
+  const auto& known = attempt.head.content_length;
+  if (!whole || (known && *known != length)) {
+    attempt.malformed = true;
+  }
+  attempt.head.content_length = length;
+}
+
+void ReadField(Attempt& attempt, std::string_view name,
+               std::string_view value) {
+  AnswerHead& head = attempt.head;
+  if (SameName(name, "Content-Length")) {
+    ReadLength(attempt, value);
+  } else if (SameName(name, "Transfer-Encoding")) {
+    head.framed = SameName(value, "chunked");
+    attempt.malformed = attempt.malformed || !head.framed;
+  } else if (SameName(name, "Connection") && SameName(value, "close")) {
+    head.closes_connection = true;
+  }
+  head.headers.push_back({std::string(name), std::string(value)});
+}
+
+BodyStep FinishHead(Attempt& attempt) {
+  AnswerHead& head = attempt.head;
+  attempt.head_done = true;
+  if (head.framed && head.content_length) {
+    attempt.malformed =
+        true;  // A sender of both cannot be trusted with either.
+  }
+  const bool bodiless = attempt.request.method == "HEAD" ||
+                        head.status == kNoContent ||
+                        head.status == kNotModified;
+  head.framed = head.framed || head.content_length || bodiless;
+  if (attempt.malformed) {
+    return BodyStep::kStop;
+  }
+  return attempt.observer.on_head(std::move(head));
+}
+
+std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                     void* user) {
+  auto& attempt = *static_cast<Attempt*>(user);
+  const std::string_view line(data, size * count);
+  if (attempt.head_done) {
+    return line.size();  // Trailers are not passed on.
+  }
+  const std::size_t colon = line.find(':');
+  if (line.starts_with("HTTP/")) {
+    attempt.head = AnswerHead{};
+    attempt.head.status = ParseStatus(line);
+  } else if (colon != std::string_view::npos) {
+    ReadField(attempt, Trim(line.substr(0, colon)),
+              Trim(line.substr(colon + 1)));
+  } else if (Trim(line).empty() && attempt.head.status >= kFirstFinalStatus &&
+             FinishHead(attempt) == BodyStep::kStop) {
+    attempt.stopped = true;
+    return 0;
+  }
+  return line.size();
+}
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                   void* user) {
+  auto& attempt = *static_cast<Attempt*>(user);
+  const std::string_view part(data, size * count);
+  switch (attempt.observer.on_body(part)) {
+    case BodyStep::kContinue:
+      return part.size();
+    case BodyStep::kPause:
+      return CURL_WRITEFUNC_PAUSE;
+    case BodyStep::kStop:
+      break;
+  }
+  attempt.stopped = true;
+  return 0;
+}
+
+std::string Url(const AttemptRequest& request) {
+  const bool v6 = request.address.ip.find(':') != std::string::npos;
+  const std::string host =
+      v6 ? "[" + request.address.ip + "]" : request.address.ip;
+  return "http://" + host + ":" + std::to_string(request.address.port) +
+         request.target;
+}
+
+curl_slist* HeaderLines(const AttemptRequest& request) {
+  curl_slist* lines = nullptr;
+  for (const http::Header& header : request.headers) {
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    lines = curl_slist_append(lines, line.c_str());
+  }
+  // A name without value removes a header that libcurl would add itself.
+  for (const char* name : {"Expect", "Accept", "Content-Type", "User-Agent"}) {
+    if (http::FindHeader(request.headers, name) == nullptr) {
+      lines = curl_slist_append(lines, (std::string(name) + ":").c_str());
+    }
+  }
+  return lines;
+}
+
+void SetMethod(CURL* easy, const AttemptRequest& request) {
+  const bool has_body = request.body && !request.body->empty();
+  if (request.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  if (has_body || request.method == "POST" || request.method == "PUT") {
+    curl_easy_setopt(
+        easy, CURLOPT_POSTFIELDSIZE_LARGE,
+        static_cast<curl_off_t>(has_body ? request.body->size() : 0));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                     has_body ? request.body->data() : "");
+  }
+}
+
+void SetConnection(CURL* easy, const AttemptRequest& request) {
+  const long single_use =  // NOLINT(google-runtime-int): libcurl's type.
+      request.single_use_connection ? 1 : 0;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, single_use);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, single_use);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(request.timeout.count()));  // NOLINT
+}
+
+void Configure(Attempt& attempt) {
+  attempt.easy.reset(curl_easy_init());
+  CURL* easy = attempt.easy.get();
+  attempt.header_lines.reset(HeaderLines(attempt.request));
+  curl_easy_setopt(easy, CURLOPT_URL, Url(attempt.request).c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.header_lines.get());
+  SetMethod(easy, attempt.request);
+  SetConnection(easy, attempt.request);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &attempt);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &attempt);
+}
+
+AttemptEnd ToEnd(const Attempt& attempt, CURLcode code) {
+  long sent_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type.
+  curl_easy_getinfo(attempt.easy.get(), CURLINFO_REQUEST_SIZE, &sent_bytes);
+  // After a connect error nothing was sent; any other end with a sent byte or
+  // an answer may mean that the endpoint runs the request.
+  AttemptEnd end;
+  end.may_have_started =
+      code == CURLE_OK || sent_bytes > 0 || attempt.head_done;
+  if (code == CURLE_OK && attempt.head_done) {
+    return end;
+  }
+  if (attempt.stopped && !attempt.malformed) {
+    end.error = AttemptError::kStopped;
+  } else if (code == CURLE_COULDNT_CONNECT) {
+    end.error = AttemptError::kConnect;
+  } else if (code == CURLE_OPERATION_TIMEDOUT) {
+    end.error = AttemptError::kTimeout;
+  } else {
+    end.error = AttemptError::kCut;
+  }
+  return end;
+}
+
+}  // namespace internal
+
+struct Upstream::Impl {
+  Impl(asio::io_context& event_loop, int connections_per_endpoint)
+      : curl(event_loop,
+             [this](CURL* easy, CURLcode code) { Finish(easy, code); }) {
+    curl_multi_setopt(curl.multi(), CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(connections_per_endpoint));  // NOLINT
+    curl_multi_setopt(curl.multi(), CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+
+  void Finish(CURL* easy, CURLcode code);
+
+  AttemptId last_id = 0;
+  std::map<CURL*, std::unique_ptr<internal::Attempt>> attempts;
+  std::map<AttemptId, CURL*> by_id;
+  http::CurlLoop curl;
+};
+
+void Upstream::Impl::Finish(CURL* easy, CURLcode code) {
+  const auto attempt = std::move(attempts.extract(easy).mapped());
+  by_id.erase(attempt->id);
+  attempt->observer.on_end(internal::ToEnd(*attempt, code));
+}
+
+Upstream::Upstream(asio::io_context& loop, int connections_per_endpoint)
+    : impl_(std::make_shared<Impl>(loop, connections_per_endpoint)) {}
+
+Upstream::~Upstream() {
+  for (const auto& [easy, attempt] : impl_->attempts) {
+    impl_->curl.Remove(easy);
+  }
+  impl_->attempts.clear();
+}
+
+Upstream::AttemptId Upstream::Start(AttemptRequest request,
+                                    AttemptObserver observer) {
+  auto attempt = std::make_unique<internal::Attempt>();
+  attempt->id = ++impl_->last_id;
+  attempt->request = std::move(request);
+  attempt->observer = std::move(observer);
+  internal::Configure(*attempt);
+  CURL* easy = attempt->easy.get();
+  const AttemptId id = attempt->id;
+  impl_->by_id.emplace(id, easy);
+  impl_->attempts.emplace(easy, std::move(attempt));
+  // libcurl starts the transfer from its timer, on a later turn of the loop.
+  impl_->curl.Add(easy);
+  return id;
+}
+
+void Upstream::Resume(AttemptId attempt) {
+  const auto found = impl_->by_id.find(attempt);
+  if (found != impl_->by_id.end()) {
+    curl_easy_pause(found->second, CURLPAUSE_CONT);
+  }
+}
+
+}  // namespace camphormux::gateway
--- /dev/null
+++ b/src/camphormux/routing/endpoint_health.cpp
@@ -0,0 +1,191 @@
+#include "camphormux/routing/endpoint_health.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace camphormux::routing {
+namespace internal {
+
+/// Weight of a new latency sample.
+constexpr double kLatencyWeight = 0.2;
+/// Answers at the limit that raise it by one slot. A lower number makes more
+/// attempts end in a `slots` refusal, each of which costs a retry from a budget
+/// of 10%.
+constexpr double kAnswersPerRaise = 32.0;
+constexpr double kLowestLimit = 1.0;
+
+core::Millis Doubled(core::Millis first, core::Millis longest, int times) {
+  core::Millis value = first;
+  for (int i = 0; i < times && value < longest; ++i) {
+    value *= 2;
+  }
+  return std::min(value, longest);
+}
+
+EndpointHealth Fresh(const Endpoint& endpoint, int slots, const Limits& limits,
+                     core::MonotonicTime now) {
+  EndpointHealth health;
+  health.generation = endpoint.generation;
+  health.phase_offset = endpoint.phase_offset;
+  health.admitted_at = now;
+  health.concurrency_limit =
+      std::max(kLowestLimit,
+               static_cast<double>(std::min(slots, limits.connection_share)));
+  return health;
+}
+
+void Eject(EndpointHealth& health, const Limits& limits,
+           core::MonotonicTime now) {
+  health.ejected_until =
+      now +
+      Doubled(limits.first_ejection, limits.longest_ejection, health.ejections);
+  ++health.ejections;
+  health.probing = false;
+  health.consecutive_failures = 0;
+}
+
+void OnServed(EndpointHealth& health, const AttemptReport& report,
+              const Limits& limits, core::MonotonicTime now) {
+  const auto sample = static_cast<double>(report.latency.count());
+  health.latency_ms =
+      health.latency_ms == 0.0
+          ? sample
+          : health.latency_ms + kLatencyWeight * (sample - health.latency_ms);
+  health.consecutive_failures = 0;
+  health.consecutive_refusals = 0;
+  if (health.probing) {
+    health.probing = false;
+    health.ejected_until.reset();
+    health.ejections = 0;
+    health.admitted_at = now;
+  }
+  // `outstanding` no longer counts the attempt that ended.
+  if (health.outstanding + 1 >= static_cast<int>(health.concurrency_limit)) {
+    health.concurrency_limit =
+        std::min(health.concurrency_limit + 1.0 / kAnswersPerRaise,
+                 static_cast<double>(limits.connection_share));
+  }
+}
+
+void OnSlotsRefusal(EndpointHealth& health, const Limits& limits,
+                    core::MonotonicTime now, core::Random& random) {
+  health.concurrency_limit =
+      std::max(kLowestLimit, std::min(health.concurrency_limit,
+                                      static_cast<double>(health.outstanding)));
+  const core::Millis hold_off =
+      Doubled(limits.first_hold_off, limits.longest_hold_off,
+              health.consecutive_refusals);
+  health.hold_until = now + hold_off + core::Jitter(random, hold_off);
+  ++health.consecutive_refusals;
+  // The endpoint answered, so a probe is settled in its favour.
+  if (health.probing) {
+    health.probing = false;
+    health.ejected_until.reset();
+    health.ejections = 0;
+  }
+}
+
+void OnFailure(EndpointHealth& health, bool may_eject, const Limits& limits,
+               core::MonotonicTime now) {
+  ++health.consecutive_failures;
+  if (health.probing) {
+    Eject(health, limits, now);
+  } else if (!health.ejected_until &&
+             health.consecutive_failures >= limits.failures_to_eject &&
+             may_eject) {
+    Eject(health, limits, now);
+  }
+}
+
+}  // namespace internal
+
+void Reconcile(PoolHealth& pool, const RouteTable& table, const Limits& limits,
+               core::MonotonicTime now) {
+  // Slow start protects a new endpoint among warm ones; at the start of a
+  // thread all are new.
+  const core::MonotonicTime admitted =
+      pool.endpoints.empty() ? now - limits.slow_start : now;
+  std::set<core::HostId> listed;
+  for (const auto& [name, routes] : table.services) {
+    for (const Endpoint& endpoint : routes.endpoints) {
+      listed.insert(endpoint.host);
+      const auto fresh = internal::Fresh(
+          endpoint, routes.service.slots_per_host, limits, admitted);
+      const auto [found, added] =
+          pool.endpoints.try_emplace(endpoint.host, fresh);
+      EndpointHealth& health = found->second;
+      if (added || (health.generation == endpoint.generation &&
+                    health.phase_offset == endpoint.phase_offset)) {
+        continue;
+      }
+      const int outstanding = health.outstanding;
+      health = fresh;
+      health.outstanding = outstanding;
+    }
+  }
+  std::erase_if(pool.endpoints, [&](const auto& item) {
+    return item.second.outstanding == 0 && !listed.contains(item.first);
+  });
+}
+
+void OnStart(PoolHealth& pool, const core::HostId& host) {
+  EndpointHealth& health = pool.endpoints[host];
+  ++health.outstanding;
+  if (health.ejected_until) {
+    health.probing = true;
+  }
+}
+
+void OnFinish(PoolHealth& pool, const AttemptReport& report,
+              const ServiceRoutes& routes, const Limits& limits,
+              core::MonotonicTime now, core::Random& random) {
+  const auto found = pool.endpoints.find(report.host);
+  if (found == pool.endpoints.end()) {
+    return;
+  }
+  EndpointHealth& health = found->second;
+  --health.outstanding;
+  if (health.generation != report.generation) {
+    return;  // Evidence about an earlier assignment.
+  }
+  const bool below_cap =
+      CountEjected(pool, routes, now) < EjectionCap(routes.endpoints.size());
+  switch (report.outcome) {
+    case AttemptOutcome::kServed:
+      internal::OnServed(health, report, limits, now);
+      break;
+    case AttemptOutcome::kFailed:
+      internal::OnFailure(health, below_cap, limits, now);
+      break;
+    case AttemptOutcome::kRefusedSlots:
+      internal::OnSlotsRefusal(health, limits, now, random);
+      break;
+    case AttemptOutcome::kRefusedDraining:
+      health.leaving = true;
+      break;
+    case AttemptOutcome::kRefusedMisdirected:
+      health.hold_until = now + limits.misdirected_hold;
+      health.probing = false;
+      break;
+    case AttemptOutcome::kCancelled:
+      health.probing = false;
+      break;
+  }
+  if (report.connection_closed && !health.leaving && below_cap) {
+    health.close_mark_until = now + limits.close_mark;
+  }
+}
+
+int CountEjected(const PoolHealth& pool, const ServiceRoutes& routes,
+                 core::MonotonicTime now) {
+  return static_cast<int>(
+      std::count_if(routes.endpoints.begin(), routes.endpoints.end(),
+                    [&](const Endpoint& endpoint) {
+                      const auto found = pool.endpoints.find(endpoint.host);
+                      return found != pool.endpoints.end() &&
+                             (found->second.ejected_until.has_value() ||
+                              found->second.close_mark_until > now);
+                    }));
+}
+
+}  // namespace camphormux::routing
