--- /dev/null
+++ b/src/camphormux/peer/cbor.hpp
@@ -0,0 +1,57 @@
+#ifndef CAMPHORMUX_PEER_CBOR_HPP_
+#define CAMPHORMUX_PEER_CBOR_HPP_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace camphormux::peer {
+
+/// @brief Parses untrusted CBOR without throwing. Nesting deeper than 16 is
+/// rejected, because the parser of the library recurses.
+/// @param data The bytes.
+/// @return The value, or nothing if the bytes are malformed.
+[[nodiscard]] std::optional<nlohmann::json> ParseCbor(std::string_view data);
+
+/// @brief Serialises a value as CBOR.
+/// @param value The value.
+/// @return The bytes.
+[[nodiscard]] std::string ToCbor(const nlohmann::json& value);
+
+/// @brief Wraps bytes so that they become a CBOR byte string.
+/// @param bytes The bytes.
+/// @return The value.
+[[nodiscard]] nlohmann::json CborBytes(std::string_view bytes);
+
+/// @brief Reads the elements of a CBOR array one after another. After the
+/// first element that is missing or of another type, `ok` stays false.
+class CborArrayReader {
+ public:
+  /// @param value The array; outlives the reader.
+  explicit CborArrayReader(const nlohmann::json& value);
+
+  /// @return The next element, an unsigned integer up to `limit`.
+  std::uint64_t Unsigned(std::uint64_t limit = UINT64_MAX);
+  /// @return The next element, a text of at most `max_bytes` bytes.
+  std::string Text(std::size_t max_bytes);
+  /// @return The next element, a byte string of at most `max_bytes` bytes.
+  std::string Bytes(std::size_t max_bytes);
+  /// @return The next element, an array of at most `max_size` elements.
+  const nlohmann::json& Array(std::size_t max_size);
+
+  [[nodiscard]] bool ok() const { return ok_; }
+
+ private:
+  const nlohmann::json* Next();
+
+  const nlohmann::json* value_;
+  std::size_t index_ = 0;
+  bool ok_ = true;
+};
+
+}  // namespace camphormux::peer
+
+#endif  // CAMPHORMUX_PEER_CBOR_HPP_
