--- /dev/null
+++ b/src/camphormux/load/fwd.hpp
@@ -0,0 +1,18 @@
+#ifndef CAMPHORMUX_LOAD_FWD_HPP_
+#define CAMPHORMUX_LOAD_FWD_HPP_
+
+namespace camphormux::load {
+
+struct Demand;
+struct ArrivalStream;
+struct PlanOptions;
+struct Plan;
+struct Sample;
+struct Summary;
+class Recorder;
+struct RunnerOptions;
+class Runner;
+
+}  // namespace camphormux::load
+
+#endif  // CAMPHORMUX_LOAD_FWD_HPP_
--- /dev/null
+++ b/src/camphormux/load/plan.hpp
@@ -0,0 +1,53 @@
+#ifndef CAMPHORMUX_LOAD_PLAN_HPP_
+#define CAMPHORMUX_LOAD_PLAN_HPP_
+
+#include <cstdint>
+#include <string>
+
+#include "camphormux/core/random.hpp"
+#include "camphormux/text/operator_text.hpp"
+
+namespace camphormux::load {
+
+/// @brief Shares of the kinds of requests, from 0 to 1.
+struct PlanOptions {
+  double urgent = 0.3;
+  double non_repeatable = 0.3;  ///< Where the service declares such requests.
+  double keyed = 0.8;           ///< Of the non-repeatable ones.
+  double asked_again = 0.1;     ///< Of the keyed ones.
+  core::Millis ask_again_within = std::chrono::seconds(2);
+};
+
+/// @brief One request that is to be sent.
+struct Plan {
+  std::string identity;  ///< Last segment of the path; unique in a run.
+  std::string key;       ///< Idempotency key; empty: none.
+  std::string service;
+  std::string method;
+  std::string path;
+  bool urgent = false;
+  bool repeatable = true;
+  bool ask_again = false;  ///< Send it through a second gateway as well.
+  core::Millis ask_again_after{0};
+};
+
+/// @brief Makes a UUID of version 7 (RFC 9562).
+/// @param random Source of the random bits.
+/// @param unix_ms Unix time in milliseconds.
+/// @return The text form.
+[[nodiscard]] std::string MakeUuid7(core::Random& random,
+                                    std::uint64_t unix_ms);
+
+/// @brief Draws one request.
+/// @param service The service that is called.
+/// @param options Shares of the kinds.
+/// @param random Source of the draws.
+/// @param unix_ms Unix time in milliseconds, for the identity and the key.
+/// @return The request.
+[[nodiscard]] Plan MakePlan(const text::Service& service,
+                            const PlanOptions& options, core::Random& random,
+                            std::uint64_t unix_ms);
+
+}  // namespace camphormux::load
+
+#endif  // CAMPHORMUX_LOAD_PLAN_HPP_
--- a/test/history/check.cpp
+++ b/test/history/check.cpp
@@ -121,20 +121,21 @@
   }
 }
 
-std::string Hosts(const Runs& runs) {
-  std::string hosts;
+/// Describes runs of the same request.
+std::string RanOn(std::string name, const Runs& runs) {
+  name += " ran on";
   for (const Arrival* run : runs) {
-    hosts += hosts.empty() ? "" : ", ";
-    hosts += run->host;
+    name += " ";
+    name += run->host;
   }
-  return hosts;
+  return name;
 }
 
 void CheckKeys(const Index& index, Verdict& verdict) {
   for (const auto& [key, runs] : index.by_key) {
     if (runs.size() > 1) {
       verdict.breaches.push_back(
-          {Promise::kKeyRunsOnce, "key " + key + " ran on " + Hosts(runs)});
+          {Promise::kKeyRunsOnce, RanOn("key " + key, runs)});
     }
   }
 }
@@ -153,7 +154,7 @@
                           : RunsOf(index.by_request, ask.request_id);
     if (runs.size() > 1) {
       verdict.breaches.push_back(
-          {Promise::kRequestRunsOnce, Name(ask) + ": ran on " + Hosts(runs)});
+          {Promise::kRequestRunsOnce, RanOn(Name(ask), runs)});
     }
   }
 }
@@ -186,6 +187,27 @@
   }
 }
 
+/// Reports the first overlap of each run with a run of another service.
+void CheckHost(const std::string& host, const Runs& runs, Verdict& verdict) {
+  // Latest end of a run so far, for each service.
+  std::map<std::string, Micros> ends;
+  for (const Arrival* run : runs) {
+    const auto overlap =
+        std::find_if(ends.begin(), ends.end(), [run](const auto& entry) {
+          return entry.first != run->service && run->start < entry.second;
+        });
+    if (overlap != ends.end()) {
+      std::string detail("host ");
+      detail.append(host).append(" ran ").append(run->service);
+      detail.append(" during ").append(overlap->first).append(", request ");
+      detail.append(run->request_id);
+      verdict.breaches.push_back({Promise::kOneServicePerHost, detail});
+    }
+    Micros& end = ends[run->service];
+    end = std::max(end, run->end);
+  }
+}
+
 void CheckOneService(const History& history, Verdict& verdict) {
   std::map<std::string, Runs> by_host;
   for (const Arrival& arrival : history.arrivals) {
@@ -197,20 +219,7 @@
     std::sort(runs.begin(), runs.end(), [](const Arrival* a, const Arrival* b) {
       return a->start < b->start;
     });
-    // Latest end of a run so far, for each service.
-    std::map<std::string, Micros> ends;
-    for (const Arrival* run : runs) {
-      for (const auto& [service, end] : ends) {
-        if (service != run->service && run->start < end) {
-          verdict.breaches.push_back({Promise::kOneServicePerHost,
-                                      "host " + host + " ran " + service +
-                                          " and " + run->service + " at " +
-                                          std::to_string(run->start) + " us"});
-        }
-      }
-      Micros& end = ends[run->service];
-      end = std::max(end, run->end);
-    }
+    CheckHost(host, runs, verdict);
   }
 }
 
