--- /dev/null
+++ b/bench/naive_gateway/naive_gateway.cpp
@@ -0,0 +1,144 @@
+#include "bench/naive_gateway/naive_gateway.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <strings.h>
+
+namespace camphormux::naive {
+namespace internal {
+
+constexpr int kMaxTries = 3;
+constexpr auto kPollInterval = std::chrono::seconds(1);
+constexpr int kUnavailable = 503;
+
+std::string Url(const core::Address& address, const std::string& path) {
+  return "http://" + address.ip + ":" + std::to_string(address.port) + path;
+}
+
+std::string ServiceOf(const std::string& path) {
+  const std::size_t end = path.find('/', 1);
+  return path.empty() ? "" : path.substr(1, end - 1);
+}
+
+/// Headers of the caller that belong to the exchange and not the connection.
+bool IsForwarded(const std::string& name) {
+  return strcasecmp(name.c_str(), "Host") != 0 &&
+         strcasecmp(name.c_str(), "Connection") != 0 &&
+         strcasecmp(name.c_str(), "Content-Length") != 0;
+}
+
+}  // namespace internal
+
+NaiveGateway::NaiveGateway(asio::io_context& loop, std::vector<NamedHost> hosts,
+                           core::Address endpoints_control, std::uint64_t seed)
+    : loop_(loop),
+      hosts_(std::move(hosts)),
+      endpoints_control_(std::move(endpoints_control)),
+      random_(core::SeededRandom(seed)),
+      client_(loop),
+      timer_(loop) {}
+
+void NaiveGateway::Start() { Poll(); }
+
+void NaiveGateway::Poll() {
+  for (const NamedHost& host : hosts_) {
+    http::ClientRequest request;
+    request.url =
+        internal::Url(endpoints_control_, "/control/hosts/" + host.id);
+    client_.Send(std::move(request),
+                 [this, &host](const http::ClientResult& result) {
+                   Learn(host, result);
+                 });
+  }
+  timer_.expires_after(internal::kPollInterval);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Poll();
+    }
+  });
+}
+
+void NaiveGateway::Learn(const NamedHost& host,
+                         const http::ClientResult& result) {
+  if (!result.has_value() || result.value().status != 200) {
+    return;
+  }
+  const auto json = nlohmann::json::parse(result.value().body, nullptr, false);
+  if (!json.is_object()) {
+    return;
+  }
+  by_host_[host.id] = {json.value("service", ""),
+                       {host.address, json.value("generation", 0UL)}};
+  by_service_.clear();
+  for (const auto& [id, entry] : by_host_) {
+    by_service_[entry.first].push_back(entry.second);
+  }
+}
+
+void NaiveGateway::Handle(http::ServerRequest request, http::Respond respond) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->service = internal::ServiceOf(request.path);
+  exchange->id = "naive-" + std::to_string(random_.engine());
+  exchange->request = std::move(request);
+  exchange->respond = std::move(respond);
+  Try(exchange);
+}
+
+void NaiveGateway::Try(const std::shared_ptr<Exchange>& exchange) {
+  const auto targets = by_service_.find(exchange->service);
+  if (targets == by_service_.end() || exchange->service.empty()) {
+    Answer(*exchange, internal::kUnavailable, R"({"code":"no_endpoint"})",
+           "not-run");
+    return;
+  }
+  const Target& target =
+      targets->second[core::Below(random_, targets->second.size())];
+  ++exchange->tries;
+  http::ClientRequest request;
+  request.method = exchange->request.method;
+  request.url = internal::Url(target.address, exchange->request.path);
+  request.body = exchange->request.body;
+  for (const http::Header& header : exchange->request.headers) {
+    if (internal::IsForwarded(header.name)) {
+      request.headers.push_back(header);
+    }
+  }
+  request.headers.push_back({"Camphormux-Request-Id", exchange->id});
+  request.headers.push_back({"Camphormux-Service", exchange->service});
+  request.headers.push_back(
+      {"Camphormux-Generation", std::to_string(target.generation)});
+  client_.Send(std::move(request),
+               [this, exchange](const http::ClientResult& result) {
+                 Finish(exchange, result);
+               });
+}
+
+void NaiveGateway::Finish(const std::shared_ptr<Exchange>& exchange,
+                          const http::ClientResult& result) {
+  const bool refused =
+      result.has_value() &&
+      http::FindHeader(result.value().headers, "Camphormux-Refused") != nullptr;
+  if (result.has_value() && !refused) {
+    Answer(*exchange, result.value().status, result.value().body, "answered");
+    return;
+  }
+  exchange->may_have_run |= !refused && result.error().sent;
+  if (exchange->tries < internal::kMaxTries) {
+    Try(exchange);
+    return;
+  }
+  Answer(*exchange, internal::kUnavailable, R"({"code":"failed"})",
+         exchange->may_have_run ? "unknown" : "not-run");
+}
+
+void NaiveGateway::Answer(const Exchange& exchange, int status,
+                          std::string body, const std::string& outcome) {
+  exchange.respond({status,
+                    std::move(body),
+                    "application/json",
+                    {{"Camphormux-Outcome", outcome},
+                     {"Camphormux-Request-Id", exchange.id}}});
+}
+
+}  // namespace camphormux::naive
--- a/src/camphormux/load/runner.cpp
+++ b/src/camphormux/load/runner.cpp
@@ -49,10 +49,16 @@
     return "";
   }
   const auto json = nlohmann::json::parse(body, nullptr, false);
-  const auto code = json.is_object() ? json.find("code") : json.end();
-  return json.is_object() && code != json.end() && code->is_string()
-             ? code->get<std::string>()
-             : "";
+  if (!json.is_object() || !json.contains("error")) {
+    return "";
+  }
+  const auto error = json.find("error");
+  if (!error->is_object()) {
+    return "";
+  }
+  const auto code = error->find("code");
+  return code != error->end() && code->is_string() ? code->get<std::string>()
+                                                   : "";
 }
 
 }  // namespace internal
--- a/test/history/check.cpp
+++ b/test/history/check.cpp
@@ -223,6 +223,24 @@
   }
 }
 
+std::uint64_t CountMoves(const History& history) {
+  std::vector<AssignEvent> assigns = history.assigns;
+  std::stable_sort(
+      assigns.begin(), assigns.end(),
+      [](const AssignEvent& a, const AssignEvent& b) { return a.at < b.at; });
+  std::map<std::string, std::string> services;
+  std::uint64_t moves = 0;
+  for (const AssignEvent& assign : assigns) {
+    if (assign.service.empty()) {
+      continue;
+    }
+    std::string& service = services[assign.host];
+    moves += !service.empty() && service != assign.service ? 1 : 0;
+    service = assign.service;
+  }
+  return moves;
+}
+
 }  // namespace internal
 
 std::string_view Describe(Promise promise) {
@@ -260,6 +278,7 @@
   internal::CheckRequests(history, index, verdict);
   internal::CheckLeaving(history, index, verdict);
   internal::CheckOneService(history, verdict);
+  verdict.moves = internal::CountMoves(history);
   std::stable_sort(
       verdict.breaches.begin(), verdict.breaches.end(),
       [](const Breach& a, const Breach& b) { return a.promise < b.promise; });
--- a/test/history/check.hpp
+++ b/test/history/check.hpp
@@ -56,6 +56,7 @@
   std::uint64_t unknown_but_sent = 0;
   std::uint64_t runs = 0;
   std::uint64_t refusals = 0;
+  std::uint64_t moves = 0;  ///< Changes of a host from a service to another.
   std::vector<Breach> breaches;
 };
 
--- a/test/history/check_test.cpp
+++ b/test/history/check_test.cpp
@@ -133,6 +133,14 @@
   ExpectOnly(history, Promise::kOneServicePerHost);
 }
 
+// Guards against moves that are counted for releases and repeated assignments.
+TEST(CheckTest, CountsMovesBetweenServices) {
+  History history;
+  history.assigns = {{"h1", "venue", 1}, {"h1", "", 2},     {"h1", "venue", 3},
+                     {"h1", "gate", 4},  {"h2", "gate", 1}, {"h2", "venue", 9}};
+  EXPECT_EQ(Check(history).moves, 2U);
+}
+
 // Guards against lines that are skipped in silence.
 TEST(CheckTest, CountsUnreadableLines) {
   History history;
--- a/test/history/main.cpp
+++ b/test/history/main.cpp
@@ -50,6 +50,7 @@
   Print("excused", verdict.excused);
   Print("runs", verdict.runs);
   Print("refusals", verdict.refusals);
+  Print("moves", verdict.moves);
   Print("unreadable-lines", history.bad_lines);
   for (const Promise promise : kPromises) {
     std::uint64_t count = 0;
--- a/test/history/records.cpp
+++ b/test/history/records.cpp
@@ -78,6 +78,10 @@
       history.drains.push_back({json.at("host").get<std::string>(),
                                 json.at("generation").get<std::uint64_t>(),
                                 json.at("at_us").get<Micros>()});
+    } else if (kind == "assign") {
+      history.assigns.push_back({json.at("host").get<std::string>(),
+                                 json.at("service").get<std::string>(),
+                                 json.at("at_us").get<Micros>()});
     }
   });
 }
--- a/test/history/records.hpp
+++ b/test/history/records.hpp
@@ -49,6 +49,13 @@
   Micros at = 0;
 };
 
+/// @brief The moment at which an endpoint got a service.
+struct AssignEvent {
+  std::string host;
+  std::string service;  ///< Empty: released.
+  Micros at = 0;
+};
+
 /// @brief A time in which a gateway was killed or paused on purpose.
 struct Disturbance {
   std::string gateway;  ///< Address as in `Ask`.
@@ -61,6 +68,7 @@
   std::vector<Ask> asks;
   std::vector<Arrival> arrivals;
   std::vector<DrainEvent> drains;
+  std::vector<AssignEvent> assigns;
   std::vector<Disturbance> disturbances;
   std::uint64_t bad_lines = 0;  ///< Lines that could not be read.
 };
