Test the request path against an endpoint with faults

An in-test endpoint truncates, answers late, closes, refuses, echoes a foreign id and sends surplus bytes. A non-repeatable request is seen once in each of the 14 cases, on a fresh gateway and after an earlier exchange.

--- a/src/camphormux/gateway/request_options.cpp
+++ b/src/camphormux/gateway/request_options.cpp
@@ -6,8 +6,6 @@
 #include <charconv>
 #include <vector>
 
-#include <strings.h>
-
 #include "camphormux/settings/reader.hpp"
 #include "camphormux/text/parse.hpp"
 
@@ -36,13 +34,9 @@
                                                "Camphormux-Caller"};
 constexpr std::string_view kOwnPrefix = "Camphormux-";
 
-bool SameName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool StartsWithName(std::string_view text, std::string_view prefix) {
   return text.size() >= prefix.size() &&
-         SameName(text.substr(0, prefix.size()), prefix);
+         http::SameHeaderName(text.substr(0, prefix.size()), prefix);
 }
 
 std::size_t HeadSize(const CallerRequest& request) {
@@ -197,7 +191,7 @@
 std::vector<std::string> NamedByConnection(const http::Headers& headers) {
   std::vector<std::string> names;
   for (const http::Header& header : headers) {
-    if (SameName(header.name, "Connection")) {
+    if (http::SameHeaderName(header.name, "Connection")) {
       const auto more = settings::SplitList(header.value);
       names.insert(names.end(), more.begin(), more.end());
     }
@@ -246,7 +240,7 @@
   const auto named = internal::NamedByConnection(headers);
   const auto matches = [](std::string_view name) {
     return [name](std::string_view other) {
-      return internal::SameName(name, other);
+      return http::SameHeaderName(name, other);
     };
   };
   http::Headers kept;
--- a/src/camphormux/gateway/upstream.cpp
+++ b/src/camphormux/gateway/upstream.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <curl/curl.h>
-#include <strings.h>
 
 #include "camphormux/http/curl_loop.hpp"
 
@@ -41,10 +40,6 @@
   return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
-bool SameName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 int ParseStatus(std::string_view status_line) {
   const std::size_t space = status_line.find(' ');
   int status = 0;
@@ -70,12 +65,13 @@
 void ReadField(Attempt& attempt, std::string_view name,
                std::string_view value) {
   AnswerHead& head = attempt.head;
-  if (SameName(name, "Content-Length")) {
+  if (http::SameHeaderName(name, "Content-Length")) {
     ReadLength(attempt, value);
-  } else if (SameName(name, "Transfer-Encoding")) {
-    head.framed = SameName(value, "chunked");
+  } else if (http::SameHeaderName(name, "Transfer-Encoding")) {
+    head.framed = http::SameHeaderName(value, "chunked");
     attempt.malformed = attempt.malformed || !head.framed;
-  } else if (SameName(name, "Connection") && SameName(value, "close")) {
+  } else if (http::SameHeaderName(name, "Connection") &&
+             http::SameHeaderName(value, "close")) {
     head.closes_connection = true;
   }
   head.headers.push_back({std::string(name), std::string(value)});
--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -174,10 +174,13 @@
   });
 }
 
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 const std::string* FindHeader(const Headers& headers, std::string_view name) {
   for (const Header& header : headers) {
-    if (header.name.size() == name.size() &&
-        strncasecmp(header.name.data(), name.data(), name.size()) == 0) {
+    if (SameHeaderName(header.name, name)) {
       return &header.value;
     }
   }
--- a/src/camphormux/http/message.hpp
+++ b/src/camphormux/http/message.hpp
@@ -15,6 +15,12 @@
 
 using Headers = std::vector<Header>;
 
+/// @brief Compares header names without regard to case.
+/// @param a A name.
+/// @param b Another name.
+/// @return Whether they name the same header.
+[[nodiscard]] bool SameHeaderName(std::string_view a, std::string_view b);
+
 /// @brief Finds a header; names compare without regard to case.
 /// @param headers The headers.
 /// @param name The name.
--- /dev/null
+++ b/test/gateway/faults_test.cpp
@@ -0,0 +1,145 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "fake_endpoint.hpp"
+#include "gateway_harness.hpp"
+
+namespace camphormux::gateway {
+namespace {
+
+const http::Headers kShortTimeout{{"Camphormux-Timeout-Ms", "300"}};
+
+std::string Refusal(const std::string& reason) {
+  return WholeAnswer("", "503 Service Unavailable",
+                     "Camphormux-Refused: " + reason + "\r\n");
+}
+
+struct Fault {
+  std::string name;
+  FakeReply reply;
+  std::string outcome;
+};
+
+class FaultTest : public testing::TestWithParam<Fault> {};
+
+// Guards against a non-repeatable request that is sent twice and against a
+// wrong claim about whether it ran.
+TEST_P(FaultTest, SendsANonRepeatableRequestOnceAndTellsTheTruth) {
+  const Fault& fault = GetParam();
+  FakeEndpoint endpoint([&](const std::string&, int) { return fault.reply; });
+  GatewayHarness gateway({endpoint.port()});
+  const CallerResult result =
+      gateway.Call("POST", "/venue/holds", kShortTimeout, "x");
+  EXPECT_EQ(result.outcome, fault.outcome);
+  EXPECT_EQ(endpoint.seen(), 1);
+}
+
+// Guards against the silent resend of libcurl on a reused connection.
+TEST_P(FaultTest, DoesNotResendOnAConnectionThatServedBefore) {
+  const Fault& fault = GetParam();
+  FakeEndpoint endpoint([&](const std::string&, int number) {
+    return number == 1 ? FakeReply{WholeAnswer("first")} : fault.reply;
+  });
+  GatewayHarness gateway({endpoint.port()});
+  EXPECT_EQ(gateway.Call("GET", "/venue/list").body, "first");
+  const CallerResult result =
+      gateway.Call("POST", "/venue/holds", kShortTimeout, "x");
+  EXPECT_EQ(result.outcome, fault.outcome);
+  EXPECT_EQ(endpoint.seen(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, FaultTest,
+    testing::Values(
+        Fault{"Truncated",
+              {"HTTP/1.1 200 OK\r\nCamphormux-Request-Id: {id}\r\n"
+               "Content-Length: 10\r\n\r\nab",
+               true},
+              "unknown"},
+        Fault{"TruncatedChunks",
+              {"HTTP/1.1 200 OK\r\nCamphormux-Request-Id: {id}\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+               true},
+              "unknown"},
+        Fault{
+            "EndMarkedByClose",
+            {"HTTP/1.1 200 OK\r\nCamphormux-Request-Id: {id}\r\n\r\nab", true},
+            "unknown"},
+        Fault{"ContradictingLengths",
+              {"HTTP/1.1 200 OK\r\nCamphormux-Request-Id: {id}\r\n"
+               "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+               true},
+              "unknown"},
+        Fault{"Late",
+              {WholeAnswer("late"), false, std::chrono::seconds(2)},
+              "unknown"},
+        Fault{"ClosedWithoutAnswer", {"", true}, "unknown"},
+        Fault{"ForeignAnswer",
+              {"HTTP/1.1 200 OK\r\nCamphormux-Request-Id: other\r\n"
+               "Content-Length: 2\r\n\r\nab"},
+              "unknown"},
+        Fault{"NotHttp", {"hello\r\n\r\n", true}, "unknown"},
+        Fault{"RefusedSlots", {Refusal("slots")}, "not-run"},
+        Fault{"RefusedDraining", {Refusal("draining")}, "not-run"},
+        Fault{"RefusedMisdirected", {Refusal("misdirected")}, "not-run"},
+        Fault{"RefusedForNoKnownReason", {Refusal("mood")}, "answered"},
+        Fault{"ServerError", {WholeAnswer("x", "500 Error")}, "answered"},
+        Fault{"Surplus", {WholeAnswer("ok") + "surplus"}, "answered"}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against `unknown` for a request that no endpoint can have seen.
+TEST(GatewayFaultTest, NoListenerMeansNotRun) {
+  GatewayHarness gateway({FreePort()});
+  const CallerResult result = gateway.Call("POST", "/venue/holds");
+  EXPECT_EQ(result.status, 503);
+  EXPECT_EQ(result.outcome, "not-run");
+  EXPECT_NE(http::FindHeader(result.headers, "Retry-After"), nullptr);
+}
+
+// Guards against surplus bytes that become part of a later answer.
+TEST(GatewayFaultTest, SurplusBytesReachNoCaller) {
+  FakeEndpoint endpoint([](const std::string&, int number) {
+    return FakeReply{WholeAnswer("answer " + std::to_string(number)) +
+                     "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus"};
+  });
+  GatewayHarness gateway({endpoint.port()});
+  for (int i = 1; i <= 3; ++i) {
+    const CallerResult result = gateway.Call("GET", "/venue/list");
+    EXPECT_EQ(result.outcome, "answered");
+    EXPECT_EQ(result.body, "answer " + std::to_string(i));
+  }
+  EXPECT_EQ(endpoint.connections(), 3);
+}
+
+// Guards against a refused request that is not tried on another host, and
+// against new requests to an endpoint that said it is leaving.
+TEST(GatewayFaultTest, LeavingEndpointGetsNothingNew) {
+  FakeEndpoint leaving(
+      [](const std::string&, int) { return FakeReply{Refusal("draining")}; });
+  FakeEndpoint healthy(
+      [](const std::string&, int) { return FakeReply{WholeAnswer("ok")}; });
+  GatewayHarness gateway({leaving.port(), healthy.port()});
+  constexpr int kCalls = 20;
+  for (int i = 0; i < kCalls; ++i) {
+    EXPECT_EQ(gateway.Call("POST", "/venue/holds").body, "ok");
+  }
+  EXPECT_LE(leaving.seen(), 1);
+  EXPECT_EQ(healthy.seen(), kCalls);
+}
+
+// Guards against a repeatable request that gives up after one lost answer.
+TEST(GatewayFaultTest, RepeatableRequestIsRetriedElsewhere) {
+  FakeEndpoint cutting([](const std::string&, int) {
+    return FakeReply{"", true};
+  });
+  FakeEndpoint healthy(
+      [](const std::string&, int) { return FakeReply{WholeAnswer("ok")}; });
+  GatewayHarness gateway({cutting.port(), healthy.port()});
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(gateway.Call("GET", "/venue/list").body, "ok");
+  }
+}
+
+}  // namespace
+}  // namespace camphormux::gateway
--- /dev/null
+++ b/test/gateway/requests_test.cpp
@@ -0,0 +1,169 @@
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "fake_endpoint.hpp"
+#include "gateway_harness.hpp"
+
+namespace camphormux::gateway {
+namespace {
+
+constexpr const char* kKey = "01890a5d-ac96-774b-bcce-b302099a8057";
+
+FakeReply Echo(const std::string& head, int /*number*/) {
+  return FakeReply{WholeAnswer(head.substr(0, head.find("\r\n")))};
+}
+
+std::string ErrorField(const CallerResult& result, const std::string& name) {
+  return nlohmann::json::parse(result.body)["error"].value(name, "");
+}
+
+// Guards against requests and answers that change on the way.
+TEST(RequestTest, PassesTheRequestOnBelowTheServiceName) {
+  FakeEndpoint endpoint(&Echo);
+  GatewayHarness gateway({endpoint.port()});
+  const CallerResult result =
+      gateway.Call("PUT", "/venue/b%20c?d=1&e", {}, "body");
+  EXPECT_EQ(result.body, "PUT /b%20c?d=1&e HTTP/1.1");
+  EXPECT_EQ(result.outcome, "answered");
+  EXPECT_NE(http::FindHeader(result.headers, "Camphormux-Request-Id"), nullptr);
+}
+
+// Guards against bad requests that reach an endpoint or get no clear error.
+TEST(RequestTest, RefusesBadRequestsWithTheFieldAtFault) {
+  FakeEndpoint endpoint(&Echo);
+  GatewayHarness gateway({endpoint.port()});
+  const auto expect = [&](const CallerResult& result, int status,
+                          const std::string& field) {
+    EXPECT_EQ(result.status, status);
+    EXPECT_EQ(result.outcome, "not-run");
+    EXPECT_EQ(ErrorField(result, "field"), field);
+  };
+  const std::string path = "/venue/x";
+  expect(gateway.Call("GET", path, {{"Camphormux-Timeout-Ms", "soon"}}), 400,
+         "Camphormux-Timeout-Ms");
+  expect(gateway.Call("GET", path, {{"Camphormux-Priority", "high"}}), 400,
+         "Camphormux-Priority");
+  expect(gateway.Call("GET", path, {{"Idempotency-Key", "1"}}), 400,
+         "Idempotency-Key");
+  expect(gateway.Call("GET", path, {{"traceparent", "1"}}), 400, "traceparent");
+  expect(gateway.Call("GET", "/"), 400, "target");
+  expect(gateway.Call("GET", "/nosuch/x"), 404, "target");
+  expect(gateway.Call("POST", path, {}, std::string(100'000, 'b')), 413,
+         "body");
+  expect(gateway.Call("GET", path, {{"X-Long", std::string(10'000, 'h')}}), 431,
+         "headers");
+  EXPECT_EQ(endpoint.seen(), 0);
+}
+
+// Guards against a keyed request that is sent although its key is not claimed.
+TEST(RequestTest, UnavailableKeyStoreMeansNotRun) {
+  FakeEndpoint endpoint(&Echo);
+  GatewayHarness gateway({endpoint.port()});
+  const CallerResult result =
+      gateway.Call("POST", "/venue/holds", {{"Idempotency-Key", kKey}});
+  EXPECT_EQ(result.outcome, "not-run");
+  EXPECT_EQ(ErrorField(result, "code"), "key_store_unavailable");
+  EXPECT_EQ(endpoint.seen(), 0);
+}
+
+/// A key store that lives in memory and counts releases.
+struct FakeKeys {
+  std::map<std::string, StoredAnswer> claimed;
+  int releases = 0;
+
+  KeyStorePort Port(asio::io_context& loop) {
+    return {[this, &loop](const core::RequestKey& key, const core::ServiceName&,
+                          const std::function<void(ClaimResult)>& done) {
+              const auto [found, first] = claimed.try_emplace(key.value);
+              ClaimResult result{ClaimStatus::kFirst, {}};
+              if (!first) {
+                result = {found->second.status == 0 ? ClaimStatus::kUnknown
+                                                    : ClaimStatus::kAnswered,
+                          found->second};
+              }
+              asio::post(loop, [done, result] { done(result); });
+            },
+            [this](const core::RequestKey& key) {
+              ++releases;
+              claimed.erase(key.value);
+            },
+            [this](const core::RequestKey& key, const StoredAnswer& answer) {
+              claimed[key.value] = answer;
+            }};
+  }
+};
+
+// Guards against a second run of a key and a lost first answer.
+TEST(RequestTest, RepeatedKeyGetsTheFirstAnswer) {
+  FakeKeys keys;
+  FakeEndpoint endpoint([](const std::string&, int number) {
+    return FakeReply{WholeAnswer("run " + std::to_string(number))};
+  });
+  GatewayHarness gateway({endpoint.port()}, [&](asio::io_context& loop) {
+    return keys.Port(loop);
+  });
+  for (int i = 0; i < 3; ++i) {
+    const CallerResult result =
+        gateway.Call("POST", "/venue/holds", {{"Idempotency-Key", kKey}});
+    EXPECT_EQ(result.outcome, "answered");
+    EXPECT_EQ(result.body, "run 1");
+  }
+  EXPECT_EQ(endpoint.seen(), 1);
+}
+
+// Guards against a key that stays claimed although nothing ran.
+TEST(RequestTest, RefusedRequestReleasesItsKey) {
+  FakeKeys keys;
+  FakeEndpoint endpoint([](const std::string&, int number) {
+    return number == 1 ? FakeReply{WholeAnswer("", "503 Service Unavailable",
+                                               "Camphormux-Refused: slots\r\n")}
+                       : FakeReply{WholeAnswer("ran")};
+  });
+  GatewayHarness gateway({endpoint.port()}, [&](asio::io_context& loop) {
+    return keys.Port(loop);
+  });
+  const http::Headers headers{{"Idempotency-Key", kKey}};
+  EXPECT_EQ(gateway.Call("POST", "/venue/holds", headers).outcome, "not-run");
+  EXPECT_EQ(gateway.Call("POST", "/venue/holds", headers).body, "ran");
+  EXPECT_EQ(keys.releases, 1);
+}
+
+// Guards against requests that wait past their deadline or are lost in the
+// queue, and against more requests at an endpoint than the limit.
+TEST(RequestTest, EachRequestOfABurstGetsOneOutcome) {
+  constexpr int kCallers = 16;
+  FakeEndpoint endpoint([](const std::string&, int) {
+    return FakeReply{WholeAnswer("ok"), false, core::Millis(50)};
+  });
+  GatewayHarness gateway({endpoint.port()});
+  std::vector<CallerResult> results(kCallers);
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (CallerResult& result : results) {
+    callers.emplace_back([&gateway, &result] {
+      result = gateway.Call("POST", "/venue/holds",
+                            {{"Camphormux-Timeout-Ms", "20000"}});
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::set<std::string> ids;
+  for (const CallerResult& result : results) {
+    EXPECT_EQ(result.outcome, "answered");
+    ids.insert(*http::FindHeader(result.headers, "Camphormux-Request-Id"));
+  }
+  EXPECT_EQ(ids.size(), kCallers);
+  EXPECT_EQ(endpoint.seen(), kCallers);
+}
+
+}  // namespace
+}  // namespace camphormux::gateway
