--- a/src/camphormux/admission/service_queue.cpp
+++ b/src/camphormux/admission/service_queue.cpp
@@ -101,7 +101,7 @@
 void ObserveStart(ServiceRate& rate, core::MonotonicTime now) {
   if (rate.last_start) {
     internal::Average(rate.interval_ms,
-            static_cast<double>((now - *rate.last_start).count()));
+                      static_cast<double>((now - *rate.last_start).count()));
   }
   rate.last_start = now;
 }
--- /dev/null
+++ b/test/admission/service_queue_test.cpp
@@ -0,0 +1,89 @@
+#include "camphormux/admission/service_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace camphormux::admission {
+namespace {
+
+constexpr core::MonotonicTime kNow{std::chrono::hours(1)};
+constexpr core::MonotonicTime kFarDeadline = kNow + std::chrono::hours(1);
+
+Ticket MakeTicket(std::uint64_t id, core::MonotonicTime deadline) {
+  return {id, "caller", deadline};
+}
+
+// Guards against normal requests that starve, and against urgent ones that
+// wait behind more than their share of normal ones.
+TEST(ServiceQueueTest, UrgentRequestsGoFirstAtFourToOne) {
+  ServiceQueue queue;
+  const QueueLimits limits;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    const Priority priority = i < 20 ? Priority::kNormal : Priority::kUrgent;
+    EXPECT_FALSE(
+        Admit(queue, MakeTicket(i, kFarDeadline), priority, limits, kNow)
+            .refusal);
+  }
+  std::string order;
+  while (const auto next = TakeNext(queue, limits)) {
+    order += next->priority == Priority::kUrgent ? 'u' : 'n';
+  }
+  EXPECT_EQ(order.substr(0, 25), "uuuunuuuunuuuunuuuunuuuun");
+  EXPECT_EQ(order.substr(25), std::string(15, 'n'));
+}
+
+// Guards against requests that wait although they cannot be answered in time.
+RC_GTEST_PROP(ServiceQueueTest, AdmitsOnlyWhatCanEndInTime, ()) {
+  ServiceQueue queue;
+  const QueueLimits limits;
+  queue.rate.interval_ms = *rc::gen::inRange(0, 50);
+  queue.rate.run_ms = *rc::gen::inRange(0, 200);
+  queue.rate.run_seen = kNow;
+  const int count = *rc::gen::inRange(1, 100);
+  for (int i = 0; i < count; ++i) {
+    const Priority priority =
+        *rc::gen::element(Priority::kUrgent, Priority::kNormal);
+    const core::MonotonicTime deadline =
+        kNow + core::Millis(*rc::gen::inRange(1, 1000));
+    const core::Millis wait = PredictedWait(queue, priority, limits);
+    const bool in_time =
+        PredictedEnd(queue.rate, kNow + wait, kNow) <= deadline;
+    const auto admission =
+        Admit(queue, MakeTicket(static_cast<std::uint64_t>(i), deadline),
+              priority, limits, kNow);
+    RC_ASSERT((admission.refusal == Refusal::kDeadline) == !in_time);
+  }
+}
+
+// Guards against a service that refuses for ever after one slow phase.
+TEST(ServiceQueueTest, OldRunTimesDoNotRefuseRequests) {
+  ServiceQueue queue;
+  const QueueLimits limits;
+  ObserveRun(queue.rate, std::chrono::seconds(5), kNow);
+  const auto ticket = [](core::MonotonicTime now) {
+    return MakeTicket(1, now + std::chrono::seconds(1));
+  };
+  EXPECT_EQ(Admit(queue, ticket(kNow), Priority::kNormal, limits, kNow).refusal,
+            Refusal::kDeadline);
+  const core::MonotonicTime later = kNow + std::chrono::seconds(2);
+  EXPECT_FALSE(Admit(queue, ticket(later), Priority::kNormal, limits, later)
+                   .refusal.has_value());
+}
+
+// Guards against a wait that is predicted from idle time between bursts.
+TEST(ServiceQueueTest, IdleTimeIsNotAStartInterval) {
+  ServiceQueue queue;
+  const QueueLimits limits;
+  core::MonotonicTime now = kNow;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    now += std::chrono::minutes(1);
+    const Ticket ticket = MakeTicket(i, now + std::chrono::seconds(1));
+    ASSERT_FALSE(Admit(queue, ticket, Priority::kNormal, limits, now).refusal);
+    ASSERT_TRUE(TakeNext(queue, limits).has_value());
+    ObserveStart(queue.rate, now);
+  }
+  EXPECT_EQ(queue.rate.interval_ms, 0.0);
+}
+
+}  // namespace
+}  // namespace camphormux::admission
