Size by policy weights and measure it in a replay

Sizing took reports of a burst for the calm rate after it, counted callers' surges as the service's own and followed noise. It now compares a report with the rate of its time, tracks own surges without calls, averages a surge and plans use and hold time by the policy weights. The proportional baseline uses the same planned use and changed with it.

--- /dev/null
+++ b/bench/capacity/replay.cpp
@@ -0,0 +1,269 @@
+#include "bench/capacity/replay.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+
+#include "bench/capacity/fake_fleet.hpp"
+#include "camphormux/moves/moves.hpp"
+#include "camphormux/sizing/sizing.hpp"
+
+namespace camphormux::bench {
+namespace {
+
+/// Age of usage reports, in seconds.
+constexpr int kReportLag = 5;
+/// Requests that would wait longer are refused.
+constexpr double kLongestWaitSeconds = 2.0;
+
+/// A service's queue and what was measured of it.
+struct Queue {
+  double backlog = 0.0;
+  double served = 0.0;  ///< In the last second.
+  double lost = 0.0;
+  std::deque<double> recent;  ///< Served in the seconds since the report.
+};
+
+struct PoolHosts {
+  int admitted = 0;
+  int all = 0;  ///< In any phase of this pool.
+};
+
+struct Run {
+  const text::OperatorText* text;
+  const DemandTrace* trace;
+  FakeFleet fleet;
+  sizing::SizingState sizing;
+  std::map<core::ServiceName, Queue> queues;
+  std::map<core::PoolName, PoolHosts> pools;
+  Figures figures;
+  double offered = 0.0;
+  double served = 0.0;
+};
+
+void CountPools(Run& run) {
+  run.pools.clear();
+  for (const auto& [zone, hosts] : run.fleet.zones) {
+    for (const state::Host& host : hosts) {
+      if (host.pool) {
+        PoolHosts& pool = run.pools[*host.pool];
+        ++pool.all;
+        pool.admitted += host.phase == state::HostPhase::kAdmitted ? 1 : 0;
+      }
+    }
+  }
+}
+
+double HostRate(const Run& run, const text::Service& service) {
+  return service.slots_per_host / run.trace->service_time_s;
+}
+
+void Serve(Run& run, int second) {
+  for (const auto& [name, service] : run.text->services) {
+    Queue& queue = run.queues[name];
+    const double arrivals =
+        run.trace->arrivals.at(name)[static_cast<std::size_t>(second)];
+    const double capacity =
+        run.pools[service.pool].admitted * HostRate(run, service);
+    const double offered = queue.backlog + arrivals;
+    queue.served = std::min(offered, capacity);
+    const double left = offered - queue.served;
+    queue.backlog = std::min(left, capacity * kLongestWaitSeconds);
+    queue.lost = left - queue.backlog;
+    queue.recent.push_back(queue.served);
+    if (queue.recent.size() > kReportLag + 1) {
+      queue.recent.pop_front();
+    }
+    run.offered += arrivals;
+    run.served += queue.served;
+  }
+}
+
+/// Adds a second to the idle host-seconds. Hosts of the spare pool run
+/// preemptible jobs; hosts in motion carry nothing.
+void CountIdle(Run& run) {
+  int counted = 0;
+  for (const auto& [name, service] : run.text->services) {
+    const PoolHosts& pool = run.pools[service.pool];
+    counted += pool.all;
+    if (service.pool == run.text->spare_pool) {
+      continue;
+    }
+    const double used = run.queues[name].served / HostRate(run, service);
+    run.figures.idle_hosts += std::max(0.0, pool.all - used);
+    run.figures.excess_share += std::max(
+        0.0, pool.all - std::max(used, static_cast<double>(service.min_hosts)));
+  }
+  int total = 0;
+  for (const auto& [zone, hosts] : run.fleet.zones) {
+    total += static_cast<int>(hosts.size());
+  }
+  run.figures.idle_hosts += total - counted;
+  run.figures.excess_share += total - counted;
+}
+
+void CountBreaches(Run& run) {
+  for (const auto& [zone, hosts] : run.fleet.zones) {
+    for (const auto& [name, service] : run.text->services) {
+      int available = 0;
+      int members = 0;
+      for (const state::Host& host : hosts) {
+        if (host.pool == service.pool) {
+          available += host.phase == state::HostPhase::kAdmitted ? 1 : 0;
+          members += host.phase != state::HostPhase::kDraining ? 1 : 0;
+        }
+      }
+      const int zones = static_cast<int>(run.fleet.zones.size());
+      const int floor = (service.min_hosts + zones - 1) / zones;
+      // Arriving hosts add to members before they can serve; only hosts taken
+      // away breach the share.
+      const int share = moves::BudgetMinimum(0, service.host_availability,
+                                             std::min(members, available));
+      run.figures.breaches += available < std::max(floor, share) ? 1 : 0;
+    }
+  }
+}
+
+sizing::SizingInput MakeSizingInput(const Run& run, int second) {
+  sizing::SizingInput input;
+  input.text = run.text;
+  input.now = core::MonotonicTime{std::chrono::seconds(second)};
+  for (const auto& [zone, hosts] : run.fleet.zones) {
+    input.usable_hosts[zone] = static_cast<int>(hosts.size());
+  }
+  for (const auto& [name, queue] : run.queues) {
+    sizing::DemandSample& sample = input.demand[name];
+    sample.arrivals_per_s =
+        run.trace->arrivals.at(name)[static_cast<std::size_t>(second)];
+    sample.refused_per_s = queue.lost;
+    sample.queued = queue.backlog;
+    sample.report_age = std::chrono::seconds(kReportLag);
+    sample.running = queue.recent.front() * run.trace->service_time_s;
+    for (std::size_t i = 1; i < queue.recent.size(); ++i) {
+      sample.started_since_report += queue.recent[i];
+    }
+  }
+  return input;
+}
+
+void Decide(Run& run, Policy policy, int second) {
+  if (policy == Policy::kFixed) {
+    return;
+  }
+  const sizing::SizingInput input = MakeSizingInput(run, second);
+  const sizing::Sizes sizes =
+      policy == Policy::kCamphormux
+          ? sizing::DecideSizes(run.sizing, input)
+          : sizing::ProportionalSizes(input, run.trace->service_time_s);
+  for (const auto& [zone, hosts] : run.fleet.zones) {
+    moves::MoveInput move_input;
+    move_input.hosts = hosts;
+    move_input.spare_pool = run.text->spare_pool;
+    move_input.pools = moves::TargetsOf(*run.text, sizes, zone);
+    ApplyMoves(run.fleet, zone, moves::DecideMoves(move_input), second);
+  }
+}
+
+/// Notes for each burst the first second in which the pool carries the
+/// arrivals.
+void WatchBursts(Run& run, int second, std::vector<int>& reached) {
+  for (std::size_t i = 0; i < run.trace->bursts.size(); ++i) {
+    const Burst& burst = run.trace->bursts[i];
+    const bool open = reached[i] < 0 && second >= burst.start &&
+                      second < burst.start + burst.length;
+    if (!open) {
+      continue;
+    }
+    const text::Service& service = run.text->services.at(burst.service);
+    const double capacity =
+        run.pools[service.pool].admitted * HostRate(run, service);
+    const double arrivals =
+        run.trace->arrivals.at(burst.service)[static_cast<std::size_t>(second)];
+    if (capacity >= arrivals) {
+      reached[i] = second - burst.start;
+    }
+  }
+}
+
+void FinishFigures(Run& run, const std::vector<int>& reached, int hosts) {
+  Figures& figures = run.figures;
+  const double seconds = run.trace->seconds;
+  figures.idle_hosts /= seconds;
+  figures.idle_share = figures.idle_hosts / hosts;
+  figures.excess_share /= seconds * hosts;
+  figures.served_share = run.served / run.offered;
+  const text::Service& any = run.text->services.begin()->second;
+  figures.idle_per_served =
+      figures.idle_hosts * seconds / (run.served / HostRate(run, any));
+  figures.moves = run.fleet.moves;
+  figures.reversals = run.fleet.reversals;
+  const double surges = static_cast<double>(run.trace->bursts.size());
+  figures.moves_per_surge = figures.moves / surges;
+  for (std::size_t i = 0; i < reached.size(); ++i) {
+    const double time =
+        reached[i] >= 0 ? reached[i] : run.trace->bursts[i].length;
+    figures.surge_mean_s += time / surges;
+    figures.surge_worst_s = std::max(figures.surge_worst_s, time);
+  }
+}
+
+}  // namespace
+
+Figures Replay(const text::OperatorText& text, const DemandTrace& trace,
+               Policy policy, int hosts, std::uint64_t seed) {
+  Run run{&text, &trace, MakeFleet(text, hosts, seed), {}, {}, {}, {}, 0, 0};
+  std::vector<int> reached(trace.bursts.size(), -1);
+  for (int second = 0; second < trace.seconds; ++second) {
+    AdvanceFleet(run.fleet, second);
+    CountPools(run);
+    Serve(run, second);
+    CountIdle(run);
+    CountBreaches(run);
+    WatchBursts(run, second, reached);
+    Decide(run, policy, second);
+  }
+  FinishFigures(run, reached, hosts);
+  return run.figures;
+}
+
+Figures OfflineBound(const text::OperatorText& text, const DemandTrace& trace,
+                     int hosts) {
+  Figures bound;
+  bound.served_share = 1.0;
+  double served_hosts = 0.0;
+  for (const auto& [name, service] : text.services) {
+    const double rate = service.slots_per_host / trace.service_time_s;
+    for (const double arrivals : trace.arrivals.at(name)) {
+      const double used = arrivals / rate;
+      served_hosts += used;
+      const double size =
+          std::max(std::ceil(used), static_cast<double>(service.min_hosts));
+      bound.idle_hosts += service.pool == text.spare_pool ? 0.0 : size - used;
+    }
+  }
+  bound.idle_per_served = bound.idle_hosts / served_hosts;
+  bound.idle_hosts /= trace.seconds;
+  bound.idle_share = bound.idle_hosts / hosts;
+  // A host that stays serves one pool in a round; each pool needs its peak
+  // once a round.
+  const std::size_t round = text.services.size();
+  for (std::size_t i = 0; i + round <= trace.bursts.size(); i += round) {
+    double sum = -hosts;
+    for (std::size_t j = i; j < i + round; ++j) {
+      const Burst& burst = trace.bursts[j];
+      const text::Service& service = text.services.at(burst.service);
+      const std::vector<double>& arrivals = trace.arrivals.at(burst.service);
+      double mean = 0.0;
+      for (int t = burst.start; t < burst.start + burst.length; ++t) {
+        mean += arrivals[static_cast<std::size_t>(t)] / burst.length;
+      }
+      sum += std::ceil(mean * trace.service_time_s / service.slots_per_host);
+    }
+    bound.moves += std::max(0.0, sum);
+  }
+  bound.moves_per_surge =
+      bound.moves / static_cast<double>(trace.bursts.size());
+  return bound;
+}
+
+}  // namespace camphormux::bench
--- a/src/camphormux/moves/moves.cpp
+++ b/src/camphormux/moves/moves.cpp
@@ -157,15 +157,12 @@
   if (Strength(view.pools[from]) > UpperSize(view, from)) {
     return {0, 0.0, target.pool};  // Would move to the spare pool anyway.
   }
-  if (IsSpare(view, from)) {
-    return {1, 0.0, target.pool};
-  }
   // The pool that surges last keeps its loss the longest.
   const double idle_ms =
       target.until_next_surge
           ? static_cast<double>(target.until_next_surge->count())
           : kNever;
-  return {2, -idle_ms, target.pool};
+  return {1, -idle_ms, target.pool};
 }
 
 std::optional<PoolIndex> ChooseDonor(const ZoneView& view, PoolIndex to,
--- a/src/camphormux/sizing/fwd.hpp
+++ b/src/camphormux/sizing/fwd.hpp
@@ -5,6 +5,8 @@
 
 enum class SizeConstraint;
 struct DemandSample;
+struct StartedRate;
+struct HeldSize;
 struct ServiceMemory;
 struct SizingState;
 struct SizingInput;
--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -9,15 +9,21 @@
 namespace camphormux::sizing {
 namespace internal {
 
-/// Share of a host's slots that is planned for use.
-constexpr double kPlannedUse = 0.85;
+/// Share of a host's slots that is planned for use when only idle hosts count,
+/// and when only moves count: headroom costs a move at each surge.
+constexpr double kLowestUse = 0.90;
+constexpr double kHighestUse = 0.98;
 /// A size is raised when demand exceeds this share of its slots; the gap to
-/// `kPlannedUse` keeps noise from raising it.
-constexpr double kRaiseUse = 0.95;
+/// the planned use keeps noise from raising it.
+constexpr double kRaiseUse = 1.02;
 /// Time in which a backlog should be worked off.
-constexpr double kBacklogSeconds = 2.0;
+constexpr double kBacklogSeconds = 60.0;
 /// Weight of a new sample in smoothed figures (about 10 samples).
 constexpr double kSmoothing = 0.1;
+/// Demand above this multiple of a surge's level is a rise, not noise.
+constexpr double kRiseRatio = 1.15;
+/// Samples that belong to the leading edge of a surge.
+constexpr int kEdgeSamples = 3;
 /// Demand above this multiple of the calm level starts a surge.
 constexpr double kSurgeRatio = 2.0;
 /// A surge ends when demand falls below this share of its peak.
@@ -31,11 +37,13 @@
 /// Share of the remembered peak that a smaller surge leaves of it.
 constexpr double kPeakDecay = 0.8;
 /// A size that demand needs falls no earlier than this after it rose.
-constexpr core::Millis kNeededHold = std::chrono::seconds(4);
+constexpr core::Millis kNeededHold = std::chrono::seconds(1);
 /// Hold time when moves and idle hosts weigh the same.
-constexpr core::Millis kBaseHold = std::chrono::seconds(60);
+constexpr core::Millis kBaseHold = std::chrono::seconds(30);
 constexpr core::Millis kMinHold = std::chrono::seconds(5);
 constexpr core::Millis kMaxHold = std::chrono::minutes(30);
+/// Reports that are older teach nothing.
+constexpr core::Millis kLongestReportAge = std::chrono::seconds(30);
 constexpr double kDefaultServiceTimeSeconds = 0.1;
 /// Below this many slots a rise is no surge.
 constexpr double kMinSurgeSlots = 2.0;
@@ -60,18 +68,30 @@
   return calls;
 }
 
-double Smooth(double old_value, double sample) {
-  return old_value + kSmoothing * (sample - old_value);
+double Smooth(double old_value, double sample, double weight = kSmoothing) {
+  return old_value + weight * (sample - old_value);
 }
 
-/// Learns the time of a request while nothing waits or is refused; under
-/// overload the requests that run say nothing about the demand.
-void LearnServiceTime(const DemandSample& sample, ServiceMemory& memory) {
+/// Learns the time of a request from a report and the rate at the time of the
+/// report. Under overload the requests that run say nothing about the demand.
+void LearnServiceTime(const DemandSample& sample, core::MonotonicTime now,
+                      ServiceMemory& memory) {
   const bool calm = sample.queued < 1.0 && sample.refused_per_s <= 0.0;
-  if (!calm || sample.arrivals_per_s < 1.0 || sample.running <= 0.0) {
+  memory.history.push_back(
+      {now, sample.arrivals_per_s - sample.refused_per_s, calm});
+  while (memory.history.front().time + kLongestReportAge < now) {
+    memory.history.pop_front();
+  }
+  const core::MonotonicTime reported = now - sample.report_age;
+  const auto then = std::find_if(
+      memory.history.begin(), memory.history.end(),
+      [reported](const StartedRate& rate) { return rate.time >= reported; });
+  const bool usable = then != memory.history.end() && then->calm &&
+                      then->per_s >= 1.0 && sample.running > 0.0;
+  if (!usable) {
     return;
   }
-  const double observed = sample.running / sample.arrivals_per_s;
+  const double observed = sample.running / then->per_s;
   memory.service_time_s = memory.service_time_s <= 0.0
                               ? observed
                               : Smooth(memory.service_time_s, observed);
@@ -85,8 +105,12 @@
 /// Slots that arrivals, requests in flight and the backlog fill.
 double DemandSlots(const DemandSample& sample, double arrivals,
                    double service_time_s) {
-  const double steady =
-      std::max(arrivals * service_time_s, RunningNow(sample, service_time_s));
+  const double age_s = static_cast<double>(sample.report_age.count()) / 1000.0;
+  // Requests shorter than the report's age ended since; the arrivals of this
+  // step show what runs sooner than the mean since the report.
+  const double running =
+      service_time_s < age_s ? 0.0 : RunningNow(sample, service_time_s);
+  const double steady = std::max(arrivals * service_time_s, running);
   return steady + sample.queued * service_time_s / kBacklogSeconds;
 }
 
@@ -99,37 +123,59 @@
   }
   memory.surge_start = now;
   memory.surging = true;
-  memory.current_peak_slots = 0.0;
+  memory.surge_samples = 0;
+  memory.surge_level_slots = 0.0;
 }
 
 void EndSurge(ServiceMemory& memory) {
   memory.surging = false;
   memory.peak_slots =
-      std::max(memory.current_peak_slots, memory.peak_slots * kPeakDecay);
+      std::max(memory.surge_level_slots, memory.peak_slots * kPeakDecay);
+}
+
+/// Averages the surge's demand; a clear rise starts the average again.
+void FollowLevel(double slots, ServiceMemory& memory) {
+  if (slots > kRiseRatio * memory.surge_level_slots) {
+    memory.surge_level_slots = slots;
+    memory.surge_samples = 1;
+    return;
+  }
+  ++memory.surge_samples;
+  const double weight = std::max(kSmoothing, 1.0 / memory.surge_samples);
+  memory.surge_level_slots = Smooth(memory.surge_level_slots, slots, weight);
+}
+
+/// Slots to plan for during a surge: on the leading edge the next step of the
+/// rise or the peak of earlier surges, later the average.
+double PlanSurge(double slots, ServiceMemory& memory) {
+  const double growth = std::max(0.0, slots - memory.previous_slots);
+  FollowLevel(slots, memory);
+  if (memory.surge_samples > kEdgeSamples) {
+    return memory.surge_level_slots;
+  }
+  if (memory.peak_slots <= 0.0) {
+    return slots + kGrowthShare * growth;
+  }
+  // Noise of single samples is not worth a move above the known peak.
+  const bool near_peak = slots > kPeakShare * memory.peak_slots &&
+                         slots < kRiseRatio * memory.peak_slots;
+  return near_peak ? memory.peak_slots : slots;
 }
 
-/// Follows surges and returns the slots to plan for: on the leading edge the
-/// next step of the rise, or the peak of earlier surges.
+/// Follows a service's own surges, without the calls of other services, and
+/// returns the slots to plan for.
 double PlanSlots(double slots, core::MonotonicTime now, ServiceMemory& memory) {
   const bool rise =
       slots > kSurgeRatio * memory.calm_slots && slots > kMinSurgeSlots;
+  const bool fallen = slots < kSurgeEndShare * memory.surge_level_slots;
   if (!memory.surging && rise) {
     StartSurge(now, memory);
+  } else if (memory.surging && fallen) {
+    EndSurge(memory);
   }
   double planned = slots;
   if (memory.surging) {
-    const double growth = std::max(0.0, slots - memory.previous_slots);
-    memory.current_peak_slots = std::max(memory.current_peak_slots, slots);
-    const bool near_peak = slots > kPeakShare * memory.peak_slots;
-    const bool rising = slots >= kSurgeEndShare * memory.current_peak_slots;
-    if (memory.peak_slots <= 0.0) {
-      planned = slots + kGrowthShare * growth;
-    } else if (near_peak && rising) {
-      planned = std::max(slots, memory.peak_slots);
-    }
-    if (!rising) {
-      EndSurge(memory);
-    }
+    planned = PlanSurge(slots, memory);
   } else {
     memory.calm_slots =
         memory.calm_slots <= 0.0 ? slots : Smooth(memory.calm_slots, slots);
@@ -142,15 +188,24 @@
   return static_cast<int>(std::ceil(slots / (slots_per_host * use)));
 }
 
-/// Raises a held size at once; lowers it only after its hold time.
-void HoldSize(int target, core::MonotonicTime now, core::Millis hold, int& size,
-              core::MonotonicTime& until) {
-  if (target >= size) {
-    size = target;
-    until = now + hold;
-  } else if (now >= until) {
-    size = target;
+/// Share of a host's slots to plan for.
+double PlannedUse(const text::Policy& policy) {
+  const double sum = policy.moves_weight + policy.buffer_weight;
+  const double moves_share = sum > 0.0 ? policy.moves_weight / sum : 0.5;
+  return kLowestUse + (kHighestUse - kLowestUse) * moves_share;
+}
+
+/// Raises a held size at once; lowers it to the highest target of the last one
+/// to two hold times.
+int HoldSize(int target, core::MonotonicTime now, core::Millis hold,
+             HeldSize& held) {
+  if (now >= held.window_end) {
+    held.previous_peak = now >= held.window_end + hold ? 0 : held.peak;
+    held.peak = 0;
+    held.window_end = now + hold;
   }
+  held.peak = std::max(held.peak, target);
+  return std::max(held.peak, held.previous_peak);
 }
 
 SizeConstraint ConstraintOf(const SizeReason& reason, const TotalSize& total,
@@ -173,13 +228,14 @@
                      core::MonotonicTime now, ServiceMemory& memory) {
   const int raise =
       HostsFor(reason.planned_slots, reason.slots_per_host, kRaiseUse);
-  const bool fits = raise <= memory.needed;
-  const int target =
-      fits ? std::min(reason.demand_hosts, memory.needed) : reason.demand_hosts;
-  HoldSize(std::max(target, min_hosts), now, kNeededHold, memory.needed,
-           memory.needed_until);
-  HoldSize(memory.needed, now, reason.hold, memory.wanted, memory.wanted_until);
-  return {memory.needed, std::max(memory.needed, memory.wanted)};
+  const bool fits = raise <= memory.needed_hosts;
+  const int target = fits ? std::min(reason.demand_hosts, memory.needed_hosts)
+                          : reason.demand_hosts;
+  memory.needed_hosts =
+      HoldSize(std::max(target, min_hosts), now, kNeededHold, memory.needed);
+  const int wanted =
+      HoldSize(memory.needed_hosts, now, reason.hold, memory.wanted);
+  return {memory.needed_hosts, wanted};
 }
 
 std::optional<core::Millis> UntilNextSurge(const ServiceMemory& memory,
@@ -195,7 +251,7 @@
 TotalSize SizeService(const SizingInput& input, const text::Service& service,
                       double calls, ServiceMemory& memory, ServiceSize& size) {
   const DemandSample sample = SampleOf(input, service.name);
-  LearnServiceTime(sample, memory);
+  LearnServiceTime(sample, input.now, memory);
   // Calls show a caller's surge before they arrive; the calm part of the other
   // arrivals is added to them.
   const double arrivals = std::max(
@@ -209,10 +265,14 @@
   reason.from_callers_per_s = calls;
   reason.service_time_s = ServiceTime(memory);
   reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s);
-  reason.planned_slots = PlanSlots(reason.demand_slots, input.now, memory);
+  // Calls are planned as they are; the surge that causes them is the caller's.
+  const double own_slots =
+      std::max(0.0, sample.arrivals_per_s - calls) * reason.service_time_s;
+  reason.planned_slots = std::max(0.0, reason.demand_slots - own_slots) +
+                         PlanSlots(own_slots, input.now, memory);
   reason.slots_per_host = service.slots_per_host;
-  reason.demand_hosts =
-      HostsFor(reason.planned_slots, service.slots_per_host, kPlannedUse);
+  reason.demand_hosts = HostsFor(reason.planned_slots, service.slots_per_host,
+                                 PlannedUse(input.text->policy));
   reason.hold = HoldTime(input.text->policy);
   const TotalSize total =
       HoldTotals(reason, service.min_hosts, input.now, memory);
@@ -286,7 +346,7 @@
     const int hosts = std::max(
         service.min_hosts,
         internal::HostsFor(arrivals * service_time_s, service.slots_per_host,
-                           internal::kPlannedUse));
+                           internal::PlannedUse(input.text->policy)));
     totals[name] = {hosts, hosts};
   }
   internal::DivideOverZones(input, totals, sizes);
--- a/src/camphormux/sizing/sizing.hpp
+++ b/src/camphormux/sizing/sizing.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_SIZING_SIZING_HPP_
 #define CAMPHORMUX_SIZING_SIZING_HPP_
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -22,21 +23,37 @@
   double started_since_report = 0.0;
 };
 
+/// @brief Requests that started in one past step.
+struct StartedRate {
+  core::MonotonicTime time;
+  double per_s = 0.0;
+  bool calm = false;  ///< Nothing waited or was refused.
+};
+
+/// @brief Highest sizes of two consecutive windows of time.
+struct HeldSize {
+  int peak = 0;           ///< Of the window that is open.
+  int previous_peak = 0;  ///< Of the window before.
+  core::MonotonicTime window_end;
+};
+
 /// @brief What sizing remembers of a service between steps.
 struct ServiceMemory {
-  double service_time_s = 0.0;      ///< Estimate; 0 when unknown.
-  double external_per_s = 0.0;      ///< Calm arrivals that no service made.
-  double calm_slots = 0.0;          ///< Smoothed demand between surges.
-  double previous_slots = 0.0;      ///< Demand of the previous step.
-  double peak_slots = 0.0;          ///< Remembered peak of past surges.
-  double current_peak_slots = 0.0;  ///< Peak of the surge going on.
+  /// Past steps, to compare a lagging report with the rate of its time.
+  std::deque<StartedRate> history;
+  double service_time_s = 0.0;     ///< Estimate; 0 when unknown.
+  double external_per_s = 0.0;     ///< Calm arrivals that no service made.
+  double calm_slots = 0.0;         ///< Smoothed demand between surges.
+  double previous_slots = 0.0;     ///< Demand of the previous step.
+  double peak_slots = 0.0;         ///< Remembered peak of past surges.
+  double surge_level_slots = 0.0;  ///< Mean of the surge going on.
+  int surge_samples = 0;           ///< Samples in that mean.
   bool surging = false;
   std::optional<core::MonotonicTime> surge_start;  ///< Of the latest surge.
   core::Millis surge_interval{0};  ///< Smoothed; 0 when unknown.
-  int needed = 0;
-  core::MonotonicTime needed_until;  ///< `needed` does not fall before.
-  int wanted = 0;
-  core::MonotonicTime wanted_until;  ///< `wanted` does not fall before.
+  int needed_hosts = 0;            ///< Of the previous step.
+  HeldSize needed;                 ///< Over some seconds, against noise.
+  HeldSize wanted;                 ///< Over the hold time.
 };
 
 /// @brief State of the sizing decision; one for each controller, rebuilt from
