--- a/bin/load/main.cpp
+++ b/bin/load/main.cpp
@@ -180,7 +180,7 @@
     limit.rlim_cur = limit.rlim_max;
     setrlimit(RLIMIT_NOFILE, &limit);
   }
-  Recorder recorder(FLAGS_history);
+  Recorder recorder(FLAGS_history, options.timeout);
   RunThreads(options, recorder);
   Print(recorder.Summarise(static_cast<double>(FLAGS_seconds)));
   return 0;
--- a/src/camphormux/load/recorder.cpp
+++ b/src/camphormux/load/recorder.cpp
@@ -49,7 +49,8 @@
   return *place;
 }
 
-Recorder::Recorder(const std::string& path) {
+Recorder::Recorder(const std::string& path, core::Millis deadline)
+    : deadline_us_(std::chrono::microseconds(deadline).count()) {
   if (path.empty()) {
     return;
   }
@@ -66,9 +67,11 @@
   if (sample.outcome == "answered") {
     ++counts_.answered;
     counts_.damaged += sample.intact ? 0 : 1;
-    good_ += sample.status < internal::kServerError ? 1 : 0;
-    latencies_.at(sample.plan.urgent ? 1 : 0)
-        .push_back(sample.end - sample.intended);
+    const std::int64_t latency = sample.end - sample.intended;
+    const bool good =
+        sample.status < internal::kServerError && latency <= deadline_us_;
+    good_ += good ? 1 : 0;
+    latencies_.at(sample.plan.urgent ? 1 : 0).push_back(latency);
   } else if (sample.outcome == "not-run") {
     ++counts_.not_run;
   } else if (sample.outcome == "unknown") {
--- a/src/camphormux/load/recorder.hpp
+++ b/src/camphormux/load/recorder.hpp
@@ -43,7 +43,8 @@
   std::uint64_t unknown = 0;
   std::uint64_t none = 0;     ///< No response arrived.
   std::uint64_t damaged = 0;  ///< Answers of another request or cut ones.
-  double goodput = 0;         ///< Answers below status 500 a second.
+  /// Answers below status 500 within the deadline, a second.
+  double goodput = 0;
   double rejected_share = 0;  ///< `not-run` over requests.
   /// How late the generator itself sent, 99th percentile.
   std::int64_t send_lag_p99_us = 0;
@@ -61,8 +62,10 @@
 class Recorder {
  public:
   /// @param path File of the history; empty: none.
+  /// @param deadline Later answers do not count as goodput; from the intended
+  /// send time.
   /// @throws std::runtime_error if the file cannot be opened.
-  explicit Recorder(const std::string& path);
+  Recorder(const std::string& path, core::Millis deadline);
 
   /// @brief Adds a sample.
   /// @param sample The sample.
@@ -76,6 +79,7 @@
  private:
   std::mutex mutex_;
   std::ofstream file_;
+  std::int64_t deadline_us_;
   Summary counts_;
   std::uint64_t good_ = 0;
   std::array<std::vector<std::int64_t>, 2> latencies_;
--- a/test/load/load_test.cpp
+++ b/test/load/load_test.cpp
@@ -72,7 +72,7 @@
 
 // Guards against percentiles that are off by a rank and lost outcomes.
 TEST(RecorderTest, SummarisesByClassAndOutcome) {
-  Recorder recorder("");
+  Recorder recorder("", core::Millis(1));
   for (int n = 1; n <= 100; ++n) {
     Sample sample;
     sample.end = n;
@@ -85,8 +85,13 @@
   rejected.outcome = "not-run";
   recorder.Add(rejected);
   recorder.Add(Sample{});
+  Sample late;
+  late.end = 1001;
+  late.outcome = "answered";
+  late.status = 200;
+  recorder.Add(late);
   const Summary summary = recorder.Summarise(10);
-  EXPECT_EQ(summary.requests, 102U);
+  EXPECT_EQ(summary.requests, 103U);
   EXPECT_EQ(summary.none, 1U);
   EXPECT_EQ(summary.not_run, 1U);
   EXPECT_EQ(summary.classes[1].p50_us, 50);
