--- a/tools/lib_system.sh
+++ b/tools/lib_system.sh
@@ -1,7 +1,7 @@
 # Starts and stops a whole deployment on 127.0.0.1. Sourced by tools/demo, tools/soak and tools/compare-gateways.
 # Needs: $work (folder for settings, logs and histories) and $deployment (tazi or brushwick).
 # shellcheck shell=bash
-bin=$PWD/build/bin
+bin=${CAMPHORMUX_BIN:-$PWD/build/bin}
 declare -A pids=()
 gateways=()
 
@@ -53,7 +53,10 @@
 # Ends what is left; used as the trap of scripts that fail half-way.
 kill_rest() {
   local name
-  for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
+  for name in "${!pids[@]}"; do
+    kill -KILL "${pids[$name]}" 2>/dev/null || true
+    wait "${pids[$name]}" 2>/dev/null || true
+  done
   pids=()
 }
 
