--- a/bin/load/main.cpp
+++ b/bin/load/main.cpp
@@ -117,7 +117,28 @@
   options.direct_generation = FLAGS_direct_generation;
 }
 
-nlohmann::ordered_json ToJson(const Summary& summary) {
+/// Services whose share of good answers is below their budget.
+nlohmann::ordered_json BelowBudget(const Summary& summary,
+                                   const std::vector<text::Service>& services) {
+  auto list = nlohmann::ordered_json::array();
+  for (const text::Service& service : services) {
+    const auto found = summary.services.find(service.name.value);
+    if (found == summary.services.end()) {
+      continue;
+    }
+    const double share = static_cast<double>(found->second.good) /
+                         static_cast<double>(found->second.requests);
+    if (share < service.request_availability) {
+      list.push_back({{"service", service.name.value},
+                      {"share", share},
+                      {"budget", service.request_availability}});
+    }
+  }
+  return list;
+}
+
+nlohmann::ordered_json ToJson(const Summary& summary,
+                              const std::vector<text::Service>& services) {
   nlohmann::ordered_json json{{"requests", summary.requests},
                               {"answered", summary.answered},
                               {"not_run", summary.not_run},
@@ -135,11 +156,13 @@
     json[name + "_p50_us"] = entry.p50_us;
     json[name + "_p99_us"] = entry.p99_us;
   }
+  json["codes"] = summary.codes;
+  json["below_budget"] = BelowBudget(summary, services);
   return json;
 }
 
-void Print(const Summary& summary) {
-  const auto json = ToJson(summary);
+void Print(const Summary& summary, const std::vector<text::Service>& services) {
+  const auto json = ToJson(summary, services);
   if (FLAGS_output == "json") {
     std::printf("%s\n", json.dump().c_str());
     return;
@@ -182,7 +205,8 @@
   }
   Recorder recorder(FLAGS_history, options.timeout);
   RunThreads(options, recorder);
-  Print(recorder.Summarise(static_cast<double>(FLAGS_seconds)));
+  Print(recorder.Summarise(static_cast<double>(FLAGS_seconds)),
+        options.services);
   return 0;
 }
 
--- a/src/camphormux/load/fwd.hpp
+++ b/src/camphormux/load/fwd.hpp
@@ -8,6 +8,8 @@
 struct PlanOptions;
 struct Plan;
 struct Sample;
+struct ClassSummary;
+struct ServiceSummary;
 struct Summary;
 class Recorder;
 struct RunnerOptions;
--- a/src/camphormux/load/recorder.cpp
+++ b/src/camphormux/load/recorder.cpp
@@ -63,6 +63,8 @@
 void Recorder::Add(const Sample& sample) {
   const std::lock_guard lock(mutex_);
   ++counts_.requests;
+  ServiceSummary& service = counts_.services[sample.plan.service];
+  ++service.requests;
   lags_.push_back(sample.sent - sample.intended);
   if (sample.outcome == "answered") {
     ++counts_.answered;
@@ -71,6 +73,7 @@
     const bool good =
         sample.status < internal::kServerError && latency <= deadline_us_;
     good_ += good ? 1 : 0;
+    service.good += good ? 1 : 0;
     latencies_.at(sample.plan.urgent ? 1 : 0).push_back(latency);
   } else if (sample.outcome == "not-run") {
     ++counts_.not_run;
@@ -79,6 +82,9 @@
   } else {
     ++counts_.none;
   }
+  if (sample.outcome != "answered") {
+    ++counts_.codes[sample.code.empty() ? "no_code" : sample.code];
+  }
   if (file_.is_open()) {
     file_ << internal::Line(sample);
   }
--- a/src/camphormux/load/recorder.hpp
+++ b/src/camphormux/load/recorder.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -35,6 +36,12 @@
   std::int64_t p99_us = 0;
 };
 
+/// @brief What one service delivered.
+struct ServiceSummary {
+  std::uint64_t requests = 0;
+  std::uint64_t good = 0;  ///< Below status 500 within the deadline.
+};
+
 /// @brief What a run measured.
 struct Summary {
   std::uint64_t requests = 0;
@@ -49,6 +56,9 @@
   /// How late the generator itself sent, 99th percentile.
   std::int64_t send_lag_p99_us = 0;
   std::array<ClassSummary, 2> classes;  ///< Normal, urgent.
+  std::map<std::string, ServiceSummary> services;
+  /// Requests that were not answered, by error code of the gateway.
+  std::map<std::string, std::uint64_t> codes;
 };
 
 /// @brief Value below which a share of the values lie (nearest rank).
--- a/tools/lib_system.sh
+++ b/tools/lib_system.sh
@@ -32,22 +32,24 @@
   pids[$name]=$!
 }
 
-# Sends SIGTERM to one process and waits for its end; SIGKILL after 60 s is reported as a fault.
-stop() {  # NAME
-  local name=$1 pid=${pids[$1]:-} n
-  [ -n "$pid" ] || return 0
-  unset "pids[$name]"
-  kill -TERM "$pid" 2>/dev/null || return 0
-  for ((n = 0; n < 600; n++)); do
-    kill -0 "$pid" 2>/dev/null || break
-    sleep 0.1
+# Sends SIGTERM to processes and waits for their ends; SIGKILL after 60 s is counted as a fault.
+stop() {  # NAME...
+  local name pid end=$(($(now_ms) + 60000))
+  for name in "$@"; do
+    if [ -n "${pids[$name]:-}" ]; then kill -TERM "${pids[$name]}" 2>/dev/null || true; fi
+  done
+  for name in "$@"; do
+    pid=${pids[$name]:-}
+    [ -n "$pid" ] || continue
+    unset "pids[$name]"
+    while kill -0 "$pid" 2>/dev/null && [ "$(now_ms)" -lt "$end" ]; do sleep 0.05; done
+    if kill -0 "$pid" 2>/dev/null; then
+      say "$name did not stop within 60 s"
+      kill -KILL "$pid"
+      stop_faults=$((${stop_faults:-0} + 1))
+    fi
+    wait "$pid" 2>/dev/null || true
   done
-  if kill -0 "$pid" 2>/dev/null; then
-    say "$name did not stop within 60 s"
-    kill -KILL "$pid"
-    stop_faults=$((${stop_faults:-0} + 1))
-  fi
-  wait "$pid" 2>/dev/null || true
 }
 
 # Ends what is left; used as the trap of scripts that fail half-way.
@@ -132,10 +134,11 @@
 endpoint_control() { curl -s -m 5 -o /dev/null -X PUT "http://127.0.0.1:$((base + 2))/control/$1" -d "$2"; }
 
 stop_entry_hosts() {
-  local n
-  for ((n = 1; n <= entries; n++)); do stop "gateway-$n"; stop "controller-$n"; done
+  local n names=()
+  for ((n = 1; n <= entries; n++)); do names+=("gateway-$n" "controller-$n"); done
+  stop "${names[@]}"
 }
-stop_standins() { stop platform; stop endpoints; }
+stop_standins() { stop platform endpoints; }
 
 check_history() {  # FLAGS...
   "$bin/camphormux-history-check" --callers "$work/callers.jsonl" --journals "$work/journal.jsonl" "$@"
