--- a/src/camphormux/load/recorder.cpp
+++ b/src/camphormux/load/recorder.cpp
@@ -49,7 +49,8 @@
   return *place;
 }
 
-Recorder::Recorder(const std::string& path) {
+Recorder::Recorder(const std::string& path, core::Millis deadline)
+    : deadline_us_(std::chrono::microseconds(deadline).count()) {
   if (path.empty()) {
     return;
   }
@@ -62,13 +63,18 @@
 void Recorder::Add(const Sample& sample) {
   const std::lock_guard lock(mutex_);
   ++counts_.requests;
+  ServiceSummary& service = counts_.services[sample.plan.service];
+  ++service.requests;
   lags_.push_back(sample.sent - sample.intended);
   if (sample.outcome == "answered") {
     ++counts_.answered;
     counts_.damaged += sample.intact ? 0 : 1;
-    good_ += sample.status < internal::kServerError ? 1 : 0;
-    latencies_.at(sample.plan.urgent ? 1 : 0)
-        .push_back(sample.end - sample.intended);
+    const std::int64_t latency = sample.end - sample.intended;
+    const bool good =
+        sample.status < internal::kServerError && latency <= deadline_us_;
+    good_ += good ? 1 : 0;
+    service.good += good ? 1 : 0;
+    latencies_.at(sample.plan.urgent ? 1 : 0).push_back(latency);
   } else if (sample.outcome == "not-run") {
     ++counts_.not_run;
   } else if (sample.outcome == "unknown") {
@@ -76,6 +82,9 @@
   } else {
     ++counts_.none;
   }
+  if (sample.outcome != "answered") {
+    ++counts_.codes[sample.code.empty() ? "no_code" : sample.code];
+  }
   if (file_.is_open()) {
     file_ << internal::Line(sample);
   }
