--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -51,7 +51,7 @@
                        telemetry::SpanExporter& spans, KeyStorePort keys)
     : loop_(loop),
       options_(std::move(options)),
-      random_(std::move(random)),
+      random_(random),
       metrics_(metrics),
       spans_(spans),
       keys_(std::move(keys)),
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -12,7 +12,7 @@
 namespace camphormux::gateway {
 namespace internal {
 
-constexpr core::Millis kTickPeriod = std::chrono::seconds(1);
+constexpr core::Millis kTickPeriod{250};
 /// A view of the log older than this is not trusted about other zones.
 constexpr core::Millis kOldestView = std::chrono::seconds(10);
 constexpr core::Millis kIdlePollPeriod{20};
@@ -52,19 +52,18 @@
 
 Gateway::Gateway(asio::io_context& control, GatewaySettings settings,
                  std::shared_ptr<prometheus::Registry> registry,
-                 KeyStoreFactory keys)
+                 const KeyStoreFactory& keys)
     : control_(control),
       settings_(std::move(settings)),
       registry_(std::move(registry)),
       metrics_(registry_),
       spans_("camphormux-gateway", settings_.trace_file, internal::kSpanQueue),
-      log_age_(telemetry::AddGauge(*registry_,
-                                   "camphormux_gateway_log_age_seconds",
-                                   "Time since the log last answered.")),
+      view_age_(telemetry::AddGauge(
+          *registry_, "camphormux_gateway_view_age_seconds",
+          "Time since the state was known to be complete.")),
       spans_dropped_(telemetry::AddGauge(
           *registry_, "camphormux_gateway_spans_dropped",
           "Spans that were dropped because the export queue was full.")),
-      last_contact_(core::MonotonicNow()),
       tick_(control),
       shutdown_(control),
       admin_(control, settings_.admin,
@@ -99,20 +98,16 @@
       [table = table_](Dispatcher& dispatcher) { dispatcher.SetTable(table); });
 }
 
-void Gateway::NoteLogContact() {
-  last_contact_ = core::MonotonicNow();
-  UpdateOwnZoneOnly();
-}
+void Gateway::SetView(StateView view) { view_ = std::move(view); }
 
-void Gateway::SetDigest(std::function<std::uint64_t()> digest) {
-  digest_ = std::move(digest);
+core::Millis Gateway::ViewAge() const {
+  return core::MonotonicNow() -
+         (view_.confirmed ? view_.confirmed() : core::MonotonicTime{});
 }
 
 void Gateway::Tick() {
   UpdateOwnZoneOnly();
-  log_age_.Set(
-      std::chrono::duration<double>(core::MonotonicNow() - last_contact_)
-          .count());
+  view_age_.Set(std::chrono::duration<double>(ViewAge()).count());
   spans_dropped_.Set(static_cast<double>(spans_.dropped()));
   tick_.expires_after(internal::kTickPeriod);
   tick_.async_wait([this](const asio::error_code& error) {
@@ -123,15 +118,16 @@
 }
 
 void Gateway::UpdateOwnZoneOnly() {
-  const bool old = core::MonotonicNow() - last_contact_ > internal::kOldestView;
+  const bool old = ViewAge() > internal::kOldestView;
   if (old == own_zone_only_) {
     return;
   }
   own_zone_only_ = old;
-  telemetry::Log(telemetry::Level::kWarning,
-                 old ? "the view of the log is too old; only hosts of the own "
-                       "zone are used"
-                     : "the log answers again; hosts of all zones are used");
+  telemetry::Log(
+      telemetry::Level::kWarning,
+      old ? "the view of the log is too old; only hosts of the own "
+            "zone are used"
+          : "the view of the log is complete; hosts of all zones are used");
   ForEachThread(
       [old](Dispatcher& dispatcher) { dispatcher.SetOwnZoneOnly(old); });
 }
@@ -237,13 +233,12 @@
       services[name.value]["endpoints"] = routes.endpoints.size();
     }
   }
-  const core::Millis age = core::MonotonicNow() - last_contact_;
   return nlohmann::json{{"process", settings_.process.value},
                         {"zone", settings_.zone.value},
                         {"next_offset", table_ ? table_->next.value : 0},
                         {"revision", table_ ? table_->revision.value : 0},
-                        {"digest", digest_ ? digest_() : 0},
-                        {"log_age_ms", age.count()},
+                        {"digest", view_.digest ? view_.digest() : 0},
+                        {"view_age_ms", ViewAge().count()},
                         {"own_zone_only", own_zone_only_},
                         {"shutting_down", stopping_},
                         {"services", services}}
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -22,6 +22,13 @@
 
 namespace camphormux::gateway {
 
+/// @brief What the gateway asks about the state it follows.
+struct StateView {
+  std::function<std::uint64_t()> digest;
+  /// Time at which the state is known to have been complete.
+  std::function<core::MonotonicTime()> confirmed;
+};
+
 /// @brief The gateway's control side: publishes routes to the traffic threads,
 /// answers operators, ends the process gracefully. Use it on the control
 /// thread only.
@@ -33,7 +40,8 @@
   /// @param keys Makes the key store of each traffic thread.
   /// @throws std::exception if an address cannot be bound.
   Gateway(asio::io_context& control, GatewaySettings settings,
-          std::shared_ptr<prometheus::Registry> registry, KeyStoreFactory keys);
+          std::shared_ptr<prometheus::Registry> registry,
+          const KeyStoreFactory& keys);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -42,12 +50,9 @@
   /// @param state The fleet state.
   void Publish(const state::FleetState& state);
 
-  /// @brief Notes that the log answered, even without new records.
-  void NoteLogContact();
-
-  /// @brief Sets where `/state` reads the state's digest.
-  /// @param digest Computes the digest.
-  void SetDigest(std::function<std::uint64_t()> digest);
+  /// @brief Sets where the gateway reads about the followed state.
+  /// @param view The functions; called on the control thread.
+  void SetView(StateView view);
 
   /// @brief Ends the process gracefully: not ready, grace, no new connections,
   /// open requests, bounded by the settings. Further calls have no effect.
@@ -61,6 +66,7 @@
   void Abandon();
   void ForEachThread(const std::function<void(Dispatcher&)>& action);
   [[nodiscard]] http::ServerResponse Answer(const std::string& path) const;
+  [[nodiscard]] core::Millis ViewAge() const;
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] std::string StateJson() const;
 
@@ -69,12 +75,11 @@
   std::shared_ptr<prometheus::Registry> registry_;
   MetricsStore metrics_;
   telemetry::SpanExporter spans_;
-  prometheus::Gauge& log_age_;
+  prometheus::Gauge& view_age_;
   prometheus::Gauge& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
   std::shared_ptr<const routing::RouteTable> table_;
-  std::function<std::uint64_t()> digest_;
-  core::MonotonicTime last_contact_;
+  StateView view_;
   bool own_zone_only_ = false;
   bool stopping_ = false;
   std::function<void()> on_stopped_;
--- a/src/camphormux/gateway/gateway_settings.cpp
+++ b/src/camphormux/gateway/gateway_settings.cpp
@@ -23,6 +23,7 @@
   if (settings::Find(reader, "listen", "peer") != nullptr) {
     settings.peer = settings::ReadAddress(reader, "listen", "peer");
   }
+  settings.seeds = settings::ReadAddresses(reader, "peers", "seeds");
   settings.platform = settings::ReadAddress(reader, "platform", "address");
 }
 
--- a/src/camphormux/gateway/gateway_settings.hpp
+++ b/src/camphormux/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "camphormux/core/ids.hpp"
 #include "camphormux/core/result.hpp"
@@ -20,6 +21,7 @@
   core::Address callers;              ///< Shared by the traffic threads.
   core::Address admin;                ///< Metrics, health and state.
   std::optional<core::Address> peer;  ///< Own protocol between processes.
+  std::vector<core::Address> seeds;   ///< Peers to contact first.
   core::Address platform;
   int threads = 1;
   core::Bytes max_body;
--- a/src/camphormux/gateway/traffic_thread.cpp
+++ b/src/camphormux/gateway/traffic_thread.cpp
@@ -15,9 +15,8 @@
   CallerServerOptions server_options;
   server_options.max_body = options.max_body;
   server_options.max_header = options.max_header;
-  dispatcher_ =
-      std::make_shared<Dispatcher>(loop_, std::move(options), std::move(random),
-                                   metrics, spans, keys(loop_));
+  dispatcher_ = std::make_shared<Dispatcher>(loop_, std::move(options), random,
+                                             metrics, spans, keys(loop_));
   server_ = std::make_unique<CallerServer>(
       loop_, address,
       [dispatcher = dispatcher_.get()](
--- a/src/camphormux/routing/endpoint_health.cpp
+++ b/src/camphormux/routing/endpoint_health.cpp
@@ -88,11 +88,9 @@
 void OnFailure(EndpointHealth& health, bool may_eject, const Limits& limits,
                core::MonotonicTime now) {
   ++health.consecutive_failures;
-  if (health.probing) {
-    Eject(health, limits, now);
-  } else if (!health.ejected_until &&
-             health.consecutive_failures >= limits.failures_to_eject &&
-             may_eject) {
+  const bool outlier = !health.ejected_until && may_eject &&
+                       health.consecutive_failures >= limits.failures_to_eject;
+  if (health.probing || outlier) {
     Eject(health, limits, now);
   }
 }
