--- a/src/camphormux/admission/service_queue.cpp
+++ b/src/camphormux/admission/service_queue.cpp
@@ -9,8 +9,9 @@
 
 /// Weight of a new sample in the moving averages.
 constexpr double kSampleWeight = 0.1;
-/// How long a run time predicts the next ones.
-constexpr core::Millis kRunMemory = std::chrono::seconds(1);
+/// Deviations above the average that few run times exceed. A request that is
+/// started too late ends as `unknown` and its work is lost.
+constexpr double kDeviations = 3.0;
 
 FairQueue& Of(ServiceQueue& queue, Priority priority) {
   return queue.by_priority[static_cast<std::size_t>(priority)];
@@ -58,21 +59,17 @@
       internal::Ahead(queue, priority, limits) * queue.rate.interval_ms)));
 }
 
-core::MonotonicTime PredictedEnd(const ServiceRate& rate,
-                                 core::MonotonicTime start,
-                                 core::MonotonicTime now) {
-  if (!rate.run_seen || now - *rate.run_seen > internal::kRunMemory) {
-    return start;
-  }
-  return start + core::Millis(
-                     static_cast<core::Millis::rep>(std::llround(rate.run_ms)));
+core::MonotonicTime LatestStart(const ServiceRate& rate,
+                                core::MonotonicTime now,
+                                core::MonotonicTime deadline) {
+  const core::Millis run(static_cast<core::Millis::rep>(std::llround(
+      rate.run_ms + internal::kDeviations * rate.run_deviation_ms)));
+  return deadline - std::min(run, (deadline - now) / 2);
 }
 
 Admission Admit(ServiceQueue& queue, Ticket ticket, Priority priority,
                 const QueueLimits& limits, core::MonotonicTime now) {
-  const core::MonotonicTime start =
-      now + PredictedWait(queue, priority, limits);
-  if (PredictedEnd(queue.rate, start, now) > ticket.deadline) {
+  if (now + PredictedWait(queue, priority, limits) > ticket.latest_start) {
     return {Refusal::kDeadline, std::nullopt};
   }
   if (Waiting(queue) == 0) {
@@ -93,9 +90,10 @@
   if (!ticket) {
     return std::nullopt;
   }
+  const int urgent_before = queue.urgent_in_a_row;
   queue.urgent_in_a_row =
       priority == Priority::kUrgent ? queue.urgent_in_a_row + 1 : 0;
-  return NextTicket{std::move(*ticket), priority};
+  return NextTicket{std::move(*ticket), priority, urgent_before};
 }
 
 void ObserveStart(ServiceRate& rate, core::MonotonicTime now) {
@@ -107,24 +105,27 @@
 }
 
 void PutBack(ServiceQueue& queue, NextTicket next) {
-  if (next.priority == Priority::kUrgent && queue.urgent_in_a_row > 0) {
-    --queue.urgent_in_a_row;
-  }
+  queue.urgent_in_a_row = next.urgent_before;
   PushFront(internal::Of(queue, next.priority), std::move(next.ticket));
 }
 
+void Readmit(ServiceQueue& queue, Ticket ticket, Priority priority) {
+  PushFront(internal::Of(queue, priority), std::move(ticket));
+}
+
 std::vector<Ticket> RemoveLate(ServiceQueue& queue, core::MonotonicTime now) {
-  const core::MonotonicTime end = PredictedEnd(queue.rate, now, now);
-  std::vector<Ticket> late = RemoveExpired(queue.by_priority[0], end);
-  std::vector<Ticket> normal = RemoveExpired(queue.by_priority[1], end);
+  std::vector<Ticket> late = RemoveExpired(queue.by_priority[0], now);
+  std::vector<Ticket> normal = RemoveExpired(queue.by_priority[1], now);
   std::move(normal.begin(), normal.end(), std::back_inserter(late));
   return late;
 }
 
-void ObserveRun(ServiceRate& rate, core::Millis run_time,
-                core::MonotonicTime now) {
-  internal::Average(rate.run_ms, static_cast<double>(run_time.count()));
-  rate.run_seen = now;
+void ObserveRun(ServiceRate& rate, core::Millis run_time) {
+  const auto sample = static_cast<double>(run_time.count());
+  if (rate.run_ms > 0.0) {
+    internal::Average(rate.run_deviation_ms, std::abs(sample - rate.run_ms));
+  }
+  internal::Average(rate.run_ms, sample);
 }
 
 }  // namespace camphormux::admission
--- a/src/camphormux/admission/service_queue.hpp
+++ b/src/camphormux/admission/service_queue.hpp
@@ -27,11 +27,9 @@
 
 /// @brief Observed speed of a service; predicts waits.
 struct ServiceRate {
-  double run_ms = 0.0;  ///< Moving average of run times; 0: unknown.
-  /// When a run time was last seen. Without this, one slow phase could refuse
-  /// all requests for ever, as refused requests give no new run times.
-  std::optional<core::MonotonicTime> run_seen;
-  double interval_ms = 0.0;  ///< Between starts while requests wait.
+  double run_ms = 0.0;            ///< Moving average of run times; 0: unknown.
+  double run_deviation_ms = 0.0;  ///< Moving average of their deviation.
+  double interval_ms = 0.0;       ///< Between starts while requests wait.
   std::optional<core::MonotonicTime> last_start;  ///< While requests wait.
 };
 
@@ -52,6 +50,7 @@
 struct NextTicket {
   Ticket ticket;
   Priority priority = Priority::kNormal;
+  int urgent_before = 0;  ///< Urgent requests in a row before it.
 };
 
 /// @brief Returns how many requests wait.
@@ -68,14 +67,15 @@
                                          Priority priority,
                                          const QueueLimits& limits);
 
-/// @brief Returns when a request that starts at a time would end.
+/// @brief Returns until when a request is worth starting. Half of its time is
+/// never reserved, so that long run times alone refuse no request.
 /// @param rate The observed speed.
-/// @param start When it starts.
-/// @param now The time; run times that were seen long ago do not count.
-/// @return The start and the average run time.
-[[nodiscard]] core::MonotonicTime PredictedEnd(const ServiceRate& rate,
-                                               core::MonotonicTime start,
-                                               core::MonotonicTime now);
+/// @param now The time of its admission.
+/// @param deadline When its answer must be there.
+/// @return The deadline less the run time that most requests stay below.
+[[nodiscard]] core::MonotonicTime LatestStart(const ServiceRate& rate,
+                                              core::MonotonicTime now,
+                                              core::MonotonicTime deadline);
 
 /// @brief Admits a request to the queue, if it can be answered in time.
 /// @param queue The queue.
@@ -101,13 +101,19 @@
 /// @param now The time.
 void ObserveStart(ServiceRate& rate, core::MonotonicTime now);
 
-/// @brief Puts a request back that found no endpoint.
+/// @brief Puts a request back that found no endpoint; its turn is not used up.
+/// Requests are put back in the reverse order of their taking.
 /// @param queue The queue.
 /// @param next The request as taken.
 void PutBack(ServiceQueue& queue, NextTicket next);
 
-/// @brief Removes the requests that would end after their deadline if they
-/// started now.
+/// @brief Puts a request in front that starts again after a pause.
+/// @param queue The queue.
+/// @param ticket The request.
+/// @param priority Its priority.
+void Readmit(ServiceQueue& queue, Ticket ticket, Priority priority);
+
+/// @brief Removes the requests that are not worth starting any more.
 /// @param queue The queue.
 /// @param now The time.
 /// @return The removed requests.
@@ -117,9 +123,7 @@
 /// @brief Notes how long a request ran.
 /// @param rate The observed speed.
 /// @param run_time From the attempt's start to its end.
-/// @param now The time.
-void ObserveRun(ServiceRate& rate, core::Millis run_time,
-                core::MonotonicTime now);
+void ObserveRun(ServiceRate& rate, core::Millis run_time);
 
 }  // namespace camphormux::admission
 
