--- a/src/camphormux/maintenance/maintenance.cpp
+++ b/src/camphormux/maintenance/maintenance.cpp
@@ -1,6 +1,8 @@
 #include "camphormux/maintenance/maintenance.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 #include "camphormux/maintenance/forecast.hpp"
 #include "camphormux/moves/moves.hpp"
--- a/src/camphormux/moves/moves.cpp
+++ b/src/camphormux/moves/moves.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <tuple>
 
 #include "camphormux/moves/zone_view.hpp"
@@ -268,6 +269,14 @@
   }
 }
 
+std::set<core::HostId> DoubtfulHosts(const MoveInput& input) {
+  std::set<core::HostId> doubtful;
+  std::set_difference(input.missing.begin(), input.missing.end(),
+                      input.confirmed_dead.begin(), input.confirmed_dead.end(),
+                      std::inserter(doubtful, doubtful.end()));
+  return doubtful;
+}
+
 void ReportFrozen(const ZoneView& view, MoveDecision& decision) {
   decision.frozen = true;
   for (const Deficit& deficit : FindDeficits(view)) {
@@ -299,7 +308,8 @@
 MoveDecision DecideMoves(const MoveInput& input) {
   MoveDecision decision;
   internal::ZoneView view = internal::MakeView(input);
-  if (ManyMissing(input.hosts, input.missing, input.limits.missing_share)) {
+  const std::set<core::HostId> doubtful = internal::DoubtfulHosts(input);
+  if (ManyMissing(input.hosts, doubtful, input.limits.missing_share)) {
     internal::ReportFrozen(view, decision);
     return decision;
   }
--- a/src/camphormux/moves/moves.hpp
+++ b/src/camphormux/moves/moves.hpp
@@ -39,6 +39,9 @@
   /// Hosts that do not answer or that the host list dropped. They stay in
   /// `hosts` until the shared state removes them.
   std::set<core::HostId> missing;
+  /// Those of the missing hosts whose failure other members' evidence or the
+  /// platform confirms; they raise no doubt about the view.
+  std::set<core::HostId> confirmed_dead;
   std::vector<PoolTarget> pools;
   core::PoolName spare_pool;
   MoveLimits limits;
--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -34,6 +34,9 @@
 /// Share of the last second's rise that a first surge is expected to go on
 /// rising.
 constexpr double kGrowthShare = 0.5;
+/// Demand that stays up longer is the new calm level; maintenance would wait
+/// for its end otherwise.
+constexpr core::Millis kLongestSurge = std::chrono::minutes(10);
 /// Share of the remembered peak that a smaller surge leaves of it.
 constexpr double kPeakDecay = 0.8;
 /// A size that demand needs falls no earlier than this after it rose.
@@ -165,13 +168,19 @@
 /// Follows a service's own surges, without the calls of other services, and
 /// returns the slots to plan for.
 double PlanSlots(double slots, core::MonotonicTime now, ServiceMemory& memory) {
-  const bool rise =
-      slots > kSurgeRatio * memory.calm_slots && slots > kMinSurgeSlots;
+  const bool known = memory.calm_slots > 0.0;
+  const bool rise = known && slots > kSurgeRatio * memory.calm_slots &&
+                    slots > kMinSurgeSlots;
   const bool fallen = slots < kSurgeEndShare * memory.surge_level_slots;
+  const bool lasting =
+      memory.surging && now - *memory.surge_start > kLongestSurge;
   if (!memory.surging && rise) {
     StartSurge(now, memory);
   } else if (memory.surging && fallen) {
     EndSurge(memory);
+  } else if (lasting) {
+    memory.calm_slots = memory.surge_level_slots;
+    EndSurge(memory);
   }
   double planned = slots;
   if (memory.surging) {
