Add at-most-once claims by intents on the log

A non-repeatable request with an idempotency key must run at most once over all gateways, although the log offers only append and read, its answers can be lost and gateways crash or pause.

A gateway appends an intent in a group and runs the request only after it read that intent as the first for the key. Ages are judged by the log's clock alone, so clocks of gateways do not matter; keys that may be held by records that were not read, or that did not fit into memory, are refused. A release names its intent, so a late copy gives back nothing else. "Not run" is proven only by a read to the log's end that began after the claim. KeyStore runs this on a LogPort and fetches answers from the gateway that ran the key.

--- /dev/null
+++ b/src/camphormux/idempotency/fold.cpp
@@ -0,0 +1,136 @@
+#include "camphormux/idempotency/fold.hpp"
+
+#include <algorithm>
+
+namespace camphormux::idempotency {
+namespace internal {
+
+template <typename T>
+std::uint32_t Number(const T& item, std::vector<T>& items,
+                     std::map<T, std::uint32_t>& numbers) {
+  const auto [entry, added] =
+      numbers.try_emplace(item, static_cast<std::uint32_t>(items.size()));
+  if (added) {
+    items.push_back(item);
+  }
+  return entry->second;
+}
+
+/// Forgets keys that can no longer be claimed.
+void Expire(Fold& fold) {
+  while (!fold.held.empty() && CheckAge(fold.held.begin()->first,
+                                        fold.log_now) == KeyProblem::kExpired) {
+    fold.held.erase(fold.held.begin());
+  }
+}
+
+/// Forgets the oldest keys above the bound; they cannot be claimed any more.
+void Evict(Fold& fold) {
+  while (fold.held.size() > fold.max_keys) {
+    const auto oldest = fold.held.begin();
+    fold.blind_until = std::max(fold.blind_until, KeyTime(oldest->first));
+    fold.held.erase(oldest);
+  }
+}
+
+IntentVerdict JudgeHeld(const Fold::Entry& entry, std::uint32_t claimant,
+                        std::uint32_t service, std::uint64_t number) {
+  if (entry.claimant == claimant && entry.number == number) {
+    return IntentVerdict::kFirst;  // The same intent, appended twice.
+  }
+  return entry.service == service ? IntentVerdict::kHeld
+                                  : IntentVerdict::kReused;
+}
+
+IntentVerdict ApplyIntent(Fold& fold, const Intent& intent,
+                          std::uint32_t claimant) {
+  const auto problem = CheckAge(intent.key, fold.log_now);
+  if (problem) {
+    return *problem == KeyProblem::kExpired ? IntentVerdict::kExpired
+                                            : IntentVerdict::kAhead;
+  }
+  const std::uint32_t service =
+      Number(intent.service, fold.services, fold.service_numbers);
+  const auto [entry, added] = fold.held.try_emplace(
+      intent.key, Fold::Entry{intent.number, claimant, service});
+  const IntentVerdict verdict =
+      added ? IntentVerdict::kFirst
+            : JudgeHeld(entry->second, claimant, service, intent.number);
+  if (verdict == IntentVerdict::kFirst && !Covers(fold, intent.key)) {
+    return IntentVerdict::kGap;
+  }
+  return verdict;
+}
+
+void ApplyRelease(Fold& fold, const Release& release, std::uint32_t claimant) {
+  const auto found = fold.held.find(release.key);
+  if (found != fold.held.end() && found->second.claimant == claimant &&
+      found->second.number == release.number) {
+    fold.held.erase(found);
+  }
+}
+
+void SeeTime(Fold& fold, core::WallTime time) {
+  fold.log_now = std::max(fold.log_now, time);
+  if (fold.blind) {
+    // Records that were not read are older than this one, and no key in them
+    // was further ahead than permitted.
+    fold.blind = false;
+    fold.blind_until = std::max(fold.blind_until, fold.log_now + kMaxKeyLead);
+  }
+}
+
+}  // namespace internal
+
+std::vector<JudgedIntent> Apply(Fold& fold, const log::StoredRecord& record,
+                                const Claimant& self) {
+  std::vector<JudgedIntent> judged;
+  if (record.offset < fold.next) {
+    return judged;
+  }
+  fold.blind = fold.blind || record.offset > fold.next;
+  fold.next = core::Next(record.offset);
+  internal::SeeTime(fold, record.time);
+  internal::Expire(fold);
+  const auto batch = DecodeBatch(record.data);
+  if (!batch) {
+    ++fold.malformed_records;
+    return judged;
+  }
+  const std::uint32_t claimant =
+      internal::Number(batch->claimant, fold.claimants, fold.claimant_numbers);
+  for (const Intent& intent : batch->intents) {
+    const IntentVerdict verdict = internal::ApplyIntent(fold, intent, claimant);
+    if (batch->claimant == self) {
+      judged.push_back({intent.key, intent.number, verdict});
+    }
+  }
+  for (const Release& release : batch->releases) {
+    internal::ApplyRelease(fold, release, claimant);
+  }
+  internal::Evict(fold);
+  return judged;
+}
+
+void Skip(Fold& fold, core::LogOffset earliest) {
+  if (earliest != fold.next) {
+    fold.next = earliest;
+    fold.blind = true;
+  }
+}
+
+std::optional<Hold> FindHold(const Fold& fold, const Key& key) {
+  const auto found = fold.held.find(key);
+  if (found == fold.held.end()) {
+    return std::nullopt;
+  }
+  const Fold::Entry& entry = found->second;
+  return Hold{fold.claimants[entry.claimant], entry.number,
+              fold.services[entry.service]};
+}
+
+bool Covers(const Fold& fold, const Key& key) {
+  return !fold.blind && KeyTime(key) > fold.blind_until;
+}
+
+}  // namespace camphormux::idempotency
--- /dev/null
+++ b/test/idempotency/key_store_test.cpp
@@ -0,0 +1,165 @@
+#include "camphormux/idempotency/key_store.hpp"
+
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/peer/server.hpp"
+#include "test/idempotency/world.hpp"
+
+namespace camphormux::idempotency {
+namespace {
+
+constexpr core::Millis kLimit = std::chrono::seconds(20);
+
+/// A log on the event loop; reads wait for records like long polls.
+struct LoopLog {
+  asio::io_context& loop;
+  world::Log log;
+  bool available = true;
+  std::vector<std::pair<core::LogOffset, std::function<void(log::ReadAnswer)>>>
+      polls;
+
+  void Serve() {
+    log.now = core::WallNow();
+    for (auto& [from, done] : std::exchange(polls, {})) {
+      done(log.Read(from, 1000));
+    }
+  }
+
+  log::LogPort Port() {
+    return {[this](const std::string&, std::string data,
+                   std::function<void(log::AppendResult)> done) {
+              asio::post(loop, [this, data = std::move(data),
+                                done = std::move(done)]() mutable {
+                log.now = core::WallNow();
+                if (!available) {
+                  done(log::AppendError::kUnavailable);
+                  return;
+                }
+                done(log.Append(std::move(data)));
+                Serve();
+              });
+            },
+            [this](const std::string&, core::LogOffset from, std::size_t,
+                   core::Millis, std::function<void(log::ReadAnswer)> done) {
+              asio::post(loop, [this, from, done = std::move(done)]() mutable {
+                polls.emplace_back(from, std::move(done));
+                if (from.value < log.records.size()) {
+                  Serve();
+                }
+              });
+            }};
+  }
+};
+
+struct Site {
+  std::unique_ptr<KeyStore> store;
+  std::unique_ptr<peer::Server> server;
+};
+
+/// Two gateways with real peer connections on one log.
+struct KeyStoreTest : testing::Test {
+  asio::io_context loop;
+  LoopLog log{loop, {}, true, {}};
+  std::map<core::ProcessId, Site> sites;
+
+  KeyStoreTest() {
+    log.log.Append("not a batch");
+    for (const std::string name : {"a", "b"}) {
+      Site& site = sites[{name}];
+      site.server = std::make_unique<peer::Server>(
+          loop, core::Address{"127.0.0.1", 0},
+          [&site](const peer::Request& request, const peer::Respond& respond) {
+            site.store->Handle(request, respond);
+          });
+      KeyStoreOptions options;
+      options.self = {{name}, {1}};
+      site.store = std::make_unique<KeyStore>(
+          loop, log.Port(), options,
+          [this](
+              const core::ProcessId& process) -> std::optional<core::Address> {
+            const auto found = sites.find(process);
+            if (found == sites.end() || !found->second.server) {
+              return std::nullopt;
+            }
+            return core::Address{"127.0.0.1", found->second.server->port()};
+          });
+      site.store->Start();
+    }
+  }
+
+  ClaimOutcome Claim(const std::string& site, const std::string& key,
+                     core::Millis timeout = kLimit) {
+    std::optional<ClaimOutcome> outcome;
+    sites.at({site}).store->Claim(key, {"kilns"}, timeout,
+                                  [&](ClaimOutcome result) {
+                                    outcome = std::move(result);
+                                    loop.stop();
+                                  });
+    loop.restart();
+    loop.run_for(2 * kLimit);
+    EXPECT_TRUE(outcome.has_value());
+    return outcome.value_or(ClaimOutcome{});
+  }
+
+  static std::string NewKey(std::uint8_t number) {
+    return FormatKey(MakeKey(core::WallNow(), {number}));
+  }
+};
+
+// Guards against a second attempt that runs or does not get the first answer.
+TEST_F(KeyStoreTest, ALaterAttemptGetsTheFirstAnswer) {
+  const std::string key = NewKey(1);
+  EXPECT_EQ(Claim("a", key).result, ClaimResult::kRun);
+  asio::post(loop, [&] {
+    sites.at({"a"}).store->Store(key, {201, {{"X", "y"}}, "fired"});
+  });
+  for (const std::string site : {"b", "a"}) {
+    const ClaimOutcome outcome = Claim(site, key);
+    ASSERT_EQ(outcome.result, ClaimResult::kAnswered) << site;
+    EXPECT_EQ(outcome.answer->body, "fired");
+  }
+}
+
+// Guards against a released key that nobody can run any more.
+TEST_F(KeyStoreTest, AReleasedKeyRunsElsewhere) {
+  const std::string key = NewKey(2);
+  EXPECT_EQ(Claim("a", key).result, ClaimResult::kRun);
+  asio::post(loop, [&] { sites.at({"a"}).store->Release(key); });
+  EXPECT_EQ(Claim("b", key).result, ClaimResult::kRun);
+}
+
+// Guards against an attempt that runs because the holder died.
+TEST_F(KeyStoreTest, TheKeyOfADeadHolderIsUnknown) {
+  const std::string key = NewKey(3);
+  EXPECT_EQ(Claim("a", key).result, ClaimResult::kRun);
+  sites.at({"a"}).store.reset();
+  sites.at({"a"}).server.reset();
+  const ClaimOutcome outcome = Claim("b", key);
+  EXPECT_EQ(outcome.result, ClaimResult::kUnknown);
+  EXPECT_EQ(outcome.reason, ClaimReason::kOwnerUnreachable);
+}
+
+// Guards against a lost answer that is reported as not run.
+TEST_F(KeyStoreTest, ALostAnswerIsUnknown) {
+  const std::string key = NewKey(4);
+  EXPECT_EQ(Claim("a", key).result, ClaimResult::kRun);
+  sites.at({"a"}).store->Lose(key);
+  EXPECT_EQ(Claim("b", key).reason, ClaimReason::kAnswerLost);
+}
+
+// Guards against claims that hang or run while the log is down, and against
+// keys that are refused without a log.
+TEST_F(KeyStoreTest, RefusesWhatCannotBeClaimed) {
+  EXPECT_EQ(Claim("a", "no-uuid").reason, ClaimReason::kInvalidKey);
+  const Key old = MakeKey(core::WallNow() - 2 * kKeyLifetime, {5});
+  EXPECT_EQ(Claim("a", FormatKey(old)).reason, ClaimReason::kKeyExpired);
+  log.available = false;
+  const ClaimOutcome outcome = Claim("a", NewKey(6), core::Millis(100));
+  EXPECT_EQ(outcome.result, ClaimResult::kUnavailable);
+  EXPECT_EQ(outcome.reason, ClaimReason::kStoreUnavailable);
+  EXPECT_FALSE(outcome.not_run_proven);
+}
+
+}  // namespace
+}  // namespace camphormux::idempotency
