--- /dev/null
+++ b/bench/idempotency/idempotency_bench.cpp
@@ -0,0 +1,245 @@
+// Measures claims of seven gateways on one log in virtual time: added latency
+// with group commit at a limited log, and memory of remembered keys.
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <queue>
+#include <vector>
+
+#include <malloc.h>
+
+#include "camphormux/idempotency/claims.hpp"
+
+namespace camphormux::idempotency {
+namespace {
+
+constexpr std::size_t kGateways = 7;
+constexpr std::size_t kAppendsPerSecond = 300;
+// One way to the log and back, and the log's own work.
+constexpr core::Millis kLogRoundTrip{4};
+constexpr core::Millis kClaimTimeout{2000};
+constexpr int kWarmUpMs = 2000;
+constexpr int kMeasuredMs = 10'000;
+
+struct Pending {
+  std::size_t gateway = 0;
+  AppendOrder order;
+  core::MonotonicTime answer_at;
+};
+
+struct Bench {
+  explicit Bench(double keys_per_second) : rate(keys_per_second) {}
+
+  double rate;
+  core::MonotonicTime now{std::chrono::hours(1)};
+  core::WallTime wall{std::chrono::hours(24 * 365 * 50)};
+  core::Random random = core::SeededRandom(20261204);
+  std::vector<Claims> gateways;
+  std::vector<std::map<std::uint64_t, core::MonotonicTime>> began;
+  std::vector<log::StoredRecord> records;
+  std::vector<core::MonotonicTime> visible;  ///< By record.
+  std::deque<Pending> pending;
+  std::vector<std::optional<ReadOrder>> reads;
+  std::vector<std::int64_t> latencies;
+  double tokens = 0;
+  double due = 0;
+  std::uint64_t throttled = 0;
+  std::uint64_t begun = 0;
+  std::uint64_t unserved = 0;
+  std::uint64_t log_bytes = 0;
+};
+
+void Take(Bench& bench, std::size_t index, Effects effects, bool measured) {
+  for (AppendOrder& order : effects.appends) {
+    bench.pending.push_back(
+        {index, std::move(order), bench.now + kLogRoundTrip});
+  }
+  if (effects.read) {
+    bench.reads[index] = effects.read;
+  }
+  for (const Decision& decision : effects.decisions) {
+    const auto found = bench.began[index].find(decision.number);
+    if (decision.kind != DecisionKind::kRun) {
+      bench.unserved += measured ? 1 : 0;
+    } else if (measured) {
+      bench.latencies.push_back((bench.now - found->second).count());
+    }
+    bench.began[index].erase(found);
+  }
+}
+
+Key RandomKey(Bench& bench) {
+  std::array<std::uint8_t, 10> bytes{};
+  for (std::uint8_t& byte : bytes) {
+    byte = static_cast<std::uint8_t>(core::Below(bench.random, 256));
+  }
+  return MakeKey(bench.wall, bytes);
+}
+
+void Arrive(Bench& bench, bool measured) {
+  bench.due += bench.rate / 1000;
+  for (; bench.due >= 1; bench.due -= 1) {
+    const std::size_t index = core::Below(bench.random, kGateways);
+    Claims& claims = bench.gateways[index];
+    Effects effects;
+    bench.began[index][claims.last_number + 1] = bench.now;
+    bench.begun += measured ? 1 : 0;
+    BeginClaim(claims, RandomKey(bench), {"kilns"}, kClaimTimeout, bench.now,
+               effects);
+    Take(bench, index, std::move(effects), measured);
+  }
+}
+
+/// The log takes at most its limit, and answers after the round trip.
+void ServeAppends(Bench& bench) {
+  bench.tokens = std::min(bench.tokens + kAppendsPerSecond / 1000.0,
+                          kAppendsPerSecond / 20.0);
+  while (!bench.pending.empty() &&
+         bench.pending.front().answer_at <= bench.now) {
+    Pending pending = std::move(bench.pending.front());
+    bench.pending.pop_front();
+    log::AppendResult result = log::AppendError::kThrottled;
+    if (bench.tokens >= 1) {
+      bench.tokens -= 1;
+      bench.log_bytes += pending.order.data.size();
+      const core::LogOffset offset{bench.records.size()};
+      bench.records.push_back(
+          {offset, bench.wall, std::move(pending.order.data)});
+      result = offset;
+    } else {
+      ++bench.throttled;
+    }
+    OnAppend(bench.gateways[pending.gateway], pending.order.batch, result,
+             bench.now);
+  }
+}
+
+/// Long polls: a reader gets what is new half a round trip after it landed.
+void ServeReads(Bench& bench, bool measured) {
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    if (!bench.reads[i]) {
+      continue;
+    }
+    const std::uint64_t from = bench.reads[i]->from.value;
+    log::ReadResult result{{0}, {bench.records.size()}, {}};
+    for (std::size_t at = from; at < bench.records.size(); ++at) {
+      if (bench.records[at].time + kLogRoundTrip / 2 > bench.wall) {
+        break;
+      }
+      result.records.push_back(bench.records[at]);
+    }
+    if (result.records.empty()) {
+      continue;
+    }
+    const ReadOrder order = *std::exchange(bench.reads[i], std::nullopt);
+    Effects effects;
+    OnRead(bench.gateways[i], order.serial, result, bench.now, effects);
+    Take(bench, i, std::move(effects), measured);
+  }
+}
+
+void Step(Bench& bench, bool measured) {
+  bench.now += core::Millis(1);
+  bench.wall += core::Millis(1);
+  Arrive(bench, measured);
+  ServeAppends(bench);
+  ServeReads(bench, measured);
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    Effects effects;
+    Advance(bench.gateways[i], bench.now, effects);
+    Take(bench, i, std::move(effects), measured);
+  }
+}
+
+std::int64_t Percentile(std::vector<std::int64_t>& values, double share) {
+  if (values.empty()) {
+    return -1;
+  }
+  const auto at = static_cast<std::ptrdiff_t>(
+      share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + at, values.end());
+  return values[static_cast<std::size_t>(at)];
+}
+
+void RunRate(double rate, const ClaimPolicy& policy, const char* name) {
+  Bench bench(rate);
+  bench.reads.resize(kGateways);
+  bench.began.resize(kGateways);
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    bench.gateways.push_back(
+        MakeClaims({{"gateway-" + std::to_string(i)}, {1}}, policy, i));
+  }
+  const std::clock_t start = std::clock();
+  for (int ms = 0; ms < kWarmUpMs + kMeasuredMs; ++ms) {
+    Step(bench, ms >= kWarmUpMs);
+  }
+  const double cpu = static_cast<double>(std::clock() - start) /
+                     CLOCKS_PER_SEC / (kWarmUpMs + kMeasuredMs) * 1000 /
+                     kGateways * 100;
+  std::printf(
+      "%s keys/s=%.0f begun=%lu run=%zu unserved=%lu added latency p50=%ld ms "
+      "p99=%ld ms appends/s=%.0f throttled=%lu log kB/s=%.1f "
+      "cpu a gateway=%.2f%%\n",
+      name, rate, bench.begun, bench.latencies.size(), bench.unserved,
+      Percentile(bench.latencies, 0.5), Percentile(bench.latencies, 0.99),
+      static_cast<double>(bench.records.size()) * 1000 /
+          (kWarmUpMs + kMeasuredMs),
+      bench.throttled,
+      static_cast<double>(bench.log_bytes) / (kWarmUpMs + kMeasuredMs), cpu);
+  std::fflush(stdout);
+}
+
+/// Fills a fold with keys of 15 minutes and reports the heap bytes of each.
+void MeasureMemory(std::size_t keys) {
+  core::Random random = core::SeededRandom(7);
+  Fold fold;
+  fold.max_keys = keys;
+  const core::WallTime start{std::chrono::hours(24 * 365 * 50)};
+  const std::size_t before = mallinfo2().uordblks;
+  constexpr std::size_t kBatch = 500;
+  for (std::size_t at = 0; at < keys; at += kBatch) {
+    Batch batch;
+    batch.claimant = {{"gateway-" + std::to_string(at % kGateways)}, {1}};
+    const auto time = start + kKeyLifetime * static_cast<std::int64_t>(at) /
+                                  static_cast<std::int64_t>(keys);
+    const auto wall = std::chrono::time_point_cast<core::Millis>(time);
+    for (std::size_t i = 0; i < kBatch; ++i) {
+      std::array<std::uint8_t, 10> bytes{};
+      for (std::uint8_t& byte : bytes) {
+        byte = static_cast<std::uint8_t>(core::Below(random, 256));
+      }
+      batch.intents.push_back({MakeKey(wall, bytes), {"kilns"}, at + i});
+    }
+    (void)Apply(fold, {fold.next, wall, Encode(batch)}, {});
+  }
+  const std::size_t used = mallinfo2().uordblks - before;
+  std::printf(
+      "memory: %zu keys held, %.1f MB, %.0f bytes a key\n", fold.held.size(),
+      static_cast<double>(used) / 1e6,
+      static_cast<double>(used) / static_cast<double>(fold.held.size()));
+}
+
+}  // namespace
+}  // namespace camphormux::idempotency
+
+int main() {
+  using camphormux::idempotency::ClaimPolicy;
+  const ClaimPolicy grouped;
+  for (const double rate : {50, 200, 1000, 3000, 10'000}) {
+    camphormux::idempotency::RunRate(rate, grouped, "grouped");
+  }
+  ClaimPolicy single;
+  single.append_interval = camphormux::core::Millis(0);
+  single.max_batch = 1;
+  single.max_in_flight = 1000;
+  for (const double rate : {50, 200, 1000}) {
+    camphormux::idempotency::RunRate(rate, single, "one intent an append");
+  }
+  for (const std::size_t keys : {100'000, 1'000'000}) {
+    camphormux::idempotency::MeasureMemory(keys);
+  }
+  return 0;
+}
--- a/src/camphormux/membership/gossip.cpp
+++ b/src/camphormux/membership/gossip.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/membership/gossip.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphormux::membership {
@@ -14,13 +15,23 @@
 // comes before it would become suspect.
 constexpr std::uint64_t kAskAfter = 2;
 
+void QueueChange(View& view, const core::ProcessId& process) {
+  std::set<core::ZoneName> zones;
+  for (const auto& [id, member] : view.members) {
+    zones.insert(member.identity.zone);
+  }
+  view.pending_changes[process] = view.config.change_repeats;
+  view.pending_link_changes[process] = view.config.link_change_repeats *
+                                       static_cast<std::uint32_t>(zones.size());
+}
+
 void SetHealth(View& view, Member& member, Health health, bool gossip,
                core::MonotonicTime now, std::vector<Transition>& transitions) {
   transitions.push_back({member.identity.process, member.health, health});
   member.health = health;
   member.changed = now;
   if (gossip) {
-    view.pending_changes[member.identity.process] = view.config.change_repeats;
+    QueueChange(view, member.identity.process);
   }
 }
 
@@ -32,7 +43,7 @@
   member.health = health;
   member.last_known = now;
   member.changed = now;
-  view.pending_changes[identity.process] = view.config.change_repeats;
+  QueueChange(view, identity.process);
   transitions.push_back({identity.process, std::nullopt, health});
   return member;
 }
@@ -43,7 +54,7 @@
   member.identity = change.identity;
   member.report = {};
   member.last_known = now;
-  view.pending_changes[change.identity.process] = view.config.change_repeats;
+  QueueChange(view, change.identity.process);
   if (member.health != change.health) {
     SetHealth(view, member, change.health, true, now, transitions);
   }
@@ -170,17 +181,25 @@
          member.identity.zone == view.self.zone;
 }
 
-void AddPendingChanges(View& view, std::vector<Change>& changes) {
-  for (auto it = view.pending_changes.begin();
-       it != view.pending_changes.end() &&
-       changes.size() < view.config.max_changes;) {
+/// Adds the waiting changes to dead or to other members.
+void AddPendingChanges(const View& view, bool dead,
+                       std::map<core::ProcessId, std::uint32_t>& pending,
+                       std::vector<Change>& changes) {
+  for (auto it = pending.begin();
+       it != pending.end() && changes.size() < view.config.max_changes;) {
     const auto member = view.members.find(it->first);
-    if (member != view.members.end() && PassedOn(view, member->second)) {
+    if (member == view.members.end()) {
+      it = pending.erase(it);
+      continue;
+    }
+    if (dead != (member->second.health == Health::kDead)) {
+      ++it;
+      continue;
+    }
+    if (PassedOn(view, member->second)) {
       changes.push_back({member->second.identity, member->second.health});
     }
-    it = member == view.members.end() || --it->second == 0
-             ? view.pending_changes.erase(it)
-             : std::next(it);
+    it = --it->second == 0 ? pending.erase(it) : std::next(it);
   }
 }
 
@@ -206,20 +225,28 @@
   if (receiver != nullptr && receiver->health != Health::kAlive) {
     changes.push_back({receiver->identity, receiver->health});
   }
-  AddPendingChanges(view, changes);
+  const bool zone_link =
+      receiver != nullptr && receiver->identity.zone != view.self.zone;
+  auto& pending = zone_link ? view.pending_link_changes : view.pending_changes;
+  // Deaths go first: suspicions are frequent when heartbeats are lost.
+  AddPendingChanges(view, true, pending, changes);
+  AddPendingChanges(view, false, pending, changes);
   const bool starts =
       answered != nullptr && answered->report.sequence <= kStartSequence;
   AddRepeatedChanges(view, starts ? view.config.max_changes : 1, changes);
   return changes;
 }
 
-/// Within its own zone a report is relayed only if the zone is too large for
-/// everybody to exchange heartbeats with everybody.
-bool NeedsRelay(const View& view, const Member& member,
-                const Member& receiver) {
-  const bool connected = view.members.size() <= view.config.fanout;
-  return member.report.sequence > 0 && &member != &receiver &&
-         (member.identity.zone != receiver.identity.zone || !connected);
+/// Whether everybody in the own zone exchanges heartbeats with everybody, so
+/// that their reports need no relay within the zone.
+bool ZoneIsConnected(const View& view) {
+  std::size_t others = 0;
+  for (const auto& [process, member] : view.members) {
+    const bool counts = member.identity.zone == view.self.zone &&
+                        member.health != Health::kDead;
+    others += counts ? 1 : 0;
+  }
+  return others <= 2 * view.config.fanout;
 }
 
 /// Relays reports in turn; each receiver has a turn of its own, so that none
@@ -232,12 +259,16 @@
   const bool zone_link = receiver->identity.zone != view.self.zone;
   const std::size_t max_bytes = zone_link ? view.config.max_link_relay_bytes
                                           : view.config.max_relay_bytes;
+  const bool connected = ZoneIsConnected(view);
   core::ProcessId& cursor = view.relay_cursors[receiver->identity.process];
   std::size_t bytes = 0;
   for (std::size_t i = 0; i < view.members.size() && bytes < max_bytes; ++i) {
     const auto next = NextInTurn(view.members, cursor);
     const Member& member = next->second;
-    if (NeedsRelay(view, member, *receiver)) {
+    const bool direct =
+        &member == receiver ||
+        (connected && member.identity.zone == receiver->identity.zone);
+    if (!direct && member.report.sequence > 0) {
       Relay relay{next->first, member.identity.incarnation, member.report};
       bytes += EncodedBytes(relay);
       if (bytes > max_bytes && !relays.empty()) {
--- a/src/camphormux/membership/view.hpp
+++ b/src/camphormux/membership/view.hpp
@@ -20,15 +20,17 @@
   core::Millis zone_link_interval = std::chrono::seconds(2);
   std::uint32_t suspect_after = 3;  ///< Missed heartbeats.
   std::uint32_t dead_after = 8;     ///< Missed heartbeats.
-  /// Successors in the zone, in the order of names, that get a heartbeat. A
-  /// zone of at most this many plus 1 processes is fully connected; in a
-  /// larger one the cost a process pays stays the same.
-  std::size_t fanout = 5;
+  /// Successors in the zone, in the order of names, that get a heartbeat. In a
+  /// zone of at most twice this plus 1 processes everybody exchanges heartbeats
+  /// with everybody; in a larger one the cost a process pays stays the same.
+  std::size_t fanout = 4;
   std::size_t max_changes = 8;       ///< Changes in a heartbeat.
   std::size_t max_asks = 8;          ///< Missed processes in a heartbeat.
   std::size_t max_relay_bytes = 96;  ///< Reports of others in a heartbeat.
   std::size_t max_link_relay_bytes = 384;  ///< Same, to another zone.
   std::uint32_t change_repeats = 8;  ///< Heartbeats that carry a new change.
+  /// Same to other zones, for each zone.
+  std::uint32_t link_change_repeats = 4;
   /// Dead and unreachable processes are forgotten after this.
   core::Millis forget_after = std::chrono::minutes(10);
   /// One dead process is tried again in this many rounds.
@@ -61,8 +63,11 @@
   Report report;  ///< The caller sets all but the sequence.
   std::vector<core::Address> seeds;
   std::map<core::ProcessId, Member> members;  ///< Without this process.
-  /// Heartbeats that will still carry a member's change.
+  /// Heartbeats within the zone that will still carry a member's change.
   std::map<core::ProcessId, std::uint32_t> pending_changes;
+  /// Same for heartbeats to other zones, which are much rarer, so that the
+  /// repeats are not used up within the zone.
+  std::map<core::ProcessId, std::uint32_t> pending_link_changes;
   core::ProcessId change_cursor;
   std::map<core::ProcessId, core::ProcessId> relay_cursors;  ///< By receiver.
   std::uint64_t rounds = 0;
