--- a/src/camphormux/log/fwd.hpp
+++ b/src/camphormux/log/fwd.hpp
@@ -8,6 +8,11 @@
 struct StoredRecord;
 struct ReadResult;
 struct LogPort;
+struct Batch;
+struct AppenderOptions;
+struct Batcher;
+struct BatcherEffects;
+class Appender;
 
 }  // namespace camphormux::log
 
