--- a/src/camphormux/load/recorder.hpp
+++ b/src/camphormux/load/recorder.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -35,6 +36,12 @@
   std::int64_t p99_us = 0;
 };
 
+/// @brief What one service delivered.
+struct ServiceSummary {
+  std::uint64_t requests = 0;
+  std::uint64_t good = 0;  ///< Below status 500 within the deadline.
+};
+
 /// @brief What a run measured.
 struct Summary {
   std::uint64_t requests = 0;
@@ -43,11 +50,15 @@
   std::uint64_t unknown = 0;
   std::uint64_t none = 0;     ///< No response arrived.
   std::uint64_t damaged = 0;  ///< Answers of another request or cut ones.
-  double goodput = 0;         ///< Answers below status 500 a second.
+  /// Answers below status 500 within the deadline, a second.
+  double goodput = 0;
   double rejected_share = 0;  ///< `not-run` over requests.
   /// How late the generator itself sent, 99th percentile.
   std::int64_t send_lag_p99_us = 0;
   std::array<ClassSummary, 2> classes;  ///< Normal, urgent.
+  std::map<std::string, ServiceSummary> services;
+  /// Requests that were not answered, by error code of the gateway.
+  std::map<std::string, std::uint64_t> codes;
 };
 
 /// @brief Value below which a share of the values lie (nearest rank).
@@ -61,8 +72,10 @@
 class Recorder {
  public:
   /// @param path File of the history; empty: none.
+  /// @param deadline Later answers do not count as goodput; from the intended
+  /// send time.
   /// @throws std::runtime_error if the file cannot be opened.
-  explicit Recorder(const std::string& path);
+  Recorder(const std::string& path, core::Millis deadline);
 
   /// @brief Adds a sample.
   /// @param sample The sample.
@@ -76,6 +89,7 @@
  private:
   std::mutex mutex_;
   std::ofstream file_;
+  std::int64_t deadline_us_;
   Summary counts_;
   std::uint64_t good_ = 0;
   std::array<std::vector<std::int64_t>, 2> latencies_;
