--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -10,7 +10,6 @@
 
 #include "camphormux/controller/admin.hpp"
 #include "camphormux/controller/collector.hpp"
-#include "camphormux/controller/lease.hpp"
 #include "camphormux/controller/meters.hpp"
 #include "camphormux/controller/platform_client.hpp"
 #include "camphormux/controller/step.hpp"
@@ -21,6 +20,7 @@
 #include "camphormux/log/appender.hpp"
 #include "camphormux/log/http_port.hpp"
 #include "camphormux/membership/node.hpp"
+#include "camphormux/ownership/lease.hpp"
 #include "camphormux/peer/server.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
@@ -88,6 +88,7 @@
   void Announce();
   void TellMembers();
   void StepLease(core::MonotonicTime now);
+  void AppendLease(const state::Record& record, core::MonotonicTime sent);
   void StepControl(core::MonotonicTime now);
   void CountAnswers();
   void AppendBatch(const std::vector<state::Record>& records);
@@ -109,7 +110,7 @@
   log::Appender appender;
   Collector collector;
   Watch watch;
-  LeaseMemory lease;
+  ownership::Lease lease;
   StepMemory memory;
   StepResult last;
   Meters meters;
@@ -137,6 +138,7 @@
       tailer(loop, port, [](const state::FleetState&) {}),
       appender(loop, port, log::kStateStream),
       collector(MakePlatformPort(client, settings.platform), settings.zone),
+      lease(ownership::MakeLease(settings.zone, settings.process, {}, random)),
       spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
       timer(loop) {
   last.idle = IdleReason::kNoLease;
@@ -237,31 +239,36 @@
 }
 
 void App::Impl::StepLease(core::MonotonicTime now) {
-  const bool at_end =
-      tailer.at_end() && now - tailer.last_confirmed_sent() <= kStaleLog;
-  const auto record =
-      LeaseStep({tailer.state(), settings.process, settings.zone, at_end, now},
-                lease, random);
-  if (!record) {
-    return;
+  const auto found = tailer.state().leases.find(settings.zone);
+  ownership::LogView view;
+  view.lease = found == tailer.state().leases.end() ? nullptr : &found->second;
+  if (tailer.at_end()) {
+    view.complete_until = tailer.last_confirmed_sent();
+  }
+  const ownership::LeaseStep step = ownership::Advance(lease, view, now);
+  if (step.claim) {
+    AppendLease(*step.claim, now);
+  }
+  if (step.renew) {
+    AppendLease(*step.renew, now);
   }
-  appender.Append(state::EncodeRecords({*record}),
-                  [self = weak_from_this()](const log::AppendResult& result) {
-                    const auto impl = self.lock();
-                    if (!impl || !impl->lease.in_flight) {
-                      return;
-                    }
-                    if (result.has_value()) {
-                      impl->lease.in_flight->offset = result.value();
-                    } else {
-                      impl->lease.in_flight.reset();
-                    }
-                  });
+}
+
+void App::Impl::AppendLease(const state::Record& record,
+                            core::MonotonicTime sent) {
+  appender.Append(
+      state::EncodeRecords({record}),
+      [self = weak_from_this(), sent](const log::AppendResult& result) {
+        const auto impl = self.lock();
+        if (impl && result.has_value()) {
+          ownership::OnAppended(impl->lease, sent);
+        }
+      });
 }
 
 void App::Impl::StepControl(core::MonotonicTime now) {
   Observations& seen = collector.seen();
-  seen.lease = ProvenLease(lease, now);
+  seen.lease = ownership::MayDecide(lease, now);
   seen.log_read = tailer.last_confirmed_sent();
   seen.gateways = GatewaysOf(members.view());
   CountAnswers();
@@ -272,7 +279,10 @@
   Report(input, result, started);
   seen.answers.clear();
   AppendBatch(result.records);
-  collector.Send(result.calls);
+  // A step may take long; effects need the lease at the time of sending.
+  if (ownership::MayDecide(lease, core::MonotonicNow()) == seen.lease) {
+    collector.Send(result.calls);
+  }
   last = std::move(result);
 }
 
