--- /dev/null
+++ b/src/camphormux/controller/watch.cpp
@@ -0,0 +1,46 @@
+#include "camphormux/controller/watch.hpp"
+
+namespace camphormux::controller {
+
+void UpdateWatch(const state::FleetState& state, core::MonotonicTime now,
+                 Watch& watch) {
+  for (const auto& [zone, lease] : state.leases) {
+    const auto [known, added] =
+        watch.zones.try_emplace(zone, Watch::Zone{lease, now});
+    if (known->second.lease != lease) {
+      known->second = {lease, now};
+    }
+  }
+}
+
+std::vector<core::ZoneName> CutOffZones(const Watch& watch,
+                                        const core::ZoneName& own_zone,
+                                        core::MonotonicTime log_read,
+                                        core::MonotonicTime now) {
+  if (now - log_read >= kZoneCutOff) {
+    return {own_zone};
+  }
+  std::vector<core::ZoneName> zones;
+  for (const auto& [name, zone] : watch.zones) {
+    if (now - zone.changed >= kZoneCutOff) {
+      zones.push_back(name);
+    }
+  }
+  return zones;
+}
+
+std::vector<GatewayView> GatewaysOf(const membership::View& view) {
+  std::vector<GatewayView> gateways;
+  for (const auto& [id, member] : view.members) {
+    if (member.identity.role != state::ProcessRole::kGateway) {
+      continue;
+    }
+    gateways.push_back({id, member.identity.zone, member.report.applied,
+                        member.health == membership::Health::kDead,
+                        demand::DecodeSummary(member.report.payload)
+                            .value_or(demand::Summary{})});
+  }
+  return gateways;
+}
+
+}  // namespace camphormux::controller
