--- a/bench/state_recovery/main.cpp
+++ b/bench/state_recovery/main.cpp
@@ -38,13 +38,19 @@
 std::string TextWithPools() {
   std::string text = "[deployment]\nname = bench\nspare_pool = pool-0\n";
   for (int i = 0; i < kZones; ++i) {
-    text += "[zone z" + std::to_string(i) + "]\nregion = r" +
-            std::to_string(i / 3) + "\n";
+    text += "[zone z";
+    text += std::to_string(i);
+    text += "]\nregion = r";
+    text += std::to_string(i / 3);
+    text += "\n";
   }
   for (int i = 0; i < kPools; ++i) {
     const std::string number = std::to_string(i);
-    text += "[service service-" + number + "]\npool = pool-" + number +
-            "\nmin_hosts = 3\n";
+    text += "[service service-";
+    text += number;
+    text += "]\npool = pool-";
+    text += number;
+    text += "\nmin_hosts = 3\n";
   }
   return text;
 }
@@ -191,6 +197,7 @@
   }
   figures.fold_us = MillisSince(start) * 1000 / kTailRecords;
   std::vector<double> runs;
+  runs.reserve(kRuns);
   for (int i = 0; i < kRuns; ++i) {
     runs.push_back(RecoverOnce(stream, earliest, digest));
   }
