Undo the latest-start admission; keep the turns of requests put back

The cause is not known, so the admission, hold-off and limit rules go back to what was measured. Kept is that putting a request back does not use up its turn.

--- a/src/camphormux/admission/fair_queue.cpp
+++ b/src/camphormux/admission/fair_queue.cpp
@@ -89,13 +89,14 @@
   return ticket;
 }
 
-std::vector<Ticket> RemoveExpired(FairQueue& queue, core::MonotonicTime now) {
+std::vector<Ticket> RemoveExpired(FairQueue& queue,
+                                  core::MonotonicTime earliest_end) {
   std::vector<Ticket> expired;
   for (auto turn = queue.turns.begin(); turn != queue.turns.end();) {
     auto& tickets = queue.by_caller.at(*turn);
     const auto kept = std::stable_partition(
         tickets.begin(), tickets.end(),
-        [&](const Ticket& ticket) { return ticket.latest_start >= now; });
+        [&](const Ticket& ticket) { return ticket.deadline >= earliest_end; });
     std::move(kept, tickets.end(), std::back_inserter(expired));
     tickets.erase(kept, tickets.end());
     if (tickets.empty()) {
--- a/src/camphormux/admission/fair_queue.hpp
+++ b/src/camphormux/admission/fair_queue.hpp
@@ -17,7 +17,7 @@
 struct Ticket {
   std::uint64_t id = 0;
   std::string caller;
-  core::MonotonicTime latest_start;  ///< Later it would miss its deadline.
+  core::MonotonicTime deadline;
 };
 
 /// @brief A bounded queue that takes turns between callers. Each caller's own
@@ -54,12 +54,12 @@
 /// @return The ticket, or nothing if the queue is empty.
 [[nodiscard]] std::optional<Ticket> Pop(FairQueue& queue);
 
-/// @brief Removes the tickets that cannot be answered in time any more.
+/// @brief Removes the tickets that cannot be answered in time.
 /// @param queue The queue.
-/// @param now Tickets with an earlier latest start are removed.
+/// @param earliest_end Tickets with an earlier deadline are removed.
 /// @return The removed tickets.
-[[nodiscard]] std::vector<Ticket> RemoveExpired(FairQueue& queue,
-                                                core::MonotonicTime now);
+[[nodiscard]] std::vector<Ticket> RemoveExpired(
+    FairQueue& queue, core::MonotonicTime earliest_end);
 
 }  // namespace camphormux::admission
 
--- a/src/camphormux/admission/service_queue.cpp
+++ b/src/camphormux/admission/service_queue.cpp
@@ -9,9 +9,8 @@
 
 /// Weight of a new sample in the moving averages.
 constexpr double kSampleWeight = 0.1;
-/// Deviations above the average that few run times exceed. A request that is
-/// started too late ends as `unknown` and its work is lost.
-constexpr double kDeviations = 3.0;
+/// How long a run time predicts the next ones.
+constexpr core::Millis kRunMemory = std::chrono::seconds(1);
 
 FairQueue& Of(ServiceQueue& queue, Priority priority) {
   return queue.by_priority[static_cast<std::size_t>(priority)];
@@ -59,17 +58,21 @@
       internal::Ahead(queue, priority, limits) * queue.rate.interval_ms)));
 }
 
-core::MonotonicTime LatestStart(const ServiceRate& rate,
-                                core::MonotonicTime now,
-                                core::MonotonicTime deadline) {
-  const core::Millis run(static_cast<core::Millis::rep>(std::llround(
-      rate.run_ms + internal::kDeviations * rate.run_deviation_ms)));
-  return deadline - std::min(run, (deadline - now) / 2);
+core::MonotonicTime PredictedEnd(const ServiceRate& rate,
+                                 core::MonotonicTime start,
+                                 core::MonotonicTime now) {
+  if (!rate.run_seen || now - *rate.run_seen > internal::kRunMemory) {
+    return start;
+  }
+  return start + core::Millis(
+                     static_cast<core::Millis::rep>(std::llround(rate.run_ms)));
 }
 
 Admission Admit(ServiceQueue& queue, Ticket ticket, Priority priority,
                 const QueueLimits& limits, core::MonotonicTime now) {
-  if (now + PredictedWait(queue, priority, limits) > ticket.latest_start) {
+  const core::MonotonicTime start =
+      now + PredictedWait(queue, priority, limits);
+  if (PredictedEnd(queue.rate, start, now) > ticket.deadline) {
     return {Refusal::kDeadline, std::nullopt};
   }
   if (Waiting(queue) == 0) {
@@ -109,23 +112,18 @@
   PushFront(internal::Of(queue, next.priority), std::move(next.ticket));
 }
 
-void Readmit(ServiceQueue& queue, Ticket ticket, Priority priority) {
-  PushFront(internal::Of(queue, priority), std::move(ticket));
-}
-
 std::vector<Ticket> RemoveLate(ServiceQueue& queue, core::MonotonicTime now) {
-  std::vector<Ticket> late = RemoveExpired(queue.by_priority[0], now);
-  std::vector<Ticket> normal = RemoveExpired(queue.by_priority[1], now);
+  const core::MonotonicTime end = PredictedEnd(queue.rate, now, now);
+  std::vector<Ticket> late = RemoveExpired(queue.by_priority[0], end);
+  std::vector<Ticket> normal = RemoveExpired(queue.by_priority[1], end);
   std::move(normal.begin(), normal.end(), std::back_inserter(late));
   return late;
 }
 
-void ObserveRun(ServiceRate& rate, core::Millis run_time) {
-  const auto sample = static_cast<double>(run_time.count());
-  if (rate.run_ms > 0.0) {
-    internal::Average(rate.run_deviation_ms, std::abs(sample - rate.run_ms));
-  }
-  internal::Average(rate.run_ms, sample);
+void ObserveRun(ServiceRate& rate, core::Millis run_time,
+                core::MonotonicTime now) {
+  internal::Average(rate.run_ms, static_cast<double>(run_time.count()));
+  rate.run_seen = now;
 }
 
 }  // namespace camphormux::admission
--- a/src/camphormux/admission/service_queue.hpp
+++ b/src/camphormux/admission/service_queue.hpp
@@ -27,9 +27,11 @@
 
 /// @brief Observed speed of a service; predicts waits.
 struct ServiceRate {
-  double run_ms = 0.0;            ///< Moving average of run times; 0: unknown.
-  double run_deviation_ms = 0.0;  ///< Moving average of their deviation.
-  double interval_ms = 0.0;       ///< Between starts while requests wait.
+  double run_ms = 0.0;  ///< Moving average of run times; 0: unknown.
+  /// When a run time was last seen. Without this, one slow phase could refuse
+  /// all requests for ever, as refused requests give no new run times.
+  std::optional<core::MonotonicTime> run_seen;
+  double interval_ms = 0.0;  ///< Between starts while requests wait.
   std::optional<core::MonotonicTime> last_start;  ///< While requests wait.
 };
 
@@ -67,15 +69,14 @@
                                          Priority priority,
                                          const QueueLimits& limits);
 
-/// @brief Returns until when a request is worth starting. Half of its time is
-/// never reserved, so that long run times alone refuse no request.
+/// @brief Returns when a request that starts at a time would end.
 /// @param rate The observed speed.
-/// @param now The time of its admission.
-/// @param deadline When its answer must be there.
-/// @return The deadline less the run time that most requests stay below.
-[[nodiscard]] core::MonotonicTime LatestStart(const ServiceRate& rate,
-                                              core::MonotonicTime now,
-                                              core::MonotonicTime deadline);
+/// @param start When it starts.
+/// @param now The time; run times that were seen long ago do not count.
+/// @return The start and the average run time.
+[[nodiscard]] core::MonotonicTime PredictedEnd(const ServiceRate& rate,
+                                               core::MonotonicTime start,
+                                               core::MonotonicTime now);
 
 /// @brief Admits a request to the queue, if it can be answered in time.
 /// @param queue The queue.
@@ -107,13 +108,8 @@
 /// @param next The request as taken.
 void PutBack(ServiceQueue& queue, NextTicket next);
 
-/// @brief Puts a request in front that starts again after a pause.
-/// @param queue The queue.
-/// @param ticket The request.
-/// @param priority Its priority.
-void Readmit(ServiceQueue& queue, Ticket ticket, Priority priority);
-
-/// @brief Removes the requests that are not worth starting any more.
+/// @brief Removes the requests that would end after their deadline if they
+/// started now.
 /// @param queue The queue.
 /// @param now The time.
 /// @return The removed requests.
@@ -123,7 +119,9 @@
 /// @brief Notes how long a request ran.
 /// @param rate The observed speed.
 /// @param run_time From the attempt's start to its end.
-void ObserveRun(ServiceRate& rate, core::Millis run_time);
+/// @param now The time.
+void ObserveRun(ServiceRate& rate, core::Millis run_time,
+                core::MonotonicTime now);
 
 }  // namespace camphormux::admission
 
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -216,7 +216,8 @@
   state.metrics->queued->Increment();
   admission::PutBack(state.queue, {{exchange->id, exchange->options.caller,
                                     exchange->deadline},
-                                   exchange->options.priority});
+                                   exchange->options.priority,
+                                   state.queue.urgent_in_a_row});
   Pump(exchange->options.service);
 }
 
--- a/src/camphormux/gateway/dispatcher_attempts.cpp
+++ b/src/camphormux/gateway/dispatcher_attempts.cpp
@@ -177,7 +177,7 @@
   exchange.metrics->running->Decrement();
   ServiceState& state = services_[exchange.options.service];
   if (verdict == Verdict::kAnswered) {
-    admission::ObserveRun(state.queue.rate, now - attempt.start);
+    admission::ObserveRun(state.queue.rate, now - attempt.start, now);
   } else if (verdict == Verdict::kRefused) {
     exchange.metrics->refused->Increment();
   } else if (verdict == Verdict::kLost) {
--- a/src/camphormux/routing/endpoint_health.cpp
+++ b/src/camphormux/routing/endpoint_health.cpp
@@ -11,7 +11,7 @@
 /// Answers at the limit that raise it by one slot. A lower number makes more
 /// attempts end in a `slots` refusal, each of which costs a retry from a budget
 /// of 10%.
-constexpr double kAnswersPerRaise = 64.0;
+constexpr double kAnswersPerRaise = 32.0;
 constexpr double kLowestLimit = 1.0;
 
 core::Millis Doubled(core::Millis first, core::Millis longest, int times) {
@@ -72,13 +72,9 @@
   health.concurrency_limit =
       std::max(kLowestLimit, std::min(health.concurrency_limit,
                                       static_cast<double>(health.outstanding)));
-  // Eight slots free up every eighth of the latency on average; asking much
-  // more often than that spends the retry budget.
-  const core::Millis first = std::max(
-      limits.first_hold_off,
-      core::Millis(static_cast<core::Millis::rep>(health.latency_ms / 4)));
   const core::Millis hold_off =
-      Doubled(first, limits.longest_hold_off, health.consecutive_refusals);
+      Doubled(limits.first_hold_off, limits.longest_hold_off,
+              health.consecutive_refusals);
   health.hold_until = now + hold_off + core::Jitter(random, hold_off);
   ++health.consecutive_refusals;
   // The endpoint answered, so a probe is settled in its favour.
--- a/src/camphormux/routing/endpoint_health.hpp
+++ b/src/camphormux/routing/endpoint_health.hpp
@@ -31,7 +31,7 @@
   core::Millis longest_ejection = std::chrono::seconds(60);
   core::Millis slow_start = std::chrono::seconds(10);
   core::Millis first_hold_off{5};
-  core::Millis longest_hold_off{1000};
+  core::Millis longest_hold_off{160};
   /// The platform may lag behind the log, so a misdirected request is not
   /// final.
   core::Millis misdirected_hold = std::chrono::seconds(1);
--- a/test/admission/fair_queue_test.cpp
+++ b/test/admission/fair_queue_test.cpp
@@ -70,8 +70,7 @@
       const core::MonotonicTime bound = At(*rc::gen::inRange(0, 100));
       const std::size_t removed = RemoveExpired(queue, bound).size();
       const std::size_t expected = std::erase_if(
-          naive.tickets,
-          [&](const Ticket& t) { return t.latest_start < bound; });
+          naive.tickets, [&](const Ticket& t) { return t.deadline < bound; });
       naive.DropIdleCallers();
       RC_ASSERT(removed == expected);
     }
--- a/test/admission/service_queue_test.cpp
+++ b/test/admission/service_queue_test.cpp
@@ -12,8 +12,8 @@
 constexpr core::MonotonicTime kNow{std::chrono::hours(1)};
 constexpr core::MonotonicTime kFarDeadline = kNow + std::chrono::hours(1);
 
-Ticket MakeTicket(std::uint64_t id, core::MonotonicTime latest_start) {
-  return {id, "caller", latest_start};
+Ticket MakeTicket(std::uint64_t id, core::MonotonicTime deadline) {
+  return {id, "caller", deadline};
 }
 
 // Guards against normal requests that starve, and against urgent ones that
@@ -54,41 +54,42 @@
   EXPECT_EQ(order.substr(0, 25), "uuuunuuuunuuuunuuuunuuuun");
 }
 
-// Guards against requests that wait although they cannot start in time.
-RC_GTEST_PROP(ServiceQueueTest, AdmitsOnlyWhatCanStartInTime, ()) {
+// Guards against requests that wait although they cannot be answered in time.
+RC_GTEST_PROP(ServiceQueueTest, AdmitsOnlyWhatCanEndInTime, ()) {
   ServiceQueue queue;
   const QueueLimits limits;
   queue.rate.interval_ms = *rc::gen::inRange(0, 50);
+  queue.rate.run_ms = *rc::gen::inRange(0, 200);
+  queue.rate.run_seen = kNow;
   const int count = *rc::gen::inRange(1, 100);
   for (int i = 0; i < count; ++i) {
     const Priority priority =
         *rc::gen::element(Priority::kUrgent, Priority::kNormal);
-    const core::MonotonicTime latest =
+    const core::MonotonicTime deadline =
         kNow + core::Millis(*rc::gen::inRange(1, 1000));
     const core::Millis wait = PredictedWait(queue, priority, limits);
+    const bool in_time =
+        PredictedEnd(queue.rate, kNow + wait, kNow) <= deadline;
     const auto admission =
-        Admit(queue, MakeTicket(static_cast<std::uint64_t>(i), latest),
+        Admit(queue, MakeTicket(static_cast<std::uint64_t>(i), deadline),
               priority, limits, kNow);
-    RC_ASSERT((admission.refusal == Refusal::kDeadline) ==
-              (kNow + wait > latest));
+    RC_ASSERT((admission.refusal == Refusal::kDeadline) == !in_time);
   }
 }
 
-// Guards against a service that refuses for ever after one slow phase: refused
-// requests give no new run times.
-RC_GTEST_PROP(ServiceQueueTest, RunTimesAloneRefuseNothing, ()) {
+// Guards against a service that refuses for ever after one slow phase.
+TEST(ServiceQueueTest, OldRunTimesDoNotRefuseRequests) {
   ServiceQueue queue;
   const QueueLimits limits;
-  for (int i = 0; i < 20; ++i) {
-    ObserveRun(queue.rate, core::Millis(*rc::gen::inRange(0, 100'000)));
-  }
-  const core::MonotonicTime deadline =
-      kNow + core::Millis(*rc::gen::inRange(1, 1000));
-  const core::MonotonicTime latest = LatestStart(queue.rate, kNow, deadline);
-  RC_ASSERT(latest <= deadline);
-  RC_ASSERT(
-      !Admit(queue, MakeTicket(1, latest), Priority::kNormal, limits, kNow)
-           .refusal.has_value());
+  ObserveRun(queue.rate, std::chrono::seconds(5), kNow);
+  const auto ticket = [](core::MonotonicTime now) {
+    return MakeTicket(1, now + std::chrono::seconds(1));
+  };
+  EXPECT_EQ(Admit(queue, ticket(kNow), Priority::kNormal, limits, kNow).refusal,
+            Refusal::kDeadline);
+  const core::MonotonicTime later = kNow + std::chrono::seconds(2);
+  EXPECT_FALSE(Admit(queue, ticket(later), Priority::kNormal, limits, later)
+                   .refusal.has_value());
 }
 
 // Guards against a wait that is predicted from idle time between bursts.
