--- a/src/camphormux/membership/gossip.cpp
+++ b/src/camphormux/membership/gossip.cpp
@@ -15,14 +15,26 @@
 // comes before it would become suspect.
 constexpr std::uint64_t kAskAfter = 2;
 
-void QueueChange(View& view, const core::ProcessId& process) {
-  std::set<core::ZoneName> zones;
-  for (const auto& [id, member] : view.members) {
+std::size_t ZoneCount(const View& view) {
+  std::set<core::ZoneName> zones{view.self.zone};
+  for (const auto& [process, member] : view.members) {
     zones.insert(member.identity.zone);
   }
+  return zones.size();
+}
+
+/// Bytes of relayed reports in a heartbeat to another zone.
+std::size_t LinkRelayBytes(const View& view) {
+  const std::size_t links = std::max<std::size_t>(ZoneCount(view) - 1, 1);
+  return std::min(view.config.max_link_relay_bytes,
+                  view.config.max_link_relay_bytes_total / links);
+}
+
+void QueueChange(View& view, const core::ProcessId& process) {
   view.pending_changes[process] = view.config.change_repeats;
-  view.pending_link_changes[process] = view.config.link_change_repeats *
-                                       static_cast<std::uint32_t>(zones.size());
+  view.pending_link_changes[process] =
+      view.config.link_change_repeats *
+      static_cast<std::uint32_t>(ZoneCount(view));
 }
 
 void SetHealth(View& view, Member& member, Health health, bool gossip,
@@ -257,8 +269,8 @@
     return relays;
   }
   const bool zone_link = receiver->identity.zone != view.self.zone;
-  const std::size_t max_bytes = zone_link ? view.config.max_link_relay_bytes
-                                          : view.config.max_relay_bytes;
+  const std::size_t max_bytes =
+      zone_link ? LinkRelayBytes(view) : view.config.max_relay_bytes;
   const bool connected = ZoneIsConnected(view);
   core::ProcessId& cursor = view.relay_cursors[receiver->identity.process];
   std::size_t bytes = 0;
--- a/src/camphormux/membership/view.hpp
+++ b/src/camphormux/membership/view.hpp
@@ -28,6 +28,9 @@
   std::size_t max_asks = 8;          ///< Missed processes in a heartbeat.
   std::size_t max_relay_bytes = 96;  ///< Reports of others in a heartbeat.
   std::size_t max_link_relay_bytes = 384;  ///< Same, to another zone.
+  /// Same, to all other zones together, so that the cost of a process that
+  /// links many zones stays below the limit.
+  std::size_t max_link_relay_bytes_total = 1152;
   std::uint32_t change_repeats = 8;  ///< Heartbeats that carry a new change.
   /// Same to other zones, for each zone.
   std::uint32_t link_change_repeats = 4;
