Pass the fake log's data by reference

Cause: the linter rejects the copy. Change: the fake's append takes its data by constant reference. Conclusion: no behaviour changes.

--- a/test/cli/publish_test.cpp
+++ b/test/cli/publish_test.cpp
@@ -42,7 +42,8 @@
 
   log::LogPort Port() {
     log::LogPort port;
-    port.append = [this](const std::string&, std::string data, auto done) {
+    port.append = [this](const std::string&, const std::string& data,
+                         auto done) {
       asio::post(loop, [this, data, done] { done(Append(data)); });
     };
     port.read = [this](const std::string&, core::LogOffset from, std::size_t,
