Excuse work at leaving endpoints only from gateways that just woke

The trace shows a gateway paused for 11816 ms that took the request when it woke; its caller had given up, so that the request id was not in the history. The checker now links both by the identity, and excuses a pause only if it ended at most 3 s before the arrival; before, any pause since the drain was an excuse.

--- a/test/history/check.cpp
+++ b/test/history/check.cpp
@@ -17,7 +17,7 @@
   std::unordered_map<std::string, Runs> by_key;
   /// Identity of the run that sent a body.
   std::unordered_map<std::string, std::string> identity_of_digest;
-  std::unordered_map<std::string, const Ask*> ask_of_request;
+  std::unordered_map<std::string, std::vector<const Ask*>> asks_of_identity;
 };
 
 Index MakeIndex(const History& history) {
@@ -34,9 +34,7 @@
     index.identity_of_digest.emplace(arrival.digest, arrival.identity);
   }
   for (const Ask& ask : history.asks) {
-    if (!ask.request_id.empty()) {
-      index.ask_of_request.emplace(ask.request_id, &ask);
-    }
+    index.asks_of_identity[ask.identity].push_back(&ask);
   }
   return index;
 }
@@ -159,6 +157,23 @@
   }
 }
 
+/// Whether the gateway that sent the arrival was paused within the grace
+/// before it. A caller whose gateway paused may not know the request id, so
+/// that the identity links both.
+bool FromPausedGateway(const Arrival& arrival, const History& history,
+                       const Index& index) {
+  const auto asks = index.asks_of_identity.find(arrival.identity);
+  return asks != index.asks_of_identity.end() &&
+         std::any_of(
+             asks->second.begin(), asks->second.end(), [&](const Ask* ask) {
+               const bool sender = ask->request_id.empty() ||
+                                   ask->request_id == arrival.request_id;
+               return sender &&
+                      Disturbed(history, ask->gateway,
+                                arrival.start - kLeavingGrace, arrival.start);
+             });
+}
+
 void CheckLeaving(const History& history, const Index& index,
                   Verdict& verdict) {
   std::map<std::pair<std::string, std::uint64_t>, Micros> drained;
@@ -171,11 +186,8 @@
         arrival.start <= drain->second + kLeavingGrace) {
       continue;
     }
-    const auto ask = index.ask_of_request.find(arrival.request_id);
     // A paused gateway cannot act on a sign; it wakes with an old view.
-    if (ask != index.ask_of_request.end() &&
-        Disturbed(history, ask->second->gateway, drain->second,
-                  arrival.start)) {
+    if (FromPausedGateway(arrival, history, index)) {
       ++verdict.excused;
       continue;
     }
--- a/test/history/check_test.cpp
+++ b/test/history/check_test.cpp
@@ -118,6 +118,23 @@
   EXPECT_TRUE(Check(history).breaches.empty());
 }
 
+// Guards against blame for a gateway that was paused, and against an excuse
+// for one that has been awake for longer than the grace.
+TEST(CheckTest, ExcusesOnlyGatewaysThatJustWoke) {
+  History history = Sound();
+  Arrival late = history.arrivals[1];
+  late.host = "h1";
+  late.start = 10'000'000;
+  history.arrivals.push_back(late);
+  history.asks[1].request_id.clear();
+  history.disturbances.push_back({"g:1", 4000, 9'000'000});
+  ExpectOnly(history, Promise::kLeavingGetsNoWork);
+  history.disturbances.push_back({"g:2", 4000, 6'999'999});
+  ExpectOnly(history, Promise::kLeavingGetsNoWork);
+  history.disturbances.push_back({"g:2", 4000, 7'000'000});
+  EXPECT_TRUE(Check(history).breaches.empty());
+}
+
 // Guards against a host in two pools; runs one after the other are allowed.
 TEST(CheckTest, FindsHostsThatServeTwoServices) {
   History history = Sound();
