--- a/bench/capacity/replay.cpp
+++ b/bench/capacity/replay.cpp
@@ -16,6 +16,9 @@
 /// Requests that would wait longer are refused.
 constexpr double kLongestWaitSeconds = 2.0;
 
+/// Customary share of capacity that proportional sizing plans for.
+constexpr double kProportionalUse = 0.85;
+
 /// A service's queue and what was measured of it.
 struct Queue {
   double backlog = 0.0;
@@ -154,7 +157,10 @@
   const sizing::Sizes sizes =
       policy == Policy::kCamphormux
           ? sizing::DecideSizes(run.sizing, input)
-          : sizing::ProportionalSizes(input, run.trace->service_time_s);
+          : sizing::ProportionalSizes(input, run.trace->service_time_s,
+                                      policy == Policy::kTight
+                                          ? sizing::PlannedUse(run.text->policy)
+                                          : kProportionalUse);
   for (const auto& [zone, hosts] : run.fleet.zones) {
     moves::MoveInput move_input;
     move_input.hosts = hosts;
--- a/bench/capacity/replay.hpp
+++ b/bench/capacity/replay.hpp
@@ -12,7 +12,8 @@
 enum class Policy {
   kCamphormux,    ///< `sizing` and `moves`.
   kFixed,         ///< Even pools that never change.
-  kProportional,  ///< `ProportionalSizes` with the same moves.
+  kProportional,  ///< `ProportionalSizes` at 85% use, with the same moves.
+  kTight,         ///< The same at the use that the text's weights plan.
 };
 
 /// @brief Figures of one run.
--- a/bench/capacity/replay_main.cpp
+++ b/bench/capacity/replay_main.cpp
@@ -110,6 +110,7 @@
   Runs ours;
   Runs fixed;
   Runs proportional;
+  Runs tight;
   Runs fixed_same;
   Runs bound;
   int same_hosts = 0;
@@ -120,6 +121,7 @@
     fixed.push_back(Replay(text, trace, Policy::kFixed, kHosts, seed));
     proportional.push_back(
         Replay(text, trace, Policy::kProportional, kHosts, seed));
+    tight.push_back(Replay(text, trace, Policy::kTight, kHosts, seed));
     fixed_same.push_back(FixedForSameDemand(
         text, trace, ours.back().served_share, seed, &same_hosts));
     bound.push_back(OfflineBound(text, trace, kHosts));
@@ -133,12 +135,15 @@
   PrintLine("camphormux", ours);
   PrintLine("fixed", fixed);
   PrintLine("proportional", proportional);
+  PrintLine("proport. tight", tight);
   PrintLine("fixed, larger", fixed_same);
   PrintLine("offline bound", bound);
   std::printf("  fixed, larger: %.1f hosts in the mean\n",
               static_cast<double>(same_hosts) / kSeeds);
   PrintRatio("moves / proportional", ours, proportional, &Figures::moves);
   PrintServedDifference("served - proportional", ours, proportional);
+  PrintRatio("moves / tight proportional", ours, tight, &Figures::moves);
+  PrintServedDifference("served - tight proportional", ours, tight);
   PrintRatio("idle hosts / fixed for the same demand", ours, fixed_same,
              &Figures::idle_hosts);
   PrintRatio("idle hosts / fixed with as many hosts", ours, fixed,
--- a/src/camphormux/moves/moves.cpp
+++ b/src/camphormux/moves/moves.cpp
@@ -10,6 +10,9 @@
 namespace camphormux::moves {
 namespace internal {
 
+/// A pool that surges sooner gives no host for another's expected surge.
+constexpr core::Millis kLater = std::chrono::seconds(60);
+
 /// A pool that lacks hosts; the most urgent one is served first.
 struct Deficit {
   PoolIndex pool = 0;
@@ -32,6 +35,18 @@
                              : std::max(target.wanted, target.needed);
 }
 
+/// Budgets come first, then demand, then expected demand.
+int RankOf(MoveCause cause) {
+  switch (cause) {
+    case MoveCause::kBelowFloor:
+      return 0;
+    case MoveCause::kBelowNeeded:
+      return 1;
+    default:
+      return 2;
+  }
+}
+
 std::vector<Deficit> FindDeficits(const ZoneView& view) {
   std::vector<Deficit> deficits;
   for (PoolIndex i = 0; i < view.pools.size(); ++i) {
@@ -44,12 +59,17 @@
           {i, missing,
            below_floor ? MoveCause::kBelowFloor : MoveCause::kBelowNeeded});
     }
+    const int ahead =
+        target.expected - std::max(needed, Strength(view.pools[i]));
+    if (ahead > 0) {
+      deficits.push_back({i, ahead, MoveCause::kExpected});
+    }
   }
   std::stable_sort(deficits.begin(), deficits.end(),
                    [&view](const Deficit& a, const Deficit& b) {
                      const auto key = [&view](const Deficit& deficit) {
                        return std::tuple(
-                           deficit.cause != MoveCause::kBelowFloor,
+                           RankOf(deficit.cause),
                            -view.input->pools[deficit.pool].priority,
                            -deficit.missing);
                      };
@@ -144,11 +164,17 @@
   return unbound;
 }
 
-/// Whether a pool may give a host without losing demand or its budget.
-bool MayGive(const ZoneView& view, PoolIndex from, PoolIndex to) {
+/// Whether a pool may give a host without losing demand or its budget. For
+/// expected demand only pools give that surge much later.
+bool MayGive(const ZoneView& view, PoolIndex from, PoolIndex to,
+             MoveCause cause) {
   const PoolCount& count = view.pools[from];
   const PoolTarget& target = view.input->pools[from];
-  return from != to && Strength(count) - 1 >= target.needed &&
+  const bool too_soon =
+      cause == MoveCause::kExpected &&
+      (Strength(count) <= target.expected ||
+       (target.until_next_surge && *target.until_next_surge < kLater));
+  return !too_soon && from != to && Strength(count) - 1 >= target.needed &&
          count.available - 1 >= MinimumAfterDrain(view, from);
 }
 
@@ -167,7 +193,8 @@
 }
 
 std::optional<PoolIndex> ChooseDonor(const ZoneView& view, PoolIndex to,
-                                     std::size_t& host, MoveBlock& block) {
+                                     MoveCause cause, std::size_t& host,
+                                     MoveBlock& block) {
   std::optional<PoolIndex> best;
   DonorCost best_cost;
   for (PoolIndex from = 0; from < view.pools.size(); ++from) {
@@ -176,7 +203,7 @@
     if (surplus && block == MoveBlock::kNoDonor) {
       block = MoveBlock::kBudget;
     }
-    if (!MayGive(view, from, to)) {
+    if (!MayGive(view, from, to, cause)) {
       continue;
     }
     const std::optional<std::size_t> candidate = ChooseHost(view, from, to);
@@ -212,7 +239,7 @@
     for (; missing > 0; --missing) {
       std::size_t host = 0;
       const std::optional<PoolIndex> from =
-          ChooseDonor(view, deficit.pool, host, block);
+          ChooseDonor(view, deficit.pool, deficit.cause, host, block);
       if (!from) {
         break;
       }
@@ -220,7 +247,7 @@
           MakeMove(view, host, *from, deficit.pool, deficit.cause));
       TakeHost(view, host, *from);
     }
-    if (missing > 0) {
+    if (missing > 0 && deficit.cause != MoveCause::kExpected) {
       const PoolTarget& target = view.input->pools[deficit.pool];
       decision.shortfalls.push_back({target.pool,
                                      Strength(view.pools[deficit.pool]),
@@ -237,7 +264,7 @@
   }
   for (PoolIndex from = 0; from < view.pools.size(); ++from) {
     while (Strength(view.pools[from]) > UpperSize(view, from) &&
-           MayGive(view, from, spare->second)) {
+           MayGive(view, from, spare->second, MoveCause::kToSpare)) {
       const std::optional<std::size_t> host =
           ChooseHost(view, from, spare->second);
       if (!host) {
@@ -280,6 +307,9 @@
 void ReportFrozen(const ZoneView& view, MoveDecision& decision) {
   decision.frozen = true;
   for (const Deficit& deficit : FindDeficits(view)) {
+    if (deficit.cause == MoveCause::kExpected) {
+      continue;
+    }
     const PoolTarget& target = view.input->pools[deficit.pool];
     decision.shortfalls.push_back({target.pool,
                                    Strength(view.pools[deficit.pool]),
@@ -336,7 +366,8 @@
     const text::Service& service = text.services.at(name);
     targets.push_back({size.pool, found->second.floor, found->second.needed,
                        found->second.wanted, service.host_availability,
-                       service.priority, size.until_next_surge});
+                       service.priority, size.until_next_surge,
+                       found->second.expected});
   }
   return targets;
 }
--- a/src/camphormux/moves/moves.hpp
+++ b/src/camphormux/moves/moves.hpp
@@ -23,6 +23,7 @@
   int priority = 1;
   /// Expected time until the pool needs more hosts again.
   std::optional<core::Millis> until_next_surge;
+  int expected = 0;  ///< Size for a surge that is near; 0 if none is.
 };
 
 /// @brief Bounds on what is in motion at one time.
@@ -51,6 +52,7 @@
 enum class MoveCause {
   kBelowFloor,   ///< The pool has fewer hosts than its budget demands.
   kBelowNeeded,  ///< The pool has fewer hosts than its demand fills.
+  kExpected,     ///< The pool's next surge is near.
   kToSpare,      ///< The pool kept the host for its hold time.
   kNewHost,      ///< The host is in no pool and none is short of hosts.
   kUnknownPool,  ///< The text has no longer the host's pool.
--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -34,6 +34,13 @@
 /// Share of the last second's rise that a first surge is expected to go on
 /// rising.
 constexpr double kGrowthShare = 0.5;
+/// Share of the remembered peak that is made ready for an expected surge; the
+/// rest arrives while queues fill.
+constexpr double kExpectedShare = 0.5;
+/// A recurring surge is expected from this long before its mean time.
+constexpr core::Millis kAnticipation = std::chrono::seconds(15);
+/// ... until this part of its interval after it.
+constexpr int kOverduePart = 4;
 /// Demand that stays up longer is the new calm level; maintenance would wait
 /// for its end otherwise.
 constexpr core::Millis kLongestSurge = std::chrono::minutes(10);
@@ -197,13 +204,6 @@
   return static_cast<int>(std::ceil(slots / (slots_per_host * use)));
 }
 
-/// Share of a host's slots to plan for.
-double PlannedUse(const text::Policy& policy) {
-  const double sum = policy.moves_weight + policy.buffer_weight;
-  const double moves_share = sum > 0.0 ? policy.moves_weight / sum : 0.5;
-  return kLowestUse + (kHighestUse - kLowestUse) * moves_share;
-}
-
 /// Raises a held size at once; lowers it to the highest target of the last one
 /// to two hold times.
 int HoldSize(int target, core::MonotonicTime now, core::Millis hold,
@@ -256,6 +256,24 @@
                   *memory.surge_start + memory.surge_interval - now);
 }
 
+/// Hosts for a surge that is about to recur; 0 if none is. Hosts are held
+/// ready only where the hold time spans the interval, so that they would rest
+/// in some pool anyway.
+int ExpectedHosts(const SizeReason& reason, double planned_use,
+                  const ServiceMemory& memory, core::MonotonicTime now) {
+  const bool recurs = !memory.surging && memory.surge_interval.count() > 0 &&
+                      memory.surge_interval <= reason.hold;
+  if (!recurs) {
+    return 0;
+  }
+  const core::MonotonicTime next = *memory.surge_start + memory.surge_interval;
+  const bool near = now + kAnticipation >= next &&
+                    now <= next + memory.surge_interval / kOverduePart;
+  return near ? HostsFor(kExpectedShare * memory.peak_slots,
+                         reason.slots_per_host, planned_use)
+              : 0;
+}
+
 /// Sizes one service over all zones and writes its reason.
 TotalSize SizeService(const SizingInput& input, const text::Service& service,
                       double calls, ServiceMemory& memory, ServiceSize& size) {
@@ -283,8 +301,9 @@
   reason.demand_hosts = HostsFor(reason.planned_slots, service.slots_per_host,
                                  PlannedUse(input.text->policy));
   reason.hold = HoldTime(input.text->policy);
-  const TotalSize total =
-      HoldTotals(reason, service.min_hosts, input.now, memory);
+  TotalSize total = HoldTotals(reason, service.min_hosts, input.now, memory);
+  total.expected =
+      ExpectedHosts(reason, PlannedUse(input.text->policy), memory, input.now);
   reason.constraint = ConstraintOf(reason, total, service.min_hosts);
   size.surging = memory.surging;
   size.until_next_surge = UntilNextSurge(memory, input.now);
@@ -313,6 +332,13 @@
                  static_cast<double>(internal::kMaxHold.count())))};
 }
 
+double PlannedUse(const text::Policy& policy) {
+  const double sum = policy.moves_weight + policy.buffer_weight;
+  const double moves_share = sum > 0.0 ? policy.moves_weight / sum : 0.5;
+  return internal::kLowestUse +
+         (internal::kHighestUse - internal::kLowestUse) * moves_share;
+}
+
 double RunningNow(const DemandSample& sample, double service_time_s) {
   const double age_s = static_cast<double>(sample.report_age.count()) / 1000.0;
   if (age_s <= 0.0) {
@@ -344,7 +370,8 @@
   return sizes;
 }
 
-Sizes ProportionalSizes(const SizingInput& input, double service_time_s) {
+Sizes ProportionalSizes(const SizingInput& input, double service_time_s,
+                        double planned_use) {
   Sizes sizes;
   std::map<core::ServiceName, internal::TotalSize> totals;
   for (const auto& [name, service] : input.text->services) {
@@ -352,10 +379,10 @@
     size.service = name;
     size.pool = service.pool;
     const double arrivals = internal::SampleOf(input, name).arrivals_per_s;
-    const int hosts = std::max(
-        service.min_hosts,
-        internal::HostsFor(arrivals * service_time_s, service.slots_per_host,
-                           internal::PlannedUse(input.text->policy)));
+    const int hosts =
+        std::max(service.min_hosts,
+                 internal::HostsFor(arrivals * service_time_s,
+                                    service.slots_per_host, planned_use));
     totals[name] = {hosts, hosts};
   }
   internal::DivideOverZones(input, totals, sizes);
--- a/src/camphormux/sizing/sizing.hpp
+++ b/src/camphormux/sizing/sizing.hpp
@@ -103,6 +103,8 @@
   int reserve = 0;  ///< Part of `needed` that stands in during maintenance.
   int needed = 0;   ///< Fewer lose demand; at least floor and reserve.
   int wanted = 0;   ///< More are to go to the spare pool; at least `needed`.
+  /// Size that a surge expected within seconds will need; 0 if none is.
+  int expected = 0;
   bool reduced = false;  ///< The zone has too few hosts for the demand.
 };
 
@@ -146,9 +148,16 @@
 /// at least the floor, without memory.
 /// @param input The text, the demand and the usable hosts.
 /// @param service_time_s Mean time of a request in seconds, the same for all.
+/// @param planned_use Share of a host's slots that is planned for use.
 /// @return Sizes whose `needed` and `wanted` are equal.
 [[nodiscard]] Sizes ProportionalSizes(const SizingInput& input,
-                                      double service_time_s);
+                                      double service_time_s,
+                                      double planned_use);
+
+/// @brief Share of a host's slots that sizes plan for.
+/// @param policy The text's weights.
+/// @return Higher when moves weigh more than idle hosts.
+[[nodiscard]] double PlannedUse(const text::Policy& policy);
 
 }  // namespace camphormux::sizing
 
--- a/src/camphormux/sizing/zones.cpp
+++ b/src/camphormux/sizing/zones.cpp
@@ -51,6 +51,7 @@
   }
   const std::vector<int> needed = Apportion(total.needed, weights, first);
   const std::vector<int> wanted = Apportion(total.wanted, weights, first);
+  const std::vector<int> expected = Apportion(total.expected, weights, first);
   // Rounding up lets the zones' floors add up to min_hosts at least, so that
   // zone owners need not agree.
   const int count = static_cast<int>(zones.size());
@@ -62,6 +63,7 @@
     zone.reserve = reserve;
     zone.needed = std::max(floor, needed[i]) + reserve;
     zone.wanted = std::max(zone.needed, wanted[i] + reserve);
+    zone.expected = expected[i];
   }
 }
 
--- a/src/camphormux/sizing/zones.hpp
+++ b/src/camphormux/sizing/zones.hpp
@@ -12,6 +12,7 @@
 struct TotalSize {
   int needed = 0;
   int wanted = 0;
+  int expected = 0;
 };
 
 /// @brief Divides each service's hosts over its zones by their usable hosts
--- a/test/moves/moves_test.cpp
+++ b/test/moves/moves_test.cpp
@@ -29,9 +29,9 @@
   AddHosts(input, "x", 4);
   AddHosts(input, "y", 4);
   AddHosts(input, "spare", 4);
-  input.pools = {{{"x"}, 2, 2, 4, 0.5, 2, {}},
-                 {{"y"}, 2, 2, 4, 0.5, 1, {}},
-                 {{"spare"}, 1, 1, 1, 0.25, 1, {}}};
+  input.pools = {{{"x"}, 2, 2, 4, 0.5, 2, {}, 0},
+                 {{"y"}, 2, 2, 4, 0.5, 1, {}, 0},
+                 {{"spare"}, 1, 1, 1, 0.25, 1, {}, 0}};
   return input;
 }
 
