--- a/bench/capacity/moves_bench.cpp
+++ b/bench/capacity/moves_bench.cpp
@@ -47,7 +47,7 @@
   return input;
 }
 
-void BM_DecideMoves(benchmark::State& state) {
+void TimeDecideMoves(benchmark::State& state) {
   const moves::MoveInput input = MakeInput(state.range(0));
   std::size_t moves = 0;
   for (auto _ : state) {
@@ -58,7 +58,7 @@
   state.counters["moves"] = static_cast<double>(moves);
   state.SetComplexityN(state.range(0));
 }
-BENCHMARK(BM_DecideMoves)
+BENCHMARK(TimeDecideMoves)
     ->Arg(50)
     ->Arg(500)
     ->Arg(5000)
@@ -68,7 +68,7 @@
 using Solver = TransportResult (*)(const TransportProblem&);
 
 template <Solver kSolve>
-void BM_Transport(benchmark::State& state) {
+void TimeTransport(benchmark::State& state) {
   core::Random random = core::SeededRandom(kSeed);
   const TransportProblem problem = DrawProblem(
       PoolsOf(state.range(0)), static_cast<int>(state.range(0)), random);
@@ -82,12 +82,12 @@
   state.SetComplexityN(state.range(0));
 }
 
-#define CAMPHORMUX_TRANSPORT(solver)       \
-  BENCHMARK_TEMPLATE(BM_Transport, solver) \
-      ->Arg(50)                            \
-      ->Arg(500)                           \
-      ->Arg(5000)                          \
-      ->Complexity()                       \
+#define CAMPHORMUX_TRANSPORT(solver)        \
+  BENCHMARK_TEMPLATE(TimeTransport, solver) \
+      ->Arg(50)                             \
+      ->Arg(500)                            \
+      ->Arg(5000)                           \
+      ->Complexity()                        \
       ->Unit(benchmark::kMicrosecond)
 
 CAMPHORMUX_TRANSPORT(SolveGreedy);
