--- a/src/camphormux/peer/cbor.cpp
+++ b/src/camphormux/cbor/cbor.cpp
@@ -1,8 +1,8 @@
-#include "camphormux/peer/cbor.hpp"
+#include "camphormux/cbor/cbor.hpp"
 
 #include <vector>
 
-namespace camphormux::peer {
+namespace camphormux::cbor {
 namespace internal {
 
 constexpr std::size_t kMaxDepth = 16;
@@ -49,7 +49,7 @@
 
 }  // namespace internal
 
-std::optional<nlohmann::json> ParseCbor(std::string_view data) {
+std::optional<nlohmann::json> Parse(std::string_view data) {
   internal::DepthCheck check;
   if (!nlohmann::json::sax_parse(data, &check,
                                  nlohmann::json::input_format_t::cbor)) {
@@ -62,21 +62,21 @@
   return value;
 }
 
-std::string ToCbor(const nlohmann::json& value) {
+std::string Serialize(const nlohmann::json& value) {
   std::string data;
   nlohmann::json::to_cbor(value, data);
   return data;
 }
 
-nlohmann::json CborBytes(std::string_view bytes) {
+nlohmann::json Bytes(std::string_view bytes) {
   return nlohmann::json::binary(
       std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
 
-CborArrayReader::CborArrayReader(const nlohmann::json& value)
+ArrayReader::ArrayReader(const nlohmann::json& value)
     : value_(&value), ok_(value.is_array()) {}
 
-const nlohmann::json* CborArrayReader::Next() {
+const nlohmann::json* ArrayReader::Next() {
   if (!ok_ || index_ >= value_->size()) {
     ok_ = false;
     return nullptr;
@@ -84,21 +84,21 @@
   return &(*value_)[index_++];
 }
 
-std::uint64_t CborArrayReader::Unsigned(std::uint64_t limit) {
+std::uint64_t ArrayReader::Unsigned(std::uint64_t limit) {
   const nlohmann::json* next = Next();
   ok_ = next != nullptr && next->is_number_unsigned() &&
         *next->get_ptr<const std::uint64_t*>() <= limit;
   return ok_ ? *next->get_ptr<const std::uint64_t*>() : 0;
 }
 
-std::string CborArrayReader::Text(std::size_t max_bytes) {
+std::string ArrayReader::Text(std::size_t max_bytes) {
   const nlohmann::json* next = Next();
   ok_ = next != nullptr && next->is_string() &&
         next->get_ptr<const std::string*>()->size() <= max_bytes;
   return ok_ ? *next->get_ptr<const std::string*>() : std::string();
 }
 
-std::string CborArrayReader::Bytes(std::size_t max_bytes) {
+std::string ArrayReader::Bytes(std::size_t max_bytes) {
   const nlohmann::json* next = Next();
   ok_ = next != nullptr && next->is_binary() &&
         next->get_binary().size() <= max_bytes;
@@ -108,10 +108,10 @@
   return {next->get_binary().begin(), next->get_binary().end()};
 }
 
-const nlohmann::json& CborArrayReader::Array(std::size_t max_size) {
+const nlohmann::json& ArrayReader::Array(std::size_t max_size) {
   const nlohmann::json* next = Next();
   ok_ = next != nullptr && next->is_array() && next->size() <= max_size;
   return ok_ ? *next : internal::EmptyArray();
 }
 
-}  // namespace camphormux::peer
+}  // namespace camphormux::cbor
--- a/src/camphormux/peer/cbor.hpp
+++ b/src/camphormux/cbor/cbor.hpp
@@ -1,5 +1,5 @@
-#ifndef CAMPHORMUX_PEER_CBOR_HPP_
-#define CAMPHORMUX_PEER_CBOR_HPP_
+#ifndef CAMPHORMUX_CBOR_CBOR_HPP_
+#define CAMPHORMUX_CBOR_CBOR_HPP_
 
 #include <cstdint>
 #include <optional>
@@ -8,30 +8,30 @@
 
 #include <nlohmann/json.hpp>
 
-namespace camphormux::peer {
+namespace camphormux::cbor {
 
 /// @brief Parses untrusted CBOR without throwing. Nesting deeper than 16 is
 /// rejected, because the parser of the library recurses.
 /// @param data The bytes.
 /// @return The value, or nothing if the bytes are malformed.
-[[nodiscard]] std::optional<nlohmann::json> ParseCbor(std::string_view data);
+[[nodiscard]] std::optional<nlohmann::json> Parse(std::string_view data);
 
 /// @brief Serialises a value as CBOR.
 /// @param value The value.
 /// @return The bytes.
-[[nodiscard]] std::string ToCbor(const nlohmann::json& value);
+[[nodiscard]] std::string Serialize(const nlohmann::json& value);
 
 /// @brief Wraps bytes so that they become a CBOR byte string.
 /// @param bytes The bytes.
 /// @return The value.
-[[nodiscard]] nlohmann::json CborBytes(std::string_view bytes);
+[[nodiscard]] nlohmann::json Bytes(std::string_view bytes);
 
 /// @brief Reads the elements of a CBOR array one after another. After the
 /// first element that is missing or of another type, `ok` stays false.
-class CborArrayReader {
+class ArrayReader {
  public:
   /// @param value The array; outlives the reader.
-  explicit CborArrayReader(const nlohmann::json& value);
+  explicit ArrayReader(const nlohmann::json& value);
 
   /// @return The next element, an unsigned integer up to `limit`.
   std::uint64_t Unsigned(std::uint64_t limit = UINT64_MAX);
@@ -52,6 +52,6 @@
   bool ok_ = true;
 };
 
-}  // namespace camphormux::peer
+}  // namespace camphormux::cbor
 
-#endif  // CAMPHORMUX_PEER_CBOR_HPP_
+#endif  // CAMPHORMUX_CBOR_CBOR_HPP_
--- a/src/camphormux/demand/summary.cpp
+++ b/src/camphormux/demand/summary.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "camphormux/cbor/cbor.hpp"
+
 namespace camphormux::demand {
 namespace internal {
 
@@ -64,8 +66,7 @@
 }
 
 std::optional<Summary> DecodeSummary(std::string_view payload) {
-  const auto data = internal::json::from_cbor(payload, /*strict=*/true,
-                                              /*allow_exceptions=*/false);
+  const auto data = cbor::Parse(payload).value_or(internal::json());
   if (!data.is_array() || data.size() < 2 || !data[1].is_array()) {
     return std::nullopt;
   }
--- a/src/camphormux/idempotency/answer_query.cpp
+++ b/src/camphormux/idempotency/answer_query.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "camphormux/peer/cbor.hpp"
+#include "camphormux/cbor/cbor.hpp"
 
 namespace camphormux::idempotency::internal {
 
@@ -13,18 +13,18 @@
 constexpr std::size_t kMaxDataBytes = std::size_t{4} << 20;
 
 std::string Encode(const AnswerQuery& query) {
-  return peer::ToCbor(json::array(
+  return cbor::Serialize(json::array(
       {json::binary({query.key.bytes.begin(), query.key.bytes.end()}),
        query.incarnation.value, query.number,
        static_cast<std::uint64_t>(query.wait.count())}));
 }
 
 std::optional<AnswerQuery> DecodeQuery(std::string_view data) {
-  const auto value = peer::ParseCbor(data);
+  const auto value = cbor::Parse(data);
   if (!value) {
     return std::nullopt;
   }
-  peer::CborArrayReader in(*value);
+  cbor::ArrayReader in(*value);
   AnswerQuery query;
   const std::string key = in.Bytes(query.key.bytes.size());
   query.incarnation.value = in.Unsigned();
@@ -39,16 +39,16 @@
 }
 
 std::string Encode(const AnswerReply& reply) {
-  return peer::ToCbor(json::array(
-      {static_cast<std::uint64_t>(reply.state), peer::CborBytes(reply.data)}));
+  return cbor::Serialize(json::array(
+      {static_cast<std::uint64_t>(reply.state), cbor::Bytes(reply.data)}));
 }
 
 std::optional<AnswerReply> DecodeReply(std::string_view data) {
-  const auto value = peer::ParseCbor(data);
+  const auto value = cbor::Parse(data);
   if (!value) {
     return std::nullopt;
   }
-  peer::CborArrayReader in(*value);
+  cbor::ArrayReader in(*value);
   AnswerReply reply;
   reply.state = static_cast<AnswerState>(
       in.Unsigned(static_cast<std::uint64_t>(AnswerState::kNeverRun)));
--- a/src/camphormux/idempotency/answers.cpp
+++ b/src/camphormux/idempotency/answers.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "camphormux/peer/cbor.hpp"
+#include "camphormux/cbor/cbor.hpp"
 
 namespace camphormux::idempotency {
 namespace internal {
@@ -30,24 +30,24 @@
   using nlohmann::json;
   json headers = json::array();
   for (const http::Header& header : answer.headers) {
-    headers.push_back(json::array(
-        {peer::CborBytes(header.name), peer::CborBytes(header.value)}));
+    headers.push_back(
+        json::array({cbor::Bytes(header.name), cbor::Bytes(header.value)}));
   }
-  return peer::ToCbor(
+  return cbor::Serialize(
       json::array({static_cast<std::uint64_t>(answer.status),
-                   std::move(headers), peer::CborBytes(answer.body)}));
+                   std::move(headers), cbor::Bytes(answer.body)}));
 }
 
 std::optional<StoredAnswer> DecodeAnswer(std::string_view data) {
-  const auto value = peer::ParseCbor(data);
+  const auto value = cbor::Parse(data);
   if (!value) {
     return std::nullopt;
   }
-  peer::CborArrayReader in(*value);
+  cbor::ArrayReader in(*value);
   StoredAnswer answer;
   answer.status = static_cast<int>(in.Unsigned(internal::kMaxStatus));
   for (const auto& element : in.Array(internal::kMaxHeaders)) {
-    peer::CborArrayReader header(element);
+    cbor::ArrayReader header(element);
     std::string name = header.Bytes(internal::kMaxHeaderBytes);
     std::string text = header.Bytes(internal::kMaxHeaderBytes);
     if (!header.ok()) {
--- a/src/camphormux/idempotency/records.cpp
+++ b/src/camphormux/idempotency/records.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "camphormux/peer/cbor.hpp"
+#include "camphormux/cbor/cbor.hpp"
 
 namespace camphormux::idempotency {
 namespace internal {
@@ -17,7 +17,7 @@
   return json::binary({key.bytes.begin(), key.bytes.end()});
 }
 
-bool TakeKey(peer::CborArrayReader& in, Key& key) {
+bool TakeKey(cbor::ArrayReader& in, Key& key) {
   const std::string bytes = in.Bytes(key.bytes.size());
   if (bytes.size() != key.bytes.size()) {
     return false;
@@ -28,7 +28,7 @@
 
 bool TakeIntents(const json& list, std::vector<Intent>& intents) {
   for (const json& element : list) {
-    peer::CborArrayReader in(element);
+    cbor::ArrayReader in(element);
     Intent intent;
     const bool key = TakeKey(in, intent.key);
     intent.service.value = in.Text(kMaxServiceBytes);
@@ -43,7 +43,7 @@
 
 bool TakeReleases(const json& list, std::vector<Release>& releases) {
   for (const json& element : list) {
-    peer::CborArrayReader in(element);
+    cbor::ArrayReader in(element);
     Release release;
     const bool key = TakeKey(in, release.key);
     release.number = in.Unsigned();
@@ -69,18 +69,18 @@
     releases.push_back(
         json::array({internal::KeyToJson(release.key), release.number}));
   }
-  return peer::ToCbor(
+  return cbor::Serialize(
       json::array({internal::kVersion, batch.claimant.gateway.value,
                    batch.claimant.incarnation.value, std::move(intents),
                    std::move(releases)}));
 }
 
 std::optional<Batch> DecodeBatch(std::string_view data) {
-  const auto value = peer::ParseCbor(data);
+  const auto value = cbor::Parse(data);
   if (!value) {
     return std::nullopt;
   }
-  peer::CborArrayReader in(*value);
+  cbor::ArrayReader in(*value);
   const std::uint64_t version = in.Unsigned();
   Batch batch;
   batch.claimant.gateway.value = in.Text(internal::kMaxNameBytes);
--- a/src/camphormux/log/batch.cpp
+++ b/src/camphormux/log/batch.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "camphormux/cbor/cbor.hpp"
+
 namespace camphormux::log {
 
 using nlohmann::json;
@@ -22,7 +24,7 @@
 }
 
 std::optional<Batch> DecodeBatch(std::string_view data) {
-  const json map = json::from_cbor(data.begin(), data.end(), true, false);
+  const json map = cbor::Parse(data).value_or(json());
   if (!map.is_object() || !map.contains("batch") || !map.contains("entries") ||
       !map["batch"].is_string() || !map["entries"].is_array()) {
     return std::nullopt;
--- a/src/camphormux/log/http_port.cpp
+++ b/src/camphormux/log/http_port.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "camphormux/cbor/cbor.hpp"
+
 namespace camphormux::log {
 namespace internal {
 
@@ -68,7 +70,7 @@
 }
 
 ReadAnswer ParseRead(const std::string& body) {
-  const json map = json::from_cbor(body, true, false);
+  const json map = cbor::Parse(body).value_or(json());
   const auto earliest = ReadUnsigned(map, "earliest");
   const auto next = ReadUnsigned(map, "next");
   if (!earliest || !next || !map.contains("records") ||
--- a/src/camphormux/membership/messages.cpp
+++ b/src/camphormux/membership/messages.cpp
@@ -2,13 +2,13 @@
 
 #include <utility>
 
-#include "camphormux/peer/cbor.hpp"
+#include "camphormux/cbor/cbor.hpp"
 
 namespace camphormux::membership {
 namespace internal {
 
+using cbor::ArrayReader;
 using nlohmann::json;
-using peer::CborArrayReader;
 
 constexpr std::uint64_t kVersion = 1;
 constexpr std::uint64_t kMaxPort = 65535;
@@ -24,7 +24,7 @@
   out.push_back(identity.incarnation.value);
 }
 
-Identity TakeIdentity(CborArrayReader& in) {
+Identity TakeIdentity(ArrayReader& in) {
   Identity identity;
   identity.process.value = in.Text(kMaxNameBytes);
   identity.role = static_cast<state::ProcessRole>(
@@ -40,10 +40,10 @@
   out.push_back(report.sequence);
   out.push_back(report.applied.value);
   out.push_back(report.digest);
-  out.push_back(peer::CborBytes(report.payload));
+  out.push_back(cbor::Bytes(report.payload));
 }
 
-Report TakeReport(CborArrayReader& in) {
+Report TakeReport(ArrayReader& in) {
   Report report;
   report.sequence = in.Unsigned();
   report.applied.value = in.Unsigned();
@@ -72,7 +72,7 @@
 
 json ToJson(const core::ProcessId& process) { return process.value; }
 
-Change TakeChange(CborArrayReader& in) {
+Change TakeChange(ArrayReader& in) {
   Change change;
   change.identity = TakeIdentity(in);
   change.health = static_cast<Health>(
@@ -80,7 +80,7 @@
   return change;
 }
 
-Relay TakeRelay(CborArrayReader& in) {
+Relay TakeRelay(ArrayReader& in) {
   Relay relay;
   relay.process.value = in.Text(kMaxNameBytes);
   relay.incarnation.value = in.Unsigned();
@@ -88,7 +88,7 @@
   return relay;
 }
 
-Vouch TakeVouch(CborArrayReader& in) {
+Vouch TakeVouch(ArrayReader& in) {
   Vouch vouch;
   vouch.process.value = in.Text(kMaxNameBytes);
   vouch.age =
@@ -107,9 +107,9 @@
 
 /// Reads a list of arrays; returns false if one is malformed.
 template <typename T, typename Take>
-bool TakeList(CborArrayReader& in, std::vector<T>& items, Take take) {
+bool TakeList(ArrayReader& in, std::vector<T>& items, Take take) {
   for (const json& element : in.Array(kMaxListLength)) {
-    CborArrayReader reader(element);
+    ArrayReader reader(element);
     items.push_back(take(reader));
     if (!reader.ok()) {
       return false;
@@ -118,9 +118,9 @@
   return in.ok();
 }
 
-bool TakeNames(CborArrayReader& in, std::vector<core::ProcessId>& names) {
+bool TakeNames(ArrayReader& in, std::vector<core::ProcessId>& names) {
   const json& list = in.Array(kMaxListLength);
-  CborArrayReader reader(list);
+  ArrayReader reader(list);
   for (std::size_t i = 0; i < list.size(); ++i) {
     names.push_back({reader.Text(kMaxNameBytes)});
   }
@@ -137,15 +137,15 @@
   out.push_back(internal::ToArray(heartbeat.relays));
   out.push_back(internal::ToArray(heartbeat.asks));
   out.push_back(internal::ToArray(heartbeat.vouches));
-  return peer::ToCbor(out);
+  return cbor::Serialize(out);
 }
 
 std::optional<Heartbeat> Decode(std::string_view data) {
-  const auto value = peer::ParseCbor(data);
+  const auto value = cbor::Parse(data);
   if (!value) {
     return std::nullopt;
   }
-  internal::CborArrayReader in(*value);
+  internal::ArrayReader in(*value);
   // A later version only appends elements, so any version can be read.
   const std::uint64_t version = in.Unsigned();
   Heartbeat heartbeat;
@@ -164,7 +164,7 @@
 }
 
 std::size_t EncodedBytes(const Relay& relay) {
-  return peer::ToCbor(internal::ToJson(relay)).size();
+  return cbor::Serialize(internal::ToJson(relay)).size();
 }
 
 }  // namespace camphormux::membership
--- a/src/camphormux/state/codec.cpp
+++ b/src/camphormux/state/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "camphormux/cbor/cbor.hpp"
 #include "camphormux/log/batch.hpp"
 #include "camphormux/state/json_fields.hpp"
 
@@ -282,7 +283,7 @@
 }
 
 core::Result<DecodedBatch, DecodeError> DecodeList(std::string_view data) {
-  const json list = json::from_cbor(data.begin(), data.end(), true, false);
+  const json list = cbor::Parse(data).value_or(json());
   if (!list.is_array()) {
     return DecodeError{"not a CBOR list of records"};
   }
--- a/src/camphormux/state/state_codec.cpp
+++ b/src/camphormux/state/state_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include "camphormux/cbor/cbor.hpp"
 #include "camphormux/state/json_fields.hpp"
 #include "camphormux/text/parse.hpp"
 
@@ -252,8 +253,7 @@
 }
 
 core::Result<FleetState, DecodeError> DecodeState(std::string_view data) {
-  const auto map =
-      internal::json::from_cbor(data.begin(), data.end(), true, false);
+  const auto map = cbor::Parse(data).value_or(internal::json());
   FleetState state;
   std::string problem = internal::DecodeAll(map, state);
   if (!problem.empty()) {
