Wire key store, membership and demand reports into the gateway

Cause: the gateway program used a key store that refuses every claim, took no part in membership and told controllers neither demand nor its applied offset.

Change: gateway::App assembles the control thread. Claims cross from traffic threads to the key store by number, so that callbacks stay with their thread. Heartbeats tell the offset that all traffic threads have applied, and the load of each service since the last report. /readyz follows the tailer. A claim that is not available is not-run only if that is proven, else unknown; a lost run is reported to the key store.

The test of an unavailable key store expected not-run without proof, which the design forbids; it now expects unknown, Retry-After and no request sent.

--- a/bin/gateway/main.cpp
+++ b/bin/gateway/main.cpp
@@ -1,21 +1,15 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
-#include <memory>
 #include <utility>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <gflags/gflags.h>
-#include <prometheus/registry.h>
 
-#include "camphormux/gateway/gateway.hpp"
+#include "camphormux/gateway/app.hpp"
 #include "camphormux/gateway/gateway_settings.hpp"
-#include "camphormux/http/client.hpp"
-#include "camphormux/log/http_port.hpp"
 #include "camphormux/settings/ini.hpp"
-#include "camphormux/state/fold.hpp"
-#include "camphormux/state/tailer.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 DEFINE_string(config, "", "Path of the settings file (INI).");
@@ -28,21 +22,14 @@
 
 int Run(const GatewaySettings& settings) {
   asio::io_context control;
-  http::Client client(control);
-  Gateway gateway(control, settings, std::make_shared<prometheus::Registry>(),
-                  &UnavailableKeyStore);
-  state::Tailer tailer(
-      control, log::MakeHttpPort(client, settings.platform),
-      [&gateway](const state::FleetState& state) { gateway.Publish(state); });
-  gateway.SetView({[&tailer] { return state::Digest(tailer.state()); },
-                   [&tailer] { return tailer.last_confirmed_sent(); }});
+  App app(control, settings);
   asio::signal_set signals(control, SIGTERM, SIGINT);
   signals.async_wait([&](const asio::error_code& error, int /*signal*/) {
     if (!error) {
-      gateway.Shutdown([&control] { control.stop(); });
+      app.Shutdown([&control] { control.stop(); });
     }
   });
-  tailer.Start();
+  app.Start();
   control.run();
   telemetry::Log(telemetry::Level::kInfo, "stopped");
   return 0;
--- /dev/null
+++ b/src/camphormux/gateway/app.cpp
@@ -0,0 +1,232 @@
+#include "camphormux/gateway/app.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/gateway/app_metrics.hpp"
+#include "camphormux/gateway/demand_meter.hpp"
+#include "camphormux/gateway/gateway.hpp"
+#include "camphormux/gateway/key_store_bridge.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/idempotency/key_store.hpp"
+#include "camphormux/log/appender.hpp"
+#include "camphormux/log/http_port.hpp"
+#include "camphormux/membership/node.hpp"
+#include "camphormux/peer/server.hpp"
+#include "camphormux/state/codec.hpp"
+#include "camphormux/state/fold.hpp"
+#include "camphormux/state/snapshot_writer.hpp"
+#include "camphormux/state/tailer.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::gateway {
+namespace internal {
+
+/// Heartbeats go once a second, so reports more often would not be seen.
+constexpr core::Millis kReportPeriod = std::chrono::seconds(1);
+
+membership::View NewView(const GatewaySettings& settings,
+                         core::Incarnation incarnation) {
+  return membership::MakeView(
+      {settings.process, state::ProcessRole::kGateway, settings.zone,
+       settings.peer.value_or(core::Address{}), incarnation},
+      settings.seeds, membership::Config{}, core::MonotonicNow());
+}
+
+idempotency::KeyStoreOptions KeyOptions(const GatewaySettings& settings,
+                                        core::Incarnation incarnation) {
+  idempotency::KeyStoreOptions options;
+  options.self = {settings.process, incarnation};
+  options.seed = std::random_device{}();
+  return options;
+}
+
+void LogTransition(const membership::Transition& transition) {
+  const bool dead = transition.after == membership::Health::kDead;
+  telemetry::Log(dead ? telemetry::Level::kWarning : telemetry::Level::kDebug,
+                 dead ? "process is dead" : "process changed health",
+                 {{"member", transition.process.value}});
+}
+
+}  // namespace internal
+
+struct App::Impl {
+  Impl(asio::io_context& control, const GatewaySettings& checked);
+
+  void Handle(const peer::Request& request, const peer::Respond& respond);
+  void Tick();
+  void Announce();
+  void Introduce();
+  void Report();
+  [[nodiscard]] std::optional<core::Address> Locate(
+      const core::ProcessId& process) const;
+  [[nodiscard]] StateView View() const;
+
+  GatewaySettings settings;
+  core::Incarnation incarnation;
+  std::shared_ptr<prometheus::Registry> registry;
+  AppMetrics metrics;
+  http::Client client;
+  log::LogPort port;
+  log::Appender appender;
+  membership::Node members;
+  idempotency::KeyStore keys;
+  Gateway gateway;
+  state::Tailer tailer;
+  state::SnapshotWriter snapshots;
+  std::optional<peer::Server> peer_server;
+  asio::steady_timer timer;
+  DemandMeter demand;
+  /// Offset and digest that heartbeats tell: of a state that all traffic
+  /// threads use.
+  core::LogOffset told_offset;
+  std::uint64_t told_digest = 0;
+  /// Processes of the log that membership was told of.
+  std::map<core::ProcessId, core::Incarnation> introduced;
+  bool announced = false;
+};
+
+App::Impl::Impl(asio::io_context& control, const GatewaySettings& checked)
+    : settings(checked),
+      incarnation{static_cast<std::uint64_t>(
+          core::WallNow().time_since_epoch().count())},
+      registry(std::make_shared<prometheus::Registry>()),
+      metrics(*registry),
+      client(control),
+      port(log::MakeHttpPort(client, settings.platform)),
+      appender(control, port, log::kStateStream),
+      members(control, internal::NewView(settings, incarnation),
+              internal::LogTransition),
+      keys(control, port, internal::KeyOptions(settings, incarnation),
+           [this](const core::ProcessId& process) { return Locate(process); }),
+      gateway(control, settings, registry, MakeKeyStoreFactory(control, keys)),
+      tailer(
+          control, port,
+          [this](const state::FleetState& state) { gateway.Publish(state); }),
+      snapshots(control, appender, tailer, settings.process, {},
+                [] { return false; }),
+      timer(control) {
+  gateway.SetView(View());
+  if (settings.peer) {
+    peer_server.emplace(
+        control, *settings.peer,
+        [this](const peer::Request& request, const peer::Respond& respond) {
+          Handle(request, respond);
+        });
+  }
+}
+
+StateView App::Impl::View() const {
+  return {[this] { return state::Digest(tailer.state()); },
+          [this] { return tailer.last_confirmed_sent(); },
+          [this] {
+            const state::Readiness readiness = tailer.ready();
+            return readiness.ready ? std::string() : readiness.reason;
+          }};
+}
+
+void App::Impl::Handle(const peer::Request& request,
+                       const peer::Respond& respond) {
+  if (request.path == membership::kHeartbeatPath) {
+    members.Handle(request, respond);
+  } else if (request.path == idempotency::kAnswerPath) {
+    keys.Handle(request, respond);
+  } else {
+    respond({peer::kStatusNotFound, ""});
+  }
+}
+
+std::optional<core::Address> App::Impl::Locate(
+    const core::ProcessId& process) const {
+  const auto& known = members.view().members;
+  if (const auto member = known.find(process); member != known.end()) {
+    return member->second.identity.address;
+  }
+  const auto& announced = tailer.state().presence;
+  if (const auto found = announced.find(process); found != announced.end()) {
+    return found->second.peer_address;
+  }
+  return std::nullopt;
+}
+
+void App::Impl::Tick() {
+  if (settings.peer) {
+    Announce();
+    Introduce();
+    Report();
+  }
+  metrics.Set(tailer.follower());
+  metrics.Set(keys.claims());
+  metrics.Set(members.view());
+  timer.expires_after(internal::kReportPeriod);
+  timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void App::Impl::Announce() {
+  if (announced || !tailer.at_end()) {
+    return;
+  }
+  announced = true;
+  const state::PresenceNotice notice{
+      settings.process, state::ProcessRole::kGateway, settings.zone,
+      *settings.peer, incarnation};
+  appender.Append(state::EncodeRecords({notice}),
+                  [this](const log::AppendResult& result) {
+                    announced = result.has_value();
+                  });
+}
+
+void App::Impl::Introduce() {
+  for (const auto& [id, presence] : tailer.state().presence) {
+    const auto known = introduced.find(id);
+    if (known == introduced.end() || known->second < presence.incarnation) {
+      introduced[id] = presence.incarnation;
+      members.AddPresence({id, presence.role, presence.zone,
+                           presence.peer_address, presence.incarnation});
+    }
+  }
+}
+
+void App::Impl::Report() {
+  const state::FleetState& state = tailer.state();
+  // Controllers release a drained host on this report, so it must not tell an
+  // offset that some traffic thread has not applied.
+  if (state.next != told_offset && gateway.applied() == state.next) {
+    told_offset = state.next;
+    told_digest = state::Digest(state);
+  }
+  members.SetReport(
+      told_offset, told_digest,
+      demand::EncodeSummary(
+          Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow()),
+          membership::kMaxPayloadBytes));
+}
+
+App::App(asio::io_context& control, const GatewaySettings& settings)
+    : impl_(std::make_unique<Impl>(control, settings)) {}
+
+App::~App() = default;
+
+void App::Start() {
+  impl_->tailer.Start();
+  impl_->keys.Start();
+  impl_->snapshots.Start();
+  if (impl_->settings.peer) {
+    impl_->members.Start();
+  }
+  impl_->Tick();
+}
+
+void App::Shutdown(std::function<void()> done) {
+  impl_->gateway.Shutdown(std::move(done));
+}
+
+}  // namespace camphormux::gateway
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -10,6 +10,10 @@
 
 /// Granularity of deadlines and hold-offs while requests wait.
 constexpr core::Millis kTickPeriod{10};
+/// A claim ends this long before the request's deadline, so that its proof of
+/// `not-run` arrives in time; at most this part of the remaining time.
+constexpr core::Millis kClaimMargin{50};
+constexpr int kClaimMarginPart = 4;
 
 ErrorReply NotRun(std::string code, std::string message) {
   return {503, Outcome::kNotRun, std::move(code), std::move(message), ""};
@@ -27,6 +31,15 @@
                       "the request would not be answered before its deadline");
 }
 
+ErrorReply NoClaimReply(bool not_run_proven) {
+  return {503, FailureOutcome(!not_run_proven), "key_store_unavailable",
+          "idempotency keys cannot be claimed at the moment", ""};
+}
+
+core::Millis ClaimTimeout(core::Millis left) {
+  return left - std::min(kClaimMargin, left / kClaimMarginPart);
+}
+
 ErrorReply LateReply(const Exchange& exchange) {
   if (exchange.may_have_run) {
     return {502, Outcome::kUnknown, "answer_lost",
@@ -39,11 +52,12 @@
 
 KeyStorePort UnavailableKeyStore(asio::io_context& loop) {
   return {[&loop](const core::RequestKey&, const core::ServiceName&,
-                  const std::function<void(ClaimResult)>& done) {
+                  core::Millis, const std::function<void(ClaimResult)>& done) {
             asio::post(loop, [done] { done(ClaimResult{}); });
           },
           [](const core::RequestKey&) {},
-          [](const core::RequestKey&, const StoredAnswer&) {}};
+          [](const core::RequestKey&, const StoredAnswer&) {},
+          [](const core::RequestKey&) {}};
 }
 
 Dispatcher::Dispatcher(asio::io_context& loop, DispatcherOptions options,
@@ -134,7 +148,9 @@
 
 void Dispatcher::Claim(const ExchangePtr& exchange) {
   claiming_.emplace(exchange->id, exchange);
+  const core::Millis left = exchange->deadline - core::MonotonicNow();
   keys_.claim(*exchange->options.key, exchange->options.service,
+              internal::ClaimTimeout(left),
               [weak = weak_from_this(), exchange](ClaimResult result) {
                 if (const auto self = weak.lock()) {
                   self->OnClaim(exchange, std::move(result));
@@ -169,9 +185,7 @@
     case ClaimStatus::kUnavailable:
       break;
   }
-  Fail(*exchange,
-       internal::NotRun("key_store_unavailable",
-                        "idempotency keys cannot be claimed at the moment"));
+  Fail(*exchange, internal::NoClaimReply(result.not_run_proven));
 }
 
 void Dispatcher::Enqueue(const ExchangePtr& exchange) {
@@ -297,9 +311,7 @@
   }
   for (const ExchangePtr& exchange : late) {
     claiming_.erase(exchange->id);
-    Fail(*exchange,
-         internal::NotRun("key_store_unavailable",
-                          "the key was not claimed before the deadline"));
+    Fail(*exchange, internal::NoClaimReply(/*not_run_proven=*/false));
   }
 }
 
--- a/src/camphormux/gateway/dispatcher_replies.cpp
+++ b/src/camphormux/gateway/dispatcher_replies.cpp
@@ -18,6 +18,7 @@
   if (exchange.key_claimed) {
     keys_.store(*exchange.options.key,
                 {attempt.head.status, headers, attempt.body});
+    exchange.key_claimed = false;
   }
   for (http::Header& header :
        OutcomeHeaders(Outcome::kAnswered, exchange.request_id)) {
@@ -53,8 +54,12 @@
 void Dispatcher::Fail(Exchange& exchange, const ErrorReply& reply) {
   if (reply.outcome == Outcome::kNotRun && exchange.key_claimed) {
     keys_.release(*exchange.options.key);
+    exchange.key_claimed = false;
   }
   http::Headers headers = OutcomeHeaders(reply.outcome, exchange.request_id);
+  if (reply.outcome != Outcome::kNotRun && reply.status == 503) {
+    headers.push_back({"Retry-After", "1"});
+  }
   headers.push_back({"Content-Type", "application/json"});
   if (closing_) {
     exchange.response->CloseAfter();
@@ -75,6 +80,11 @@
 
 void Dispatcher::Finish(Exchange& exchange, Outcome outcome) {
   exchange.finished = true;
+  if (exchange.key_claimed) {
+    // Others that ask for the answer of this run get `unknown` at once.
+    keys_.lose(*exchange.options.key);
+    exchange.key_claimed = false;
+  }
   if (exchange.metrics != nullptr) {
     ServiceMetrics& metrics = *exchange.metrics;
     prometheus::Counter* counter =
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "camphormux/gateway/gateway.hpp"
 
+#include <algorithm>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -79,6 +81,7 @@
         settings_.callers, internal::ToOptions(settings_, i, life),
         core::SeededRandom(life + static_cast<std::uint64_t>(i)), metrics_,
         spans_, keys));
+    applied_.push_back(std::make_shared<std::atomic<std::uint64_t>>(0));
   }
   Tick();
 }
@@ -94,8 +97,21 @@
 void Gateway::Publish(const state::FleetState& state) {
   table_ = std::make_shared<const routing::RouteTable>(
       routing::BuildRouteTable(state));
-  ForEachThread(
-      [table = table_](Dispatcher& dispatcher) { dispatcher.SetTable(table); });
+  for (std::size_t i = 0; i < threads_.size(); ++i) {
+    threads_[i]->Post(
+        [table = table_, applied = applied_[i]](Dispatcher& dispatcher) {
+          dispatcher.SetTable(table);
+          *applied = table->next.value;
+        });
+  }
+}
+
+core::LogOffset Gateway::applied() const {
+  core::LogOffset lowest{std::numeric_limits<std::uint64_t>::max()};
+  for (const auto& applied : applied_) {
+    lowest.value = std::min(lowest.value, applied->load());
+  }
+  return lowest;
 }
 
 void Gateway::SetView(StateView view) { view_ = std::move(view); }
@@ -193,6 +209,12 @@
   if (stopping_) {
     return "shutting down";
   }
+  if (view_.not_ready) {
+    std::string reason = view_.not_ready();
+    if (!reason.empty()) {
+      return reason;
+    }
+  }
   if (!table_ || table_->services.empty()) {
     return "no accepted operator text was read from the log";
   }
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_GATEWAY_GATEWAY_HPP_
 #define CAMPHORMUX_GATEWAY_GATEWAY_HPP_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -27,6 +28,8 @@
   std::function<std::uint64_t()> digest;
   /// Time at which the state is known to have been complete.
   std::function<core::MonotonicTime()> confirmed;
+  /// Why the state must not be served from yet; empty if it may.
+  std::function<std::string()> not_ready;
 };
 
 /// @brief The gateway's control side: publishes routes to the traffic threads,
@@ -54,6 +57,12 @@
   /// @param view The functions; called on the control thread.
   void SetView(StateView view);
 
+  /// @return First offset that some traffic thread has not applied yet.
+  [[nodiscard]] core::LogOffset applied() const;
+
+  /// @return Time series of all services.
+  [[nodiscard]] const MetricsStore& metrics() const { return metrics_; }
+
   /// @brief Ends the process gracefully: not ready, grace, no new connections,
   /// open requests, bounded by the settings. Further calls have no effect.
   /// @param done Called when the process may exit.
@@ -78,6 +87,8 @@
   prometheus::Gauge& view_age_;
   prometheus::Gauge& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
+  /// First offset that each thread has not applied; in the threads' order.
+  std::vector<std::shared_ptr<std::atomic<std::uint64_t>>> applied_;
   std::shared_ptr<const routing::RouteTable> table_;
   StateView view_;
   bool own_zone_only_ = false;
--- a/src/camphormux/gateway/key_store_port.hpp
+++ b/src/camphormux/gateway/key_store_port.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
 #include "camphormux/http/message.hpp"
 
 namespace camphormux::gateway {
@@ -22,12 +23,15 @@
   kAnswered,     ///< An earlier claim's run has an answer.
   kUnknown,      ///< An earlier claim's run has no known answer.
   kExpired,      ///< The key is too old to be remembered.
-  kUnavailable,  ///< Nothing was claimed.
+  kUnavailable,  ///< Nothing was claimed; see `not_run_proven`.
 };
 
 /// @brief Result of a claim; `answer` is set for `kAnswered`.
 struct ClaimResult {
   ClaimStatus status = ClaimStatus::kUnavailable;
+  /// For `kUnavailable`: no earlier request with the key ran. If false, another
+  /// gateway may have run it.
+  bool not_run_proven = false;
   StoredAnswer answer;
 };
 
@@ -37,13 +41,15 @@
 struct KeyStorePort {
   /// Claims a key before its request is sent.
   std::function<void(const core::RequestKey& key,
-                     const core::ServiceName& service,
+                     const core::ServiceName& service, core::Millis timeout,
                      std::function<void(ClaimResult)> done)>
       claim;
   /// Gives a claim up whose request provably did not run.
   std::function<void(const core::RequestKey& key)> release;
   /// Keeps the answer of the run for later claims.
   std::function<void(const core::RequestKey& key, StoredAnswer answer)> store;
+  /// Tells that the claimed request may have run and has no answer to keep.
+  std::function<void(const core::RequestKey& key)> lose;
 };
 
 }  // namespace camphormux::gateway
