--- a/src/camphormux/idempotency/key_store.cpp
+++ b/src/camphormux/idempotency/key_store.cpp
@@ -143,18 +143,22 @@
                 });
   }
   if (effects.read) {
-    port.read(
-        log::kKeyStream, effects.read->from, kMaxReadBytes, options.read_wait,
-        [weak = weak_from_this(),
-         serial = effects.read->serial](const log::ReadAnswer& answer) {
-          const auto self = weak.lock();
-          if (self && !self->closed) {
-            Effects decided;
-            OnRead(self->claims, serial, answer, core::MonotonicNow(), decided);
-            self->Perform(std::move(decided));
-            self->Pump();
-          }
-        });
+    const core::Millis wait =
+        claims.waiting.empty()
+            ? options.read_wait
+            : std::min(options.read_wait, options.busy_read_wait);
+    port.read(log::kKeyStream, effects.read->from, kMaxReadBytes, wait,
+              [weak = weak_from_this(),
+               serial = effects.read->serial](const log::ReadAnswer& answer) {
+                const auto self = weak.lock();
+                if (self && !self->closed) {
+                  Effects decided;
+                  OnRead(self->claims, serial, answer, core::MonotonicNow(),
+                         decided);
+                  self->Perform(std::move(decided));
+                  self->Pump();
+                }
+              });
   }
   for (const Decision& decision : effects.decisions) {
     Decide(decision);
--- a/src/camphormux/idempotency/key_store.hpp
+++ b/src/camphormux/idempotency/key_store.hpp
@@ -73,6 +73,9 @@
   ClaimPolicy policy;
   std::uint64_t seed = 0;  ///< Of the jitter.
   core::Millis read_wait = std::chrono::seconds(1);
+  /// While claims wait: the proof that a claim did not run needs a read that
+  /// began after the claim and ended before its deadline.
+  core::Millis busy_read_wait{100};
   /// Before a claim is tried again whose holder released the key.
   core::Millis retry_wait{50};
   std::size_t max_answer_bytes_total = std::size_t{32} << 20;
