--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -11,6 +11,7 @@
 #include "camphormux/controller/admin.hpp"
 #include "camphormux/controller/collector.hpp"
 #include "camphormux/controller/meters.hpp"
+#include "camphormux/controller/outbox.hpp"
 #include "camphormux/controller/platform_client.hpp"
 #include "camphormux/controller/step.hpp"
 #include "camphormux/controller/watch.hpp"
@@ -24,6 +25,7 @@
 #include "camphormux/peer/server.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
+#include "camphormux/state/snapshot_writer.hpp"
 #include "camphormux/state/tailer.hpp"
 #include "camphormux/telemetry/log.hpp"
 #include "camphormux/telemetry/trace.hpp"
@@ -38,22 +40,6 @@
 constexpr core::Millis kStopLimit = std::chrono::seconds(5);
 constexpr core::Millis kStopPoll{20};
 
-/// A batch of decided records that is not in the state yet.
-struct PendingBatch {
-  std::optional<core::LogOffset> offset;  ///< Once the log answered.
-  /// When the log gave no answer: a state read after this time decides.
-  std::optional<core::MonotonicTime> unknown_since;
-};
-
-/// Whether the state shows what became of the batch.
-bool IsSettled(const PendingBatch& batch, const state::Tailer& tailer) {
-  if (batch.offset) {
-    return tailer.state().next > *batch.offset;
-  }
-  return batch.unknown_since &&
-         tailer.last_confirmed_sent() > *batch.unknown_since;
-}
-
 membership::View NewView(const Settings& settings,
                          core::Incarnation incarnation) {
   return membership::MakeView(
@@ -69,6 +55,12 @@
                  {{"member", transition.process.value}});
 }
 
+state::SnapshotPolicy PolicyOf(const Settings& settings) {
+  state::SnapshotPolicy policy;
+  policy.retention = settings.retention;
+  return policy;
+}
+
 std::int64_t UnixNanos() {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -91,7 +83,9 @@
   void AppendLease(const state::Record& record, core::MonotonicTime sent);
   void StepControl(core::MonotonicTime now);
   void CountAnswers();
-  void AppendBatch(const std::vector<state::Record>& records);
+  void AppendRecords(const std::vector<state::Record>& records);
+  [[nodiscard]] bool AllSettled() const;
+  [[nodiscard]] bool OwnsSnapshots() const;
   void Report(const StepInput& input, const StepResult& result,
               std::int64_t started);
   void WaitForRecords(core::MonotonicTime deadline, std::function<void()> done);
@@ -108,6 +102,7 @@
   std::optional<peer::Server> peer_server;
   state::Tailer tailer;
   log::Appender appender;
+  state::SnapshotWriter snapshots;
   Collector collector;
   Watch watch;
   ownership::Lease lease;
@@ -116,7 +111,7 @@
   Meters meters;
   telemetry::SpanExporter spans;
   asio::steady_timer timer;
-  std::optional<internal::PendingBatch> pending;
+  std::optional<PendingStep> pending;
   std::optional<http::Server> admin;
   core::LogOffset told_offset;
   /// Processes of the log that membership was told of.
@@ -137,6 +132,9 @@
               internal::LogTransition),
       tailer(loop, port, [](const state::FleetState&) {}),
       appender(loop, port, log::kStateStream),
+      snapshots(loop, appender, tailer, settings.process,
+                internal::PolicyOf(settings),
+                [this] { return OwnsSnapshots(); }),
       collector(MakePlatformPort(client, settings.platform), settings.zone),
       lease(ownership::MakeLease(settings.zone, settings.process, {}, random)),
       spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
@@ -161,6 +159,7 @@
       });
   members.Start();
   tailer.Start();
+  snapshots.Start();
   Schedule();
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
@@ -195,7 +194,7 @@
   Announce();
   TellMembers();
   StepLease(now);
-  if (pending && internal::IsSettled(*pending, tailer)) {
+  if (AllSettled()) {
     pending.reset();
   }
   if (!pending) {
@@ -276,7 +275,7 @@
   StepResult result = Step(input, memory);
   Report(input, result, started);
   seen.answers.clear();
-  AppendBatch(result.records);
+  AppendRecords(result.records);
   // A step may take long; effects need the lease at the time of sending.
   if (ownership::MayDecide(lease, core::MonotonicNow()) == seen.lease) {
     collector.Send(result.calls);
@@ -294,24 +293,37 @@
   }
 }
 
-void App::Impl::AppendBatch(const std::vector<state::Record>& records) {
-  if (records.empty()) {
+void App::Impl::AppendRecords(const std::vector<state::Record>& records) {
+  std::vector<std::string> entries = EncodeEntries(records, kMaxEntryBytes);
+  if (entries.empty()) {
     return;
   }
-  pending.emplace();
-  appender.Append(state::EncodeRecords(records),
-                  [self = weak_from_this()](const log::AppendResult& result) {
-                    const auto impl = self.lock();
-                    if (!impl || !impl->pending) {
-                      return;
-                    }
-                    if (result.has_value()) {
-                      impl->pending->offset = result.value();
-                      return;
-                    }
-                    impl->meters.append_failures.Increment();
-                    impl->pending->unknown_since = core::MonotonicNow();
-                  });
+  pending.emplace().unanswered = entries.size();
+  for (std::string& entry : entries) {
+    appender.Append(std::move(entry), [self = weak_from_this()](
+                                          const log::AppendResult& result) {
+      const auto impl = self.lock();
+      if (!impl || !impl->pending) {
+        return;
+      }
+      OnEntryAnswer(*impl->pending, result, core::MonotonicNow());
+      if (!result.has_value()) {
+        impl->meters.append_failures.Increment();
+      }
+    });
+  }
+}
+
+bool App::Impl::AllSettled() const {
+  return !pending ||
+         IsSettled(*pending, tailer.state().next, tailer.last_confirmed_sent());
+}
+
+bool App::Impl::OwnsSnapshots() const {
+  const core::MonotonicTime now = core::MonotonicNow();
+  return ownership::MayDecide(lease, now) &&
+         LowestLiveZone(watch, settings.zone, tailer.last_confirmed_sent(),
+                        now) == settings.zone;
 }
 
 void App::Impl::Report(const StepInput& input, const StepResult& result,
@@ -360,10 +372,8 @@
   if (stopping) {
     return "the process stops";
   }
-  if (!tailer.at_end()) {
-    return "the shared state is not read to the log's end";
-  }
-  return std::nullopt;
+  const state::Readiness readiness = tailer.ready();
+  return readiness.ready ? std::nullopt : std::optional(readiness.reason);
 }
 
 void App::Impl::Stop(std::function<void()> done) {
@@ -376,8 +386,7 @@
 
 void App::Impl::WaitForRecords(core::MonotonicTime deadline,
                                std::function<void()> done) {
-  const bool settled = !pending || internal::IsSettled(*pending, tailer);
-  if (settled || core::MonotonicNow() >= deadline) {
+  if (AllSettled() || core::MonotonicNow() >= deadline) {
     done();
     return;
   }
--- a/src/camphormux/controller/settings.cpp
+++ b/src/camphormux/controller/settings.cpp
@@ -9,6 +9,9 @@
 namespace internal {
 
 constexpr core::Millis kShortestStep{10};
+/// A quarter of it must leave time to write a snapshot of the largest fleet.
+constexpr core::Millis kShortestRetention = std::chrono::minutes(1);
+constexpr core::Millis kLongestRetention = std::chrono::hours(24 * 365);
 constexpr core::Millis kLongestStep = std::chrono::seconds(2);
 constexpr std::array kLevels{telemetry::Level::kDebug, telemetry::Level::kInfo,
                              telemetry::Level::kWarning,
@@ -26,6 +29,9 @@
   parsed.admin = settings::ReadAddress(reader, "listen", "admin");
   parsed.peer = settings::ReadAddress(reader, "listen", "peer");
   parsed.platform = settings::ReadAddress(reader, "platform", "address");
+  parsed.retention = settings::ReadDuration(
+      reader, "platform", "retention", internal::kShortestRetention,
+      internal::kLongestRetention, parsed.retention);
   parsed.seeds = settings::ReadAddresses(reader, "peers", "seeds");
   parsed.step =
       settings::ReadDuration(reader, "control", "step", internal::kShortestStep,
--- a/src/camphormux/controller/settings.hpp
+++ b/src/camphormux/controller/settings.hpp
@@ -19,6 +19,8 @@
   core::Address admin;
   core::Address peer;
   core::Address platform;
+  /// How long the platform's log keeps records; paces the snapshots.
+  core::Millis retention = std::chrono::hours(24);
   std::vector<core::Address> seeds;
   core::Millis step = std::chrono::milliseconds(200);
   telemetry::Level log_level = telemetry::Level::kInfo;
--- a/src/camphormux/controller/watch.cpp
+++ b/src/camphormux/controller/watch.cpp
@@ -1,5 +1,7 @@
 #include "camphormux/controller/watch.hpp"
 
+#include <algorithm>
+
 namespace camphormux::controller {
 
 void UpdateWatch(const state::FleetState& state, core::MonotonicTime now,
@@ -29,6 +31,20 @@
   return zones;
 }
 
+std::optional<core::ZoneName> LowestLiveZone(const Watch& watch,
+                                             const core::ZoneName& own_zone,
+                                             core::MonotonicTime log_read,
+                                             core::MonotonicTime now) {
+  const std::vector<core::ZoneName> cut_off =
+      CutOffZones(watch, own_zone, log_read, now);
+  for (const auto& [name, zone] : watch.zones) {
+    if (std::find(cut_off.begin(), cut_off.end(), name) == cut_off.end()) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
 std::vector<GatewayView> GatewaysOf(const membership::View& view) {
   std::vector<GatewayView> gateways;
   for (const auto& [id, member] : view.members) {
--- a/src/camphormux/controller/watch.hpp
+++ b/src/camphormux/controller/watch.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_CONTROLLER_WATCH_HPP_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "camphormux/controller/observation.hpp"
@@ -41,6 +42,16 @@
     const Watch& watch, const core::ZoneName& own_zone,
     core::MonotonicTime log_read, core::MonotonicTime now);
 
+/// @brief Names the zone whose owner writes the snapshots.
+/// @param watch The watch.
+/// @param own_zone The controller's zone.
+/// @param log_read Last time the log's end was read.
+/// @param now The time.
+/// @return The lowest-named zone that is not cut off; nothing if none is left.
+[[nodiscard]] std::optional<core::ZoneName> LowestLiveZone(
+    const Watch& watch, const core::ZoneName& own_zone,
+    core::MonotonicTime log_read, core::MonotonicTime now);
+
 /// @brief Takes the gateways from the membership's view.
 /// @param view The view.
 /// @return What is known of each gateway.
--- a/src/camphormux/state/follower.cpp
+++ b/src/camphormux/state/follower.cpp
@@ -121,6 +121,7 @@
 FollowResult OnRead(Follower& follower, const log::ReadResult& read) {
   FollowResult result;
   const FollowPhase phase = follower.phase;
+  follower.kept_from = read.earliest;
   if (!read.records.empty()) {
     follower.newest_time = read.records.back().time;
     follower.read_from = core::Next(read.records.back().offset);
--- a/src/camphormux/state/follower.hpp
+++ b/src/camphormux/state/follower.hpp
@@ -34,7 +34,8 @@
   FleetState state;  ///< What is served; stays as it is while searching.
   FollowPhase phase = FollowPhase::kFollowing;
   core::LogOffset read_from;
-  core::LogOffset earliest;  ///< Where the search began.
+  core::LogOffset earliest;   ///< Where the search began.
+  core::LogOffset kept_from;  ///< First offset that the log still has.
   SnapshotAssembler assembler;
   FleetState loading;  ///< State under construction while loading.
   bool at_end = false;
--- a/src/camphormux/state/snapshot_writer.cpp
+++ b/src/camphormux/state/snapshot_writer.cpp
@@ -44,8 +44,11 @@
   constexpr int kSnapshotsPerRetention = 4;
   const bool old = follower.newest_time - last.time >=
                    policy.retention / kSnapshotsPerRetention;
+  // A log that keeps records for less than the setting says has dropped the
+  // snapshot or records after it; no process could start.
+  const bool expired = follower.kept_from > last.at;
   const bool far = follower.state.next.value - last.at.value >= policy.max_tail;
-  return old || far ? SnapshotDuty::kSnapshot : SnapshotDuty::kNone;
+  return old || far || expired ? SnapshotDuty::kSnapshot : SnapshotDuty::kNone;
 }
 
 struct SnapshotWriter::Impl
--- a/test/controller/admin_test.cpp
+++ b/test/controller/admin_test.cpp
@@ -117,6 +117,13 @@
             std::vector<core::ZoneName>{{"b"}});
   EXPECT_EQ(CutOffZones(watch, {"a"}, now - kZoneCutOff, now),
             std::vector<core::ZoneName>{{"a"}});
+  // Snapshots come from the lowest-named zone that is not cut off.
+  EXPECT_EQ(LowestLiveZone(watch, {"b"}, now, now), core::ZoneName{"a"});
+  now += kZoneCutOff / 2;
+  state.leases[{"b"}].last_renewal = core::LogOffset{12};
+  UpdateWatch(state, now, watch);
+  now += kZoneCutOff / 2;
+  EXPECT_EQ(LowestLiveZone(watch, {"b"}, now, now), core::ZoneName{"b"});
 }
 
 // Guards against platform answers that are misread as facts.
--- /dev/null
+++ b/test/controller/app_test.cpp
@@ -0,0 +1,139 @@
+// Runs controllers against the platform stand-in over HTTP.
+#include "camphormux/controller/app.hpp"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/http/client.hpp"
+#include "camphormux/log/appender.hpp"
+#include "camphormux/log/http_port.hpp"
+#include "camphormux/state/codec.hpp"
+#include "camphormux/state/tailer.hpp"
+#include "test/controller/fake_fleet.hpp"
+#include "test/platform_standin/service.hpp"
+
+namespace camphormux::controller {
+namespace {
+
+constexpr core::Millis kLimit = std::chrono::seconds(60);
+constexpr int kHosts = 5000;
+
+core::Address FreeAddress() {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+standin::Fleet FleetOf(int count) {
+  standin::Fleet fleet;
+  for (int i = 0; i < count; ++i) {
+    standin::PlatformHost host;
+    host.id = "h" + std::to_string(i);
+    host.zone = kZone.value;
+    host.rack = "r" + std::to_string(i / 40);
+    host.address = {"127.0.0.1", 9};
+    fleet.hosts.emplace(host.id, host);
+  }
+  return fleet;
+}
+
+class AppTest : public testing::Test {
+ protected:
+  AppTest()
+      : address_(FreeAddress()),
+        service_(loop_, standin::LogStore(standin::LogLimits{}),
+                 FleetOf(kHosts), std::nullopt, 1),
+        server_(loop_, address_,
+                [this](const http::ServerRequest& request,
+                       const http::Respond& respond) {
+                  service_.Handle(request, respond);
+                }),
+        client_(loop_),
+        port_(log::MakeHttpPort(client_, address_)),
+        tailer_(loop_, port_, [](const state::FleetState&) {}) {
+    tailer_.Start();
+  }
+
+  bool RunUntil(const std::function<bool()>& done) {
+    const auto end = core::MonotonicNow() + kLimit;
+    while (!done() && core::MonotonicNow() < end) {
+      loop_.restart();
+      loop_.run_one_for(kLimit);
+    }
+    return done();
+  }
+
+  Settings SettingsOf(const std::string& process) const {
+    Settings settings;
+    settings.process = {process};
+    settings.zone = kZone;
+    settings.admin = FreeAddress();
+    settings.peer = FreeAddress();
+    settings.platform = address_;
+    return settings;
+  }
+
+  http::ClientResponse Send(const std::string& method,
+                            const core::Address& address,
+                            const std::string& path) {
+    http::ClientRequest request;
+    request.method = method;
+    request.url = "http://127.0.0.1:" + std::to_string(address.port) + path;
+    request.timeout = kLimit;
+    std::optional<http::ClientResult> result;
+    client_.Send(std::move(request),
+                 [&](const http::ClientResult& answer) { result = answer; });
+    EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
+    EXPECT_TRUE(result && result->has_value());
+    return result && result->has_value() ? result->value()
+                                         : http::ClientResponse{};
+  }
+
+  void Publish() {
+    log::Appender appender(loop_, port_, log::kStateStream);
+    bool done = false;
+    appender.Append(state::EncodeRecords({PublishOf("1", {}, TextWith(4))}),
+                    [&](const log::AppendResult&) { done = true; });
+    EXPECT_TRUE(RunUntil([&] { return done; }));
+  }
+
+  asio::io_context loop_;
+  core::Address address_;
+  standin::Service service_;
+  http::Server server_;
+  http::Client client_;
+  log::LogPort port_;
+  state::Tailer tailer_;
+};
+
+// Guards against a fleet that never gets on the log because the first step's
+// records exceed an entry, and against a log on which no snapshot replaces
+// what expired, so that no process can start any more.
+TEST_F(AppTest, BringsALargeFleetOnTheLogAndLetsOthersStartAfterExpiry) {
+  Publish();
+  App first(loop_, SettingsOf("c1"));
+  first.Start();
+  ASSERT_TRUE(RunUntil([&] {
+    return tailer_.state().hosts.size() == kHosts &&
+           tailer_.follower().last_snapshot.has_value();
+  }));
+  ASSERT_EQ(Send("PUT", address_, "/control/expire").status, 200);
+  const Settings settings = SettingsOf("c2");
+  App second(loop_, settings);
+  second.Start();
+  std::set<std::string> reasons;
+  EXPECT_TRUE(RunUntil([&] {
+    const auto answer = Send("GET", settings.admin, "/readyz");
+    reasons.insert(answer.body);
+    return answer.status == 200;
+  }));
+  EXPECT_GT(reasons.size(), 1U);  // It was not ready at first.
+}
+
+}  // namespace
+}  // namespace camphormux::controller
--- /dev/null
+++ b/test/controller/outbox_test.cpp
@@ -0,0 +1,52 @@
+#include "camphormux/controller/outbox.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/state/codec.hpp"
+
+namespace camphormux::controller {
+namespace {
+
+constexpr core::MonotonicTime kNow{std::chrono::hours(1)};
+constexpr core::Millis kTick{1};
+
+// Guards against an entry above the appender's limit, which is refused for
+// ever, and against records that a split loses or reorders.
+TEST(OutboxTest, SplitsManyRecordsIntoBoundedEntries) {
+  std::vector<state::Record> records;
+  for (int i = 0; i < 5000; ++i) {
+    records.emplace_back(state::HostAdded{{"zone"},
+                                          core::Epoch{1},
+                                          {"host-" + std::to_string(i)},
+                                          {"rack"},
+                                          {},
+                                          {"127.0.0.1", 80}});
+  }
+  std::vector<state::Record> read;
+  for (const std::string& entry : EncodeEntries(records, kMaxEntryBytes)) {
+    EXPECT_LE(entry.size(), kMaxEntryBytes);
+    const auto decoded = state::DecodeRecords(entry);
+    ASSERT_TRUE(decoded.has_value());
+    read.insert(read.end(), decoded.value().records.begin(),
+                decoded.value().records.end());
+  }
+  EXPECT_TRUE(read == records);
+  EXPECT_TRUE(EncodeEntries({}, kMaxEntryBytes).empty());
+  EXPECT_EQ(EncodeEntries({records[0], records[1]}, 1).size(), 2U);
+}
+
+// Guards against a next step that is decided before the state shows all
+// entries of the last one, whatever the order of their answers.
+TEST(OutboxTest, WaitsForEveryEntry) {
+  PendingStep pending{3, {}, {}};
+  OnEntryAnswer(pending, core::LogOffset{7}, kNow);
+  OnEntryAnswer(pending, core::LogOffset{5}, kNow);
+  EXPECT_FALSE(IsSettled(pending, core::LogOffset{9}, kNow + kTick));
+  OnEntryAnswer(pending, log::AppendError::kNoAnswer, kNow);
+  EXPECT_FALSE(IsSettled(pending, core::LogOffset{7}, kNow + kTick));
+  EXPECT_FALSE(IsSettled(pending, core::LogOffset{8}, kNow));
+  EXPECT_TRUE(IsSettled(pending, core::LogOffset{8}, kNow + kTick));
+}
+
+}  // namespace
+}  // namespace camphormux::controller
