--- a/src/camphormux/cli/fwd.hpp
+++ b/src/camphormux/cli/fwd.hpp
@@ -14,7 +14,6 @@
 struct PublishRequest;
 struct PublishReport;
 struct HistoryEntry;
-struct TextEffect;
 class LogSession;
 
 }  // namespace camphormux::cli
--- a/src/camphormux/cli/history.cpp
+++ b/src/camphormux/cli/history.cpp
@@ -1,9 +1,11 @@
 #include "camphormux/cli/history.hpp"
 
+#include <map>
+
 #include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
 
-#include "camphormux/state/fold.hpp"
+#include "camphormux/state/follower.hpp"
 
 namespace camphormux::cli {
 namespace internal {
@@ -22,14 +24,22 @@
 }  // namespace internal
 
 HistoryResult ReadHistory(LogSession& session) {
-  state::FleetState state;
+  // The state decides, not a fold of what the log still keeps: without the
+  // records that expired a text would look rejected.
+  state::Follower follower;
+  const ReadDone followed = session.Follow(follower);
+  if (!followed.has_value()) {
+    return followed.error();
+  }
+  std::map<core::LogOffset, const state::PublishOutcome*> outcomes;
+  for (const state::PublishOutcome& outcome : follower.state.outcomes) {
+    outcomes[outcome.offset] = &outcome;
+  }
   std::vector<HistoryEntry> entries;
   const auto visit = [&](const log::StoredRecord& record) {
-    (void)state::ApplyEncoded(state, record.data, record.offset);
-    for (const state::PublishOutcome& outcome : state.outcomes) {
-      if (outcome.offset == record.offset) {
-        entries.push_back({record.time, outcome});
-      }
+    const auto found = outcomes.find(record.offset);
+    if (found != outcomes.end()) {
+      entries.push_back({record.time, *found->second});
     }
   };
   const ReadDone done = session.ReadToEnd(core::LogOffset{0}, visit);
--- a/src/camphormux/cli/log_session.cpp
+++ b/src/camphormux/cli/log_session.cpp
@@ -69,6 +69,31 @@
   return LogFailure::kUnreachable;
 }
 
+ReadDone LogSession::Follow(state::Follower& follower) {
+  core::MonotonicTime deadline = core::MonotonicNow() + limit_;
+  while (core::MonotonicNow() < deadline) {
+    const log::ReadAnswer answer = Read(follower.read_from);
+    if (answer.has_value()) {
+      // Skipped records are reported by `history`.
+      (void)state::OnRead(follower, answer.value());
+      deadline = core::MonotonicNow() + limit_;
+    } else if (answer.error().error == log::ReadError::kBelowEarliest &&
+               answer.error().earliest) {
+      state::OnBelowEarliest(follower, *answer.error().earliest);
+    } else {
+      Pause(internal::kRetryPause);
+      continue;
+    }
+    if (follower.at_end) {
+      return follower.read_from;
+    }
+    if (state::HasGap(follower)) {
+      return LogFailure::kNoSnapshot;
+    }
+  }
+  return LogFailure::kUnreachable;
+}
+
 log::AppendResult LogSession::Append(const std::string& data) {
   const auto slot = std::make_shared<std::optional<log::AppendResult>>();
   port_.append(log::kStateStream, data,
--- a/src/camphormux/cli/log_session.hpp
+++ b/src/camphormux/cli/log_session.hpp
@@ -8,11 +8,15 @@
 #include "camphormux/core/result.hpp"
 #include "camphormux/core/time.hpp"
 #include "camphormux/log/log_port.hpp"
+#include "camphormux/state/follower.hpp"
 
 namespace camphormux::cli {
 
-/// @brief Why the log gave no answer within the time limit.
-enum class LogFailure { kUnreachable };
+/// @brief Why the log's end was not reached.
+enum class LogFailure {
+  kUnreachable,  ///< No answer within the time limit.
+  kNoSnapshot,   ///< Records expired and no snapshot replaces them.
+};
 
 using ReadDone = core::Result<core::LogOffset, LogFailure>;
 
@@ -35,6 +39,12 @@
       core::LogOffset from,
       const std::function<void(const log::StoredRecord&)>& visit);
 
+  /// @brief Follows the state stream to its end; loads a snapshot where
+  /// records have expired.
+  /// @param follower Receives the records.
+  /// @return The offset after the last record, or why the end was not reached.
+  [[nodiscard]] ReadDone Follow(state::Follower& follower);
+
   /// @brief Sends one append to the state stream.
   /// @param data The record's bytes.
   /// @return The offset, or why there is none.
--- a/src/camphormux/cli/options.cpp
+++ b/src/camphormux/cli/options.cpp
@@ -24,8 +24,10 @@
 constexpr std::array kVerbs{
     VerbRule{Verb::kCheck, "check", 1, false, false,
              "check FILE [--platform IP:PORT]",
-             "Checks an operator text and prints every problem.\n"
-             "Exit codes: 0 valid, 2 bad usage, 3 text invalid."},
+             "Checks an operator text and prints every problem; with\n"
+             "--platform also against the hosts of the fleet.\n"
+             "Exit codes: 0 valid, 2 bad usage, 3 text invalid, 5 platform\n"
+             "unreachable."},
     VerbRule{Verb::kDiff, "diff", 1, true, false,
              "diff FILE --platform IP:PORT",
              "Compares FILE with the text in force: changed lines, hosts that\n"
--- a/src/camphormux/cli/publish.cpp
+++ b/src/camphormux/cli/publish.cpp
@@ -27,13 +27,6 @@
 
 }  // namespace internal
 
-ReadDone CatchUp(LogSession& session, state::FleetState& state) {
-  return session.ReadToEnd(state.next, [&](const log::StoredRecord& record) {
-    // Skipped records are reported by `history`.
-    (void)state::ApplyEncoded(state, record.data, record.offset);
-  });
-}
-
 state::Publish MakePublish(const PublishRequest& request,
                            const state::AcceptedText& in_force) {
   state::Publish whole{request.id,
@@ -54,10 +47,14 @@
 
 PublishResult PublishText(LogSession& session, const PublishRequest& request,
                           core::Millis limit) {
-  state::FleetState state;
-  if (!CatchUp(session, state).has_value()) {
-    return PublishError::kUnreachable;
+  state::Follower follower;
+  const ReadDone first_read = session.Follow(follower);
+  if (!first_read.has_value()) {
+    return first_read.error() == LogFailure::kNoSnapshot
+               ? PublishError::kNoSnapshot
+               : PublishError::kUnreachable;
   }
+  const state::FleetState& state = follower.state;
   if (!request.base && state.text.revision.value != 0) {
     return PublishError::kBaseMissing;
   }
@@ -73,7 +70,7 @@
       return PublishError::kTooLarge;
     }
     maybe_appended = maybe_appended || internal::MayHaveTakenEffect(appended);
-    const bool read = CatchUp(session, state).has_value();
+    const bool read = session.Follow(follower).has_value();
     const auto* outcome = internal::FindOutcome(state, request.id);
     if (read && outcome != nullptr) {
       return PublishReport{*outcome, state.text};
--- a/src/camphormux/cli/publish.hpp
+++ b/src/camphormux/cli/publish.hpp
@@ -28,6 +28,7 @@
 
 enum class PublishError {
   kUnreachable,     ///< The log cannot be read; nothing was appended.
+  kNoSnapshot,      ///< The log lost the state; nothing was appended.
   kBaseMissing,     ///< A text is in force and no base was given.
   kTooLarge,        ///< The log takes no record of this size.
   kOutcomeUnknown,  ///< The text may or may not be in force.
@@ -35,12 +36,6 @@
 
 using PublishResult = core::Result<PublishReport, PublishError>;
 
-/// @brief Reads the shared state as of the end of the state stream.
-/// @param session Access to the log.
-/// @param state Receives the records after its `next`.
-/// @return The offset after the last record, or why it was not reached.
-[[nodiscard]] ReadDone CatchUp(LogSession& session, state::FleetState& state);
-
 /// @brief Makes the record of a request: edits where these are smaller.
 /// @param request The request.
 /// @param in_force The text in force.
--- a/src/camphormux/cli/run.cpp
+++ b/src/camphormux/cli/run.cpp
@@ -12,9 +12,12 @@
 #include "camphormux/cli/history.hpp"
 #include "camphormux/cli/line_diff.hpp"
 #include "camphormux/cli/publish.hpp"
-#include "camphormux/cli/text_effect.hpp"
+#include "camphormux/cli/report.hpp"
+#include "camphormux/controller/platform_client.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/http_port.hpp"
+#include "camphormux/text/check.hpp"
+#include "camphormux/text/diff.hpp"
 #include "camphormux/text/parse.hpp"
 
 namespace camphormux::cli {
@@ -62,6 +65,7 @@
     streams.out << json{{"valid", false}, {"problems", ToJson(problems)}}.dump(
                        2)
                 << "\n";
+    return ExitCode::kTextInvalid;
   }
   for (const settings::Problem& problem : problems) {
     streams.err << settings::Describe(problem) << "\n";
@@ -101,36 +105,101 @@
   return ExitCode::kPlatformUnreachable;
 }
 
+/// Reports findings; returns whether there are any.
+bool ReportFindings(const Command& command, const Streams& streams,
+                    const std::vector<text::Finding>& findings) {
+  if (findings.empty()) {
+    return false;
+  }
+  if (command.output == Output::kJson) {
+    streams.out << json{{"valid", false},
+                        {"problems", json::array()},
+                        {"findings", FindingsJson(findings)}}
+                       .dump(2)
+                << "\n";
+  } else {
+    streams.err << FindingsText(command.file, findings);
+  }
+  return true;
+}
+
+/// Asks the platform for the hosts; nothing if it does not answer.
+std::optional<std::vector<text::FleetHost>> ListHosts(
+    const core::Address& platform) {
+  std::optional<std::vector<text::FleetHost>> hosts;
+  asio::io_context loop;
+  http::Client client(loop);
+  const controller::PlatformPort port =
+      controller::MakePlatformPort(client, platform);
+  port.list([&](const std::optional<controller::HostList>& list) {
+    if (list) {
+      hosts.emplace();
+      for (const auto& [id, host] : *list) {
+        hosts->push_back({id,
+                          host.zone,
+                          host.rack,
+                          host.shape.cores,
+                          host.shape.memory,
+                          host.shape.accelerators,
+                          {}});
+      }
+    }
+    loop.stop();
+  });
+  loop.run_for(kExchangeLimit);
+  return hosts;
+}
+
+std::vector<text::FleetHost> HostsOf(const state::FleetState& state) {
+  std::vector<text::FleetHost> hosts;
+  hosts.reserve(state.hosts.size());
+  for (const auto& [id, host] : state.hosts) {
+    hosts.push_back({id, host.zone, host.rack, host.shape.cores,
+                     host.shape.memory, host.shape.accelerators, host.pool});
+  }
+  return hosts;
+}
+
 ExitCode RunCheck(const Command& command, const Streams& streams) {
   ExitCode code = ExitCode::kOk;
-  if (!ReadText(command, streams, code)) {
+  const auto checked = ReadText(command, streams, code);
+  if (!checked) {
     return code;
   }
-  streams.out << (command.output == Output::kJson
-                      ? std::string(R"({"valid": true, "problems": []})")
-                      : command.file + ": valid")
-              << "\n";
-  return ExitCode::kOk;
-}
-
-json ToJson(const TextEffect& effect) {
-  json shortages = json::array();
-  for (const Shortage& shortage : effect.shortages) {
-    shortages.push_back({{"service", shortage.service.value},
-                         {"wanted", shortage.wanted},
-                         {"possible", shortage.possible}});
+  std::vector<text::FleetHost> hosts;
+  if (command.platform) {
+    auto listed = ListHosts(*command.platform);
+    if (!listed) {
+      return Unreachable(command, streams);
+    }
+    hosts = std::move(*listed);
+  }
+  if (ReportFindings(command, streams,
+                     text::CheckText(checked->parsed, hosts))) {
+    return ExitCode::kTextInvalid;
+  }
+  if (command.output == Output::kJson) {
+    streams.out << json{{"valid", true},
+                        {"problems", json::array()},
+                        {"findings", json::array()}}
+                       .dump(2)
+                << "\n";
+    return ExitCode::kOk;
   }
-  return {{"moved_hosts", effect.moved_hosts}, {"shortages", shortages}};
+  streams.out << fmt::format(
+      "{}: valid{}\n", command.file,
+      command.platform ? fmt::format(" for {} hosts", hosts.size()) : "");
+  return ExitCode::kOk;
 }
 
-void PrintEffect(const TextEffect& effect, std::ostream& out) {
-  out << fmt::format("hosts that change pools, at least: {}\n",
-                     effect.moved_hosts);
-  for (const Shortage& shortage : effect.shortages) {
-    out << fmt::format("service {}: {} hosts demanded, {} possible\n",
-                       shortage.service.value, shortage.wanted,
-                       shortage.possible);
+ExitCode NoState(const Command& command, const Streams& streams,
+                 LogFailure failure) {
+  if (failure == LogFailure::kUnreachable) {
+    return Unreachable(command, streams);
   }
+  streams.err << "the log holds no complete snapshot; see /readyz of the "
+                 "controllers\n";
+  return ExitCode::kFailure;
 }
 
 ExitCode RunDiff(const Command& command, const Streams& streams) {
@@ -140,15 +209,20 @@
     return code;
   }
   PlatformAccess access(*command.platform);
-  state::FleetState state;
-  if (!CatchUp(access.session, state).has_value()) {
-    return Unreachable(command, streams);
+  state::Follower follower;
+  const ReadDone read = access.session.Follow(follower);
+  if (!read.has_value()) {
+    return NoState(command, streams, read.error());
   }
+  const state::FleetState& state = follower.state;
   const std::string diff =
       FormatDiff(DiffLines(state.text.source, checked->source));
-  const TextEffect effect = EstimateEffect(state, checked->parsed);
+  const text::OperatorText none;
+  const text::TextDiff effect =
+      text::DiffTexts(state.text.parsed ? *state.text.parsed : none,
+                      checked->parsed, HostsOf(state));
   if (command.output == Output::kJson) {
-    json body = ToJson(effect);
+    json body = EffectJson(effect);
     body["revision"] = state.text.revision.value;
     body["diff"] = diff;
     streams.out << body.dump(2) << "\n";
@@ -156,8 +230,7 @@
   }
   streams.out << fmt::format("compared with revision {}\n",
                              state.text.revision.value)
-              << diff;
-  PrintEffect(effect, streams.out);
+              << diff << EffectText(effect);
   return ExitCode::kOk;
 }
 
@@ -184,6 +257,8 @@
       streams.err << "publish: a text is in force; give the revision that "
                      "the file was edited from as --base N (see status)\n";
       return ExitCode::kUsage;
+    case PublishError::kNoSnapshot:
+      return NoState(command, streams, LogFailure::kNoSnapshot);
     case PublishError::kTooLarge:
       streams.err << "publish: the text is larger than a record of the log\n";
       return ExitCode::kTextInvalid;
@@ -241,6 +316,11 @@
   if (!checked) {
     return code;
   }
+  // Without the hosts: a list that lags or a fleet under repair must not keep
+  // an operator from publishing.
+  if (ReportFindings(command, streams, text::CheckText(checked->parsed, {}))) {
+    return ExitCode::kTextInvalid;
+  }
   PlatformAccess access(*command.platform);
   const PublishResult result = PublishText(
       access.session,
--- a/test/cli/publish_test.cpp
+++ b/test/cli/publish_test.cpp
@@ -7,6 +7,7 @@
 
 #include "camphormux/cli/history.hpp"
 #include "camphormux/state/codec.hpp"
+#include "camphormux/state/snapshot.hpp"
 
 namespace camphormux::cli {
 namespace {
@@ -21,6 +22,7 @@
   std::vector<std::string> records;
   std::deque<Answer> answers;
   std::size_t appends = 0;
+  std::size_t earliest = 0;
 
   log::AppendResult Append(std::string data) {
     ++appends;
@@ -49,7 +51,13 @@
     port.read = [this](const std::string&, core::LogOffset from, std::size_t,
                        core::Millis, auto done) {
       asio::post(loop, [this, from, done] {
-        log::ReadResult result{{}, core::LogOffset{records.size()}, {}};
+        if (from.value < earliest) {
+          done(log::ReadFailure{log::ReadError::kBelowEarliest,
+                                core::LogOffset{earliest}});
+          return;
+        }
+        log::ReadResult result{
+            core::LogOffset{earliest}, core::LogOffset{records.size()}, {}};
         for (std::size_t i = from.value; i < records.size(); ++i) {
           result.records.push_back({core::LogOffset{i}, {}, records[i]});
         }
@@ -131,5 +139,34 @@
   EXPECT_FALSE(history.value()[0].outcome.accepted);
 }
 
+// Guards against a state that is built from what the log still keeps: a text
+// in force would be overlooked and outcomes would be wrong.
+TEST(PublishTest, LoadsASnapshotWhenRecordsExpired) {
+  FakeLog log;
+  LogSession session(log.loop, log.Port(), kLimit);
+  ASSERT_TRUE(PublishText(session, Request("1", 1, {}), kLimit).has_value());
+  state::Follower follower;
+  ASSERT_TRUE(session.Follow(follower).has_value());
+  log.earliest = log.records.size();
+  const auto lost = PublishText(session, Request("2", 2, {}), kLimit);
+  ASSERT_FALSE(lost.has_value());
+  EXPECT_EQ(lost.error(), PublishError::kNoSnapshot);
+  EXPECT_EQ(log.records.size(), log.earliest);
+  for (const auto& chunk : state::MakeSnapshot(follower.state, "s", false)) {
+    log.records.push_back(state::EncodeRecords({chunk}));
+  }
+  const auto no_base = PublishText(session, Request("3", 2, {}), kLimit);
+  ASSERT_FALSE(no_base.has_value());
+  EXPECT_EQ(no_base.error(), PublishError::kBaseMissing);
+  const auto accepted =
+      PublishText(session, Request("4", 2, core::Revision{1}), kLimit);
+  ASSERT_TRUE(accepted.has_value());
+  EXPECT_EQ(accepted.value().outcome.accepted, core::Revision{2});
+  const auto history = ReadHistory(session);
+  ASSERT_TRUE(history.has_value());
+  ASSERT_EQ(history.value().size(), 1U);
+  EXPECT_EQ(history.value()[0].outcome.accepted, core::Revision{2});
+}
+
 }  // namespace
 }  // namespace camphormux::cli
--- a/test/controller/outbox_test.cpp
+++ b/test/controller/outbox_test.cpp
@@ -13,8 +13,10 @@
 // Guards against an entry above the appender's limit, which is refused for
 // ever, and against records that a split loses or reorders.
 TEST(OutboxTest, SplitsManyRecordsIntoBoundedEntries) {
+  constexpr std::size_t kRecords = 5000;
   std::vector<state::Record> records;
-  for (int i = 0; i < 5000; ++i) {
+  records.reserve(kRecords);
+  for (std::size_t i = 0; i < kRecords; ++i) {
     records.emplace_back(state::HostAdded{{"zone"},
                                           core::Epoch{1},
                                           {"host-" + std::to_string(i)},
--- a/test/text/check_test.cpp
+++ b/test/text/check_test.cpp
@@ -1,10 +1,16 @@
 #include "camphormux/text/check.hpp"
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <map>
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "camphormux/settings/ini.hpp"
+#include "camphormux/text/parse.hpp"
+
 namespace camphormux::text {
 namespace {
 
@@ -95,5 +101,51 @@
   EXPECT_EQ(Kinds(text), Expected{});
 }
 
+/// Reads the hosts of an example.
+std::vector<FleetHost> ReadHosts(const std::string& path) {
+  constexpr std::int64_t kMilli = 1000;
+  const std::string prefix = "host ";
+  const auto file = settings::ReadIniFile(path);
+  std::map<std::string, FleetHost> hosts;
+  for (const settings::IniEntry& entry : file.value().entries) {
+    if (!entry.section.starts_with(prefix)) {
+      continue;
+    }
+    FleetHost& host = hosts[entry.section];
+    host.id = {entry.section.substr(prefix.size())};
+    if (entry.key == "zone") {
+      host.zone = {entry.value};
+    } else if (entry.key == "rack") {
+      host.rack = {entry.value};
+    } else if (entry.key == "cores") {
+      host.cores = {std::stoll(entry.value) * kMilli};
+    } else if (entry.key == "memory_mib") {
+      host.memory = {std::stoll(entry.value)};
+    }
+  }
+  std::vector<FleetHost> list;
+  for (const auto& [section, host] : hosts) {
+    list.push_back(host);
+  }
+  return list;
+}
+
+// Guards against examples whose own fleet cannot do what their text demands.
+TEST(CheckTextTest, FindsNothingInTheExamples) {
+  for (const std::string deployment : {"tazi", "brushwick"}) {
+    const std::string folder = EXAMPLES_DIR "/" + deployment;
+    std::ifstream file(folder + "/fleet.ini");
+    const std::string source{std::istreambuf_iterator<char>(file), {}};
+    const auto parsed = ParseOperatorText("fleet.ini", source);
+    ASSERT_TRUE(parsed.has_value());
+    const std::vector<FleetHost> hosts = ReadHosts(folder + "/hosts.ini");
+    EXPECT_GE(hosts.size(), 40U);
+    for (const Finding& finding : CheckText(parsed.value(), hosts)) {
+      ADD_FAILURE() << deployment << ": " << finding.key << ": found "
+                    << finding.found << ", expected " << finding.expected;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::text
