Fill a renamed pool with its own hosts

Cause: hosts that drain out of a pool which the text no longer has were no supply for the pools that lack hosts, and such hosts were drained after the deficits were filled from other pools. A rename thus moved hosts twice as often as needed.

Change: these hosts serve deficits first, also while they wait for the bounds on moves in flight.

--- a/src/camphormux/moves/moves.cpp
+++ b/src/camphormux/moves/moves.cpp
@@ -127,16 +127,22 @@
   }
 }
 
+/// The most urgent deficit that no host is bound to yet; null if there is none.
+Deficit* NextDeficit(std::vector<Deficit>& deficits) {
+  const auto found =
+      std::find_if(deficits.begin(), deficits.end(),
+                   [](const Deficit& deficit) { return deficit.missing > 0; });
+  return found == deficits.end() ? nullptr : &*found;
+}
+
 /// Binds released hosts to the most urgent deficits, the rest to the spare
 /// pool.
 void AssignReleased(ZoneView& view, std::vector<Deficit>& deficits,
                     MoveDecision& decision) {
   const auto spare = view.pool_of_name.find(view.input->spare_pool);
   for (const std::size_t host : view.released) {
-    const auto deficit =
-        std::find_if(deficits.begin(), deficits.end(),
-                     [](const Deficit& d) { return d.missing > 0; });
-    const bool needed = deficit != deficits.end();
+    Deficit* deficit = NextDeficit(deficits);
+    const bool needed = deficit != nullptr;
     if (!needed && spare == view.pool_of_name.end()) {
       continue;
     }
@@ -153,9 +159,9 @@
   }
 }
 
-/// Counts hosts that are draining already towards the deficits.
-int BindDraining(const ZoneView& view, std::vector<Deficit>& deficits) {
-  int unbound = static_cast<int>(view.draining.size());
+/// Counts hosts that will be released towards the deficits; returns how many
+/// no deficit awaits.
+int BindHosts(int unbound, std::vector<Deficit>& deficits) {
   for (Deficit& deficit : deficits) {
     const int bound = std::min(unbound, deficit.missing);
     deficit.missing -= bound;
@@ -277,22 +283,31 @@
   }
 }
 
-/// Drains hosts whose pool the text removed.
-void DrainOrphans(ZoneView& view, MoveDecision& decision) {
+/// Drains hosts whose pool the text removed. They move in any case, so they
+/// serve the deficits before other hosts do, also while they wait for the
+/// bounds on moves in flight; otherwise a renamed pool would be filled from
+/// others and its old hosts would move as well.
+void DrainOrphans(ZoneView& view, std::vector<Deficit>& deficits,
+                  MoveDecision& decision) {
+  BindHosts(view.orphans_on_the_way, deficits);
   const auto spare = view.pool_of_name.find(view.input->spare_pool);
-  if (spare == view.pool_of_name.end()) {
-    return;
-  }
   for (const std::size_t host : view.orphans) {
+    Deficit* deficit = NextDeficit(deficits);
+    if (deficit == nullptr && spare == view.pool_of_name.end()) {
+      continue;
+    }
+    const PoolIndex to = deficit != nullptr ? deficit->pool : spare->second;
+    if (deficit != nullptr) {
+      --deficit->missing;
+    }
     int& in_flight = view.in_flight_of_rack[view.rack_of_host[host]];
     if (in_flight >= view.input->limits.in_flight_per_rack) {
       continue;
     }
     ++in_flight;
     const state::Host& item = view.input->hosts[host];
-    decision.drains.push_back(
-        {item.id, item.pool, view.input->spare_pool,
-         ReasonOf(view, MoveCause::kUnknownPool, spare->second)});
+    decision.drains.push_back({item.id, item.pool, view.input->pools[to].pool,
+                               ReasonOf(view, MoveCause::kUnknownPool, to)});
   }
 }
 
@@ -346,11 +361,12 @@
   internal::ReverseDrains(view, decision);
   std::vector<internal::Deficit> deficits = internal::FindDeficits(view);
   internal::AssignReleased(view, deficits, decision);
-  const int unbound = internal::BindDraining(view, deficits);
+  internal::DrainOrphans(view, deficits, decision);
+  const int unbound =
+      internal::BindHosts(static_cast<int>(view.draining.size()), deficits);
   internal::ReverseUnneededDrains(view, unbound, decision);
   internal::FillDeficits(view, deficits, decision);
   internal::ReturnSurplus(view, decision);
-  internal::DrainOrphans(view, decision);
   return decision;
 }
 
--- a/src/camphormux/moves/zone_view.cpp
+++ b/src/camphormux/moves/zone_view.cpp
@@ -15,14 +15,25 @@
   return host.phase != state::HostPhase::kAdmitted;
 }
 
+// A missing host is no supply for other pools.
+void CountOrphan(ZoneView& view, std::size_t index, bool missing) {
+  const state::Host& host = view.input->hosts[index];
+  const bool stays = host.drain_reason == state::DrainReason::kMaintenance;
+  if (missing) {
+    return;
+  }
+  if (host.phase == state::HostPhase::kAdmitted) {
+    view.orphans.push_back(index);
+  } else if (!stays) {
+    ++view.orphans_on_the_way;
+  }
+}
+
 void CountMember(ZoneView& view, std::size_t index, bool missing) {
   const state::Host& host = view.input->hosts[index];
   const auto found = view.pool_of_name.find(*host.pool);
   if (found == view.pool_of_name.end()) {
-    const bool settled = host.phase == state::HostPhase::kAdmitted && !missing;
-    if (settled) {
-      view.orphans.push_back(index);
-    }
+    CountOrphan(view, index, missing);
     return;
   }
   PoolCount& count = view.pools[found->second];
--- a/src/camphormux/moves/zone_view.hpp
+++ b/src/camphormux/moves/zone_view.hpp
@@ -35,8 +35,9 @@
   /// Hosts that drain or are empty for a move, in the order of ids.
   std::vector<std::size_t> draining;
   std::vector<std::size_t> released;
-  /// Hosts whose pool the text no longer has, in the order of ids.
+  /// Admitted hosts whose pool the text no longer has, in the order of ids.
   std::vector<std::size_t> orphans;
+  int orphans_on_the_way = 0;  ///< Same, already drained or not yet admitted.
 };
 
 /// @brief Counts the hosts of the zone.
--- a/test/moves/moves_test.cpp
+++ b/test/moves/moves_test.cpp
@@ -1,5 +1,7 @@
 #include "camphormux/moves/moves.hpp"
 
+#include <algorithm>
+#include <set>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -127,5 +129,49 @@
   EXPECT_TRUE(decision.shortfalls.empty());
 }
 
+// Guards against a renamed pool that is filled from other pools while its own
+// hosts, which must move anyway, drain as well.
+TEST(DecideMovesTest, FillsARenamedPoolWithItsOwnHosts) {
+  for (const int in_flight_per_rack : {1, 4}) {
+    MoveInput input = MakeInput();
+    input.limits.in_flight_per_rack = in_flight_per_rack;
+    input.pools[0].pool = {"renamed"};
+    input.pools[0].needed = 4;
+    std::set<core::HostId> drained;
+    for (int step = 0; step < 20; ++step) {
+      const MoveDecision decision = DecideMoves(input);
+      for (const Move& move : decision.drains) {
+        EXPECT_EQ(move.from->value, "x");
+        EXPECT_EQ(move.to.value, "renamed");
+        EXPECT_EQ(move.reason.cause, MoveCause::kUnknownPool);
+        drained.insert(move.host);
+      }
+      EXPECT_TRUE(decision.reversals.empty());
+      for (state::Host& host : input.hosts) {
+        const bool released = std::any_of(
+            decision.assignments.begin(), decision.assignments.end(),
+            [&](const Move& move) { return move.host == host.id; });
+        if (released) {
+          host.pool = core::PoolName{"renamed"};
+          host.phase = HostPhase::kAdmitted;
+        } else if (host.phase == HostPhase::kDraining && step % 3 == 2) {
+          host.phase = HostPhase::kReleased;
+          host.pool.reset();
+        } else if (host.phase == HostPhase::kAdmitted &&
+                   drained.contains(host.id) && host.pool->value == "x") {
+          host.phase = HostPhase::kDraining;
+          host.drain_reason = DrainReason::kMove;
+        }
+      }
+    }
+    EXPECT_EQ(drained.size(), 4U);
+    EXPECT_EQ(std::count_if(input.hosts.begin(), input.hosts.end(),
+                            [](const state::Host& host) {
+                              return host.pool == core::PoolName{"renamed"};
+                            }),
+              4);
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::moves
