Add alert rules and a dashboard, checked against the sources

The test checks the naming conventions too; one metric broke them: camphormux_gateway_spans_dropped counts but was a gauge, and is now camphormux_gateway_dropped_spans_total.

--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -61,8 +61,8 @@
       view_age_(telemetry::AddGauge(
           *registry_, "camphormux_gateway_view_age_seconds",
           "Time since the state was known to be complete.")),
-      spans_dropped_(telemetry::AddGauge(
-          *registry_, "camphormux_gateway_spans_dropped",
+      spans_dropped_(telemetry::AddCounter(
+          *registry_, "camphormux_gateway_dropped_spans_total",
           "Spans that were dropped because the export queue was full.")),
       tick_(control),
       shutdown_(control),
@@ -108,7 +108,8 @@
 void Gateway::Tick() {
   UpdateOwnZoneOnly();
   view_age_.Set(std::chrono::duration<double>(ViewAge()).count());
-  spans_dropped_.Set(static_cast<double>(spans_.dropped()));
+  spans_dropped_.Increment(static_cast<double>(spans_.dropped()) -
+                           spans_dropped_.Value());
   tick_.expires_after(internal::kTickPeriod);
   tick_.async_wait([this](const asio::error_code& error) {
     if (!error) {
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -76,7 +76,7 @@
   MetricsStore metrics_;
   telemetry::SpanExporter spans_;
   prometheus::Gauge& view_age_;
-  prometheus::Gauge& spans_dropped_;
+  prometheus::Counter& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
   std::shared_ptr<const routing::RouteTable> table_;
   StateView view_;
--- /dev/null
+++ b/test/ops/ops_test.cpp
@@ -0,0 +1,155 @@
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "test/ops/metric_names.hpp"
+
+namespace camphormux::ops {
+namespace {
+
+constexpr const char* kAlerts = SOURCE_DIR "/ops/prometheus/alerts.yml";
+constexpr const char* kDashboard = SOURCE_DIR "/ops/grafana/camphormux.json";
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  EXPECT_TRUE(file) << path;
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::set<Metric> MetricsOfTheSources() {
+  std::set<Metric> metrics;
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(
+           SOURCE_DIR "/src/camphormux")) {
+    if (entry.path().extension() == ".cpp") {
+      metrics.merge(RegisteredMetrics(ReadFile(entry.path())));
+    }
+  }
+  return metrics;
+}
+
+/// Names of all time series; a histogram has three, and Prometheus itself
+/// provides `up`.
+std::set<std::string> TimeSeriesOfTheSources() {
+  std::set<std::string> names{"up"};
+  for (const Metric& metric : MetricsOfTheSources()) {
+    if (metric.kind != MetricKind::kHistogram) {
+      names.insert(metric.name);
+      continue;
+    }
+    for (const char* suffix : {"_bucket", "_sum", "_count"}) {
+      names.insert(metric.name + suffix);
+    }
+  }
+  return names;
+}
+
+/// Expressions of the alert rules; each stands on one line.
+std::vector<std::string> AlertExpressions() {
+  const std::string rules = ReadFile(kAlerts);
+  const std::regex line(R"(\n +expr: ([^|>\n][^\n]*))");
+  std::vector<std::string> expressions;
+  for (std::sregex_iterator i(rules.begin(), rules.end(), line), end; i != end;
+       ++i) {
+    expressions.push_back((*i)[1]);
+  }
+  return expressions;
+}
+
+void CollectExpressions(const nlohmann::json& node,
+                        std::vector<std::string>& expressions) {
+  for (const auto& item : node.items()) {
+    if (item.key() == "expr") {
+      expressions.push_back(item.value().get<std::string>());
+    } else if (item.value().is_structured()) {
+      CollectExpressions(item.value(), expressions);
+    }
+  }
+}
+
+/// Metrics that no source registers.
+std::set<std::string> UnknownMetrics(
+    const std::vector<std::string>& expressions) {
+  const std::set<std::string> known = TimeSeriesOfTheSources();
+  std::set<std::string> unknown;
+  for (const std::string& expression : expressions) {
+    const std::set<std::string> used = UsedMetrics(expression);
+    EXPECT_FALSE(used.empty()) << expression;
+    for (const std::string& name : used) {
+      if (!known.contains(name)) {
+        unknown.insert(name);
+      }
+    }
+  }
+  return unknown;
+}
+
+// Guards against alerts that never fire because their metric does not exist,
+// and against rules that the reader of this test overlooks.
+TEST(OpsTest, AlertsUseRegisteredMetrics) {
+  const std::string rules = ReadFile(kAlerts);
+  const std::regex alert(R"(- alert: )");
+  const std::sregex_iterator first(rules.begin(), rules.end(), alert);
+  const std::vector<std::string> expressions = AlertExpressions();
+  EXPECT_GT(expressions.size(), 0U);
+  EXPECT_EQ(std::distance(first, {}),
+            static_cast<std::ptrdiff_t>(expressions.size()));
+  EXPECT_EQ(UnknownMetrics(expressions), std::set<std::string>{});
+}
+
+// Guards against alerts that the operators' page does not explain.
+TEST(OpsTest, EachAlertIsDocumented) {
+  const std::string rules = ReadFile(kAlerts);
+  const std::string page = ReadFile(SOURCE_DIR "/docs/operators/alerts.md");
+  const std::regex alert(R"(- alert: (\w+))");
+  for (std::sregex_iterator i(rules.begin(), rules.end(), alert), end; i != end;
+       ++i) {
+    EXPECT_NE(page.find("## " + (*i)[1].str() + "\n"), std::string::npos)
+        << (*i)[1];
+  }
+}
+
+// Guards against dashboard panels that stay empty.
+TEST(OpsTest, DashboardUsesRegisteredMetrics) {
+  std::vector<std::string> expressions;
+  CollectExpressions(nlohmann::json::parse(ReadFile(kDashboard)), expressions);
+  EXPECT_GT(expressions.size(), 0U);
+  EXPECT_EQ(UnknownMetrics(expressions), std::set<std::string>{});
+}
+
+// Guards against a check that accepts every name.
+TEST(OpsTest, FindsInventedMetrics) {
+  EXPECT_EQ(
+      UnknownMetrics(
+          {"sum by (service) (rate(camphormux_gateway_lost_total[5m])) > 0",
+           "rate(camphormux_gateway_requests_total{service=\"a\"}[5m]) > 3",
+           "invented / camphormux_state_revision and up == 0"}),
+      (std::set<std::string>{"camphormux_gateway_lost_total", "invented"}));
+}
+
+// Guards against names that break the conventions of Prometheus, and against
+// sources in which this test finds no metrics.
+TEST(OpsTest, NamesFollowTheConventions) {
+  const std::set<Metric> metrics = MetricsOfTheSources();
+  EXPECT_TRUE(metrics.contains(
+      {"camphormux_gateway_requests_total", MetricKind::kCounter}));
+  EXPECT_TRUE(metrics.contains(
+      {"camphormux_controller_step_seconds", MetricKind::kHistogram}));
+  for (const Metric& metric : metrics) {
+    EXPECT_EQ(metric.name.ends_with("_total"),
+              metric.kind == MetricKind::kCounter)
+        << metric.name;
+    EXPECT_TRUE(metric.kind != MetricKind::kHistogram ||
+                metric.name.ends_with("_seconds"))
+        << metric.name;
+  }
+}
+
+}  // namespace
+}  // namespace camphormux::ops
