--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -85,7 +85,7 @@
   MetricsStore metrics_;
   telemetry::SpanExporter spans_;
   prometheus::Gauge& view_age_;
-  prometheus::Gauge& spans_dropped_;
+  prometheus::Counter& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
   /// First offset that each thread has not applied; in the threads' order.
   std::vector<std::shared_ptr<std::atomic<std::uint64_t>>> applied_;
