Add the placement decisions

Teams' jobs need workers with processors, memory and accelerators under quotas. The decisions are one pure function over a plain state; workers are found through a tree of maxima per pool, jobs are queued by class.

--- /dev/null
+++ b/src/camphormux/placement/decision.cpp
@@ -0,0 +1,243 @@
+#include "camphormux/placement/decision.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/placement/health.hpp"
+#include "camphormux/placement/leases.hpp"
+#include "camphormux/placement/outcomes.hpp"
+#include "camphormux/placement/placing.hpp"
+#include "camphormux/placement/preemption.hpp"
+#include "camphormux/placement/queue.hpp"
+#include "camphormux/placement/quotas.hpp"
+#include "camphormux/placement/tables.hpp"
+#include "camphormux/placement/workers.hpp"
+
+namespace camphormux::placement {
+namespace internal {
+namespace {
+
+/// Handles one event; one overload for each type.
+struct Handler {
+  State& state;
+  core::MonotonicTime now;
+  Effects& effects;
+
+  void operator()(const Tick&) {
+    ++state.steps;
+    PlaceAll(state, now, effects);
+  }
+
+  void operator()(const JobSubmitted& event) {
+    const JobSpec& spec = event.job;
+    if (state.job_names.contains(spec.id)) return;  // Submitted before.
+    ClassKey key = KeyOf(spec);
+    ClassIndex index = InternClass(state, key);
+    if (WhyImpossible(state, state.classes[index])) {
+      // Rounding may have made it larger than the largest worker.
+      key.declared = spec.declared;
+      index = InternClass(state, key);
+    }
+    ReviewClass(state, index, effects);
+    Job job;
+    job.id = spec.id;
+    job.job_class = index;
+    job.submitted = now;
+    const JobIndex number = AddJob(state, std::move(job));
+    Enqueue(state, number, QueueEnd::kBack);
+    const JobClass& job_class = state.classes[index];
+    if (job_class.impossible) {
+      effects.push_back(
+          NotifyTeam{spec.id, WhyImpossible(state, job_class).value()});
+    } else if (spec.priority == Priority::kUrgent) {
+      PlaceUrgent(state, key.pool, now, effects);
+    }
+  }
+
+  void operator()(const JobCancelled& event) {
+    CancelJob(state, event.job, now, effects);
+  }
+
+  void operator()(const QuotaSet& event) {
+    const TeamIndex team = InternTeam(state, event.team);
+    SetQuota(state, team, event.quota);
+    ReviewTeam(state, team, effects);
+  }
+
+  void operator()(const UsageReported& event) {
+    TakeReport(state, event, now, effects);
+  }
+
+  void operator()(const TaskStarted& event) {
+    const TaskIndex task = Current(event.task);
+    if (task != kNone) state.tasks[task].confirmed = true;
+  }
+
+  void operator()(const TaskThrottled& event) {
+    const TaskIndex task = Current(event.task);
+    if (task != kNone) OnThrottled(state, task, now, effects);
+  }
+
+  void operator()(const TaskCheckpointed& event) {
+    const TaskIndex task = Current(event.task);
+    if (task != kNone) OnCheckpointed(state, task, now, effects);
+  }
+
+  void operator()(const TaskEnded& event) {
+    const TaskIndex task = FindTask(state, event.task);
+    if (task == kNone) {
+      ++state.counters.stale_events;
+      return;
+    }
+    EndTask(state, task, event.outcome, now, effects);
+  }
+
+  void operator()(const LeaseLapsed& event) {
+    const TaskIndex task = Current(event.task);
+    if (task != kNone) AbandonTask(state, task);
+  }
+
+  void operator()(const WorkerAdded& event) {
+    const WorkerIndex worker = PutWorker(state, event.worker);
+    ReviewPool(state, state.workers[worker].pool, effects);
+  }
+
+  void operator()(const WorkerLost& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    state.workers[index].lost = true;
+    Vacate(index);
+    const std::vector<TaskIndex> tasks = state.workers[index].tasks;
+    for (const TaskIndex task : tasks) AbandonTask(state, task);
+    RefreshRoom(state, index);
+  }
+
+  void operator()(const WorkerDrained& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    state.workers[index].draining = true;
+    Vacate(index);
+    RefreshRoom(state, index);
+  }
+
+  void operator()(const WorkerReturned& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    Worker& worker = state.workers[index];
+    worker.lost = false;
+    worker.draining = false;
+    const std::vector<TaskIndex> tasks = worker.tasks;
+    for (const TaskIndex task : tasks) {
+      if (event.rebooted) {
+        AbandonTask(state, task);
+        EndAbandoned(state, task, now, effects);
+      } else if (state.tasks[task].abandoned) {
+        effects.push_back(
+            StopTask{event.worker, RefOf(state, state.tasks[task])});
+      }
+    }
+    RefreshRoom(state, index);
+    if (worker.pool != kNone) MarkDirty(state, worker.pool);
+  }
+
+  void operator()(const PoolChanged& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    const PoolIndex before = state.workers[index].pool;
+    const PoolIndex pool = InternPool(state, event.pool);
+    if (before == pool) return;
+    Vacate(index);
+    LeavePool(state, index);
+    JoinPool(state, index, pool);
+    if (before != kNone) ReviewPool(state, before, effects);
+    ReviewPool(state, pool, effects);
+  }
+
+  void operator()(const ProbeFinished& event) {
+    const WorkerIndex worker = FindWorker(state, event.worker);
+    if (worker != kNone) NoteProbe(state, worker, event.succeeded, now);
+  }
+
+  /// Takes the promises of a worker back and makes its tasks yield.
+  void Vacate(WorkerIndex index) {
+    const std::vector<JobIndex> promises = state.workers[index].promises;
+    for (const JobIndex job : promises) {
+      WithdrawPromise(state, job);
+      Enqueue(state, job, QueueEnd::kFront);
+    }
+    const std::vector<TaskIndex> tasks = state.workers[index].tasks;
+    for (const TaskIndex task : tasks) {
+      const bool may_yield =
+          !state.tasks[task].firm && !state.tasks[task].abandoned;
+      if (may_yield && !state.workers[index].lost) {
+        BeginYield(state, task, now, effects);
+      }
+    }
+  }
+
+  [[nodiscard]] ClassKey KeyOf(const JobSpec& spec) {
+    ClassKey key;
+    key.pool = InternPool(state, spec.pool);
+    key.kind = InternKind(state, InternTeam(state, spec.team), spec.kind);
+    key.priority = spec.priority;
+    key.preemptible = spec.preemptible;
+    key.repeatable = spec.repeatable;
+    key.declared = RoundUp(spec.declared);
+    return key;
+  }
+
+  /// Finds a task that its job still counts on.
+  [[nodiscard]] TaskIndex Current(const TaskRef& ref) {
+    const TaskIndex task = FindTask(state, ref);
+    if (task != kNone && !state.tasks[task].abandoned) return task;
+    ++state.counters.stale_events;
+    return kNone;
+  }
+};
+
+void TakeTimers(State& state, core::MonotonicTime now, Effects& effects) {
+  while (const std::optional<Timer> timer = TakeDueTimer(state, now)) {
+    switch (timer->kind) {
+      case TimerKind::kYieldStep:
+        OnYieldDeadline(state, *timer, now, effects);
+        break;
+      case TimerKind::kPromise:
+        if (OnPromiseDeadline(state, *timer, now)) {
+          PlaceUrgent(state, ClassOf(state, timer->number).key.pool, now,
+                      effects);
+        }
+        break;
+      case TimerKind::kRelease:
+        ReleaseHeldBack(state, *timer);
+        break;
+      case TimerKind::kLease:
+        CheckLease(state, *timer);
+        break;
+      case TimerKind::kProbe:
+        AskForProbe(state, *timer, effects);
+        break;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+Effects Apply(State& state, const Event& event, core::MonotonicTime now) {
+  Effects effects;
+  internal::TakeTimers(state, now, effects);
+  std::visit(internal::Handler{state, now, effects}, event);
+  return effects;
+}
+
+std::optional<core::MonotonicTime> NextDeadline(const State& state) {
+  if (state.timers.empty()) return std::nullopt;
+  return state.timers.front().due;
+}
+
+bool HasNoTask(const State& state, const core::HostId& worker) {
+  const WorkerIndex index = internal::FindWorker(state, worker);
+  return index == kNone || state.workers[index].tasks.empty();
+}
+
+}  // namespace camphormux::placement
--- /dev/null
+++ b/src/camphormux/placement/events.hpp
@@ -0,0 +1,108 @@
+#ifndef CAMPHORMUX_PLACEMENT_EVENTS_HPP_
+#define CAMPHORMUX_PLACEMENT_EVENTS_HPP_
+
+#include <variant>
+#include <vector>
+
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/placement/job.hpp"
+
+namespace camphormux::placement {
+
+/// @brief Time passed; the periodic step.
+struct Tick {};
+
+struct JobSubmitted {
+  JobSpec job;
+};
+
+struct JobCancelled {
+  core::JobId job;
+};
+
+/// @brief A team's quota came into force or changed.
+struct QuotaSet {
+  core::TeamName team;
+  Resources quota;
+};
+
+/// @brief What one task used when its worker's report was made.
+struct TaskUsage {
+  TaskRef task;
+  core::MilliCores cores;
+  core::Mebibytes memory;
+};
+
+/// @brief A worker's usage report; it lags.
+struct UsageReported {
+  core::HostId worker;
+  core::Millis age{0};  ///< Time since the report was made.
+  std::vector<TaskUsage> tasks;
+};
+
+struct TaskStarted {
+  TaskRef task;
+};
+
+/// @brief The task keeps to the cores that ThrottleTask named.
+struct TaskThrottled {
+  TaskRef task;
+};
+
+/// @brief The task's progress is saved; a later run continues from it.
+struct TaskCheckpointed {
+  TaskRef task;
+};
+
+/// @brief The worker confirmed that the run has ended.
+struct TaskEnded {
+  TaskRef task;
+  TaskOutcome outcome = TaskOutcome::kFinished;
+};
+
+/// @brief The task's lease lapsed; its holder may still run it.
+struct LeaseLapsed {
+  TaskRef task;
+};
+
+struct WorkerAdded {
+  WorkerSpec worker;
+};
+
+/// @brief The worker does not answer; its tasks may still run.
+struct WorkerLost {
+  core::HostId worker;
+};
+
+/// @brief The worker shall get no new task.
+struct WorkerDrained {
+  core::HostId worker;
+};
+
+/// @brief The worker is back from loss or drain.
+struct WorkerReturned {
+  core::HostId worker;
+  bool rebooted = false;  ///< True: none of its earlier tasks still runs.
+};
+
+struct PoolChanged {
+  core::HostId worker;
+  core::PoolName pool;
+};
+
+struct ProbeFinished {
+  core::HostId worker;
+  bool succeeded = false;
+};
+
+using Event =
+    std::variant<Tick, JobSubmitted, JobCancelled, QuotaSet, UsageReported,
+                 TaskStarted, TaskThrottled, TaskCheckpointed, TaskEnded,
+                 LeaseLapsed, WorkerAdded, WorkerLost, WorkerDrained,
+                 WorkerReturned, PoolChanged, ProbeFinished>;
+
+}  // namespace camphormux::placement
+
+#endif  // CAMPHORMUX_PLACEMENT_EVENTS_HPP_
--- /dev/null
+++ b/src/camphormux/placement/health.cpp
@@ -0,0 +1,176 @@
+#include "camphormux/placement/health.hpp"
+
+#include <algorithm>
+
+#include "camphormux/placement/queue.hpp"
+#include "camphormux/placement/tables.hpp"
+#include "camphormux/placement/workers.hpp"
+
+namespace camphormux::placement::internal {
+namespace {
+
+/// Failed jobs that are remembered per worker.
+constexpr std::size_t kMostFailedJobs = 16;
+
+bool Contains(const std::vector<std::uint32_t>& numbers, std::uint32_t number) {
+  return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+}
+
+/// Failed jobs of a worker that failed nowhere else: a job that fails on
+/// several workers says nothing about any of them.
+std::uint32_t FailedOnlyHere(const State& state, const WorkerHealth& health) {
+  return static_cast<std::uint32_t>(std::count_if(
+      health.failed_jobs.begin(), health.failed_jobs.end(),
+      [&](JobIndex job) { return state.jobs[job].failed_on.size() == 1; }));
+}
+
+bool QuarantineFits(const State& state, const Worker& worker) {
+  if (worker.pool == kNone) return true;
+  const Pool& pool = state.pools[worker.pool];
+  return pool.quarantined == 0 ||
+         pool.quarantined + 1 <= state.settings.quarantine_share * pool.workers;
+}
+
+void ArmProbe(State& state, WorkerIndex worker, core::MonotonicTime now) {
+  AddTimer(state, {now + state.workers[worker].health.probe_pause,
+                   TimerKind::kProbe, worker, core::Epoch{}});
+}
+
+void Quarantine(State& state, WorkerIndex index, core::MonotonicTime now) {
+  Worker& worker = state.workers[index];
+  WorkerHealth& health = worker.health;
+  health.quarantined = true;
+  health.probe_pause =
+      std::clamp(health.probe_pause * 2, state.settings.first_probe,
+                 state.settings.longest_probe);
+  for (const JobIndex job : health.failed_jobs) {
+    std::erase(state.jobs[job].failed_on, index);
+  }
+  health.failed_jobs.clear();
+  health.proven = 0;
+  if (worker.pool != kNone) ++state.pools[worker.pool].quarantined;
+  ++state.counters.quarantined;
+  RefreshRoom(state, index);
+  ArmProbe(state, index, now);
+}
+
+void CheckWorker(State& state, WorkerIndex index, core::MonotonicTime now) {
+  const Worker& worker = state.workers[index];
+  if (worker.health.quarantined) return;
+  const bool is_bad =
+      worker.health.proven >= state.settings.quarantine_after_proven ||
+      FailedOnlyHere(state, worker.health) + worker.health.proven >=
+          state.settings.quarantine_after;
+  if (is_bad && QuarantineFits(state, worker)) Quarantine(state, index, now);
+}
+
+void GiveUp(State& state, JobIndex index, Effects& effects) {
+  Job& job = state.jobs[index];
+  job.phase = JobPhase::kGivenUp;
+  ++state.counters.given_up;
+  effects.push_back(NotifyTeam{
+      job.id, GivenUp{static_cast<std::uint32_t>(job.failed_on.size()),
+                      job.out_of_memory}});
+  RememberEnded(state, index);
+}
+
+/// A pool with few workers cannot show failures on many distinct ones.
+std::uint32_t DistinctNeeded(const State& state, JobIndex job,
+                             std::uint32_t wanted) {
+  const Pool& pool = state.pools[ClassOf(state, job).key.pool];
+  return std::clamp(pool.workers, 1U, wanted);
+}
+
+}  // namespace
+
+void NoteSuccess(State& state, JobIndex index, WorkerIndex worker,
+                 core::MonotonicTime now) {
+  WorkerHealth& health = state.workers[worker].health;
+  health.failed_jobs.clear();
+  health.proven = 0;
+  health.probe_pause = core::Millis{0};
+  const std::vector<WorkerIndex> failed_on = state.jobs[index].failed_on;
+  for (const WorkerIndex suspect : failed_on) {
+    WorkerHealth& other = state.workers[suspect].health;
+    if (!Contains(other.failed_jobs, index)) continue;
+    std::erase(other.failed_jobs, index);
+    ++other.proven;
+    CheckWorker(state, suspect, now);
+  }
+  state.jobs[index].failed_on.clear();
+}
+
+void NoteFailure(State& state, JobIndex index, WorkerIndex worker,
+                 core::MonotonicTime now) {
+  Job& job = state.jobs[index];
+  ++job.failures;
+  if (!Contains(job.failed_on, worker)) job.failed_on.push_back(worker);
+  WorkerHealth& health = state.workers[worker].health;
+  if (!Contains(health.failed_jobs, index)) {
+    if (health.failed_jobs.size() >= kMostFailedJobs) {
+      health.failed_jobs.erase(health.failed_jobs.begin());
+    }
+    health.failed_jobs.push_back(index);
+  }
+  CheckWorker(state, worker, now);
+}
+
+void RetryOrHoldBack(State& state, JobIndex index, core::MonotonicTime now,
+                     Effects& effects) {
+  const Settings& settings = state.settings;
+  Job& job = state.jobs[index];
+  const auto distinct = static_cast<std::uint32_t>(job.failed_on.size());
+  const std::uint32_t hold =
+      DistinctNeeded(state, index, settings.hold_back_after);
+  const std::uint32_t give_up =
+      DistinctNeeded(state, index, settings.give_up_after);
+  if ((distinct >= give_up && job.failures >= settings.give_up_after) ||
+      job.failures >= 2 * settings.give_up_after) {
+    GiveUp(state, index, effects);
+    return;
+  }
+  if (distinct < hold) {
+    Enqueue(state, index, QueueEnd::kFront);
+    return;
+  }
+  core::Millis pause = settings.first_back_off;
+  for (std::uint32_t i = hold; i < distinct; ++i) pause *= 2;
+  job.phase = JobPhase::kHeldBack;
+  job.release = now + std::min(pause, settings.longest_back_off);
+  AddTimer(state, {job.release, TimerKind::kRelease, index, core::Epoch{}});
+  effects.push_back(NotifyTeam{job.id, HeldBack{distinct, job.release}});
+}
+
+void ReleaseHeldBack(State& state, const Timer& timer) {
+  const Job& job = state.jobs[timer.number];
+  if (job.phase != JobPhase::kHeldBack || job.release != timer.due) return;
+  Enqueue(state, timer.number, QueueEnd::kBack);
+}
+
+void AskForProbe(State& state, const Timer& timer, Effects& effects) {
+  const Worker& worker = state.workers[timer.number];
+  if (!worker.health.quarantined) return;
+  effects.push_back(ProbeWorker{worker.id});
+  // Asked again if no result comes.
+  ArmProbe(state, timer.number, timer.due);
+}
+
+void NoteProbe(State& state, WorkerIndex index, bool succeeded,
+               core::MonotonicTime) {
+  Worker& worker = state.workers[index];
+  WorkerHealth& health = worker.health;
+  if (!health.quarantined) return;
+  if (!succeeded) {
+    health.probe_pause =
+        std::min(health.probe_pause * 2, state.settings.longest_probe);
+    return;
+  }
+  health.quarantined = false;
+  if (worker.pool != kNone) {
+    --state.pools[worker.pool].quarantined;
+    MarkDirty(state, worker.pool);
+  }
+  RefreshRoom(state, index);
+}
+
+}  // namespace camphormux::placement::internal
--- /dev/null
+++ b/src/camphormux/placement/leases.cpp
@@ -0,0 +1,122 @@
+#include "camphormux/placement/leases.hpp"
+
+#include <algorithm>
+
+#include "camphormux/placement/queue.hpp"
+#include "camphormux/placement/quotas.hpp"
+#include "camphormux/placement/tables.hpp"
+#include "camphormux/placement/workers.hpp"
+
+namespace camphormux::placement::internal {
+namespace {
+
+TaskIndex TakeTaskPosition(State& state) {
+  if (state.free_tasks.empty()) {
+    state.tasks.emplace_back();
+    return static_cast<TaskIndex>(state.tasks.size() - 1);
+  }
+  const TaskIndex index = state.free_tasks.back();
+  state.free_tasks.pop_back();
+  return index;
+}
+
+Task MakeTask(State& state, JobIndex job, WorkerIndex worker,
+              const Resources& limits, core::MonotonicTime now) {
+  Task task;
+  task.job = job;
+  task.worker = worker;
+  task.pool = state.workers[worker].pool;
+  task.epoch = state.next_epoch;
+  task.reserved = limits;
+  task.committed = limits;
+  task.started = now;
+  task.lease_end = now + state.settings.task_lease;
+  task.firm = ClassOf(state, job).firm;
+  state.next_epoch = core::Next(state.next_epoch);
+  return task;
+}
+
+void CountRack(State& state, const Task& task, bool starts) {
+  Kind& kind = state.kinds[ClassOf(state, task.job).key.kind];
+  const RackIndex rack = state.workers[task.worker].rack;
+  std::uint32_t& count = kind.per_rack[rack];
+  starts ? ++count : --count;
+  if (count == 0) kind.per_rack.erase(rack);
+}
+
+}  // namespace
+
+void OpenTask(State& state, JobIndex job_index, WorkerIndex worker,
+              const Resources& limits, core::MonotonicTime now,
+              Effects& effects) {
+  const TaskIndex index = TakeTaskPosition(state);
+  state.tasks[index] = MakeTask(state, job_index, worker, limits, now);
+  const Task& task = state.tasks[index];
+  state.task_epochs[task.epoch] = index;
+  state.workers[worker].tasks.push_back(index);
+  Job& job = state.jobs[job_index];
+  job.phase = JobPhase::kActive;
+  job.task = index;
+  job.promised = kNone;
+  ++job.open_tasks;
+  Charge(state, ClassOf(state, task.job), task.pool, task.reserved);
+  CountRack(state, task, true);
+  RefreshRoom(state, worker);
+  AddTimer(state, {task.lease_end, TimerKind::kLease, index, task.epoch});
+  ++state.counters.started;
+  effects.push_back(StartTask{state.workers[worker].id, RefOf(state, task),
+                              limits, state.settings.task_lease});
+}
+
+void CloseTask(State& state, TaskIndex index) {
+  Task& task = state.tasks[index];
+  if (!task.abandoned)
+    Release(state, ClassOf(state, task.job), task.pool, task.reserved);
+  CountRack(state, task, false);
+  Job& job = state.jobs[task.job];
+  --job.open_tasks;
+  if (job.task == index) job.task = kNone;
+  Worker& worker = state.workers[task.worker];
+  std::erase(worker.tasks, index);
+  RefreshRoom(state, task.worker);
+  if (worker.pool != kNone) MarkDirty(state, worker.pool);
+  state.task_epochs.erase(task.epoch);
+  task = Task{};
+  state.free_tasks.push_back(index);
+}
+
+void AbandonTask(State& state, TaskIndex index) {
+  Task& task = state.tasks[index];
+  if (task.abandoned) return;
+  Release(state, ClassOf(state, task.job), task.pool, task.reserved);
+  task.abandoned = true;
+  task.yield = YieldStep::kNone;
+  RefreshRoom(state, task.worker);
+  Job& job = state.jobs[task.job];
+  if (job.phase != JobPhase::kActive) return;
+  job.task = kNone;
+  if (ClassOf(state, task.job).key.repeatable) {
+    Enqueue(state, task.job, QueueEnd::kFront);
+  } else {
+    job.task = index;
+    job.phase = JobPhase::kUnconfirmed;
+  }
+}
+
+void ExtendLease(State& state, TaskIndex index, core::MonotonicTime reported) {
+  Task& task = state.tasks[index];
+  task.lease_end =
+      std::max(task.lease_end, reported + state.settings.task_lease);
+}
+
+void CheckLease(State& state, const Timer& timer) {
+  const Task& task = state.tasks[timer.number];
+  if (task.epoch != timer.epoch || task.abandoned) return;
+  if (task.lease_end > timer.due) {
+    AddTimer(state, {task.lease_end, timer.kind, timer.number, timer.epoch});
+    return;
+  }
+  AbandonTask(state, timer.number);
+}
+
+}  // namespace camphormux::placement::internal
--- /dev/null
+++ b/src/camphormux/placement/outcomes.cpp
@@ -0,0 +1,166 @@
+#include "camphormux/placement/outcomes.hpp"
+
+#include <algorithm>
+
+#include "camphormux/placement/health.hpp"
+#include "camphormux/placement/leases.hpp"
+#include "camphormux/placement/preemption.hpp"
+#include "camphormux/placement/queue.hpp"
+#include "camphormux/placement/sizes.hpp"
+#include "camphormux/placement/tables.hpp"
+#include "camphormux/placement/workers.hpp"
+
+namespace camphormux::placement::internal {
+namespace {
+
+bool HasEnded(JobPhase phase) {
+  return phase == JobPhase::kFinished || phase == JobPhase::kCancelled ||
+         phase == JobPhase::kGivenUp || phase == JobPhase::kNotTwice;
+}
+
+void FinishJob(State& state, JobIndex index, core::MonotonicTime now,
+               Effects& effects) {
+  Job& job = state.jobs[index];
+  if (job.phase == JobPhase::kQueued || job.phase == JobPhase::kImpossible) {
+    Dequeue(state, index);
+  }
+  if (job.phase == JobPhase::kMakingRoom) WithdrawPromise(state, index);
+  // Another run of a repeatable job, begun when this one seemed lost.
+  if (job.task != kNone && job.phase == JobPhase::kActive) {
+    BeginStop(state, job.task, now, effects);
+  }
+  job.phase = JobPhase::kFinished;
+  RememberEnded(state, index);
+}
+
+/// A run that may not be repeated ended without finishing.
+void EndNotTwice(State& state, JobIndex index, WorkerIndex worker,
+                 Effects& effects) {
+  state.jobs[index].phase = JobPhase::kNotTwice;
+  effects.push_back(NotifyTeam{state.jobs[index].id,
+                               MayNotRunTwice{state.workers[worker].id}});
+  RememberEnded(state, index);
+}
+
+void GrowMemory(State& state, JobIndex index, core::MonotonicTime now,
+                Effects& effects) {
+  Job& job = state.jobs[index];
+  ++job.out_of_memory;
+  if (job.out_of_memory > state.settings.most_out_of_memory) {
+    job.failures = static_cast<std::uint16_t>(2 * state.settings.give_up_after);
+    RetryOrHoldBack(state, index, now, effects);
+    return;
+  }
+  ClassKey key = ClassOf(state, index).key;
+  ++key.doublings;
+  job.job_class = InternClass(state, key);
+  ReviewClass(state, job.job_class, effects);
+  Enqueue(state, index, QueueEnd::kFront);
+}
+
+/// Decides what follows for a job whose present run did not finish.
+void AfterFailedRun(State& state, JobIndex index, WorkerIndex worker,
+                    TaskOutcome outcome, bool may_run_again,
+                    core::MonotonicTime now, Effects& effects) {
+  const bool is_fault =
+      outcome == TaskOutcome::kFailed || outcome == TaskOutcome::kNeverBegan;
+  if (is_fault) NoteFailure(state, index, worker, now);
+  if (!may_run_again) {
+    EndNotTwice(state, index, worker, effects);
+  } else if (is_fault) {
+    RetryOrHoldBack(state, index, now, effects);
+  } else if (outcome == TaskOutcome::kOutOfMemory) {
+    GrowMemory(state, index, now, effects);
+  } else {
+    Enqueue(state, index, QueueEnd::kFront);
+  }
+}
+
+}  // namespace
+
+void CancelJob(State& state, const core::JobId& id, core::MonotonicTime now,
+               Effects& effects) {
+  const auto found = state.job_names.find(id);
+  if (found == state.job_names.end()) return;
+  const JobIndex index = found->second;
+  Job& job = state.jobs[index];
+  if (HasEnded(job.phase)) return;
+  if (job.phase == JobPhase::kQueued || job.phase == JobPhase::kImpossible) {
+    Dequeue(state, index);
+  } else if (job.phase == JobPhase::kMakingRoom) {
+    const WorkerIndex worker = job.promised;
+    WithdrawPromise(state, index);
+    SettleWorker(state, worker, now, effects);
+  } else if (job.phase == JobPhase::kActive) {
+    BeginStop(state, job.task, now, effects);
+  }
+  job.phase = JobPhase::kCancelled;
+  RememberEnded(state, index);
+}
+
+void EndTask(State& state, TaskIndex index, TaskOutcome outcome,
+             core::MonotonicTime now, Effects& effects) {
+  const Task task = state.tasks[index];
+  const JobIndex job = task.job;
+  const bool is_current = state.jobs[job].task == index;
+  if (outcome == TaskOutcome::kFinished) LearnFromFinished(state, task);
+  CloseTask(state, index);
+  const JobPhase phase = state.jobs[job].phase;
+  if (HasEnded(phase)) {
+    // Its end was decided before; only the room is free now.
+  } else if (outcome == TaskOutcome::kFinished) {
+    NoteSuccess(state, job, task.worker, now);
+    FinishJob(state, job, now, effects);
+  } else if (is_current) {
+    const bool may_run_again = ClassOf(state, job).key.repeatable ||
+                               task.checkpointed ||
+                               outcome == TaskOutcome::kNeverBegan;
+    const bool yielded =
+        task.yield != YieldStep::kNone && outcome == TaskOutcome::kNeverBegan;
+    AfterFailedRun(state, job, task.worker,
+                   yielded ? TaskOutcome::kStopped : outcome, may_run_again,
+                   now, effects);
+  }
+  SettleWorker(state, task.worker, now, effects);
+}
+
+void EndAbandoned(State& state, TaskIndex index, core::MonotonicTime now,
+                  Effects& effects) {
+  EndTask(state, index, TaskOutcome::kStopped, now, effects);
+}
+
+void TakeReport(State& state, const UsageReported& report,
+                core::MonotonicTime now, Effects& effects) {
+  const WorkerIndex index = FindWorker(state, report.worker);
+  if (index == kNone) return;
+  const core::MonotonicTime made = now - report.age;
+  for (const TaskUsage& usage : report.tasks) {
+    const TaskIndex number = FindTask(state, usage.task);
+    const bool is_known =
+        number != kNone && state.tasks[number].worker == index;
+    if (!is_known || state.tasks[number].abandoned) {
+      // An old run that went on after its lease; its worker shall end it.
+      ++state.counters.stale_events;
+      effects.push_back(StopTask{report.worker, usage.task});
+      if (is_known) state.tasks[number].last_listed = made;
+      continue;
+    }
+    state.tasks[number].confirmed = true;
+    state.tasks[number].last_listed = made;
+    ExtendLease(state, number, made);
+    ObserveUsage(state, state.tasks[number], usage.cores, usage.memory);
+  }
+  state.workers[index].reported = std::max(state.workers[index].reported, made);
+  // A report made after a lease's end that does not list the task shows that
+  // the task no longer runs.
+  const std::vector<TaskIndex> tasks = state.workers[index].tasks;
+  for (const TaskIndex number : tasks) {
+    const Task& task = state.tasks[number];
+    if (task.abandoned && made > task.lease_end && task.last_listed < made) {
+      EndAbandoned(state, number, now, effects);
+    }
+  }
+  RefreshRoom(state, index);
+}
+
+}  // namespace camphormux::placement::internal
--- /dev/null
+++ b/src/camphormux/placement/placing.cpp
@@ -0,0 +1,180 @@
+#include "camphormux/placement/placing.hpp"
+
+#include <algorithm>
+#include <queue>
+#include <tuple>
+#include <utility>
+
+#include "camphormux/placement/leases.hpp"
+#include "camphormux/placement/preemption.hpp"
+#include "camphormux/placement/queue.hpp"
+#include "camphormux/placement/quotas.hpp"
+#include "camphormux/placement/sizes.hpp"
+#include "camphormux/placement/tables.hpp"
+#include "camphormux/placement/workers.hpp"
+
+namespace camphormux::placement::internal {
+namespace {
+
+enum class Try { kStarted, kMakingRoom, kFailed };
+
+/// What one step may still do, so that its time is bounded.
+struct Budget {
+  std::size_t starts = 0;
+  std::size_t reclaims = 0;
+};
+
+/// Order of candidates: few tasks of the kind in the rack, then no accelerator
+/// taken away from work that needs one, then little room left.
+struct Score {
+  bool failed_here = false;
+  std::uint32_t in_rack = 0;
+  bool wastes_accelerators = false;
+  std::int64_t cores_left = 0;
+
+  friend auto operator<=>(const Score&, const Score&) = default;
+};
+
+Score ScoreOf(const State& state, JobIndex job, WorkerIndex index,
+              const Resources& need) {
+  const Worker& worker = state.workers[index];
+  const Kind& kind = state.kinds[ClassOf(state, job).key.kind];
+  const auto& failed_on = state.jobs[job].failed_on;
+  const auto in_rack = kind.per_rack.find(worker.rack);
+  Score score;
+  score.failed_here =
+      std::find(failed_on.begin(), failed_on.end(), index) != failed_on.end();
+  score.in_rack = in_rack == kind.per_rack.end() ? 0 : in_rack->second;
+  score.wastes_accelerators =
+      need.accelerators.value == 0 && worker.shape.accelerators.value > 0;
+  score.cores_left = (FreeRoom(worker) - need).cores.value;
+  return score;
+}
+
+/// Finds a worker with room, the best of a few.
+WorkerIndex ChooseWorker(State& state, JobIndex job, const Resources& need) {
+  Pool& pool = state.pools[ClassOf(state, job).key.pool];
+  const std::size_t start = pool.cursor;
+  WorkerIndex best = kNone;
+  Score best_score;
+  std::size_t seen = 0;
+  for (const std::size_t first : {start, std::size_t{0}}) {
+    std::size_t from = first;
+    while (seen < state.settings.candidates) {
+      const auto slot = NextFit(pool.rooms, need, &Room::free, from);
+      if (!slot || (first == 0 && start > 0 && *slot >= start)) break;
+      from = *slot + 1;
+      ++seen;
+      const WorkerIndex worker = pool.slots[*slot];
+      const Score score = ScoreOf(state, job, worker, need);
+      if (best == kNone || score < best_score) {
+        best = worker;
+        best_score = score;
+        pool.cursor = static_cast<std::uint32_t>(from % pool.slots.size());
+      }
+    }
+    if (start == 0) break;
+  }
+  return best;
+}
+
+/// Tries to start the first queued job of a class.
+Try TryFirst(State& state, ClassIndex index, core::MonotonicTime now,
+             Budget& budget, Effects& effects) {
+  const JobClass& job_class = state.classes[index];
+  const JobIndex job = job_class.first;
+  const Resources need = ReservedSize(state, job_class);
+  const QuotaVerdict verdict = JudgeQuota(state, job_class, need);
+  if (verdict == QuotaVerdict::kRefused ||
+      !FirmWorkFits(state, job_class, need)) {
+    return Try::kFailed;
+  }
+  const WorkerIndex worker = ChooseWorker(state, job, need);
+  if (worker != kNone) {
+    Dequeue(state, job);
+    OpenTask(state, job, worker, need, now, effects);
+    return Try::kStarted;
+  }
+  const bool is_urgent = job_class.key.priority == Priority::kUrgent;
+  if (!is_urgent &&
+      (verdict == QuotaVerdict::kBorrowed || budget.reclaims == 0)) {
+    return Try::kFailed;
+  }
+  const Victims victims =
+      is_urgent ? Victims::kAnyPreemptible : Victims::kOverQuota;
+  Dequeue(state, job);
+  if (MakeRoom(state, job, need, victims, now, effects)) {
+    if (!is_urgent) --budget.reclaims;
+    return Try::kMakingRoom;
+  }
+  Enqueue(state, job, QueueEnd::kFront);
+  return Try::kFailed;
+}
+
+/// Order of classes: the team that uses the least of its quota, then the job
+/// that waits longest.
+using Turn = std::tuple<double, core::MonotonicTime, ClassIndex>;
+
+Turn TurnOf(const State& state, ClassIndex index, bool is_urgent) {
+  const JobClass& job_class = state.classes[index];
+  const double share =
+      is_urgent ? 0.0 : DominantShare(state.teams[job_class.team]);
+  return {share, state.jobs[job_class.first].submitted, index};
+}
+
+/// Tries each class until its first job finds no place.
+void PlaceClasses(State& state, const std::vector<ClassIndex>& classes,
+                  bool is_urgent, core::MonotonicTime now, Budget& budget,
+                  Effects& effects) {
+  std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+  for (const ClassIndex index : classes) {
+    turns.push(TurnOf(state, index, is_urgent));
+  }
+  while (!turns.empty() && budget.starts > 0) {
+    const ClassIndex index = std::get<ClassIndex>(turns.top());
+    turns.pop();
+    if (TryFirst(state, index, now, budget, effects) == Try::kFailed) continue;
+    --budget.starts;
+    if (state.classes[index].queued > 0) {
+      turns.push(TurnOf(state, index, is_urgent));
+    }
+  }
+}
+
+void PlacePool(State& state, PoolIndex index, core::MonotonicTime now,
+               Budget& budget, Effects& effects) {
+  const std::vector<ClassIndex> urgent = state.pools[index].urgent;
+  PlaceClasses(state, urgent, true, now, budget, effects);
+  const std::vector<ClassIndex> normal = state.pools[index].normal;
+  PlaceClasses(state, normal, false, now, budget, effects);
+  // Starts that were left over are made in the next step.
+  state.pools[index].dirty = budget.starts == 0;
+}
+
+}  // namespace
+
+void PlaceUrgent(State& state, PoolIndex pool, core::MonotonicTime now,
+                 Effects& effects) {
+  Budget budget{state.settings.starts_per_step, 0};
+  const std::vector<ClassIndex> urgent = state.pools[pool].urgent;
+  PlaceClasses(state, urgent, true, now, budget, effects);
+}
+
+void PlaceAll(State& state, core::MonotonicTime now, Effects& effects) {
+  Budget budget{state.settings.starts_per_step,
+                state.settings.reclaims_per_step};
+  const std::size_t pools = state.pools.size();
+  for (std::size_t i = 0; i < pools; ++i) {
+    // Another pool is first in each step, so that none is always cut off.
+    const auto index = static_cast<PoolIndex>((i + state.steps) % pools);
+    const Pool& pool = state.pools[index];
+    const bool is_swept = index % state.settings.sweep_steps ==
+                          state.steps % state.settings.sweep_steps;
+    if (pool.urgent.empty() && pool.normal.empty()) continue;
+    if (pool.dirty || is_swept || !pool.urgent.empty()) {
+      PlacePool(state, index, now, budget, effects);
+    }
+  }
+}
+
+}  // namespace camphormux::placement::internal
--- /dev/null
+++ b/src/camphormux/placement/tables.cpp
@@ -0,0 +1,185 @@
+#include "camphormux/placement/tables.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace camphormux::placement {
+
+std::size_t ClassKeyHash::operator()(const ClassKey& key) const noexcept {
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15;
+  std::uint64_t hash = 0;
+  const auto mix = [&hash](std::uint64_t value) {
+    hash = (hash ^ value) * kMultiplier;
+    hash ^= hash >> 32;
+  };
+  mix(key.pool);
+  mix(key.kind);
+  mix(static_cast<std::uint64_t>(key.priority) * 4 +
+      (key.preemptible ? 2U : 0U) + (key.repeatable ? 1U : 0U));
+  mix(key.doublings);
+  mix(static_cast<std::uint64_t>(key.declared.cores.value));
+  mix(static_cast<std::uint64_t>(key.declared.memory.value));
+  mix(static_cast<std::uint64_t>(key.declared.accelerators.value));
+  return hash;
+}
+
+namespace internal {
+namespace {
+
+/// Kinds of job that are told apart per team.
+constexpr std::uint32_t kMostKindsPerTeam = 64;
+const char* const kOtherKinds = "(other)";
+
+template <typename Name, typename Record>
+std::uint32_t Intern(std::unordered_map<Name, std::uint32_t>& names,
+                     std::vector<Record>& records, const Name& name,
+                     Record record) {
+  const auto [entry, is_new] =
+      names.try_emplace(name, static_cast<std::uint32_t>(records.size()));
+  if (is_new) records.push_back(std::move(record));
+  return entry->second;
+}
+
+std::int64_t RoundUpTo16th(std::int64_t value) {
+  constexpr int kKeptBits = 5;
+  if (value <= 0) return 0;
+  const int bits = std::bit_width(static_cast<std::uint64_t>(value));
+  if (bits <= kKeptBits) return value;
+  const std::int64_t unit = std::int64_t{1} << (bits - kKeptBits);
+  return (value + unit - 1) / unit * unit;
+}
+
+bool IsLater(const Timer& a, const Timer& b) { return a.due > b.due; }
+
+void ForgetJob(State& state, JobIndex job) {
+  for (const WorkerIndex worker : state.jobs[job].failed_on) {
+    std::erase(state.workers[worker].health.failed_jobs, job);
+  }
+  state.job_names.erase(state.jobs[job].id);
+  state.jobs[job] = Job{};
+  state.free_jobs.push_back(job);
+}
+
+}  // namespace
+
+TeamIndex InternTeam(State& state, const core::TeamName& name) {
+  return Intern(state.team_names, state.teams, name,
+                Team{name, {}, {}, {}, {}, {}});
+}
+
+PoolIndex InternPool(State& state, const core::PoolName& name) {
+  Pool pool;
+  pool.name = name;
+  return Intern(state.pool_names, state.pools, name, std::move(pool));
+}
+
+RackIndex InternRack(State& state, const core::RackName& name) {
+  return Intern(state.rack_names, state.racks, name, name);
+}
+
+KindIndex InternKind(State& state, TeamIndex team, const std::string& name) {
+  std::vector<KindIndex>& kinds = state.teams[team].kinds;
+  const auto find = [&](const std::string& wanted) {
+    const auto found = std::find_if(
+        kinds.begin(), kinds.end(),
+        [&](KindIndex kind) { return state.kinds[kind].name == wanted; });
+    return found == kinds.end() ? kNone : *found;
+  };
+  if (const KindIndex known = find(name); known != kNone) return known;
+  const bool is_full = kinds.size() >= kMostKindsPerTeam;
+  if (is_full) {
+    if (const KindIndex other = find(kOtherKinds); other != kNone) return other;
+  }
+  const auto index = static_cast<KindIndex>(state.kinds.size());
+  Kind kind;
+  kind.team = team;
+  kind.name = is_full ? kOtherKinds : name;
+  state.kinds.push_back(std::move(kind));
+  kinds.push_back(index);
+  return index;
+}
+
+ClassIndex InternClass(State& state, const ClassKey& key) {
+  JobClass job_class;
+  job_class.key = key;
+  job_class.team = state.kinds[key.kind].team;
+  // A stop loses a run that may not be repeated, so such a run never yields.
+  job_class.firm =
+      key.priority == Priority::kUrgent || !key.preemptible || !key.repeatable;
+  const auto [entry, is_new] = state.class_keys.try_emplace(
+      key, static_cast<ClassIndex>(state.classes.size()));
+  if (is_new) {
+    state.teams[job_class.team].classes.push_back(entry->second);
+    state.pools[key.pool].classes.push_back(entry->second);
+    state.classes.push_back(job_class);
+  }
+  return entry->second;
+}
+
+Resources RoundUp(const Resources& declared) {
+  return {{RoundUpTo16th(declared.cores.value)},
+          {RoundUpTo16th(declared.memory.value)},
+          {std::max<std::int64_t>(0, declared.accelerators.value)}};
+}
+
+JobIndex AddJob(State& state, Job job) {
+  JobIndex index = 0;
+  if (state.free_jobs.empty()) {
+    index = static_cast<JobIndex>(state.jobs.size());
+    state.jobs.emplace_back();
+  } else {
+    index = state.free_jobs.back();
+    state.free_jobs.pop_back();
+  }
+  state.job_names[job.id] = index;
+  state.jobs[index] = std::move(job);
+  return index;
+}
+
+void RememberEnded(State& state, JobIndex job) {
+  state.ended_jobs.push_back(job);
+  // A bounded number of entries is looked at for each job that ends; a job
+  // with an open task goes to the end of the line.
+  constexpr int kLooks = 2;
+  for (int i = 0; i < kLooks; ++i) {
+    if (state.ended_jobs.size() <= state.settings.remembered_jobs) return;
+    const JobIndex oldest = state.ended_jobs.front();
+    state.ended_jobs.pop_front();
+    if (state.jobs[oldest].open_tasks > 0) {
+      state.ended_jobs.push_back(oldest);
+    } else {
+      ForgetJob(state, oldest);
+    }
+  }
+}
+
+TaskIndex FindTask(const State& state, const TaskRef& ref) {
+  const auto found = state.task_epochs.find(ref.epoch);
+  if (found == state.task_epochs.end()) return kNone;
+  const Task& task = state.tasks[found->second];
+  return state.jobs[task.job].id == ref.job ? found->second : kNone;
+}
+
+WorkerIndex FindWorker(const State& state, const core::HostId& id) {
+  const auto found = state.worker_names.find(id);
+  return found == state.worker_names.end() ? kNone : found->second;
+}
+
+void AddTimer(State& state, const Timer& timer) {
+  state.timers.push_back(timer);
+  std::push_heap(state.timers.begin(), state.timers.end(), IsLater);
+}
+
+std::optional<Timer> TakeDueTimer(State& state, core::MonotonicTime now) {
+  if (state.timers.empty() || state.timers.front().due > now) return {};
+  std::pop_heap(state.timers.begin(), state.timers.end(), IsLater);
+  const Timer timer = state.timers.back();
+  state.timers.pop_back();
+  return timer;
+}
+
+void MarkDirty(State& state, PoolIndex pool) { state.pools[pool].dirty = true; }
+
+}  // namespace internal
+}  // namespace camphormux::placement
--- /dev/null
+++ b/src/camphormux/placement/workers.cpp
@@ -0,0 +1,114 @@
+#include "camphormux/placement/workers.hpp"
+
+#include <algorithm>
+
+#include "camphormux/placement/tables.hpp"
+
+namespace camphormux::placement::internal {
+namespace {
+
+void CountShape(Pool& pool, const Resources& shape) {
+  const auto known = std::find_if(
+      pool.shapes.begin(), pool.shapes.end(),
+      [&](const ShapeCount& count) { return count.shape == shape; });
+  if (known == pool.shapes.end()) {
+    pool.shapes.push_back({shape, 1});
+  } else {
+    ++known->workers;
+  }
+}
+
+void DiscountShape(Pool& pool, const Resources& shape) {
+  const auto known = std::find_if(
+      pool.shapes.begin(), pool.shapes.end(),
+      [&](const ShapeCount& count) { return count.shape == shape; });
+  if (known != pool.shapes.end() && --known->workers == 0) {
+    pool.shapes.erase(known);
+  }
+}
+
+std::uint32_t TakeSlot(Pool& pool) {
+  if (pool.free_slots.empty()) {
+    pool.slots.push_back(kNone);
+    return static_cast<std::uint32_t>(pool.slots.size() - 1);
+  }
+  const std::uint32_t slot = pool.free_slots.back();
+  pool.free_slots.pop_back();
+  return slot;
+}
+
+}  // namespace
+
+bool IsUsable(const Worker& worker) {
+  return worker.pool != kNone && !worker.lost && !worker.draining &&
+         !worker.health.quarantined;
+}
+
+Resources FreeRoom(const Worker& worker) {
+  return worker.shape - worker.committed - worker.promised;
+}
+
+void RefreshRoom(State& state, WorkerIndex index) {
+  Worker& worker = state.workers[index];
+  Resources yieldable;
+  worker.committed = {};
+  for (const TaskIndex number : worker.tasks) {
+    const Task& task = state.tasks[number];
+    worker.committed += task.committed;
+    if (!task.firm && !task.abandoned) yieldable += task.committed;
+  }
+  if (worker.pool == kNone) return;
+  Room room = kNoRoom;
+  if (IsUsable(worker)) {
+    room.free = FreeRoom(worker);
+    room.yieldable = room.free + yieldable;
+  }
+  SetRoom(state.pools[worker.pool].rooms, worker.slot, room);
+}
+
+WorkerIndex PutWorker(State& state, const WorkerSpec& spec) {
+  const auto [entry, is_new] = state.worker_names.try_emplace(
+      spec.id, static_cast<WorkerIndex>(state.workers.size()));
+  const WorkerIndex index = entry->second;
+  if (is_new) {
+    state.workers.emplace_back();
+    state.workers[index].id = spec.id;
+  } else {
+    LeavePool(state, index);
+  }
+  state.workers[index].shape = spec.shape;
+  state.workers[index].rack = InternRack(state, spec.rack);
+  JoinPool(state, index, InternPool(state, spec.pool));
+  return index;
+}
+
+void LeavePool(State& state, WorkerIndex index) {
+  Worker& worker = state.workers[index];
+  if (worker.pool == kNone) return;
+  Pool& pool = state.pools[worker.pool];
+  pool.slots[worker.slot] = kNone;
+  pool.free_slots.push_back(worker.slot);
+  SetRoom(pool.rooms, worker.slot, kNoRoom);
+  DiscountShape(pool, worker.shape);
+  pool.capacity -= worker.shape;
+  --pool.workers;
+  if (worker.health.quarantined) --pool.quarantined;
+  worker.pool = kNone;
+  worker.slot = kNone;
+}
+
+void JoinPool(State& state, WorkerIndex index, PoolIndex pool_index) {
+  Worker& worker = state.workers[index];
+  Pool& pool = state.pools[pool_index];
+  worker.pool = pool_index;
+  worker.slot = TakeSlot(pool);
+  pool.slots[worker.slot] = index;
+  CountShape(pool, worker.shape);
+  pool.capacity += worker.shape;
+  ++pool.workers;
+  if (worker.health.quarantined) ++pool.quarantined;
+  RefreshRoom(state, index);
+  MarkDirty(state, pool_index);
+}
+
+}  // namespace camphormux::placement::internal
