--- a/src/camphormux/placement/decision.cpp
+++ b/src/camphormux/placement/decision.cpp
@@ -17,6 +17,9 @@
 namespace internal {
 namespace {
 
+/// Classes of a kind before sizes are rounded.
+constexpr std::uint32_t kMostExactClasses = 32;
+
 /// Handles one event; one overload for each type.
 struct Handler {
   State& state;
@@ -155,7 +158,7 @@
 
   void operator()(const ProbeFinished& event) {
     const WorkerIndex worker = FindWorker(state, event.worker);
-    if (worker != kNone) NoteProbe(state, worker, event.succeeded, now);
+    if (worker != kNone) NoteProbe(state, worker, event.succeeded);
   }
 
   /// Takes the promises of a worker back and makes its tasks yield.
@@ -182,7 +185,11 @@
     key.priority = spec.priority;
     key.preemptible = spec.preemptible;
     key.repeatable = spec.repeatable;
-    key.declared = RoundUp(spec.declared);
+    // Exact sizes pack best; rounding bounds the classes of a kind of which
+    // each job has a size of its own.
+    const bool has_many_sizes =
+        state.kinds[key.kind].classes >= kMostExactClasses;
+    key.declared = has_many_sizes ? RoundUp(spec.declared) : spec.declared;
     return key;
   }
 
@@ -214,7 +221,7 @@
         CheckLease(state, *timer);
         break;
       case TimerKind::kProbe:
-        AskForProbe(state, *timer, effects);
+        AskForProbe(state, *timer, now, effects);
         break;
     }
   }
--- a/src/camphormux/placement/health.cpp
+++ b/src/camphormux/placement/health.cpp
@@ -88,7 +88,9 @@
   WorkerHealth& health = state.workers[worker].health;
   health.failed_jobs.clear();
   health.proven = 0;
-  health.probe_pause = core::Millis{0};
+  // A quarantined worker may still finish an earlier task; only its probe
+  // releases it.
+  if (!health.quarantined) health.probe_pause = core::Millis{0};
   const std::vector<WorkerIndex> failed_on = state.jobs[index].failed_on;
   for (const WorkerIndex suspect : failed_on) {
     WorkerHealth& other = state.workers[suspect].health;
@@ -147,16 +149,16 @@
   Enqueue(state, timer.number, QueueEnd::kBack);
 }
 
-void AskForProbe(State& state, const Timer& timer, Effects& effects) {
+void AskForProbe(State& state, const Timer& timer, core::MonotonicTime now,
+                 Effects& effects) {
   const Worker& worker = state.workers[timer.number];
   if (!worker.health.quarantined) return;
   effects.push_back(ProbeWorker{worker.id});
   // Asked again if no result comes.
-  ArmProbe(state, timer.number, timer.due);
+  ArmProbe(state, timer.number, now);
 }
 
-void NoteProbe(State& state, WorkerIndex index, bool succeeded,
-               core::MonotonicTime) {
+void NoteProbe(State& state, WorkerIndex index, bool succeeded) {
   Worker& worker = state.workers[index];
   WorkerHealth& health = worker.health;
   if (!health.quarantined) return;
--- a/src/camphormux/placement/health.hpp
+++ b/src/camphormux/placement/health.hpp
@@ -26,11 +26,11 @@
 void ReleaseHeldBack(State& state, const Timer& timer);
 
 /// @brief Asks for the next probe of a quarantined worker.
-void AskForProbe(State& state, const Timer& timer, Effects& effects);
+void AskForProbe(State& state, const Timer& timer, core::MonotonicTime now,
+                 Effects& effects);
 
 /// @brief Takes the result of a probe.
-void NoteProbe(State& state, WorkerIndex worker, bool succeeded,
-               core::MonotonicTime now);
+void NoteProbe(State& state, WorkerIndex worker, bool succeeded);
 
 }  // namespace camphormux::placement::internal
 
--- a/src/camphormux/placement/outcomes.cpp
+++ b/src/camphormux/placement/outcomes.cpp
@@ -142,7 +142,10 @@
       // An old run that went on after its lease; its worker shall end it.
       ++state.counters.stale_events;
       effects.push_back(StopTask{report.worker, usage.task});
-      if (is_known) state.tasks[number].last_listed = made;
+      if (is_known) {
+        state.tasks[number].last_listed = made;
+        ObserveUsage(state, state.tasks[number], usage.cores, usage.memory);
+      }
       continue;
     }
     state.tasks[number].confirmed = true;
--- a/src/camphormux/placement/placing.cpp
+++ b/src/camphormux/placement/placing.cpp
@@ -151,6 +151,18 @@
   state.pools[index].dirty = budget.starts == 0;
 }
 
+/// Marks the pools in which jobs wait for quota that is free now.
+void WakeTeams(State& state) {
+  for (Team& team : state.teams) {
+    if (!team.freed) continue;
+    team.freed = false;
+    for (const ClassIndex index : team.classes) {
+      const JobClass& job_class = state.classes[index];
+      if (job_class.position != kNone) MarkDirty(state, job_class.key.pool);
+    }
+  }
+}
+
 }  // namespace
 
 void PlaceUrgent(State& state, PoolIndex pool, core::MonotonicTime now,
@@ -163,6 +175,7 @@
 void PlaceAll(State& state, core::MonotonicTime now, Effects& effects) {
   Budget budget{state.settings.starts_per_step,
                 state.settings.reclaims_per_step};
+  WakeTeams(state);
   const std::size_t pools = state.pools.size();
   for (std::size_t i = 0; i < pools; ++i) {
     // Another pool is first in each step, so that none is always cut off.
--- a/src/camphormux/placement/queue.cpp
+++ b/src/camphormux/placement/queue.cpp
@@ -72,7 +72,7 @@
   if (!job_class.impossible && job_class.position == kNone) {
     ListClass(state, index);
   }
-  MarkDirty(state, job_class.key.pool);
+  if (!job_class.impossible) MarkDirty(state, job_class.key.pool);
 }
 
 void Dequeue(State& state, JobIndex index) {
--- a/src/camphormux/placement/quotas.cpp
+++ b/src/camphormux/placement/quotas.cpp
@@ -76,6 +76,7 @@
 void Release(State& state, const JobClass& job_class, PoolIndex pool,
              const Resources& size) {
   Charge(state, job_class, pool, Resources{} - size);
+  state.teams[job_class.team].freed = true;
 }
 
 void SetQuota(State& state, TeamIndex index, const Resources& quota) {
--- a/src/camphormux/placement/state.hpp
+++ b/src/camphormux/placement/state.hpp
@@ -129,6 +129,7 @@
   double memory_ratio = 0.0;  ///< Used by declared; a slowly falling maximum.
   double cores_ratio = 0.0;
   std::uint32_t samples = 0;
+  std::uint32_t classes = 0;
   std::unordered_map<RackIndex, std::uint32_t> per_rack;  ///< Running tasks.
 };
 
@@ -167,6 +168,8 @@
       quota;  ///< None: the operator text has no such team.
   Resources used;
   Resources firm;  ///< Part of used that does not yield.
+  /// Less is used since the last step, so that waiting jobs may start.
+  bool freed = false;
   std::vector<KindIndex> kinds;
   std::vector<ClassIndex> classes;
 };
--- a/src/camphormux/placement/tables.cpp
+++ b/src/camphormux/placement/tables.cpp
@@ -64,8 +64,9 @@
 }  // namespace
 
 TeamIndex InternTeam(State& state, const core::TeamName& name) {
-  return Intern(state.team_names, state.teams, name,
-                Team{name, {}, {}, {}, {}, {}});
+  Team team;
+  team.name = name;
+  return Intern(state.team_names, state.teams, name, std::move(team));
 }
 
 PoolIndex InternPool(State& state, const core::PoolName& name) {
@@ -112,6 +113,7 @@
   if (is_new) {
     state.teams[job_class.team].classes.push_back(entry->second);
     state.pools[key.pool].classes.push_back(entry->second);
+    ++state.kinds[key.kind].classes;
     state.classes.push_back(job_class);
   }
   return entry->second;
--- /dev/null
+++ b/test/placement/fake_workers.cpp
@@ -0,0 +1,172 @@
+#include "test/placement/fake_workers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphormux::placement {
+namespace {
+
+void Breach(FakeWorkers& fake, const std::string& text,
+            const StartTask& start) {
+  fake.breaches.push_back(text + ": " + start.task.job.value + " on " +
+                          start.worker.value);
+}
+
+/// Memory that a worker has promised or is known to use.
+core::Mebibytes PromisedMemory(const FakeWorkers& fake,
+                               const core::HostId& worker) {
+  core::Mebibytes sum;
+  for (const auto& [epoch, run] : fake.runs) {
+    if (run.worker != worker) continue;
+    sum += std::max(run.limits.memory, run.reported);
+  }
+  return sum;
+}
+
+/// Sums what a team's tasks that count against it hold; firm ones alone.
+Resources FirmUse(const FakeWorkers& fake, const core::TeamName& team) {
+  Resources sum;
+  for (const Task& task : fake.state.tasks) {
+    if (task.job == kNone || task.abandoned || !task.firm) continue;
+    if (fake.jobs.at(fake.state.jobs[task.job].id).team == team) {
+      sum += task.reserved;
+    }
+  }
+  return sum;
+}
+
+Resources TotalUse(const FakeWorkers& fake) {
+  Resources sum;
+  for (const Task& task : fake.state.tasks) {
+    if (task.job != kNone && !task.abandoned) sum += task.reserved;
+  }
+  return sum;
+}
+
+void CheckStart(FakeWorkers& fake, const StartTask& start) {
+  const JobSpec& job = fake.jobs.at(start.task.job);
+  const WorkerSpec& worker = fake.workers.at(start.worker);
+  if (PromisedMemory(fake, start.worker) + start.limits.memory >
+      worker.shape.memory) {
+    Breach(fake, "memory promised twice", start);
+  }
+  if (job.pool != worker.pool) Breach(fake, "wrong pool", start);
+  if (job.repeatable) return;
+  const bool is_open = std::any_of(
+      fake.runs.begin(), fake.runs.end(),
+      [&](const auto& run) { return run.second.task.job == job.id; });
+  if (is_open) Breach(fake, "started twice without a confirmed end", start);
+  if (fake.began_runs[job.id] > 0) Breach(fake, "ran twice", start);
+}
+
+/// Team work that does not yield is within the team's quota, and work over a
+/// quota is within the sum of all quotas.
+void CheckQuotas(FakeWorkers& fake, const StartTask& start) {
+  const JobSpec& job = fake.jobs.at(start.task.job);
+  const Resources& quota = fake.quotas.at(job.team);
+  if (!Fits(FirmUse(fake, job.team), quota)) {
+    Breach(fake, "firm work over quota", start);
+  }
+}
+
+void Take(FakeWorkers& fake, const Effect& effect) {
+  if (const auto* start = std::get_if<StartTask>(&effect)) {
+    CheckStart(fake, *start);
+    CheckQuotas(fake, *start);
+    fake.runs[start->task.epoch.value] = {
+        start->worker, start->task, start->limits, {}, false};
+    fake.starts.push_back(*start);
+  } else if (const auto* notice = std::get_if<NotifyTeam>(&effect)) {
+    fake.notices[notice->job] = notice->reason;
+  } else if (const auto* probe = std::get_if<ProbeWorker>(&effect)) {
+    fake.probes.push_back(probe->worker);
+  }
+}
+
+}  // namespace
+
+void AddWorker(FakeWorkers& fake, const std::string& id,
+               const std::string& pool, const Resources& shape) {
+  const WorkerSpec worker{{id},
+                          {"z"},
+                          {"r" + std::to_string(fake.workers.size() / 4)},
+                          {pool},
+                          shape};
+  fake.workers[worker.id] = worker;
+  Feed(fake, WorkerAdded{worker});
+}
+
+void GiveQuota(FakeWorkers& fake, const std::string& team,
+               const Resources& quota) {
+  fake.quotas[{team}] = quota;
+  Feed(fake, QuotaSet{{team}, quota});
+}
+
+void Submit(FakeWorkers& fake, const JobSpec& job) {
+  fake.jobs.try_emplace(job.id, job);
+  Feed(fake, JobSubmitted{job});
+}
+
+void Feed(FakeWorkers& fake, const Event& event) {
+  if (const auto* moved = std::get_if<PoolChanged>(&event)) {
+    fake.workers.at(moved->worker).pool = moved->pool;
+  }
+  // Over the sum of quotas, only work within its own quota may start.
+  const bool was_within = Fits(TotalUse(fake), fake.state.quota_total);
+  for (const Effect& effect : Apply(fake.state, event, fake.now)) {
+    Take(fake, effect);
+  }
+  if (was_within && !Fits(fake.state.used_total, fake.state.quota_total)) {
+    const bool lent = std::any_of(
+        fake.state.teams.begin(), fake.state.teams.end(), [](const Team& team) {
+          return team.quota && !Fits(team.used, *team.quota);
+        });
+    if (!lent) fake.breaches.push_back("all within quota, but the sum is not");
+  }
+}
+
+void Step(FakeWorkers& fake, core::Millis time) {
+  fake.now += time;
+  Feed(fake, Tick{});
+}
+
+void Begin(FakeWorkers& fake, const TaskRef& task) {
+  const auto run = fake.runs.find(task.epoch.value);
+  if (run == fake.runs.end() || run->second.began) return;
+  run->second.began = true;
+  ++fake.began_runs[task.job];
+  Feed(fake, TaskStarted{task});
+}
+
+void End(FakeWorkers& fake, const TaskRef& task, TaskOutcome outcome) {
+  const auto run = fake.runs.find(task.epoch.value);
+  if (run == fake.runs.end()) return;
+  if (!run->second.began && outcome != TaskOutcome::kNeverBegan) {
+    Begin(fake, task);
+  }
+  fake.runs.erase(task.epoch.value);
+  Feed(fake, TaskEnded{task, outcome});
+}
+
+TaskRef RunOf(const FakeWorkers& fake, const std::string& job) {
+  for (const auto& [epoch, run] : fake.runs) {
+    if (run.task.job.value == job) return run.task;
+  }
+  return {};
+}
+
+void ObeyStops(FakeWorkers& fake) {
+  std::vector<std::pair<TaskRef, YieldStep>> yielding;
+  for (const auto& [epoch, run] : fake.runs) {
+    const auto known = fake.state.task_epochs.find(run.task.epoch);
+    if (known == fake.state.task_epochs.end()) continue;
+    yielding.emplace_back(run.task, fake.state.tasks[known->second].yield);
+  }
+  for (const auto& [task, step] : yielding) {
+    if (step == YieldStep::kThrottling) Feed(fake, TaskThrottled{task});
+    if (step == YieldStep::kCheckpointing) Feed(fake, TaskCheckpointed{task});
+    if (step == YieldStep::kStopping) End(fake, task, TaskOutcome::kStopped);
+  }
+}
+
+}  // namespace camphormux::placement
--- /dev/null
+++ b/test/placement/placement_test.cpp
@@ -0,0 +1,217 @@
+#include <gtest/gtest.h>
+
+#include "test/placement/fake_workers.hpp"
+
+namespace camphormux::placement {
+namespace {
+
+constexpr Resources kShape{{8000}, {16000}, {0}};
+constexpr Resources kPlenty{{800000}, {1600000}, {100}};
+constexpr core::Millis kSecond{1000};
+
+FakeWorkers MakeFake(int workers) {
+  FakeWorkers fake;
+  GiveQuota(fake, "t", kPlenty);
+  for (int i = 0; i < workers; ++i) {
+    AddWorker(fake, "w" + std::to_string(i), "p", kShape);
+  }
+  return fake;
+}
+
+JobSpec MakeJob(const std::string& id, const Resources& size) {
+  JobSpec job;
+  job.id = {id};
+  job.team = {"t"};
+  job.kind = "k";
+  job.declared = size;
+  job.pool = {"p"};
+  return job;
+}
+
+// Guards against a job that waits for ever without a reason, and against one
+// that holds up the jobs behind it.
+TEST(PlacementTest, TellsAtOnceThatAJobCanNeverRun) {
+  FakeWorkers fake = MakeFake(1);
+  Submit(fake, MakeJob("big", {{9000}, {100}, {0}}));
+  Submit(fake, MakeJob("quota", {{9000000}, {100}, {0}}));
+  Submit(fake, MakeJob("small", {{1000}, {100}, {0}}));
+  EXPECT_TRUE(
+      std::holds_alternative<LargerThanAnyWorker>(fake.notices.at({"big"})));
+  EXPECT_TRUE(
+      std::holds_alternative<AboveTeamQuota>(fake.notices.at({"quota"})));
+  Step(fake, kSecond);
+  ASSERT_EQ(fake.starts.size(), 1U);
+  EXPECT_EQ(fake.starts[0].task.job.value, "small");
+  AddWorker(fake, "large", "p", {{16000}, {16000}, {0}});
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.starts.back().task.job.value, "big");
+}
+
+// Guards against preemption that takes longer than its bounds when a worker
+// confirms nothing but the stop.
+TEST(PlacementTest, UrgentWorkGetsRoomWithinTheBoundsOfTheSteps) {
+  FakeWorkers fake = MakeFake(1);
+  JobSpec filler = MakeJob("filler", {{8000}, {16000}, {0}});
+  filler.preemptible = true;
+  Submit(fake, filler);
+  Step(fake, kSecond);
+  Begin(fake, RunOf(fake, "filler"));
+  JobSpec urgent = MakeJob("urgent", {{1000}, {8000}, {0}});
+  urgent.priority = Priority::kUrgent;
+  Submit(fake, urgent);
+  const core::MonotonicTime submitted = fake.now;
+  Step(fake, kThrottleBound);
+  Step(fake, kCheckpointBound);
+  EXPECT_TRUE(std::holds_alternative<WaitingForPreemption>(
+      Explain(fake.state, {"urgent"})));
+  End(fake, RunOf(fake, "filler"), TaskOutcome::kStopped);
+  ASSERT_EQ(fake.starts.back().task.job.value, "urgent");
+  EXPECT_LT(fake.now - submitted + kStopBound + kStartBound, kUrgentStartBound);
+}
+
+// Guards against a stop where fewer cores for a while are enough, and against
+// a throttle that is never lifted.
+TEST(PlacementTest, ThrottlesAndRestoresWhenOnlyCoresAreShort) {
+  FakeWorkers fake = MakeFake(1);
+  JobSpec filler = MakeJob("filler", {{8000}, {1000}, {0}});
+  filler.preemptible = true;
+  Submit(fake, filler);
+  Step(fake, kSecond);
+  JobSpec urgent = MakeJob("urgent", {{4000}, {1000}, {0}});
+  urgent.priority = Priority::kUrgent;
+  Submit(fake, urgent);
+  ObeyStops(fake);
+  EXPECT_EQ(fake.starts.back().task.job.value, "urgent");
+  EXPECT_TRUE(std::get<Running>(Explain(fake.state, {"filler"})).throttled);
+  End(fake, RunOf(fake, "urgent"), TaskOutcome::kFinished);
+  EXPECT_FALSE(std::get<Running>(Explain(fake.state, {"filler"})).throttled);
+}
+
+// Guards against lent quota that its owner does not get back.
+TEST(PlacementTest, ReclaimsLentQuotaForItsOwner) {
+  FakeWorkers fake = MakeFake(2);
+  GiveQuota(fake, "t", kShape);
+  GiveQuota(fake, "owner", kShape);
+  for (int i = 0; i < 2; ++i) {
+    JobSpec job = MakeJob("lent" + std::to_string(i), kShape);
+    job.preemptible = true;
+    Submit(fake, job);
+  }
+  Step(fake, kSecond);
+  ASSERT_EQ(fake.starts.size(), 2U);
+  JobSpec job = MakeJob("own", kShape);
+  job.team = {"owner"};
+  Submit(fake, job);
+  Step(fake, kSecond);
+  for (int i = 0; i < 3; ++i) ObeyStops(fake);
+  EXPECT_EQ(fake.starts.back().task.job.value, "own");
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.starts.size(), 3U);
+}
+
+// Guards against a second run while the first may still go on at a paused
+// holder, and against a second run after it is known to have begun.
+TEST(PlacementTest, RunsANonRepeatableJobOnceWhenItsLeaseLapses) {
+  FakeWorkers fake = MakeFake(2);
+  JobSpec job = MakeJob("once", {{1000}, {100}, {0}});
+  job.repeatable = false;
+  Submit(fake, job);
+  Step(fake, kSecond);
+  const TaskRef run = RunOf(fake, "once");
+  Begin(fake, run);
+  Step(fake, 2 * fake.state.settings.task_lease);
+  Step(fake, kSecond);
+  EXPECT_TRUE(
+      std::holds_alternative<EndUnconfirmed>(Explain(fake.state, {"once"})));
+  EXPECT_EQ(fake.starts.size(), 1U);
+  Feed(fake, WorkerReturned{fake.starts[0].worker, true});
+  EXPECT_TRUE(
+      std::holds_alternative<MayNotRunTwice>(Explain(fake.state, {"once"})));
+}
+
+// Guards against taking a bad job for bad workers.
+TEST(PlacementTest, HoldsBackAJobThatFailsOnSeveralWorkers) {
+  FakeWorkers fake = MakeFake(8);
+  Submit(fake, MakeJob("bad", {{1000}, {100}, {0}}));
+  for (int i = 0; i < 3; ++i) {
+    Step(fake, kSecond);
+    End(fake, RunOf(fake, "bad"), TaskOutcome::kFailed);
+  }
+  EXPECT_TRUE(std::holds_alternative<HeldBack>(fake.notices.at({"bad"})));
+  for (int i = 0; i < 20; ++i) {
+    Step(fake, fake.state.settings.longest_back_off);
+    End(fake, RunOf(fake, "bad"), TaskOutcome::kFailed);
+  }
+  EXPECT_TRUE(std::holds_alternative<GivenUp>(Explain(fake.state, {"bad"})));
+  EXPECT_EQ(fake.state.counters.quarantined, 0U);
+}
+
+// Guards against taking a bad worker for bad jobs, and against a worker that
+// stays out after it is repaired.
+TEST(PlacementTest, QuarantinesAWorkerThatFailsEverything) {
+  FakeWorkers fake = MakeFake(8);
+  for (int round = 0; round < 30; ++round) {
+    Submit(fake, MakeJob("j" + std::to_string(round), {{1000}, {100}, {0}}));
+    Step(fake, kSecond);
+    while (!fake.runs.empty()) {
+      const OpenRun run = fake.runs.begin()->second;
+      End(fake, run.task,
+          run.worker.value == "w3" ? TaskOutcome::kFailed
+                                   : TaskOutcome::kFinished);
+      Step(fake, kSecond);
+    }
+  }
+  EXPECT_EQ(fake.state.counters.quarantined, 1U);
+  EXPECT_EQ(fake.state.counters.given_up, 0U);
+  Step(fake, fake.state.settings.first_probe);
+  ASSERT_FALSE(fake.probes.empty());
+  EXPECT_EQ(fake.probes[0].value, "w3");
+  Feed(fake, ProbeFinished{{"w3"}, true});
+  EXPECT_FALSE(fake.state.workers[3].health.quarantined);
+}
+
+// Guards against cancellations that leave a job or its room behind, before,
+// during and after the start.
+TEST(PlacementTest, CancelsInEveryPhase) {
+  FakeWorkers fake = MakeFake(1);
+  Submit(fake, MakeJob("before", kShape));
+  Feed(fake, JobCancelled{{"before"}});
+  Step(fake, kSecond);
+  EXPECT_TRUE(fake.starts.empty());
+  Submit(fake, MakeJob("during", kShape));
+  Step(fake, kSecond);
+  Feed(fake, JobCancelled{{"during"}});
+  Submit(fake, MakeJob("next", kShape));
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.starts.size(), 1U);
+  End(fake, RunOf(fake, "during"), TaskOutcome::kNeverBegan);
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.starts.back().task.job.value, "next");
+  End(fake, RunOf(fake, "next"), TaskOutcome::kFinished);
+  Feed(fake, JobCancelled{{"next"}});
+  EXPECT_TRUE(std::holds_alternative<Finished>(Explain(fake.state, {"next"})));
+  EXPECT_TRUE(fake.breaches.empty());
+}
+
+// Guards against sizes that stay as declared although less is used.
+TEST(PlacementTest, CorrectsSizesFromUsage) {
+  FakeWorkers fake = MakeFake(1);
+  for (int i = 0; i < 6; ++i) {
+    JobSpec job = MakeJob("j" + std::to_string(i), {{1000}, {8000}, {0}});
+    job.preemptible = true;  // Not held to the pool's firm share.
+    Submit(fake, job);
+  }
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.runs.size(), 2U);
+  for (int i = 0; i < 3; ++i) {
+    const TaskRef run = fake.runs.begin()->second.task;
+    Feed(fake, UsageReported{{"w0"}, kSecond, {{run, {1000}, {2000}}}});
+    End(fake, run, TaskOutcome::kFinished);
+    Step(fake, kSecond);
+  }
+  EXPECT_EQ(fake.runs.size(), 3U);
+  EXPECT_LT(fake.starts.back().limits.memory.value, 3000);
+}
+
+}  // namespace
+}  // namespace camphormux::placement
