Give a host a new generation when its drain is called off

Cause: a drain that was called off, or that ended in a restart, went back to admitted in the same generation. Ruled out: gateways that missed the drain record (refusals began 0.3 s after the readmission was on the log). Change: the way back is draining or empty to assigned, same pool, generation plus 1; the platform call then ends the drain and a late drain call is refused.

--- a/src/camphormux/controller/phases.cpp
+++ b/src/camphormux/controller/phases.cpp
@@ -155,7 +155,7 @@
       (at.report->boot_id != before || IsSettled(at))) {
     at.result.records.emplace_back(state::MaintenanceDone{
         at.host.zone, at.epoch, at.host.id, at.input.wall});
-    Record(at, HostPhase::kAdmitted);
+    Record(at, HostPhase::kAssigned);
     return;
   }
   SendPaced(at, call);
@@ -203,13 +203,14 @@
                         state::HostPhase phase) {
   const bool leaves = phase == state::HostPhase::kReleased;
   const bool drained = phase == state::HostPhase::kEmpty;
+  const bool assigned = phase == state::HostPhase::kAssigned;
   return {host.zone,
           epoch,
           host.id,
           phase,
           drained ? host.drain_reason : state::DrainReason::kNone,
           leaves ? std::nullopt : host.pool,
-          host.generation};
+          assigned ? core::Next(host.generation) : host.generation};
 }
 
 void AdvanceHost(const StepInput& input, const state::Host& host,
--- a/src/camphormux/controller/plan.cpp
+++ b/src/camphormux/controller/plan.cpp
@@ -118,14 +118,13 @@
 
   void Readmit(const core::HostId& id) {
     result_.records.emplace_back(
-        NextPhase(HostOf(id), *input_.seen.lease, HostPhase::kAdmitted));
+        NextPhase(HostOf(id), *input_.seen.lease, HostPhase::kAssigned));
   }
 
   void Assign(const core::HostId& id, const core::PoolName& pool) {
     state::Assign record =
         NextPhase(HostOf(id), *input_.seen.lease, HostPhase::kAssigned);
     record.pool = pool;
-    record.generation = core::Next(HostOf(id).generation);
     result_.records.emplace_back(std::move(record));
   }
 
--- a/src/camphormux/state/fold.cpp
+++ b/src/camphormux/state/fold.cpp
@@ -215,10 +215,10 @@
     case HostPhase::kReleased:
       return from == HostPhase::kEmpty;
     case HostPhase::kAssigned:
-      return from == HostPhase::kReleased;
-    case HostPhase::kAdmitted:
-      return from == HostPhase::kAssigned || from == HostPhase::kDraining ||
+      return from == HostPhase::kReleased || from == HostPhase::kDraining ||
              from == HostPhase::kEmpty;
+    case HostPhase::kAdmitted:
+      return from == HostPhase::kAssigned;
     case HostPhase::kDraining:
       return from == HostPhase::kAdmitted;
     case HostPhase::kEmpty:
@@ -244,7 +244,8 @@
   if (record.phase == HostPhase::kReleased) {
     return record.pool ? Skip(who + " is released with a pool") : std::nullopt;
   }
-  if (!record.pool || (!assigned && record.pool != host.pool)) {
+  const bool may_change_pool = host.phase == HostPhase::kReleased;
+  if (!record.pool || (!may_change_pool && record.pool != host.pool)) {
     return who + " must keep its pool";
   }
   if (record.phase == HostPhase::kDraining &&
--- a/src/camphormux/state/records.hpp
+++ b/src/camphormux/state/records.hpp
@@ -76,7 +76,8 @@
 
 /// @brief Moves a host to its next phase. The fold accepts only the
 /// transitions released, assigned, admitted, draining, empty, released, and
-/// back from draining or empty to admitted in the same pool.
+/// back from draining or empty to assigned in the same pool. The way back needs
+/// a new generation, so that a late drain call cannot hit the host again.
 struct Assign {
   core::ZoneName zone;
   core::Epoch epoch;
