Keep each traffic thread's applied offset in the thread

Cause: the offsets were kept beside the threads and needed an index loop, which the linter refuses.

Change: TrafficThread::SetTable hands over the table and notes its offset. Behaviour is unchanged; gateway, idempotency and demand tests pass.

--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -81,7 +81,6 @@
         settings_.callers, internal::ToOptions(settings_, i, life),
         core::SeededRandom(life + static_cast<std::uint64_t>(i)), metrics_,
         spans_, keys));
-    applied_.push_back(std::make_shared<std::atomic<std::uint64_t>>(0));
   }
   Tick();
 }
@@ -97,19 +96,15 @@
 void Gateway::Publish(const state::FleetState& state) {
   table_ = std::make_shared<const routing::RouteTable>(
       routing::BuildRouteTable(state));
-  for (std::size_t i = 0; i < threads_.size(); ++i) {
-    threads_[i]->Post(
-        [table = table_, applied = applied_[i]](Dispatcher& dispatcher) {
-          dispatcher.SetTable(table);
-          *applied = table->next.value;
-        });
+  for (const auto& thread : threads_) {
+    thread->SetTable(table_);
   }
 }
 
 core::LogOffset Gateway::applied() const {
   core::LogOffset lowest{std::numeric_limits<std::uint64_t>::max()};
-  for (const auto& applied : applied_) {
-    lowest.value = std::min(lowest.value, applied->load());
+  for (const auto& thread : threads_) {
+    lowest = std::min(lowest, thread->applied());
   }
   return lowest;
 }
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -1,7 +1,6 @@
 #ifndef CAMPHORMUX_GATEWAY_GATEWAY_HPP_
 #define CAMPHORMUX_GATEWAY_GATEWAY_HPP_
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -87,8 +86,6 @@
   prometheus::Gauge& view_age_;
   prometheus::Gauge& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
-  /// First offset that each thread has not applied; in the threads' order.
-  std::vector<std::shared_ptr<std::atomic<std::uint64_t>>> applied_;
   std::shared_ptr<const routing::RouteTable> table_;
   StateView view_;
   bool own_zone_only_ = false;
--- a/src/camphormux/gateway/traffic_thread.cpp
+++ b/src/camphormux/gateway/traffic_thread.cpp
@@ -40,6 +40,15 @@
                      action = std::move(action)] { action(*dispatcher); });
 }
 
+void TrafficThread::SetTable(std::shared_ptr<const routing::RouteTable> table) {
+  asio::post(loop_, [this, table = std::move(table)] {
+    dispatcher_->SetTable(table);
+    applied_ = table->next.value;
+  });
+}
+
+core::LogOffset TrafficThread::applied() const { return {applied_}; }
+
 void TrafficThread::StopAccepting() {
   asio::post(loop_, [this] { server_->StopAccepting(); });
 }
--- a/src/camphormux/gateway/traffic_thread.hpp
+++ b/src/camphormux/gateway/traffic_thread.hpp
@@ -1,6 +1,8 @@
 #ifndef CAMPHORMUX_GATEWAY_TRAFFIC_THREAD_HPP_
 #define CAMPHORMUX_GATEWAY_TRAFFIC_THREAD_HPP_
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -14,6 +16,7 @@
 #include "camphormux/gateway/dispatcher.hpp"
 #include "camphormux/gateway/key_store_port.hpp"
 #include "camphormux/gateway/service_metrics.hpp"
+#include "camphormux/routing/route_table.hpp"
 #include "camphormux/telemetry/trace.hpp"
 
 namespace camphormux::gateway {
@@ -43,6 +46,14 @@
   /// @param action Gets the thread's dispatcher.
   void Post(std::function<void(Dispatcher&)> action);
 
+  /// @brief Hands a route table to the thread.
+  /// @param table The table.
+  void SetTable(std::shared_ptr<const routing::RouteTable> table);
+
+  /// @return First offset that the thread's table does not contain; 0 before
+  /// the first one. Thread-safe.
+  [[nodiscard]] core::LogOffset applied() const;
+
   /// @brief Stops accepting connections.
   void StopAccepting();
 
@@ -51,6 +62,7 @@
   [[nodiscard]] int busy() const;
 
  private:
+  std::atomic<std::uint64_t> applied_ = 0;
   asio::io_context loop_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::shared_ptr<Dispatcher> dispatcher_;
