Wait for the view of a gateway that died lately

Cause: a gateway counted as dead after 8 s of silence no longer kept a drain from ending, although behind a partition its view of the log may be trusted for 10 s. The time at which a drain was seen also survived a reversal and a second drain by another holder.

Change: an unacknowledged gateway that is dead counts as gone once the drain is 12 s old or it has been dead for 12 s; one of another zone that is not dead once the drain is 12 s old, as before. The time belongs to the drain's offset.

Test: a gateway dead at the drain delays it by 10 to 15 s in both zones; one that announced itself on the log and never sent a heartbeat becomes dead in the membership's view, so that no drain waits for ever.

--- a/src/camphormux/controller/observation.hpp
+++ b/src/camphormux/controller/observation.hpp
@@ -43,6 +43,7 @@
   core::LogOffset applied;  ///< First offset that it has not applied.
   bool dead = false;        ///< Known to be dead.
   demand::Summary demand;
+  core::MonotonicTime dead_since{};  ///< When it was seen to be dead.
 };
 
 /// @brief Everything a control step sees apart from the shared state.
--- a/src/camphormux/controller/phases.cpp
+++ b/src/camphormux/controller/phases.cpp
@@ -110,7 +110,12 @@
   if (!drained) {
     SendPaced(at, call);
   }
-  at.memory.drain_seen.try_emplace(at.host.id, at.input.now);
+  DrainSeen& seen = at.memory.drain_seen[at.host.id];
+  // Another holder may have readmitted and drained the host meanwhile.
+  if (seen.offset != at.host.phase_offset) {
+    seen = {at.host.phase_offset, at.input.now};
+    at.memory.drain_acknowledged.erase(at.host.id);
+  }
   if (AnyMaySend(at)) {
     at.memory.drain_acknowledged.erase(at.host.id);
     return;
@@ -180,12 +185,16 @@
   if (gateway.applied > host.phase_offset) {
     return false;
   }
-  if (gateway.dead && input.now - memory.watching_since >= kDeadWatch) {
-    return false;
-  }
   const auto seen = memory.drain_seen.find(host.id);
   const bool old_drain = seen != memory.drain_seen.end() &&
-                         input.now - seen->second >= kOtherZoneDrain;
+                         seen->second.offset == host.phase_offset &&
+                         input.now - seen->second.time >= kOldDrain;
+  if (gateway.dead) {
+    const core::Millis watched = input.now - memory.watching_since;
+    const bool long_dead =
+        watched >= kLongDead && input.now - gateway.dead_since >= kLongDead;
+    return !long_dead && (!old_drain || watched < kDeadWatch);
+  }
   return gateway.zone == host.zone || !old_drain;
 }
 
--- a/src/camphormux/controller/phases.hpp
+++ b/src/camphormux/controller/phases.hpp
@@ -10,8 +10,8 @@
 /// @param host The host.
 /// @param memory The step's memory.
 /// @param gateway The gateway.
-/// @return False once it applied the drain, is dead, or belongs to another
-/// zone and the drain is old enough.
+/// @return False once it applied the drain, is dead for long, or is dead or of
+/// another zone and the drain is so old that it uses no host of another zone.
 [[nodiscard]] bool MaySend(const StepInput& input, const state::Host& host,
                            const StepMemory& memory,
                            const GatewayView& gateway);
--- a/src/camphormux/controller/step.hpp
+++ b/src/camphormux/controller/step.hpp
@@ -22,9 +22,13 @@
 /// Time after an own pause in which gateways do not count as dead: their
 /// silence may be that pause. 8 missed heartbeats.
 inline constexpr core::Millis kDeadWatch = std::chrono::seconds(8);
-/// Age of a drain at which gateways of other zones no longer send to the host:
-/// with a view of the log older than 10 s they use their own zone's hosts only.
-inline constexpr core::Millis kOtherZoneDrain = std::chrono::seconds(12);
+/// Age of a drain at which a gateway that did not apply it no longer sends to
+/// hosts of other zones: with a view of the log older than 10 s it uses its own
+/// zone's hosts only. The rest allows for its check and for requests under way.
+inline constexpr core::Millis kOldDrain = std::chrono::seconds(12);
+/// Silence of a dead gateway after which it is not waited for at all. Before
+/// that it may be alive behind a partition, with its 10 s still running.
+inline constexpr core::Millis kLongDead = kOldDrain;
 /// Time between two steps above which the process itself was paused.
 inline constexpr core::Millis kOwnPause = std::chrono::seconds(2);
 /// Pause before a call without visible effect is repeated.
@@ -56,12 +60,17 @@
   std::optional<core::MonotonicTime> done;  ///< When it was answered with 200.
 };
 
+/// @brief When a host's present drain was first seen.
+struct DrainSeen {
+  core::LogOffset offset;  ///< Of the drain.
+  core::MonotonicTime time;
+};
+
 /// @brief What a controller remembers between steps. Losing it is harmless:
 /// the next holder repeats the calls.
 struct StepMemory {
   std::map<core::HostId, SentCall> calls;
-  /// When a host's drain was first seen.
-  std::map<core::HostId, core::MonotonicTime> drain_seen;
+  std::map<core::HostId, DrainSeen> drain_seen;
   /// When every live gateway had acknowledged a host's drain.
   std::map<core::HostId, core::MonotonicTime> drain_acknowledged;
   /// Boot ids before a maintenance restart.
--- a/src/camphormux/controller/watch.cpp
+++ b/src/camphormux/controller/watch.cpp
@@ -54,7 +54,8 @@
     gateways.push_back({id, member.identity.zone, member.report.applied,
                         member.health == membership::Health::kDead,
                         demand::DecodeSummary(member.report.payload)
-                            .value_or(demand::Summary{})});
+                            .value_or(demand::Summary{}),
+                        member.changed});
   }
   return gateways;
 }
--- a/test/controller/admin_test.cpp
+++ b/test/controller/admin_test.cpp
@@ -126,6 +126,28 @@
   EXPECT_EQ(LowestLiveZone(watch, {"b"}, now, now), core::ZoneName{"b"});
 }
 
+// Guards against drains that wait for ever for a gateway that announced itself
+// on the log and never sent a heartbeat.
+TEST(WatchTest, AGatewayThatIsNeverHeardOfDies) {
+  core::MonotonicTime now{std::chrono::hours(1)};
+  membership::View view = membership::MakeView(
+      {{"c1"}, state::ProcessRole::kController, {"a"}, {}, {1}}, {}, {}, now);
+  (void)membership::Introduce(
+      view,
+      {{"g1"}, state::ProcessRole::kGateway, {"a"}, {"127.0.0.1", 9}, {1}},
+      now);
+  ASSERT_EQ(GatewaysOf(view).size(), 1U);
+  EXPECT_FALSE(GatewaysOf(view)[0].dead);
+  for (int round = 0; round < 12; ++round) {
+    now += view.config.interval;
+    (void)membership::BeginRound(view, now);
+  }
+  ASSERT_EQ(GatewaysOf(view).size(), 1U);
+  EXPECT_TRUE(GatewaysOf(view)[0].dead);
+  EXPECT_GT(GatewaysOf(view)[0].dead_since,
+            core::MonotonicTime{std::chrono::hours(1)});
+}
+
 // Guards against platform answers that are misread as facts.
 TEST(PlatformClientTest, ParsesOnlyWhatIsSpecified) {
   const auto hosts = ParseHostList(
--- a/test/controller/step_test.cpp
+++ b/test/controller/step_test.cpp
@@ -147,6 +147,30 @@
   EXPECT_EQ(CountAdmitted("shop"), 4);
 }
 
+// Guards against a host that leaves its pool while a gateway behind a
+// partition, which others take for dead, still trusts its view of the log.
+TEST_F(StepTest, WaitsForTheViewOfAGatewayThatDiedLately) {
+  for (const char* zone : {"a", "b"}) {
+    Run(kManySteps);
+    RenamePool();
+    controller_.seen.gateways = {{{"g1"}, {zone}, {}, true, {}, now_}};
+    ASSERT_TRUE(RunUntil(HostPhase::kDraining));
+    const core::MonotonicTime drained = now_;
+    while (CountInPool("web", HostPhase::kDraining) == 4) {
+      Run(1);
+    }
+    EXPECT_GE(now_ - drained, std::chrono::seconds(10));
+    EXPECT_LE(now_ - drained, std::chrono::seconds(15));
+    Run(kManySteps);
+    EXPECT_EQ(CountAdmitted("shop"), 4);
+    log_ = {};
+    platform_ = MakePlatform(kHosts);
+    controller_ = {{"c1"}, {}, {}, {}};
+    log_.Append({PublishOf("1", {}, TextWith(4))});
+    controller_.Claim(log_);
+  }
+}
+
 // Guards against a partitioned zone whose gateways block every drain; they use
 // their own zone's hosts only once their view of the log is old.
 TEST_F(StepTest, DoesNotWaitForeverForAnotherZone) {
