--- a/test/text/check_test.cpp
+++ b/test/text/check_test.cpp
@@ -124,6 +124,7 @@
     }
   }
   std::vector<FleetHost> list;
+  list.reserve(hosts.size());
   for (const auto& [section, host] : hosts) {
     list.push_back(host);
   }
