Start no request whose remaining time is below the slow answers

Cause: a request started as long as its remaining time covered the average run time. With exponential service times more than a third of the answers take longer, and under overload every request starts near its deadline. The predicted wait was too short as well, as it counted refused attempts as starts. A skipped request restored the count of urgent turns, so that starts behind it did not count.

--- a/src/camphormux/admission/fair_queue.cpp
+++ b/src/camphormux/admission/fair_queue.cpp
@@ -89,14 +89,14 @@
   return ticket;
 }
 
-std::vector<Ticket> RemoveExpired(FairQueue& queue,
-                                  core::MonotonicTime earliest_end) {
+std::vector<Ticket> RemoveIf(FairQueue& queue,
+                             const std::function<bool(const Ticket&)>& remove) {
   std::vector<Ticket> expired;
   for (auto turn = queue.turns.begin(); turn != queue.turns.end();) {
     auto& tickets = queue.by_caller.at(*turn);
     const auto kept = std::stable_partition(
         tickets.begin(), tickets.end(),
-        [&](const Ticket& ticket) { return ticket.deadline >= earliest_end; });
+        [&](const Ticket& ticket) { return !remove(ticket); });
     std::move(kept, tickets.end(), std::back_inserter(expired));
     tickets.erase(kept, tickets.end());
     if (tickets.empty()) {
@@ -110,4 +110,11 @@
   return expired;
 }
 
+std::vector<Ticket> RemoveExpired(FairQueue& queue,
+                                  core::MonotonicTime earliest_end) {
+  return RemoveIf(queue, [earliest_end](const Ticket& ticket) {
+    return ticket.deadline < earliest_end;
+  });
+}
+
 }  // namespace camphormux::admission
--- a/src/camphormux/admission/fair_queue.hpp
+++ b/src/camphormux/admission/fair_queue.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
   std::uint64_t id = 0;
   std::string caller;
   core::MonotonicTime deadline;
+  core::Millis timeout{0};  ///< From the arrival to the deadline.
 };
 
 /// @brief A bounded queue that takes turns between callers. Each caller's own
@@ -54,6 +56,13 @@
 /// @return The ticket, or nothing if the queue is empty.
 [[nodiscard]] std::optional<Ticket> Pop(FairQueue& queue);
 
+/// @brief Removes tickets.
+/// @param queue The queue.
+/// @param remove Tells which tickets go.
+/// @return The removed tickets.
+[[nodiscard]] std::vector<Ticket> RemoveIf(
+    FairQueue& queue, const std::function<bool(const Ticket&)>& remove);
+
 /// @brief Removes the tickets that cannot be answered in time.
 /// @param queue The queue.
 /// @param earliest_end Tickets with an earlier deadline are removed.
--- a/src/camphormux/admission/service_queue.cpp
+++ b/src/camphormux/admission/service_queue.cpp
@@ -11,6 +11,31 @@
 constexpr double kSampleWeight = 0.1;
 /// How long a run time predicts the next ones.
 constexpr core::Millis kRunMemory = std::chrono::seconds(1);
+/// Enough samples for a quantile of 0.99 to rest on five of them.
+constexpr std::size_t kRecentRuns = 512;
+constexpr double kQuantile = 0.99;
+/// New samples after which the quantile is computed again.
+constexpr int kSamplesPerQuantile = 16;
+
+void AddRecent(RecentRuns& recent, core::Millis run_time) {
+  const auto sample = static_cast<std::int32_t>(run_time.count());
+  if (recent.run_ms.size() < kRecentRuns) {
+    recent.run_ms.push_back(sample);
+  } else {
+    recent.run_ms[recent.next] = sample;
+  }
+  recent.next = (recent.next + 1) % kRecentRuns;
+  if (++recent.since_quantile < kSamplesPerQuantile) {
+    return;
+  }
+  recent.since_quantile = 0;
+  std::vector<std::int32_t> sorted = recent.run_ms;
+  const auto rank = static_cast<std::ptrdiff_t>(
+      kQuantile * static_cast<double>(sorted.size() - 1));
+  std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+  recent.quantile_ms =
+      static_cast<double>(sorted[static_cast<std::size_t>(rank)]);
+}
 
 FairQueue& Of(ServiceQueue& queue, Priority priority) {
   return queue.by_priority[static_cast<std::size_t>(priority)];
@@ -68,15 +93,25 @@
                      static_cast<core::Millis::rep>(std::llround(rate.run_ms)));
 }
 
+bool IsLate(const ServiceRate& rate, const Ticket& ticket,
+            core::MonotonicTime start, core::MonotonicTime now) {
+  if (PredictedEnd(rate, start, now) > ticket.deadline) {
+    return true;
+  }
+  const core::Millis slow_run(
+      static_cast<core::Millis::rep>(std::llround(rate.recent.quantile_ms)));
+  return start + std::min(slow_run, ticket.timeout / 2) > ticket.deadline;
+}
+
 Admission Admit(ServiceQueue& queue, Ticket ticket, Priority priority,
                 const QueueLimits& limits, core::MonotonicTime now) {
   const core::MonotonicTime start =
       now + PredictedWait(queue, priority, limits);
-  if (PredictedEnd(queue.rate, start, now) > ticket.deadline) {
+  if (IsLate(queue.rate, ticket, start, now)) {
     return {Refusal::kDeadline, std::nullopt};
   }
   if (Waiting(queue) == 0) {
-    queue.rate.last_start.reset();
+    queue.rate.last_end.reset();
   }
   PushResult pushed =
       Push(internal::Of(queue, priority), std::move(ticket), limits.capacity);
@@ -99,12 +134,12 @@
   return NextTicket{std::move(*ticket), priority, urgent_before};
 }
 
-void ObserveStart(ServiceRate& rate, core::MonotonicTime now) {
-  if (rate.last_start) {
+void ObserveEnd(ServiceRate& rate, core::MonotonicTime now) {
+  if (rate.last_end) {
     internal::Average(rate.interval_ms,
-                      static_cast<double>((now - *rate.last_start).count()));
+                      static_cast<double>((now - *rate.last_end).count()));
   }
-  rate.last_start = now;
+  rate.last_end = now;
 }
 
 void PutBack(ServiceQueue& queue, NextTicket next) {
@@ -113,17 +148,24 @@
 }
 
 std::vector<Ticket> RemoveLate(ServiceQueue& queue, core::MonotonicTime now) {
-  const core::MonotonicTime end = PredictedEnd(queue.rate, now, now);
-  std::vector<Ticket> late = RemoveExpired(queue.by_priority[0], end);
-  std::vector<Ticket> normal = RemoveExpired(queue.by_priority[1], end);
+  const auto is_late = [&](const Ticket& ticket) {
+    return IsLate(queue.rate, ticket, now, now);
+  };
+  std::vector<Ticket> late = RemoveIf(queue.by_priority[0], is_late);
+  std::vector<Ticket> normal = RemoveIf(queue.by_priority[1], is_late);
   std::move(normal.begin(), normal.end(), std::back_inserter(late));
   return late;
 }
 
+void ObserveCutRun(ServiceRate& rate, core::Millis run_time) {
+  internal::AddRecent(rate.recent, run_time);
+}
+
 void ObserveRun(ServiceRate& rate, core::Millis run_time,
                 core::MonotonicTime now) {
   internal::Average(rate.run_ms, static_cast<double>(run_time.count()));
   rate.run_seen = now;
+  internal::AddRecent(rate.recent, run_time);
 }
 
 }  // namespace camphormux::admission
--- a/src/camphormux/admission/service_queue.hpp
+++ b/src/camphormux/admission/service_queue.hpp
@@ -25,14 +25,24 @@
   int urgent_turns = 4;        ///< Urgent requests for each normal one.
 };
 
+/// @brief The latest run times of a service. Those that the deadline cut count
+/// as long as they lasted.
+struct RecentRuns {
+  std::vector<std::int32_t> run_ms;  ///< A ring.
+  std::size_t next = 0;
+  int since_quantile = 0;  ///< Samples that `quantile_ms` does not include.
+  double quantile_ms = 0.0;
+};
+
 /// @brief Observed speed of a service; predicts waits.
 struct ServiceRate {
   double run_ms = 0.0;  ///< Moving average of run times; 0: unknown.
   /// When a run time was last seen. Without this, one slow phase could refuse
   /// all requests for ever, as refused requests give no new run times.
   std::optional<core::MonotonicTime> run_seen;
-  double interval_ms = 0.0;  ///< Between starts while requests wait.
-  std::optional<core::MonotonicTime> last_start;  ///< While requests wait.
+  RecentRuns recent;         ///< Predict the slowest of the next runs.
+  double interval_ms = 0.0;  ///< Between ends of runs while requests wait.
+  std::optional<core::MonotonicTime> last_end;  ///< While requests wait.
 };
 
 /// @brief Requests of one service that wait for an endpoint.
@@ -78,6 +88,17 @@
                                                core::MonotonicTime start,
                                                core::MonotonicTime now);
 
+/// @brief Tells whether a request would start too close to its deadline.
+/// @param rate The observed speed.
+/// @param ticket The request.
+/// @param start When it starts.
+/// @param now The time.
+/// @return Whether less time remains than runs lately took on average, or than
+/// 99% of them took. The latter counts for half of the request's timeout at
+/// most, so that slow answers never refuse a request that did not wait.
+[[nodiscard]] bool IsLate(const ServiceRate& rate, const Ticket& ticket,
+                          core::MonotonicTime start, core::MonotonicTime now);
+
 /// @brief Admits a request to the queue, if it can be answered in time.
 /// @param queue The queue.
 /// @param ticket The request.
@@ -97,10 +118,11 @@
 [[nodiscard]] std::optional<NextTicket> TakeNext(ServiceQueue& queue,
                                                  const QueueLimits& limits);
 
-/// @brief Notes that a request that was taken starts.
+/// @brief Notes that a run ended and made room for the next request. Refused
+/// attempts do not count, they make no room.
 /// @param rate The observed speed.
 /// @param now The time.
-void ObserveStart(ServiceRate& rate, core::MonotonicTime now);
+void ObserveEnd(ServiceRate& rate, core::MonotonicTime now);
 
 /// @brief Puts a request back that found no endpoint; its turn is not used up.
 /// Requests are put back in the reverse order of their taking.
@@ -108,14 +130,18 @@
 /// @param next The request as taken.
 void PutBack(ServiceQueue& queue, NextTicket next);
 
-/// @brief Removes the requests that would end after their deadline if they
-/// started now.
+/// @brief Removes the requests that would be late if they started now.
 /// @param queue The queue.
 /// @param now The time.
 /// @return The removed requests.
 [[nodiscard]] std::vector<Ticket> RemoveLate(ServiceQueue& queue,
                                              core::MonotonicTime now);
 
+/// @brief Notes that a run was cut by its deadline.
+/// @param rate The observed speed.
+/// @param run_time From the attempt's start to its end.
+void ObserveCutRun(ServiceRate& rate, core::Millis run_time);
+
 /// @brief Notes how long a request ran.
 /// @param rate The observed speed.
 /// @param run_time From the attempt's start to its end.
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -183,7 +183,9 @@
   }
   ServiceState& state = services_[exchange->options.service];
   const auto admission = admission::Admit(
-      state.queue, {exchange->id, exchange->options.caller, exchange->deadline},
+      state.queue,
+      {exchange->id, exchange->options.caller, exchange->deadline,
+       exchange->options.timeout},
       exchange->options.priority, options_.queue, core::MonotonicNow());
   if (admission.refusal) {
     state.metrics->shed->Increment();
@@ -214,10 +216,11 @@
   exchange->queued_since = core::MonotonicNow();
   exchange->queued_unix_nanos = UnixNanos();
   state.metrics->queued->Increment();
-  admission::PutBack(state.queue, {{exchange->id, exchange->options.caller,
-                                    exchange->deadline},
-                                   exchange->options.priority,
-                                   state.queue.urgent_in_a_row});
+  admission::PutBack(
+      state.queue, {{exchange->id, exchange->options.caller, exchange->deadline,
+                     exchange->options.timeout},
+                    exchange->options.priority,
+                    state.queue.urgent_in_a_row});
   Pump(exchange->options.service);
 }
 
@@ -231,6 +234,8 @@
   while (StartNext(*routes, state, skipped)) {
   }
   while (!skipped.empty()) {
+    // The turns of the requests that did start stay counted.
+    skipped.back().urgent_before = state.queue.urgent_in_a_row;
     admission::PutBack(state.queue, std::move(skipped.back()));
     skipped.pop_back();
   }
@@ -245,6 +250,12 @@
   }
   const ExchangePtr exchange = exchanges_.at(next->ticket.id);
   const core::MonotonicTime now = core::MonotonicNow();
+  if (admission::IsLate(state.queue.rate, next->ticket, now, now)) {
+    // The periodic check may be late itself.
+    state.queue.urgent_in_a_row = next->urgent_before;
+    FailLate(*exchange, state);
+    return true;
+  }
   const routing::Query query{options_.zone, own_zone_only_, exchange->previous,
                              exchange->repeatable, now};
   const auto endpoint =
@@ -252,10 +263,10 @@
   if (!endpoint) {
     // Other requests may use an endpoint that this one must not use.
     const bool restricted = exchange->previous || !exchange->repeatable;
+    state.queue.urgent_in_a_row = next->urgent_before;
     skipped.push_back(std::move(*next));
     return restricted;
   }
-  admission::ObserveStart(state.queue.rate, now);
   StartAttempt(exchange, state, *endpoint.value());
   return true;
 }
@@ -280,14 +291,17 @@
 
 void Dispatcher::ExpireQueued(ServiceState& state, core::MonotonicTime now) {
   for (const auto& ticket : admission::RemoveLate(state.queue, now)) {
-    const ExchangePtr exchange = exchanges_.at(ticket.id);
-    exchange->waiting = false;
-    state.metrics->queued->Decrement();
-    state.metrics->shed->Increment();
-    Fail(*exchange, internal::LateReply(*exchange));
+    FailLate(*exchanges_.at(ticket.id), state);
   }
 }
 
+void Dispatcher::FailLate(Exchange& exchange, ServiceState& state) {
+  exchange.waiting = false;
+  state.metrics->queued->Decrement();
+  state.metrics->shed->Increment();
+  Fail(exchange, internal::LateReply(exchange));
+}
+
 void Dispatcher::ExpireClaims(core::MonotonicTime now) {
   std::vector<ExchangePtr> late;
   for (const auto& [id, exchange] : claiming_) {
--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -109,6 +109,7 @@
                  std::vector<admission::NextTicket>& skipped);
   void Tick();
   void ExpireQueued(ServiceState& state, core::MonotonicTime now);
+  void FailLate(Exchange& exchange, ServiceState& state);
   void ExpireClaims(core::MonotonicTime now);
   [[nodiscard]] const routing::ServiceRoutes* RoutesOf(
       const core::ServiceName& service) const;
--- a/src/camphormux/gateway/dispatcher_attempts.cpp
+++ b/src/camphormux/gateway/dispatcher_attempts.cpp
@@ -182,6 +182,12 @@
     exchange.metrics->refused->Increment();
   } else if (verdict == Verdict::kLost) {
     exchange.metrics->dropped->Increment();
+    if (end.error == AttemptError::kTimeout) {
+      admission::ObserveCutRun(state.queue.rate, now - attempt.start);
+    }
+  }
+  if (verdict == Verdict::kAnswered || verdict == Verdict::kLost) {
+    admission::ObserveEnd(state.queue.rate, now);
   }
   routing::AttemptReport report;
   report.host = attempt.host;
--- a/test/admission/service_queue_test.cpp
+++ b/test/admission/service_queue_test.cpp
@@ -92,6 +92,29 @@
                    .refusal.has_value());
 }
 
+// Guards against requests that start when one answer in a hundred takes longer
+// than their remaining time, and against slow answers that refuse requests
+// which did not wait.
+TEST(ServiceQueueTest, SlowAnswersDecideHowLateARequestMayStart) {
+  ServiceRate rate;
+  for (int i = 0; i < 512; ++i) {
+    ObserveRun(rate, core::Millis(i % 32 == 0 ? 900 : 20), kNow);
+  }
+  const core::Millis timeout = std::chrono::seconds(4);
+  const Ticket ticket{1, "caller", kNow + timeout, timeout};
+  const auto late_with = [&](int remaining_ms) {
+    return IsLate(rate, ticket, ticket.deadline - core::Millis(remaining_ms),
+                  kNow);
+  };
+  EXPECT_TRUE(late_with(899));
+  EXPECT_FALSE(late_with(900));
+  for (int i = 0; i < 512; ++i) {
+    ObserveCutRun(rate, std::chrono::seconds(10));
+  }
+  EXPECT_TRUE(late_with(1999));
+  EXPECT_FALSE(late_with(2000));
+}
+
 // Guards against a wait that is predicted from idle time between bursts.
 TEST(ServiceQueueTest, IdleTimeIsNotAStartInterval) {
   ServiceQueue queue;
@@ -102,7 +125,7 @@
     const Ticket ticket = MakeTicket(i, now + std::chrono::seconds(1));
     ASSERT_FALSE(Admit(queue, ticket, Priority::kNormal, limits, now).refusal);
     ASSERT_TRUE(TakeNext(queue, limits).has_value());
-    ObserveStart(queue.rate, now);
+    ObserveEnd(queue.rate, now);
   }
   EXPECT_EQ(queue.rate.interval_ms, 0.0);
 }
