Keep new requests off hosts that the platform lists as leaving

Cause: the gateway learnt of a leaving host from its drain record or from a refusal only. Without a lease holder no drain record is written, and a gateway that does not contact the host gets no refusal. A close mark ended after 10 s and the endpoint got its full load back unprobed.

Change: gateways read GET /v1/hosts?state=leaving once a second with jitter (at most 1 MiB) and send no new request to a listed host. Newly named hosts above 20% of a zone's admitted hosts within a minute are doubted, logged and metered; they stay in use until a draining refusal or a closed connection agrees. A closed connection ejects the endpoint for 10 s, and one probe decides about its return. The platform stand-in filters the list by zone and state.

--- a/bin/gateway/main.cpp
+++ b/bin/gateway/main.cpp
@@ -2,6 +2,7 @@
 #include <exception>
 #include <iostream>
 #include <memory>
+#include <random>
 #include <utility>
 
 #include <asio/io_context.hpp>
@@ -11,6 +12,7 @@
 
 #include "camphormux/gateway/gateway.hpp"
 #include "camphormux/gateway/gateway_settings.hpp"
+#include "camphormux/gateway/leaving_reader.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/http_port.hpp"
 #include "camphormux/settings/ini.hpp"
@@ -29,13 +31,18 @@
 int Run(const GatewaySettings& settings) {
   asio::io_context control;
   http::Client client(control);
-  Gateway gateway(control, settings, std::make_shared<prometheus::Registry>(),
-                  &UnavailableKeyStore);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  Gateway gateway(control, settings, registry, &UnavailableKeyStore);
   state::Tailer tailer(
       control, log::MakeHttpPort(client, settings.platform),
       [&gateway](const state::FleetState& state) { gateway.Publish(state); });
   gateway.SetView({[&tailer] { return state::Digest(tailer.state()); },
                    [&tailer] { return tailer.last_confirmed_sent(); }});
+  LeavingReader leaving(
+      control, client, settings.platform, *registry,
+      {[&tailer]() -> const state::FleetState& { return tailer.state(); },
+       [&gateway](const auto& hosts) { gateway.SetLeaving(hosts); }},
+      core::SeededRandom(std::random_device{}()));
   asio::signal_set signals(control, SIGTERM, SIGINT);
   signals.async_wait([&](const asio::error_code& error, int /*signal*/) {
     if (!error) {
@@ -43,6 +50,7 @@
     }
   });
   tailer.Start();
+  leaving.Start();
   control.run();
   telemetry::Log(telemetry::Level::kInfo, "stopped");
   return 0;
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -320,11 +320,20 @@
 void Dispatcher::SetTable(std::shared_ptr<const routing::RouteTable> table) {
   table_ = std::move(table);
   routing::Reconcile(health_, *table_, options_.routing, core::MonotonicNow());
+  if (leaving_) {
+    routing::ApplyLeaving(health_, *leaving_);
+  }
   for (auto& [service, state] : services_) {
     Pump(service);
   }
 }
 
+void Dispatcher::SetLeaving(
+    std::shared_ptr<const routing::LeavingHosts> hosts) {
+  leaving_ = std::move(hosts);
+  routing::ApplyLeaving(health_, *leaving_);
+}
+
 void Dispatcher::SetOwnZoneOnly(bool own_zone_only) {
   own_zone_only_ = own_zone_only;
 }
--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -24,6 +24,7 @@
 #include "camphormux/gateway/upstream.hpp"
 #include "camphormux/routing/choice.hpp"
 #include "camphormux/routing/endpoint_health.hpp"
+#include "camphormux/routing/leaving_hosts.hpp"
 #include "camphormux/routing/route_table.hpp"
 #include "camphormux/telemetry/trace.hpp"
 
@@ -73,6 +74,10 @@
   /// @param table The new routes.
   void SetTable(std::shared_ptr<const routing::RouteTable> table);
 
+  /// @brief Replaces the hosts that the platform lists as leaving.
+  /// @param hosts The hosts.
+  void SetLeaving(std::shared_ptr<const routing::LeavingHosts> hosts);
+
   /// @brief Restricts requests to the own zone while the view of the log is too
   /// old.
   /// @param own_zone_only Whether the view is too old.
@@ -146,6 +151,7 @@
   Upstream upstream_;
   asio::steady_timer tick_;
   std::shared_ptr<const routing::RouteTable> table_;
+  std::shared_ptr<const routing::LeavingHosts> leaving_;
   routing::PoolHealth health_;
   std::map<core::ServiceName, ServiceState> services_;
   std::unordered_map<std::uint64_t, ExchangePtr> exchanges_;
--- a/src/camphormux/gateway/fwd.hpp
+++ b/src/camphormux/gateway/fwd.hpp
@@ -14,6 +14,7 @@
 struct RequestOptions;
 class Dispatcher;
 class Gateway;
+class LeavingReader;
 
 }  // namespace camphormux::gateway
 
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -98,6 +98,12 @@
       [table = table_](Dispatcher& dispatcher) { dispatcher.SetTable(table); });
 }
 
+void Gateway::SetLeaving(
+    const std::shared_ptr<const routing::LeavingHosts>& hosts) {
+  ForEachThread(
+      [hosts](Dispatcher& dispatcher) { dispatcher.SetLeaving(hosts); });
+}
+
 void Gateway::SetView(StateView view) { view_ = std::move(view); }
 
 core::Millis Gateway::ViewAge() const {
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "camphormux/gateway/service_metrics.hpp"
 #include "camphormux/gateway/traffic_thread.hpp"
 #include "camphormux/http/server.hpp"
+#include "camphormux/routing/leaving_hosts.hpp"
 #include "camphormux/routing/route_table.hpp"
 #include "camphormux/state/fleet_state.hpp"
 #include "camphormux/telemetry/trace.hpp"
@@ -50,6 +51,10 @@
   /// @param state The fleet state.
   void Publish(const state::FleetState& state);
 
+  /// @brief Passes on which hosts the platform lists as leaving.
+  /// @param hosts The hosts.
+  void SetLeaving(const std::shared_ptr<const routing::LeavingHosts>& hosts);
+
   /// @brief Sets where the gateway reads about the followed state.
   /// @param view The functions; called on the control thread.
   void SetView(StateView view);
--- /dev/null
+++ b/src/camphormux/gateway/leaving_reader.cpp
@@ -0,0 +1,96 @@
+#include "camphormux/gateway/leaving_reader.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "camphormux/telemetry/log.hpp"
+#include "camphormux/telemetry/metrics.hpp"
+
+namespace camphormux::gateway {
+namespace internal {
+
+/// The period, its jitter and the timeout leave most of the 3 s between a sign
+/// of leaving and the last new request to the lag of the platform's list.
+constexpr core::Millis kReadPeriod{900};
+constexpr core::Millis kReadJitter{200};
+constexpr core::Millis kReadTimeout{800};
+/// Some 7,000 listed hosts; bounds the memory that a wrong list can take.
+constexpr std::size_t kLongestList = std::size_t{1} << 20;
+constexpr int kOk = 200;
+
+}  // namespace internal
+
+LeavingReader::LeavingReader(asio::io_context& loop, http::Client& client,
+                             const core::Address& platform,
+                             prometheus::Registry& registry,
+                             LeavingReaderPorts ports, core::Random random)
+    : client_(client),
+      url_(fmt::format("http://{}:{}/v1/hosts?state=leaving", platform.ip,
+                       platform.port)),
+      ports_(std::move(ports)),
+      random_(random),
+      timer_(loop),
+      listed_(telemetry::AddGauge(
+          registry, "camphormux_gateway_leaving_hosts",
+          "Hosts that get no new requests because the platform lists them.")),
+      doubted_(telemetry::AddGauge(
+          registry, "camphormux_gateway_doubted_leaving_hosts",
+          "Hosts that a doubted list names as leaving.")),
+      failures_(telemetry::AddCounter(
+          registry, "camphormux_gateway_host_list_failures_total",
+          "Reads of the list of leaving hosts without a usable answer.")),
+      alive_(std::make_shared<LeavingReader*>(this)) {}
+
+void LeavingReader::Start() { Read(); }
+
+void LeavingReader::Read() {
+  http::ClientRequest request;
+  request.url = url_;
+  request.timeout = internal::kReadTimeout;
+  request.max_response_bytes = internal::kLongestList;
+  client_.Send(std::move(request), [weak = std::weak_ptr(alive_)](
+                                       const http::ClientResult& result) {
+    if (const auto self = weak.lock()) {
+      (*self)->OnAnswer(result);
+    }
+  });
+  timer_.expires_after(internal::kReadPeriod +
+                       core::Jitter(random_, internal::kReadJitter));
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Read();
+    }
+  });
+}
+
+void LeavingReader::OnAnswer(const http::ClientResult& result) {
+  auto named = result && result.value().status == internal::kOk
+                   ? routing::ParseLeavingList(result.value().body)
+                   : std::nullopt;
+  if (!named) {
+    // The last list stays in force: a host that was leaving still is.
+    failures_.Increment();
+    return;
+  }
+  LogDoubts(routing::UpdateLeaving(list_, *named, ports_.state(),
+                                   core::MonotonicNow()));
+  listed_.Set(static_cast<double>(list_.hosts.trusted.size()));
+  doubted_.Set(static_cast<double>(list_.hosts.doubted.size()));
+  ports_.publish(std::make_shared<const routing::LeavingHosts>(list_.hosts));
+}
+
+void LeavingReader::LogDoubts(const std::set<core::ZoneName>& zones) {
+  for (const core::ZoneName& zone : zones) {
+    if (!doubted_zones_.contains(zone)) {
+      telemetry::Log(telemetry::Level::kWarning,
+                     "the platform lists too many hosts of a zone as leaving "
+                     "at once; the list is doubted",
+                     {{"zone", zone.value},
+                      {"hosts", std::to_string(list_.hosts.doubted.size())}});
+    }
+  }
+  doubted_zones_ = zones;
+}
+
+}  // namespace camphormux::gateway
--- a/src/camphormux/routing/choice.cpp
+++ b/src/camphormux/routing/choice.cpp
@@ -61,8 +61,8 @@
 
 bool IsEligible(const EndpointHealth& health, const Query& query,
                 const Limits& limits) {
-  if (health.leaving || query.now < health.hold_until ||
-      query.now < health.close_mark_until) {
+  if (health.leaving || health.listed_leaving ||
+      query.now < health.hold_until) {
     return false;
   }
   if (health.ejected_until) {
@@ -86,7 +86,8 @@
     if ((!own && query.own_zone_only) || found == pool.endpoints.end()) {
       continue;
     }
-    may_become_free = may_become_free || !found->second.leaving;
+    may_become_free = may_become_free ||
+                      !(found->second.leaving || found->second.listed_leaving);
     if (query.previous != endpoint.host &&
         IsEligible(found->second, query, limits)) {
       (own ? near : far).push_back({&endpoint, &found->second});
--- a/src/camphormux/routing/endpoint_health.cpp
+++ b/src/camphormux/routing/endpoint_health.cpp
@@ -95,8 +95,28 @@
   }
 }
 
+void OnClose(EndpointHealth& health, bool below_cap, const Limits& limits,
+             core::MonotonicTime now) {
+  if (health.doubted_leaving) {
+    health.listed_leaving = true;
+  } else if (health.ejected_until || below_cap) {
+    health.ejected_until =
+        std::max(health.ejected_until.value_or(now), now + limits.close_mark);
+    health.probing = false;
+  }
+}
+
 }  // namespace internal
 
+void ApplyLeaving(PoolHealth& pool, const LeavingHosts& hosts) {
+  for (auto& [host, health] : pool.endpoints) {
+    health.doubted_leaving = hosts.doubted.contains(host);
+    // Once confirmed, a doubted host stays out as long as it is listed.
+    health.listed_leaving = hosts.trusted.contains(host) ||
+                            (health.listed_leaving && health.doubted_leaving);
+  }
+}
+
 void Reconcile(PoolHealth& pool, const RouteTable& table, const Limits& limits,
                core::MonotonicTime now) {
   // Slow start protects a new endpoint among warm ones; at the start of a
@@ -146,14 +166,15 @@
   if (health.generation != report.generation) {
     return;  // Evidence about an earlier assignment.
   }
-  const bool below_cap =
-      CountEjected(pool, routes, now) < EjectionCap(routes.endpoints.size());
+  const auto below_cap = [&] {
+    return CountEjected(pool, routes) < EjectionCap(routes.endpoints.size());
+  };
   switch (report.outcome) {
     case AttemptOutcome::kServed:
       internal::OnServed(health, report, limits, now);
       break;
     case AttemptOutcome::kFailed:
-      internal::OnFailure(health, below_cap, limits, now);
+      internal::OnFailure(health, below_cap(), limits, now);
       break;
     case AttemptOutcome::kRefusedSlots:
       internal::OnSlotsRefusal(health, limits, now, random);
@@ -169,20 +190,18 @@
       health.probing = false;
       break;
   }
-  if (report.connection_closed && !health.leaving && below_cap) {
-    health.close_mark_until = now + limits.close_mark;
+  if (report.connection_closed && !health.leaving) {
+    internal::OnClose(health, below_cap(), limits, now);
   }
 }
 
-int CountEjected(const PoolHealth& pool, const ServiceRoutes& routes,
-                 core::MonotonicTime now) {
+int CountEjected(const PoolHealth& pool, const ServiceRoutes& routes) {
   return static_cast<int>(
       std::count_if(routes.endpoints.begin(), routes.endpoints.end(),
                     [&](const Endpoint& endpoint) {
                       const auto found = pool.endpoints.find(endpoint.host);
                       return found != pool.endpoints.end() &&
-                             (found->second.ejected_until.has_value() ||
-                              found->second.close_mark_until > now);
+                             found->second.ejected_until.has_value();
                     }));
 }
 
--- a/src/camphormux/routing/endpoint_health.hpp
+++ b/src/camphormux/routing/endpoint_health.hpp
@@ -7,6 +7,7 @@
 #include "camphormux/core/ids.hpp"
 #include "camphormux/core/random.hpp"
 #include "camphormux/core/time.hpp"
+#include "camphormux/routing/leaving_hosts.hpp"
 #include "camphormux/routing/route_table.hpp"
 
 namespace camphormux::routing {
@@ -35,7 +36,8 @@
   /// The platform may lag behind the log, so a misdirected request is not
   /// final.
   core::Millis misdirected_hold = std::chrono::seconds(1);
-  /// A closed connection is a weak sign of leaving, so it expires.
+  /// A closed connection is a weak sign of leaving: the endpoint is ejected for
+  /// this time and then probed.
   core::Millis close_mark = std::chrono::seconds(10);
 };
 
@@ -55,7 +57,10 @@
   core::MonotonicTime hold_until;
   bool leaving =
       false;  ///< Refused a request as draining; a new record ends it.
-  core::MonotonicTime close_mark_until;
+  bool listed_leaving = false;  ///< The platform's host list names it.
+  /// The host list names it, but is doubted: a draining refusal or a closed
+  /// connection confirms it.
+  bool doubted_leaving = false;
 };
 
 /// @brief Evidence about all endpoints that a thread knows.
@@ -83,6 +88,11 @@
 void Reconcile(PoolHealth& pool, const RouteTable& table, const Limits& limits,
                core::MonotonicTime now);
 
+/// @brief Takes over which hosts the platform lists as leaving.
+/// @param pool The evidence.
+/// @param hosts The hosts.
+void ApplyLeaving(PoolHealth& pool, const LeavingHosts& hosts);
+
 /// @brief Notes that an attempt starts.
 /// @param pool The evidence.
 /// @param host The chosen endpoint.
@@ -109,14 +119,12 @@
               const ServiceRoutes& routes, const Limits& limits,
               core::MonotonicTime now, core::Random& random);
 
-/// @brief Counts ejected and close-marked endpoints of a service.
+/// @brief Counts ejected endpoints of a service.
 /// @param pool The evidence.
 /// @param routes The service's routes.
-/// @param now The time.
 /// @return Endpoints that are out on the gateway's own evidence.
 [[nodiscard]] int CountEjected(const PoolHealth& pool,
-                               const ServiceRoutes& routes,
-                               core::MonotonicTime now);
+                               const ServiceRoutes& routes);
 
 /// @brief Returns the highest number of a pool's endpoints that may be ejected.
 /// @param pool_size Number of endpoints of the pool.
--- a/src/camphormux/routing/fwd.hpp
+++ b/src/camphormux/routing/fwd.hpp
@@ -11,6 +11,8 @@
 struct PoolHealth;
 struct AttemptReport;
 struct Query;
+struct LeavingHosts;
+struct LeavingList;
 enum class AttemptOutcome;
 enum class ChoiceFailure;
 
--- a/test/platform_standin/host_routes.cpp
+++ b/test/platform_standin/host_routes.cpp
@@ -5,11 +5,27 @@
 #include "service.hpp"
 
 namespace camphormux::standin {
+namespace internal {
+
+bool MatchesFilter(const http::ServerRequest& request,
+                   const nlohmann::json& host, const char* key) {
+  const auto wanted = request.query.find(key);
+  return wanted == request.query.end() || host.at(key) == wanted->second;
+}
+
+}  // namespace internal
 
 void Service::HandleHost(const http::ServerRequest& request, const Path& path,
                          const http::Respond& respond) {
   if (path.size() == 2) {
-    respond(internal::Answer(200, LaggingList(fleet_, core::MonotonicNow())));
+    nlohmann::json list = nlohmann::json::array();
+    for (auto& host : LaggingList(fleet_, core::MonotonicNow())) {
+      if (internal::MatchesFilter(request, host, "zone") &&
+          internal::MatchesFilter(request, host, "state")) {
+        list.push_back(std::move(host));
+      }
+    }
+    respond(internal::Answer(200, list));
     return;
   }
   const auto host = fleet_.hosts.find(path[2]);
--- a/test/platform_standin/platform_standin_test.cpp
+++ b/test/platform_standin/platform_standin_test.cpp
@@ -135,6 +135,26 @@
   EXPECT_EQ(state::Digest(late->state()), state::Digest(tailer->state()));
 }
 
+// Guards against a list of leaving hosts that names other hosts.
+TEST_F(PlatformStandinTest, FiltersTheHostList) {
+  const auto list = [this](const std::string& query) {
+    http::ClientRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(address_.port) +
+                  "/v1/hosts?" + query;
+    std::optional<http::ClientResult> result;
+    client_.Send(std::move(request),
+                 [&](const http::ClientResult& answer) { result = answer; });
+    EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
+    return result && *result ? result->value().body : "no answer";
+  };
+  EXPECT_EQ(list("state=leaving"), "[]");
+  EXPECT_NE(list("state=live"), "[]");
+  ASSERT_TRUE(Put("/control/hosts/h/leaving", R"({"on":true})").has_value());
+  EXPECT_NE(list("state=leaving&zone=a"), "[]");
+  EXPECT_EQ(list("state=leaving&zone=b"), "[]");
+  EXPECT_EQ(list("state=live"), "[]");
+}
+
 // Guards against an old owner that changes hosts after it lost its lease.
 TEST_F(PlatformStandinTest, RefusesOldEpochsAndGenerations) {
   const auto status = [this](const char* what, const char* body) {
--- a/test/routing/endpoint_health_test.cpp
+++ b/test/routing/endpoint_health_test.cpp
@@ -65,7 +65,7 @@
     OnFinish(pool,
              {host, {1}, outcome, core::Millis(5), *rc::gen::arbitrary<bool>()},
              routes, limits, now, random);
-    RC_ASSERT(CountEjected(pool, routes, now) <= EjectionCap(size));
+    RC_ASSERT(CountEjected(pool, routes) <= EjectionCap(size));
     const EndpointHealth& health = pool.endpoints.at(host);
     RC_ASSERT(health.outstanding == 0);
     RC_ASSERT(health.concurrency_limit >= 1.0);
@@ -102,6 +102,37 @@
   EXPECT_TRUE(IsEligible(health, query, limits));
 }
 
+// Guards against an endpoint that closed a connection and gets a full load of
+// requests again when its mark ends, without a probe.
+TEST(EndpointHealthTest, ClosedConnectionEndsWithAProbe) {
+  const RouteTable table = Table(3);
+  const ServiceRoutes& routes = table.services.at({"s"});
+  const Limits limits = TestLimits();
+  core::Random random = core::SeededRandom(1);
+  PoolHealth pool;
+  Reconcile(pool, table, limits, kStart);
+  const core::HostId host{"h0"};
+  const EndpointHealth& health = pool.endpoints.at(host);
+  Query query{{"a"}, false, std::nullopt, true, kStart};
+  AttemptReport closed = Report(0, AttemptOutcome::kServed);
+  closed.connection_closed = true;
+  for (int round = 0; round < 2; ++round) {
+    OnStart(pool, host);
+    OnFinish(pool, closed, routes, limits, query.now, random);
+    EXPECT_FALSE(IsEligible(health, query, limits));
+    query.now += limits.close_mark;
+    query.may_probe = false;
+    EXPECT_FALSE(IsEligible(health, query, limits));
+    query.may_probe = true;
+    EXPECT_TRUE(IsEligible(health, query, limits));
+  }
+  OnStart(pool, host);
+  EXPECT_FALSE(IsEligible(health, query, limits));
+  OnFinish(pool, Report(0, AttemptOutcome::kServed), routes, limits, query.now,
+           random);
+  EXPECT_TRUE(IsEligible(health, query, limits));
+}
+
 // Guards against a limit that does not follow the slots: seven gateways share
 // the eight slots of an endpoint, and few attempts may end in refusals.
 TEST(EndpointHealthTest, LimitsOfSevenGatewaysSettleAroundTheSlots) {
