Test that a skipped request does not reset the turns of priorities

Cause: the correction of the turns in the dispatcher had no test.

Change: it is now a part of the service queue (ReturnTurn, PutBackSkipped), with a test in which a request is skipped at each start.

--- a/src/camphormux/admission/service_queue.cpp
+++ b/src/camphormux/admission/service_queue.cpp
@@ -147,6 +147,18 @@
   PushFront(internal::Of(queue, next.priority), std::move(next.ticket));
 }
 
+void ReturnTurn(ServiceQueue& queue, const NextTicket& next) {
+  queue.urgent_in_a_row = next.urgent_before;
+}
+
+void PutBackSkipped(ServiceQueue& queue, std::vector<NextTicket> skipped) {
+  while (!skipped.empty()) {
+    NextTicket& next = skipped.back();
+    PushFront(internal::Of(queue, next.priority), std::move(next.ticket));
+    skipped.pop_back();
+  }
+}
+
 std::vector<Ticket> RemoveLate(ServiceQueue& queue, core::MonotonicTime now) {
   const auto is_late = [&](const Ticket& ticket) {
     return IsLate(queue.rate, ticket, now, now);
--- a/src/camphormux/admission/service_queue.hpp
+++ b/src/camphormux/admission/service_queue.hpp
@@ -130,6 +130,18 @@
 /// @param next The request as taken.
 void PutBack(ServiceQueue& queue, NextTicket next);
 
+/// @brief Gives the turn of a request back that is skipped for now, so that the
+/// requests behind it are taken as if it were not there.
+/// @param queue The queue.
+/// @param next The request as taken; put it back with `PutBackSkipped`.
+void ReturnTurn(ServiceQueue& queue, const NextTicket& next);
+
+/// @brief Puts skipped requests back; the turns of those that were taken in the
+/// meantime stay counted.
+/// @param queue The queue.
+/// @param skipped The requests in the order of their taking.
+void PutBackSkipped(ServiceQueue& queue, std::vector<NextTicket> skipped);
+
 /// @brief Removes the requests that would be late if they started now.
 /// @param queue The queue.
 /// @param now The time.
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -233,12 +233,7 @@
   std::vector<admission::NextTicket> skipped;
   while (StartNext(*routes, state, skipped)) {
   }
-  while (!skipped.empty()) {
-    // The turns of the requests that did start stay counted.
-    skipped.back().urgent_before = state.queue.urgent_in_a_row;
-    admission::PutBack(state.queue, std::move(skipped.back()));
-    skipped.pop_back();
-  }
+  admission::PutBackSkipped(state.queue, std::move(skipped));
 }
 
 bool Dispatcher::StartNext(const routing::ServiceRoutes& routes,
@@ -252,7 +247,7 @@
   const core::MonotonicTime now = core::MonotonicNow();
   if (admission::IsLate(state.queue.rate, next->ticket, now, now)) {
     // The periodic check may be late itself.
-    state.queue.urgent_in_a_row = next->urgent_before;
+    admission::ReturnTurn(state.queue, *next);
     FailLate(*exchange, state);
     return true;
   }
@@ -263,7 +258,7 @@
   if (!endpoint) {
     // Other requests may use an endpoint that this one must not use.
     const bool restricted = exchange->previous || !exchange->repeatable;
-    state.queue.urgent_in_a_row = next->urgent_before;
+    admission::ReturnTurn(state.queue, *next);
     skipped.push_back(std::move(*next));
     return restricted;
   }
--- a/test/admission/service_queue_test.cpp
+++ b/test/admission/service_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -54,6 +55,37 @@
   EXPECT_EQ(order.substr(0, 25), "uuuunuuuunuuuunuuuunuuuun");
 }
 
+// Guards against normal requests that starve behind a request that is skipped
+// again and again, such as a retry whose last endpoint is the only free one.
+TEST(ServiceQueueTest, ASkippedRequestDoesNotResetTheTurns) {
+  for (const Priority first : {Priority::kUrgent, Priority::kNormal}) {
+    ServiceQueue queue;
+    const QueueLimits limits;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+      const Priority priority =
+          i % 2 == 0 ? first
+                     : (first == Priority::kUrgent ? Priority::kNormal
+                                                   : Priority::kUrgent);
+      EXPECT_FALSE(
+          Admit(queue, MakeTicket(i, kFarDeadline), priority, limits, kNow)
+              .refusal);
+    }
+    std::string order;
+    for (int start = 0; start < 25; ++start) {
+      std::vector<NextTicket> skipped;
+      auto next = TakeNext(queue, limits);
+      if (next->ticket.id == 0) {
+        ReturnTurn(queue, *next);
+        skipped.push_back(std::move(*next));
+        next = TakeNext(queue, limits);
+      }
+      order += next->priority == Priority::kUrgent ? 'u' : 'n';
+      PutBackSkipped(queue, std::move(skipped));
+    }
+    EXPECT_EQ(order, "uuuunuuuunuuuunuuuunuuuun");
+  }
+}
+
 // Guards against requests that wait although they cannot be answered in time.
 RC_GTEST_PROP(ServiceQueueTest, AdmitsOnlyWhatCanEndInTime, ()) {
   ServiceQueue queue;
