--- a/src/camphormux/gateway/fwd.hpp
+++ b/src/camphormux/gateway/fwd.hpp
@@ -15,6 +15,7 @@
 class Dispatcher;
 class Gateway;
 class LeavingReader;
+class App;
 
 }  // namespace camphormux::gateway
 
