--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -11,6 +11,7 @@
 #include "camphormux/gateway/demand_meter.hpp"
 #include "camphormux/gateway/gateway.hpp"
 #include "camphormux/gateway/key_store_bridge.hpp"
+#include "camphormux/gateway/leaving_reader.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/idempotency/key_store.hpp"
 #include "camphormux/log/appender.hpp"
@@ -77,6 +78,7 @@
   idempotency::KeyStore keys;
   Gateway gateway;
   state::Tailer tailer;
+  LeavingReader leaving;
   state::SnapshotWriter snapshots;
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
@@ -107,6 +109,10 @@
       tailer(
           control, port,
           [this](const state::FleetState& state) { gateway.Publish(state); }),
+      leaving(control, client, settings.platform, *registry,
+              {[this]() -> const state::FleetState& { return tailer.state(); },
+               [this](const auto& hosts) { gateway.SetLeaving(hosts); }},
+              core::SeededRandom(std::random_device{}())),
       snapshots(control, appender, tailer, settings.process, {},
                 [] { return false; }),
       timer(control) {
@@ -217,6 +223,7 @@
 
 void App::Start() {
   impl_->tailer.Start();
+  impl_->leaving.Start();
   impl_->keys.Start();
   impl_->snapshots.Start();
   if (impl_->settings.peer) {
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -197,7 +197,9 @@
   }
   ServiceState& state = services_[exchange->options.service];
   const auto admission = admission::Admit(
-      state.queue, {exchange->id, exchange->options.caller, exchange->deadline},
+      state.queue,
+      {exchange->id, exchange->options.caller, exchange->deadline,
+       exchange->options.timeout},
       exchange->options.priority, options_.queue, core::MonotonicNow());
   if (admission.refusal) {
     state.metrics->shed->Increment();
@@ -228,10 +230,11 @@
   exchange->queued_since = core::MonotonicNow();
   exchange->queued_unix_nanos = UnixNanos();
   state.metrics->queued->Increment();
-  admission::PutBack(state.queue, {{exchange->id, exchange->options.caller,
-                                    exchange->deadline},
-                                   exchange->options.priority,
-                                   state.queue.urgent_in_a_row});
+  admission::PutBack(
+      state.queue, {{exchange->id, exchange->options.caller, exchange->deadline,
+                     exchange->options.timeout},
+                    exchange->options.priority,
+                    state.queue.urgent_in_a_row});
   Pump(exchange->options.service);
 }
 
@@ -244,10 +247,7 @@
   std::vector<admission::NextTicket> skipped;
   while (StartNext(*routes, state, skipped)) {
   }
-  while (!skipped.empty()) {
-    admission::PutBack(state.queue, std::move(skipped.back()));
-    skipped.pop_back();
-  }
+  admission::PutBackSkipped(state.queue, std::move(skipped));
 }
 
 bool Dispatcher::StartNext(const routing::ServiceRoutes& routes,
@@ -259,6 +259,12 @@
   }
   const ExchangePtr exchange = exchanges_.at(next->ticket.id);
   const core::MonotonicTime now = core::MonotonicNow();
+  if (admission::IsLate(state.queue.rate, next->ticket, now, now)) {
+    // The periodic check may be late itself.
+    admission::ReturnTurn(state.queue, *next);
+    FailLate(*exchange, state);
+    return true;
+  }
   const routing::Query query{options_.zone, own_zone_only_, exchange->previous,
                              exchange->repeatable, now};
   const auto endpoint =
@@ -266,10 +272,10 @@
   if (!endpoint) {
     // Other requests may use an endpoint that this one must not use.
     const bool restricted = exchange->previous || !exchange->repeatable;
+    admission::ReturnTurn(state.queue, *next);
     skipped.push_back(std::move(*next));
     return restricted;
   }
-  admission::ObserveStart(state.queue.rate, now);
   StartAttempt(exchange, state, *endpoint.value());
   return true;
 }
@@ -294,14 +300,17 @@
 
 void Dispatcher::ExpireQueued(ServiceState& state, core::MonotonicTime now) {
   for (const auto& ticket : admission::RemoveLate(state.queue, now)) {
-    const ExchangePtr exchange = exchanges_.at(ticket.id);
-    exchange->waiting = false;
-    state.metrics->queued->Decrement();
-    state.metrics->shed->Increment();
-    Fail(*exchange, internal::LateReply(*exchange));
+    FailLate(*exchanges_.at(ticket.id), state);
   }
 }
 
+void Dispatcher::FailLate(Exchange& exchange, ServiceState& state) {
+  exchange.waiting = false;
+  state.metrics->queued->Decrement();
+  state.metrics->shed->Increment();
+  Fail(exchange, internal::LateReply(exchange));
+}
+
 void Dispatcher::ExpireClaims(core::MonotonicTime now) {
   std::vector<ExchangePtr> late;
   for (const auto& [id, exchange] : claiming_) {
@@ -318,11 +327,20 @@
 void Dispatcher::SetTable(std::shared_ptr<const routing::RouteTable> table) {
   table_ = std::move(table);
   routing::Reconcile(health_, *table_, options_.routing, core::MonotonicNow());
+  if (leaving_) {
+    routing::ApplyLeaving(health_, *leaving_);
+  }
   for (auto& [service, state] : services_) {
     Pump(service);
   }
 }
 
+void Dispatcher::SetLeaving(
+    std::shared_ptr<const routing::LeavingHosts> hosts) {
+  leaving_ = std::move(hosts);
+  routing::ApplyLeaving(health_, *leaving_);
+}
+
 void Dispatcher::SetOwnZoneOnly(bool own_zone_only) {
   own_zone_only_ = own_zone_only;
 }
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -109,6 +109,12 @@
   return lowest;
 }
 
+void Gateway::SetLeaving(
+    const std::shared_ptr<const routing::LeavingHosts>& hosts) {
+  ForEachThread(
+      [hosts](Dispatcher& dispatcher) { dispatcher.SetLeaving(hosts); });
+}
+
 void Gateway::SetView(StateView view) { view_ = std::move(view); }
 
 core::Millis Gateway::ViewAge() const {
--- a/test/admission/service_queue_test.cpp
+++ b/test/admission/service_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -54,6 +55,37 @@
   EXPECT_EQ(order.substr(0, 25), "uuuunuuuunuuuunuuuunuuuun");
 }
 
+// Guards against normal requests that starve behind a request that is skipped
+// again and again, such as a retry whose last endpoint is the only free one.
+TEST(ServiceQueueTest, ASkippedRequestDoesNotResetTheTurns) {
+  for (const Priority first : {Priority::kUrgent, Priority::kNormal}) {
+    ServiceQueue queue;
+    const QueueLimits limits;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+      const Priority priority =
+          i % 2 == 0 ? first
+                     : (first == Priority::kUrgent ? Priority::kNormal
+                                                   : Priority::kUrgent);
+      EXPECT_FALSE(
+          Admit(queue, MakeTicket(i, kFarDeadline), priority, limits, kNow)
+              .refusal);
+    }
+    std::string order;
+    for (int start = 0; start < 25; ++start) {
+      std::vector<NextTicket> skipped;
+      auto next = TakeNext(queue, limits);
+      if (next->ticket.id == 0) {
+        ReturnTurn(queue, *next);
+        skipped.push_back(std::move(*next));
+        next = TakeNext(queue, limits);
+      }
+      order += next->priority == Priority::kUrgent ? 'u' : 'n';
+      PutBackSkipped(queue, std::move(skipped));
+    }
+    EXPECT_EQ(order, "uuuunuuuunuuuunuuuunuuuun");
+  }
+}
+
 // Guards against requests that wait although they cannot be answered in time.
 RC_GTEST_PROP(ServiceQueueTest, AdmitsOnlyWhatCanEndInTime, ()) {
   ServiceQueue queue;
@@ -92,6 +124,29 @@
                    .refusal.has_value());
 }
 
+// Guards against requests that start when one answer in a hundred takes longer
+// than their remaining time, and against slow answers that refuse requests
+// which did not wait.
+TEST(ServiceQueueTest, SlowAnswersDecideHowLateARequestMayStart) {
+  ServiceRate rate;
+  for (int i = 0; i < 512; ++i) {
+    ObserveRun(rate, core::Millis(i % 32 == 0 ? 900 : 20), kNow);
+  }
+  const core::Millis timeout = std::chrono::seconds(4);
+  const Ticket ticket{1, "caller", kNow + timeout, timeout};
+  const auto late_with = [&](int remaining_ms) {
+    return IsLate(rate, ticket, ticket.deadline - core::Millis(remaining_ms),
+                  kNow);
+  };
+  EXPECT_TRUE(late_with(899));
+  EXPECT_FALSE(late_with(900));
+  for (int i = 0; i < 512; ++i) {
+    ObserveCutRun(rate, std::chrono::seconds(10));
+  }
+  EXPECT_TRUE(late_with(1999));
+  EXPECT_FALSE(late_with(2000));
+}
+
 // Guards against a wait that is predicted from idle time between bursts.
 TEST(ServiceQueueTest, IdleTimeIsNotAStartInterval) {
   ServiceQueue queue;
@@ -102,7 +157,7 @@
     const Ticket ticket = MakeTicket(i, now + std::chrono::seconds(1));
     ASSERT_FALSE(Admit(queue, ticket, Priority::kNormal, limits, now).refusal);
     ASSERT_TRUE(TakeNext(queue, limits).has_value());
-    ObserveStart(queue.rate, now);
+    ObserveEnd(queue.rate, now);
   }
   EXPECT_EQ(queue.rate.interval_ms, 0.0);
 }
