--- /dev/null
+++ b/bench/slopes/fleet.cpp
@@ -0,0 +1,81 @@
+#include "bench/slopes/fleet.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "camphormux/state/fold.hpp"
+#include "camphormux/state/records.hpp"
+
+namespace camphormux::bench {
+namespace {
+
+constexpr int kRegions = 4;
+constexpr int kHostsPerRack = 4;
+
+void Add(state::FleetState& state, const state::Record& record) {
+  if (const auto reason = state::Apply(state, record, state.next)) {
+    std::fprintf(stderr, "record skipped: %s\n", reason->c_str());
+    std::exit(1);
+  }
+}
+
+void AddHost(state::FleetState& state, int number, int pools,
+             core::WallTime maintained) {
+  const core::ZoneName zone = ZoneAt(number % kZones);
+  const int in_zone = number / kZones;
+  const core::HostId id{"host-" + std::to_string(100'000 + number)};
+  Add(state, state::HostAdded{
+                 zone,
+                 {1},
+                 id,
+                 {zone.value + "-" + std::to_string(in_zone / kHostsPerRack)},
+                 {{64'000}, {262'144}, {2}},
+                 {"10.0.0.1", 8080}});
+  Add(state, state::MaintenanceDone{zone, {1}, id, maintained});
+  state::Assign step;
+  step.zone = zone;
+  step.epoch = {1};
+  step.host = id;
+  step.phase = state::HostPhase::kAssigned;
+  step.pool = core::PoolName{"pool-" + std::to_string(in_zone % pools)};
+  step.generation = {1};
+  Add(state, step);
+  step.phase = state::HostPhase::kAdmitted;
+  Add(state, step);
+}
+
+}  // namespace
+
+std::string MakeText(int pools) {
+  std::string text = "[deployment]\nname = slopes\nspare_pool = pool-0\n";
+  for (int i = 0; i < kZones; ++i) {
+    text += "[zone " + ZoneAt(i).value + "]\nregion = r" +
+            std::to_string(i % kRegions) + "\n";
+  }
+  for (int i = 0; i < pools; ++i) {
+    const std::string number = std::to_string(i);
+    text += "[service service-" + number + "]\npool = pool-" + number +
+            "\nmin_hosts = 1\nhost_availability = 0.5\n";
+    if (i > 0) {
+      text += "depends_on = service-" + std::to_string(i - 1) + ":0.1\n";
+    }
+  }
+  return text;
+}
+
+core::ZoneName ZoneAt(int index) { return {"z" + std::to_string(index)}; }
+
+state::FleetState MakeState(int hosts, int pools, core::WallTime now) {
+  const core::Millis period = std::chrono::hours(21 * 24);
+  state::FleetState state;
+  Add(state, state::Publish{{"p"}, "slopes", {0}, MakeText(pools), {}});
+  for (int i = 0; i < kZones; ++i) {
+    Add(state, state::LeaseClaim{ZoneAt(i), {"controller"}, {1}});
+  }
+  for (int i = 0; i < hosts; ++i) {
+    AddHost(state, i, pools, now - period * (i + 1) / (hosts + 2));
+  }
+  return state;
+}
+
+}  // namespace camphormux::bench
--- /dev/null
+++ b/bench/slopes/state_slopes.cpp
@@ -0,0 +1,189 @@
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "bench/slopes/fleet.hpp"
+#include "bench/slopes/points.hpp"
+#include "bench/slopes/slopes.hpp"
+#include "camphormux/idempotency/fold.hpp"
+#include "camphormux/log/batch.hpp"
+#include "camphormux/routing/route_table.hpp"
+#include "camphormux/state/codec.hpp"
+#include "camphormux/state/fold.hpp"
+#include "camphormux/state/snapshot.hpp"
+#include "camphormux/state/state_codec.hpp"
+#include "camphormux/text/parse.hpp"
+
+namespace camphormux::bench {
+namespace {
+
+constexpr double kMega = 1e6;
+constexpr std::size_t kBatchIdBytes = 40;
+
+const Series kStateMemory{"state: fleet state in memory", "MB", "hosts",
+                          kTargetHosts, kMemoryLimit};
+const Series kTextMemory{"state: operator text in memory", "MB", "pools",
+                         kTargetPools, kMemoryLimit};
+const Series kRouteMemory{"gateway: route table in memory", "MB", "hosts",
+                          kTargetHosts, kMemoryLimit};
+const Series kFold{"all: fold of lease renewals", "ms/s", "hosts", kTargetHosts,
+                   kProcessorLimit};
+const Series kDigest{"controller: digest after each read", "ms/s", "hosts",
+                     kTargetHosts, kProcessorLimit};
+const Series kRoutes{"gateway: route table after each read", "ms/s", "hosts",
+                     kTargetHosts, kProcessorLimit};
+const Series kSnapshotBytes{"snapshot: bytes", "MB", "hosts", kTargetHosts, 0};
+const Series kSnapshotTime{"snapshot: encode", "ms", "hosts", kTargetHosts, 0};
+const Series kRestoreTime{"snapshot: decode", "ms", "hosts", kTargetHosts,
+                          5000};
+const Series kParse{"all: parse of a published text", "ms", "pools",
+                    kTargetPools, 5000};
+const Series kKeyMemory{"gateway: idempotency keys in memory", "MB", "keys",
+                        1e6, kMemoryLimit};
+const Series kKeyFold{"gateway: fold of 1,000 keys", "ms", "keys", 1e6, 0};
+
+void MeasureFleet(const Size& size) {
+  const core::WallTime now = core::WallNow();
+  const double before = HeapBytes();
+  auto state = std::make_unique<state::FleetState>(
+      MakeState(size.hosts, size.pools, now));
+  PrintPoint(kStateMemory, size.hosts, (HeapBytes() - before) / kMega);
+  const state::LeaseRenew renewal{ZoneAt(0), {"controller"}, {1}};
+  const std::string data = log::EncodeBatch(
+      {std::string(kBatchIdBytes, 'i'), {state::EncodeRecords({renewal})}});
+  PrintPoint(kFold, size.hosts, kRenewalsPerSecond * MedianMillis([&] {
+                                  (void)state::ApplyEncoded(*state, data,
+                                                            state->next);
+                                }));
+  PrintPoint(kDigest, size.hosts, kRenewalsPerSecond * MedianMillis([&] {
+                                    (void)state::Digest(*state);
+                                  }));
+  const double without_table = HeapBytes();
+  routing::RouteTable table = routing::BuildRouteTable(*state);
+  PrintPoint(kRouteMemory, size.hosts, (HeapBytes() - without_table) / kMega);
+  PrintPoint(kRoutes, size.hosts, kRenewalsPerSecond * MedianMillis([&] {
+                                    table = routing::BuildRouteTable(*state);
+                                  }));
+  const std::string encoded = state::EncodeState(*state);
+  PrintPoint(kSnapshotBytes, size.hosts,
+             static_cast<double>(encoded.size()) / kMega);
+  PrintPoint(kSnapshotTime, size.hosts, MedianMillis([&] {
+               (void)state::MakeSnapshot(*state, "s", /*recovery=*/false);
+             }));
+  PrintPoint(kRestoreTime, size.hosts,
+             MedianMillis([&] { (void)state::DecodeState(encoded); }));
+}
+
+void MeasureText(int pools) {
+  const std::string source = MakeText(pools);
+  const double before = HeapBytes();
+  const auto parsed = text::ParseOperatorText("text", source);
+  PrintPoint(
+      kTextMemory, pools,
+      (HeapBytes() - before + static_cast<double>(source.size())) / kMega);
+  PrintPoint(kParse, pools, MedianMillis([&] {
+               (void)text::ParseOperatorText("text", source);
+             }));
+}
+
+idempotency::Key KeyNumber(std::uint64_t number, core::WallTime now) {
+  std::array<std::uint8_t, 10> random{};
+  // The last bytes; the first ones lose bits to the version and variant.
+  for (auto byte = random.rbegin(); number != 0; ++byte, number >>= 8) {
+    *byte = static_cast<std::uint8_t>(number);
+  }
+  return idempotency::MakeKey(now, random);
+}
+
+void MeasureKeys(std::uint64_t keys) {
+  constexpr std::uint64_t kGroup = 100;
+  constexpr std::uint64_t kThousand = 1000;
+  const core::WallTime now = core::WallNow();
+  const idempotency::Claimant self{{"gateway-1"}, {1}};
+  const double before = HeapBytes();
+  auto fold = std::make_unique<idempotency::Fold>();
+  double fold_ms = 0;
+  for (std::uint64_t first = 0; first < keys; first += kGroup) {
+    idempotency::Batch batch;
+    batch.claimant = self;
+    for (std::uint64_t i = first; i < first + kGroup; ++i) {
+      batch.intents.push_back({KeyNumber(i, now), {"service-1"}, i});
+    }
+    const log::StoredRecord record{fold->next, now, Encode(batch)};
+    const double start = ProcessorMillis();
+    (void)idempotency::Apply(*fold, record, self);
+    fold_ms += ProcessorMillis() - start;
+  }
+  if (fold->held.size() != keys) {
+    std::fprintf(stderr, "keys held: %zu of %lu\n", fold->held.size(), keys);
+    std::exit(1);
+  }
+  PrintPoint(kKeyMemory, static_cast<double>(keys),
+             (HeapBytes() - before) / kMega);
+  PrintPoint(kKeyFold, static_cast<double>(keys),
+             fold_ms * kThousand / static_cast<double>(keys));
+}
+
+void PrintRecord(const char* name, const state::Record& record) {
+  const std::string data = log::EncodeBatch(
+      {std::string(kBatchIdBytes, 'i'), {state::EncodeRecords({record})}});
+  std::printf("RECORD\t%s\t%zu\n", name, data.size());
+}
+
+/// Bytes of a log record that holds one state record alone.
+void PrintRecords() {
+  const core::ZoneName zone{"north-west-1"};
+  const core::HostId host{"host-100001"};
+  PrintRecord("lease_renew", state::LeaseRenew{zone, {"controller-1"}, {1}});
+  state::Assign assign;
+  assign.zone = zone;
+  assign.epoch = {1};
+  assign.host = host;
+  assign.phase = state::HostPhase::kDraining;
+  assign.drain_reason = state::DrainReason::kMaintenance;
+  assign.pool = core::PoolName{"pool-100"};
+  assign.generation = {100};
+  PrintRecord("assign", assign);
+  PrintRecord("host_added", state::HostAdded{zone,
+                                             {1},
+                                             host,
+                                             {"north-west-1-100"},
+                                             {{64'000}, {262'144}, {2}},
+                                             {"10.0.0.1", 8080}});
+  PrintRecord("host_removed", state::HostRemoved{zone, {1}, host});
+  PrintRecord("maintenance",
+              state::MaintenanceDone{zone, {1}, host, core::WallNow()});
+  PrintRecord("presence", state::PresenceNotice{{"gateway-1"},
+                                                state::ProcessRole::kGateway,
+                                                zone,
+                                                {"10.0.0.1", 7000},
+                                                {1}});
+  PrintRecord("publish, one line changed",
+              state::Publish{{"0123456789abcdef0123456789abcdef"},
+                             "author",
+                             {100},
+                             std::nullopt,
+                             {{100, 1, {"min_hosts = 12"}}}});
+  PrintRecord("publish, whole text of 154 pools",
+              state::Publish{{"0123456789abcdef0123456789abcdef"},
+                             "author",
+                             {100},
+                             MakeText(static_cast<int>(kTargetPools)),
+                             {}});
+}
+
+}  // namespace
+
+void MeasureState() {
+  PrintRecords();
+  for (const Size& size : kSizes) {
+    MeasureFleet(size);
+    MeasureText(size.pools);
+  }
+  for (const std::uint64_t keys : {10'000, 100'000, 1'000'000}) {
+    MeasureKeys(keys);
+  }
+}
+
+}  // namespace camphormux::bench
