--- a/bench/slopes/fleet.cpp
+++ b/bench/slopes/fleet.cpp
@@ -49,15 +49,23 @@
 std::string MakeText(int pools) {
   std::string text = "[deployment]\nname = slopes\nspare_pool = pool-0\n";
   for (int i = 0; i < kZones; ++i) {
-    text += "[zone " + ZoneAt(i).value + "]\nregion = r" +
-            std::to_string(i % kRegions) + "\n";
+    text += "[zone ";
+    text += ZoneAt(i).value;
+    text += "]\nregion = r";
+    text += std::to_string(i % kRegions);
+    text += "\n";
   }
   for (int i = 0; i < pools; ++i) {
     const std::string number = std::to_string(i);
-    text += "[service service-" + number + "]\npool = pool-" + number +
-            "\nmin_hosts = 1\nhost_availability = 0.5\n";
+    text += "[service service-";
+    text += number;
+    text += "]\npool = pool-";
+    text += number;
+    text += "\nmin_hosts = 1\nhost_availability = 0.5\n";
     if (i > 0) {
-      text += "depends_on = service-" + std::to_string(i - 1) + ":0.1\n";
+      text += "depends_on = service-";
+      text += std::to_string(i - 1);
+      text += ":0.1\n";
     }
   }
   return text;
