--- a/test/ops/ops_test.cpp
+++ b/test/ops/ops_test.cpp
@@ -151,5 +151,25 @@
   }
 }
 
+// Guards against a page of promises that cites what does not exist.
+TEST(OpsTest, PromisesCiteExistingTestsAndFiles) {
+  const std::string page = ReadFile(SOURCE_DIR "/docs/promises.md");
+  const std::regex file(R"re(`((?:src|test|bench|tools)/[\w/.-]+)`)re");
+  for (std::sregex_iterator i(page.begin(), page.end(), file), end; i != end;
+       ++i) {
+    EXPECT_TRUE(std::filesystem::exists(SOURCE_DIR "/" + (*i)[1].str()))
+        << (*i)[1];
+  }
+  const std::regex test(R"re(`(test/[\w/]+\.cpp)` (\w+)\.(\w+))re");
+  const std::sregex_iterator first(page.begin(), page.end(), test);
+  EXPECT_NE(first, std::sregex_iterator());
+  for (std::sregex_iterator i = first, end; i != end; ++i) {
+    const std::string source = ReadFile(SOURCE_DIR "/" + (*i)[1].str());
+    EXPECT_NE(source.find("(" + (*i)[2].str() + ", " + (*i)[3].str()),
+              std::string::npos)
+        << (*i)[0];
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::ops
