--- a/bench/placement/placement_bench.cpp
+++ b/bench/placement/placement_bench.cpp
@@ -121,20 +121,20 @@
 
 /// Everything that placement does in one second: reports, ends, submissions
 /// and the step.
-void BM_Second(benchmark::State& run) {
+void MeasureSecond(benchmark::State& run) {
   Fleet fleet = MakeFleet(static_cast<int>(run.range(0)));
   for (auto _ : run) RunSecond(fleet);
   run.counters["running"] = static_cast<double>(fleet.running.size());
   run.SetComplexityN(run.range(0));
 }
-BENCHMARK(BM_Second)
+BENCHMARK(MeasureSecond)
     ->Arg(50)
     ->Arg(500)
     ->Arg(5000)
     ->Unit(benchmark::kMillisecond)
     ->Complexity();
 
-void BM_Tick(benchmark::State& run) {
+void MeasureTick(benchmark::State& run) {
   Fleet fleet = MakeFleet(static_cast<int>(run.range(0)));
   for (auto _ : run) {
     run.PauseTiming();
@@ -146,7 +146,7 @@
   }
   run.SetComplexityN(run.range(0));
 }
-BENCHMARK(BM_Tick)
+BENCHMARK(MeasureTick)
     ->Arg(50)
     ->Arg(500)
     ->Arg(5000)
@@ -154,7 +154,7 @@
     ->Unit(benchmark::kMillisecond)
     ->Complexity();
 
-void BM_SubmitUrgent(benchmark::State& run) {
+void MeasureSubmitUrgent(benchmark::State& run) {
   Fleet fleet = MakeFleet(static_cast<int>(run.range(0)));
   for (auto _ : run) {
     JobSpec job = NextJob(fleet);
@@ -167,7 +167,7 @@
   }
   run.SetComplexityN(run.range(0));
 }
-BENCHMARK(BM_SubmitUrgent)
+BENCHMARK(MeasureSubmitUrgent)
     ->Arg(50)
     ->Arg(500)
     ->Arg(5000)
@@ -176,7 +176,7 @@
     ->Complexity();
 
 /// A wave of cancellations: half of queued, half of running jobs.
-void BM_CancelWave(benchmark::State& run) {
+void MeasureCancelWave(benchmark::State& run) {
   Fleet fleet = MakeFleet(static_cast<int>(run.range(0)));
   for (auto _ : run) {
     run.PauseTiming();
@@ -195,7 +195,7 @@
   run.SetItemsProcessed(run.iterations() * kWave);
   run.SetComplexityN(run.range(0));
 }
-BENCHMARK(BM_CancelWave)
+BENCHMARK(MeasureCancelWave)
     ->Arg(50)
     ->Arg(500)
     ->Arg(5000)
@@ -203,7 +203,7 @@
     ->Unit(benchmark::kMillisecond)
     ->Complexity();
 
-void BM_Memory(benchmark::State& run) {
+void MeasureMemory(benchmark::State& run) {
   const auto workers = static_cast<int>(run.range(0));
   for (auto _ : run) {
     const std::int64_t before = HeapBytes();
@@ -225,8 +225,12 @@
         static_cast<double>(fleet.running.size() - starts_before);
   }
 }
-BENCHMARK(BM_Memory)->Arg(50)->Arg(500)->Arg(5000)->Iterations(1)->Unit(
-    benchmark::kMillisecond);
+BENCHMARK(MeasureMemory)
+    ->Arg(50)
+    ->Arg(500)
+    ->Arg(5000)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace camphormux::placement
--- a/bench/placement/replay.cpp
+++ b/bench/placement/replay.cpp
@@ -57,8 +57,10 @@
       static_cast<std::size_t>(core::Below(random, kKindsPerTeam));
   const double noise = 0.9 + 0.2 * core::UnitInterval(random);
   const double error = errors[team * kKindsPerTeam + kind];
-  job.used = {{static_cast<std::int64_t>((1000 + 1000 * kind) * noise)},
-              {static_cast<std::int64_t>((3000 + 4000 * kind) * noise)},
+  job.used = {{static_cast<std::int64_t>(
+                  (1000.0 + 1000.0 * static_cast<double>(kind)) * noise)},
+              {static_cast<std::int64_t>(
+                  (3000.0 + 4000.0 * static_cast<double>(kind)) * noise)},
               {0}};
   job.run_time = core::Millis{static_cast<core::Millis::rep>(
       -120000.0 * std::log(1.0 - core::UnitInterval(random)) + 1000.0)};
@@ -70,8 +72,10 @@
                                                             : Priority::kNormal;
   spec.preemptible = core::UnitInterval(random) < kPreemptibleShare;
   spec.repeatable = core::UnitInterval(random) < 0.9;
-  spec.declared = {{static_cast<std::int64_t>((1000 + 1000 * kind) * error)},
-                   {static_cast<std::int64_t>((3000 + 4000 * kind) * error)},
+  spec.declared = {{static_cast<std::int64_t>(
+                       (1000.0 + 1000.0 * static_cast<double>(kind)) * error)},
+                   {static_cast<std::int64_t>(
+                       (3000.0 + 4000.0 * static_cast<double>(kind)) * error)},
                    {0}};
   spec.declared_run_time = core::Millis{static_cast<core::Millis::rep>(
       static_cast<double>(job.run_time.count()) * DeclarationError(random))};
