Transfer the host list only when it changed; build routes in one pass

Change: If-None-Match on the list, ETag in the platform interface; routes are built by one pass over the hosts; a controller computes the digest once a second. Tried and taken out: asking only for the own zone's list. Conclusion: bytes of the list now grow with changes, not with time.

--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -39,6 +39,9 @@
 /// Longest wait for records on their way when the process stops.
 constexpr core::Millis kStopLimit = std::chrono::seconds(5);
 constexpr core::Millis kStopPoll{20};
+/// Heartbeats carry the digest once a second; computing it more often costs
+/// milliseconds of a large state for nothing.
+constexpr core::Millis kReportPeriod = std::chrono::seconds(1);
 
 membership::View NewView(const Settings& settings,
                          core::Incarnation incarnation) {
@@ -114,6 +117,7 @@
   std::optional<PendingStep> pending;
   std::optional<http::Server> admin;
   core::LogOffset told_offset;
+  core::MonotonicTime told_at;
   /// Processes of the log that membership was told of.
   std::map<core::ProcessId, core::Incarnation> introduced;
   bool announced = false;
@@ -221,7 +225,9 @@
 
 void App::Impl::TellMembers() {
   const state::FleetState& state = tailer.state();
-  if (state.next != told_offset) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (state.next != told_offset && now - told_at >= internal::kReportPeriod) {
+    told_at = now;
     told_offset = state.next;
     members.SetReport(state.next, state::Digest(state), "");
   }
--- a/src/camphormux/controller/platform_client.cpp
+++ b/src/camphormux/controller/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/controller/platform_client.hpp"
 
+#include <memory>
 #include <utility>
 
 #include <fmt/format.h>
@@ -14,10 +15,17 @@
 constexpr core::Millis kTimeout = std::chrono::seconds(2);
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr std::int64_t kMilli = 1000;
 
+/// The latest list with the version that the platform gave it.
+struct CachedList {
+  std::string etag;
+  HostList hosts;
+};
+
 std::string Url(const core::Address& platform, const std::string& path) {
   return fmt::format("http://{}:{}{}", platform.ip, platform.port, path);
 }
@@ -55,6 +63,27 @@
                                                : CallOutcome::kFailed;
 }
 
+/// The list of an answer; a 304 stands for the cached one.
+std::optional<HostList> ToHostList(const http::ClientResult& result,
+                                   CachedList& cached) {
+  if (!result.has_value()) {
+    return std::nullopt;
+  }
+  const http::ClientResponse& response = result.value();
+  if (response.status == kNotModified && !cached.etag.empty()) {
+    return cached.hosts;
+  }
+  std::optional<HostList> hosts;
+  if (response.status == kOk) {
+    hosts = ParseHostList(response.body);
+  }
+  if (hosts) {
+    const std::string* etag = http::FindHeader(response.headers, "ETag");
+    cached = {etag != nullptr ? *etag : "", *hosts};
+  }
+  return hosts;
+}
+
 /// The report of an answer; a 404 is the report of an unknown host.
 std::optional<HostReport> ToReport(const http::ClientResult& result) {
   if (!result.has_value()) {
@@ -136,15 +165,18 @@
 PlatformPort MakePlatformPort(http::Client& client,
                               const core::Address& platform) {
   PlatformPort port;
-  port.list = [&client, platform](auto done) {
+  const auto cached = std::make_shared<internal::CachedList>();
+  port.list = [&client, platform, cached](auto done) {
     http::ClientRequest request;
     request.url = internal::Url(platform, "/v1/hosts");
     request.timeout = internal::kTimeout;
-    client.Send(std::move(request), [done](const http::ClientResult& result) {
-      const bool ok =
-          result.has_value() && result.value().status == internal::kOk;
-      done(ok ? ParseHostList(result.value().body) : std::nullopt);
-    });
+    if (!cached->etag.empty()) {
+      request.headers = {{"If-None-Match", cached->etag}};
+    }
+    client.Send(std::move(request),
+                [done, cached](const http::ClientResult& result) {
+                  done(internal::ToHostList(result, *cached));
+                });
   };
   port.report = [&client, platform](const core::HostId& host, auto done) {
     http::ClientRequest request;
--- a/src/camphormux/controller/platform_client.hpp
+++ b/src/camphormux/controller/platform_client.hpp
@@ -28,7 +28,9 @@
       send;
 };
 
-/// @brief Makes a port that speaks HTTP.
+/// @brief Makes a port that speaks HTTP. The host list is transferred only if
+/// it changed since the last answer (`ETag`). It is asked for all zones,
+/// because sizing needs to know how many hosts the other zones have lost.
 /// @param client HTTP client of the event loop; outlives the port.
 /// @param platform Address of the platform.
 /// @return The port.
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -51,6 +51,8 @@
       return "Created";
     case 202:
       return "Accepted";
+    case 304:
+      return "Not Modified";
     case 400:
       return "Bad Request";
     case 404:
--- a/src/camphormux/routing/route_table.cpp
+++ b/src/camphormux/routing/route_table.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/routing/route_table.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace camphormux::routing {
 namespace internal {
@@ -20,16 +21,23 @@
   if (!state.text.parsed) {
     return table;
   }
+  // A text gives each service a pool of its own, so one pass over the hosts is
+  // enough.
+  std::map<core::PoolName, ServiceRoutes*> routes_of_pool;
   for (const auto& [name, service] : state.text.parsed->services) {
     ServiceRoutes& routes = table.services[name];
     routes.service = service;
-    for (const auto& [id, host] : state.hosts) {
-      if (host.phase == state::HostPhase::kAdmitted &&
-          host.pool == service.pool &&
-          internal::ServesZone(service, host.zone)) {
-        routes.endpoints.push_back(
-            {id, host.zone, host.address, host.generation, host.phase_offset});
-      }
+    routes_of_pool.emplace(service.pool, &routes);
+  }
+  for (const auto& [id, host] : state.hosts) {
+    if (host.phase != state::HostPhase::kAdmitted || !host.pool) {
+      continue;
+    }
+    const auto found = routes_of_pool.find(*host.pool);
+    if (found != routes_of_pool.end() &&
+        internal::ServesZone(found->second->service, host.zone)) {
+      found->second->endpoints.push_back(
+          {id, host.zone, host.address, host.generation, host.phase_offset});
     }
   }
   return table;
--- a/test/platform_standin/host_routes.cpp
+++ b/test/platform_standin/host_routes.cpp
@@ -1,4 +1,6 @@
+#include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "routes.hpp"
@@ -13,6 +15,19 @@
   return wanted == request.query.end() || host.at(key) == wanted->second;
 }
 
+/// Answers 304 if the caller already has this body.
+http::ServerResponse Unless(const http::ServerRequest& request,
+                            http::ServerResponse response) {
+  const std::string etag =
+      "\"" + std::to_string(std::hash<std::string>{}(response.body)) + "\"";
+  const std::string* known = http::FindHeader(request.headers, "If-None-Match");
+  if (known != nullptr && *known == etag) {
+    return {304, "", response.content_type, {{"ETag", etag}}};
+  }
+  response.headers.push_back({"ETag", etag});
+  return response;
+}
+
 }  // namespace internal
 
 void Service::HandleHost(const http::ServerRequest& request, const Path& path,
@@ -25,7 +40,7 @@
         list.push_back(std::move(host));
       }
     }
-    respond(internal::Answer(200, list));
+    respond(internal::Unless(request, internal::Answer(200, list)));
     return;
   }
   const auto host = fleet_.hosts.find(path[2]);
