Test the graceful shutdown of a gateway under open requests

Cause: SIGTERM with open requests had only been tried by hand; demo and soak stop the processes after the load. Change: ShutdownTest runs a gateway with its control thread, stops it with six requests open at an endpoint and destroys it as main does. Requests of the grace are answered; those open at the bound end as unknown. Conclusion: the promise that a planned stop cuts off no request has an automatic test.

--- a/test/gateway/gateway_harness.cpp
+++ b/test/gateway/gateway_harness.cpp
@@ -62,6 +62,27 @@
   return acceptor.local_endpoint().port();
 }
 
+CallerResult CallAt(std::uint16_t port, const std::string& method,
+                    const std::string& target, const http::Headers& headers,
+                    const std::string& body) {
+  asio::io_context loop;
+  http::Client client(loop);
+  http::ClientRequest request;
+  request.method = method;
+  request.url = "http://127.0.0.1:" + std::to_string(port) + target;
+  request.headers = headers;
+  request.body = body;
+  request.timeout = kTestLimit;
+  std::optional<http::ClientResult> result;
+  client.Send(std::move(request), [&](http::ClientResult answer) {
+    result = std::move(answer);
+    loop.stop();
+  });
+  loop.run_for(kTestLimit);
+  EXPECT_TRUE(result.has_value()) << "no response from the gateway";
+  return result ? ToCallerResult(std::move(*result)) : CallerResult{};
+}
+
 GatewayHarness::GatewayHarness(const std::vector<std::uint16_t>& endpoint_ports,
                                const KeyStoreFactory& keys)
     : port_(FreePort()),
@@ -82,22 +103,7 @@
                                   const std::string& target,
                                   const http::Headers& headers,
                                   const std::string& body) {
-  asio::io_context loop;
-  http::Client client(loop);
-  http::ClientRequest request;
-  request.method = method;
-  request.url = "http://127.0.0.1:" + std::to_string(port_) + target;
-  request.headers = headers;
-  request.body = body;
-  request.timeout = kTestLimit;
-  std::optional<http::ClientResult> result;
-  client.Send(std::move(request), [&](http::ClientResult answer) {
-    result = std::move(answer);
-    loop.stop();
-  });
-  loop.run_for(kTestLimit);
-  EXPECT_TRUE(result.has_value()) << "no response from the gateway";
-  return result ? ToCallerResult(std::move(*result)) : CallerResult{};
+  return CallAt(port_, method, target, headers, body);
 }
 
 }  // namespace camphormux::gateway
--- a/test/gateway/gateway_harness.hpp
+++ b/test/gateway/gateway_harness.hpp
@@ -28,6 +28,12 @@
   http::Headers headers;
 };
 
+/// @brief Sends a request to a port of this machine and waits for the response.
+[[nodiscard]] CallerResult CallAt(std::uint16_t port, const std::string& method,
+                                  const std::string& target,
+                                  const http::Headers& headers = {},
+                                  const std::string& body = "");
+
 /// @brief A traffic thread that routes the service "venue" to endpoints on the
 /// given ports. "POST /holds" must not be repeated.
 class GatewayHarness {
--- /dev/null
+++ b/test/gateway/shutdown_test.cpp
@@ -0,0 +1,167 @@
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/gateway/gateway.hpp"
+#include "fake_endpoint.hpp"
+#include "gateway_harness.hpp"
+
+namespace camphormux::gateway {
+namespace {
+
+GatewaySettings Settings(core::Millis grace, core::Millis timeout) {
+  GatewaySettings settings;
+  settings.process = {"gateway-1"};
+  settings.zone = {"tanger"};
+  settings.callers = {"127.0.0.1", FreePort()};
+  settings.admin = {"127.0.0.1", FreePort()};
+  settings.max_body = {64 * 1024};
+  settings.max_header = {8 * 1024};
+  settings.shutdown_grace = grace;
+  settings.shutdown_timeout = timeout;
+  settings.max_gateways = 1;
+  return settings;
+}
+
+state::FleetState FleetOf(std::uint16_t endpoint_port) {
+  state::FleetState state;
+  auto text = std::make_shared<text::OperatorText>();
+  text::Service& service = text->services[{"venue"}];
+  service.name = {"venue"};
+  service.pool = {"venue"};
+  service.zones = {{"tanger"}};
+  state.text.parsed = text;
+  state::Host& host = state.hosts[{"tanger-01"}];
+  host.id = {"tanger-01"};
+  host.zone = {"tanger"};
+  host.pool = core::PoolName{"venue"};
+  host.phase = state::HostPhase::kAdmitted;
+  host.address = {"127.0.0.1", endpoint_port};
+  state.next = {1};
+  return state;
+}
+
+/// A gateway with its control thread.
+class RunningGateway {
+ public:
+  RunningGateway(const GatewaySettings& settings,
+                 const state::FleetState& state)
+      : settings_(settings), work_(control_.get_executor()) {
+    gateway_ = std::make_unique<Gateway>(
+        control_, settings, std::make_shared<prometheus::Registry>(),
+        &UnavailableKeyStore);
+    gateway_->SetView({[] { return std::uint64_t{0}; },
+                       [] { return core::MonotonicNow(); },
+                       [] { return std::string(); }});
+    gateway_->Publish(state);
+    thread_ = std::thread([this] {
+      control_.run();
+      gateway_.reset();
+      ended_.set_value();
+    });
+  }
+  ~RunningGateway() {
+    control_.stop();
+    thread_.join();
+  }
+  RunningGateway(const RunningGateway&) = delete;
+  RunningGateway& operator=(const RunningGateway&) = delete;
+
+  /// Starts the shutdown; the gateway is destroyed at its end, as in main.
+  /// The result is set afterwards.
+  std::future<void> Shutdown() {
+    asio::post(control_,
+               [this] { gateway_->Shutdown([this] { control_.stop(); }); });
+    return ended_.get_future();
+  }
+
+  [[nodiscard]] CallerResult Call() const {
+    return CallAt(settings_.callers.port, "GET", "/venue/x");
+  }
+  [[nodiscard]] CallerResult Ready() const {
+    return CallAt(settings_.admin.port, "GET", "/readyz");
+  }
+
+ private:
+  GatewaySettings settings_;
+  asio::io_context control_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::unique_ptr<Gateway> gateway_;
+  std::promise<void> ended_;
+  std::thread thread_;
+};
+
+std::vector<std::future<CallerResult>> CallInBackground(
+    const RunningGateway& gateway, int count) {
+  std::vector<std::future<CallerResult>> calls;
+  for (int i = 0; i < count; ++i) {
+    calls.push_back(
+        std::async(std::launch::async, [&gateway] { return gateway.Call(); }));
+  }
+  return calls;
+}
+
+template <typename Condition>
+void Await(const Condition& holds) {
+  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
+  while (!holds() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  ASSERT_TRUE(holds());
+}
+
+// Guards against a planned stop that cuts off open requests, refuses callers
+// that the balancer still sends in the grace, or stays ready.
+TEST(ShutdownTest, AnswersOpenRequestsAndThoseOfTheGrace) {
+  constexpr int kOpen = 6;
+  // Longer than the grace, so that the requests outlast the listening socket.
+  static constexpr core::Millis kRun{5000};
+  FakeEndpoint endpoint([](const std::string&, int number) {
+    return FakeReply{WholeAnswer("done"), false,
+                     number <= kOpen ? kRun : core::Millis{0}};
+  });
+  RunningGateway gateway(
+      Settings(std::chrono::seconds(4), std::chrono::seconds(30)),
+      FleetOf(endpoint.port()));
+  auto open = CallInBackground(gateway, kOpen);
+  Await([&] { return endpoint.seen() == kOpen; });
+  const std::future<void> done = gateway.Shutdown();
+  Await([&] { return gateway.Ready().status == 503; });
+  EXPECT_EQ(gateway.Call().outcome, "answered");
+  for (auto& call : open) {
+    const CallerResult result = call.get();
+    EXPECT_EQ(result.outcome, "answered");
+    EXPECT_EQ(result.body, "done");
+  }
+  EXPECT_EQ(done.wait_for(kTestLimit), std::future_status::ready);
+  EXPECT_EQ(gateway.Call().status, 0) << "accepts after the shutdown";
+}
+
+// Guards against a stop that hangs on a slow endpoint, and against `not-run`
+// for a request that an endpoint may have run when the bound ended it.
+TEST(ShutdownTest, RequestsOpenAtTheBoundEndAsUnknown) {
+  FakeEndpoint endpoint([](const std::string&, int) {
+    return FakeReply{WholeAnswer("late"), false, kTestLimit};
+  });
+  RunningGateway gateway(Settings(core::Millis{50}, core::Millis{200}),
+                         FleetOf(endpoint.port()));
+  auto open = CallInBackground(gateway, 2);
+  Await([&] { return endpoint.seen() == 2; });
+  const std::future<void> done = gateway.Shutdown();
+  for (auto& call : open) {
+    const CallerResult result = call.get();
+    EXPECT_FALSE(result.cut);
+    EXPECT_EQ(result.outcome, "unknown");
+  }
+  EXPECT_EQ(done.wait_for(kTestLimit), std::future_status::ready);
+}
+
+}  // namespace
+}  // namespace camphormux::gateway
