Test the reader of leaving hosts; keep reason phrases in one place

Cause: LeavingReader had no test of its own, and the gateway's caller server and http::Server each had a list of reason phrases, with different statuses. Change: LeavingReaderTest runs the reader against a small platform: a list, two failed reads, a list that names most of a zone. http::ReasonPhrase replaces both lists. Conclusion: a failed read keeps the last list in force, as the design says.

--- a/src/camphormux/gateway/caller_server.cpp
+++ b/src/camphormux/gateway/caller_server.cpp
@@ -5,7 +5,7 @@
 
 #include <restinio/all.hpp>
 
-#include "camphormux/gateway/status_text.hpp"
+#include "camphormux/http/reason_phrase.hpp"
 
 namespace camphormux::gateway {
 namespace internal {
@@ -116,7 +116,7 @@
 
   static restinio::http_status_line_t StatusLine(int status) {
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
-            StatusText(status)};
+            http::ReasonPhrase(status)};
   }
 
   static bool HasBody(int status) {
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -4,6 +4,8 @@
 
 #include <restinio/all.hpp>
 
+#include "camphormux/http/reason_phrase.hpp"
+
 namespace camphormux::http {
 namespace internal {
 
@@ -43,35 +45,6 @@
   return request;
 }
 
-std::string ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 201:
-      return "Created";
-    case 202:
-      return "Accepted";
-    case 304:
-      return "Not Modified";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 503:
-      return "Service Unavailable";
-    default:
-      return "Status " + std::to_string(status);
-  }
-}
-
 void SendResponse(const restinio::request_handle_t& handle,
                   ServerResponse response) {
   const restinio::http_status_code_t code{
--- /dev/null
+++ b/test/gateway/leaving_reader_test.cpp
@@ -0,0 +1,112 @@
+#include "camphormux/gateway/leaving_reader.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <prometheus/text_serializer.h>
+
+#include "camphormux/http/server.hpp"
+#include "gateway_harness.hpp"
+
+namespace camphormux::gateway {
+namespace {
+
+/// What the fake platform answers to one read.
+struct ListAnswer {
+  int status = 200;
+  std::string body;
+};
+
+/// A platform that answers reads in order, the last answer again and again,
+/// with a reader on the same event loop.
+class LeavingReaderTest : public ::testing::Test {
+ protected:
+  LeavingReaderTest() {
+    for (int i = 0; i < 10; ++i) {
+      state::Host& host = state_.hosts[{"h" + std::to_string(i)}];
+      host.zone = {"a"};
+      host.phase = state::HostPhase::kAdmitted;
+    }
+  }
+
+  /// Runs until `answers` were all given and their results published.
+  void ReadAll(std::vector<ListAnswer> answers) {
+    const std::uint16_t port = FreePort();
+    std::size_t given = 0;
+    http::Server platform(
+        loop_, {"127.0.0.1", port},
+        [&](const http::ServerRequest& request, const http::Respond& respond) {
+          paths_.push_back(request.path + "?" + request.query.at("state"));
+          const std::size_t index = std::min(given, answers.size() - 1);
+          ++given;
+          http::ServerResponse response;
+          response.status = answers[index].status;
+          response.body = answers[index].body;
+          respond(std::move(response));
+          if (given > answers.size()) {
+            loop_.stop();
+          }
+        });
+    http::Client client(loop_);
+    LeavingReader reader(
+        loop_, client, {"127.0.0.1", port}, registry_,
+        {[this]() -> const state::FleetState& { return state_; },
+         [this](std::shared_ptr<const routing::LeavingHosts> hosts) {
+           published_.push_back(std::move(hosts));
+         }},
+        core::SeededRandom(20261204));
+    reader.Start();
+    loop_.run_for(kTestLimit);
+    EXPECT_GT(given, answers.size()) << "the reader stopped reading";
+    platform.Close();
+  }
+
+  [[nodiscard]] bool Exposes(const std::string& line) const {
+    const std::string text =
+        prometheus::TextSerializer().Serialize(registry_.Collect());
+    return text.find(line + "\n") != std::string::npos;
+  }
+
+  asio::io_context loop_;
+  prometheus::Registry registry_;
+  state::FleetState state_;
+  std::vector<std::string> paths_;
+  std::vector<std::shared_ptr<const routing::LeavingHosts>> published_;
+};
+
+// Guards against a list that is asked for in whole or not passed on.
+TEST_F(LeavingReaderTest, PassesOnTheLeavingHosts) {
+  ReadAll({{200, R"([{"id":"h1","state":"leaving"}])"}});
+  ASSERT_FALSE(published_.empty());
+  EXPECT_EQ(published_[0]->trusted, std::set<core::HostId>{{"h1"}});
+  EXPECT_EQ(paths_[0], "/v1/hosts?leaving");
+  EXPECT_TRUE(Exposes("camphormux_gateway_leaving_hosts 1"));
+}
+
+// Guards against a host that gets requests again because the platform answered
+// with an error or with something that is no list.
+TEST_F(LeavingReaderTest, KeepsTheLastListWhenAReadFails) {
+  ReadAll({{200, R"([{"id":"h1","state":"leaving"}])"},
+           {503, ""},
+           {200, "not a list"}});
+  ASSERT_EQ(published_.size(), 1U);
+  EXPECT_TRUE(Exposes("camphormux_gateway_leaving_hosts 1"));
+  EXPECT_TRUE(Exposes("camphormux_gateway_host_list_failures_total 2"));
+}
+
+// Guards against a list that takes most of a zone out at once.
+TEST_F(LeavingReaderTest, DoubtsAListThatNamesMostOfAZone) {
+  ReadAll(
+      {{200,
+        R"([{"id":"h1","state":"leaving"},{"id":"h2","state":"leaving"},)"
+        R"({"id":"h3","state":"leaving"},{"id":"h4","state":"leaving"}])"}});
+  ASSERT_FALSE(published_.empty());
+  EXPECT_TRUE(published_[0]->trusted.empty());
+  EXPECT_EQ(published_[0]->doubted.size(), 4U);
+  EXPECT_TRUE(Exposes("camphormux_gateway_doubted_leaving_hosts 4"));
+}
+
+}  // namespace
+}  // namespace camphormux::gateway
--- a/test/gateway/shutdown_test.cpp
+++ b/test/gateway/shutdown_test.cpp
@@ -101,6 +101,7 @@
 std::vector<std::future<CallerResult>> CallInBackground(
     const RunningGateway& gateway, int count) {
   std::vector<std::future<CallerResult>> calls;
+  calls.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     calls.push_back(
         std::async(std::launch::async, [&gateway] { return gateway.Call(); }));
