Open the callers' port only when a gateway can serve

A gateway that had just started accepted callers before it had read the log, and answered them not_ready; it also published routes of a state that was not read to the log's end. Ruled out: the stop itself cut off nothing. Change: the callers' address is reserved at the start and listened on with the first routes that know a service; routes are published only when the tailer is ready.

--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -106,9 +106,13 @@
       keys(control, port, internal::KeyOptions(settings, incarnation),
            [this](const core::ProcessId& process) { return Locate(process); }),
       gateway(control, settings, registry, MakeKeyStoreFactory(control, keys)),
-      tailer(
-          control, port,
-          [this](const state::FleetState& state) { gateway.Publish(state); }),
+      tailer(control, port,
+             [this](const state::FleetState& state) {
+               // Until the log is read to its end the state may be an old one.
+               if (tailer.ready().ready) {
+                 gateway.Publish(state);
+               }
+             }),
       leaving(control, client, settings.platform, *registry,
               {[this]() -> const state::FleetState& { return tailer.state(); },
                [this](const auto& hosts) { gateway.SetLeaving(hosts); }},
--- a/src/camphormux/gateway/caller_server.cpp
+++ b/src/camphormux/gateway/caller_server.cpp
@@ -152,6 +152,19 @@
   return request;
 }
 
+/// Binds the address without listening: an address that is not the process's
+/// own or that another program uses is an error at the start.
+asio::ip::tcp::socket Reserve(asio::io_context& loop,
+                              const core::Address& address) {
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip),
+                                         address.port);
+  asio::ip::tcp::socket socket(loop, endpoint.protocol());
+  socket.set_option(asio::ip::tcp::socket::reuse_address(true));
+  socket.set_option(ReusePort(true));
+  socket.bind(endpoint);
+  return socket;
+}
+
 restinio::incoming_http_msg_limits_t HardLimits(
     const CallerServerOptions& options) {
   const auto header =
@@ -169,10 +182,13 @@
 }  // namespace internal
 
 struct CallerServer::Impl {
-  Impl(asio::io_context& loop,
+  Impl(asio::io_context& loop, const core::Address& address,
        restinio::server_settings_t<internal::CallerTraits> settings)
-      : server(restinio::external_io_context(loop), std::move(settings)) {}
+      : reserved(internal::Reserve(loop, address)),
+        server(restinio::external_io_context(loop), std::move(settings)) {}
+  asio::ip::tcp::socket reserved;
   restinio::http_server_t<internal::CallerTraits> server;
+  bool open = false;
 };
 
 CallerServer::CallerServer(asio::io_context& loop, const core::Address& address,
@@ -201,17 +217,23 @@
       .handle_request_timeout(options.handle_timeout)
       .incoming_http_msg_limits(internal::HardLimits(options))
       .cleanup_func([] {});
-  impl_ = std::make_unique<Impl>(loop, std::move(settings));
-  impl_->server.open_sync();
+  impl_ = std::make_unique<Impl>(loop, address, std::move(settings));
 }
 
 CallerServer::~CallerServer() { StopAccepting(); }
 
+void CallerServer::Open() {
+  if (impl_ && !impl_->open) {
+    impl_->server.open_sync();
+    impl_->open = true;
+  }
+}
+
 void CallerServer::StopAccepting() {
-  if (impl_) {
+  if (impl_ && impl_->open) {
     impl_->server.close_sync();
-    impl_.reset();
   }
+  impl_.reset();
 }
 
 int CallerServer::unwritten() const { return *unwritten_; }
--- a/src/camphormux/gateway/caller_server.hpp
+++ b/src/camphormux/gateway/caller_server.hpp
@@ -73,7 +73,9 @@
   core::Millis write_timeout = std::chrono::seconds(30);
 };
 
-/// @brief RESTinio server for callers on a port that several threads share.
+/// @brief RESTinio server for callers on a port that several threads share. It
+/// holds the address from the start but refuses connections until it is opened,
+/// so that callers of a process without a state try another one.
 class CallerServer {
  public:
   /// @param loop Event loop of one thread; outlives the server.
@@ -87,6 +89,10 @@
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
 
+  /// @brief Starts to accept connections. No effect when it already does or was
+  /// stopped.
+  void Open();
+
   /// @brief Stops accepting connections; open ones go on.
   void StopAccepting();
 
--- a/src/camphormux/gateway/traffic_thread.cpp
+++ b/src/camphormux/gateway/traffic_thread.cpp
@@ -43,6 +43,9 @@
 void TrafficThread::SetTable(std::shared_ptr<const routing::RouteTable> table) {
   asio::post(loop_, [this, table = std::move(table)] {
     dispatcher_->SetTable(table);
+    if (!table->services.empty()) {
+      server_->Open();
+    }
     applied_ = table->next.value;
   });
 }
--- a/src/camphormux/gateway/traffic_thread.hpp
+++ b/src/camphormux/gateway/traffic_thread.hpp
@@ -46,7 +46,8 @@
   /// @param action Gets the thread's dispatcher.
   void Post(std::function<void(Dispatcher&)> action);
 
-  /// @brief Hands a route table to the thread.
+  /// @brief Hands a route table to the thread. The first one with a service
+  /// opens the callers' port.
   /// @param table The table.
   void SetTable(std::shared_ptr<const routing::RouteTable> table);
 
--- a/test/gateway/gateway_harness.cpp
+++ b/test/gateway/gateway_harness.cpp
@@ -92,10 +92,8 @@
       core::Address{"127.0.0.1", port_}, Options(), core::SeededRandom(kSeed),
       metrics_, spans_, keys);
   std::promise<void> ready;
-  thread_->Post([&ready, table = Table(endpoint_ports)](Dispatcher& d) {
-    d.SetTable(table);
-    ready.set_value();
-  });
+  thread_->SetTable(Table(endpoint_ports));
+  thread_->Post([&ready](Dispatcher&) { ready.set_value(); });
   ready.get_future().wait();
 }
 
--- a/test/gateway/shutdown_test.cpp
+++ b/test/gateway/lifecycle_test.cpp
@@ -1,11 +1,13 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <gtest/gtest.h>
 
@@ -48,11 +50,20 @@
   return state;
 }
 
+template <typename Condition>
+void Await(const Condition& holds) {
+  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
+  while (!holds() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  ASSERT_TRUE(holds());
+}
+
 /// A gateway with its control thread.
 class RunningGateway {
  public:
   RunningGateway(const GatewaySettings& settings,
-                 const state::FleetState& state)
+                 const std::optional<state::FleetState>& state)
       : settings_(settings), work_(control_.get_executor()) {
     gateway_ = std::make_unique<Gateway>(
         control_, settings, std::make_shared<prometheus::Registry>(),
@@ -60,12 +71,17 @@
     gateway_->SetView({[] { return std::uint64_t{0}; },
                        [] { return core::MonotonicNow(); },
                        [] { return std::string(); }});
-    gateway_->Publish(state);
+    if (state) {
+      gateway_->Publish(*state);
+    }
     thread_ = std::thread([this] {
       control_.run();
       gateway_.reset();
       ended_.set_value();
     });
+    if (state) {
+      Await([this, &state] { return gateway_->applied() == state->next; });
+    }
   }
   ~RunningGateway() {
     control_.stop();
@@ -74,6 +90,10 @@
   RunningGateway(const RunningGateway&) = delete;
   RunningGateway& operator=(const RunningGateway&) = delete;
 
+  void Publish(const state::FleetState& state) {
+    asio::post(control_, [this, state] { gateway_->Publish(state); });
+  }
+
   /// Starts the shutdown; the gateway is destroyed at its end, as in main.
   /// The result is set afterwards.
   std::future<void> Shutdown() {
@@ -109,13 +129,28 @@
   return calls;
 }
 
-template <typename Condition>
-void Await(const Condition& holds) {
-  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
-  while (!holds() && std::chrono::steady_clock::now() < limit) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  }
-  ASSERT_TRUE(holds());
+// Guards against callers that get an error of a process that just started,
+// where a refused connection makes them or the balancer try another one.
+TEST(StartTest, RefusesConnectionsUntilThereIsAState) {
+  FakeEndpoint endpoint(
+      [](const std::string&, int) { return FakeReply{WholeAnswer("done")}; });
+  RunningGateway gateway(Settings(core::Millis{0}, core::Millis{0}),
+                         std::nullopt);
+  Await([&] { return gateway.Ready().status != 0; });
+  EXPECT_EQ(gateway.Call().status, 0);
+  gateway.Publish(FleetOf(endpoint.port()));
+  Await([&] { return gateway.Call().outcome == "answered"; });
+}
+
+// Guards against two programs on one port, which would get each other's
+// callers.
+TEST(StartTest, AnAddressInUseIsAnErrorAtTheStart) {
+  asio::io_context loop;
+  const asio::ip::tcp::acceptor other(loop,
+                                      {asio::ip::address_v4::loopback(), 0});
+  GatewaySettings settings = Settings(core::Millis{0}, core::Millis{0});
+  settings.callers.port = other.local_endpoint().port();
+  EXPECT_THROW(RunningGateway(settings, std::nullopt), std::exception);
 }
 
 // Guards against a planned stop that cuts off open requests, refuses callers
