Let an idle traffic thread rest

Each traffic thread woke up every 10 ms to look for late requests, even when no request waited. The timer now runs only while requests or claims of keys wait.

--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -72,8 +72,6 @@
       upstream_(loop, options_.routing.connection_share),
       tick_(loop) {}
 
-void Dispatcher::Start() { Tick(); }
-
 void Dispatcher::Handle(CallerRequest request,
                         std::shared_ptr<CallerResponse> response) {
   auto options =
@@ -148,6 +146,7 @@
 
 void Dispatcher::Claim(const ExchangePtr& exchange) {
   claiming_.emplace(exchange->id, exchange);
+  WatchDeadlines();
   const core::Millis left = exchange->deadline - core::MonotonicNow();
   keys_.claim(*exchange->options.key, exchange->options.service,
               internal::ClaimTimeout(left),
@@ -208,6 +207,7 @@
   }
   admission::Earn(state.retries);
   exchange->waiting = true;
+  WatchDeadlines();
   exchange->queued_since = core::MonotonicNow();
   exchange->queued_unix_nanos = UnixNanos();
   state.metrics->queued->Increment();
@@ -227,6 +227,7 @@
   }
   ServiceState& state = services_[exchange->options.service];
   exchange->waiting = true;
+  WatchDeadlines();
   exchange->queued_since = core::MonotonicNow();
   exchange->queued_unix_nanos = UnixNanos();
   state.metrics->queued->Increment();
@@ -282,13 +283,29 @@
 
 void Dispatcher::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
+  ticking_ = false;
   for (auto& [service, state] : services_) {
     if (admission::Waiting(state.queue) > 0) {
       ExpireQueued(state, now);
       Pump(service);
     }
+    ticking_ = ticking_ || admission::Waiting(state.queue) > 0;
   }
   ExpireClaims(now);
+  ticking_ = ticking_ || !claiming_.empty();
+  if (ticking_) {
+    AwaitTick();
+  }
+}
+
+void Dispatcher::WatchDeadlines() {
+  if (!ticking_) {
+    ticking_ = true;
+    AwaitTick();
+  }
+}
+
+void Dispatcher::AwaitTick() {
   tick_.expires_after(internal::kTickPeriod);
   tick_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
     const auto self = weak.lock();
--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -62,9 +62,6 @@
              core::Random random, MetricsStore& metrics,
              telemetry::SpanExporter& spans, KeyStorePort keys);
 
-  /// @brief Starts the periodic work.
-  void Start();
-
   /// @brief Takes a caller's request over.
   /// @param request The request.
   /// @param response The way back; gets exactly one response.
@@ -113,6 +110,10 @@
   bool StartNext(const routing::ServiceRoutes& routes, ServiceState& state,
                  std::vector<admission::NextTicket>& skipped);
   void Tick();
+  /// Ticks until nothing waits; an idle thread has no timer, which would cost
+  /// more than the rest of its control work.
+  void WatchDeadlines();
+  void AwaitTick();
   void ExpireQueued(ServiceState& state, core::MonotonicTime now);
   void FailLate(Exchange& exchange, ServiceState& state);
   void ExpireClaims(core::MonotonicTime now);
@@ -150,6 +151,7 @@
   KeyStorePort keys_;
   Upstream upstream_;
   asio::steady_timer tick_;
+  bool ticking_ = false;
   std::shared_ptr<const routing::RouteTable> table_;
   std::shared_ptr<const routing::LeavingHosts> leaving_;
   routing::PoolHealth health_;
--- a/src/camphormux/gateway/traffic_thread.cpp
+++ b/src/camphormux/gateway/traffic_thread.cpp
@@ -24,7 +24,6 @@
         dispatcher->Handle(std::move(request), std::move(response));
       },
       server_options);
-  dispatcher_->Start();
   thread_ = std::thread([this] { loop_.run(); });
 }
 
