Ask the platform only with the lease, and for changes of the host list

A controller without the lease fetched the whole host list and reports of all its zone's hosts, and every controller copied its 5,000 entries with each 304. A holder asked each serving host for a report every 10 s, which is some 25 kB/s for 500 hosts (50 a second, computed with 500 bytes each).

- Without the lease a controller asks nothing and forgets what it saw.
A takeover waits for the host list: one answer and at most one step (200 ms).
- `GET /v1/hosts?since=V` returns only what changed since version V; the stand-in implements it.
Asking for other zones' counts instead would need them from their holders, which may be the ones that failed.
- An unchanged list is the same object and is not copied.
- A serving host whose report agrees with the state is asked each minute; one whose report differs is still asked each 10 s.
- The zone's hosts are picked out when the hosts change, not in each step.

Host list at rest: 304 answers; a change transfers one entry instead of 724 kB.

--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -194,7 +194,8 @@
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
   UpdateWatch(tailer.state(), now, watch);
-  collector.Poll(tailer.state(), now);
+  collector.Poll(tailer.state(), ownership::MayDecide(lease, now).has_value(),
+                 now);
   Announce();
   TellMembers();
   StepLease(now);
--- a/src/camphormux/controller/collector.cpp
+++ b/src/camphormux/controller/collector.cpp
@@ -9,6 +9,10 @@
 constexpr core::Millis kListPeriod = std::chrono::seconds(1);
 /// Reports of hosts that serve only find lost effects of earlier calls.
 constexpr core::Millis kSteadyPeriod = std::chrono::seconds(10);
+/// Of hosts whose last report agreed with the state. A zone of 500 hosts would
+/// cost some 25 kB/s with the period above, against 10 kB/s for all control of
+/// a node.
+constexpr core::Millis kAgreedPeriod = std::chrono::minutes(1);
 /// Reports of hosts on their way; each phase waits for one.
 constexpr core::Millis kMovingPeriod{100};
 /// Bounds the load on the platform when a whole zone moves.
@@ -19,12 +23,25 @@
          host.phase == state::HostPhase::kReleased;
 }
 
+bool Agrees(const state::Host& host, const Observations& seen) {
+  const auto found = seen.reports.find(host.id);
+  if (found == seen.reports.end()) {
+    return false;
+  }
+  const HostReport& report = found->second;
+  return report.known && !report.draining && report.pool == host.pool &&
+         report.generation == host.generation;
+}
+
 core::Millis PeriodOf(const state::Host& host, const Observations& seen) {
   const bool missing = seen.listed && !seen.listed->contains(host.id);
   if (missing) {
     return kListPeriod;
   }
-  return IsSteady(host) ? kSteadyPeriod : kMovingPeriod;
+  if (!IsSteady(host)) {
+    return kMovingPeriod;
+  }
+  return Agrees(host, seen) ? kAgreedPeriod : kSteadyPeriod;
 }
 
 }  // namespace internal
@@ -33,23 +50,52 @@
     : port_(std::move(port)),
       zone_(std::move(zone)),
       seen_(std::make_shared<Observations>()),
-      pending_(std::make_shared<Pending>()) {}
+      pending_(std::make_shared<Pending>()),
+      latest_(std::make_shared<std::shared_ptr<const HostList>>()) {}
 
-void Collector::Poll(const state::FleetState& state, core::MonotonicTime now) {
+void Collector::Poll(const state::FleetState& state, bool decides,
+                     core::MonotonicTime now) {
+  if (!decides) {
+    Forget();
+    return;
+  }
+  Survey(state);
   AskList(now);
-  // Hosts on their way are asked for before those that serve.
-  for (const bool steady : {false, true}) {
-    for (const auto& [id, host] : state.hosts) {
-      if (host.zone != zone_ || internal::IsSteady(host) != steady) {
-        continue;
-      }
+  for (const auto* hosts : {&moving_, &steady_}) {
+    for (const core::HostId& id : *hosts) {
       const auto asked = report_asked_.find(id);
       if (asked == report_asked_.end() ||
-          now - asked->second >= internal::PeriodOf(host, *seen_)) {
+          now - asked->second >=
+              internal::PeriodOf(state.hosts.at(id), *seen_)) {
         AskReport(id, now);
       }
     }
   }
+}
+
+void Collector::Forget() {
+  // Each time, since an answer on its way may come later and must not be
+  // used by a takeover minutes after.
+  surveyed_.reset();
+  list_asked_ = {};
+  report_asked_.clear();
+  seen_->listed.reset();
+  seen_->reports.clear();
+  *latest_ = nullptr;
+}
+
+void Collector::Survey(const state::FleetState& state) {
+  if (surveyed_ == state.mark) {
+    return;
+  }
+  surveyed_ = state.mark;
+  moving_.clear();
+  steady_.clear();
+  for (const auto& [id, host] : state.hosts) {
+    if (host.zone == zone_) {
+      (internal::IsSteady(host) ? steady_ : moving_).push_back(id);
+    }
+  }
   const auto gone = [&state](const auto& item) {
     return !state.hosts.contains(item.first);
   };
@@ -63,10 +109,14 @@
   }
   pending_->list = true;
   list_asked_ = now;
-  port_.list([seen = seen_, pending = pending_](std::optional<HostList> list) {
+  port_.list([seen = seen_, pending = pending_,
+              latest = latest_](const std::shared_ptr<const HostList>& list) {
     pending->list = false;
-    if (list) {
-      seen->listed = std::move(list);
+    // An unchanged list is the same object; copying 5,000 hosts each second
+    // would cost milliseconds.
+    if (list && list != *latest) {
+      *latest = list;
+      seen->listed = *list;
     }
   });
 }
--- a/src/camphormux/controller/collector.hpp
+++ b/src/camphormux/controller/collector.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -21,10 +22,14 @@
   /// @param zone Zone whose hosts are asked for.
   Collector(PlatformPort port, core::ZoneName zone);
 
-  /// @brief Starts the questions that are due.
+  /// @brief Starts the questions that are due. A controller that must not
+  /// decide asks nothing and forgets what it saw; when it may decide, it asks
+  /// for the host list at once, so that a takeover waits for one answer more.
   /// @param state The shared state.
+  /// @param decides Whether this process may decide for the zone.
   /// @param now The time.
-  void Poll(const state::FleetState& state, core::MonotonicTime now);
+  void Poll(const state::FleetState& state, bool decides,
+            core::MonotonicTime now);
 
   /// @brief Sends calls; their answers appear in `seen().answers`.
   /// @param calls The calls.
@@ -43,6 +48,8 @@
     std::set<core::HostId> reports;
   };
 
+  void Forget();
+  void Survey(const state::FleetState& state);
   void AskList(core::MonotonicTime now);
   void AskReport(const core::HostId& host, core::MonotonicTime now);
 
@@ -50,7 +57,13 @@
   core::ZoneName zone_;
   std::shared_ptr<Observations> seen_;
   std::shared_ptr<Pending> pending_;
+  /// The list in `seen_`; shared with callbacks like it.
+  std::shared_ptr<std::shared_ptr<const HostList>> latest_;
   core::MonotonicTime list_asked_;
+  /// The zone's hosts by whether they are on their way, as of `surveyed_`.
+  std::vector<core::HostId> moving_;
+  std::vector<core::HostId> steady_;
+  std::optional<state::FleetMark> surveyed_;  ///< None without the lease.
   std::map<core::HostId, core::MonotonicTime> report_asked_;
 };
 
--- a/src/camphormux/controller/platform_client.cpp
+++ b/src/camphormux/controller/platform_client.cpp
@@ -15,35 +15,13 @@
 constexpr core::Millis kTimeout = std::chrono::seconds(2);
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
-constexpr std::int64_t kMilli = 1000;
-
-/// The latest list with the version that the platform gave it.
-struct CachedList {
-  std::string etag;
-  HostList hosts;
-};
 
 std::string Url(const core::Address& platform, const std::string& path) {
   return fmt::format("http://{}:{}{}", platform.ip, platform.port, path);
 }
 
-ListedHost ToListedHost(const json& item) {
-  ListedHost host;
-  host.id.value = item.at("id").get<std::string>();
-  host.zone.value = item.at("zone").get<std::string>();
-  host.rack.value = item.at("rack").get<std::string>();
-  host.address.ip = item.at("address").get<std::string>();
-  host.address.port = item.at("port").get<std::uint16_t>();
-  host.shape.cores.value = item.at("cores").get<std::int64_t>() * kMilli;
-  host.shape.memory.value = item.at("memory_mib").get<std::int64_t>();
-  host.shape.accelerators.value = item.value("accelerators", std::int64_t{0});
-  host.leaving = item.at("state").get<std::string>() == "leaving";
-  return host;
-}
-
 /// A 409 for an old generation says nothing about the lease.
 bool IsOldGeneration(const std::string& body) {
   const json error = json::parse(body, nullptr, /*allow_exceptions=*/false);
@@ -63,27 +41,6 @@
                                                : CallOutcome::kFailed;
 }
 
-/// The list of an answer; a 304 stands for the cached one.
-std::optional<HostList> ToHostList(const http::ClientResult& result,
-                                   CachedList& cached) {
-  if (!result.has_value()) {
-    return std::nullopt;
-  }
-  const http::ClientResponse& response = result.value();
-  if (response.status == kNotModified && !cached.etag.empty()) {
-    return cached.hosts;
-  }
-  std::optional<HostList> hosts;
-  if (response.status == kOk) {
-    hosts = ParseHostList(response.body);
-  }
-  if (hosts) {
-    const std::string* etag = http::FindHeader(response.headers, "ETag");
-    cached = {etag != nullptr ? *etag : "", *hosts};
-  }
-  return hosts;
-}
-
 /// The report of an answer; a 404 is the report of an unknown host.
 std::optional<HostReport> ToReport(const http::ClientResult& result) {
   if (!result.has_value()) {
@@ -100,20 +57,6 @@
 
 }  // namespace internal
 
-std::optional<HostList> ParseHostList(std::string_view body) {
-  try {
-    HostList hosts;
-    for (const auto& item : nlohmann::json::parse(body)) {
-      ListedHost host = internal::ToListedHost(item);
-      const core::HostId id = host.id;
-      hosts.emplace(id, std::move(host));
-    }
-    return hosts;
-  } catch (const nlohmann::json::exception&) {
-    return std::nullopt;
-  }
-}
-
 std::optional<HostReport> ParseHostReport(std::string_view body) {
   try {
     const auto item = nlohmann::json::parse(body);
@@ -165,17 +108,11 @@
 PlatformPort MakePlatformPort(http::Client& client,
                               const core::Address& platform) {
   PlatformPort port;
-  const auto cached = std::make_shared<internal::CachedList>();
-  port.list = [&client, platform, cached](auto done) {
-    http::ClientRequest request;
-    request.url = internal::Url(platform, "/v1/hosts");
-    request.timeout = internal::kTimeout;
-    if (!cached->etag.empty()) {
-      request.headers = {{"If-None-Match", cached->etag}};
-    }
-    client.Send(std::move(request),
-                [done, cached](const http::ClientResult& result) {
-                  done(internal::ToHostList(result, *cached));
+  const auto cache = std::make_shared<ListCache>();
+  port.list = [&client, platform, cache](auto done) {
+    client.Send(ListRequest(*cache, platform),
+                [done, cache](const http::ClientResult& result) {
+                  done(TakeList(*cache, result));
                 });
   };
   port.report = [&client, platform](const core::HostId& host, auto done) {
--- a/src/camphormux/controller/platform_client.hpp
+++ b/src/camphormux/controller/platform_client.hpp
@@ -2,11 +2,12 @@
 #define CAMPHORMUX_CONTROLLER_PLATFORM_CLIENT_HPP_
 
 #include <functional>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "camphormux/controller/list_cache.hpp"
 #include "camphormux/controller/observation.hpp"
 #include "camphormux/controller/platform_call.hpp"
 #include "camphormux/core/units.hpp"
@@ -14,12 +15,12 @@
 
 namespace camphormux::controller {
 
-using HostList = std::map<core::HostId, ListedHost>;
-
 /// @brief Access to the platform's hosts. Callbacks run on the event loop; an
 /// absent value means that the platform did not answer as specified.
 struct PlatformPort {
-  std::function<void(std::function<void(std::optional<HostList>)> done)> list;
+  /// Answers with the same object as long as the list does not change.
+  std::function<void(std::function<void(std::shared_ptr<const HostList>)> done)>
+      list;
   std::function<void(const core::HostId& host,
                      std::function<void(std::optional<HostReport>)> done)>
       report;
@@ -28,20 +29,15 @@
       send;
 };
 
-/// @brief Makes a port that speaks HTTP. The host list is transferred only if
-/// it changed since the last answer (`ETag`). It is asked for all zones,
-/// because sizing needs to know how many hosts the other zones have lost.
+/// @brief Makes a port that speaks HTTP. The host list is transferred whole
+/// once and then by its changes. It is asked for all zones, because sizing
+/// needs to know how many hosts the other zones have lost.
 /// @param client HTTP client of the event loop; outlives the port.
 /// @param platform Address of the platform.
 /// @return The port.
 [[nodiscard]] PlatformPort MakePlatformPort(http::Client& client,
                                             const core::Address& platform);
 
-/// @brief Parses the body of `GET /v1/hosts`.
-/// @param body JSON.
-/// @return The hosts, or nothing if the body is not as specified.
-[[nodiscard]] std::optional<HostList> ParseHostList(std::string_view body);
-
 /// @brief Parses the body of `GET /v1/hosts/{id}`.
 /// @param body JSON.
 /// @return The report, or nothing if the body is not as specified.
--- a/test/controller/platform_client_test.cpp
+++ b/test/controller/platform_client_test.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
+#include "camphormux/controller/collector.hpp"
 #include "camphormux/http/server.hpp"
 
 namespace camphormux::controller {
@@ -18,9 +19,10 @@
   return acceptor.local_endpoint().port();
 }
 
-std::optional<HostList> Ask(asio::io_context& loop, const PlatformPort& port) {
-  std::optional<HostList> answer;
-  port.list([&](std::optional<HostList> list) {
+std::shared_ptr<const HostList> Ask(asio::io_context& loop,
+                                    const PlatformPort& port) {
+  std::shared_ptr<const HostList> answer;
+  port.list([&](std::shared_ptr<const HostList> list) {
     answer = std::move(list);
     loop.stop();
   });
@@ -51,11 +53,115 @@
   const PlatformPort port = MakePlatformPort(client, address);
   for (int i = 0; i < 3; ++i) {
     const auto list = Ask(loop, port);
-    ASSERT_TRUE(list.has_value());
+    ASSERT_NE(list, nullptr);
     EXPECT_EQ(list->size(), 1U);
   }
   EXPECT_EQ(whole, 1);
 }
 
+http::ClientResult Answer(const std::string& body, const std::string& etag) {
+  return http::ClientResponse{200, {{"ETag", etag}}, body};
+}
+
+// Guards against a whole list for each change: at the target 1,350 changes a
+// day of 724 kB each exceed a node's bytes. Also guards against a list that is
+// wrong for good after changes that do not parse.
+TEST(ListCacheTest, AppliesChangesAndAsksForTheWholeListAfterADamagedAnswer) {
+  const core::Address platform{"127.0.0.1", 1};
+  ListCache cache;
+  EXPECT_EQ(ListRequest(cache, platform).url, "http://127.0.0.1:1/v1/hosts");
+  ASSERT_NE(TakeList(cache, Answer(kList, "\"7\"")), nullptr);
+  EXPECT_EQ(ListRequest(cache, platform).url,
+            "http://127.0.0.1:1/v1/hosts?since=7");
+  std::string second = kList;
+  second.replace(second.find("h1"), 2, "h2");
+  const auto both = TakeList(
+      cache, Answer(R"({"changed":)" + second + R"(,"removed":[]})", "\"8\""));
+  ASSERT_NE(both, nullptr);
+  EXPECT_EQ(both->size(), 2U);
+  const auto one =
+      TakeList(cache, Answer(R"({"changed":[],"removed":["h1"]})", "\"9\""));
+  ASSERT_NE(one, nullptr);
+  EXPECT_TRUE(one->contains(core::HostId{"h2"}));
+  EXPECT_EQ(one->size(), 1U);
+  EXPECT_EQ(TakeList(cache, http::ClientResponse{304, {}, ""}), one);
+  EXPECT_EQ(TakeList(cache, Answer(R"({"changed":1})", "\"10\"")), nullptr);
+  EXPECT_EQ(ListRequest(cache, platform).url, "http://127.0.0.1:1/v1/hosts");
+}
+
+/// A platform in memory that counts questions.
+struct FakePlatform {
+  int lists = 0;
+  int reports = 0;
+  std::shared_ptr<const HostList> hosts = std::make_shared<HostList>();
+
+  PlatformPort Port() {
+    PlatformPort port;
+    port.list = [this](const auto& done) {
+      ++lists;
+      done(hosts);
+    };
+    port.report = [this](const core::HostId&, const auto& done) {
+      ++reports;
+      done(HostReport{});
+    };
+    return port;
+  }
+};
+
+// Guards against controllers without lease that cost their nodes as much as
+// the holder, and against a takeover that decides with a list from before.
+TEST(CollectorTest, AsksOnlyWhileItMayDecide) {
+  FakePlatform platform;
+  Collector collector(platform.Port(), {"a"});
+  state::FleetState state;
+  state::Host host;
+  host.id = {"h"};
+  host.zone = {"a"};
+  state.hosts.emplace(host.id, host);
+  core::MonotonicTime now{std::chrono::hours(1)};
+  collector.Poll(state, false, now);
+  EXPECT_EQ(platform.lists + platform.reports, 0);
+  collector.Poll(state, true, now);
+  EXPECT_EQ(platform.lists, 1);
+  EXPECT_EQ(platform.reports, 1);
+  EXPECT_TRUE(collector.seen().listed.has_value());
+  collector.Poll(state, false, now);
+  EXPECT_FALSE(collector.seen().listed.has_value());
+  EXPECT_TRUE(collector.seen().reports.empty());
+  collector.Poll(state, true, now);
+  EXPECT_EQ(platform.lists, 2);
+  EXPECT_TRUE(collector.seen().listed.has_value());
+}
+
+// Guards against reports of serving hosts that cost more bytes than all other
+// control, and against lost effects that are found late.
+TEST(CollectorTest, AsksRarelyForHostsWhoseReportAgrees) {
+  FakePlatform platform;
+  Collector collector(platform.Port(), {"a"});
+  state::FleetState state;
+  state::Host host;
+  host.id = {"h"};
+  host.zone = {"a"};
+  host.phase = state::HostPhase::kAdmitted;
+  state.hosts.emplace(host.id, host);
+  auto hosts = std::make_shared<HostList>();
+  hosts->emplace(host.id, ListedHost{});
+  platform.hosts = hosts;
+  core::MonotonicTime now{std::chrono::hours(1)};
+  const auto run = [&] {
+    platform.reports = 0;
+    for (int second = 0; second < 120; ++second) {
+      now += std::chrono::seconds(1);
+      collector.Poll(state, true, now);
+    }
+    return platform.reports;
+  };
+  EXPECT_LE(run(), 3);
+  state.hosts.at(host.id).generation = {1};  // The report has 0.
+  state.mark.next = {1};
+  EXPECT_GE(run(), 11);
+}
+
 }  // namespace
 }  // namespace camphormux::controller
--- a/test/platform_standin/host_routes.cpp
+++ b/test/platform_standin/host_routes.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -28,6 +30,61 @@
   return response;
 }
 
+/// What changed between two host lists.
+nlohmann::json ChangesOf(const nlohmann::json& before,
+                         const nlohmann::json& after) {
+  std::map<std::string, const nlohmann::json*> old;
+  for (const auto& host : before) {
+    old.emplace(host.at("id").get<std::string>(), &host);
+  }
+  nlohmann::json changed = nlohmann::json::array();
+  for (const auto& host : after) {
+    const auto found = old.find(host.at("id").get<std::string>());
+    if (found == old.end() || *found->second != host) {
+      changed.push_back(host);
+    }
+    if (found != old.end()) {
+      old.erase(found);
+    }
+  }
+  nlohmann::json removed = nlohmann::json::array();
+  for (const auto& [id, host] : old) {
+    removed.push_back(id);
+  }
+  return {{"changed", changed}, {"removed", removed}};
+}
+
+/// Answers with the list, with what changed since the version that the caller
+/// names if it is remembered, or with 304.
+http::ServerResponse ListAnswer(const http::ServerRequest& request,
+                                const nlohmann::json& list,
+                                ListVersions& kept) {
+  http::ServerResponse whole = Unless(request, Answer(200, list));
+  const std::string etag = *http::FindHeader(whole.headers, "ETag");
+  const std::string version = etag.substr(1, etag.size() - 2);
+  constexpr std::size_t kKeptVersions = 8;
+  const auto remembered = [&kept](const std::string& wanted) {
+    return std::find_if(kept.begin(), kept.end(), [&wanted](const auto& item) {
+      return item.first == wanted;
+    });
+  };
+  if (remembered(version) == kept.end()) {
+    kept.emplace_back(version, list);
+    if (kept.size() > kKeptVersions) {
+      kept.pop_front();
+    }
+  }
+  const auto since = request.query.find("since");
+  if (whole.status != 200 || since == request.query.end() ||
+      remembered(since->second) == kept.end()) {
+    return whole;
+  }
+  http::ServerResponse changes =
+      Answer(200, ChangesOf(remembered(since->second)->second, list));
+  changes.headers.push_back({"ETag", etag});
+  return changes;
+}
+
 }  // namespace internal
 
 void Service::HandleHost(const http::ServerRequest& request, const Path& path,
@@ -40,7 +97,10 @@
         list.push_back(std::move(host));
       }
     }
-    respond(internal::Unless(request, internal::Answer(200, list)));
+    const bool filtered =
+        request.query.contains("zone") || request.query.contains("state");
+    respond(filtered ? internal::Unless(request, internal::Answer(200, list))
+                     : internal::ListAnswer(request, list, list_versions_));
     return;
   }
   const auto host = fleet_.hosts.find(path[2]);
--- a/test/platform_standin/platform_standin_test.cpp
+++ b/test/platform_standin/platform_standin_test.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "camphormux/log/appender.hpp"
 #include "camphormux/log/http_port.hpp"
@@ -155,6 +156,32 @@
   EXPECT_EQ(list("state=live"), "[]");
 }
 
+// Guards against a stand-in whose changes do not add up to its list, with which
+// no controller could be tested against changes.
+TEST_F(PlatformStandinTest, TellsWhatChangedSinceAVersion) {
+  const auto ask = [this](const std::string& query) {
+    http::ClientRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(address_.port) +
+                  "/v1/hosts" + query;
+    std::optional<http::ClientResult> result;
+    client_.Send(std::move(request),
+                 [&](const http::ClientResult& answer) { result = answer; });
+    EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
+    return result && *result ? result->value() : http::ClientResponse{};
+  };
+  const std::string* etag = nullptr;
+  const auto first = ask("");
+  etag = http::FindHeader(first.headers, "ETag");
+  ASSERT_NE(etag, nullptr);
+  const std::string since = "?since=" + etag->substr(1, etag->size() - 2);
+  ASSERT_TRUE(Put("/control/hosts/h/leaving", R"({"on":true})").has_value());
+  const auto changes = nlohmann::json::parse(ask(since).body);
+  ASSERT_TRUE(changes.is_object());
+  EXPECT_EQ(changes["changed"], nlohmann::json::parse(ask("").body));
+  EXPECT_TRUE(changes["removed"].empty());
+  EXPECT_EQ(ask("?since=unknown").body, ask("").body);
+}
+
 // Guards against an old owner that changes hosts after it lost its lease.
 TEST_F(PlatformStandinTest, RefusesOldEpochsAndGenerations) {
   const auto status = [this](const char* what, const char* body) {
--- a/test/platform_standin/service.hpp
+++ b/test/platform_standin/service.hpp
@@ -2,9 +2,11 @@
 #define CAMPHORMUX_TEST_PLATFORM_STANDIN_SERVICE_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -29,6 +31,9 @@
   std::uint64_t lost_count = 0;  ///< So many of the next changes as well.
 };
 
+/// Latest host lists that were served, by version.
+using ListVersions = std::deque<std::pair<std::string, nlohmann::json>>;
+
 /// @brief The platform's HTTP interface and its control routes.
 class Service {
  public:
@@ -72,6 +77,7 @@
   asio::steady_timer tick_;
   LogStore store_;
   Fleet fleet_;
+  ListVersions list_versions_;
   std::optional<core::Address> endpoints_;
   Faults faults_;
   core::Random random_;
