--- a/bench/slopes/state_slopes.cpp
+++ b/bench/slopes/state_slopes.cpp
@@ -11,8 +11,8 @@
 #include "camphormux/routing/route_table.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
+#include "camphormux/state/packed_state.hpp"
 #include "camphormux/state/snapshot.hpp"
-#include "camphormux/state/state_codec.hpp"
 #include "camphormux/text/parse.hpp"
 
 namespace camphormux::bench {
@@ -65,14 +65,14 @@
   PrintPoint(kRoutes, size.hosts, kRenewalsPerSecond * MedianMillis([&] {
                                     table = routing::BuildRouteTable(*state);
                                   }));
-  const std::string encoded = state::EncodeState(*state);
+  const std::string encoded = state::EncodePackedState(*state);
   PrintPoint(kSnapshotBytes, size.hosts,
              static_cast<double>(encoded.size()) / kMega);
   PrintPoint(kSnapshotTime, size.hosts, MedianMillis([&] {
                (void)state::MakeSnapshot(*state, "s", /*recovery=*/false);
              }));
   PrintPoint(kRestoreTime, size.hosts,
-             MedianMillis([&] { (void)state::DecodeState(encoded); }));
+             MedianMillis([&] { (void)state::DecodePackedState(encoded); }));
 }
 
 void MeasureText(int pools) {
--- a/fuzz/records_fuzz.cpp
+++ b/fuzz/records_fuzz.cpp
@@ -5,7 +5,7 @@
 
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
-#include "camphormux/state/state_codec.hpp"
+#include "camphormux/state/packed_state.hpp"
 
 /// Guards against log records that crash a reader, move the fold past them
 /// inexactly, or do not survive a second encoding.
@@ -26,6 +26,12 @@
   if (fleet.next.value != 1) {
     std::abort();
   }
-  static_cast<void>(state::DecodeState(bytes));
+  // Also covers compressed states; their header bounds what is expanded.
+  const auto decoded = state::DecodePackedState(bytes);
+  if (decoded.has_value() &&
+      !state::DecodePackedState(state::EncodePackedState(decoded.value()))
+           .has_value()) {
+    std::abort();
+  }
   return 0;
 }
--- a/src/camphormux/state/snapshot.cpp
+++ b/src/camphormux/state/snapshot.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/state/packed_state.hpp"
 #include "camphormux/state/state_codec.hpp"
 
 namespace camphormux::state {
@@ -32,7 +33,7 @@
   if (DigestBytes(bytes) != partial.digest) {
     return std::nullopt;
   }
-  auto decoded = DecodeState(bytes);
+  auto decoded = DecodePackedState(bytes);
   if (!decoded.has_value() || decoded.value().next != partial.at) {
     return std::nullopt;
   }
@@ -43,7 +44,7 @@
 
 std::vector<SnapshotChunk> MakeSnapshot(const FleetState& state,
                                         const std::string& id, bool recovery) {
-  const std::string bytes = EncodeState(state);
+  const std::string bytes = EncodePackedState(state);
   const std::size_t count =
       (bytes.size() + kMaxChunkBytes - 1) / kMaxChunkBytes;
   std::vector<SnapshotChunk> chunks(count);
--- a/src/camphormux/state/snapshot.hpp
+++ b/src/camphormux/state/snapshot.hpp
@@ -17,7 +17,7 @@
 /// Most bytes of data in a chunk.
 inline constexpr std::size_t kMaxChunkBytes = std::size_t{64} << 10;
 
-/// @brief Splits the encoded state into chunks.
+/// @brief Splits the encoded and compressed state into chunks.
 /// @param state The state.
 /// @param id Unique identifier of the snapshot.
 /// @param recovery Whether records after the state were lost by everyone.
--- a/test/state/fold_test.cpp
+++ b/test/state/fold_test.cpp
@@ -4,6 +4,7 @@
 
 #include "camphormux/log/batch.hpp"
 #include "camphormux/state/codec.hpp"
+#include "camphormux/state/packed_state.hpp"
 #include "camphormux/state/state_codec.hpp"
 #include "fixtures.hpp"
 
@@ -176,5 +177,54 @@
   EXPECT_EQ(*copy.value().text.parsed, *state_.text.parsed);
 }
 
+FleetState LargeState() {
+  FleetState state;
+  state.next = {7};
+  for (int i = 0; i < 500; ++i) {
+    Host host;
+    host.id = {"host-" + std::to_string(i)};
+    host.zone = {"zone"};
+    host.rack = {"rack-" + std::to_string(i / 4)};
+    state.hosts.emplace(host.id, host);
+  }
+  return state;
+}
+
+// Guards against snapshots that take a third of a node's bytes, since every
+// process reads every one, and against readers that miss plain ones that are
+// still on the log.
+TEST(PackedStateTest, IsSmallAndReadsPlainStatesAsWell) {
+  const FleetState state = LargeState();
+  const std::string plain = EncodeState(state);
+  const std::string packed = EncodePackedState(state);
+  EXPECT_LT(packed.size() * 8, plain.size());
+  for (const std::string& bytes : {plain, packed}) {
+    const auto copy = DecodePackedState(bytes);
+    ASSERT_TRUE(copy.has_value());
+    EXPECT_EQ(Digest(copy.value()), Digest(state));
+  }
+  // A reader without compression must refuse it, not misread it.
+  EXPECT_FALSE(DecodeState(packed).has_value());
+}
+
+// Guards against a damaged or hostile snapshot that takes the memory of all
+// readers: no size is believed that the bytes cannot hold.
+TEST(PackedStateTest, RefusesDamagedAndOversizedStates) {
+  const std::string packed = EncodePackedState(LargeState());
+  constexpr std::size_t kSizeAt = 3;
+  for (const std::size_t keep : {0UL, 2UL, 5UL, 7UL, packed.size() - 1}) {
+    EXPECT_FALSE(DecodePackedState(packed.substr(0, keep)).has_value());
+  }
+  std::string larger = packed;
+  larger[kSizeAt + 2] = '\x7f';
+  EXPECT_FALSE(DecodePackedState(larger).has_value());
+  std::string largest = packed;
+  largest[kSizeAt + 3] = '\xff';
+  EXPECT_FALSE(DecodePackedState(largest).has_value());
+  std::string damaged = packed;
+  damaged[packed.size() / 2] ^= 0x55;
+  EXPECT_FALSE(DecodePackedState(damaged).has_value());
+}
+
 }  // namespace
 }  // namespace camphormux::state
