Send the demand of every busy service of the target in one heartbeat

A summary named each service and took 2,974 bytes for 154 busy services, against the 1,024 bytes that a heartbeat can carry, so sizing did not hear of two thirds of them.

Services are now named by their places in the operator text. Figures keep their tenths while they fit, and are rounded to 0.3% (arrivals, running) and 3.3% (refused, queued) beyond that. The payload is a CBOR array to which later versions append elements. The version before is still decoded; controllers must be upgraded before gateways, since older ones cannot read this version.

--- a/bench/slopes/control_slopes.cpp
+++ b/bench/slopes/control_slopes.cpp
@@ -1,14 +1,17 @@
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "bench/slopes/fleet.hpp"
 #include "bench/slopes/points.hpp"
 #include "bench/slopes/slopes.hpp"
-#include "camphormux/controller/platform_client.hpp"
+#include "camphormux/controller/list_cache.hpp"
 #include "camphormux/controller/step.hpp"
 #include "camphormux/demand/summary.hpp"
 #include "camphormux/maintenance/maintenance.hpp"
+#include "camphormux/membership/messages.hpp"
 #include "camphormux/moves/moves.hpp"
 #include "camphormux/sizing/sizing.hpp"
 
@@ -19,8 +22,8 @@
 constexpr double kStepsPerSecond = 5;
 constexpr double kKilo = 1e3;
 constexpr std::size_t kNoBound = std::size_t{1} << 20;
-/// membership::kMaxPayloadBytes: what a heartbeat can carry.
-constexpr double kPayloadLimit = 1024;
+/// What a heartbeat can carry.
+constexpr double kPayloadLimit = membership::kMaxPayloadBytes;
 
 const Series kPlan{"holder: control step with plan, once a second", "ms/s",
                    "hosts", kTargetHosts, kProcessorLimit};
@@ -51,6 +54,32 @@
   return summary;
 }
 
+demand::ServiceIndexes IndexesOf(const demand::Summary& summary) {
+  std::vector<core::ServiceName> names;
+  for (const auto& [name, load] : summary.services) {
+    names.push_back(name);
+  }
+  return {{demand::MakeServiceIndex(std::move(names))}, {1}};
+}
+
+/// Bytes of the summary of overloaded services: within the bound if all fit.
+std::size_t SummaryBytes(int services) {
+  demand::Summary summary;
+  for (int i = 0; i < services; ++i) {
+    summary.services[{"service-" + std::to_string(i)}] = {1234.5 + i, 321.0 + i,
+                                                          54.3 + i, 678.0 + i};
+  }
+  const demand::ServiceIndexes indexes = IndexesOf(summary);
+  const std::string payload = demand::EncodeSummary(
+      summary, indexes.known.front(), membership::kMaxPayloadBytes);
+  const auto decoded = demand::DecodeSummary(payload, indexes);
+  const bool whole =
+      decoded && decoded->services.size() == summary.services.size();
+  return whole ? payload.size()
+               : demand::EncodeSummary(summary, indexes.known.front(), kNoBound)
+                     .size();
+}
+
 /// What a lease holder sees of a fleet at rest.
 controller::Observations Observe(const state::FleetState& state, int pools,
                                  core::MonotonicTime now) {
@@ -182,10 +211,8 @@
     MeasureStep(size);
     MeasureParts(size);
     MeasureList(size.hosts);
-    PrintPoint(
-        kPayload, size.pools,
-        static_cast<double>(
-            demand::EncodeSummary(MakeDemand(size.pools), kNoBound).size()));
+    PrintPoint(kPayload, size.pools,
+               static_cast<double>(SummaryBytes(size.pools)));
   }
 }
 
--- a/fuzz/peer_messages_fuzz.cpp
+++ b/fuzz/peer_messages_fuzz.cpp
@@ -9,6 +9,16 @@
 #include "camphormux/idempotency/records.hpp"
 #include "camphormux/membership/messages.hpp"
 
+namespace {
+
+const camphormux::demand::ServiceIndexes& Indexes() {
+  static const camphormux::demand::ServiceIndexes indexes{
+      {camphormux::demand::MakeServiceIndex({{"a"}, {"b"}, {"c"}})}, {1}};
+  return indexes;
+}
+
+}  // namespace
+
 /// Guards against messages of other processes that crash their receiver. The
 /// first byte selects the decoder.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -37,7 +47,7 @@
       static_cast<void>(idempotency::DecodeAnswer(bytes));
       break;
     default:
-      static_cast<void>(demand::DecodeSummary(bytes));
+      static_cast<void>(demand::DecodeSummary(bytes, Indexes()));
       break;
   }
   return 0;
--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -107,6 +107,7 @@
   log::Appender appender;
   state::SnapshotWriter snapshots;
   Collector collector;
+  demand::ServiceIndexes indexes;
   Watch watch;
   ownership::Lease lease;
   StepMemory memory;
@@ -274,7 +275,8 @@
   Observations& seen = collector.seen();
   seen.lease = ownership::MayDecide(lease, now);
   seen.log_read = tailer.last_confirmed_sent();
-  seen.gateways = GatewaysOf(members.view());
+  demand::UpdateIndexes(indexes, tailer.state().text);
+  seen.gateways = GatewaysOf(members.view(), indexes);
   CountAnswers();
   const std::int64_t started = internal::UnixNanos();
   const StepInput input{tailer.state(), seen, settings.zone, now,
--- a/src/camphormux/controller/watch.cpp
+++ b/src/camphormux/controller/watch.cpp
@@ -45,7 +45,8 @@
   return std::nullopt;
 }
 
-std::vector<GatewayView> GatewaysOf(const membership::View& view) {
+std::vector<GatewayView> GatewaysOf(const membership::View& view,
+                                    const demand::ServiceIndexes& indexes) {
   std::vector<GatewayView> gateways;
   for (const auto& [id, member] : view.members) {
     if (member.identity.role != state::ProcessRole::kGateway) {
@@ -53,7 +54,7 @@
     }
     gateways.push_back({id, member.identity.zone, member.report.applied,
                         member.health == membership::Health::kDead,
-                        demand::DecodeSummary(member.report.payload)
+                        demand::DecodeSummary(member.report.payload, indexes)
                             .value_or(demand::Summary{}),
                         member.changed});
   }
--- a/src/camphormux/controller/watch.hpp
+++ b/src/camphormux/controller/watch.hpp
@@ -54,8 +54,10 @@
 
 /// @brief Takes the gateways from the membership's view.
 /// @param view The view.
+/// @param indexes Services of the latest texts.
 /// @return What is known of each gateway.
-[[nodiscard]] std::vector<GatewayView> GatewaysOf(const membership::View& view);
+[[nodiscard]] std::vector<GatewayView> GatewaysOf(
+    const membership::View& view, const demand::ServiceIndexes& indexes);
 
 }  // namespace camphormux::controller
 
--- a/src/camphormux/demand/fwd.hpp
+++ b/src/camphormux/demand/fwd.hpp
@@ -3,6 +3,8 @@
 
 namespace camphormux::demand {
 
+struct ServiceIndex;
+struct ServiceIndexes;
 struct ServiceLoad;
 struct Summary;
 
--- /dev/null
+++ b/src/camphormux/demand/load_codec.cpp
@@ -0,0 +1,171 @@
+#include "camphormux/demand/load_codec.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace camphormux::demand::internal {
+
+/// Figures travel as whole tenths or as the logarithm of tenths.
+constexpr double kTenths = 10.0;
+constexpr double kMaxTenths = 1e12;
+constexpr int kVarintBits = 7;
+constexpr int kByteBits = 8;
+constexpr std::uint32_t kByteMask = 0xff;
+
+/// Codes of 0 and of tenths from 1 to `max`, evenly spaced by logarithm.
+struct LogScale {
+  std::uint32_t codes;
+  double max;
+};
+
+/// Steps of 0.51% and 6.5%, so rounding is off by half of that.
+constexpr LogScale kFine{1U << 12, 1e9};
+constexpr LogScale kCoarse{1U << 8, 1e7};
+
+double StepOf(const LogScale& scale) {
+  return std::log(scale.max) / static_cast<double>(scale.codes - 2);
+}
+
+std::uint32_t ToCode(double value, const LogScale& scale) {
+  const double tenths = std::min(value * kTenths, scale.max);
+  if (!(tenths >= 0.5)) {
+    return 0;
+  }
+  const double steps = std::log(std::max(tenths, 1.0)) / StepOf(scale);
+  return 1 + static_cast<std::uint32_t>(std::lround(steps));
+}
+
+double FromCode(std::uint32_t code, const LogScale& scale) {
+  return code == 0 ? 0.0 : std::exp((code - 1) * StepOf(scale)) / kTenths;
+}
+
+void PutVarint(std::string& out, std::uint64_t value) {
+  constexpr std::uint64_t kMore = 1U << kVarintBits;
+  for (; value >= kMore; value >>= kVarintBits) {
+    out.push_back(static_cast<char>(value % kMore + kMore));
+  }
+  out.push_back(static_cast<char>(value));
+}
+
+std::uint64_t ToTenths(double value) {
+  return static_cast<std::uint64_t>(
+      std::round(std::clamp(value * kTenths, 0.0, kMaxTenths)));
+}
+
+/// Reads numbers; after one that is cut or too long, `ok` stays false.
+class Reader {
+ public:
+  explicit Reader(std::string_view data) : data_(data) {}
+
+  std::uint32_t Byte() {
+    if (at_ == data_.size()) {
+      ok_ = false;
+      return 0;
+    }
+    return static_cast<unsigned char>(data_[at_++]);
+  }
+
+  std::uint64_t Varint() {
+    constexpr std::uint32_t kMore = 1U << kVarintBits;
+    constexpr int kMaxBits = 63;
+    std::uint64_t value = 0;
+    for (int shift = 0; shift < kMaxBits; shift += kVarintBits) {
+      const std::uint32_t byte = Byte();
+      value |= std::uint64_t{byte % kMore} << shift;
+      if (byte < kMore) {
+        return value;
+      }
+    }
+    ok_ = false;
+    return 0;
+  }
+
+  [[nodiscard]] bool ok() const { return ok_; }
+  [[nodiscard]] bool more() const { return ok_ && at_ < data_.size(); }
+
+ private:
+  std::string_view data_;
+  std::size_t at_ = 0;
+  bool ok_ = true;
+};
+
+double TakeTenths(Reader& in) {
+  return static_cast<double>(in.Varint()) / kTenths;
+}
+
+ServiceLoad TakeExact(Reader& in) {
+  ServiceLoad load;
+  load.arrivals_per_s = TakeTenths(in);
+  load.refused_per_s = TakeTenths(in);
+  load.queued = TakeTenths(in);
+  load.running = TakeTenths(in);
+  return load;
+}
+
+ServiceLoad TakeRounded(Reader& in) {
+  std::uint32_t pair = 0;
+  for (int shift = 0; shift < 3 * kByteBits; shift += kByteBits) {
+    pair |= in.Byte() << shift;
+  }
+  ServiceLoad load;
+  load.arrivals_per_s = FromCode(pair % kFine.codes, kFine);
+  load.running = FromCode(pair / kFine.codes, kFine);
+  // Rounding must not make more refused requests than arrivals.
+  load.refused_per_s =
+      std::min(FromCode(in.Byte(), kCoarse), load.arrivals_per_s);
+  load.queued = FromCode(in.Byte(), kCoarse);
+  return load;
+}
+
+std::string EncodeExact(const std::vector<IndexedLoad>& loads) {
+  std::string out;
+  std::uint64_t next = 0;
+  for (const auto& [place, load] : loads) {
+    PutVarint(out, place - next);
+    next = place + 1;
+    PutVarint(out, ToTenths(load.arrivals_per_s));
+    PutVarint(out, ToTenths(load.refused_per_s));
+    PutVarint(out, ToTenths(load.queued));
+    PutVarint(out, ToTenths(load.running));
+  }
+  return out;
+}
+
+std::string EncodeRounded(const std::vector<IndexedLoad>& loads) {
+  std::string out;
+  std::uint64_t next = 0;
+  for (const auto& [place, load] : loads) {
+    PutVarint(out, place - next);
+    next = place + 1;
+    const std::uint32_t pair = ToCode(load.arrivals_per_s, kFine) +
+                               ToCode(load.running, kFine) * kFine.codes;
+    for (int shift = 0; shift < 3 * kByteBits; shift += kByteBits) {
+      out.push_back(static_cast<char>((pair >> shift) & kByteMask));
+    }
+    out.push_back(static_cast<char>(ToCode(load.refused_per_s, kCoarse)));
+    out.push_back(static_cast<char>(ToCode(load.queued, kCoarse)));
+  }
+  return out;
+}
+
+std::optional<std::vector<IndexedLoad>> DecodeLoads(std::string_view data,
+                                                    bool rounded) {
+  Reader in(data);
+  std::vector<IndexedLoad> loads;
+  std::uint64_t next = 0;
+  while (in.more()) {
+    const std::uint64_t place = next + in.Varint();
+    if (place >= kMaxPlaces) {
+      return std::nullopt;
+    }
+    next = place + 1;
+    loads.push_back({place, rounded ? TakeRounded(in) : TakeExact(in)});
+  }
+  if (!in.ok()) {
+    return std::nullopt;
+  }
+  return loads;
+}
+
+}  // namespace camphormux::demand::internal
--- a/src/camphormux/demand/summary.cpp
+++ b/src/camphormux/demand/summary.cpp
@@ -1,7 +1,6 @@
 #include "camphormux/demand/summary.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -9,78 +8,122 @@
 #include <nlohmann/json.hpp>
 
 #include "camphormux/cbor/cbor.hpp"
+#include "camphormux/demand/load_codec.hpp"
 
 namespace camphormux::demand {
 namespace internal {
 
 using nlohmann::json;
 
-constexpr std::uint64_t kVersion = 1;
-/// Figures travel as whole tenths, which take few bytes.
+constexpr std::uint64_t kNamedVersion = 1;
+constexpr std::uint64_t kVersion = 2;
+enum Form : std::uint64_t { kExact = 0, kRounded = 1 };
 constexpr double kTenths = 10.0;
-constexpr double kMaxTenths = 1e12;
-/// Bytes of the outer arrays and the version.
-constexpr std::size_t kEnvelopeBytes = 8;
+/// Bytes of the array, version, digest, form and the header of the bytes.
+constexpr std::size_t kEnvelopeBytes = 11;
+constexpr std::size_t kMaxDataBytes = std::size_t{1} << 16;
 
-std::uint64_t ToTenths(double value) {
-  return static_cast<std::uint64_t>(
-      std::round(std::clamp(value * kTenths, 0.0, kMaxTenths)));
+double Weight(const ServiceLoad& load) {
+  return load.arrivals_per_s + load.queued + load.running;
+}
+
+/// The busy services with their places, by place.
+std::vector<IndexedLoad> BusyLoads(const Summary& summary,
+                                   const ServiceIndex& index) {
+  std::vector<IndexedLoad> loads;
+  for (const auto& [name, load] : summary.services) {
+    const auto place =
+        std::lower_bound(index.names.begin(), index.names.end(), name);
+    if (Weight(load) > 0.0 && place != index.names.end() && *place == name) {
+      loads.push_back(
+          {static_cast<std::uint64_t>(place - index.names.begin()), load});
+    }
+  }
+  return loads;
+}
+
+/// Drops the service with the least load.
+void DropLeast(std::vector<IndexedLoad>& loads) {
+  loads.erase(std::min_element(loads.begin(), loads.end(),
+                               [](const auto& a, const auto& b) {
+                                 return Weight(a.load) < Weight(b.load);
+                               }));
 }
 
 double FromTenths(const json& value) {
   return static_cast<double>(value.get<std::uint64_t>()) / kTenths;
 }
 
-json Entry(const core::ServiceName& name, const ServiceLoad& load) {
-  return json::array({name.value, ToTenths(load.arrivals_per_s),
-                      ToTenths(load.refused_per_s), ToTenths(load.queued),
-                      ToTenths(load.running)});
+std::optional<Summary> DecodeNamed(const json& entries) {
+  try {
+    Summary summary;
+    for (const auto& entry : entries) {
+      summary.services[core::ServiceName{entry.at(0).get<std::string>()}] = {
+          FromTenths(entry.at(1)), FromTenths(entry.at(2)),
+          FromTenths(entry.at(3)), FromTenths(entry.at(4))};
+    }
+    return summary;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
 }
 
-double Weight(const ServiceLoad& load) {
-  return load.arrivals_per_s + load.queued + load.running;
+std::optional<Summary> DecodeIndexed(const json& data,
+                                     const ServiceIndexes& indexes) {
+  cbor::ArrayReader in(data);
+  in.Unsigned();
+  const std::uint64_t digest = in.Unsigned(UINT32_MAX);
+  const std::uint64_t form = in.Unsigned(kRounded);
+  const std::string bytes = in.Bytes(kMaxDataBytes);
+  const auto index = std::find_if(
+      indexes.known.begin(), indexes.known.end(),
+      [digest](const ServiceIndex& known) { return known.digest == digest; });
+  if (!in.ok() || index == indexes.known.end()) {
+    return std::nullopt;
+  }
+  const auto loads = DecodeLoads(bytes, form == kRounded);
+  if (!loads) {
+    return std::nullopt;
+  }
+  Summary summary;
+  for (const auto& [place, load] : *loads) {
+    if (place >= index->names.size()) {
+      return std::nullopt;
+    }
+    summary.services[index->names[place]] = load;
+  }
+  return summary;
 }
 
 }  // namespace internal
 
-std::string EncodeSummary(const Summary& summary, std::size_t max_bytes) {
-  std::vector<std::pair<core::ServiceName, ServiceLoad>> loads(
-      summary.services.begin(), summary.services.end());
-  std::stable_sort(
-      loads.begin(), loads.end(), [](const auto& a, const auto& b) {
-        return internal::Weight(a.second) > internal::Weight(b.second);
-      });
-  internal::json entries = internal::json::array();
-  std::size_t bytes = internal::kEnvelopeBytes;
-  for (const auto& [name, load] : loads) {
-    internal::json entry = internal::Entry(name, load);
-    bytes += internal::json::to_cbor(entry).size();
-    if (internal::Weight(load) <= 0.0 || bytes > max_bytes) {
-      break;
-    }
-    entries.push_back(std::move(entry));
+std::string EncodeSummary(const Summary& summary, const ServiceIndex& index,
+                          std::size_t max_bytes) {
+  auto loads = internal::BusyLoads(summary, index);
+  internal::Form form = internal::kExact;
+  std::string data = internal::EncodeExact(loads);
+  if (data.size() + internal::kEnvelopeBytes > max_bytes) {
+    form = internal::kRounded;
+    data = internal::EncodeRounded(loads);
   }
-  const auto data = internal::json::to_cbor(
-      internal::json::array({internal::kVersion, std::move(entries)}));
-  return {data.begin(), data.end()};
+  while (data.size() + internal::kEnvelopeBytes > max_bytes && !loads.empty()) {
+    internal::DropLeast(loads);
+    data = internal::EncodeRounded(loads);
+  }
+  return cbor::Serialize(internal::json::array(
+      {internal::kVersion, index.digest, form, cbor::Bytes(data)}));
 }
 
-std::optional<Summary> DecodeSummary(std::string_view payload) {
+std::optional<Summary> DecodeSummary(std::string_view payload,
+                                     const ServiceIndexes& indexes) {
   const auto data = cbor::Parse(payload).value_or(internal::json());
-  if (!data.is_array() || data.size() < 2 || !data[1].is_array()) {
+  if (!data.is_array() || data.size() < 2 || !data[0].is_number_unsigned()) {
     return std::nullopt;
   }
-  try {
-    Summary summary;
-    for (const auto& entry : data[1]) {
-      summary.services[core::ServiceName{entry.at(0).get<std::string>()}] = {
-          internal::FromTenths(entry.at(1)), internal::FromTenths(entry.at(2)),
-          internal::FromTenths(entry.at(3)), internal::FromTenths(entry.at(4))};
-    }
-    return summary;
-  } catch (const internal::json::exception&) {
-    return std::nullopt;
+  if (data[0].get<std::uint64_t>() != internal::kNamedVersion) {
+    return internal::DecodeIndexed(data, indexes);
   }
+  return data[1].is_array() ? internal::DecodeNamed(data[1]) : std::nullopt;
 }
 
 }  // namespace camphormux::demand
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -83,6 +83,7 @@
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
   DemandMeter demand;
+  demand::ServiceIndexes indexes;
   /// Offset and digest that heartbeats tell: of a state that all traffic
   /// threads use.
   core::LogOffset told_offset;
@@ -209,10 +210,13 @@
     told_offset = state.next;
     told_digest = state::Digest(state);
   }
+  demand::UpdateIndexes(indexes, state.text);
   members.SetReport(
       told_offset, told_digest,
       demand::EncodeSummary(
           Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow()),
+          indexes.known.empty() ? demand::ServiceIndex{}
+                                : indexes.known.front(),
           membership::kMaxPayloadBytes));
 }
 
--- a/test/controller/admin_test.cpp
+++ b/test/controller/admin_test.cpp
@@ -136,15 +136,15 @@
       view,
       {{"g1"}, state::ProcessRole::kGateway, {"a"}, {"127.0.0.1", 9}, {1}},
       now);
-  ASSERT_EQ(GatewaysOf(view).size(), 1U);
-  EXPECT_FALSE(GatewaysOf(view)[0].dead);
+  ASSERT_EQ(GatewaysOf(view, {}).size(), 1U);
+  EXPECT_FALSE(GatewaysOf(view, {})[0].dead);
   for (int round = 0; round < 12; ++round) {
     now += view.config.interval;
     (void)membership::BeginRound(view, now);
   }
-  ASSERT_EQ(GatewaysOf(view).size(), 1U);
-  EXPECT_TRUE(GatewaysOf(view)[0].dead);
-  EXPECT_GT(GatewaysOf(view)[0].dead_since,
+  ASSERT_EQ(GatewaysOf(view, {}).size(), 1U);
+  EXPECT_TRUE(GatewaysOf(view, {})[0].dead);
+  EXPECT_GT(GatewaysOf(view, {})[0].dead_since,
             core::MonotonicTime{std::chrono::hours(1)});
 }
 
