--- a/src/camphormux/cli/run.cpp
+++ b/src/camphormux/cli/run.cpp
@@ -131,7 +131,7 @@
   http::Client client(loop);
   const controller::PlatformPort port =
       controller::MakePlatformPort(client, platform);
-  port.list([&](const std::optional<controller::HostList>& list) {
+  port.list([&](const std::shared_ptr<const controller::HostList>& list) {
     if (list) {
       hosts.emplace();
       for (const auto& [id, host] : *list) {
