--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -107,6 +107,7 @@
   log::Appender appender;
   state::SnapshotWriter snapshots;
   Collector collector;
+  demand::ServiceIndexes indexes;
   Watch watch;
   ownership::Lease lease;
   StepMemory memory;
@@ -118,6 +119,7 @@
   std::optional<http::Server> admin;
   core::LogOffset told_offset;
   core::MonotonicTime told_at;
+  state::DigestCache digests;
   /// Processes of the log that membership was told of.
   std::map<core::ProcessId, core::Incarnation> introduced;
   bool announced = false;
@@ -194,7 +196,8 @@
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
   UpdateWatch(tailer.state(), now, watch);
-  collector.Poll(tailer.state(), now);
+  collector.Poll(tailer.state(), ownership::MayDecide(lease, now).has_value(),
+                 now);
   Announce();
   TellMembers();
   StepLease(now);
@@ -229,7 +232,7 @@
   if (state.next != told_offset && now - told_at >= internal::kReportPeriod) {
     told_at = now;
     told_offset = state.next;
-    members.SetReport(state.next, state::Digest(state), "");
+    members.SetReport(state.next, state::Digest(state, digests), "");
   }
   for (const auto& [id, presence] : state.presence) {
     const auto known = introduced.find(id);
@@ -273,7 +276,8 @@
   Observations& seen = collector.seen();
   seen.lease = ownership::MayDecide(lease, now);
   seen.log_read = tailer.last_confirmed_sent();
-  seen.gateways = GatewaysOf(members.view());
+  demand::UpdateIndexes(indexes, tailer.state().text);
+  seen.gateways = GatewaysOf(members.view(), indexes);
   CountAnswers();
   const std::int64_t started = internal::UnixNanos();
   const StepInput input{tailer.state(), seen, settings.zone, now,
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -83,10 +83,12 @@
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
   DemandMeter demand;
+  demand::ServiceIndexes indexes;
   /// Offset and digest that heartbeats tell: of a state that all traffic
   /// threads use.
   core::LogOffset told_offset;
   std::uint64_t told_digest = 0;
+  state::DigestCache digests;
   /// Processes of the log that membership was told of.
   std::map<core::ProcessId, core::Incarnation> introduced;
   bool announced = false;
@@ -211,12 +213,15 @@
   // offset that some traffic thread has not applied.
   if (state.next != told_offset && gateway.applied() == state.next) {
     told_offset = state.next;
-    told_digest = state::Digest(state);
+    told_digest = state::Digest(state, digests);
   }
+  demand::UpdateIndexes(indexes, state.text);
   members.SetReport(
       told_offset, told_digest,
       demand::EncodeSummary(
           Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow()),
+          indexes.known.empty() ? demand::ServiceIndex{}
+                                : indexes.known.front(),
           membership::kMaxPayloadBytes));
 }
 
--- a/src/camphormux/gateway/traffic_thread.cpp
+++ b/src/camphormux/gateway/traffic_thread.cpp
@@ -24,7 +24,6 @@
         dispatcher->Handle(std::move(request), std::move(response));
       },
       server_options);
-  dispatcher_->Start();
   thread_ = std::thread([this] { loop_.run(); });
 }
 
@@ -50,6 +49,10 @@
   });
 }
 
+void TrafficThread::SetApplied(core::LogOffset next) {
+  asio::post(loop_, [this, next] { applied_ = next.value; });
+}
+
 core::LogOffset TrafficThread::applied() const { return {applied_}; }
 
 void TrafficThread::StopAccepting() {
