Add job records and their fold; let placement adopt tasks and forget workers

Placement had no way to take over what runs, and its tables of workers and classes only grew. New events: TaskAdopted, WorkerRemoved, WorkerVacated; classes without jobs are forgotten.

--- /dev/null
+++ b/src/camphormux/jobs/codec.hpp
@@ -0,0 +1,45 @@
+#ifndef CAMPHORMUX_JOBS_CODEC_HPP_
+#define CAMPHORMUX_JOBS_CODEC_HPP_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphormux/core/result.hpp"
+#include "camphormux/jobs/records.hpp"
+
+namespace camphormux::jobs {
+
+/// Bound of a name in a record. Job names appear in paths, so they consist of
+/// letters, digits, `.`, `_` and `-`.
+inline constexpr std::size_t kMaxNameBytes = 128;
+/// Bound of a declared amount; sums of all jobs stay far below the range.
+inline constexpr std::int64_t kMaxAmount = std::int64_t{1} << 40;
+
+/// @brief Why bytes could not be decoded.
+struct DecodeError {
+  std::string reason;
+};
+
+/// @brief Records of one log record; those of types that this version does not
+/// know are counted and left out.
+struct DecodedBatch {
+  std::vector<Record> records;
+  std::size_t unknown = 0;
+};
+
+/// @brief Encodes records as an entry of the jobs stream (CBOR).
+/// @param records The records in the order in which they apply.
+/// @return The bytes.
+[[nodiscard]] std::string EncodeRecords(const std::vector<Record>& records);
+
+/// @brief Decodes the data of one log record: a batch of entries or a list.
+/// @param data The bytes.
+/// @return The records, or why they are malformed.
+[[nodiscard]] core::Result<DecodedBatch, DecodeError> DecodeRecords(
+    std::string_view data);
+
+}  // namespace camphormux::jobs
+
+#endif  // CAMPHORMUX_JOBS_CODEC_HPP_
--- /dev/null
+++ b/src/camphormux/jobs/fold.cpp
@@ -0,0 +1,244 @@
+#include "camphormux/jobs/fold.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/jobs/codec.hpp"
+
+namespace camphormux::jobs {
+namespace internal {
+
+bool SameContent(const Submit& a, const Submit& b) {
+  const placement::JobSpec& x = a.spec;
+  const placement::JobSpec& y = b.spec;
+  return x.team == y.team && x.kind == y.kind && x.priority == y.priority &&
+         x.preemptible == y.preemptible && x.repeatable == y.repeatable &&
+         x.declared == y.declared &&
+         x.declared_run_time == y.declared_run_time && x.pool == y.pool &&
+         a.zone == b.zone;
+}
+
+/// Applies one record; one overload for each type.
+struct Handler {
+  Fold& fold;
+  core::LogOffset offset;
+  core::WallTime time;
+  Applied& applied;
+
+  void operator()(const Submit& record) {
+    const JobEntry* known = Known(record);
+    if (known == nullptr) {
+      if (Add(record) == nullptr) return;
+      fold.unclaimed.insert(record.spec.id);
+      applied.changed.push_back(record.spec.id);
+    } else if (!known->seen || SameContent(known->submit, record)) {
+      ++fold.stale;
+    } else {
+      Conflict("job " + record.spec.id.value + " exists with other content");
+    }
+  }
+
+  void operator()(const Cancel& record) {
+    if (RememberUnseen(record.job, record.team, EndKind::kCancelled)) return;
+    JobEntry* entry = Open(record.job);
+    if (entry == nullptr) return;
+    if (entry->submit.spec.team != record.team) {
+      Conflict("job " + record.job.value + " is not of team " +
+               record.team.value);
+      return;
+    }
+    Finish(*entry, EndKind::kCancelled);
+  }
+
+  void operator()(const Holder& record) {
+    (void)Admit(record.zone, record.epoch);
+  }
+
+  void operator()(const Take& record) {
+    if (!Admit(record.zone, record.epoch)) return;
+    JobEntry* entry = Open(record.job);
+    if (entry == nullptr) return;
+    const std::optional<core::LogOffset> current =
+        entry->claim ? std::optional(entry->claim->offset) : std::nullopt;
+    const bool other_zone =
+        entry->submit.zone && *entry->submit.zone != record.zone;
+    // A run of a job that may not be run twice belongs to its zone for good.
+    if (current != record.after || entry->started || other_zone) {
+      ++fold.stale;
+      return;
+    }
+    SetClaim(*entry, record.zone);
+    applied.changed.push_back(record.job);
+  }
+
+  void operator()(const Start& record) {
+    if (!Admit(record.zone, record.epoch)) return;
+    JobEntry* entry = Open(record.job);
+    if (entry == nullptr) return;
+    if (!IsOpenIn(*entry, record.zone) || entry->started) {
+      ++fold.stale;
+      return;
+    }
+    entry->started = record.epoch;
+    applied.changed.push_back(record.job);
+  }
+
+  void operator()(const End& record) {
+    if (!Admit(record.zone, record.epoch)) return;
+    if (RememberUnseen(record.job, {}, record.kind)) return;
+    JobEntry* entry = Open(record.job);
+    if (entry == nullptr) return;
+    if (!IsOpenIn(*entry, record.zone)) {
+      ++fold.stale;
+      return;
+    }
+    Finish(*entry, record.kind);
+  }
+
+  void operator()(const Carry& record) {
+    if (!Admit(record.zone, record.epoch)) return;
+    const core::JobId& id = record.submit.spec.id;
+    if (JobEntry* known = Known(record.submit)) {
+      if (IsOpenIn(*known, record.zone)) known->kept = time;
+      return;
+    }
+    JobEntry* entry = Add(record.submit);
+    if (entry == nullptr) return;
+    SetClaim(*entry, record.zone);
+    entry->started = record.started;
+    applied.changed.push_back(id);
+  }
+
+  /// Checks a holder's epoch and remembers the highest.
+  [[nodiscard]] bool Admit(const core::ZoneName& zone, core::Epoch epoch) {
+    core::Epoch& highest = fold.epochs[zone];
+    if (epoch < highest) {
+      ++fold.stale;
+      return false;
+    }
+    highest = epoch;
+    return true;
+  }
+
+  /// Finds the entry of a job. The end of a job that was not seen counts for
+  /// the team that told it only, so that no team blocks another's names.
+  [[nodiscard]] JobEntry* Known(const Submit& submit) {
+    const auto found = fold.jobs.find(submit.spec.id);
+    if (found == fold.jobs.end()) return nullptr;
+    JobEntry& entry = found->second;
+    const core::TeamName& teller = entry.submit.spec.team;
+    if (entry.seen || teller.value.empty() || teller == submit.spec.team) {
+      return &entry;
+    }
+    fold.jobs.erase(found);
+    return nullptr;
+  }
+
+  /// Remembers the end of a job whose submission was not read, because it
+  /// expired or is still on its way. Without this, a record that repeats the
+  /// job and was on its way at the end would bring it back.
+  [[nodiscard]] bool RememberUnseen(const core::JobId& job,
+                                    const core::TeamName& team, EndKind kind) {
+    if (fold.jobs.contains(job)) return false;
+    JobEntry entry;
+    entry.seen = false;
+    entry.submit.spec.id = job;
+    entry.submit.spec.team = team;
+    entry.end = kind;
+    entry.offset = offset;
+    fold.jobs.emplace(job, std::move(entry));
+    fold.ended.push_back({job, time});
+    return true;
+  }
+
+  JobEntry* Add(const Submit& submit) {
+    if (fold.open >= kMaxOpenJobs) {
+      Conflict("too many open jobs");
+      return nullptr;
+    }
+    ++fold.open;
+    JobEntry entry;
+    entry.submit = submit;
+    entry.offset = offset;
+    entry.kept = time;
+    return &fold.jobs.emplace(submit.spec.id, std::move(entry)).first->second;
+  }
+
+  /// Finds an open job. Records about ended or unknown ones are late: a team
+  /// cancels while a job ends, and a reader may have begun after the job.
+  [[nodiscard]] JobEntry* Open(const core::JobId& job) {
+    const auto found = fold.jobs.find(job);
+    if (found == fold.jobs.end() || found->second.end) {
+      ++fold.stale;
+      return nullptr;
+    }
+    return &found->second;
+  }
+
+  void SetClaim(JobEntry& entry, const core::ZoneName& zone) {
+    const core::JobId& id = entry.submit.spec.id;
+    Unlink(entry);
+    entry.claim = Claim{zone, offset};
+    fold.claimed[zone].insert(id);
+  }
+
+  void Unlink(const JobEntry& entry) {
+    const core::JobId& id = entry.submit.spec.id;
+    fold.unclaimed.erase(id);
+    if (entry.claim) fold.claimed[entry.claim->zone].erase(id);
+  }
+
+  void Finish(JobEntry& entry, EndKind kind) {
+    Unlink(entry);
+    entry.end = kind;
+    --fold.open;
+    fold.ended.push_back({entry.submit.spec.id, time});
+    applied.changed.push_back(entry.submit.spec.id);
+  }
+
+  void Conflict(std::string reason) {
+    ++fold.conflicting;
+    applied.skipped.push_back({offset, std::move(reason)});
+  }
+};
+
+void ForgetEnded(Fold& fold) {
+  while (!fold.ended.empty() &&
+         (fold.ended.size() > kMaxEndedJobs ||
+          fold.log_now - fold.ended.front().time > kEndedKept)) {
+    const auto found = fold.jobs.find(fold.ended.front().job);
+    if (found != fold.jobs.end() && found->second.end) fold.jobs.erase(found);
+    fold.ended.pop_front();
+  }
+}
+
+}  // namespace internal
+
+Applied Apply(Fold& fold, const log::StoredRecord& record) {
+  Applied applied;
+  if (record.offset < fold.next) return applied;
+  fold.next = core::Next(record.offset);
+  // The log's clock may step back; the fold's never does.
+  fold.log_now = std::max(fold.log_now, record.time);
+  const auto batch = DecodeRecords(record.data);
+  if (!batch.has_value()) {
+    ++fold.malformed;
+    applied.skipped.push_back({record.offset, batch.error().reason});
+    return applied;
+  }
+  internal::Handler handler{fold, record.offset, fold.log_now, applied};
+  for (const Record& item : batch.value().records) std::visit(handler, item);
+  internal::ForgetEnded(fold);
+  return applied;
+}
+
+const JobEntry* Find(const Fold& fold, const core::JobId& job) {
+  const auto found = fold.jobs.find(job);
+  return found == fold.jobs.end() ? nullptr : &found->second;
+}
+
+bool IsOpenIn(const JobEntry& entry, const core::ZoneName& zone) {
+  return !entry.end && entry.claim && entry.claim->zone == zone;
+}
+
+}  // namespace camphormux::jobs
--- a/src/camphormux/placement/decision.cpp
+++ b/src/camphormux/placement/decision.cpp
@@ -34,30 +34,28 @@
   void operator()(const JobSubmitted& event) {
     const JobSpec& spec = event.job;
     if (state.job_names.contains(spec.id)) return;  // Submitted before.
-    ClassKey key = KeyOf(spec);
-    ClassIndex index = InternClass(state, key);
-    if (WhyImpossible(state, state.classes[index])) {
-      // Rounding may have made it larger than the largest worker.
-      key.declared = spec.declared;
-      index = InternClass(state, key);
-    }
-    ReviewClass(state, index, effects);
-    Job job;
-    job.id = spec.id;
-    job.job_class = index;
-    job.submitted = now;
-    job.waits_since = now;
-    const JobIndex number = AddJob(state, std::move(job));
+    const JobIndex number = PutJob(spec);
     Enqueue(state, number, QueueEnd::kBack);
-    const JobClass& job_class = state.classes[index];
+    const JobClass& job_class = ClassOf(state, number);
     if (job_class.impossible) {
       effects.push_back(
           NotifyTeam{spec.id, WhyImpossible(state, job_class).value()});
     } else if (spec.priority == Priority::kUrgent) {
-      PlaceUrgent(state, key.pool, now, effects);
+      PlaceUrgent(state, job_class.key.pool, now, effects);
     }
   }
 
+  void operator()(const TaskAdopted& event) {
+    const WorkerIndex worker = FindWorker(state, event.worker);
+    if (worker == kNone || state.task_epochs.contains(event.task.epoch)) return;
+    const auto known = state.job_names.find(event.job.id);
+    const bool is_new = known == state.job_names.end();
+    const JobIndex number = is_new ? PutJob(event.job) : known->second;
+    if (is_new) state.jobs[number].phase = JobPhase::kActive;
+    AdoptTask(state, number, worker, event.task.epoch, event.limits, now,
+              effects);
+  }
+
   void operator()(const JobCancelled& event) {
     CancelJob(state, event.job, now, effects);
   }
@@ -124,18 +122,39 @@
     RefreshRoom(state, index);
   }
 
+  void operator()(const WorkerRemoved& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    state.workers[index].lost = true;
+    Vacate(index);
+    EndAllTasks(index);
+    const PoolIndex pool = state.workers[index].pool;
+    ForgetWorker(state, index);
+    if (pool != kNone) ReviewPool(state, pool, effects);
+  }
+
+  void operator()(const WorkerVacated& event) {
+    const WorkerIndex index = FindWorker(state, event.worker);
+    if (index == kNone) return;
+    for (const TaskIndex number : state.workers[index].tasks) {
+      const Task& task = state.tasks[number];
+      const bool may_run_again = ClassOf(state, task.job).key.repeatable;
+      if (may_run_again && !task.abandoned &&
+          task.yield != YieldStep::kStopping) {
+        BeginStop(state, number, now, effects);
+      }
+    }
+  }
+
   void operator()(const WorkerReturned& event) {
     const WorkerIndex index = FindWorker(state, event.worker);
     if (index == kNone) return;
     Worker& worker = state.workers[index];
     worker.lost = false;
     worker.draining = false;
-    const std::vector<TaskIndex> tasks = worker.tasks;
-    for (const TaskIndex task : tasks) {
-      if (event.rebooted) {
-        AbandonTask(state, task);
-        EndAbandoned(state, task, now, effects);
-      } else if (state.tasks[task].abandoned) {
+    if (event.rebooted) EndAllTasks(index);
+    for (const TaskIndex task : worker.tasks) {
+      if (state.tasks[task].abandoned) {
         effects.push_back(
             StopTask{event.worker, RefOf(state, state.tasks[task])});
       }
@@ -162,6 +181,35 @@
     if (worker != kNone) NoteProbe(state, worker, event.succeeded);
   }
 
+  /// Takes the word that none of a worker's tasks runs any more.
+  void EndAllTasks(WorkerIndex index) {
+    const std::vector<TaskIndex> tasks = state.workers[index].tasks;
+    for (const TaskIndex task : tasks) {
+      AbandonTask(state, task);
+      EndAbandoned(state, task, now, effects);
+    }
+  }
+
+  /// Adds a job, without a place in a queue.
+  [[nodiscard]] JobIndex PutJob(const JobSpec& spec) {
+    ClassKey key = KeyOf(spec);
+    ClassIndex index = InternClass(state, key);
+    if (WhyImpossible(state, state.classes[index])) {
+      // Rounding may have made it larger than the largest worker.
+      key.declared = spec.declared;
+      const ClassIndex rounded = std::exchange(index, InternClass(state, key));
+      if (rounded != index) ForgetUnusedClass(state, rounded);
+    }
+    ReviewClass(state, index, effects);
+    Job job;
+    job.id = spec.id;
+    job.submitted = now;
+    job.waits_since = now;
+    const JobIndex number = AddJob(state, std::move(job));
+    ChangeClass(state, number, index);
+    return number;
+  }
+
   /// Takes the promises of a worker back and makes its tasks yield.
   void Vacate(WorkerIndex index) {
     const std::vector<JobIndex> promises = state.workers[index].promises;
--- a/src/camphormux/placement/events.hpp
+++ b/src/camphormux/placement/events.hpp
@@ -71,6 +71,26 @@
   WorkerSpec worker;
 };
 
+/// @brief The worker left for good; none of its tasks runs any more.
+struct WorkerRemoved {
+  core::HostId worker;
+};
+
+/// @brief The worker's tasks had time to yield; those that remain are stopped,
+/// but for tasks that may not be run twice.
+struct WorkerVacated {
+  core::HostId worker;
+};
+
+/// @brief A predecessor's task that a worker still has. Sent before the job is
+/// submitted; if the job has another task already, this one is stopped.
+struct TaskAdopted {
+  JobSpec job;
+  TaskRef task;
+  core::HostId worker;
+  Resources limits;
+};
+
 /// @brief The worker does not answer; its tasks may still run.
 struct WorkerLost {
   core::HostId worker;
@@ -101,7 +121,8 @@
     std::variant<Tick, JobSubmitted, JobCancelled, QuotaSet, UsageReported,
                  TaskStarted, TaskThrottled, TaskCheckpointed, TaskEnded,
                  LeaseLapsed, WorkerAdded, WorkerLost, WorkerDrained,
-                 WorkerReturned, PoolChanged, ProbeFinished>;
+                 WorkerReturned, PoolChanged, ProbeFinished, WorkerRemoved,
+                 WorkerVacated, TaskAdopted>;
 
 }  // namespace camphormux::placement
 
--- a/src/camphormux/placement/leases.cpp
+++ b/src/camphormux/placement/leases.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/placement/leases.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "camphormux/placement/queue.hpp"
 #include "camphormux/placement/quotas.hpp"
@@ -20,7 +21,7 @@
   return index;
 }
 
-Task MakeTask(State& state, JobIndex job, WorkerIndex worker,
+Task MakeTask(const State& state, JobIndex job, WorkerIndex worker,
               const Resources& limits, core::MonotonicTime now) {
   Task task;
   task.job = job;
@@ -32,7 +33,6 @@
   task.started = now;
   task.lease_end = now + state.settings.task_lease;
   task.firm = ClassOf(state, job).firm;
-  state.next_epoch = core::Next(state.next_epoch);
   return task;
 }
 
@@ -44,30 +44,60 @@
   if (count == 0) kind.per_rack.erase(rack);
 }
 
+/// Enters a task in the tables and takes its room.
+TaskIndex AddTask(State& state, Task task) {
+  const TaskIndex index = TakeTaskPosition(state);
+  state.tasks[index] = std::move(task);
+  const Task& added = state.tasks[index];
+  state.task_epochs[added.epoch] = index;
+  state.workers[added.worker].tasks.push_back(index);
+  ++state.jobs[added.job].open_tasks;
+  CountRack(state, added, true);
+  RefreshRoom(state, added.worker);
+  return index;
+}
+
 }  // namespace
 
-void OpenTask(State& state, JobIndex job_index, WorkerIndex worker,
+void OpenTask(State& state, JobIndex job, WorkerIndex worker,
               const Resources& limits, core::MonotonicTime now,
               Effects& effects) {
-  const TaskIndex index = TakeTaskPosition(state);
-  state.tasks[index] = MakeTask(state, job_index, worker, limits, now);
+  const TaskIndex index =
+      AddTask(state, MakeTask(state, job, worker, limits, now));
+  state.next_epoch = core::Next(state.next_epoch);
   const Task& task = state.tasks[index];
-  state.task_epochs[task.epoch] = index;
-  state.workers[worker].tasks.push_back(index);
-  Job& job = state.jobs[job_index];
-  job.phase = JobPhase::kActive;
-  job.task = index;
-  job.promised = kNone;
-  ++job.open_tasks;
-  Charge(state, ClassOf(state, task.job), task.pool, task.reserved);
-  CountRack(state, task, true);
-  RefreshRoom(state, worker);
+  state.jobs[job].phase = JobPhase::kActive;
+  state.jobs[job].task = index;
+  state.jobs[job].promised = kNone;
+  Charge(state, ClassOf(state, job), task.pool, task.reserved);
   AddTimer(state, {task.lease_end, TimerKind::kLease, index, task.epoch});
   ++state.counters.started;
   effects.push_back(StartTask{state.workers[worker].id, RefOf(state, task),
                               limits, state.settings.task_lease});
 }
 
+void AdoptTask(State& state, JobIndex job, WorkerIndex worker,
+               core::Epoch epoch, const Resources& limits,
+               core::MonotonicTime now, Effects& effects) {
+  Task task = MakeTask(state, job, worker, limits, now);
+  task.epoch = epoch;
+  task.confirmed = true;
+  task.abandoned = state.jobs[job].task != kNone ||
+                   state.jobs[job].phase != JobPhase::kActive;
+  const bool counts = !task.abandoned;
+  const TaskIndex index = AddTask(state, std::move(task));
+  state.next_epoch = std::max(state.next_epoch, core::Next(epoch));
+  if (!counts) {
+    effects.push_back(
+        StopTask{state.workers[worker].id, RefOf(state, state.tasks[index])});
+    return;
+  }
+  state.jobs[job].task = index;
+  const Task& added = state.tasks[index];
+  Charge(state, ClassOf(state, job), added.pool, added.reserved);
+  AddTimer(state, {added.lease_end, TimerKind::kLease, index, epoch});
+}
+
 void CloseTask(State& state, TaskIndex index) {
   Task& task = state.tasks[index];
   if (!task.abandoned)
--- a/src/camphormux/placement/leases.hpp
+++ b/src/camphormux/placement/leases.hpp
@@ -11,6 +11,12 @@
               const Resources& limits, core::MonotonicTime now,
               Effects& effects);
 
+/// @brief Takes over a predecessor's task. It is the job's task, unless the job
+/// has one or has ended; then it is stopped.
+void AdoptTask(State& state, JobIndex job, WorkerIndex worker,
+               core::Epoch epoch, const Resources& limits,
+               core::MonotonicTime now, Effects& effects);
+
 /// @brief Removes a task whose end is confirmed and frees its room.
 void CloseTask(State& state, TaskIndex task);
 
--- a/src/camphormux/placement/outcomes.cpp
+++ b/src/camphormux/placement/outcomes.cpp
@@ -53,7 +53,7 @@
   }
   ClassKey key = ClassOf(state, index).key;
   ++key.doublings;
-  job.job_class = InternClass(state, key);
+  ChangeClass(state, index, InternClass(state, key));
   ReviewClass(state, job.job_class, effects);
   Enqueue(state, index, QueueEnd::kFront);
 }
--- a/src/camphormux/placement/state.hpp
+++ b/src/camphormux/placement/state.hpp
@@ -156,6 +156,7 @@
   JobIndex first = kNone;
   JobIndex last = kNone;
   std::uint32_t queued = 0;
+  std::uint32_t jobs = 0;          ///< All that refer to it, with ended ones.
   std::uint32_t position = kNone;  ///< In its pool's list.
 };
 
@@ -239,7 +240,9 @@
   std::vector<Task> tasks;
   std::vector<TaskIndex> free_tasks;
   std::vector<Worker> workers;
+  std::vector<WorkerIndex> free_workers;
   std::vector<JobClass> classes;
+  std::vector<ClassIndex> free_classes;
   std::vector<Kind> kinds;
   std::vector<Team> teams;
   std::vector<Pool> pools;
--- a/src/camphormux/placement/tables.cpp
+++ b/src/camphormux/placement/tables.cpp
@@ -58,6 +58,7 @@
     std::erase(state.workers[worker].health.failed_jobs, job);
   }
   state.job_names.erase(state.jobs[job].id);
+  ChangeClass(state, job, kNone);
   state.jobs[job] = Job{};
   state.free_jobs.push_back(job);
 }
@@ -109,17 +110,43 @@
   // A stop loses a run that may not be repeated, so such a run never yields.
   job_class.firm =
       key.priority == Priority::kUrgent || !key.preemptible || !key.repeatable;
-  const auto [entry, is_new] = state.class_keys.try_emplace(
-      key, static_cast<ClassIndex>(state.classes.size()));
-  if (is_new) {
-    state.teams[job_class.team].classes.push_back(entry->second);
-    state.pools[key.pool].classes.push_back(entry->second);
-    ++state.kinds[key.kind].classes;
-    state.classes.push_back(job_class);
+  const auto [entry, is_new] = state.class_keys.try_emplace(key, kNone);
+  if (!is_new) return entry->second;
+  if (state.free_classes.empty()) {
+    entry->second = static_cast<ClassIndex>(state.classes.size());
+    state.classes.emplace_back();
+  } else {
+    entry->second = state.free_classes.back();
+    state.free_classes.pop_back();
   }
+  state.classes[entry->second] = job_class;
+  state.teams[job_class.team].classes.push_back(entry->second);
+  state.pools[key.pool].classes.push_back(entry->second);
+  ++state.kinds[key.kind].classes;
   return entry->second;
 }
 
+void ForgetUnusedClass(State& state, ClassIndex index) {
+  const JobClass& unused = state.classes[index];
+  if (unused.jobs > 0) return;
+  std::erase(state.teams[unused.team].classes, index);
+  std::erase(state.pools[unused.key.pool].classes, index);
+  --state.kinds[unused.key.kind].classes;
+  state.class_keys.erase(unused.key);
+  state.classes[index] = JobClass{};
+  state.free_classes.push_back(index);
+}
+
+void ChangeClass(State& state, JobIndex job, ClassIndex to) {
+  const ClassIndex from = state.jobs[job].job_class;
+  if (from == to) return;
+  state.jobs[job].job_class = to;
+  if (to != kNone) ++state.classes[to].jobs;
+  if (from == kNone) return;
+  --state.classes[from].jobs;
+  ForgetUnusedClass(state, from);
+}
+
 Resources RoundUp(const Resources& declared) {
   return {{RoundUpTo16th(declared.cores.value)},
           {RoundUpTo16th(declared.memory.value)},
@@ -174,6 +201,10 @@
   std::push_heap(state.timers.begin(), state.timers.end(), IsLater);
 }
 
+void OrderTimers(State& state) {
+  std::make_heap(state.timers.begin(), state.timers.end(), IsLater);
+}
+
 std::optional<Timer> TakeDueTimer(State& state, core::MonotonicTime now) {
   if (state.timers.empty() || state.timers.front().due > now) return {};
   std::pop_heap(state.timers.begin(), state.timers.end(), IsLater);
--- a/src/camphormux/placement/tables.hpp
+++ b/src/camphormux/placement/tables.hpp
@@ -25,6 +25,15 @@
 /// @brief Returns the position of a class and adds it if it is new.
 [[nodiscard]] ClassIndex InternClass(State& state, const ClassKey& key);
 
+/// @brief Gives a job a class and forgets its former one if no job is left in
+/// it.
+/// @param job The job; not queued.
+/// @param to Its class from now on; `kNone` when the job is forgotten.
+void ChangeClass(State& state, JobIndex job, ClassIndex to);
+
+/// @brief Forgets a class if no job refers to it.
+void ForgetUnusedClass(State& state, ClassIndex index);
+
 /// @brief Rounds a declared size up in its fifth significant bit, so that
 /// similar jobs share a class. The size grows by less than 1/16.
 [[nodiscard]] Resources RoundUp(const Resources& declared);
@@ -47,6 +56,9 @@
 /// @brief Adds a deadline.
 void AddTimer(State& state, const Timer& timer);
 
+/// @brief Restores the order of the deadlines after some were taken out.
+void OrderTimers(State& state);
+
 /// @brief Takes the earliest deadline if it is due.
 [[nodiscard]] std::optional<Timer> TakeDueTimer(State& state,
                                                 core::MonotonicTime now);
--- a/src/camphormux/placement/workers.cpp
+++ b/src/camphormux/placement/workers.cpp
@@ -37,6 +37,16 @@
   return slot;
 }
 
+WorkerIndex TakeWorkerPosition(State& state) {
+  if (state.free_workers.empty()) {
+    state.workers.emplace_back();
+    return static_cast<WorkerIndex>(state.workers.size() - 1);
+  }
+  const WorkerIndex index = state.free_workers.back();
+  state.free_workers.pop_back();
+  return index;
+}
+
 }  // namespace
 
 bool IsUsable(const Worker& worker) {
@@ -67,21 +77,33 @@
 }
 
 WorkerIndex PutWorker(State& state, const WorkerSpec& spec) {
-  const auto [entry, is_new] = state.worker_names.try_emplace(
-      spec.id, static_cast<WorkerIndex>(state.workers.size()));
-  const WorkerIndex index = entry->second;
+  const auto [entry, is_new] = state.worker_names.try_emplace(spec.id, kNone);
   if (is_new) {
-    state.workers.emplace_back();
-    state.workers[index].id = spec.id;
+    entry->second = TakeWorkerPosition(state);
+    state.workers[entry->second].id = spec.id;
   } else {
-    LeavePool(state, index);
+    LeavePool(state, entry->second);
   }
+  const WorkerIndex index = entry->second;
   state.workers[index].shape = spec.shape;
   state.workers[index].rack = InternRack(state, spec.rack);
   JoinPool(state, index, InternPool(state, spec.pool));
   return index;
 }
 
+void ForgetWorker(State& state, WorkerIndex index) {
+  LeavePool(state, index);
+  // The position is used again, so nothing may refer to it.
+  for (Job& job : state.jobs) std::erase(job.failed_on, index);
+  std::erase_if(state.timers, [index](const Timer& timer) {
+    return timer.kind == TimerKind::kProbe && timer.number == index;
+  });
+  OrderTimers(state);
+  state.worker_names.erase(state.workers[index].id);
+  state.workers[index] = Worker{};
+  state.free_workers.push_back(index);
+}
+
 void LeavePool(State& state, WorkerIndex index) {
   Worker& worker = state.workers[index];
   if (worker.pool == kNone) return;
--- a/src/camphormux/placement/workers.hpp
+++ b/src/camphormux/placement/workers.hpp
@@ -19,6 +19,10 @@
 /// @return Its position.
 [[nodiscard]] WorkerIndex PutWorker(State& state, const WorkerSpec& spec);
 
+/// @brief Forgets a worker without tasks and promises. The cost grows with the
+/// number of jobs and deadlines; hosts leave rarely.
+void ForgetWorker(State& state, WorkerIndex worker);
+
 /// @brief Takes a worker out of its pool, if it has one.
 void LeavePool(State& state, WorkerIndex worker);
 
--- a/test/placement/placement_test.cpp
+++ b/test/placement/placement_test.cpp
@@ -220,5 +220,70 @@
   EXPECT_LT(fake.starts.back().limits.memory.value, 3000);
 }
 
+// Guards against a second run of a job that its predecessor's worker still
+// runs, and against an older run that goes on beside the adopted one.
+TEST(PlacementTest, AdoptsTheTaskOfAPredecessorInsteadOfStartingTheJob) {
+  FakeWorkers fake = MakeFake(2);
+  const JobSpec job = MakeJob("kept", {{1000}, {100}, {0}});
+  const TaskRef newer{{"kept"}, {70}};
+  const TaskRef older{{"kept"}, {60}};
+  (void)Apply(fake.state, TaskAdopted{job, newer, {"w0"}, job.declared},
+              fake.now);
+  const Effects effects = Apply(
+      fake.state, TaskAdopted{job, older, {"w1"}, job.declared}, fake.now);
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<StopTask>(effects[0]).task, older);
+  Submit(fake, job);
+  Submit(fake, MakeJob("next", {{1000}, {100}, {0}}));
+  Step(fake, kSecond);
+  ASSERT_EQ(fake.starts.size(), 1U);
+  EXPECT_EQ(fake.starts[0].task.job.value, "next");
+  EXPECT_GT(fake.starts[0].task.epoch.value, 70U);
+  Feed(fake, TaskEnded{newer, TaskOutcome::kFinished});
+  EXPECT_TRUE(std::holds_alternative<Finished>(Explain(fake.state, {"kept"})));
+}
+
+// Guards against tables that grow with every host and job that ever was, and
+// against room or queues that a forgotten worker keeps.
+TEST(PlacementTest, ForgetsRemovedWorkersAndUnusedClasses) {
+  FakeWorkers fake = MakeFake(1);
+  fake.state.settings.remembered_jobs = 1;
+  for (int round = 0; round < 50; ++round) {
+    const std::string name = "extra" + std::to_string(round);
+    AddWorker(fake, name, "p", {{20000}, {20000}, {0}});
+    const Resources size{{10000 + round}, {100}, {0}};
+    Submit(fake, MakeJob(name, size));
+    Step(fake, kSecond);
+    ASSERT_EQ(fake.starts.back().worker.value, name);
+    const TaskRef task = fake.starts.back().task;
+    Begin(fake, task);
+    Feed(fake, WorkerRemoved{{name}});
+    EXPECT_TRUE(std::holds_alternative<LargerThanAnyWorker>(
+        Explain(fake.state, {name})));
+    Feed(fake, JobCancelled{{name}});
+    fake.runs.clear();
+  }
+  EXPECT_LE(fake.state.workers.size(), 2U);
+  EXPECT_LE(fake.state.classes.size(), 3U);
+  EXPECT_LE(fake.state.class_keys.size(), 2U);
+  EXPECT_EQ(fake.state.used_total, Resources{});
+}
+
+// Guards against a host that can't leave because of work that does not yield,
+// and against the stop of a run that may not be repeated.
+TEST(PlacementTest, VacatedWorkerStopsAllButWhatMayNotRunTwice) {
+  FakeWorkers fake = MakeFake(1);
+  Submit(fake, MakeJob("again", {{1000}, {100}, {0}}));
+  JobSpec once = MakeJob("once", {{1000}, {100}, {0}});
+  once.repeatable = false;
+  Submit(fake, once);
+  Step(fake, kSecond);
+  ASSERT_EQ(fake.starts.size(), 2U);
+  Feed(fake, WorkerDrained{{"w0"}});
+  const Effects effects = Apply(fake.state, WorkerVacated{{"w0"}}, fake.now);
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<StopTask>(effects[0]).task.job.value, "again");
+}
+
 }  // namespace
 }  // namespace camphormux::placement
