Add the driver that runs a zone's jobs on its workers

The placement decisions had no caller. The dispatch slice takes the jobs stream, the zone's hosts and the platform's task reports, and turns the decisions into records and level-triggered task calls: announce, fence, list, adopt, then place. The platform stand-in lists a host's tasks, answers with their states and never starts a deleted task again.

--- /dev/null
+++ b/src/camphormux/dispatch/runner.cpp
@@ -0,0 +1,179 @@
+#include "camphormux/dispatch/runner.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "camphormux/jobs/codec.hpp"
+#include "camphormux/jobs/reader.hpp"
+#include "camphormux/log/appender.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::dispatch {
+namespace internal {
+
+/// Usage lags anyway; asking more often gains nothing.
+constexpr core::Millis kUsagePeriod = std::chrono::seconds(1);
+/// Bounds the load on the platform when a new holder lists a whole zone.
+constexpr std::size_t kMaxQuestions = 64;
+/// Records of one entry: an entry stays far below the log's limit of 1 MiB.
+constexpr std::size_t kEntryRecords = 100;
+
+const char* Describe(DriverPhase phase) {
+  switch (phase) {
+    case DriverPhase::kIdle:
+      return "idle";
+    case DriverPhase::kAnnouncing:
+      return "announcing";
+    case DriverPhase::kFencing:
+      return "fencing";
+    case DriverPhase::kListing:
+      return "listing";
+    case DriverPhase::kRunning:
+      return "running";
+  }
+  return "unknown";
+}
+
+}  // namespace internal
+
+struct Runner::Impl : std::enable_shared_from_this<Runner::Impl> {
+  Impl(asio::io_context& loop, const log::LogPort& log, TaskPort task_port,
+       core::ZoneName own_zone, core::Millis kept)
+      : reader(loop, log),
+        appender(loop, log, log::kJobStream),
+        tasks(std::move(task_port)),
+        zone(std::move(own_zone)),
+        retention(kept) {}
+
+  void AskUsage(core::MonotonicTime now);
+  void AskNext();
+  void Perform(const DriverOutput& output);
+  void LogPhase(DriverPhase before) const;
+
+  jobs::Reader reader;
+  log::Appender appender;
+  TaskPort tasks;
+  core::ZoneName zone;
+  core::Millis retention;
+  Driver driver;
+  std::vector<TaskAnswer> answers;
+  std::vector<HostTasks> reports;
+  std::vector<core::HostId> questions;  ///< Not asked yet.
+  std::size_t asking = 0;
+  bool usage_asked = false;
+  core::MonotonicTime usage_time;
+};
+
+void Runner::Impl::AskUsage(core::MonotonicTime now) {
+  if (usage_asked || now - usage_time < internal::kUsagePeriod) return;
+  usage_asked = true;
+  usage_time = now;
+  tasks.usage(zone, [weak = weak_from_this()](
+                        std::optional<std::vector<HostTasks>> list) {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->usage_asked = false;
+    if (!list) return;
+    for (HostTasks& host : *list) self->reports.push_back(std::move(host));
+  });
+}
+
+void Runner::Impl::AskNext() {
+  while (!questions.empty() && asking < internal::kMaxQuestions) {
+    const core::HostId host = std::move(questions.back());
+    questions.pop_back();
+    ++asking;
+    tasks.list(host, [weak = weak_from_this()](std::optional<HostTasks> list) {
+      const auto self = weak.lock();
+      if (!self) return;
+      --self->asking;
+      if (list) self->reports.push_back(std::move(*list));
+      self->AskNext();
+    });
+  }
+}
+
+void Runner::Impl::Perform(const DriverOutput& output) {
+  const std::vector<jobs::Record>& records = output.records;
+  for (std::size_t first = 0; first < records.size();
+       first += internal::kEntryRecords) {
+    const auto begin = records.begin() + static_cast<std::ptrdiff_t>(first);
+    const std::size_t count =
+        std::min(internal::kEntryRecords, records.size() - first);
+    // A record that does not get on the log is decided again.
+    appender.Append(jobs::EncodeRecords(
+                        {begin, begin + static_cast<std::ptrdiff_t>(count)}),
+                    [](const log::AppendResult&) {});
+  }
+  for (const TaskCall& call : output.calls) {
+    tasks.send(call, [weak = weak_from_this()](TaskAnswer answer) {
+      if (const auto self = weak.lock()) {
+        self->answers.push_back(std::move(answer));
+      }
+    });
+  }
+  for (const core::HostId& host : output.questions) {
+    if (std::find(questions.begin(), questions.end(), host) ==
+        questions.end()) {
+      questions.push_back(host);
+    }
+  }
+  AskNext();
+}
+
+void Runner::Impl::LogPhase(DriverPhase before) const {
+  if (driver.phase == before) return;
+  telemetry::Log(telemetry::Level::kInfo, "job placement changed phase",
+                 {{"phase", internal::Describe(driver.phase)},
+                  {"epoch", std::to_string(driver.epoch.value)},
+                  {"adopted_tasks", std::to_string(driver.adopted)}});
+}
+
+Runner::Runner(asio::io_context& loop, const log::LogPort& log, TaskPort tasks,
+               core::ZoneName zone, core::Millis retention)
+    : impl_(std::make_shared<Impl>(loop, log, std::move(tasks), std::move(zone),
+                                   retention)) {}
+
+Runner::~Runner() = default;
+
+void Runner::Start() { impl_->reader.Start(); }
+
+void Runner::Step(const Situation& situation, core::MonotonicTime now) {
+  Impl& own = *impl_;
+  if (own.driver.phase == DriverPhase::kRunning) own.AskUsage(now);
+  const DriverInput input{situation.state,
+                          own.reader.fold(),
+                          own.zone,
+                          situation.lease,
+                          own.reader.TakeChanged(),
+                          situation.missing,
+                          situation.cut_off,
+                          std::exchange(own.answers, {}),
+                          std::exchange(own.reports, {}),
+                          own.retention,
+                          now};
+  const DriverPhase before = own.driver.phase;
+  const DriverOutput output = dispatch::Step(input, own.driver);
+  own.LogPhase(before);
+  own.Perform(output);
+}
+
+std::set<core::HostId> Runner::BusyHosts(const state::FleetState& state) const {
+  std::set<core::HostId> busy;
+  for (const auto& [id, host] : state.hosts) {
+    if (host.zone == impl_->zone && host.phase == state::HostPhase::kDraining &&
+        !IsFreeOfTasks(impl_->driver, id)) {
+      busy.insert(id);
+    }
+  }
+  return busy;
+}
+
+const jobs::Fold& Runner::fold() const { return impl_->reader.fold(); }
+
+const Driver& Runner::driver() const { return impl_->driver; }
+
+std::size_t Runner::unconfirmed() const { return impl_->appender.queued(); }
+
+}  // namespace camphormux::dispatch
--- a/src/camphormux/placement/decision.cpp
+++ b/src/camphormux/placement/decision.cpp
@@ -94,6 +94,11 @@
     EndTask(state, task, event.outcome, now, effects);
   }
 
+  void operator()(const LeaseExtended& event) {
+    const TaskIndex task = Current(event.task);
+    if (task != kNone) ExtendLease(state, task, event.sent);
+  }
+
   void operator()(const LeaseLapsed& event) {
     const TaskIndex task = Current(event.task);
     if (task != kNone) AbandonTask(state, task);
--- a/src/camphormux/placement/events.hpp
+++ b/src/camphormux/placement/events.hpp
@@ -62,6 +62,12 @@
   TaskOutcome outcome = TaskOutcome::kFinished;
 };
 
+/// @brief The worker confirmed a renewal of the task's lease.
+struct LeaseExtended {
+  TaskRef task;
+  core::MonotonicTime sent;  ///< When the renewal was sent.
+};
+
 /// @brief The task's lease lapsed; its holder may still run it.
 struct LeaseLapsed {
   TaskRef task;
@@ -122,7 +128,7 @@
                  TaskStarted, TaskThrottled, TaskCheckpointed, TaskEnded,
                  LeaseLapsed, WorkerAdded, WorkerLost, WorkerDrained,
                  WorkerReturned, PoolChanged, ProbeFinished, WorkerRemoved,
-                 WorkerVacated, TaskAdopted>;
+                 WorkerVacated, TaskAdopted, LeaseExtended>;
 
 }  // namespace camphormux::placement
 
--- a/test/platform_standin/control_routes.cpp
+++ b/test/platform_standin/control_routes.cpp
@@ -29,6 +29,15 @@
     fleet_.usage_lag = core::Millis{
         internal::BodyNumber(body, "usage_ms")
             .value_or(static_cast<std::uint64_t>(fleet_.usage_lag.count()))};
+  } else if (what == "runs") {
+    nlohmann::json runs = nlohmann::json::object();
+    for (const auto& [job, count] : fleet_.runs) {
+      runs[job] = {{"starts", count.starts}, {"done", count.done}};
+    }
+    return internal::Answer(200, runs);
+  } else if (what == "run_time") {
+    fleet_.default_run_time =
+        core::Millis{internal::BodyNumber(body, "run_ms").value_or(0)};
   } else if (what == "jobs" && path.size() == 3) {
     JobBehaviour& job = fleet_.jobs[path[2]];
     job.fails = internal::BodyFlag(body, "fails", false);
--- a/test/platform_standin/fleet.cpp
+++ b/test/platform_standin/fleet.cpp
@@ -47,8 +47,9 @@
   return list;
 }
 
-void AdvanceTask(const PlatformHost& host, const JobBehaviour& job, Task& task,
+void AdvanceTask(Fleet& fleet, const PlatformHost& host, Task& task,
                  core::MonotonicTime now) {
+  const JobBehaviour& job = fleet.jobs[task.job];
   const bool open = task.state == "running" || task.state == "throttled";
   if (!open) {
     return;
@@ -59,6 +60,7 @@
     task.state = "lease_expired";
   } else if (task.done_at && now >= *task.done_at) {
     task.state = "done";
+    ++fleet.runs[task.job].done;
   }
 }
 
@@ -77,7 +79,11 @@
           {"state", task.state},
           {"cores_milli", actual(task.cores)},
           {"memory_mib", actual(task.memory_mib)},
-          {"accelerators", uses ? task.accelerators : 0}};
+          {"accelerators", uses ? task.accelerators : 0},
+          {"limits",
+           {{"cores_milli", task.cores},
+            {"memory_mib", task.memory_mib},
+            {"accelerators", task.accelerators}}}};
 }
 
 // Returns the newest view that is old enough; drops older ones.
@@ -136,10 +142,8 @@
   std::map<std::string, nlohmann::json> zones;
   for (auto& [id, host] : fleet.hosts) {
     nlohmann::json& list = zones[host.zone];
-    for (auto& [task_id, task] : host.tasks) {
-      const JobBehaviour& job = fleet.jobs[task.job];
-      internal::AdvanceTask(host, job, task, now);
-      list.push_back(internal::TaskBody(id, task_id, task, job.usage_factor));
+    for (auto& item : TasksOf(fleet, host, now)) {
+      list.push_back(std::move(item));
     }
   }
   for (auto& [zone, list] : zones) {
@@ -154,7 +158,33 @@
 
 nlohmann::json LaggingUsage(Fleet& fleet, const std::string& zone,
                             core::MonotonicTime now) {
-  return internal::Lagging(fleet.usage_views[zone], now - fleet.usage_lag);
+  std::deque<Fleet::View>& views = fleet.usage_views[zone];
+  nlohmann::json body = internal::Lagging(views, now - fleet.usage_lag);
+  for (nlohmann::json& item : body) {
+    item["age_ms"] = (now - views.front().time).count();
+  }
+  return body;
+}
+
+nlohmann::json TasksOf(Fleet& fleet, PlatformHost& host,
+                       core::MonotonicTime now) {
+  nlohmann::json list = nlohmann::json::array();
+  for (auto& [id, task] : host.tasks) {
+    internal::AdvanceTask(fleet, host, task, now);
+    list.push_back(internal::TaskBody(host.id, id, task,
+                                      fleet.jobs[task.job].usage_factor));
+  }
+  return list;
+}
+
+std::string StateOf(Fleet& fleet, PlatformHost& host, const std::string& id,
+                    core::MonotonicTime now) {
+  const auto task = host.tasks.find(id);
+  if (task == host.tasks.end()) {
+    return "absent";
+  }
+  internal::AdvanceTask(fleet, host, task->second, now);
+  return task->second.state;
 }
 
 bool PutTask(Fleet& fleet, PlatformHost& host, const std::string& id,
@@ -184,9 +214,11 @@
   task.memory_mib = number(limits, "memory_mib");
   task.accelerators = number(limits, "accelerators");
   const JobBehaviour& job = fleet.jobs[task.job];
-  if (job.run_time) {
-    task.done_at = now + *job.run_time;
+  const auto run = job.run_time ? job.run_time : fleet.default_run_time;
+  if (run) {
+    task.done_at = now + *run;
   }
+  ++fleet.runs[task.job].starts;
   host.tasks.emplace(id, std::move(task));
   return true;
 }
--- a/test/platform_standin/fleet.hpp
+++ b/test/platform_standin/fleet.hpp
@@ -49,6 +49,7 @@
   std::set<std::string> maintenance_ids;
   bool fails_tasks = false;
   std::map<std::string, Task> tasks;
+  std::set<std::string> deleted_tasks;  ///< Never started again.
 };
 
 /// @brief How a job really behaves, as set by a test.
@@ -58,11 +59,19 @@
   bool fails = false;
 };
 
+/// @brief What happened to a job's tasks.
+struct JobRuns {
+  int starts = 0;
+  int done = 0;
+};
+
 /// @brief Hosts, the lagging views of them, and the tasks on them.
 struct Fleet {
   std::map<std::string, PlatformHost> hosts;
   std::map<std::string, std::uint64_t> zone_epochs;
   std::map<std::string, JobBehaviour> jobs;
+  std::map<std::string, JobRuns> runs;           ///< By job.
+  std::optional<core::Millis> default_run_time;  ///< Of jobs without one.
   core::Millis list_lag{0};
   core::Millis usage_lag{0};
 
@@ -96,7 +105,17 @@
 [[nodiscard]] nlohmann::json LaggingUsage(Fleet& fleet, const std::string& zone,
                                           core::MonotonicTime now);
 
-/// @brief Starts a task or renews its lease.
+/// @return The tasks of a host as they are now.
+[[nodiscard]] nlohmann::json TasksOf(Fleet& fleet, PlatformHost& host,
+                                     core::MonotonicTime now);
+
+/// @return The state of a task as it is now, as in reports.
+[[nodiscard]] std::string StateOf(Fleet& fleet, PlatformHost& host,
+                                  const std::string& id,
+                                  core::MonotonicTime now);
+
+/// @brief Starts a task or renews its lease. The task is not one that was
+/// deleted.
 /// @return Whether the body is valid.
 [[nodiscard]] bool PutTask(Fleet& fleet, PlatformHost& host,
                            const std::string& id, const nlohmann::json& body,
--- a/test/platform_standin/host_routes.cpp
+++ b/test/platform_standin/host_routes.cpp
@@ -48,7 +48,10 @@
     respond(internal::NotFound("host " + path[2]));
     return;
   }
-  if (path.size() == 3) {
+  if (path.size() == 4 && path[3] == "tasks" && request.method == "GET") {
+    respond(internal::Answer(
+        200, TasksOf(fleet_, host->second, core::MonotonicNow())));
+  } else if (path.size() == 3) {
     HostStatus(host->second, respond);
   } else if (path[3] == "tasks" && path.size() >= 5) {
     HandleTask(request, path, host->second, respond);
@@ -104,6 +107,7 @@
     const std::string id = internal::BodyText(body, "maintenance_id");
     if (host.maintenance_ids.insert(id).second) {
       ++host.boots;
+      host.tasks.clear();
     }
     Forward("PUT", control + "/reboot", {{"maintenance_id", id}}, change);
     return;
@@ -139,33 +143,43 @@
     respond(internal::Failure(409, "old_epoch", "the epoch is not in force"));
     return;
   }
+  const core::MonotonicTime now = core::MonotonicNow();
+  std::string state = StateOf(fleet_, host, id, now);
   if (request.method == "PUT") {
-    if (!PutTask(fleet_, host, id, body, core::MonotonicNow())) {
+    if (host.deleted_tasks.contains(id)) {
+      change(internal::Failure(410, "deleted", "the task was deleted"));
+      return;
+    }
+    if (!PutTask(fleet_, host, id, body, now)) {
       respond(internal::Failure(400, "bad_request",
                                 "job, lease_ms or limits is missing"));
       return;
     }
-    change(internal::Answer(200, nlohmann::json::object()));
-    return;
-  }
-  const auto task = host.tasks.find(id);
-  if (request.method == "DELETE") {
-    if (task != host.tasks.end()) {
-      host.tasks.erase(task);
-    }
-    change(internal::Answer(200, nlohmann::json::object()));
-    return;
-  }
-  if (task == host.tasks.end() || path.size() != 6) {
+    state = StateOf(fleet_, host, id, now);
+  } else if (request.method == "DELETE") {
+    host.tasks.erase(id);
+    host.deleted_tasks.insert(id);
+  } else if (state == "absent" || path.size() != 6) {
     respond(internal::NotFound("task " + id));
     return;
+  } else {
+    YieldTask(host.tasks.at(id), path[5], body);
+    state = host.tasks.at(id).state;
   }
-  if (path[5] == "throttle" && task->second.state == "running") {
-    task->second.state = "throttled";
-  } else if (path[5] == "checkpoint") {
-    task->second.state = "checkpointed";
+  change(internal::Answer(200, {{"state", state}}));
+}
+
+void Service::YieldTask(Task& task, const std::string& how,
+                        const nlohmann::json& body) {
+  const bool runs = task.state == "running" || task.state == "throttled";
+  if (how == "throttle" && runs) {
+    // As many cores as at the start end the throttle.
+    const auto cores = internal::BodyNumber(body, "cores_milli");
+    const bool ends = cores && *cores >= static_cast<std::uint64_t>(task.cores);
+    task.state = ends ? "running" : "throttled";
+  } else if (how == "checkpoint" && runs) {
+    task.state = "checkpointed";
   }
-  change(internal::Answer(200, nlohmann::json::object()));
 }
 
 void Service::Forward(const std::string& method, const std::string& path,
--- a/test/platform_standin/service.hpp
+++ b/test/platform_standin/service.hpp
@@ -57,6 +57,8 @@
                     const nlohmann::json& body, const http::Respond& respond);
   void HandleTask(const http::ServerRequest& request, const Path& path,
                   PlatformHost& host, const http::Respond& respond);
+  static void YieldTask(Task& task, const std::string& how,
+                        const nlohmann::json& body);
   http::ServerResponse HandleControl(const Path& path,
                                      const nlohmann::json& body);
   http::ServerResponse ControlHost(const Path& path,
