Run jobs in the controller that holds a zone's lease

No program called the placement decisions.

controller_job_app_test: a submitted job runs and ends; the next holder takes over two running jobs, both started once (2 tests, 35 s, most of it the lease).

--- a/src/camphormux/controller/admin.cpp
+++ b/src/camphormux/controller/admin.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "camphormux/controller/explain.hpp"
+#include "camphormux/controller/job_view.hpp"
 #include "camphormux/telemetry/metrics.hpp"
 
 namespace camphormux::controller {
@@ -57,7 +58,9 @@
     explanation = ExplainService(view.status, core::ServiceName{name});
   } else if (kind == "host") {
     explanation = ExplainHost(view.status, core::HostId{name});
-  } else if (kind != "job") {
+  } else if (kind == "job") {
+    explanation = ExplainJob(view.status, core::JobId{name});
+  } else {
     return Error(kBadRequest, "bad_kind",
                  "kind: found '" + kind + "', expected service, host or job");
   }
--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -10,12 +10,14 @@
 
 #include "camphormux/controller/admin.hpp"
 #include "camphormux/controller/collector.hpp"
+#include "camphormux/controller/job_view.hpp"
 #include "camphormux/controller/meters.hpp"
 #include "camphormux/controller/outbox.hpp"
 #include "camphormux/controller/platform_client.hpp"
 #include "camphormux/controller/step.hpp"
 #include "camphormux/controller/watch.hpp"
 #include "camphormux/core/random.hpp"
+#include "camphormux/dispatch/runner.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/http/server.hpp"
 #include "camphormux/log/appender.hpp"
@@ -85,6 +87,7 @@
   void StepLease(core::MonotonicTime now);
   void AppendLease(const state::Record& record, core::MonotonicTime sent);
   void StepControl(core::MonotonicTime now);
+  void StepJobs(core::MonotonicTime now);
   void CountAnswers();
   void AppendRecords(const std::vector<state::Record>& records);
   [[nodiscard]] bool AllSettled() const;
@@ -108,10 +111,12 @@
   state::SnapshotWriter snapshots;
   Collector collector;
   Watch watch;
+  dispatch::Runner jobs;
   ownership::Lease lease;
   StepMemory memory;
   StepResult last;
   Meters meters;
+  JobMeters job_meters;
   telemetry::SpanExporter spans;
   asio::steady_timer timer;
   std::optional<PendingStep> pending;
@@ -140,7 +145,10 @@
                 internal::PolicyOf(settings),
                 [this] { return OwnsSnapshots(); }),
       collector(MakePlatformPort(client, settings.platform), settings.zone),
+      jobs(loop, port, dispatch::MakeTaskPort(client, settings.platform),
+           settings.zone, settings.retention),
       lease(ownership::MakeLease(settings.zone, settings.process, {}, random)),
+      job_meters(meters.registry),
       spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
       timer(loop) {
   last.idle = IdleReason::kNoLease;
@@ -164,6 +172,7 @@
   members.Start();
   tailer.Start();
   snapshots.Start();
+  jobs.Start();
   Schedule();
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
@@ -201,11 +210,25 @@
   if (AllSettled()) {
     pending.reset();
   }
+  StepJobs(now);
   if (!pending) {
     StepControl(now);
   }
 }
 
+void App::Impl::StepJobs(core::MonotonicTime now) {
+  Observations& seen = collector.seen();
+  seen.lease = ownership::MayDecide(lease, now);
+  seen.log_read = tailer.last_confirmed_sent();
+  const StepInput input{tailer.state(), seen, settings.zone, now,
+                        core::WallNow()};
+  jobs.Step(JobSituation(input,
+                         CutOffZones(watch, settings.zone, seen.log_read, now)),
+            now);
+  seen.busy_hosts = jobs.BusyHosts(tailer.state());
+  SetJobMeters(jobs, job_meters);
+}
+
 void App::Impl::Announce() {
   if (announced || !tailer.at_end()) {
     return;
@@ -371,7 +394,8 @@
           settings.zone,
           CutOffZones(watch, settings.zone, tailer.last_confirmed_sent(), now),
           now,
-          core::WallNow()};
+          core::WallNow(),
+          &jobs};
 }
 
 std::optional<std::string> App::Impl::NotReady() const {
--- a/src/camphormux/controller/explain.cpp
+++ b/src/camphormux/controller/explain.cpp
@@ -46,6 +46,9 @@
   if (report == input.seen.reports.end()) {
     return "waits for the platform's report about the host";
   }
+  if (input.seen.busy_hosts.contains(host.id)) {
+    return "waits for tasks of jobs to yield";
+  }
   return report->second.draining
              ? fmt::format("waits for {} active requests to end",
                            report->second.active_requests)
--- /dev/null
+++ b/src/camphormux/controller/job_view.hpp
@@ -0,0 +1,55 @@
+#ifndef CAMPHORMUX_CONTROLLER_JOB_VIEW_HPP_
+#define CAMPHORMUX_CONTROLLER_JOB_VIEW_HPP_
+
+#include <optional>
+#include <vector>
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include "camphormux/controller/explain.hpp"
+#include "camphormux/controller/step.hpp"
+#include "camphormux/dispatch/explain.hpp"
+#include "camphormux/dispatch/runner.hpp"
+
+namespace camphormux::controller {
+
+/// @brief Makes the job runner's view of a controller.
+/// @param input What the controller knows.
+/// @param cut_off Zones without news on the log.
+/// @return The lease only while decisions may be made.
+[[nodiscard]] dispatch::Situation JobSituation(
+    const StepInput& input, std::vector<core::ZoneName> cut_off);
+
+/// @brief Explains a job.
+/// @param input What the controller knows.
+/// @param job The job.
+/// @return The explanation, or nothing for a job that is not known.
+[[nodiscard]] std::optional<Explanation> ExplainJob(const StatusInput& input,
+                                                    const core::JobId& job);
+
+/// @brief Metrics of the jobs as one controller sees them.
+struct JobMeters {
+  prometheus::Gauge& open;
+  prometheus::Gauge& unclaimed;
+  prometheus::Gauge& queued;
+  prometheus::Gauge& running;
+  prometheus::Gauge& held_back;
+  prometheus::Gauge& impossible;
+  prometheus::Gauge& unconfirmed;
+  prometheus::Gauge& quarantined;
+  prometheus::Gauge& lost;
+  prometheus::Gauge& adopted;
+  prometheus::Gauge& skipped;
+
+  explicit JobMeters(prometheus::Registry& registry);
+};
+
+/// @brief Sets the metrics.
+/// @param runner The job runner.
+/// @param meters The metrics.
+void SetJobMeters(const dispatch::Runner& runner, JobMeters& meters);
+
+}  // namespace camphormux::controller
+
+#endif  // CAMPHORMUX_CONTROLLER_JOB_VIEW_HPP_
--- a/src/camphormux/controller/observation.hpp
+++ b/src/camphormux/controller/observation.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
   std::map<core::HostId, HostReport> reports;
   std::vector<GatewayView> gateways;
   std::vector<CallAnswer> answers;  ///< Since the previous step.
+  /// Draining hosts on which tasks of jobs run or may run.
+  std::set<core::HostId> busy_hosts;
 };
 
 }  // namespace camphormux::controller
--- a/src/camphormux/controller/phases.cpp
+++ b/src/camphormux/controller/phases.cpp
@@ -125,6 +125,7 @@
   // A report from before the acknowledgements may miss a request that a
   // gateway sent in between.
   if (drained && at.report->active_requests == 0 &&
+      !at.input.seen.busy_hosts.contains(at.host.id) &&
       at.report->asked > acknowledged->second) {
     Record(at, HostPhase::kEmpty);
     at.memory.emptied.insert(at.host.id);
--- a/src/camphormux/controller/status.cpp
+++ b/src/camphormux/controller/status.cpp
@@ -130,6 +130,9 @@
   status.moves = internal::ListMoves(input.state);
   status.shortfalls = input.memory.plan.last.moves.shortfalls;
   status.maintenance = internal::CollectMaintenance(input);
+  if (input.jobs != nullptr) {
+    status.jobs = dispatch::CountJobs(input.jobs->fold(), input.jobs->driver());
+  }
   status.released = static_cast<int>(std::count_if(
       input.state.hosts.begin(), input.state.hosts.end(), [](const auto& item) {
         return item.second.phase == state::HostPhase::kReleased;
--- a/src/camphormux/controller/status.hpp
+++ b/src/camphormux/controller/status.hpp
@@ -9,6 +9,8 @@
 
 #include "camphormux/controller/step.hpp"
 #include "camphormux/core/ids.hpp"
+#include "camphormux/dispatch/explain.hpp"
+#include "camphormux/dispatch/runner.hpp"
 #include "camphormux/state/fleet_state.hpp"
 
 namespace camphormux::controller {
@@ -24,6 +26,7 @@
   std::vector<core::ZoneName> cut_off;  ///< Zones without news on the log.
   core::MonotonicTime now;
   core::WallTime wall;
+  const dispatch::Runner* jobs = nullptr;  ///< None: jobs are not shown.
 };
 
 /// @brief Hosts of one pool by phase.
@@ -74,6 +77,7 @@
   std::vector<MoveStatus> moves;
   MaintenanceStatus maintenance;
   std::vector<moves::Shortfall> shortfalls;
+  dispatch::JobCounts jobs;
 };
 
 /// @brief Word for a phase in output for people and scripts.
--- a/src/camphormux/controller/status_format.cpp
+++ b/src/camphormux/controller/status_format.cpp
@@ -112,6 +112,26 @@
   return text;
 }
 
+json JobsJson(const dispatch::JobCounts& jobs) {
+  return {{"open", jobs.open},
+          {"unclaimed", jobs.unclaimed},
+          {"queued", jobs.queued},
+          {"running", jobs.running},
+          {"held_back", jobs.held_back},
+          {"impossible", jobs.impossible},
+          {"unconfirmed", jobs.unconfirmed},
+          {"quarantined_workers", Names(jobs.quarantined)}};
+}
+
+std::string JobsText(const dispatch::JobCounts& jobs) {
+  return fmt::format(
+      "jobs: {} open in all zones, {} not taken; here {} queued, {} running, "
+      "{} held back, {} impossible, {} unconfirmed\n"
+      "quarantined workers: {}\n",
+      jobs.open, jobs.unclaimed, jobs.queued, jobs.running, jobs.held_back,
+      jobs.impossible, jobs.unconfirmed, Joined(jobs.quarantined));
+}
+
 json HostJson(const state::Host& host) {
   return {{"id", host.id.value},
           {"zone", host.zone.value},
@@ -158,6 +178,7 @@
                         shortfall.hosts, shortfall.needed);
   }
   text += internal::MaintenanceText(status.maintenance);
+  text += internal::JobsText(status.jobs);
   text += fmt::format("hosts missing from the platform's list: {}\n",
                       internal::Joined(status.missing));
   text += fmt::format("zones cut off: {}\n", internal::Joined(status.cut_off));
@@ -181,7 +202,8 @@
       {"pools", internal::PoolsJson(status)},
       {"moves", internal::MovesJson(status)},
       {"shortfalls", internal::ShortfallsJson(status)},
-      {"maintenance", internal::MaintenanceJson(status.maintenance)}};
+      {"maintenance", internal::MaintenanceJson(status.maintenance)},
+      {"jobs", internal::JobsJson(status.jobs)}};
   return body.dump(2);
 }
 
