--- /dev/null
+++ b/test/dispatch/driver_test.cpp
@@ -0,0 +1,183 @@
+#include "camphormux/dispatch/driver.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/dispatch/explain.hpp"
+#include "test/dispatch/fake_zone.hpp"
+
+namespace camphormux::dispatch {
+namespace {
+
+using jobs::EndKind;
+
+constexpr core::Millis kSecond{1000};
+
+class DriverTest : public testing::Test {
+ protected:
+  DriverTest() {
+    zone_.AddHost("h1", "spare");
+    zone_.AddHost("h2", "spare");
+  }
+
+  FakeZone zone_;
+  FakeHolder first_{{1}, {}, {}, {}, true, true};
+  FakeHolder second_{{2}, {}, {}, {}, true, true};
+};
+
+// Guards against a second run, by the next holder, of jobs that run or have
+// just ended, and against tasks that nobody renews after a takeover.
+TEST_F(DriverTest, NextHolderAdoptsRunningTasks) {
+  zone_.Submit("runs", false, false);
+  zone_.Submit("ends", false, false);
+  Steps(zone_, first_, 2 * kSecond);
+  ASSERT_EQ(zone_.starts["runs"] + zone_.starts["ends"], 2);
+  zone_.Finish("ends");
+  Steps(zone_, second_, 30 * kSecond);
+  EXPECT_EQ(zone_.At("ends").end, EndKind::kFinished);
+  EXPECT_EQ(zone_.TaskOf("ends"), nullptr);
+  ASSERT_NE(zone_.TaskOf("runs"), nullptr);
+  EXPECT_GT(zone_.TaskOf("runs")->lease_end, zone_.now);
+  zone_.Finish("runs");
+  Steps(zone_, second_, 2 * kSecond);
+  EXPECT_EQ(zone_.At("runs").end, EndKind::kFinished);
+  EXPECT_EQ(zone_.starts["runs"] + zone_.starts["ends"], 2);
+}
+
+// Guards against a second task for a start whose answer was lost.
+TEST_F(DriverTest, RepeatsTheSameStartWhenAnAnswerIsLost) {
+  zone_.Submit("job", false, false);
+  while (zone_.starts["job"] == 0) {
+    zone_.lose_answers = first_.driver.phase == DriverPhase::kRunning ? 1 : 0;
+    Steps(zone_, first_, core::Millis{200});
+  }
+  zone_.lose_answers = 2;
+  Steps(zone_, first_, 5 * kSecond);
+  zone_.Finish("job");
+  Steps(zone_, first_, 5 * kSecond);
+  EXPECT_EQ(zone_.At("job").end, EndKind::kFinished);
+  EXPECT_EQ(zone_.starts["job"], 1);
+}
+
+// Guards against a start call that a paused holder sends after its successor
+// has looked at the workers.
+TEST_F(DriverTest, CallsOfAPausedHolderStartNothing) {
+  Steps(zone_, first_, 2 * kSecond);
+  zone_.Submit("job", false, false);
+  DriverOutput held;
+  while (true) {
+    held = Decide(zone_, first_);
+    if (!held.calls.empty()) break;
+    Perform(zone_, first_, held);
+  }
+  ASSERT_EQ(held.calls[0].kind, TaskCallKind::kStart);
+  Steps(zone_, second_, 5 * kSecond);
+  Perform(zone_, first_, held);  // The holder wakes up.
+  Steps(zone_, first_, 2 * kSecond);
+  Steps(zone_, second_, 2 * kSecond);
+  EXPECT_EQ(zone_.starts["job"], 0);
+  // The successor cannot know that the start was never sent.
+  EXPECT_EQ(zone_.At("job").end, EndKind::kLost);
+  EXPECT_EQ(first_.driver.phase, DriverPhase::kIdle);
+}
+
+// Guards against a second run of a job whose lease lapsed while its holder was
+// paused, and against a wait for its end that never ends.
+TEST_F(DriverTest, LapsedLeaseIsNotRunTwice) {
+  zone_.Submit("once", false, false);
+  zone_.Submit("again", true, false);
+  Steps(zone_, first_, 2 * kSecond);
+  zone_.now += 20 * kSecond;
+  Steps(zone_, first_, 5 * kSecond);
+  EXPECT_EQ(zone_.starts["once"], 1);
+  EXPECT_EQ(zone_.At("once").end, EndKind::kNotTwice);
+  EXPECT_EQ(zone_.starts["again"], 2);
+  EXPECT_FALSE(zone_.At("again").end);
+}
+
+// Guards against a holder that, after a pause without a successor, takes its
+// own call on its way for one that was never sent.
+TEST_F(DriverTest, SameHolderAfterAPauseDoesNotStartTwice) {
+  Steps(zone_, first_, 2 * kSecond);
+  zone_.Submit("job", false, false);
+  DriverOutput held;
+  while (held.calls.empty()) {
+    held = Decide(zone_, first_);
+    if (held.calls.empty()) Perform(zone_, first_, held);
+  }
+  first_.holds = false;
+  Steps(zone_, first_, 5 * kSecond);
+  first_.holds = true;
+  Steps(zone_, first_, 2 * kSecond);
+  (void)zone_.Take(held.calls[0]);  // Arrives late.
+  Steps(zone_, first_, 5 * kSecond);
+  EXPECT_LE(zone_.starts["job"], 1);
+  EXPECT_EQ(zone_.At("job").end, EndKind::kLost);
+}
+
+// Guards against cancelled jobs that start or go on, and against a wave that
+// costs calls for jobs that never started.
+TEST_F(DriverTest, CancellationWaveStopsWhatRunsAndStartsNothing) {
+  for (int i = 0; i < 2000; ++i) {
+    zone_.Submit("job" + std::to_string(i), true, true);
+  }
+  Steps(zone_, first_, 5 * kSecond);
+  std::size_t running = 0;
+  for (const auto& [job, count] : zone_.starts) running += count;
+  ASSERT_GT(running, 0U);
+  std::vector<jobs::Record> wave;
+  for (int i = 0; i < 2000; ++i) {
+    wave.emplace_back(jobs::Cancel{{"job" + std::to_string(i)}, {"t"}});
+  }
+  const std::size_t calls = zone_.calls;
+  zone_.Append(wave);
+  Steps(zone_, first_, 3 * kSecond);
+  for (const auto& [host, tasks] : zone_.tasks) EXPECT_TRUE(tasks.empty());
+  EXPECT_LE(zone_.calls - calls, 2 * running);
+  EXPECT_EQ(zone_.fold.open, 0U);
+  EXPECT_EQ(CountJobs(zone_.fold, first_.driver).queued, 0U);
+}
+
+// Guards against a host that is emptied under a task, and against a drain that
+// work which yields, or which does not, holds up beyond 3.1 s.
+TEST_F(DriverTest, DrainedHostIsFreeAfterItsTasksYielded) {
+  zone_.state.hosts.erase({"h2"});
+  zone_.Submit("yields", true, true);
+  zone_.Submit("firm", true, false);
+  Steps(zone_, first_, 2 * kSecond);
+  ASSERT_EQ(zone_.starts.size(), 2U);
+  zone_.state.hosts.at({"h1"}).phase = state::HostPhase::kDraining;
+  const core::MonotonicTime drained = zone_.now;
+  Steps(zone_, first_, core::Millis{200});
+  EXPECT_FALSE(IsFreeOfTasks(first_.driver, {"h1"}));
+  while (!IsFreeOfTasks(first_.driver, {"h1"}) &&
+         zone_.now - drained < 10 * kSecond) {
+    Steps(zone_, first_, core::Millis{200});
+  }
+  EXPECT_LE(zone_.now - drained, placement::kUrgentStartBound);
+  EXPECT_TRUE(zone_.tasks[{"h1"}].empty());
+  zone_.state.hosts.at({"h1"}).phase = state::HostPhase::kAdmitted;
+  Steps(zone_, first_, 2 * kSecond);
+  EXPECT_EQ(zone_.starts["yields"], 2);
+  EXPECT_EQ(zone_.starts["firm"], 2);
+}
+
+// Guards against a job that can never run and waits without a reason, or holds
+// up the jobs behind it.
+TEST_F(DriverTest, TellsThatAJobCanNeverRun) {
+  jobs::Submit large;
+  large.spec.id = {"large"};
+  large.spec.team = {"t"};
+  large.spec.declared = {{9000}, {1000}, {0}};
+  large.spec.pool = {"spare"};
+  zone_.Append({large});
+  zone_.Submit("small", true, true);
+  Steps(zone_, first_, 2 * kSecond);
+  EXPECT_EQ(zone_.starts["small"], 1);
+  EXPECT_EQ(CountJobs(zone_.fold, first_.driver).impossible, 1U);
+  const auto facts = ExplainJob(zone_.fold, first_.driver, kZone, {"large"});
+  ASSERT_TRUE(facts);
+  EXPECT_EQ(facts->state, "impossible");
+}
+
+}  // namespace
+}  // namespace camphormux::dispatch
--- /dev/null
+++ b/test/dispatch/fake_zone.hpp
@@ -0,0 +1,77 @@
+#ifndef CAMPHORMUX_TEST_DISPATCH_FAKE_ZONE_HPP_
+#define CAMPHORMUX_TEST_DISPATCH_FAKE_ZONE_HPP_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "camphormux/dispatch/driver.hpp"
+
+namespace camphormux::dispatch {
+
+inline const core::ZoneName kZone{"a"};
+
+/// A task on a fake worker.
+struct FakeTask {
+  placement::TaskRef task;
+  placement::Resources limits;
+  RunState state = RunState::kRunning;
+  core::MonotonicTime lease_end;
+};
+
+/// Workers of a zone, the platform in front of them, and the jobs stream.
+struct FakeZone {
+  FakeZone();
+
+  state::FleetState state;
+  jobs::Fold fold;
+  std::set<core::JobId> changed;
+  core::MonotonicTime now{core::Millis{1000000}};
+  core::Epoch fence;  ///< Highest epoch that the platform saw.
+  std::map<core::HostId, std::map<std::uint64_t, FakeTask>> tasks;
+  std::set<std::uint64_t> deleted;
+  std::map<std::string, int> starts;  ///< Runs that began, by job.
+  int lose_answers = 0;               ///< So many next answers are lost.
+  std::size_t calls = 0;
+
+  void AddHost(const std::string& id, const std::string& pool);
+  void Append(const std::vector<jobs::Record>& records);
+  void Submit(const std::string& id, bool repeatable, bool preemptible);
+
+  /// Carries out a call.
+  TaskAnswer Take(const TaskCall& call);
+  [[nodiscard]] HostTasks List(const core::HostId& host) const;
+
+  /// Ends a job's run.
+  void Finish(const std::string& job);
+  [[nodiscard]] const FakeTask* TaskOf(const std::string& job) const;
+  [[nodiscard]] const jobs::JobEntry& At(const std::string& job) const;
+
+ private:
+  std::uint64_t next_offset_ = 0;
+};
+
+/// A controller of the zone.
+struct FakeHolder {
+  core::Epoch epoch;
+  Driver driver;
+  std::vector<TaskAnswer> answers;
+  std::vector<HostTasks> reports;
+  bool holds = true;
+  bool sees_usage = true;
+};
+
+/// Decides; what it wants is not carried out yet.
+DriverOutput Decide(FakeZone& zone, FakeHolder& holder);
+
+/// Carries out what a holder decided.
+void Perform(FakeZone& zone, FakeHolder& holder, const DriverOutput& output);
+
+/// Steps a holder for some time, every 200 ms.
+void Steps(FakeZone& zone, FakeHolder& holder, core::Millis time);
+
+}  // namespace camphormux::dispatch
+
+#endif  // CAMPHORMUX_TEST_DISPATCH_FAKE_ZONE_HPP_
--- /dev/null
+++ b/test/jobs/fold_test.cpp
@@ -0,0 +1,145 @@
+#include "camphormux/jobs/fold.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "camphormux/jobs/codec.hpp"
+
+namespace camphormux::jobs {
+namespace {
+
+const core::ZoneName kA{"a"};
+const core::ZoneName kB{"b"};
+constexpr core::WallTime kStart{core::Millis{1000000}};
+
+Submit MakeSubmit(const std::string& id, bool repeatable = true) {
+  Submit submit;
+  submit.spec.id = {id};
+  submit.spec.team = {"t"};
+  submit.spec.kind = "k";
+  submit.spec.repeatable = repeatable;
+  submit.spec.declared = {{1000}, {100}, {0}};
+  submit.spec.pool = {"p"};
+  return submit;
+}
+
+struct Stream {
+  Fold fold;
+  core::WallTime time = kStart;
+  std::uint64_t offset = 0;
+  std::vector<log::StoredRecord> kept;
+
+  Applied Add(std::string data) {
+    kept.push_back({{offset++}, time, std::move(data)});
+    return Apply(fold, kept.back());
+  }
+  Applied Add(const std::vector<Record>& records) {
+    return Add(EncodeRecords(records));
+  }
+  const JobEntry& At(const std::string& id) const {
+    return *Find(fold, core::JobId{id});
+  }
+};
+
+// Guards against fields that get lost between writer and reader.
+TEST(JobFoldTest, CarriesEveryFieldThroughTheCodec) {
+  Submit submit = MakeSubmit("j", false);
+  submit.spec.priority = placement::Priority::kUrgent;
+  submit.spec.preemptible = true;
+  submit.spec.declared.accelerators = {2};
+  submit.spec.declared_run_time = core::Millis{5000};
+  submit.zone = kB;
+  Stream stream;
+  stream.Add({Carry{submit, kB, {4}, core::Epoch{3}}});
+  const JobEntry& entry = stream.At("j");
+  EXPECT_EQ(EncodeRecords({entry.submit}), EncodeRecords({submit}));
+  EXPECT_EQ(entry.claim->zone, kB);
+  EXPECT_EQ(entry.started, core::Epoch{3});
+}
+
+// Guards against two zones that both run a job, and against a run that another
+// zone repeats although it may not be repeated.
+TEST(JobFoldTest, TheFirstClaimWinsAndAStartedRunStaysInItsZone) {
+  Stream stream;
+  stream.Add({MakeSubmit("free"), MakeSubmit("once", false)});
+  stream.Add({Take{{"free"}, kA, {1}, {}}, Take{{"once"}, kA, {1}, {}}});
+  stream.Add({Take{{"free"}, kB, {1}, {}}, Start{{"once"}, kB, {1}}});
+  EXPECT_EQ(stream.At("free").claim->zone, kA);
+  EXPECT_FALSE(stream.At("once").started);
+  stream.Add({Start{{"once"}, kA, {1}}});
+  const core::LogOffset claim{1};
+  stream.Add({Take{{"free"}, kB, {1}, claim}, Take{{"once"}, kB, {1}, claim}});
+  EXPECT_EQ(stream.At("free").claim->zone, kB);
+  EXPECT_EQ(stream.At("once").claim->zone, kA);
+  stream.Add({End{{"free"}, kA, {1}, EndKind::kFinished}});
+  EXPECT_FALSE(stream.At("free").end);
+}
+
+// Guards against a holder that wakes after its successor began and still
+// claims, starts or ends jobs.
+TEST(JobFoldTest, RecordsOfAnEarlierHolderAreVoid) {
+  Stream stream;
+  stream.Add({MakeSubmit("j", false), Take{{"j"}, kA, {1}, {}}});
+  stream.Add({Holder{kA, {2}}});
+  stream.Add({Start{{"j"}, kA, {1}}, End{{"j"}, kA, {1}, EndKind::kFinished}});
+  EXPECT_FALSE(stream.At("j").started);
+  EXPECT_FALSE(stream.At("j").end);
+  EXPECT_EQ(stream.fold.stale, 2U);
+}
+
+// Guards against records that only some readers take, and against a team that
+// changes or cancels another's job.
+TEST(JobFoldTest, SkipsMalformedAndConflictingRecords) {
+  Stream stream;
+  stream.Add({MakeSubmit("j")});
+  stream.Add({MakeSubmit("j")});  // A retry.
+  EXPECT_EQ(stream.fold.conflicting, 0U);
+  Submit other = MakeSubmit("j");
+  other.spec.declared.cores = {2000};
+  EXPECT_EQ(stream.Add({other}).skipped.size(), 1U);
+  EXPECT_EQ(stream.Add({Cancel{{"j"}, {"thief"}}}).skipped.size(), 1U);
+  EXPECT_EQ(stream.Add("not cbor").skipped.size(), 1U);
+  EXPECT_EQ(stream.Add({MakeSubmit("no/slash")}).skipped.size(), 1U);
+  EXPECT_EQ(stream.fold.conflicting, 2U);
+  EXPECT_EQ(stream.fold.malformed, 2U);
+  EXPECT_FALSE(stream.At("j").end);
+  EXPECT_EQ(stream.fold.open, 1U);
+}
+
+// Guards against ended jobs that pile up, against jobs that are lost when
+// their submission expires, and against ended ones that come back.
+TEST(JobFoldTest, ForgetsEndedJobsAndKeepsCarriedOnes) {
+  Stream stream;
+  stream.Add({MakeSubmit("open"), MakeSubmit("gone"),
+              Take{{"open"}, kA, {1}, {}}, Take{{"gone"}, kA, {1}, {}}});
+  stream.Add({Cancel{{"gone"}, {"t"}}});
+  const std::size_t late_from = stream.kept.size() - 1;
+  stream.Add({Carry{MakeSubmit("gone"), kA, {1}, {}},
+              Carry{MakeSubmit("open"), kA, {1}, {}}});
+  Fold late;
+  for (std::size_t i = late_from; i < stream.kept.size(); ++i) {
+    (void)Apply(late, stream.kept[i]);
+  }
+  EXPECT_TRUE(IsOpenIn(*Find(late, {"open"}), kA));
+  EXPECT_TRUE(Find(late, {"gone"})->end);
+  stream.time += kEndedKept + core::Millis{1};
+  stream.Add({Holder{kA, {1}}});
+  EXPECT_EQ(Find(stream.fold, {"gone"}), nullptr);
+  EXPECT_NE(Find(stream.fold, {"open"}), nullptr);
+}
+
+// Guards against bytes that crash a reader or stop it from going on.
+RC_GTEST_PROP(JobFoldPropertyTest, AnyBytesAreOneRecord,
+              (const std::string& noise, std::uint8_t position)) {
+  Stream stream;
+  std::string data = EncodeRecords({MakeSubmit("j"), Holder{kA, {1}}});
+  const std::size_t at = position % data.size();
+  data.replace(at, std::min(noise.size(), data.size() - at), noise);
+  stream.Add(data);
+  stream.Add(noise);
+  RC_ASSERT(stream.fold.next.value == 2U);
+  RC_ASSERT(stream.fold.open <= 1U);
+}
+
+}  // namespace
+}  // namespace camphormux::jobs
