--- a/test/dispatch/driver_test.cpp
+++ b/test/dispatch/driver_test.cpp
@@ -43,6 +43,25 @@
   EXPECT_EQ(zone_.starts["runs"] + zone_.starts["ends"], 2);
 }
 
+// Guards against a finished run that its holder deletes from the worker before
+// the log has its end: the next holder would take the job for lost.
+TEST_F(DriverTest, EndIsOnTheLogBeforeTheTaskIsDeleted) {
+  zone_.Submit("job", false, false);
+  Steps(zone_, first_, 2 * kSecond);
+  zone_.Finish("job");
+  for (int step = 0; step < 10; ++step) {
+    first_.reports.push_back(
+        zone_.List(first_.driver.tasks.begin()->second.worker));
+    DriverOutput output = Decide(zone_, first_);
+    output.records.clear();  // The log does not take them.
+    Perform(zone_, first_, output);
+    zone_.now += kSecond;
+  }
+  Steps(zone_, second_, 2 * kSecond);
+  EXPECT_EQ(zone_.At("job").end, EndKind::kFinished);
+  EXPECT_EQ(zone_.TaskOf("job"), nullptr);
+}
+
 // Guards against a second task for a start whose answer was lost.
 TEST_F(DriverTest, RepeatsTheSameStartWhenAnAnswerIsLost) {
   zone_.Submit("job", false, false);
