--- a/bench/placement/replay_main.cpp
+++ b/bench/placement/replay_main.cpp
@@ -2,8 +2,11 @@
 // run times off by factors of 0.2 to 5, jobs that can never run, bad workers
 // and waves of cancellations.
 
+// Usage: placement-replay [FIRST_SEED]; 20 seeds from there, default 1.
+
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
 #include <vector>
 
 #include "bench/placement/replay.hpp"
@@ -46,11 +49,14 @@
 }  // namespace
 }  // namespace camphormux::placement
 
-int main() {
+int main(int argc, char** argv) {
   using camphormux::placement::Figures;
   std::vector<Figures> ours;
   std::vector<Figures> naive;
-  for (std::uint64_t seed = 1; seed <= camphormux::placement::kSeeds; ++seed) {
+  const std::uint64_t first =
+      argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  for (std::uint64_t seed = first; seed < first + camphormux::placement::kSeeds;
+       ++seed) {
     const auto scenario = camphormux::placement::MakeScenario(seed);
     ours.push_back(camphormux::placement::ReplayPlacement(scenario, seed));
     naive.push_back(camphormux::placement::ReplayNaive(scenario, seed));
--- /dev/null
+++ b/bench/placement/replay_scenario.cpp
@@ -0,0 +1,125 @@
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "bench/placement/replay_setup.hpp"
+#include "camphormux/core/random.hpp"
+
+namespace camphormux::placement {
+namespace {
+
+using namespace internal;  // NOLINT(google-build-using-namespace)
+
+constexpr int kPools = 5;
+constexpr int kKindsPerTeam = 4;
+constexpr core::Millis kLength{1800000};
+/// Work that arrives, by the capacity; some queue is always there.
+constexpr double kDemand = 1.1;
+constexpr double kUrgentShare = 0.05;
+constexpr double kPreemptibleShare = 0.6;
+constexpr double kImpossibleShare = 0.02;
+constexpr double kBadWorkerShare = 0.01;
+constexpr double kFailingJobShare = 0.005;
+
+/// Log-uniform from 0.2 to 5.
+double DeclarationError(core::Random& random) {
+  return std::pow(5.0, 2.0 * core::UnitInterval(random) - 1.0);
+}
+
+/// Five times the mean for 10 s in each minute.
+double Burst(core::MonotonicTime time) {
+  const auto second = (time - kBegin).count() / 1000 % 60;
+  return second < 10 ? 5.0 : 0.2;
+}
+
+RealJob MakeJob(core::Random& random, const std::vector<double>& errors,
+                std::size_t number) {
+  RealJob job;
+  const auto team = static_cast<std::size_t>(core::Below(random, kTeams));
+  const auto kind =
+      static_cast<std::size_t>(core::Below(random, kKindsPerTeam));
+  const double noise = 0.9 + 0.2 * core::UnitInterval(random);
+  const double error = errors[team * kKindsPerTeam + kind];
+  job.used = {{static_cast<std::int64_t>(
+                  (1000.0 + 1000.0 * static_cast<double>(kind)) * noise)},
+              {static_cast<std::int64_t>(
+                  (3000.0 + 4000.0 * static_cast<double>(kind)) * noise)},
+              {0}};
+  job.run_time = core::Millis{static_cast<core::Millis::rep>(
+      -120000.0 * std::log(1.0 - core::UnitInterval(random)) + 1000.0)};
+  JobSpec& spec = job.spec;
+  spec.id = {"job-" + std::to_string(number)};
+  spec.team = {"team-" + std::to_string(team)};
+  spec.kind = "kind-" + std::to_string(kind);
+  spec.priority = core::UnitInterval(random) < kUrgentShare ? Priority::kUrgent
+                                                            : Priority::kNormal;
+  spec.preemptible = core::UnitInterval(random) < kPreemptibleShare;
+  spec.repeatable = core::UnitInterval(random) < 0.9;
+  spec.declared = {{static_cast<std::int64_t>(
+                       (1000.0 + 1000.0 * static_cast<double>(kind)) * error)},
+                   {static_cast<std::int64_t>(
+                       (3000.0 + 4000.0 * static_cast<double>(kind)) * error)},
+                   {0}};
+  spec.declared_run_time = core::Millis{static_cast<core::Millis::rep>(
+      static_cast<double>(job.run_time.count()) * DeclarationError(random))};
+  spec.pool = {"pool-" + std::to_string(core::Below(random, kPools))};
+  job.never_fits = core::UnitInterval(random) < kImpossibleShare;
+  if (job.never_fits) spec.declared.memory = kShape.memory + kShape.memory;
+  job.always_fails = core::UnitInterval(random) < kFailingJobShare;
+  return job;
+}
+
+/// Every five minutes a third of the jobs of the last 30 s are cancelled.
+void AddCancellations(core::Random& random, Scenario& scenario) {
+  constexpr core::Millis kWavePeriod{300000};
+  constexpr core::Millis kWaveReach{30000};
+  for (RealJob& job : scenario.jobs) {
+    const core::Millis into = (job.arrival - kBegin) % kWavePeriod;
+    if (into < kWavePeriod - kWaveReach) continue;
+    if (core::Below(random, 3) == 0) {
+      job.cancel = job.arrival + (kWavePeriod - into);
+    }
+  }
+}
+
+}  // namespace
+
+Scenario MakeScenario(std::uint64_t seed) {
+  core::Random random = core::SeededRandom(seed);
+  Scenario scenario;
+  scenario.length = kLength;
+  for (int i = 0; i < kWorkers; ++i) {
+    scenario.workers.push_back({{"host-" + std::to_string(i)},
+                                {"zone"},
+                                {"rack-" + std::to_string(i / 4)},
+                                {"pool-" + std::to_string(i % kPools)},
+                                kShape});
+  }
+  // At least one worker is bad; 1% of 50 would leave every second run without.
+  scenario.is_bad.resize(kWorkers);
+  const int bad = std::max(1, static_cast<int>(kWorkers * kBadWorkerShare));
+  for (int i = 0; i < bad; ++i) {
+    scenario.is_bad[core::Below(random, kWorkers)] = true;
+  }
+  std::vector<double> errors(kTeams * kKindsPerTeam);
+  for (double& error : errors) error = DeclarationError(random);
+  // Mean task: 2.5 cores for 121 s.
+  const double mean_core_s = 2.5 * 121.0;
+  const double per_second = kDemand * 64.0 * kWorkers / mean_core_s;
+  for (core::MonotonicTime time = kBegin; time < kBegin + kLength;
+       time += kSecond) {
+    const double expected = per_second * Burst(time);
+    auto count = static_cast<int>(expected);
+    if (core::UnitInterval(random) < expected - count) ++count;
+    for (int i = 0; i < count; ++i) {
+      RealJob job = MakeJob(random, errors, scenario.jobs.size());
+      job.arrival = time + core::Jitter(random, core::Millis{999});
+      scenario.jobs.push_back(std::move(job));
+    }
+  }
+  AddCancellations(random, scenario);
+  return scenario;
+}
+
+}  // namespace camphormux::placement
--- /dev/null
+++ b/bench/placement/replay_setup.hpp
@@ -0,0 +1,27 @@
+#ifndef CAMPHORMUX_BENCH_PLACEMENT_REPLAY_SETUP_HPP_
+#define CAMPHORMUX_BENCH_PLACEMENT_REPLAY_SETUP_HPP_
+
+#include <functional>
+
+#include "bench/placement/replay.hpp"
+#include "camphormux/placement/effects.hpp"
+#include "camphormux/placement/events.hpp"
+
+/// What the parts of the replay share.
+namespace camphormux::placement::internal {
+
+inline constexpr int kWorkers = 50;
+inline constexpr int kTeams = 10;
+inline constexpr Resources kShape{{64000}, {256000}, {0}};
+inline constexpr core::Millis kSecond{1000};
+inline constexpr core::MonotonicTime kBegin{core::Millis{1000000}};
+
+using Decide = std::function<Effects(const Event&, core::MonotonicTime)>;
+
+/// @brief Runs a scenario in steps of 100 ms against one way of deciding.
+[[nodiscard]] Figures Simulate(const Scenario& scenario, std::uint64_t seed,
+                               Decide decide);
+
+}  // namespace camphormux::placement::internal
+
+#endif  // CAMPHORMUX_BENCH_PLACEMENT_REPLAY_SETUP_HPP_
--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -226,7 +226,7 @@
                          CutOffZones(watch, settings.zone, seen.log_read, now)),
             now);
   seen.busy_hosts = jobs.BusyHosts(tailer.state());
-  SetJobMeters(jobs, job_meters);
+  SetJobMeters(jobs, now, job_meters);
 }
 
 void App::Impl::Announce() {
--- a/src/camphormux/controller/job_view.cpp
+++ b/src/camphormux/controller/job_view.cpp
@@ -74,7 +74,13 @@
                        "Malformed or conflicting records of the jobs "
                        "stream.")) {}
 
-void SetJobMeters(const dispatch::Runner& runner, JobMeters& meters) {
+void SetJobMeters(const dispatch::Runner& runner, core::MonotonicTime now,
+                  JobMeters& meters) {
+  constexpr core::Millis kPeriod = std::chrono::seconds(5);
+  if (now - meters.set < kPeriod) {
+    return;
+  }
+  meters.set = now;
   const dispatch::JobCounts counts =
       dispatch::CountJobs(runner.fold(), runner.driver());
   const auto set = [](prometheus::Gauge& gauge, std::uint64_t value) {
--- a/src/camphormux/controller/job_view.hpp
+++ b/src/camphormux/controller/job_view.hpp
@@ -41,14 +41,18 @@
   prometheus::Gauge& lost;
   prometheus::Gauge& adopted;
   prometheus::Gauge& skipped;
+  core::MonotonicTime set;  ///< When the metrics were set.
 
   explicit JobMeters(prometheus::Registry& registry);
 };
 
-/// @brief Sets the metrics.
+/// @brief Sets the metrics, but not more often than every 5 s, because the cost
+/// grows with the number of jobs.
 /// @param runner The job runner.
+/// @param now The time.
 /// @param meters The metrics.
-void SetJobMeters(const dispatch::Runner& runner, JobMeters& meters);
+void SetJobMeters(const dispatch::Runner& runner, core::MonotonicTime now,
+                  JobMeters& meters);
 
 }  // namespace camphormux::controller
 
--- a/test/controller/job_app_test.cpp
+++ b/test/controller/job_app_test.cpp
@@ -145,7 +145,8 @@
   Submit("easel", true);
   EXPECT_TRUE(RunUntil([&] {
     return Explain("easel").find("job easel: finished") != std::string::npos;
-  })) << Explain("easel") << Send("GET", settings_.admin, "/status?output=text").body;
+  })) << Explain("easel")
+      << Send("GET", settings_.admin, "/status?output=text").body;
   EXPECT_EQ(Runs("easel", "starts"), 1);
   EXPECT_EQ(Runs("easel", "done"), 1);
 }
--- a/test/dispatch/driver_test.cpp
+++ b/test/dispatch/driver_test.cpp
@@ -20,8 +20,8 @@
   }
 
   FakeZone zone_;
-  FakeHolder first_{{1}, {}, {}, {}, true, true};
-  FakeHolder second_{{2}, {}, {}, {}, true, true};
+  FakeHolder first_{.epoch = {1}};
+  FakeHolder second_{.epoch = {2}};
 };
 
 // Guards against a second run, by the next holder, of jobs that run or have
@@ -198,5 +198,38 @@
   EXPECT_EQ(facts->state, "impossible");
 }
 
+// Guards against a job that two zones run or none, and against jobs that stay
+// with a zone that is gone; only a started job that may not be run twice does.
+TEST_F(DriverTest, EachJobHasOneZoneAlsoAfterAZoneIsGone) {
+  const core::ZoneName other{"b"};
+  zone_.AddHost("h3", "spare", other);
+  zone_.state.leases[other] = {{"d"}, {1}, {}};
+  FakeHolder theirs{.epoch = {1}, .zone = other};
+  const auto both = [&](int steps) {
+    for (int i = 0; i < steps; ++i) {
+      const DriverOutput output = Decide(zone_, theirs);
+      Steps(zone_, first_, core::Millis{200});
+      Perform(zone_, theirs, output);
+      theirs.reports.push_back(zone_.List({"h3"}));
+    }
+  };
+  for (int i = 0; i < 20; ++i) {
+    zone_.Submit("again" + std::to_string(i), true, true);
+    zone_.Submit("once" + std::to_string(i), false, false);
+  }
+  both(30);
+  EXPECT_TRUE(zone_.fold.unclaimed.empty());
+  EXPECT_GT(zone_.fold.claimed[kZone].size(), 5U);
+  EXPECT_GT(zone_.fold.claimed[other].size(), 5U);
+  for (const auto& [job, starts] : zone_.starts) EXPECT_EQ(starts, 1) << job;
+  const std::set<core::JobId> theirs_before = zone_.fold.claimed[other];
+  first_.cut_off = {other};
+  Steps(zone_, first_, kRetakeDelay + 2 * kSecond);
+  for (const core::JobId& job : theirs_before) {
+    const jobs::JobEntry& entry = zone_.At(job.value);
+    EXPECT_EQ(entry.claim->zone, entry.started ? other : kZone) << job.value;
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::dispatch
--- a/test/dispatch/fake_zone.cpp
+++ b/test/dispatch/fake_zone.cpp
@@ -16,10 +16,11 @@
   state.leases[kZone] = {{"c"}, {1}, {}};
 }
 
-void FakeZone::AddHost(const std::string& id, const std::string& pool) {
+void FakeZone::AddHost(const std::string& id, const std::string& pool,
+                       const core::ZoneName& zone) {
   state::Host host;
   host.id = {id};
-  host.zone = kZone;
+  host.zone = zone;
   host.rack = {"r-" + id};
   host.shape = {{8000}, {16000}, {0}};
   host.phase = state::HostPhase::kAdmitted;
@@ -30,7 +31,7 @@
 void FakeZone::Append(const std::vector<jobs::Record>& records) {
   const jobs::Applied applied = jobs::Apply(
       fold, {{next_offset_++}, core::WallTime{}, jobs::EncodeRecords(records)});
-  changed.insert(applied.changed.begin(), applied.changed.end());
+  changes.insert(changes.end(), applied.changed.begin(), applied.changed.end());
 }
 
 void FakeZone::Submit(const std::string& id, bool repeatable,
@@ -122,10 +123,13 @@
 }
 
 DriverOutput Decide(FakeZone& zone, FakeHolder& holder) {
-  DriverInput input{zone.state, zone.fold, kZone, std::nullopt, {}, {},
-                    {},         {},        {},    {},           {}};
+  DriverInput input{zone.state, zone.fold, holder.zone, std::nullopt, {}, {},
+                    {},         {},        {},          {},           {}};
   if (holder.holds) input.lease = holder.epoch;
-  input.changed = std::exchange(zone.changed, {});
+  input.changed = {zone.changes.begin() + holder.changes_seen,
+                   zone.changes.end()};
+  holder.changes_seen = static_cast<std::ptrdiff_t>(zone.changes.size());
+  input.cut_off = holder.cut_off;
   input.answers = std::exchange(holder.answers, {});
   input.reports = std::exchange(holder.reports, {});
   input.retention = std::chrono::hours(24);
--- a/test/dispatch/fake_zone.hpp
+++ b/test/dispatch/fake_zone.hpp
@@ -1,7 +1,7 @@
 #ifndef CAMPHORMUX_TEST_DISPATCH_FAKE_ZONE_HPP_
 #define CAMPHORMUX_TEST_DISPATCH_FAKE_ZONE_HPP_
 
-#include <deque>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -27,7 +27,7 @@
 
   state::FleetState state;
   jobs::Fold fold;
-  std::set<core::JobId> changed;
+  std::vector<core::JobId> changes;  ///< All, in order.
   core::MonotonicTime now{core::Millis{1000000}};
   core::Epoch fence;  ///< Highest epoch that the platform saw.
   std::map<core::HostId, std::map<std::uint64_t, FakeTask>> tasks;
@@ -36,7 +36,8 @@
   int lose_answers = 0;               ///< So many next answers are lost.
   std::size_t calls = 0;
 
-  void AddHost(const std::string& id, const std::string& pool);
+  void AddHost(const std::string& id, const std::string& pool,
+               const core::ZoneName& zone = kZone);
   void Append(const std::vector<jobs::Record>& records);
   void Submit(const std::string& id, bool repeatable, bool preemptible);
 
@@ -56,11 +57,14 @@
 /// A controller of the zone.
 struct FakeHolder {
   core::Epoch epoch;
-  Driver driver;
-  std::vector<TaskAnswer> answers;
-  std::vector<HostTasks> reports;
+  Driver driver{};
+  std::vector<TaskAnswer> answers{};
+  std::vector<HostTasks> reports{};
   bool holds = true;
   bool sees_usage = true;
+  core::ZoneName zone = kZone;
+  std::vector<core::ZoneName> cut_off{};
+  std::ptrdiff_t changes_seen = 0;
 };
 
 /// Decides; what it wants is not carried out yet.
