--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -24,6 +24,9 @@
 #include "camphormux/membership/node.hpp"
 #include "camphormux/ownership/lease.hpp"
 #include "camphormux/peer/server.hpp"
+#include "camphormux/recovery/fetch.hpp"
+#include "camphormux/recovery/state_fetcher.hpp"
+#include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
 #include "camphormux/state/snapshot_writer.hpp"
@@ -106,6 +109,8 @@
   state::Tailer tailer;
   log::Appender appender;
   state::SnapshotWriter snapshots;
+  recovery::StateSource source;
+  recovery::StateFetcher fetcher;
   Collector collector;
   Watch watch;
   LeaseKeeper lease;
@@ -139,6 +144,8 @@
       snapshots(loop, appender, tailer, settings.process,
                 internal::PolicyOf(settings),
                 [this] { return OwnsSnapshots(); }),
+      source(tailer, settings.process),
+      fetcher(loop, tailer, members, random),
       collector(MakePlatformPort(client, settings.platform), settings.zone),
       lease(loop, appender, tailer,
             ownership::MakeLease(settings.zone, settings.process, {}, random)),
@@ -158,6 +165,8 @@
       [this](const peer::Request& request, const peer::Respond& respond) {
         if (request.path == membership::kHeartbeatPath) {
           members.Handle(request, respond);
+        } else if (request.path == recovery::kChunkPath) {
+          source.Handle(request, respond);
         } else {
           respond({peer::kStatusNotFound, ""});
         }
@@ -165,6 +174,7 @@
   members.Start();
   tailer.Start();
   snapshots.Start();
+  fetcher.Start();
   Schedule();
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
@@ -351,7 +361,7 @@
   if (stopping) {
     return "the process stops";
   }
-  const state::Readiness readiness = tailer.ready();
+  const state::Readiness readiness = fetcher.ready();
   return readiness.ready ? std::nullopt : std::optional(readiness.reason);
 }
 
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -18,6 +18,9 @@
 #include "camphormux/log/http_port.hpp"
 #include "camphormux/membership/node.hpp"
 #include "camphormux/peer/server.hpp"
+#include "camphormux/recovery/fetch.hpp"
+#include "camphormux/recovery/state_fetcher.hpp"
+#include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
 #include "camphormux/state/snapshot_writer.hpp"
@@ -80,6 +83,8 @@
   state::Tailer tailer;
   LeavingReader leaving;
   state::SnapshotWriter snapshots;
+  recovery::StateSource source;
+  recovery::StateFetcher fetcher;
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
   DemandMeter demand;
@@ -115,6 +120,9 @@
               core::SeededRandom(std::random_device{}())),
       snapshots(control, appender, tailer, settings.process, {},
                 [] { return false; }),
+      source(tailer, settings.process),
+      fetcher(control, tailer, members,
+              core::SeededRandom(std::random_device{}())),
       timer(control) {
   gateway.SetView(View());
   if (settings.peer) {
@@ -130,7 +138,7 @@
   return {[this] { return state::Digest(tailer.state()); },
           [this] { return tailer.last_confirmed_sent(); },
           [this] {
-            const state::Readiness readiness = tailer.ready();
+            const state::Readiness readiness = fetcher.ready();
             return readiness.ready ? std::string() : readiness.reason;
           }};
 }
@@ -141,6 +149,8 @@
     members.Handle(request, respond);
   } else if (request.path == idempotency::kAnswerPath) {
     keys.Handle(request, respond);
+  } else if (request.path == recovery::kChunkPath) {
+    source.Handle(request, respond);
   } else {
     respond({peer::kStatusNotFound, ""});
   }
@@ -228,6 +238,7 @@
   impl_->snapshots.Start();
   if (impl_->settings.peer) {
     impl_->members.Start();
+    impl_->fetcher.Start();
   }
   impl_->Tick();
 }
--- /dev/null
+++ b/src/camphormux/recovery/state_source.hpp
@@ -0,0 +1,46 @@
+#ifndef CAMPHORMUX_RECOVERY_STATE_SOURCE_HPP_
+#define CAMPHORMUX_RECOVERY_STATE_SOURCE_HPP_
+
+#include <deque>
+#include <vector>
+
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/peer/message.hpp"
+#include "camphormux/state/records.hpp"
+#include "camphormux/state/tailer.hpp"
+
+namespace camphormux::recovery {
+
+/// @brief Gives the state of this process to others that start. Use it on the
+/// loop's thread only.
+class StateSource {
+ public:
+  /// @param tailer Whose state is given; outlives the source.
+  /// @param self This process.
+  StateSource(const state::Tailer& tailer, core::ProcessId self);
+
+  /// @brief Answers a request on `kChunkPath`: with one chunk, or
+  /// `kStatusUnavailable` while this process has no complete state, or
+  /// `kStatusNotFound` if the snapshot was replaced meanwhile.
+  /// @param request The request.
+  /// @param respond Gets the answer.
+  void Handle(const peer::Request& request, const peer::Respond& respond);
+
+ private:
+  struct Made {
+    core::MonotonicTime time;
+    std::vector<state::SnapshotChunk> chunks;
+  };
+
+  void Refresh(core::MonotonicTime now);
+  [[nodiscard]] const Made* Find(const std::string& snapshot) const;
+
+  const state::Tailer& tailer_;
+  core::ProcessId self_;
+  std::deque<Made> made_;  ///< Oldest first.
+};
+
+}  // namespace camphormux::recovery
+
+#endif  // CAMPHORMUX_RECOVERY_STATE_SOURCE_HPP_
--- a/src/camphormux/state/follower.cpp
+++ b/src/camphormux/state/follower.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/state/follower.hpp"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -160,6 +161,25 @@
   ++follower.searches;
 }
 
+bool NeedsBase(const Follower& follower) {
+  return follower.phase == FollowPhase::kSearching && follower.searched;
+}
+
+std::optional<std::string> TakeBase(Follower& follower, FleetState state) {
+  if (!NeedsBase(follower)) {
+    return "no state is needed";
+  }
+  const core::LogOffset kept = std::max(follower.earliest, follower.kept_from);
+  if (state.next < kept || state.next > follower.read_from) {
+    return "the state ends at offset " + std::to_string(state.next.value) +
+           ", the log has " + std::to_string(kept.value) + " to " +
+           std::to_string(follower.read_from.value);
+  }
+  follower.earliest = kept;
+  internal::StartLoading(follower, std::move(state));
+  return std::nullopt;
+}
+
 std::optional<std::string> WhyNotReady(const Follower& follower) {
   if (follower.ready) {
     return std::nullopt;
--- a/src/camphormux/state/follower.hpp
+++ b/src/camphormux/state/follower.hpp
@@ -70,6 +70,19 @@
 /// @param earliest The earliest offset that is kept.
 void OnBelowEarliest(Follower& follower, core::LogOffset earliest);
 
+/// @brief Tells whether the log was searched in vain for a snapshot, so that
+/// the state of another process would help.
+/// @param follower The follower.
+[[nodiscard]] bool NeedsBase(const Follower& follower);
+
+/// @brief Takes the complete state of another process in place of a snapshot.
+/// It is served after the records that follow it were read.
+/// @param follower The follower.
+/// @param state The state.
+/// @return Why the state does not fit the log, or nothing.
+[[nodiscard]] std::optional<std::string> TakeBase(Follower& follower,
+                                                  FleetState state);
+
 /// @brief Tells whether the served state is complete.
 /// @param follower The follower.
 /// @return Why it is not, for /readyz; nothing if it is.
--- a/src/camphormux/state/tailer.cpp
+++ b/src/camphormux/state/tailer.cpp
@@ -33,10 +33,19 @@
     const core::MonotonicTime sent = core::MonotonicNow();
     port.read(log::kStateStream, follower.read_from, internal::kReadBytes,
               internal::kReadWait,
-              [weak = weak_from_this(), sent](const log::ReadAnswer& answer) {
-                if (const auto self = weak.lock()) {
-                  self->OnAnswer(sent, answer);
+              [weak = weak_from_this(), sent,
+               from = follower.read_from](const log::ReadAnswer& answer) {
+                const auto self = weak.lock();
+                if (!self) {
+                  return;
                 }
+                // A peer's state was taken meanwhile; the answer skips records
+                // that follow it.
+                if (from != self->follower.read_from) {
+                  self->Read();
+                  return;
+                }
+                self->OnAnswer(sent, answer);
               });
   }
 
@@ -98,6 +107,10 @@
 
 void Tailer::Start() { impl_->Read(); }
 
+std::optional<std::string> Tailer::TakeBase(FleetState base) {
+  return state::TakeBase(impl_->follower, std::move(base));
+}
+
 const FleetState& Tailer::state() const { return impl_->follower.state; }
 
 Readiness Tailer::ready() const {
--- a/src/camphormux/state/tailer.hpp
+++ b/src/camphormux/state/tailer.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -36,6 +37,12 @@
   /// @brief Starts to read; goes on until the tailer is destroyed.
   void Start();
 
+  /// @brief Takes the state of another process while the log holds no complete
+  /// snapshot; see `state::TakeBase`.
+  /// @param base The state.
+  /// @return Why the state does not fit the log, or nothing.
+  [[nodiscard]] std::optional<std::string> TakeBase(FleetState base);
+
   /// @return The state so far.
   [[nodiscard]] const FleetState& state() const;
 
--- a/test/controller/app_test.cpp
+++ b/test/controller/app_test.cpp
@@ -14,7 +14,12 @@
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/appender.hpp"
 #include "camphormux/log/http_port.hpp"
+#include "camphormux/membership/node.hpp"
+#include "camphormux/peer/server.hpp"
+#include "camphormux/recovery/fetch.hpp"
+#include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
+#include "camphormux/state/fold.hpp"
 #include "camphormux/state/tailer.hpp"
 #include "test/controller/fake_fleet.hpp"
 #include "test/platform_standin/service.hpp"
@@ -142,9 +147,9 @@
   EXPECT_GT(reasons.size(), 1U);  // It was not ready at first.
 }
 
-class HandoverTest : public AppTest {
+class SmallFleetTest : public AppTest {
  protected:
-  HandoverTest() : AppTest(/*hosts=*/40) {}
+  SmallFleetTest() : AppTest(/*hosts=*/40) {}
 
   bool Decides(const Settings& settings) {
     const auto answer = Send("GET", settings.admin, "/status");
@@ -154,7 +159,7 @@
 
 // Guards against a zone without decisions for the whole lease time whenever
 // its controller is replaced as planned.
-TEST_F(HandoverTest, AStoppedHolderHandsItsZoneOver) {
+TEST_F(SmallFleetTest, AStoppedHolderHandsItsZoneOver) {
   Publish();
   const Settings settings[] = {SettingsOf("c1"), SettingsOf("c2")};
   std::optional<App> first(std::in_place, loop_, settings[0]);
@@ -177,5 +182,78 @@
   std::cout << "without decisions: " << gap.count() << " ms\n";
 }
 
+/// A process of another zone that follows the log, gives its state to others
+/// and writes no snapshot.
+class Survivor {
+ public:
+  Survivor(asio::io_context& loop, const state::Tailer& tailer)
+      : address(FreeAddress()),
+        members_(
+            loop,
+            membership::MakeView(
+                {{"b1"}, state::ProcessRole::kGateway, {"b"}, address, {1}}, {},
+                {}, core::MonotonicNow()),
+            {}),
+        source_(tailer, {"b1"}),
+        server_(
+            loop, address,
+            [this](const peer::Request& request, const peer::Respond& respond) {
+              if (request.path == recovery::kChunkPath) {
+                source_.Handle(request, respond);
+              } else {
+                members_.Handle(request, respond);
+              }
+            }) {
+    members_.SetReport(tailer.state().next, state::Digest(tailer.state()), "");
+    members_.Start();
+  }
+
+  const core::Address address;
+
+ private:
+  membership::Node members_;
+  recovery::StateSource source_;
+  peer::Server server_;
+};
+
+// Guards against a replaced zone that cannot start although another zone has
+// the state, and against a state that is not put back on the log afterwards.
+TEST_F(SmallFleetTest, AReplacedZoneStartsFromAnotherZonesState) {
+  Publish();
+  std::optional<App> old(std::in_place, loop_, SettingsOf("a1"));
+  old->Start();
+  ASSERT_TRUE(RunUntil([&] { return tailer_.state().hosts.size() == 40; }));
+  bool stopped = false;
+  old->Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil([&] { return stopped; }));
+  old.reset();
+  ASSERT_EQ(Send("PUT", address_, "/control/expire").status, 200);
+  const Survivor survivor(loop_, tailer_);
+  const auto begin = core::MonotonicNow();
+  Settings settings = SettingsOf("a2");
+  settings.seeds = {survivor.address};
+  App fresh(loop_, settings);
+  fresh.Start();
+  std::set<std::string> reasons;
+  ASSERT_TRUE(RunUntil([&] {
+    const auto answer = Send("GET", settings.admin, "/readyz");
+    reasons.insert(answer.body);
+    return answer.status == 200;
+  }));
+  std::cout << "ready after "
+            << std::chrono::duration_cast<core::Millis>(core::MonotonicNow() -
+                                                        begin)
+                   .count()
+            << " ms\n";
+  EXPECT_GT(reasons.size(), 1U);  // It was not ready at first.
+  EXPECT_TRUE(RunUntil([&] {
+    const state::Follower& read = tailer_.follower();
+    return read.last_snapshot && read.last_snapshot->at >= read.kept_from &&
+           Decides(settings);
+  }));
+  EXPECT_EQ(tailer_.state().text.revision.value, 1U);
+  EXPECT_EQ(tailer_.state().leases.at(kZone).epoch.value, 2U);
+}
+
 }  // namespace
 }  // namespace camphormux::controller
