--- a/src/camphormux/controller/status_format.cpp
+++ b/src/camphormux/controller/status_format.cpp
@@ -33,8 +33,6 @@
                      fmt::gmtime(std::chrono::system_clock::to_time_t(time)));
 }
 
-std::string Hex(std::uint64_t digest) { return fmt::format("{:016x}", digest); }
-
 json LeasesJson(const FleetStatus& status) {
   json list = json::array();
   for (const auto& [zone, lease] : status.leases) {
@@ -133,8 +131,8 @@
       "revision {}, offset {}, digest {}, skipped records {}\n",
       status.process.value, status.zone.value,
       status.idle.empty() ? "decides" : "no decisions: " + status.idle,
-      status.revision.value, status.offset.value, internal::Hex(status.digest),
-      status.skipped_records);
+      status.revision.value, status.offset.value,
+      state::FormatDigest(status.digest), status.skipped_records);
   for (const auto& [zone, lease] : status.leases) {
     text += fmt::format("lease of {}: {}, epoch {}\n", zone.value,
                         lease.holder.value, lease.epoch.value);
@@ -172,7 +170,7 @@
       {"idle_reason", status.idle},
       {"revision", status.revision.value},
       {"offset", status.offset.value},
-      {"digest", internal::Hex(status.digest)},
+      {"digest", state::FormatDigest(status.digest)},
       {"skipped_records", status.skipped_records},
       {"released", status.released},
       {"missing", internal::Names(status.missing)},
@@ -190,10 +188,11 @@
   for (const auto& [id, host] : state.hosts) {
     hosts.push_back(internal::HostJson(host));
   }
-  const nlohmann::json body{{"offset", state.next.value},
-                            {"digest", internal::Hex(state::Digest(state))},
-                            {"revision", state.text.revision.value},
-                            {"hosts", std::move(hosts)}};
+  const nlohmann::json body{
+      {"offset", state.next.value},
+      {"digest", state::FormatDigest(state::Digest(state))},
+      {"revision", state.text.revision.value},
+      {"hosts", std::move(hosts)}};
   return body.dump(2);
 }
 
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "camphormux/routing/endpoint_health.hpp"
+#include "camphormux/state/fold.hpp"
 #include "camphormux/telemetry/log.hpp"
 #include "camphormux/telemetry/metrics.hpp"
 
@@ -257,15 +258,16 @@
       services[name.value]["endpoints"] = routes.endpoints.size();
     }
   }
-  return nlohmann::json{{"process", settings_.process.value},
-                        {"zone", settings_.zone.value},
-                        {"next_offset", table_ ? table_->next.value : 0},
-                        {"revision", table_ ? table_->revision.value : 0},
-                        {"digest", view_.digest ? view_.digest() : 0},
-                        {"view_age_ms", ViewAge().count()},
-                        {"own_zone_only", own_zone_only_},
-                        {"shutting_down", stopping_},
-                        {"services", services}}
+  return nlohmann::json{
+      {"process", settings_.process.value},
+      {"zone", settings_.zone.value},
+      {"next_offset", table_ ? table_->next.value : 0},
+      {"revision", table_ ? table_->revision.value : 0},
+      {"digest", state::FormatDigest(view_.digest ? view_.digest() : 0)},
+      {"view_age_ms", ViewAge().count()},
+      {"own_zone_only", own_zone_only_},
+      {"shutting_down", stopping_},
+      {"services", services}}
       .dump();
 }
 
--- a/src/camphormux/state/digest.cpp
+++ b/src/camphormux/state/digest.cpp
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include "camphormux/state/fold.hpp"
@@ -134,4 +135,8 @@
   return hasher.Value();
 }
 
+std::string FormatDigest(std::uint64_t digest) {
+  return fmt::format("{:016x}", digest);
+}
+
 }  // namespace camphormux::state
--- a/src/camphormux/state/fold.hpp
+++ b/src/camphormux/state/fold.hpp
@@ -37,6 +37,11 @@
 /// @return An xxHash64 value; equal for equal states.
 [[nodiscard]] std::uint64_t Digest(const FleetState& state);
 
+/// @brief Formats a digest for operators, who compare those of processes.
+/// @param digest The digest.
+/// @return 16 hexadecimal digits.
+[[nodiscard]] std::string FormatDigest(std::uint64_t digest);
+
 }  // namespace camphormux::state
 
 #endif  // CAMPHORMUX_STATE_FOLD_HPP_
