--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -11,6 +11,7 @@
 #include "camphormux/controller/admin.hpp"
 #include "camphormux/controller/collector.hpp"
 #include "camphormux/controller/job_view.hpp"
+#include "camphormux/controller/lease_keeper.hpp"
 #include "camphormux/controller/meters.hpp"
 #include "camphormux/controller/outbox.hpp"
 #include "camphormux/controller/platform_client.hpp"
@@ -25,6 +26,9 @@
 #include "camphormux/membership/node.hpp"
 #include "camphormux/ownership/lease.hpp"
 #include "camphormux/peer/server.hpp"
+#include "camphormux/recovery/fetch.hpp"
+#include "camphormux/recovery/state_fetcher.hpp"
+#include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
 #include "camphormux/state/snapshot_writer.hpp"
@@ -84,8 +88,6 @@
   void Tick();
   void Announce();
   void TellMembers();
-  void StepLease(core::MonotonicTime now);
-  void AppendLease(const state::Record& record, core::MonotonicTime sent);
   void StepControl(core::MonotonicTime now);
   void StepJobs(core::MonotonicTime now);
   void CountAnswers();
@@ -95,6 +97,7 @@
   void Report(const StepInput& input, const StepResult& result,
               std::int64_t started);
   void WaitForRecords(core::MonotonicTime deadline, std::function<void()> done);
+  [[nodiscard]] bool IsQuiet() const;
   [[nodiscard]] StatusInput Status() const;
   [[nodiscard]] std::optional<std::string> NotReady() const;
 
@@ -109,11 +112,13 @@
   state::Tailer tailer;
   log::Appender appender;
   state::SnapshotWriter snapshots;
+  recovery::StateSource source;
+  recovery::StateFetcher fetcher;
   Collector collector;
   demand::ServiceIndexes indexes;
   Watch watch;
   dispatch::Runner jobs;
-  ownership::Lease lease;
+  LeaseKeeper lease;
   StepMemory memory;
   StepResult last;
   Meters meters;
@@ -146,10 +151,13 @@
       snapshots(loop, appender, tailer, settings.process,
                 internal::PolicyOf(settings),
                 [this] { return OwnsSnapshots(); }),
+      source(tailer, settings.process),
+      fetcher(loop, tailer, members, random),
       collector(MakePlatformPort(client, settings.platform), settings.zone),
       jobs(loop, port, dispatch::MakeTaskPort(client, settings.platform),
            settings.zone, settings.retention),
-      lease(ownership::MakeLease(settings.zone, settings.process, {}, random)),
+      lease(loop, appender, tailer,
+            ownership::MakeLease(settings.zone, settings.process, {}, random)),
       job_meters(meters.registry),
       spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
       timer(loop) {
@@ -167,6 +175,8 @@
       [this](const peer::Request& request, const peer::Respond& respond) {
         if (request.path == membership::kHeartbeatPath) {
           members.Handle(request, respond);
+        } else if (request.path == recovery::kChunkPath) {
+          source.Handle(request, respond);
         } else {
           respond({peer::kStatusNotFound, ""});
         }
@@ -175,6 +185,7 @@
   tailer.Start();
   snapshots.Start();
   jobs.Start();
+  fetcher.Start();
   Schedule();
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
@@ -205,11 +216,10 @@
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
   UpdateWatch(tailer.state(), now, watch);
-  collector.Poll(tailer.state(), ownership::MayDecide(lease, now).has_value(),
-                 now);
+  collector.Poll(tailer.state(), lease.MayDecide(now).has_value(), now);
   Announce();
   TellMembers();
-  StepLease(now);
+  lease.Step(now);
   if (AllSettled()) {
     pending.reset();
   }
@@ -221,7 +231,7 @@
 
 void App::Impl::StepJobs(core::MonotonicTime now) {
   Observations& seen = collector.seen();
-  seen.lease = ownership::MayDecide(lease, now);
+  seen.lease = lease.MayDecide(now);
   seen.log_read = tailer.last_confirmed_sent();
   const StepInput input{tailer.state(), seen, settings.zone, now,
                         core::WallNow()};
@@ -267,37 +277,9 @@
   }
 }
 
-void App::Impl::StepLease(core::MonotonicTime now) {
-  const auto found = tailer.state().leases.find(settings.zone);
-  ownership::LogView view;
-  view.lease = found == tailer.state().leases.end() ? nullptr : &found->second;
-  if (tailer.at_end()) {
-    view.complete_until = tailer.last_confirmed_sent();
-  }
-  const ownership::LeaseStep step = ownership::Advance(lease, view, now);
-  if (step.claim) {
-    AppendLease(*step.claim, now);
-  }
-  if (step.renew) {
-    AppendLease(*step.renew, now);
-  }
-}
-
-void App::Impl::AppendLease(const state::Record& record,
-                            core::MonotonicTime sent) {
-  appender.Append(
-      state::EncodeRecords({record}),
-      [self = weak_from_this(), sent](const log::AppendResult& result) {
-        const auto impl = self.lock();
-        if (impl && result.has_value()) {
-          ownership::OnAppended(impl->lease, sent);
-        }
-      });
-}
-
 void App::Impl::StepControl(core::MonotonicTime now) {
   Observations& seen = collector.seen();
-  seen.lease = ownership::MayDecide(lease, now);
+  seen.lease = lease.MayDecide(now);
   seen.log_read = tailer.last_confirmed_sent();
   demand::UpdateIndexes(indexes, tailer.state().text);
   seen.gateways = GatewaysOf(members.view(), indexes);
@@ -310,7 +292,7 @@
   seen.answers.clear();
   AppendRecords(result.records);
   // A step may take long; effects need the lease at the time of sending.
-  if (ownership::MayDecide(lease, core::MonotonicNow()) == seen.lease) {
+  if (lease.MayDecide(core::MonotonicNow()) == seen.lease) {
     collector.Send(result.calls);
   }
   last = std::move(result);
@@ -354,7 +336,7 @@
 
 bool App::Impl::OwnsSnapshots() const {
   const core::MonotonicTime now = core::MonotonicNow();
-  return ownership::MayDecide(lease, now) &&
+  return lease.MayDecide(now) &&
          LowestLiveZone(watch, settings.zone, tailer.last_confirmed_sent(),
                         now) == settings.zone;
 }
@@ -406,7 +388,7 @@
   if (stopping) {
     return "the process stops";
   }
-  const state::Readiness readiness = tailer.ready();
+  const state::Readiness readiness = fetcher.ready();
   return readiness.ready ? std::nullopt : std::optional(readiness.reason);
 }
 
@@ -418,9 +400,19 @@
   WaitForRecords(core::MonotonicNow() + internal::kStopLimit, std::move(done));
 }
 
+bool App::Impl::IsQuiet() const {
+  return AllSettled() && !collector.HasCallsInFlight();
+}
+
+// An effect that is still on its way at the limit may reach the platform after
+// another controller's; the lease then expires instead of being released.
 void App::Impl::WaitForRecords(core::MonotonicTime deadline,
                                std::function<void()> done) {
-  if (AllSettled() || core::MonotonicNow() >= deadline) {
+  if (IsQuiet()) {
+    lease.Release(deadline, std::move(done));
+    return;
+  }
+  if (core::MonotonicNow() >= deadline) {
     done();
     return;
   }
--- a/src/camphormux/state/digest.cpp
+++ b/src/camphormux/state/digest.cpp
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include "camphormux/state/fold.hpp"
@@ -144,6 +145,13 @@
     hasher.Add(outcome);
   }
   hasher.Add(state.skipped_records);
+  // Last and only if there is one, so that a state without released leases has
+  // the digest that versions without release records compute.
+  for (const auto& [zone, lease] : state.leases) {
+    if (lease.released) {
+      hasher.Add(zone);
+    }
+  }
   return hasher.Value();
 }
 
@@ -152,4 +160,8 @@
   return Digest(state, cache);
 }
 
+std::string FormatDigest(std::uint64_t digest) {
+  return fmt::format("{:016x}", digest);
+}
+
 }  // namespace camphormux::state
--- a/src/camphormux/state/fold.hpp
+++ b/src/camphormux/state/fold.hpp
@@ -52,6 +52,11 @@
 /// @return The digest.
 [[nodiscard]] std::uint64_t Digest(const FleetState& state, DigestCache& cache);
 
+/// @brief Formats a digest for operators, who compare those of processes.
+/// @param digest The digest.
+/// @return 16 hexadecimal digits.
+[[nodiscard]] std::string FormatDigest(std::uint64_t digest);
+
 }  // namespace camphormux::state
 
 #endif  // CAMPHORMUX_STATE_FOLD_HPP_
--- a/test/controller/app_test.cpp
+++ b/test/controller/app_test.cpp
@@ -2,17 +2,24 @@
 #include "camphormux/controller/app.hpp"
 
 #include <functional>
+#include <iostream>
 #include <optional>
 #include <set>
 #include <string>
 
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/appender.hpp"
 #include "camphormux/log/http_port.hpp"
+#include "camphormux/membership/node.hpp"
+#include "camphormux/peer/server.hpp"
+#include "camphormux/recovery/fetch.hpp"
+#include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
+#include "camphormux/state/fold.hpp"
 #include "camphormux/state/tailer.hpp"
 #include "test/controller/fake_fleet.hpp"
 #include "test/platform_standin/service.hpp"
@@ -44,10 +51,10 @@
 
 class AppTest : public testing::Test {
  protected:
-  AppTest()
+  explicit AppTest(int hosts = kHosts)
       : address_(FreeAddress()),
-        service_(loop_, standin::LogStore(standin::LogLimits{}),
-                 FleetOf(kHosts), std::nullopt, 1),
+        service_(loop_, standin::LogStore(standin::LogLimits{}), FleetOf(hosts),
+                 std::nullopt, 1),
         server_(loop_, address_,
                 [this](const http::ServerRequest& request,
                        const http::Respond& respond) {
@@ -55,7 +62,11 @@
                 }),
         client_(loop_),
         port_(log::MakeHttpPort(client_, address_)),
-        tailer_(loop_, port_, [](const state::FleetState&) {}) {
+        tailer_(loop_, port_, [this](const state::FleetState& state) {
+          const auto lease = state.leases.find(kZone);
+          released_ = released_ ||
+                      (lease != state.leases.end() && lease->second.released);
+        }) {
     tailer_.Start();
   }
 
@@ -108,6 +119,7 @@
   http::Server server_;
   http::Client client_;
   log::LogPort port_;
+  bool released_ = false;  ///< A released lease was read.
   state::Tailer tailer_;
 };
 
@@ -135,5 +147,113 @@
   EXPECT_GT(reasons.size(), 1U);  // It was not ready at first.
 }
 
+class SmallFleetTest : public AppTest {
+ protected:
+  SmallFleetTest() : AppTest(/*hosts=*/40) {}
+
+  bool Decides(const Settings& settings) {
+    const auto answer = Send("GET", settings.admin, "/status");
+    return nlohmann::json::parse(answer.body).at("deciding").get<bool>();
+  }
+};
+
+// Guards against a zone without decisions for the whole lease time whenever
+// its controller is replaced as planned.
+TEST_F(SmallFleetTest, AStoppedHolderHandsItsZoneOver) {
+  Publish();
+  const Settings settings[] = {SettingsOf("c1"), SettingsOf("c2")};
+  std::optional<App> first(std::in_place, loop_, settings[0]);
+  first->Start();
+  ASSERT_TRUE(RunUntil([&] { return Decides(settings[0]); }));
+  App second(loop_, settings[1]);
+  second.Start();
+  ASSERT_TRUE(RunUntil(
+      [&] { return Send("GET", settings[1].admin, "/readyz").status == 200; }));
+  EXPECT_FALSE(released_);
+  const auto begin = core::MonotonicNow();
+  bool stopped = false;
+  first->Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil([&] { return stopped; }));
+  first.reset();
+  ASSERT_TRUE(RunUntil([&] { return Decides(settings[1]); }));
+  EXPECT_TRUE(released_);
+  const auto gap =
+      std::chrono::duration_cast<core::Millis>(core::MonotonicNow() - begin);
+  std::cout << "without decisions: " << gap.count() << " ms\n";
+}
+
+/// A process of another zone that follows the log, gives its state to others
+/// and writes no snapshot.
+class Survivor {
+ public:
+  Survivor(asio::io_context& loop, const state::Tailer& tailer)
+      : address(FreeAddress()),
+        members_(
+            loop,
+            membership::MakeView(
+                {{"b1"}, state::ProcessRole::kGateway, {"b"}, address, {1}}, {},
+                {}, core::MonotonicNow()),
+            {}),
+        source_(tailer, {"b1"}),
+        server_(
+            loop, address,
+            [this](const peer::Request& request, const peer::Respond& respond) {
+              if (request.path == recovery::kChunkPath) {
+                source_.Handle(request, respond);
+              } else {
+                members_.Handle(request, respond);
+              }
+            }) {
+    members_.SetReport(tailer.state().next, state::Digest(tailer.state()), "");
+    members_.Start();
+  }
+
+  const core::Address address;
+
+ private:
+  membership::Node members_;
+  recovery::StateSource source_;
+  peer::Server server_;
+};
+
+// Guards against a replaced zone that cannot start although another zone has
+// the state, and against a state that is not put back on the log afterwards.
+TEST_F(SmallFleetTest, AReplacedZoneStartsFromAnotherZonesState) {
+  Publish();
+  std::optional<App> old(std::in_place, loop_, SettingsOf("a1"));
+  old->Start();
+  ASSERT_TRUE(RunUntil([&] { return tailer_.state().hosts.size() == 40; }));
+  bool stopped = false;
+  old->Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil([&] { return stopped; }));
+  old.reset();
+  ASSERT_EQ(Send("PUT", address_, "/control/expire").status, 200);
+  const Survivor survivor(loop_, tailer_);
+  const auto begin = core::MonotonicNow();
+  Settings settings = SettingsOf("a2");
+  settings.seeds = {survivor.address};
+  App fresh(loop_, settings);
+  fresh.Start();
+  std::set<std::string> reasons;
+  ASSERT_TRUE(RunUntil([&] {
+    const auto answer = Send("GET", settings.admin, "/readyz");
+    reasons.insert(answer.body);
+    return answer.status == 200;
+  }));
+  std::cout << "ready after "
+            << std::chrono::duration_cast<core::Millis>(core::MonotonicNow() -
+                                                        begin)
+                   .count()
+            << " ms\n";
+  EXPECT_GT(reasons.size(), 1U);  // It was not ready at first.
+  EXPECT_TRUE(RunUntil([&] {
+    const state::Follower& read = tailer_.follower();
+    return read.last_snapshot && read.last_snapshot->at >= read.kept_from &&
+           Decides(settings);
+  }));
+  EXPECT_EQ(tailer_.state().text.revision.value, 1U);
+  EXPECT_EQ(tailer_.state().leases.at(kZone).epoch.value, 2U);
+}
+
 }  // namespace
 }  // namespace camphormux::controller
