Report drains and load changes to lease holders at once

A surge of 8 s was over before hosts arrived. A gateway now sends a heartbeat to a zone's lease holder when it has applied a drain of the zone, and to all holders when its load changed clearly.

Controllers now step when an answer, a report or a record arrives that a step may wait for, at most every 50 ms, and assign released hosts in every step instead of once in a plan period.

The interleaving test found that sizes of an older text must not be used for assignments; they are not.

--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/controller/app.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <random>
@@ -42,6 +43,8 @@
 /// Heartbeats carry the digest once a second; computing it more often costs
 /// milliseconds of a large state for nothing.
 constexpr core::Millis kReportPeriod = std::chrono::seconds(1);
+/// Shortest time between two steps; bounds the processor time that events cost.
+constexpr core::Millis kStepGap{50};
 
 membership::View NewView(const Settings& settings,
                          core::Incarnation incarnation) {
@@ -78,7 +81,8 @@
   void Start();
   void Stop(std::function<void()> done);
   void Close();
-  void Schedule();
+  void Schedule(core::Millis delay);
+  void StepSoon();
   void Tick();
   void Announce();
   void TellMembers();
@@ -114,6 +118,7 @@
   Meters meters;
   telemetry::SpanExporter spans;
   asio::steady_timer timer;
+  core::MonotonicTime last_tick;
   std::optional<PendingStep> pending;
   std::optional<http::Server> admin;
   core::LogOffset told_offset;
@@ -134,12 +139,18 @@
           core::WallNow().time_since_epoch().count())},
       members(loop, internal::NewView(settings, incarnation),
               internal::LogTransition),
-      tailer(loop, port, [](const state::FleetState&) {}),
+      tailer(loop, port,
+             [this](const state::FleetState&) {
+               if (pending) {
+                 StepSoon();
+               }
+             }),
       appender(loop, port, log::kStateStream),
       snapshots(loop, appender, tailer, settings.process,
                 internal::PolicyOf(settings),
                 [this] { return OwnsSnapshots(); }),
-      collector(MakePlatformPort(client, settings.platform), settings.zone),
+      collector(MakePlatformPort(client, settings.platform), settings.zone,
+                [this] { StepSoon(); }),
       lease(ownership::MakeLease(settings.zone, settings.process, {}, random)),
       spans("camphormux-controller", settings.trace_file, internal::kSpanQueue),
       timer(loop) {
@@ -157,6 +168,9 @@
       [this](const peer::Request& request, const peer::Respond& respond) {
         if (request.path == membership::kHeartbeatPath) {
           members.Handle(request, respond);
+          if (!memory.drain_seen.empty()) {
+            StepSoon();
+          }
         } else {
           respond({peer::kStatusNotFound, ""});
         }
@@ -164,7 +178,7 @@
   members.Start();
   tailer.Start();
   snapshots.Start();
-  Schedule();
+  Schedule(settings.step);
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
 }
@@ -180,19 +194,29 @@
   }
 }
 
-void App::Impl::Schedule() {
-  timer.expires_after(settings.step);
+void App::Impl::Schedule(core::Millis delay) {
+  timer.expires_after(delay);
   timer.async_wait([self = weak_from_this()](const asio::error_code& error) {
     const auto impl = self.lock();
     if (!error && impl && !impl->stopping) {
       impl->Tick();
-      impl->Schedule();
+      impl->Schedule(impl->settings.step);
     }
   });
 }
 
+/// Steps before its time because something happened that a step may wait for.
+void App::Impl::StepSoon() {
+  const core::Millis gap = std::max(
+      core::Millis{0}, last_tick + internal::kStepGap - core::MonotonicNow());
+  if (!stopping && timer.expiry() > std::chrono::steady_clock::now() + gap) {
+    Schedule(gap);
+  }
+}
+
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
+  last_tick = now;
   UpdateWatch(tailer.state(), now, watch);
   collector.Poll(tailer.state(), now);
   Announce();
@@ -316,6 +340,7 @@
       if (!result.has_value()) {
         impl->meters.append_failures.Increment();
       }
+      impl->StepSoon();
     });
   }
 }
--- a/src/camphormux/controller/collector.cpp
+++ b/src/camphormux/controller/collector.cpp
@@ -27,13 +27,25 @@
   return IsSteady(host) ? kSteadyPeriod : kMovingPeriod;
 }
 
+/// Whether two reports show a host in the same condition.
+bool Same(const HostReport& a, const HostReport& b) {
+  return a.known == b.known && a.pool == b.pool &&
+         a.generation == b.generation && a.draining == b.draining &&
+         a.active_requests == b.active_requests && a.boot_id == b.boot_id;
+}
+
 }  // namespace internal
 
-Collector::Collector(PlatformPort port, core::ZoneName zone)
+Collector::Collector(PlatformPort port, core::ZoneName zone,
+                     std::function<void()> on_news)
     : port_(std::move(port)),
       zone_(std::move(zone)),
       seen_(std::make_shared<Observations>()),
-      pending_(std::make_shared<Pending>()) {}
+      pending_(std::make_shared<Pending>()) {
+  pending_->on_news = std::move(on_news);
+}
+
+Collector::~Collector() { pending_->on_news = nullptr; }
 
 void Collector::Poll(const state::FleetState& state, core::MonotonicTime now) {
   AskList(now);
@@ -44,7 +56,7 @@
         continue;
       }
       const auto asked = report_asked_.find(id);
-      if (asked == report_asked_.end() ||
+      if (asked == report_asked_.end() || pending_->called.contains(id) ||
           now - asked->second >= internal::PeriodOf(host, *seen_)) {
         AskReport(id, now);
       }
@@ -76,20 +88,31 @@
       !pending_->reports.insert(host).second) {
     return;
   }
+  const bool follows_call = pending_->called.erase(host) > 0;
   report_asked_[host] = now;
-  port_.report(host, [seen = seen_, pending = pending_,
-                      host](std::optional<HostReport> report) {
+  port_.report(host, [seen = seen_, pending = pending_, host,
+                      follows_call](std::optional<HostReport> report) {
     pending->reports.erase(host);
-    if (report) {
-      seen->reports[host] = std::move(*report);
+    if (!report) {
+      return;
+    }
+    const auto known = seen->reports.find(host);
+    // A report that follows a call may end a phase without showing a change.
+    const bool news = follows_call || known == seen->reports.end() ||
+                      !internal::Same(known->second, *report);
+    seen->reports[host] = std::move(*report);
+    if (news) {
+      pending->TellNews();
     }
   });
 }
 
 void Collector::Send(const std::vector<PlatformCall>& calls) {
   for (const PlatformCall& call : calls) {
-    port_.send(call, [seen = seen_](CallAnswer answer) {
+    port_.send(call, [seen = seen_, pending = pending_](CallAnswer answer) {
+      pending->called.insert(answer.call.host);
       seen->answers.push_back(std::move(answer));
+      pending->TellNews();
     });
   }
 }
--- a/src/camphormux/controller/collector.hpp
+++ b/src/camphormux/controller/collector.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
 #define CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,7 +20,13 @@
  public:
   /// @param port Access to the platform.
   /// @param zone Zone whose hosts are asked for.
-  Collector(PlatformPort port, core::ZoneName zone);
+  /// @param on_news Called when a call was answered or a report shows a change,
+  /// so that a step may find something to do.
+  Collector(PlatformPort port, core::ZoneName zone,
+            std::function<void()> on_news);
+  ~Collector();
+  Collector(const Collector&) = delete;
+  Collector& operator=(const Collector&) = delete;
 
   /// @brief Starts the questions that are due.
   /// @param state The shared state.
@@ -41,6 +48,15 @@
   struct Pending {
     bool list = false;
     std::set<core::HostId> reports;
+    /// Hosts that took a call since their last report, which shows its effect.
+    std::set<core::HostId> called;
+    std::function<void()> on_news;  ///< Empty once the collector is gone.
+
+    void TellNews() const {
+      if (on_news) {
+        on_news();
+      }
+    }
   };
 
   void AskList(core::MonotonicTime now);
--- a/src/camphormux/controller/plan.cpp
+++ b/src/camphormux/controller/plan.cpp
@@ -189,6 +189,28 @@
                        result.records.end());
 }
 
+/// Gives released hosts a pool by the sizes of the last plan: a host without a
+/// pool serves nobody, so it does not wait for the next plan.
+void AssignReleased(const StepInput& input, const Plan& last,
+                    StepResult& result) {
+  const std::vector<Host> hosts = StayingHosts(input);
+  const bool any = std::any_of(
+      hosts.begin(), hosts.end(),
+      [](const Host& host) { return host.phase == HostPhase::kReleased; });
+  if (!any) {
+    return;
+  }
+  const HostSet missing(result.missing.begin(), result.missing.end());
+  const HostSet changed = ChangedHosts(result);
+  const std::size_t first_planned = result.records.size();
+  RecordMaker make(input, result);
+  for (const moves::Move& move :
+       PlanMoves(input, hosts, missing, last.sizes).assignments) {
+    make.Assign(move.host, move.to);
+  }
+  KeepFirstPerHost(changed, first_planned, result);
+}
+
 }  // namespace internal
 
 std::map<core::ServiceName, sizing::DemandSample> SumDemand(
@@ -212,9 +234,14 @@
 void PlanZone(const StepInput& input, StepMemory& memory, StepResult& result) {
   PlanMemory& plan = memory.plan;
   if (plan.planned_at && input.now - *plan.planned_at < kPlanPeriod) {
+    // Sizes for an older text may name services that the text has no longer.
+    if (plan.revision == input.state.text.revision) {
+      internal::AssignReleased(input, plan.last, result);
+    }
     return;
   }
   plan.planned_at = input.now;
+  plan.revision = input.state.text.revision;
   result.planned = true;
   const internal::HostSet missing(result.missing.begin(), result.missing.end());
   const std::vector<state::Host> hosts = internal::StayingHosts(input);
--- a/src/camphormux/controller/plan.hpp
+++ b/src/camphormux/controller/plan.hpp
@@ -6,6 +6,7 @@
 namespace camphormux::controller {
 
 /// Time between plans. Sizing smooths its figures over samples of a second.
+/// Released hosts are assigned in every step.
 inline constexpr core::Millis kPlanPeriod = std::chrono::seconds(1);
 
 /// @brief Decides sizes, moves and maintenance of the zone when the last plan
--- a/src/camphormux/controller/plan_memory.hpp
+++ b/src/camphormux/controller/plan_memory.hpp
@@ -24,6 +24,7 @@
   sizing::SizingState sizing;
   Plan last;
   std::optional<core::MonotonicTime> planned_at;
+  core::Revision revision;  ///< Of the text that the last plan follows.
   std::set<core::HostId> may_restart;  ///< Of the last plan.
 };
 
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include "camphormux/gateway/app_metrics.hpp"
 #include "camphormux/gateway/demand_meter.hpp"
 #include "camphormux/gateway/gateway.hpp"
+#include "camphormux/gateway/holder_news.hpp"
 #include "camphormux/gateway/key_store_bridge.hpp"
 #include "camphormux/gateway/leaving_reader.hpp"
 #include "camphormux/http/client.hpp"
@@ -63,6 +65,9 @@
   void Announce();
   void Introduce();
   void Report();
+  void SetReport();
+  void TellHolders();
+  void ScheduleNews();
   [[nodiscard]] std::optional<core::Address> Locate(
       const core::ProcessId& process) const;
   [[nodiscard]] StateView View() const;
@@ -82,7 +87,11 @@
   state::SnapshotWriter snapshots;
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
+  asio::steady_timer news_timer;
+  bool news_scheduled = false;
   DemandMeter demand;
+  demand::Summary last_demand;
+  HolderNews news;
   /// Offset and digest that heartbeats tell: of a state that all traffic
   /// threads use.
   core::LogOffset told_offset;
@@ -106,16 +115,19 @@
       keys(control, port, internal::KeyOptions(settings, incarnation),
            [this](const core::ProcessId& process) { return Locate(process); }),
       gateway(control, settings, registry, MakeKeyStoreFactory(control, keys)),
-      tailer(
-          control, port,
-          [this](const state::FleetState& state) { gateway.Publish(state); }),
+      tailer(control, port,
+             [this](const state::FleetState& state) {
+               gateway.Publish(state);
+               ScheduleNews();
+             }),
       leaving(control, client, settings.platform, *registry,
               {[this]() -> const state::FleetState& { return tailer.state(); },
                [this](const auto& hosts) { gateway.SetLeaving(hosts); }},
               core::SeededRandom(std::random_device{}())),
       snapshots(control, appender, tailer, settings.process, {},
                 [] { return false; }),
-      timer(control) {
+      timer(control),
+      news_timer(control) {
   gateway.SetView(View());
   if (settings.peer) {
     peer_server.emplace(
@@ -202,6 +214,13 @@
 }
 
 void App::Impl::Report() {
+  last_demand =
+      Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow());
+  SetReport();
+  TellHolders();
+}
+
+void App::Impl::SetReport() {
   const state::FleetState& state = tailer.state();
   // Controllers release a drained host on this report, so it must not tell an
   // offset that some traffic thread has not applied.
@@ -211,9 +230,39 @@
   }
   members.SetReport(
       told_offset, told_digest,
-      demand::EncodeSummary(
-          Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow()),
-          membership::kMaxPayloadBytes));
+      demand::EncodeSummary(last_demand, membership::kMaxPayloadBytes));
+}
+
+void App::Impl::TellHolders() {
+  const core::LogOffset next = tailer.state().next;
+  const core::LogOffset applied =
+      gateway.applied() == next ? next : told_offset;
+  const std::set<core::ProcessId> holders =
+      HoldersToTell(tailer.state(), applied, last_demand, news);
+  if (!holders.empty()) {
+    SetReport();
+    members.Tell(holders);
+  }
+}
+
+/// Tells of a new state soon after the traffic threads applied it.
+void App::Impl::ScheduleNews() {
+  if (news_scheduled || !settings.peer) {
+    return;
+  }
+  news_scheduled = true;
+  news_timer.expires_after(kShortestNewsGap);
+  news_timer.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    news_scheduled = false;
+    if (gateway.applied() == tailer.state().next) {
+      TellHolders();
+    } else {
+      ScheduleNews();
+    }
+  });
 }
 
 App::App(asio::io_context& control, const GatewaySettings& settings)
--- a/src/camphormux/membership/node.cpp
+++ b/src/camphormux/membership/node.cpp
@@ -147,6 +147,19 @@
   }
 }
 
+void Node::Tell(const std::set<core::ProcessId>& receivers) {
+  // Receivers take a report only if its sequence is above the one they have.
+  ++impl_->view.report.sequence;
+  const core::MonotonicTime now = core::MonotonicNow();
+  for (const core::ProcessId& process : receivers) {
+    const auto member = impl_->view.members.find(process);
+    if (member != impl_->view.members.end() &&
+        member->second.health != Health::kDead) {
+      impl_->Send({process, member->second.identity.address}, now);
+    }
+  }
+}
+
 void Node::AddPresence(const Identity& identity) {
   impl_->Announce(Introduce(impl_->view, identity, core::MonotonicNow()));
 }
--- a/src/camphormux/membership/node.hpp
+++ b/src/camphormux/membership/node.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -45,6 +46,11 @@
   void SetReport(core::LogOffset applied, std::uint64_t digest,
                  std::string payload);
 
+  /// @brief Sends the present report to some members at once, apart from the
+  /// rounds, which pass a report on between zones within seconds only.
+  /// @param receivers The members; unknown and dead ones are left out.
+  void Tell(const std::set<core::ProcessId>& receivers);
+
   /// @brief Takes in a process that announced itself on the log.
   /// @param identity The process.
   void AddPresence(const Identity& identity);
