Estimate the run time of requests as a ratio of sums

The first sample, of a few requests at the start of a run, was taken as the estimate and smoothed with weight 0.1: under surge the run time of 0.20 s was 0.35 s after 10 s, and a burst that needs 81 slots was planned with 208. Requests in slots and their rate are now smoothed each, with the plain mean of the first 10 samples.

--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -101,10 +101,13 @@
   if (!usable) {
     return;
   }
-  const double observed = sample.running / then->per_s;
-  memory.service_time_s = memory.service_time_s <= 0.0
-                              ? observed
-                              : Smooth(memory.service_time_s, observed);
+  // The ratio of sums, not the mean of ratios: a first sample of few requests
+  // may be far off and would stay in a smoothed ratio for many samples.
+  ++memory.calm_samples;
+  const double weight = std::max(kSmoothing, 1.0 / memory.calm_samples);
+  memory.calm_running = Smooth(memory.calm_running, sample.running, weight);
+  memory.calm_per_s = Smooth(memory.calm_per_s, then->per_s, weight);
+  memory.service_time_s = memory.calm_running / memory.calm_per_s;
 }
 
 double ServiceTime(const ServiceMemory& memory) {
--- a/src/camphormux/sizing/sizing.hpp
+++ b/src/camphormux/sizing/sizing.hpp
@@ -42,6 +42,9 @@
   /// Past steps, to compare a lagging report with the rate of its time.
   std::deque<StartedRate> history;
   double service_time_s = 0.0;     ///< Estimate; 0 when unknown.
+  double calm_running = 0.0;       ///< Smoothed requests in slots ...
+  double calm_per_s = 0.0;         ///< ... and rate that caused them.
+  int calm_samples = 0;            ///< Samples in both.
   double external_per_s = 0.0;     ///< Calm arrivals that no service made.
   double calm_slots = 0.0;         ///< Smoothed demand between surges.
   double previous_slots = 0.0;     ///< Demand of the previous step.
