Do not count a rise of less than a host as a surge

Between bursts a service fills about 4 slots; random arrivals doubled that every few seconds, which started a surge, was remembered as its peak and kept the leading edge of the first real surge from being planned ahead (52 slots seen, 52 planned, of 80 that came).

--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -55,9 +55,6 @@
 /// Reports that are older teach nothing.
 constexpr core::Millis kLongestReportAge = std::chrono::seconds(30);
 constexpr double kDefaultServiceTimeSeconds = 0.1;
-/// Below this many slots a rise is no surge.
-constexpr double kMinSurgeSlots = 2.0;
-
 using Rates = std::map<core::ServiceName, double>;
 
 DemandSample SampleOf(const SizingInput& input, const core::ServiceName& name) {
@@ -177,10 +174,13 @@
 
 /// Follows a service's own surges, without the calls of other services, and
 /// returns the slots to plan for.
-double PlanSlots(double slots, core::MonotonicTime now, ServiceMemory& memory) {
+double PlanSlots(double slots, int slots_per_host, core::MonotonicTime now,
+                 ServiceMemory& memory) {
   const bool known = memory.calm_slots > 0.0;
+  // A rise of less than a host is noise of small demand. As a surge it would
+  // be remembered, and a real surge's leading edge would be planned by it.
   const bool rise = known && slots > kSurgeRatio * memory.calm_slots &&
-                    slots > kMinSurgeSlots;
+                    slots > memory.calm_slots + slots_per_host;
   const bool fallen = slots < kSurgeEndShare * memory.surge_level_slots;
   const bool lasting =
       memory.surging && now - *memory.surge_start > kLongestSurge;
@@ -298,8 +298,9 @@
   // Calls are planned as they are; the surge that causes them is the caller's.
   const double own_slots =
       std::max(0.0, sample.arrivals_per_s - calls) * reason.service_time_s;
-  reason.planned_slots = std::max(0.0, reason.demand_slots - own_slots) +
-                         PlanSlots(own_slots, input.now, memory);
+  reason.planned_slots =
+      std::max(0.0, reason.demand_slots - own_slots) +
+      PlanSlots(own_slots, service.slots_per_host, input.now, memory);
   reason.slots_per_host = service.slots_per_host;
   reason.demand_hosts = HostsFor(reason.planned_slots, service.slots_per_host,
                                  PlannedUse(input.text->policy));
