Give rollout_weight an effect: the time in which a surge's queue is worked off

rollout_weight was checked and changed nothing. It weighs how fast a change is in force; what is late in force at a surge are the requests that queued before its hosts arrived. They were spread over 60 s in all deployments.

Tests for this and for the direct reports, the collector's events and assignments between plans.

--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -16,8 +16,10 @@
 /// A size is raised when demand exceeds this share of its slots; the gap to
 /// the planned use keeps noise from raising it.
 constexpr double kRaiseUse = 1.02;
-/// Time in which a backlog should be worked off.
-constexpr double kBacklogSeconds = 60.0;
+/// Time in which a backlog should be worked off when only roll-out time
+/// counts; a shorter one takes more moves than it saves demand.
+constexpr core::Millis kMinBacklogTime = std::chrono::seconds(9);
+constexpr core::Millis kMaxBacklogTime = std::chrono::minutes(5);
 /// Weight of a new sample in smoothed figures (about 10 samples).
 constexpr double kSmoothing = 0.1;
 /// Demand above this multiple of a surge's level is a rise, not noise.
@@ -114,14 +116,15 @@
 
 /// Slots that arrivals, requests in flight and the backlog fill.
 double DemandSlots(const DemandSample& sample, double arrivals,
-                   double service_time_s) {
+                   double service_time_s, core::Millis backlog_time) {
   const double age_s = static_cast<double>(sample.report_age.count()) / 1000.0;
   // Requests shorter than the report's age ended since; the arrivals of this
   // step show what runs sooner than the mean since the report.
   const double running =
       service_time_s < age_s ? 0.0 : RunningNow(sample, service_time_s);
   const double steady = std::max(arrivals * service_time_s, running);
-  return steady + sample.queued * service_time_s / kBacklogSeconds;
+  const double backlog_s = static_cast<double>(backlog_time.count()) / 1000.0;
+  return steady + sample.queued * service_time_s / backlog_s;
 }
 
 void StartSurge(core::MonotonicTime now, ServiceMemory& memory) {
@@ -294,7 +297,8 @@
   reason.arrivals_per_s = sample.arrivals_per_s;
   reason.from_callers_per_s = calls;
   reason.service_time_s = ServiceTime(memory);
-  reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s);
+  reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s,
+                                    BacklogTime(input.text->policy));
   // Calls are planned as they are; the surge that causes them is the caller's.
   const double own_slots =
       std::max(0.0, sample.arrivals_per_s - calls) * reason.service_time_s;
@@ -336,6 +340,18 @@
                  static_cast<double>(internal::kMaxHold.count())))};
 }
 
+core::Millis BacklogTime(const text::Policy& policy) {
+  const double sum =
+      policy.moves_weight + policy.buffer_weight + policy.rollout_weight;
+  const double longest = static_cast<double>(internal::kMaxBacklogTime.count());
+  const double shortest =
+      static_cast<double>(internal::kMinBacklogTime.count());
+  const double time = policy.rollout_weight > 0.0
+                          ? shortest * sum / policy.rollout_weight
+                          : longest;
+  return core::Millis{static_cast<core::Millis::rep>(std::min(time, longest))};
+}
+
 double PlannedUse(const text::Policy& policy) {
   const double sum = policy.moves_weight + policy.buffer_weight;
   const double moves_share = sum > 0.0 ? policy.moves_weight / sum : 0.5;
--- a/src/camphormux/sizing/sizing.hpp
+++ b/src/camphormux/sizing/sizing.hpp
@@ -140,6 +140,11 @@
 /// @return Longer when moves weigh more than idle hosts.
 [[nodiscard]] core::Millis HoldTime(const text::Policy& policy);
 
+/// @brief Computes in which time a backlog is to be worked off.
+/// @param policy The text's weights.
+/// @return Shorter, which takes more hosts, when roll-out time weighs more.
+[[nodiscard]] core::Millis BacklogTime(const text::Policy& policy);
+
 /// @brief Estimates the requests in slots now from a report that lags.
 /// @param sample The demand sample.
 /// @param service_time_s Mean time of a request in seconds; positive.
--- /dev/null
+++ b/test/controller/collector_test.cpp
@@ -0,0 +1,65 @@
+#include "camphormux/controller/collector.hpp"
+
+#include <gtest/gtest.h>
+
+#include "test/controller/fake_fleet.hpp"
+
+namespace camphormux::controller {
+namespace {
+
+/// Platform that answers when the test says so.
+struct HeldAnswers {
+  std::vector<std::function<void(std::optional<HostReport>)>> reports;
+  std::vector<std::function<void(CallAnswer)>> calls;
+
+  PlatformPort Port() {
+    return {[](const auto& done) { done(std::nullopt); },
+            [this](const core::HostId&, auto done) {
+              reports.push_back(std::move(done));
+            },
+            [this](const PlatformCall&, auto done) {
+              calls.push_back(std::move(done));
+            }};
+  }
+};
+
+state::FleetState OneAssignedHost() {
+  state::FleetState state;
+  state::Host host;
+  host.id = {"h"};
+  host.zone = kZone;
+  host.phase = state::HostPhase::kAssigned;
+  state.hosts[host.id] = host;
+  return state;
+}
+
+// Guards against a phase that waits for the next regular question after its
+// call was answered, and against a callback into a collector that is gone.
+TEST(CollectorTest, AsksAtOnceAfterACallAndTellsOfNews) {
+  HeldAnswers platform;
+  const state::FleetState state = OneAssignedHost();
+  const core::MonotonicTime now{std::chrono::hours(1)};
+  int news = 0;
+  std::optional<Collector> collector;
+  collector.emplace(platform.Port(), kZone, [&news] { ++news; });
+  collector->Poll(state, now);
+  ASSERT_EQ(platform.reports.size(), 1U);
+  platform.reports[0](HostReport{});
+  EXPECT_EQ(news, 1);
+  const PlatformCall call{CallKind::kPool, {"h"}, {}, {}, {}, {}, {}};
+  collector->Send({call, call});
+  platform.calls[0]({call, CallOutcome::kDone, now});
+  EXPECT_EQ(news, 2);
+  collector->Poll(state, now);
+  ASSERT_EQ(platform.reports.size(), 2U);
+  platform.reports[1](HostReport{});  // The same again, but after the call.
+  EXPECT_EQ(news, 3);
+  collector->Poll(state, now);
+  EXPECT_EQ(platform.reports.size(), 2U);
+  collector.reset();
+  platform.calls[1]({call, CallOutcome::kDone, now});
+  EXPECT_EQ(news, 3);
+}
+
+}  // namespace
+}  // namespace camphormux::controller
--- a/test/controller/plan_test.cpp
+++ b/test/controller/plan_test.cpp
@@ -64,6 +64,53 @@
   EXPECT_GE(CountAdmitted(controller.state, "spare"), 1);
 }
 
+bool AnyReleased(const state::FleetState& state) {
+  return std::any_of(state.hosts.begin(), state.hosts.end(),
+                     [](const auto& item) {
+                       return item.second.phase == HostPhase::kReleased;
+                     });
+}
+
+// Guards against a released host that serves nobody until the next plan, and
+// against assignments by sizes of a text that is no longer in force.
+TEST(PlanTest, AssignsAReleasedHostBetweenPlans) {
+  FakeLog log;
+  FakePlatform platform = MakePlatform(8);
+  FakeController controller{{"c1"}, {}, {}, {}};
+  core::MonotonicTime now{std::chrono::hours(1)};
+  log.Append({PublishOf("1", {}, TextWith(2))});
+  controller.Claim(log);
+  const auto step = [&] {
+    now += core::Millis(20);
+    controller.seen.gateways = {GatewayWith(controller, 0.0, 0.0)};
+    RunStep(controller, log, platform, now);
+    log.Read(controller.state, log.records.size());
+  };
+  for (int i = 0; i < 100; ++i) {
+    step();
+  }
+  const auto publish = [&](core::Revision base, const std::string& text) {
+    log.Append({PublishOf(std::to_string(base.value + 1), base, text)});
+  };
+  const auto step_until_released = [&] {
+    for (int i = 0; i < 1000 && !AnyReleased(controller.state); ++i) {
+      step();
+    }
+    ASSERT_TRUE(AnyReleased(controller.state));
+  };
+  publish({1}, TextWith(6));
+  step_until_released();
+  step();
+  EXPECT_FALSE(AnyReleased(controller.state));
+  publish({2}, TextWith(7));
+  step_until_released();
+  // The next step is before the next plan and knows a newer text.
+  std::string text = TextWith(7);
+  publish({3}, text.replace(text.find("service web"), 11, "service shop"));
+  step();
+  EXPECT_TRUE(AnyReleased(controller.state));
+}
+
 // Guards against a due host that is never maintained, or a wave that takes a
 // service below its budget.
 TEST(PlanTest, MaintainsEveryHostWithinThePeriod) {
--- a/test/membership/node_test.cpp
+++ b/test/membership/node_test.cpp
@@ -14,7 +14,8 @@
 
 Running StartNode(asio::io_context& loop, const std::string& name,
                   std::vector<core::Address> seeds,
-                  std::function<void(const Transition&)> on_transition) {
+                  std::function<void(const Transition&)> on_transition,
+                  core::Millis interval = core::Millis(20)) {
   Running running;
   auto node = std::make_shared<Node*>(nullptr);
   running.server = std::make_unique<peer::Server>(
@@ -23,7 +24,7 @@
         (*node)->Handle(request, respond);
       });
   Config config;
-  config.interval = core::Millis(20);
+  config.interval = interval;
   const Identity self{{name},
                       state::ProcessRole::kGateway,
                       {"north"},
@@ -68,5 +69,33 @@
   EXPECT_TRUE(dead);
 }
 
+// Guards against a direct report that waits for the next round, or that the
+// receiver drops as old.
+TEST(NodeTest, TellsAReportBetweenRounds) {
+  asio::io_context loop;
+  const core::Millis interval = std::chrono::hours(1);
+  Running first = StartNode(loop, "a", {}, nullptr, interval);
+  const core::Address seed = first.node->view().self.address;
+  Running second = StartNode(loop, "b", {seed}, nullptr, interval);
+  const auto run_until = [&loop](const auto& done) {
+    for (int i = 0; i < 20'000 && !done(); ++i) {
+      loop.run_one_for(std::chrono::milliseconds(10));
+    }
+    return done();
+  };
+  ASSERT_TRUE(run_until([&] {
+    return first.node->view().members.contains({"b"}) &&
+           second.node->view().members.contains({"a"});
+  }));
+  for (const std::uint64_t offset : {7U, 8U}) {
+    second.node->SetReport({offset}, 1, "");
+    second.node->Tell({{"a"}, {"unknown"}});
+    EXPECT_TRUE(run_until([&] {
+      return first.node->view().members.at({"b"}).report.applied.value ==
+             offset;
+    }));
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::membership
--- a/test/sizing/sizing_test.cpp
+++ b/test/sizing/sizing_test.cpp
@@ -101,6 +101,49 @@
   EXPECT_GE(Needed(size), Filled(900));
 }
 
+// Guards against a first sample of few requests that stays the estimate and
+// makes a surge several times as large.
+TEST(DecideSizesTest, ForgetsAnOddFirstSample) {
+  Stepper stepper;
+  stepper.input.demand[{"front"}] = {1.0, 0.0, 0.0, 4.0, {}, 0.0};
+  (void)DecideSizes(stepper.state, stepper.input);
+  for (int i = 0; i < 5; ++i) {
+    stepper.Step("front", 50);
+  }
+  EXPECT_NEAR(stepper.Step("front", 50).reason.service_time_s, 0.1, 0.02);
+}
+
+// Guards against random arrivals between bursts that count as a surge, whose
+// small peak then keeps a real surge from being planned ahead.
+TEST(DecideSizesTest, TakesNoRiseOfLessThanAHostForASurge) {
+  Stepper stepper;
+  for (const int arrivals : {20, 20, 20, 55, 20, 20, 55, 20}) {
+    EXPECT_FALSE(stepper.Step("front", arrivals).surging);
+  }
+  const ServiceSize size = stepper.Step("front", 400);
+  EXPECT_TRUE(size.surging);
+  EXPECT_GT(size.reason.planned_slots, size.reason.demand_slots);
+}
+
+// Guards against a rollout_weight without effect, and against one that takes
+// hosts without bound.
+TEST(DecideSizesTest, WorksOffABacklogFasterForAHighRolloutWeight) {
+  const auto slots = [](double rollout_weight) {
+    Stepper stepper;
+    stepper.text.policy.rollout_weight = rollout_weight;
+    stepper.Step("front", 100);
+    stepper.input.demand[{"front"}].queued = 1000;
+    return stepper.Step("front", 100).reason.demand_slots;
+  };
+  EXPECT_GT(slots(5.0), slots(1.0) + 1.0);
+  EXPECT_GT(slots(1.0), slots(0.0) + 1.0);
+  text::Policy policy;
+  policy.rollout_weight = 1e9;
+  EXPECT_GE(BacklogTime(policy), seconds(8));
+  policy.rollout_weight = 0.0;
+  EXPECT_LE(BacklogTime(policy), seconds(300));
+}
+
 // Guards against a dependency that learns of a caller's surge by overload.
 TEST(DecideSizesTest, PropagatesCallersDemand) {
   Stepper stepper;
