Bound what direct reports and events cost a large fleet

Requests of hosts that serve change in each report, so each report made a step; now only those of draining hosts do.

--- a/src/camphormux/controller/collector.cpp
+++ b/src/camphormux/controller/collector.cpp
@@ -27,11 +27,13 @@
   return IsSteady(host) ? kSteadyPeriod : kMovingPeriod;
 }
 
-/// Whether two reports show a host in the same condition.
+/// Whether two reports mean the same for a step. The requests of a host that
+/// serves change all the time; only a drain waits for them.
 bool Same(const HostReport& a, const HostReport& b) {
+  const bool same_load = !b.draining || a.active_requests == b.active_requests;
   return a.known == b.known && a.pool == b.pool &&
          a.generation == b.generation && a.draining == b.draining &&
-         a.active_requests == b.active_requests && a.boot_id == b.boot_id;
+         same_load && a.boot_id == b.boot_id;
 }
 
 }  // namespace internal
--- a/src/camphormux/controller/plan.cpp
+++ b/src/camphormux/controller/plan.cpp
@@ -193,13 +193,16 @@
 /// pool serves nobody, so it does not wait for the next plan.
 void AssignReleased(const StepInput& input, const Plan& last,
                     StepResult& result) {
-  const std::vector<Host> hosts = StayingHosts(input);
-  const bool any = std::any_of(
-      hosts.begin(), hosts.end(),
-      [](const Host& host) { return host.phase == HostPhase::kReleased; });
+  const bool any =
+      std::any_of(input.state.hosts.begin(), input.state.hosts.end(),
+                  [&](const auto& item) {
+                    return item.second.zone == input.zone &&
+                           item.second.phase == HostPhase::kReleased;
+                  });
   if (!any) {
     return;
   }
+  const std::vector<Host> hosts = StayingHosts(input);
   const HostSet missing(result.missing.begin(), result.missing.end());
   const HostSet changed = ChangedHosts(result);
   const std::size_t first_planned = result.records.size();
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -216,6 +216,12 @@
 void App::Impl::Report() {
   last_demand =
       Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow());
+  const state::FleetState& state = tailer.state();
+  const bool has_digest = state.next == told_offset && told_digest != 0;
+  if (!has_digest && gateway.applied() == state.next) {
+    told_offset = state.next;
+    told_digest = state::Digest(state);
+  }
   SetReport();
   TellHolders();
 }
@@ -224,9 +230,11 @@
   const state::FleetState& state = tailer.state();
   // Controllers release a drained host on this report, so it must not tell an
   // offset that some traffic thread has not applied.
-  if (state.next != told_offset && gateway.applied() == state.next) {
+  if (gateway.applied() == state.next) {
+    // A digest takes milliseconds of a large state, so it is not computed for
+    // each direct report.
+    told_digest = state.next == told_offset ? told_digest : 0;
     told_offset = state.next;
-    told_digest = state::Digest(state);
   }
   members.SetReport(
       told_offset, told_digest,
--- a/src/camphormux/membership/messages.hpp
+++ b/src/camphormux/membership/messages.hpp
@@ -41,8 +41,9 @@
 struct Report {
   std::uint64_t sequence = 0;  ///< Grows within an incarnation; 0 for none.
   core::LogOffset applied;     ///< `next` of its shared state.
-  std::uint64_t digest = 0;    ///< Of its shared state at that offset.
-  std::string payload;         ///< Demand summary or lease view; opaque here.
+  /// Of its shared state at that offset; 0 if it was not computed.
+  std::uint64_t digest = 0;
+  std::string payload;  ///< Demand summary or lease view; opaque here.
 
   friend bool operator==(const Report&, const Report&) = default;
 };
--- a/src/camphormux/membership/node.hpp
+++ b/src/camphormux/membership/node.hpp
@@ -41,7 +41,7 @@
 
   /// @brief Sets what the next heartbeats tell of this process.
   /// @param applied `next` of the shared state.
-  /// @param digest Of the shared state.
+  /// @param digest Of the shared state; 0 if it was not computed.
   /// @param payload At most `kMaxPayloadBytes`; a longer one is left out.
   void SetReport(core::LogOffset applied, std::uint64_t digest,
                  std::string payload);
