--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/controller/app.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <random>
@@ -48,6 +49,8 @@
 /// Heartbeats carry the digest once a second; computing it more often costs
 /// milliseconds of a large state for nothing.
 constexpr core::Millis kReportPeriod = std::chrono::seconds(1);
+/// Shortest time between two steps; bounds the processor time that events cost.
+constexpr core::Millis kStepGap{50};
 
 membership::View NewView(const Settings& settings,
                          core::Incarnation incarnation) {
@@ -84,7 +87,8 @@
   void Start();
   void Stop(std::function<void()> done);
   void Close();
-  void Schedule();
+  void Schedule(core::Millis delay);
+  void StepSoon();
   void Tick();
   void Announce();
   void TellMembers();
@@ -125,6 +129,7 @@
   JobMeters job_meters;
   telemetry::SpanExporter spans;
   asio::steady_timer timer;
+  core::MonotonicTime last_tick;
   std::optional<PendingStep> pending;
   std::optional<http::Server> admin;
   core::LogOffset told_offset;
@@ -146,14 +151,20 @@
           core::WallNow().time_since_epoch().count())},
       members(loop, internal::NewView(settings, incarnation),
               internal::LogTransition),
-      tailer(loop, port, [](const state::FleetState&) {}),
+      tailer(loop, port,
+             [this](const state::FleetState&) {
+               if (pending) {
+                 StepSoon();
+               }
+             }),
       appender(loop, port, log::kStateStream),
       snapshots(loop, appender, tailer, settings.process,
                 internal::PolicyOf(settings),
                 [this] { return OwnsSnapshots(); }),
       source(tailer, settings.process),
       fetcher(loop, tailer, members, random),
-      collector(MakePlatformPort(client, settings.platform), settings.zone),
+      collector(MakePlatformPort(client, settings.platform), settings.zone,
+                [this] { StepSoon(); }),
       jobs(loop, port, dispatch::MakeTaskPort(client, settings.platform),
            settings.zone, settings.retention),
       lease(loop, appender, tailer,
@@ -175,6 +186,9 @@
       [this](const peer::Request& request, const peer::Respond& respond) {
         if (request.path == membership::kHeartbeatPath) {
           members.Handle(request, respond);
+          if (!memory.drain_seen.empty()) {
+            StepSoon();
+          }
         } else if (request.path == recovery::kChunkPath) {
           source.Handle(request, respond);
         } else {
@@ -186,7 +200,7 @@
   snapshots.Start();
   jobs.Start();
   fetcher.Start();
-  Schedule();
+  Schedule(settings.step);
   telemetry::Log(internal::Level::kInfo, "controller started",
                  {{"zone", settings.zone.value}});
 }
@@ -202,19 +216,29 @@
   }
 }
 
-void App::Impl::Schedule() {
-  timer.expires_after(settings.step);
+void App::Impl::Schedule(core::Millis delay) {
+  timer.expires_after(delay);
   timer.async_wait([self = weak_from_this()](const asio::error_code& error) {
     const auto impl = self.lock();
     if (!error && impl && !impl->stopping) {
       impl->Tick();
-      impl->Schedule();
+      impl->Schedule(impl->settings.step);
     }
   });
 }
 
+/// Steps before its time because something happened that a step may wait for.
+void App::Impl::StepSoon() {
+  const core::Millis gap = std::max(
+      core::Millis{0}, last_tick + internal::kStepGap - core::MonotonicNow());
+  if (!stopping && timer.expiry() > std::chrono::steady_clock::now() + gap) {
+    Schedule(gap);
+  }
+}
+
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
+  last_tick = now;
   UpdateWatch(tailer.state(), now, watch);
   collector.Poll(tailer.state(), lease.MayDecide(now).has_value(), now);
   Announce();
@@ -325,6 +349,7 @@
       if (!result.has_value()) {
         impl->meters.append_failures.Increment();
       }
+      impl->StepSoon();
     });
   }
 }
--- a/src/camphormux/controller/collector.hpp
+++ b/src/camphormux/controller/collector.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_CONTROLLER_COLLECTOR_HPP_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,7 +22,13 @@
  public:
   /// @param port Access to the platform.
   /// @param zone Zone whose hosts are asked for.
-  Collector(PlatformPort port, core::ZoneName zone);
+  /// @param on_news Called when a call was answered or a report shows a change,
+  /// so that a step may find something to do.
+  Collector(PlatformPort port, core::ZoneName zone,
+            std::function<void()> on_news);
+  ~Collector();
+  Collector(const Collector&) = delete;
+  Collector& operator=(const Collector&) = delete;
 
   /// @brief Starts the questions that are due. A controller that must not
   /// decide asks nothing and forgets what it saw; when it may decide, it asks
@@ -51,6 +58,15 @@
     bool list = false;
     std::set<core::HostId> reports;
     std::size_t calls = 0;
+    /// Hosts that took a call since their last report, which shows its effect.
+    std::set<core::HostId> called;
+    std::function<void()> on_news;  ///< Empty once the collector is gone.
+
+    void TellNews() const {
+      if (on_news) {
+        on_news();
+      }
+    }
   };
 
   void Forget();
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include "camphormux/gateway/app_metrics.hpp"
 #include "camphormux/gateway/demand_meter.hpp"
 #include "camphormux/gateway/gateway.hpp"
+#include "camphormux/gateway/holder_news.hpp"
 #include "camphormux/gateway/key_store_bridge.hpp"
 #include "camphormux/gateway/leaving_reader.hpp"
 #include "camphormux/http/client.hpp"
@@ -66,6 +68,9 @@
   void Announce();
   void Introduce();
   void Report();
+  void SetReport();
+  void TellHolders();
+  void ScheduleNews();
   [[nodiscard]] std::optional<core::Address> Locate(
       const core::ProcessId& process) const;
   [[nodiscard]] StateView View() const;
@@ -87,8 +92,12 @@
   recovery::StateFetcher fetcher;
   std::optional<peer::Server> peer_server;
   asio::steady_timer timer;
+  asio::steady_timer news_timer;
+  bool news_scheduled = false;
   DemandMeter demand;
   demand::ServiceIndexes indexes;
+  demand::Summary last_demand;
+  HolderNews news;
   /// Offset and digest that heartbeats tell: of a state that all traffic
   /// threads use.
   core::LogOffset told_offset;
@@ -118,6 +127,7 @@
                // Until the log is read to its end the state may be an old one.
                if (tailer.ready().ready) {
                  gateway.Publish(state);
+                 ScheduleNews();
                }
              }),
       leaving(control, client, settings.platform, *registry,
@@ -129,7 +139,8 @@
       source(tailer, settings.process),
       fetcher(control, tailer, members,
               core::SeededRandom(std::random_device{}())),
-      timer(control) {
+      timer(control),
+      news_timer(control) {
   gateway.SetView(View());
   if (settings.peer) {
     peer_server.emplace(
@@ -218,21 +229,67 @@
 }
 
 void App::Impl::Report() {
+  last_demand =
+      Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow());
+  const state::FleetState& state = tailer.state();
+  const bool has_digest = state.next == told_offset && told_digest != 0;
+  if (!has_digest && gateway.applied() == state.next) {
+    told_offset = state.next;
+    told_digest = state::Digest(state, digests);
+  }
+  SetReport();
+  TellHolders();
+}
+
+void App::Impl::SetReport() {
   const state::FleetState& state = tailer.state();
   // Controllers release a drained host on this report, so it must not tell an
   // offset that some traffic thread has not applied.
-  if (state.next != told_offset && gateway.applied() == state.next) {
+  if (gateway.applied() == state.next) {
+    // A digest takes milliseconds of a large state, so it is not computed for
+    // each direct report.
+    told_digest = state.next == told_offset ? told_digest : 0;
     told_offset = state.next;
-    told_digest = state::Digest(state, digests);
   }
   demand::UpdateIndexes(indexes, state.text);
   members.SetReport(
       told_offset, told_digest,
-      demand::EncodeSummary(
-          Measure(demand, SampleLoad(gateway.metrics()), core::MonotonicNow()),
-          indexes.known.empty() ? demand::ServiceIndex{}
-                                : indexes.known.front(),
-          membership::kMaxPayloadBytes));
+      demand::EncodeSummary(last_demand,
+                            indexes.known.empty() ? demand::ServiceIndex{}
+                                                  : indexes.known.front(),
+                            membership::kMaxPayloadBytes));
+}
+
+void App::Impl::TellHolders() {
+  const core::LogOffset next = tailer.state().next;
+  const core::LogOffset applied =
+      gateway.applied() == next ? next : told_offset;
+  const std::set<core::ProcessId> holders =
+      HoldersToTell(tailer.state(), applied, last_demand, news);
+  if (!holders.empty()) {
+    SetReport();
+    members.Tell(holders);
+  }
+}
+
+/// Tells of a new state soon after the traffic threads applied it.
+void App::Impl::ScheduleNews() {
+  if (news_scheduled || !settings.peer) {
+    return;
+  }
+  news_scheduled = true;
+  news_timer.expires_after(kShortestNewsGap);
+  news_timer.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    news_scheduled = false;
+    if (gateway.applied() == tailer.state().next) {
+      TellHolders();
+    } else {
+      ScheduleNews();
+    }
+  });
 }
 
 App::App(asio::io_context& control, const GatewaySettings& settings)
--- a/src/camphormux/membership/node.hpp
+++ b/src/camphormux/membership/node.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -40,11 +41,16 @@
 
   /// @brief Sets what the next heartbeats tell of this process.
   /// @param applied `next` of the shared state.
-  /// @param digest Of the shared state.
+  /// @param digest Of the shared state; 0 if it was not computed.
   /// @param payload At most `kMaxPayloadBytes`; a longer one is left out.
   void SetReport(core::LogOffset applied, std::uint64_t digest,
                  std::string payload);
 
+  /// @brief Sends the present report to some members at once, apart from the
+  /// rounds, which pass a report on between zones within seconds only.
+  /// @param receivers The members; unknown and dead ones are left out.
+  void Tell(const std::set<core::ProcessId>& receivers);
+
   /// @brief Takes in a process that announced itself on the log.
   /// @param identity The process.
   void AddPresence(const Identity& identity);
--- a/src/camphormux/recovery/fetch.cpp
+++ b/src/camphormux/recovery/fetch.cpp
@@ -116,8 +116,9 @@
   std::size_t same = 0;
   std::size_t other = 0;
   for (const auto& [id, member] : view.members) {
+    // A report between two digests has none.
     if (member.health != membership::Health::kDead &&
-        member.report.applied == state.next) {
+        member.report.digest != 0 && member.report.applied == state.next) {
       ++(member.report.digest == digest ? same : other);
     }
   }
--- a/src/camphormux/sizing/sizing.cpp
+++ b/src/camphormux/sizing/sizing.cpp
@@ -16,8 +16,10 @@
 /// A size is raised when demand exceeds this share of its slots; the gap to
 /// the planned use keeps noise from raising it.
 constexpr double kRaiseUse = 1.02;
-/// Time in which a backlog should be worked off.
-constexpr double kBacklogSeconds = 60.0;
+/// Time in which a backlog should be worked off when only roll-out time
+/// counts; a shorter one takes more moves than it saves demand.
+constexpr core::Millis kMinBacklogTime = std::chrono::seconds(9);
+constexpr core::Millis kMaxBacklogTime = std::chrono::minutes(5);
 /// Weight of a new sample in smoothed figures (about 10 samples).
 constexpr double kSmoothing = 0.1;
 /// Demand above this multiple of a surge's level is a rise, not noise.
@@ -55,9 +57,6 @@
 /// Reports that are older teach nothing.
 constexpr core::Millis kLongestReportAge = std::chrono::seconds(30);
 constexpr double kDefaultServiceTimeSeconds = 0.1;
-/// Below this many slots a rise is no surge.
-constexpr double kMinSurgeSlots = 2.0;
-
 using Rates = std::map<core::ServiceName, double>;
 
 DemandSample SampleOf(const SizingInput& input, const core::ServiceName& name) {
@@ -101,10 +100,13 @@
   if (!usable) {
     return;
   }
-  const double observed = sample.running / then->per_s;
-  memory.service_time_s = memory.service_time_s <= 0.0
-                              ? observed
-                              : Smooth(memory.service_time_s, observed);
+  // The ratio of sums, not the mean of ratios: a first sample of few requests
+  // may be far off and would stay in a smoothed ratio for many samples.
+  ++memory.calm_samples;
+  const double weight = std::max(kSmoothing, 1.0 / memory.calm_samples);
+  memory.calm_running = Smooth(memory.calm_running, sample.running, weight);
+  memory.calm_per_s = Smooth(memory.calm_per_s, then->per_s, weight);
+  memory.service_time_s = memory.calm_running / memory.calm_per_s;
 }
 
 double ServiceTime(const ServiceMemory& memory) {
@@ -114,14 +116,15 @@
 
 /// Slots that arrivals, requests in flight and the backlog fill.
 double DemandSlots(const DemandSample& sample, double arrivals,
-                   double service_time_s) {
+                   double service_time_s, core::Millis backlog_time) {
   const double age_s = static_cast<double>(sample.report_age.count()) / 1000.0;
   // Requests shorter than the report's age ended since; the arrivals of this
   // step show what runs sooner than the mean since the report.
   const double running =
       service_time_s < age_s ? 0.0 : RunningNow(sample, service_time_s);
   const double steady = std::max(arrivals * service_time_s, running);
-  return steady + sample.queued * service_time_s / kBacklogSeconds;
+  const double backlog_s = static_cast<double>(backlog_time.count()) / 1000.0;
+  return steady + sample.queued * service_time_s / backlog_s;
 }
 
 void StartSurge(core::MonotonicTime now, ServiceMemory& memory) {
@@ -174,10 +177,13 @@
 
 /// Follows a service's own surges, without the calls of other services, and
 /// returns the slots to plan for.
-double PlanSlots(double slots, core::MonotonicTime now, ServiceMemory& memory) {
+double PlanSlots(double slots, int slots_per_host, core::MonotonicTime now,
+                 ServiceMemory& memory) {
   const bool known = memory.calm_slots > 0.0;
+  // A rise of less than a host is noise of small demand. As a surge it would
+  // be remembered, and a real surge's leading edge would be planned by it.
   const bool rise = known && slots > kSurgeRatio * memory.calm_slots &&
-                    slots > kMinSurgeSlots;
+                    slots > memory.calm_slots + slots_per_host;
   const bool fallen = slots < kSurgeEndShare * memory.surge_level_slots;
   const bool lasting =
       memory.surging && now - *memory.surge_start > kLongestSurge;
@@ -291,12 +297,14 @@
   reason.arrivals_per_s = sample.arrivals_per_s;
   reason.from_callers_per_s = calls;
   reason.service_time_s = ServiceTime(memory);
-  reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s);
+  reason.demand_slots = DemandSlots(sample, arrivals, reason.service_time_s,
+                                    BacklogTime(input.text->policy));
   // Calls are planned as they are; the surge that causes them is the caller's.
   const double own_slots =
       std::max(0.0, sample.arrivals_per_s - calls) * reason.service_time_s;
-  reason.planned_slots = std::max(0.0, reason.demand_slots - own_slots) +
-                         PlanSlots(own_slots, input.now, memory);
+  reason.planned_slots =
+      std::max(0.0, reason.demand_slots - own_slots) +
+      PlanSlots(own_slots, service.slots_per_host, input.now, memory);
   reason.slots_per_host = service.slots_per_host;
   reason.demand_hosts = HostsFor(reason.planned_slots, service.slots_per_host,
                                  PlannedUse(input.text->policy));
@@ -332,6 +340,18 @@
                  static_cast<double>(internal::kMaxHold.count())))};
 }
 
+core::Millis BacklogTime(const text::Policy& policy) {
+  const double sum =
+      policy.moves_weight + policy.buffer_weight + policy.rollout_weight;
+  const double longest = static_cast<double>(internal::kMaxBacklogTime.count());
+  const double shortest =
+      static_cast<double>(internal::kMinBacklogTime.count());
+  const double time = policy.rollout_weight > 0.0
+                          ? shortest * sum / policy.rollout_weight
+                          : longest;
+  return core::Millis{static_cast<core::Millis::rep>(std::min(time, longest))};
+}
+
 double PlannedUse(const text::Policy& policy) {
   const double sum = policy.moves_weight + policy.buffer_weight;
   const double moves_share = sum > 0.0 ? policy.moves_weight / sum : 0.5;
