--- a/bench/slopes/control_slopes.cpp
+++ b/bench/slopes/control_slopes.cpp
@@ -39,10 +39,10 @@
 const Series kMaintenance{"holder: maintenance of a zone, once a second",
                           "ms/s", "hosts of the zone", kTargetHosts / kZones,
                           kProcessorLimit};
-const Series kListBytes{"controller: host list, once a second", "kB/s", "hosts",
-                        kTargetHosts, kTrafficLimit};
-const Series kListParse{"controller: parse of the host list", "ms/s", "hosts",
-                        kTargetHosts, kProcessorLimit};
+const Series kListBytes{"holder: whole host list, once a takeover", "kB",
+                        "hosts", kTargetHosts, 0};
+const Series kListParse{"holder: parse of the whole host list", "ms", "hosts",
+                        kTargetHosts, 0};
 const Series kPayload{"gateway: demand summary of busy services", "bytes",
                       "services", kTargetPools, kPayloadLimit};
 
