--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -245,7 +245,8 @@
   const state::FleetState& state = tailer.state();
   // Controllers release a drained host on this report, so it must not tell an
   // offset that some traffic thread has not applied.
-  if (gateway.applied() == state.next) {
+  // Nor a partial state, which others could not take.
+  if (tailer.ready().ready && gateway.applied() == state.next) {
     // A digest takes milliseconds of a large state, so it is not computed for
     // each direct report.
     told_digest = state.next == told_offset ? told_digest : 0;
--- a/src/camphormux/state/fleet_state.hpp
+++ b/src/camphormux/state/fleet_state.hpp
@@ -141,6 +141,9 @@
   std::uint64_t skipped_records = 0;
   FleetMark mark;  ///< Of this process; in no digest and no snapshot.
   FleetMark maintenance_mark;  ///< The same of `maintenance`.
+  /// Generations of hosts that the state does not know begin above this; 0 but
+  /// after a bootstrap, which does not know the generations before it.
+  std::uint64_t numbering_floor = 0;
 };
 
 }  // namespace camphormux::state
--- a/test/controller/collector_test.cpp
+++ b/test/controller/collector_test.cpp
@@ -13,7 +13,7 @@
   std::vector<std::function<void(CallAnswer)>> calls;
 
   PlatformPort Port() {
-    return {[](const auto& done) { done(std::nullopt); },
+    return {[](const auto& done) { done(nullptr); },
             [this](const core::HostId&, auto done) {
               reports.push_back(std::move(done));
             },
@@ -42,7 +42,7 @@
   int news = 0;
   std::optional<Collector> collector;
   collector.emplace(platform.Port(), kZone, [&news] { ++news; });
-  collector->Poll(state, now);
+  collector->Poll(state, true, now);
   ASSERT_EQ(platform.reports.size(), 1U);
   platform.reports[0](HostReport{});
   EXPECT_EQ(news, 1);
@@ -50,11 +50,11 @@
   collector->Send({call, call});
   platform.calls[0]({call, CallOutcome::kDone, now});
   EXPECT_EQ(news, 2);
-  collector->Poll(state, now);
+  collector->Poll(state, true, now);
   ASSERT_EQ(platform.reports.size(), 2U);
   platform.reports[1](HostReport{});  // The same again, but after the call.
   EXPECT_EQ(news, 3);
-  collector->Poll(state, now);
+  collector->Poll(state, true, now);
   EXPECT_EQ(platform.reports.size(), 2U);
   collector.reset();
   platform.calls[1]({call, CallOutcome::kDone, now});
--- a/test/controller/platform_client_test.cpp
+++ b/test/controller/platform_client_test.cpp
@@ -113,7 +113,7 @@
 // the holder, and against a takeover that decides with a list from before.
 TEST(CollectorTest, AsksOnlyWhileItMayDecide) {
   FakePlatform platform;
-  Collector collector(platform.Port(), {"a"});
+  Collector collector(platform.Port(), {"a"}, [] {});
   state::FleetState state;
   state::Host host;
   host.id = {"h"};
@@ -138,7 +138,7 @@
 // control, and against lost effects that are found late.
 TEST(CollectorTest, AsksRarelyForHostsWhoseReportAgrees) {
   FakePlatform platform;
-  Collector collector(platform.Port(), {"a"});
+  Collector collector(platform.Port(), {"a"}, [] {});
   state::FleetState state;
   state::Host host;
   host.id = {"h"};
