Let an operator begin a new state after it is lost everywhere

When the log had lost everything and every process was new, nothing could start, and a state begun by hand would count epochs and generations from 0, which the platform refuses with 409.

Epochs and the generations of hosts begin above the wall clock in milliseconds, kept as FleetState::numbering_floor. It is refused if the log has a state, if a record is appended within 20 s, or if the waiting controller at IP:PORT does not say, before and after that time, that no live process has the state.

--- /dev/null
+++ b/src/camphormux/cli/bootstrap.cpp
@@ -0,0 +1,102 @@
+#include "camphormux/cli/bootstrap.hpp"
+
+#include <memory>
+#include <utility>
+
+#include "camphormux/state/codec.hpp"
+#include "camphormux/state/snapshot.hpp"
+#include "camphormux/text/parse.hpp"
+
+namespace camphormux::cli {
+namespace internal {
+
+constexpr int kAppendAttempts = 10;
+constexpr core::Millis kAppendPause{500};
+
+// A chunk that is on the log twice counts once.
+bool AppendChunk(LogSession& session, const state::SnapshotChunk& chunk) {
+  const std::string data = state::EncodeRecords({chunk});
+  for (int i = 0; i < kAppendAttempts; ++i) {
+    if (session.Append(data).has_value()) {
+      return true;
+    }
+    session.Pause(kAppendPause);
+  }
+  return false;
+}
+
+// Whether no record follows the offset for the given time.
+std::optional<BootstrapError> CheckQuiet(LogSession& session,
+                                         core::LogOffset end,
+                                         core::Millis quiet) {
+  session.Pause(quiet);
+  std::size_t records = 0;
+  const ReadDone read =
+      session.ReadToEnd(end, [&](const log::StoredRecord&) { ++records; });
+  if (!read.has_value()) {
+    return BootstrapError::kUnreachable;
+  }
+  return records == 0 ? std::nullopt
+                      : std::optional(BootstrapError::kLogIsUsed);
+}
+
+std::optional<BootstrapError> CheckInForce(LogSession& session,
+                                           const BootstrapRequest& request) {
+  state::Follower follower;
+  if (!session.Follow(follower).has_value()) {
+    return BootstrapError::kNotWritten;
+  }
+  const bool own = follower.state.numbering_floor == request.floor &&
+                   follower.state.text.source == request.source;
+  return own ? std::nullopt : std::optional(BootstrapError::kOtherStarted);
+}
+
+}  // namespace internal
+
+state::FleetState FirstState(const BootstrapRequest& request,
+                             core::LogOffset next) {
+  state::FleetState state;
+  state.next = next;
+  state.numbering_floor = request.floor;
+  auto parsed = text::ParseOperatorText("bootstrap", request.source);
+  if (!parsed.has_value()) {
+    return state;
+  }
+  state.text = {
+      core::Next(request.base), request.author, request.source,
+      std::make_shared<const text::OperatorText>(std::move(parsed.value()))};
+  for (const auto& [zone, unused] : state.text.parsed->zones) {
+    state.leases[zone] = {{"bootstrap"}, {request.floor}, next, true};
+  }
+  return state;
+}
+
+std::optional<BootstrapError> Bootstrap(LogSession& session,
+                                        const BootstrapRequest& request) {
+  state::Follower follower;
+  const ReadDone first = session.Follow(follower);
+  if (first.has_value()) {
+    return BootstrapError::kLogHasState;
+  }
+  if (first.error() != LogFailure::kNoSnapshot) {
+    return BootstrapError::kUnreachable;
+  }
+  const core::LogOffset end = follower.read_from;
+  const auto used = internal::CheckQuiet(session, end, request.quiet);
+  if (used) {
+    return used;
+  }
+  if (!request.nobody_has_state()) {
+    return BootstrapError::kPeerHasState;
+  }
+  const std::string id = "bootstrap-" + std::to_string(request.floor);
+  for (const state::SnapshotChunk& chunk :
+       state::MakeSnapshot(FirstState(request, end), id, /*recovery=*/true)) {
+    if (!internal::AppendChunk(session, chunk)) {
+      return BootstrapError::kNotWritten;
+    }
+  }
+  return internal::CheckInForce(session, request);
+}
+
+}  // namespace camphormux::cli
--- a/src/camphormux/cli/options.cpp
+++ b/src/camphormux/cli/options.cpp
@@ -34,7 +34,8 @@
              "move at least, and services with too few hosts.\n"
              "Exit codes: 0 ok, 3 text invalid, 5 platform unreachable."},
     VerbRule{Verb::kPublish, "publish", 1, true, false,
-             "publish FILE --platform IP:PORT [--base N] [--author NAME]",
+             "publish FILE --platform IP:PORT [--base N] [--author NAME] "
+             "[--bootstrap IP:PORT]",
              "Puts FILE in force. --base is the revision that FILE was edited\n"
              "from; only the first text of a deployment needs none.\n"
              "Exit codes: 0 accepted, 1 outcome not known in time, 3 text\n"
@@ -64,6 +65,9 @@
     "  --output text|json    form of the output (default: text)\n"
     "  --author NAME         who publishes (default: $USER)\n"
     "  --base N              revision that the file was edited from\n"
+    "  --bootstrap IP:PORT   of publish: begin a new state, because the log\n"
+    "                        and every process lost it; the admin server of\n"
+    "                        a controller that waits for a state\n"
     "  --help                this text\n";
 
 const VerbRule& RuleOf(Verb verb) {
@@ -110,6 +114,9 @@
   if (flag == "--controller") {
     return SetAddress(command.controller, flag, value);
   }
+  if (flag == "--bootstrap") {
+    return SetAddress(command.bootstrap, flag, value);
+  }
   if (flag == "--author") {
     command.author = value;
     return std::nullopt;
--- a/src/camphormux/cli/options.hpp
+++ b/src/camphormux/cli/options.hpp
@@ -27,6 +27,8 @@
   Output output = Output::kText;
   std::string author;
   std::optional<core::Revision> base;
+  /// Of `publish`: a controller that waits because the state is lost.
+  std::optional<core::Address> bootstrap;
 };
 
 /// @brief Why a command line is not usable.
--- a/src/camphormux/cli/run.cpp
+++ b/src/camphormux/cli/run.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "camphormux/cli/bootstrap.hpp"
 #include "camphormux/cli/history.hpp"
 #include "camphormux/cli/line_diff.hpp"
 #include "camphormux/cli/publish.hpp"
@@ -16,6 +17,7 @@
 #include "camphormux/controller/platform_client.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/http_port.hpp"
+#include "camphormux/recovery/fetch.hpp"
 #include "camphormux/text/check.hpp"
 #include "camphormux/text/diff.hpp"
 #include "camphormux/text/parse.hpp"
@@ -310,6 +312,92 @@
   return ExitCode::kConflict;
 }
 
+/// Gets a path of an admin server.
+std::optional<http::ClientResponse> Get(const core::Address& address,
+                                        const std::string& path) {
+  asio::io_context loop;
+  http::Client client(loop);
+  http::ClientRequest request;
+  request.timeout = kExchangeLimit;
+  request.url = fmt::format("http://{}:{}{}", address.ip, address.port, path);
+  std::optional<http::ClientResult> result;
+  client.Send(std::move(request), [&](http::ClientResult answer) {
+    result = std::move(answer);
+    loop.stop();
+  });
+  loop.run();
+  return result && result->has_value()
+             ? std::optional(std::move(result->value()))
+             : std::nullopt;
+}
+
+/// Whether a controller waits and knows of no process that has a state.
+bool WaitsInVain(const Command& command, const Streams& streams) {
+  const auto answer = Get(*command.bootstrap, "/readyz");
+  const bool waits =
+      answer && answer->status != 200 &&
+      answer->body.find(recovery::kNoPeerHasState) != std::string::npos;
+  if (!waits) {
+    streams.err << "publish: no bootstrap; the controller does not say that "
+                << recovery::kNoPeerHasState << ": "
+                << (answer ? answer->body : "it does not answer") << "\n";
+  }
+  return waits;
+}
+
+ExitCode ReportBootstrap(const Command& command, const Streams& streams,
+                         BootstrapError error) {
+  switch (error) {
+    case BootstrapError::kUnreachable:
+      return Unreachable(command, streams);
+    case BootstrapError::kLogHasState:
+      streams.err << "publish: no bootstrap; the log has a state, publish "
+                     "without --bootstrap\n";
+      return ExitCode::kConflict;
+    case BootstrapError::kLogIsUsed:
+      streams.err << "publish: no bootstrap; a live process appends records\n";
+      return ExitCode::kConflict;
+    case BootstrapError::kPeerHasState:
+      return ExitCode::kConflict;  // Reported where the controller was asked.
+    case BootstrapError::kOtherStarted:
+      streams.err << "publish: another state is in force; see history\n";
+      return ExitCode::kConflict;
+    case BootstrapError::kNotWritten:
+      break;
+  }
+  streams.err << "publish: the state was not written; repeat the command\n";
+  return ExitCode::kFailure;
+}
+
+ExitCode RunBootstrap(const Command& command, const Streams& streams,
+                      const std::string& source) {
+  if (!WaitsInVain(command, streams)) {
+    return ExitCode::kConflict;
+  }
+  PlatformAccess access(*command.platform);
+  BootstrapRequest request;
+  request.author = AuthorOf(command);
+  request.source = source;
+  request.base = command.base.value_or(core::Revision{});
+  request.floor =
+      static_cast<std::uint64_t>(core::WallNow().time_since_epoch().count());
+  request.nobody_has_state = [&] { return WaitsInVain(command, streams); };
+  const auto error = Bootstrap(access.session, request);
+  if (error) {
+    return ReportBootstrap(command, streams, *error);
+  }
+  const std::uint64_t revision = core::Next(request.base).value;
+  streams.out << (command.output == Output::kJson
+                      ? json{{"outcome", "bootstrapped"},
+                             {"revision", revision},
+                             {"floor", request.floor}}
+                                .dump(2) +
+                            "\n"
+                      : fmt::format("began a new state with revision {}\n",
+                                    revision));
+  return ExitCode::kOk;
+}
+
 ExitCode RunPublish(const Command& command, const Streams& streams) {
   ExitCode code = ExitCode::kOk;
   const auto checked = ReadText(command, streams, code);
@@ -321,6 +409,9 @@
   if (ReportFindings(command, streams, text::CheckText(checked->parsed, {}))) {
     return ExitCode::kTextInvalid;
   }
+  if (command.bootstrap) {
+    return RunBootstrap(command, streams, checked->source);
+  }
   PlatformAccess access(*command.platform);
   const PublishResult result = PublishText(
       access.session,
@@ -350,28 +441,17 @@
 /// Asks a controller's admin server and prints its answer.
 ExitCode Ask(const Command& command, const Streams& streams,
              const std::string& path) {
-  asio::io_context loop;
-  http::Client client(loop);
-  http::ClientRequest request;
-  request.timeout = kExchangeLimit;
-  request.url = fmt::format("http://{}:{}{}?output={}", command.controller->ip,
-                            command.controller->port, path,
-                            command.output == Output::kJson ? "json" : "text");
-  std::optional<http::ClientResult> result;
-  client.Send(std::move(request), [&](http::ClientResult answer) {
-    result = std::move(answer);
-    loop.stop();
-  });
-  loop.run();
-  if (!result || !result->has_value()) {
+  const auto response = Get(
+      *command.controller,
+      path + "?output=" + (command.output == Output::kJson ? "json" : "text"));
+  if (!response) {
     streams.err << fmt::format("the controller at {}:{} does not answer\n",
                                command.controller->ip,
                                command.controller->port);
     return ExitCode::kFailure;
   }
-  const http::ClientResponse& response = result->value();
-  const bool ok = response.status == 200;
-  (ok ? streams.out : streams.err) << response.body << "\n";
+  const bool ok = response->status == 200;
+  (ok ? streams.out : streams.err) << response->body << "\n";
   return ok ? ExitCode::kOk : ExitCode::kFailure;
 }
 
--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -237,7 +237,9 @@
 void App::Impl::TellMembers() {
   const state::FleetState& state = tailer.state();
   const core::MonotonicTime now = core::MonotonicNow();
-  if (state.next != told_offset && now - told_at >= internal::kReportPeriod) {
+  // A partial state is not one that others could take.
+  if (tailer.ready().ready && state.next != told_offset &&
+      now - told_at >= internal::kReportPeriod) {
     told_at = now;
     told_offset = state.next;
     members.SetReport(state.next, state::Digest(state), "");
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -215,7 +215,9 @@
   const state::FleetState& state = tailer.state();
   // Controllers release a drained host on this report, so it must not tell an
   // offset that some traffic thread has not applied.
-  if (state.next != told_offset && gateway.applied() == state.next) {
+  // Nor a partial state, which others could not take.
+  if (tailer.ready().ready && state.next != told_offset &&
+      gateway.applied() == state.next) {
     told_offset = state.next;
     told_digest = state::Digest(state);
   }
--- a/src/camphormux/recovery/fetch.hpp
+++ b/src/camphormux/recovery/fetch.hpp
@@ -22,6 +22,11 @@
 /// about 2 MB.
 inline constexpr std::uint32_t kMaxChunks = 512;
 
+/// Part of the reason in /readyz of a process that knows of no live process
+/// with a state.
+inline constexpr const char* kNoPeerHasState =
+    "no live process is known to have the state";
+
 /// @brief Asks a peer for one chunk of its state.
 struct ChunkQuery {
   std::string snapshot;     ///< Empty for the first chunk of the newest state.
--- a/src/camphormux/recovery/state_fetcher.cpp
+++ b/src/camphormux/recovery/state_fetcher.cpp
@@ -70,7 +70,7 @@
   const membership::Member* chosen =
       ChoosePeer(members.view(), tailer.follower().kept_from, peer, random);
   if (chosen == nullptr) {
-    progress = "no live process is known to have the state";
+    progress = kNoPeerHasState;
     Wait(internal::kCheckPeriod);
     return;
   }
--- a/src/camphormux/state/digest.cpp
+++ b/src/camphormux/state/digest.cpp
@@ -125,6 +125,9 @@
     hasher.Add(outcome);
   }
   hasher.Add(state.skipped_records);
+  if (state.numbering_floor > 0) {
+    hasher.Add(state.numbering_floor);
+  }
   // Last and only if there is one, so that a state without released leases has
   // the digest that versions without release records compute.
   for (const auto& [zone, lease] : state.leases) {
--- a/src/camphormux/state/fleet_state.hpp
+++ b/src/camphormux/state/fleet_state.hpp
@@ -127,6 +127,9 @@
   std::map<core::ProcessId, Presence> presence;
   std::deque<PublishOutcome> outcomes;  ///< The latest ones, oldest first.
   std::uint64_t skipped_records = 0;
+  /// Generations of hosts that the state does not know begin above this; 0 but
+  /// after a bootstrap, which does not know the generations before it.
+  std::uint64_t numbering_floor = 0;
 };
 
 }  // namespace camphormux::state
--- a/src/camphormux/state/fold.cpp
+++ b/src/camphormux/state/fold.cpp
@@ -205,6 +205,7 @@
   host.shape = record.shape;
   host.address = record.address;
   host.phase_offset = offset;
+  host.generation = {state.numbering_floor};
   const auto removed = state.removed_hosts.find(record.host);
   if (removed != state.removed_hosts.end()) {
     host.generation = removed->second.generation;
--- a/src/camphormux/state/state_codec.cpp
+++ b/src/camphormux/state/state_codec.cpp
@@ -213,6 +213,9 @@
   reader.Read("version", version);
   reader.Read("next", state.next);
   reader.Read("skipped", state.skipped_records);
+  std::optional<std::uint64_t> floor;
+  reader.ReadOptional("floor", floor);
+  state.numbering_floor = floor.value_or(0);
   if (!reader.reason().empty()) {
     return reader.reason();
   }
@@ -244,16 +247,19 @@
   for (const PublishOutcome& outcome : state.outcomes) {
     outcomes.push_back(internal::EncodeItem(outcome));
   }
-  const json map{{"version", internal::kStateVersion},
-                 {"next", internal::ToField(state.next)},
-                 {"skipped", state.skipped_records},
-                 {"text", internal::EncodeText(state.text)},
-                 {"hosts", internal::EncodeValues(state.hosts)},
-                 {"removed", internal::EncodePairs(state.removed_hosts)},
-                 {"leases", internal::EncodePairs(state.leases)},
-                 {"maintenance", internal::EncodePairs(state.maintenance)},
-                 {"presence", internal::EncodeValues(state.presence)},
-                 {"outcomes", std::move(outcomes)}};
+  json map{{"version", internal::kStateVersion},
+           {"next", internal::ToField(state.next)},
+           {"skipped", state.skipped_records},
+           {"text", internal::EncodeText(state.text)},
+           {"hosts", internal::EncodeValues(state.hosts)},
+           {"removed", internal::EncodePairs(state.removed_hosts)},
+           {"leases", internal::EncodePairs(state.leases)},
+           {"maintenance", internal::EncodePairs(state.maintenance)},
+           {"presence", internal::EncodeValues(state.presence)},
+           {"outcomes", std::move(outcomes)}};
+  if (state.numbering_floor > 0) {
+    map["floor"] = state.numbering_floor;
+  }
   std::string bytes;
   json::to_cbor(map, bytes);
   return bytes;
--- a/test/cli/publish_test.cpp
+++ b/test/cli/publish_test.cpp
@@ -3,11 +3,15 @@
 #include <deque>
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include "camphormux/cli/bootstrap.hpp"
 #include "camphormux/cli/history.hpp"
 #include "camphormux/state/codec.hpp"
+#include "camphormux/state/fold.hpp"
 #include "camphormux/state/snapshot.hpp"
+#include "camphormux/state/state_codec.hpp"
 
 namespace camphormux::cli {
 namespace {
@@ -168,5 +172,58 @@
   EXPECT_EQ(history.value()[0].outcome.accepted, core::Revision{2});
 }
 
+BootstrapRequest FirstText(std::uint64_t floor) {
+  return {"amina", Text(3), {41}, floor, core::Millis{1}};
+}
+
+// Guards against a fleet that nobody can start after the log and every process
+// lost the state, and against epochs and generations that the platform refuses.
+TEST(BootstrapTest, BeginsAStateAboveEverythingBefore) {
+  FakeLog log;
+  log.records.assign(30, "lost");
+  log.earliest = 30;
+  LogSession session(log.loop, log.Port(), kLimit);
+  ASSERT_FALSE(Bootstrap(session, FirstText(1000)));
+  state::Follower fresh;
+  ASSERT_TRUE(session.Follow(fresh).has_value());
+  state::FleetState& state = fresh.state;
+  EXPECT_EQ(state.text.revision.value, 42U);
+  EXPECT_TRUE(state.leases.at({"a"}).released);
+  EXPECT_FALSE(
+      state::Apply(state, state::LeaseClaim{{"a"}, {"c"}, {1001}}, state.next));
+  EXPECT_FALSE(state::Apply(
+      state,
+      state::HostAdded{{"a"}, {1001}, {"h"}, {"r"}, {}, {"127.0.0.1", 80}},
+      state.next));
+  EXPECT_EQ(state.hosts.at({"h"}).generation.value, 1000U);
+  EXPECT_EQ(state.hosts.at({"h"}).phase, state::HostPhase::kReleased);
+  const auto decoded = state::DecodeState(state::EncodeState(state));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(state::Digest(decoded.value()), state::Digest(state));
+  EXPECT_EQ(Bootstrap(session, FirstText(2000)), BootstrapError::kLogHasState);
+}
+
+// Guards against a bootstrap that replaces the state of live processes, or of
+// a log that still has one.
+TEST(BootstrapTest, IsRefusedWhileAStateLives) {
+  FakeLog empty;
+  LogSession unused(empty.loop, empty.Port(), kLimit);
+  EXPECT_EQ(Bootstrap(unused, FirstText(1000)), BootstrapError::kLogHasState);
+  FakeLog log;
+  log.records.assign(30, "lost");
+  log.earliest = 30;
+  LogSession session(log.loop, log.Port(), kLimit);
+  auto request = FirstText(1000);
+  request.quiet = core::Millis{50};
+  asio::steady_timer renewal(log.loop, core::Millis{1});
+  renewal.async_wait(
+      [&](const asio::error_code&) { log.records.emplace_back("renewal"); });
+  EXPECT_EQ(Bootstrap(session, request), BootstrapError::kLogIsUsed);
+  request.quiet = core::Millis{1};
+  request.nobody_has_state = [] { return false; };
+  EXPECT_EQ(Bootstrap(session, request), BootstrapError::kPeerHasState);
+  EXPECT_EQ(log.appends, 0U);
+}
+
 }  // namespace
 }  // namespace camphormux::cli
--- a/test/controller/app_test.cpp
+++ b/test/controller/app_test.cpp
@@ -1,6 +1,7 @@
 // Runs controllers against the platform stand-in over HTTP.
 #include "camphormux/controller/app.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "camphormux/cli/bootstrap.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/log/appender.hpp"
 #include "camphormux/log/http_port.hpp"
@@ -255,5 +257,50 @@
   EXPECT_EQ(tailer_.state().leases.at(kZone).epoch.value, 2U);
 }
 
+// Guards against a fleet that stays without decisions after a bootstrap because
+// the platform refuses its epochs and generations as lower than earlier ones.
+TEST_F(SmallFleetTest, ABootstrapGoesOnAboveWhatThePlatformHasSeen) {
+  Publish();
+  std::optional<App> old(std::in_place, loop_, SettingsOf("a1"));
+  old->Start();
+  const auto admitted = [&](std::uint64_t above) {
+    const auto& hosts = tailer_.state().hosts;
+    return std::any_of(hosts.begin(), hosts.end(), [&](const auto& item) {
+      return item.second.phase == state::HostPhase::kAdmitted &&
+             item.second.generation.value > above;
+    });
+  };
+  ASSERT_TRUE(RunUntil([&] { return admitted(0); }));
+  bool stopped = false;
+  old->Stop([&] { stopped = true; });
+  ASSERT_TRUE(RunUntil([&] { return stopped; }));
+  old.reset();
+  ASSERT_EQ(Send("PUT", address_, "/control/expire").status, 200);
+  const Settings settings = SettingsOf("a2");
+  App fresh(loop_, settings);
+  fresh.Start();
+  ASSERT_TRUE(RunUntil([&] {
+    return Send("GET", settings.admin, "/readyz")
+               .body.find(recovery::kNoPeerHasState) != std::string::npos;
+  }));
+  constexpr std::uint64_t kFloor = 1'700'000'000'000;
+  cli::LogSession session(loop_, port_, kLimit);
+  ASSERT_FALSE(cli::Bootstrap(
+      session, {"amina", TextWith(4), {1}, kFloor, core::Millis{1}}));
+  // The new state is on the log; this reader, which knows the old one, is not
+  // asked.
+  EXPECT_TRUE(RunUntil([&] { return Decides(settings); }));
+  const auto moved = [&] {
+    const auto state =
+        nlohmann::json::parse(Send("GET", settings.admin, "/state").body);
+    return std::any_of(state.at("hosts").begin(), state.at("hosts").end(),
+                       [](const auto& host) {
+                         return host.at("phase") == "admitted" &&
+                                host.at("generation") > kFloor;
+                       });
+  };
+  EXPECT_TRUE(RunUntil(moved));
+}
+
 }  // namespace
 }  // namespace camphormux::controller
