Add a stand-in for the links between zones and source addresses

A zone that is cut off could not be brought about with real processes. The link stand-in relays TCP between the processes of a deployment and drops, holds or delays bytes by direction between two zones; the platform counts as a zone. A connection's zone is that of its source address, so a process needs a source address (`[process] source_address`) and an address that others use to reach it (`[listen] advertised_peer`). One relay listener for each target and caller's zone would have needed a host list and gossip of its own for each zone.

--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -47,7 +47,7 @@
                          core::Incarnation incarnation) {
   return membership::MakeView(
       {settings.process, state::ProcessRole::kController, settings.zone,
-       settings.peer, incarnation},
+       settings.advertised_peer, incarnation},
       settings.seeds, membership::Config{}, core::MonotonicNow());
 }
 
@@ -128,12 +128,12 @@
     : loop(event_loop),
       settings(checked),
       random(core::SeededRandom(std::random_device{}())),
-      client(loop),
+      client(loop, settings.source_ip),
       port(log::MakeHttpPort(client, settings.platform)),
       incarnation{static_cast<std::uint64_t>(
           core::WallNow().time_since_epoch().count())},
       members(loop, internal::NewView(settings, incarnation),
-              internal::LogTransition),
+              internal::LogTransition, settings.source_ip),
       tailer(loop, port, [](const state::FleetState&) {}),
       appender(loop, port, log::kStateStream),
       snapshots(loop, appender, tailer, settings.process,
@@ -211,9 +211,9 @@
     return;
   }
   announced = true;
-  const state::PresenceNotice notice{settings.process,
-                                     state::ProcessRole::kController,
-                                     settings.zone, settings.peer, incarnation};
+  const state::PresenceNotice notice{
+      settings.process, state::ProcessRole::kController, settings.zone,
+      settings.advertised_peer, incarnation};
   appender.Append(state::EncodeRecords({notice}),
                   [self = weak_from_this()](const log::AppendResult& result) {
                     const auto impl = self.lock();
--- a/src/camphormux/controller/settings.cpp
+++ b/src/camphormux/controller/settings.cpp
@@ -28,6 +28,10 @@
   parsed.zone.value = settings::ReadText(reader, "process", "zone");
   parsed.admin = settings::ReadAddress(reader, "listen", "admin");
   parsed.peer = settings::ReadAddress(reader, "listen", "peer");
+  parsed.advertised_peer =
+      settings::ReadAddressOr(reader, "listen", "advertised_peer", parsed.peer);
+  parsed.source_ip =
+      settings::ReadOptionalIp(reader, "process", "source_address");
   parsed.platform = settings::ReadAddress(reader, "platform", "address");
   parsed.retention = settings::ReadDuration(
       reader, "platform", "retention", internal::kShortestRetention,
--- a/src/camphormux/controller/settings.hpp
+++ b/src/camphormux/controller/settings.hpp
@@ -18,6 +18,9 @@
   core::ZoneName zone;
   core::Address admin;
   core::Address peer;
+  /// Where other processes reach `peer`; its own address by default.
+  core::Address advertised_peer;
+  std::string source_ip;  ///< Of own connections; empty: the system chooses.
   core::Address platform;
   /// How long the platform's log keeps records; paces the snapshots.
   core::Millis retention = std::chrono::hours(24);
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -34,7 +34,7 @@
                          core::Incarnation incarnation) {
   return membership::MakeView(
       {settings.process, state::ProcessRole::kGateway, settings.zone,
-       settings.peer.value_or(core::Address{}), incarnation},
+       settings.advertised_peer, incarnation},
       settings.seeds, membership::Config{}, core::MonotonicNow());
 }
 
@@ -43,6 +43,7 @@
   idempotency::KeyStoreOptions options;
   options.self = {settings.process, incarnation};
   options.seed = std::random_device{}();
+  options.source_ip = settings.source_ip;
   return options;
 }
 
@@ -98,11 +99,11 @@
           core::WallNow().time_since_epoch().count())},
       registry(std::make_shared<prometheus::Registry>()),
       metrics(*registry),
-      client(control),
+      client(control, settings.source_ip),
       port(log::MakeHttpPort(client, settings.platform)),
       appender(control, port, log::kStateStream),
       members(control, internal::NewView(settings, incarnation),
-              internal::LogTransition),
+              internal::LogTransition, settings.source_ip),
       keys(control, port, internal::KeyOptions(settings, incarnation),
            [this](const core::ProcessId& process) { return Locate(process); }),
       gateway(control, settings, registry, MakeKeyStoreFactory(control, keys)),
@@ -183,7 +184,7 @@
   announced = true;
   const state::PresenceNotice notice{
       settings.process, state::ProcessRole::kGateway, settings.zone,
-      *settings.peer, incarnation};
+      settings.advertised_peer, incarnation};
   appender.Append(state::EncodeRecords({notice}),
                   [this](const log::AppendResult& result) {
                     announced = result.has_value();
--- a/src/camphormux/gateway/dispatcher.cpp
+++ b/src/camphormux/gateway/dispatcher.cpp
@@ -69,7 +69,7 @@
       metrics_(metrics),
       spans_(spans),
       keys_(std::move(keys)),
-      upstream_(loop, options_.routing.connection_share),
+      upstream_(loop, options_.routing.connection_share, options_.source_ip),
       tick_(loop) {}
 
 void Dispatcher::Start() { Tick(); }
--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -38,6 +38,7 @@
 /// @brief What a dispatcher is made of.
 struct DispatcherOptions {
   core::ZoneName zone;
+  std::string source_ip;  ///< Of connections to endpoints; may be empty.
   std::string id_prefix;  ///< Unique over threads and restarts.
   core::Bytes max_body;
   core::Bytes max_header;
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -27,6 +27,7 @@
                             std::uint64_t life) {
   DispatcherOptions options;
   options.zone = settings.zone;
+  options.source_ip = settings.source_ip;
   options.id_prefix = settings.process.value + "-" + std::to_string(life) +
                       "-" + std::to_string(thread);
   options.max_body = settings.max_body;
--- a/src/camphormux/gateway/gateway_settings.cpp
+++ b/src/camphormux/gateway/gateway_settings.cpp
@@ -22,7 +22,11 @@
   settings.admin = settings::ReadAddress(reader, "listen", "admin");
   if (settings::Find(reader, "listen", "peer") != nullptr) {
     settings.peer = settings::ReadAddress(reader, "listen", "peer");
+    settings.advertised_peer = settings::ReadAddressOr(
+        reader, "listen", "advertised_peer", *settings.peer);
   }
+  settings.source_ip =
+      settings::ReadOptionalIp(reader, "process", "source_address");
   settings.seeds = settings::ReadAddresses(reader, "peers", "seeds");
   settings.platform = settings::ReadAddress(reader, "platform", "address");
 }
--- a/src/camphormux/gateway/gateway_settings.hpp
+++ b/src/camphormux/gateway/gateway_settings.hpp
@@ -21,7 +21,10 @@
   core::Address callers;              ///< Shared by the traffic threads.
   core::Address admin;                ///< Metrics, health and state.
   std::optional<core::Address> peer;  ///< Own protocol between processes.
-  std::vector<core::Address> seeds;   ///< Peers to contact first.
+  /// Where other processes reach `peer`; its own address by default.
+  core::Address advertised_peer;
+  std::string source_ip;  ///< Of own connections; empty: the system chooses.
+  std::vector<core::Address> seeds;  ///< Peers to contact first.
   core::Address platform;
   int threads = 1;
   core::Bytes max_body;
--- a/src/camphormux/gateway/upstream.cpp
+++ b/src/camphormux/gateway/upstream.cpp
@@ -227,9 +227,12 @@
 }  // namespace internal
 
 struct Upstream::Impl {
-  Impl(asio::io_context& event_loop, int connections_per_endpoint)
-      : curl(event_loop,
-             [this](CURL* easy, CURLcode code) { Finish(easy, code); }) {
+  Impl(asio::io_context& event_loop, int connections_per_endpoint,
+       std::string source_ip)
+      : curl(
+            event_loop,
+            [this](CURL* easy, CURLcode code) { Finish(easy, code); },
+            std::move(source_ip)) {
     curl_multi_setopt(curl.multi(), CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(connections_per_endpoint));  // NOLINT
     curl_multi_setopt(curl.multi(), CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
@@ -249,8 +252,10 @@
   attempt->observer.on_end(internal::ToEnd(*attempt, code));
 }
 
-Upstream::Upstream(asio::io_context& loop, int connections_per_endpoint)
-    : impl_(std::make_shared<Impl>(loop, connections_per_endpoint)) {}
+Upstream::Upstream(asio::io_context& loop, int connections_per_endpoint,
+                   std::string source_ip)
+    : impl_(std::make_shared<Impl>(loop, connections_per_endpoint,
+                                   std::move(source_ip))) {}
 
 Upstream::~Upstream() {
   for (const auto& [easy, attempt] : impl_->attempts) {
--- a/src/camphormux/gateway/upstream.hpp
+++ b/src/camphormux/gateway/upstream.hpp
@@ -77,7 +77,10 @@
   /// @param loop Event loop; outlives the client.
   /// @param connections_per_endpoint Highest number of connections, idle ones
   /// included, to each endpoint.
-  Upstream(asio::io_context& loop, int connections_per_endpoint);
+  /// @param source_ip Address of this host that connections come from; empty:
+  /// the system chooses.
+  Upstream(asio::io_context& loop, int connections_per_endpoint,
+           std::string source_ip = "");
   /// Drops attempts in flight without calling their observers.
   ~Upstream();
   Upstream(const Upstream&) = delete;
--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -85,10 +85,12 @@
 }  // namespace internal
 
 struct Client::Impl {
-  explicit Impl(asio::io_context& event_loop)
-      : loop(event_loop), curl(event_loop, [this](CURL* easy, CURLcode code) {
-          Finish(easy, code);
-        }) {}
+  Impl(asio::io_context& event_loop, std::string source_ip)
+      : loop(event_loop),
+        curl(
+            event_loop,
+            [this](CURL* easy, CURLcode code) { Finish(easy, code); },
+            std::move(source_ip)) {}
 
   void Close();
   void Start(std::shared_ptr<internal::Transfer> transfer);
@@ -158,7 +160,8 @@
   transfer->done(std::move(transfer->response));
 }
 
-Client::Client(asio::io_context& loop) { impl_ = std::make_shared<Impl>(loop); }
+Client::Client(asio::io_context& loop, std::string source_ip)
+    : impl_(std::make_shared<Impl>(loop, std::move(source_ip))) {}
 
 Client::~Client() { impl_->Close(); }
 
--- a/src/camphormux/http/client.hpp
+++ b/src/camphormux/http/client.hpp
@@ -46,7 +46,9 @@
 class Client {
  public:
   /// @param loop Event loop; outlives the client.
-  explicit Client(asio::io_context& loop);
+  /// @param source_ip Address of this host that connections come from; empty:
+  /// the system chooses.
+  explicit Client(asio::io_context& loop, std::string source_ip = "");
   /// Drops requests in flight without calling their callbacks.
   ~Client();
   Client(const Client&) = delete;
--- a/src/camphormux/http/curl_loop.cpp
+++ b/src/camphormux/http/curl_loop.cpp
@@ -29,11 +29,13 @@
 }  // namespace internal
 
 struct CurlLoop::Impl : std::enable_shared_from_this<CurlLoop::Impl> {
-  Impl(asio::io_context& event_loop, std::function<void(CURL*, CURLcode)> done)
+  Impl(asio::io_context& event_loop, std::function<void(CURL*, CURLcode)> done,
+       std::string source)
       : loop(event_loop),
         timer(event_loop),
         multi(curl_multi_init()),
-        on_done(std::move(done)) {}
+        on_done(std::move(done)),
+        source_ip(std::move(source)) {}
   ~Impl() { curl_multi_cleanup(multi); }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -57,6 +59,7 @@
   asio::steady_timer timer;
   CURLM* multi;
   std::function<void(CURL*, CURLcode)> on_done;
+  std::string source_ip;
   bool closed = false;
   std::map<curl_socket_t, std::shared_ptr<internal::Watch>> watches;
 };
@@ -187,9 +190,11 @@
 }
 
 CurlLoop::CurlLoop(asio::io_context& loop,
-                   std::function<void(CURL*, CURLcode)> on_done) {
+                   std::function<void(CURL*, CURLcode)> on_done,
+                   std::string source_ip) {
   static const internal::GlobalCurl global;
-  impl_ = std::make_shared<Impl>(loop, std::move(on_done));
+  impl_ =
+      std::make_shared<Impl>(loop, std::move(on_done), std::move(source_ip));
   impl_->Configure();
 }
 
@@ -198,6 +203,10 @@
 void CurlLoop::Add(CURL* easy) {
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnClose);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, impl_.get());
+  if (!impl_->source_ip.empty()) {
+    curl_easy_setopt(easy, CURLOPT_INTERFACE,
+                     ("host!" + impl_->source_ip).c_str());
+  }
   curl_multi_add_handle(impl_->multi, easy);
 }
 
--- a/src/camphormux/http/curl_loop.hpp
+++ b/src/camphormux/http/curl_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <asio/io_context.hpp>
 #include <curl/curl.h>
@@ -16,8 +17,10 @@
   /// @param loop Event loop; outlives this object.
   /// @param on_done Called for each transfer that ended, after its easy handle
   /// was removed from the multi handle.
-  CurlLoop(asio::io_context& loop,
-           std::function<void(CURL*, CURLcode)> on_done);
+  /// @param source_ip Address of this host that connections come from; empty:
+  /// the system chooses.
+  CurlLoop(asio::io_context& loop, std::function<void(CURL*, CURLcode)> on_done,
+           std::string source_ip = "");
   /// Closes all connections. Easy handles must have been removed before.
   ~CurlLoop();
   CurlLoop(const CurlLoop&) = delete;
--- a/src/camphormux/idempotency/key_store.cpp
+++ b/src/camphormux/idempotency/key_store.cpp
@@ -211,7 +211,9 @@
   }
   auto& client = clients[*address];
   if (!client) {
-    client = std::make_unique<peer::Client>(loop, *address);
+    peer::ClientOptions client_options;
+    client_options.source_ip = options.source_ip;
+    client = std::make_unique<peer::Client>(loop, *address, client_options);
   }
   client->Send(
       {kAnswerPath,
--- a/src/camphormux/idempotency/key_store.hpp
+++ b/src/camphormux/idempotency/key_store.hpp
@@ -78,6 +78,7 @@
   core::Millis busy_read_wait{100};
   /// Before a claim is tried again whose holder released the key.
   core::Millis retry_wait{50};
+  std::string source_ip;  ///< Of connections; empty: the system chooses.
   std::size_t max_answer_bytes_total = std::size_t{32} << 20;
 };
 
--- a/src/camphormux/membership/node.cpp
+++ b/src/camphormux/membership/node.cpp
@@ -27,11 +27,12 @@
 
 struct Node::Impl : std::enable_shared_from_this<Node::Impl> {
   Impl(asio::io_context& event_loop, View initial,
-       std::function<void(const Transition&)> callback)
+       std::function<void(const Transition&)> callback, std::string source)
       : loop(event_loop),
         timer(event_loop),
         view(std::move(initial)),
-        on_transition(std::move(callback)) {}
+        on_transition(std::move(callback)),
+        source_ip(std::move(source)) {}
 
   void RunRound();
   void Send(const Target& target, core::MonotonicTime now);
@@ -43,6 +44,7 @@
   asio::steady_timer timer;
   View view;
   std::function<void(const Transition&)> on_transition;
+  std::string source_ip;
   std::map<core::Address, Link> links;
   bool closed = false;
 };
@@ -69,6 +71,7 @@
     peer::ClientOptions options;
     options.max_body_bytes = kMaxHeartbeatBytes;
     options.connect_timeout = view.config.interval;
+    options.source_ip = source_ip;
     link.client = std::make_unique<peer::Client>(loop, target.address, options);
   }
   link.last_round = view.rounds;
@@ -104,9 +107,11 @@
 }
 
 Node::Node(asio::io_context& loop, View view,
-           std::function<void(const Transition&)> on_transition)
+           std::function<void(const Transition&)> on_transition,
+           std::string source_ip)
     : impl_(std::make_shared<Impl>(loop, std::move(view),
-                                   std::move(on_transition))) {}
+                                   std::move(on_transition),
+                                   std::move(source_ip))) {}
 
 Node::~Node() {
   impl_->closed = true;
--- a/src/camphormux/membership/node.hpp
+++ b/src/camphormux/membership/node.hpp
@@ -23,8 +23,11 @@
   /// @param view The view of a process that starts.
   /// @param on_transition Called for each change of a member's health; may be
   /// empty.
+  /// @param source_ip Address of this host that connections come from; empty:
+  /// the system chooses.
   Node(asio::io_context& loop, View view,
-       std::function<void(const Transition&)> on_transition);
+       std::function<void(const Transition&)> on_transition,
+       std::string source_ip = "");
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
--- a/src/camphormux/peer/client.cpp
+++ b/src/camphormux/peer/client.cpp
@@ -39,6 +39,19 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
+void BindSource(asio::ip::tcp::socket& socket, const std::string& source_ip,
+                asio::error_code& error) {
+  const auto source = asio::ip::make_address(source_ip, error);
+  if (error) {
+    return;
+  }
+  const asio::ip::tcp::endpoint any_port(source, 0);
+  socket.open(any_port.protocol(), error);
+  if (!error) {
+    socket.bind(any_port, error);
+  }
+}
+
 }  // namespace internal
 
 using internal::ExchangePtr;
@@ -111,6 +124,9 @@
   asio::error_code error;
   const auto ip = asio::ip::make_address(address.ip, error);
   connecting = std::make_shared<asio::ip::tcp::socket>(loop);
+  if (!error && !options.source_ip.empty()) {
+    internal::BindSource(*connecting, options.source_ip, error);
+  }
   if (error) {
     OnConnectFailed();
     return;
--- a/src/camphormux/peer/client.hpp
+++ b/src/camphormux/peer/client.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include <asio/io_context.hpp>
 
@@ -27,6 +28,7 @@
   /// timed out is closed.
   core::Millis probe_timeout = std::chrono::seconds(2);
   BackoffPolicy backoff;
+  std::string source_ip;  ///< Of connections; empty: the system chooses.
   std::optional<std::uint64_t> jitter_seed;  ///< Random if not set.
 };
 
--- a/src/camphormux/settings/reader.cpp
+++ b/src/camphormux/settings/reader.cpp
@@ -184,6 +184,28 @@
   return address.value_or(core::Address{});
 }
 
+core::Address ReadAddressOr(Reader& reader, std::string_view section,
+                            std::string_view key,
+                            const core::Address& fallback) {
+  return Find(reader, section, key) == nullptr
+             ? fallback
+             : ReadAddress(reader, section, key);
+}
+
+std::string ReadOptionalIp(Reader& reader, std::string_view section,
+                           std::string_view key) {
+  const IniEntry* entry = Find(reader, section, key);
+  if (entry == nullptr) {
+    return "";
+  }
+  const bool v6 = entry->value.find(':') != std::string::npos;
+  if (!ParseAddress((v6 ? "[" + entry->value + "]" : entry->value) + ":1")) {
+    Reject(reader, *entry, "an IP number, as 127.0.0.1");
+    return "";
+  }
+  return entry->value;
+}
+
 std::vector<core::Address> ReadAddresses(Reader& reader,
                                          std::string_view section,
                                          std::string_view key) {
--- a/src/camphormux/settings/reader.hpp
+++ b/src/camphormux/settings/reader.hpp
@@ -114,6 +114,24 @@
 core::Address ReadAddress(Reader& reader, std::string_view section,
                           std::string_view key);
 
+/// @brief Reads an IP number with a port, or takes another one.
+/// @param reader The reader.
+/// @param section Section name.
+/// @param key Key name.
+/// @param fallback Address if the key is absent.
+/// @return The address; empty after a problem.
+core::Address ReadAddressOr(Reader& reader, std::string_view section,
+                            std::string_view key,
+                            const core::Address& fallback);
+
+/// @brief Reads an IP number without a port.
+/// @param reader The reader.
+/// @param section Section name.
+/// @param key Key name.
+/// @return The IP number; empty if the key is absent and after a problem.
+std::string ReadOptionalIp(Reader& reader, std::string_view section,
+                           std::string_view key);
+
 /// @brief Reads a comma-separated list of addresses.
 /// @param reader The reader.
 /// @param section Section name.
--- /dev/null
+++ b/test/link_standin/relay.cpp
@@ -0,0 +1,237 @@
+#include "test/link_standin/relay.hpp"
+
+#include <array>
+#include <cstddef>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace camphormux::link_standin {
+
+using asio::ip::tcp;
+
+namespace internal {
+
+constexpr std::size_t kChunkBytes = std::size_t{64} << 10;
+
+/// State that relay and connections share.
+struct Core {
+  Rules rules;
+  std::map<Direction, Traffic> traffic;
+  /// Run after the next change of the rules.
+  std::vector<std::function<void()>> waiting;
+
+  [[nodiscard]] LinkRule Of(const Direction& direction) const {
+    return RuleOf(rules, direction.first, direction.second);
+  }
+
+  void RunWaiting() {
+    for (const auto& action : std::exchange(waiting, {})) {
+      action();
+    }
+  }
+};
+
+/// The two sockets of a relayed connection.
+struct Pair {
+  explicit Pair(tcp::socket accepted)
+      : caller(std::move(accepted)), target(caller.get_executor()) {}
+
+  void Close() {
+    asio::error_code ignored;
+    caller.close(ignored);
+    target.close(ignored);
+  }
+
+  tcp::socket caller;
+  tcp::socket target;
+};
+
+/// Moves bytes in one direction of a connection.
+class Pump : public std::enable_shared_from_this<Pump> {
+ public:
+  Pump(std::shared_ptr<Core> core, std::shared_ptr<Pair> pair,
+       Direction direction, bool to_target)
+      : core_(std::move(core)),
+        pair_(std::move(pair)),
+        direction_(std::move(direction)),
+        from_(to_target ? pair_->caller : pair_->target),
+        to_(to_target ? pair_->target : pair_->caller),
+        timer_(from_.get_executor()) {}
+
+  void Read() {
+    from_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code& error,
+                                    std::size_t count) {
+          if (error) {
+            self->End(error);
+          } else {
+            self->Take(count);
+          }
+        });
+  }
+
+ private:
+  void Take(std::size_t count) {
+    const LinkRule rule = core_->Of(direction_);
+    Traffic& traffic = core_->traffic[direction_];
+    if (lost_ || rule.mode == LinkMode::kDrop) {
+      lost_ = true;
+      traffic.dropped_bytes += count;
+      Read();
+    } else if (rule.mode == LinkMode::kHold) {
+      core_->waiting.push_back(
+          [self = shared_from_this(), count] { self->Take(count); });
+    } else if (rule.mode == LinkMode::kDelay) {
+      timer_.expires_after(rule.delay);
+      timer_.async_wait(
+          [self = shared_from_this(), count](const asio::error_code& error) {
+            if (!error) {
+              self->Write(count);
+            }
+          });
+    } else {
+      Write(count);
+    }
+  }
+
+  void Write(std::size_t count) {
+    core_->traffic[direction_].passed_bytes += count;
+    asio::async_write(to_, asio::buffer(buffer_.data(), count),
+                      [self = shared_from_this()](const asio::error_code& error,
+                                                  std::size_t) {
+                        if (error) {
+                          self->pair_->Close();
+                        } else {
+                          self->Read();
+                        }
+                      });
+  }
+
+  /// The end of a connection crosses a cut link as little as its bytes; it
+  /// arrives once the link passes.
+  void End(const asio::error_code& error) {
+    const LinkMode mode = core_->Of(direction_).mode;
+    if (mode == LinkMode::kDrop || mode == LinkMode::kHold) {
+      core_->waiting.push_back(
+          [self = shared_from_this(), error] { self->End(error); });
+      return;
+    }
+    asio::error_code ignored;
+    if (error == asio::error::eof && !lost_) {
+      to_.shutdown(tcp::socket::shutdown_send, ignored);
+    } else {
+      pair_->Close();
+    }
+  }
+
+  std::shared_ptr<Core> core_;
+  std::shared_ptr<Pair> pair_;
+  Direction direction_;
+  tcp::socket& from_;
+  tcp::socket& to_;
+  asio::steady_timer timer_;
+  std::array<char, kChunkBytes> buffer_{};
+  bool lost_ = false;
+};
+
+/// Connects to the target once the link passes; until then the caller's
+/// connection is open and silent.
+void Connect(const std::shared_ptr<Core>& core,
+             const std::shared_ptr<Pair>& pair, const Direction& direction,
+             const tcp::endpoint& address) {
+  const LinkMode mode = core->Of(direction).mode;
+  if (mode == LinkMode::kDrop || mode == LinkMode::kHold) {
+    core->waiting.push_back([core, pair, direction, address] {
+      Connect(core, pair, direction, address);
+    });
+    return;
+  }
+  pair->target.async_connect(
+      address, [core, pair, direction](const asio::error_code& error) {
+        if (error) {
+          pair->Close();
+          return;
+        }
+        asio::error_code ignored;
+        pair->caller.set_option(tcp::no_delay(true), ignored);
+        pair->target.set_option(tcp::no_delay(true), ignored);
+        const Direction back{direction.second, direction.first};
+        std::make_shared<Pump>(core, pair, direction, true)->Read();
+        std::make_shared<Pump>(core, pair, back, false)->Read();
+      });
+}
+
+/// Accepts for one target.
+struct Listener {
+  Listener(asio::io_context& loop, std::shared_ptr<Core> shared, Target served)
+      : core(std::move(shared)),
+        target(std::move(served)),
+        address(asio::ip::make_address(target.address.ip), target.address.port),
+        acceptor(loop, tcp::endpoint(asio::ip::make_address(target.listen.ip),
+                                     target.listen.port)) {}
+
+  void Accept(const std::map<std::string, core::ZoneName>& sources) {
+    acceptor.async_accept([this, &sources](const asio::error_code& error,
+                                           tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      asio::error_code gone;
+      const auto source = socket.remote_endpoint(gone).address();
+      const auto zone = sources.find(source.to_string());
+      const Direction direction{
+          zone == sources.end() ? core::ZoneName{} : zone->second, target.zone};
+      ++core->traffic[direction].connections;
+      Connect(core, std::make_shared<Pair>(std::move(socket)), direction,
+              address);
+      Accept(sources);
+    });
+  }
+
+  std::shared_ptr<Core> core;
+  Target target;
+  tcp::endpoint address;
+  tcp::acceptor acceptor;
+};
+
+}  // namespace internal
+
+struct Relay::Impl {
+  std::shared_ptr<internal::Core> core = std::make_shared<internal::Core>();
+  std::map<std::string, core::ZoneName> sources;
+  std::vector<std::unique_ptr<internal::Listener>> listeners;
+};
+
+Relay::Relay(asio::io_context& loop, const Links& links)
+    : impl_(std::make_shared<Impl>()) {
+  impl_->sources = links.zone_of_source;
+  for (const auto& [source, zone] : links.zone_of_source) {
+    impl_->core->rules.zones.insert(zone);
+  }
+  for (const Target& target : links.targets) {
+    impl_->core->rules.zones.insert(target.zone);
+    impl_->listeners.push_back(
+        std::make_unique<internal::Listener>(loop, impl_->core, target));
+    impl_->listeners.back()->Accept(impl_->sources);
+  }
+}
+
+Relay::~Relay() = default;
+
+bool Relay::Set(const core::ZoneName& from, const core::ZoneName& to,
+                const LinkRule& rule) {
+  if (!SetRule(impl_->core->rules, from, to, rule)) {
+    return false;
+  }
+  impl_->core->RunWaiting();
+  return true;
+}
+
+const std::map<Direction, Traffic>& Relay::traffic() const {
+  return impl_->core->traffic;
+}
+
+}  // namespace camphormux::link_standin
--- /dev/null
+++ b/test/link_standin/rules.hpp
@@ -0,0 +1,66 @@
+#ifndef CAMPHORMUX_TEST_LINK_STANDIN_RULES_HPP_
+#define CAMPHORMUX_TEST_LINK_STANDIN_RULES_HPP_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+
+namespace camphormux::link_standin {
+
+/// Stands for every zone but the other one of a pair.
+inline constexpr std::string_view kAllOthers = "*";
+
+/// @brief What happens to bytes that go from one zone to another.
+enum class LinkMode {
+  kPass,
+  kDelay,  ///< Bytes arrive later by the delay.
+  kHold,   ///< Bytes wait until the link passes, as TCP sends them again.
+  /// Bytes are lost. A connection that lost bytes stays silent in that
+  /// direction for good, as after a lost translation entry of a firewall.
+  kDrop,
+};
+
+/// @brief State of one direction between two zones.
+struct LinkRule {
+  LinkMode mode = LinkMode::kPass;
+  core::Millis delay{0};
+};
+
+/// @brief The zones (the platform counts as one) and the directions that do
+/// not pass. Traffic within a zone always passes.
+struct Rules {
+  std::set<core::ZoneName> zones;
+  std::map<std::pair<core::ZoneName, core::ZoneName>, LinkRule> directions;
+};
+
+/// @brief Parses the name of a mode.
+/// @param word The name: pass, delay, hold or drop.
+/// @return The mode, or nothing.
+[[nodiscard]] std::optional<LinkMode> ParseLinkMode(std::string_view word);
+
+/// @brief Sets the rule of one direction or of several.
+/// @param rules The rules.
+/// @param from Zone that sends, or `kAllOthers`.
+/// @param to Zone that receives, or `kAllOthers`.
+/// @param rule The rule.
+/// @return Whether both names are known.
+[[nodiscard]] bool SetRule(Rules& rules, const core::ZoneName& from,
+                           const core::ZoneName& to, const LinkRule& rule);
+
+/// @brief Looks up the rule of a direction.
+/// @param rules The rules.
+/// @param from Zone that sends.
+/// @param to Zone that receives.
+/// @return The rule; `kPass` within a zone.
+[[nodiscard]] LinkRule RuleOf(const Rules& rules, const core::ZoneName& from,
+                              const core::ZoneName& to);
+
+}  // namespace camphormux::link_standin
+
+#endif  // CAMPHORMUX_TEST_LINK_STANDIN_RULES_HPP_
