--- a/test/link_standin/link_standin_test.cpp
+++ b/test/link_standin/link_standin_test.cpp
@@ -126,8 +126,10 @@
   Send(*caller, "question");
   ASSERT_TRUE(world.RunUntil([&] { return world.served->text == "question"; }));
   Send(*world.served, "answer");
-  const auto dropped = [&] {
-    return world.relay->traffic().at({kSouth, kNorth}).dropped_bytes;
+  const auto dropped = [&]() -> std::uint64_t {
+    const auto& traffic = world.relay->traffic();
+    const auto found = traffic.find({kSouth, kNorth});
+    return found == traffic.end() ? 0 : found->second.dropped_bytes;
   };
   ASSERT_TRUE(world.RunUntil([&] { return dropped() == 6; }));
   ASSERT_TRUE(world.relay->Set(kSouth, kNorth, {}));
--- a/tools/lib_system.sh
+++ b/tools/lib_system.sh
@@ -3,6 +3,7 @@
 # shellcheck shell=bash
 bin=${CAMPHORMUX_BIN:-$PWD/build/bin}
 declare -A pids=()
+links=${links:-false}  # Whether all traffic goes through the link stand-in.
 gateways=()
 
 say() { printf '%s %s\n' "$(date +%T)" "$*" >&2; }
@@ -101,7 +102,13 @@
 }
 
 start_standins() {  # extra flags of the platform stand-in
-  start endpoints "$bin/camphormux-endpoint-standin" --hosts "$work/settings/hosts.ini" \
+  local endpoints=hosts.ini
+  if $links; then
+    endpoints=endpoints.ini
+    start links "$bin/camphormux-link-standin" --links "$work/settings/links.ini" --control "127.0.0.1:$((base + 4))"
+    await 20 "link stand-in" answers "http://127.0.0.1:$((base + 4))/control/links"
+  fi
+  start endpoints "$bin/camphormux-endpoint-standin" --hosts "$work/settings/$endpoints" \
     --control "127.0.0.1:$((base + 2))" --journal "$work/journal.jsonl" --service_time exponential \
     --service_us "${service_us:-20000}"
   start platform "$bin/camphormux-platform-standin" --hosts "$work/settings/hosts.ini" \
@@ -113,7 +120,7 @@
 prepare() {
   [ -x "$bin/camphormux-gateway" ] || { echo "build first: tools/build release" >&2; exit 2; }
   base=$(find_base_port)
-  tools/generate-settings "$deployment" "$base" "$work/settings"
+  tools/generate-settings "$deployment" "$base" "$work/settings" $($links && echo --links)
   entries=$(find "$work/settings" -name 'gateway-*.ini' | wc -l)
   services=$(sed -n 's/^\[service \(.*\)\]/\1/p' "examples/$deployment/fleet.ini" | tr '\n' ' ')
   local n
@@ -133,12 +140,21 @@
 platform_control() { curl -s -m 5 -o /dev/null -X PUT "http://127.0.0.1:$((base + 1))/control/$1" -d "$2"; }
 endpoint_control() { curl -s -m 5 -o /dev/null -X PUT "http://127.0.0.1:$((base + 2))/control/$1" -d "$2"; }
 
+link_control() { curl -s -m 5 -o /dev/null -X PUT "http://127.0.0.1:$((base + 4))/control/links" -d "$1"; }
+
+# Sets what happens to bytes that go out of a zone and into it: pass, hold or drop. A cut zone has lost the platform and
+# all other zones; a half-cut one loses one direction only.
+set_zone_links() {  # ZONE OUT_MODE IN_MODE
+  link_control "{\"from\":\"$1\",\"to\":\"*\",\"mode\":\"$2\"}"
+  link_control "{\"from\":\"*\",\"to\":\"$1\",\"mode\":\"$3\"}"
+}
+
 stop_entry_hosts() {
   local n names=()
   for ((n = 1; n <= entries; n++)); do names+=("gateway-$n" "controller-$n"); done
   stop "${names[@]}"
 }
-stop_standins() { stop platform endpoints; }
+stop_standins() { stop platform endpoints links; }
 
 check_history() {  # FLAGS...
   "$bin/camphormux-history-check" --callers "$work/callers.jsonl" --journals "$work/journal.jsonl" "$@"
