Report that a process is cut off, and its time to converge

Change: state::LogContact decides from the times of the reads when a process is cut off and when it has caught up; gateway and controller log both changes and set camphormux_{gateway,controller}_cut_off and _converge_seconds. A process whose state was never complete is starting, not cut off.

--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -25,6 +25,7 @@
 #include "camphormux/peer/server.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
+#include "camphormux/state/log_contact.hpp"
 #include "camphormux/state/snapshot_writer.hpp"
 #include "camphormux/state/tailer.hpp"
 #include "camphormux/telemetry/log.hpp"
@@ -82,6 +83,7 @@
   void Tick();
   void Announce();
   void TellMembers();
+  void UpdateContact(core::MonotonicTime now);
   void StepLease(core::MonotonicTime now);
   void AppendLease(const state::Record& record, core::MonotonicTime sent);
   void StepControl(core::MonotonicTime now);
@@ -108,6 +110,7 @@
   state::SnapshotWriter snapshots;
   Collector collector;
   Watch watch;
+  state::LogContact contact;
   ownership::Lease lease;
   StepMemory memory;
   StepResult last;
@@ -194,6 +197,7 @@
 void App::Impl::Tick() {
   const core::MonotonicTime now = core::MonotonicNow();
   UpdateWatch(tailer.state(), now, watch);
+  UpdateContact(now);
   collector.Poll(tailer.state(), now);
   Announce();
   TellMembers();
@@ -206,6 +210,20 @@
   }
 }
 
+void App::Impl::UpdateContact(core::MonotonicTime now) {
+  const auto change = state::UpdateContact(
+      contact, {tailer.last_confirmed_sent(), tailer.last_answered(), true},
+      now);
+  meters.cut_off.Set(contact.cut_off ? 1.0 : 0.0);
+  if (change) {
+    state::LogChange(*change);
+    if (!change->cut_off) {
+      meters.converge.Set(
+          std::chrono::duration<double>(change->converge).count());
+    }
+  }
+}
+
 void App::Impl::Announce() {
   if (announced || !tailer.at_end()) {
     return;
--- a/src/camphormux/controller/meters.cpp
+++ b/src/camphormux/controller/meters.cpp
@@ -38,6 +38,11 @@
                                "Records of the state stream skipped.")),
       log_age(AddGauge(registry, "camphormux_state_log_age_seconds",
                        "Age of the view of the log.")),
+      cut_off(AddGauge(registry, "camphormux_controller_cut_off",
+                       "1 if the view of the log is too old.")),
+      converge(AddGauge(
+          registry, "camphormux_controller_converge_seconds",
+          "From the log's first answer after the last cut to its end.")),
       step_time(telemetry::AddLatencyHistogram(
           registry, "camphormux_controller_step_seconds",
           "Processor time of control steps.")) {}
--- a/src/camphormux/controller/meters.hpp
+++ b/src/camphormux/controller/meters.hpp
@@ -28,6 +28,8 @@
   prometheus::Gauge& offset;
   prometheus::Gauge& skipped_records;
   prometheus::Gauge& log_age;
+  prometheus::Gauge& cut_off;
+  prometheus::Gauge& converge;
   prometheus::Histogram& step_time;
 
   Meters();
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -130,6 +130,7 @@
 StateView App::Impl::View() const {
   return {[this] { return state::Digest(tailer.state()); },
           [this] { return tailer.last_confirmed_sent(); },
+          [this] { return tailer.last_answered(); },
           [this] {
             const state::Readiness readiness = tailer.ready();
             return readiness.ready ? std::string() : readiness.reason;
--- a/src/camphormux/gateway/gateway.cpp
+++ b/src/camphormux/gateway/gateway.cpp
@@ -15,8 +15,6 @@
 namespace internal {
 
 constexpr core::Millis kTickPeriod{250};
-/// A view of the log older than this is not trusted about other zones.
-constexpr core::Millis kOldestView = std::chrono::seconds(10);
 constexpr core::Millis kIdlePollPeriod{20};
 /// Time to write the responses of requests that the bound cut off.
 constexpr core::Millis kLastWrites{500};
@@ -64,6 +62,12 @@
       view_age_(telemetry::AddGauge(
           *registry_, "camphormux_gateway_view_age_seconds",
           "Time since the state was known to be complete.")),
+      cut_off_(telemetry::AddGauge(
+          *registry_, "camphormux_gateway_cut_off",
+          "1 if the view of the log is too old to use other zones.")),
+      converge_(telemetry::AddGauge(
+          *registry_, "camphormux_gateway_converge_seconds",
+          "From the log's first answer after the last cut to its end.")),
       spans_dropped_(telemetry::AddCounter(
           *registry_, "camphormux_gateway_dropped_spans_total",
           "Spans that were dropped because the export queue was full.")),
@@ -125,6 +129,7 @@
 
 void Gateway::Tick() {
   UpdateOwnZoneOnly();
+  UpdateContact();
   view_age_.Set(std::chrono::duration<double>(ViewAge()).count());
   spans_dropped_.Increment(static_cast<double>(spans_.dropped()) -
                            spans_dropped_.Value());
@@ -137,20 +142,32 @@
 }
 
 void Gateway::UpdateOwnZoneOnly() {
-  const bool old = ViewAge() > internal::kOldestView;
+  const bool old = ViewAge() > state::kOldestView;
   if (old == own_zone_only_) {
     return;
   }
   own_zone_only_ = old;
-  telemetry::Log(
-      telemetry::Level::kWarning,
-      old ? "the view of the log is too old; only hosts of the own "
-            "zone are used"
-          : "the view of the log is complete; hosts of all zones are used");
   ForEachThread(
       [old](Dispatcher& dispatcher) { dispatcher.SetOwnZoneOnly(old); });
 }
 
+void Gateway::UpdateContact() {
+  if (!view_.confirmed || !view_.answered) {
+    return;
+  }
+  const state::LogViewTimes times{view_.confirmed(), view_.answered(),
+                                  table_ && applied() == table_->next};
+  const auto change =
+      state::UpdateContact(contact_, times, core::MonotonicNow());
+  cut_off_.Set(contact_.cut_off ? 1.0 : 0.0);
+  if (change) {
+    state::LogChange(*change);
+    if (!change->cut_off) {
+      converge_.Set(std::chrono::duration<double>(change->converge).count());
+    }
+  }
+}
+
 void Gateway::Shutdown(std::function<void()> done) {
   if (stopping_) {
     return;
--- a/src/camphormux/gateway/gateway.hpp
+++ b/src/camphormux/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "camphormux/routing/leaving_hosts.hpp"
 #include "camphormux/routing/route_table.hpp"
 #include "camphormux/state/fleet_state.hpp"
+#include "camphormux/state/log_contact.hpp"
 #include "camphormux/telemetry/trace.hpp"
 
 namespace camphormux::gateway {
@@ -28,6 +29,8 @@
   std::function<std::uint64_t()> digest;
   /// Time at which the state is known to have been complete.
   std::function<core::MonotonicTime()> confirmed;
+  /// Time at which the log last answered.
+  std::function<core::MonotonicTime()> answered;
   /// Why the state must not be served from yet; empty if it may.
   std::function<std::string()> not_ready;
 };
@@ -75,6 +78,7 @@
  private:
   void Tick();
   void UpdateOwnZoneOnly();
+  void UpdateContact();
   void AwaitIdle(core::MonotonicTime bound);
   void Abandon();
   void ForEachThread(const std::function<void(Dispatcher&)>& action);
@@ -89,11 +93,14 @@
   MetricsStore metrics_;
   telemetry::SpanExporter spans_;
   prometheus::Gauge& view_age_;
+  prometheus::Gauge& cut_off_;
+  prometheus::Gauge& converge_;
   prometheus::Counter& spans_dropped_;
   std::vector<std::unique_ptr<TrafficThread>> threads_;
   std::shared_ptr<const routing::RouteTable> table_;
   StateView view_;
   bool own_zone_only_ = false;
+  state::LogContact contact_;
   bool stopping_ = false;
   std::function<void()> on_stopped_;
   asio::steady_timer tick_;
--- a/src/camphormux/state/fwd.hpp
+++ b/src/camphormux/state/fwd.hpp
@@ -26,6 +26,10 @@
 struct PresenceNotice;
 struct SnapshotChunk;
 
+struct LogContact;
+struct LogViewTimes;
+struct ContactChange;
+
 class Tailer;
 
 }  // namespace camphormux::state
--- a/src/camphormux/state/tailer.cpp
+++ b/src/camphormux/state/tailer.cpp
@@ -46,6 +46,7 @@
       return;
     }
     backoff = internal::kFirstBackoff;
+    answered = core::MonotonicNow();
     const FollowResult result = OnRead(follower, answer.value());
     for (const SkippedRecord& skipped : result.skipped) {
       telemetry::Log(telemetry::Level::kWarning, "skipped a record",
@@ -84,6 +85,7 @@
   asio::steady_timer timer;
   core::Random random;
   Follower follower;
+  core::MonotonicTime answered;
   core::MonotonicTime confirmed;
   core::MonotonicTime confirmed_sent;
   core::Millis backoff = internal::kFirstBackoff;
@@ -111,6 +113,8 @@
 
 core::MonotonicTime Tailer::last_confirmed() const { return impl_->confirmed; }
 
+core::MonotonicTime Tailer::last_answered() const { return impl_->answered; }
+
 core::MonotonicTime Tailer::last_confirmed_sent() const {
   return impl_->confirmed_sent;
 }
--- a/src/camphormux/state/tailer.hpp
+++ b/src/camphormux/state/tailer.hpp
@@ -54,6 +54,10 @@
   /// clock's epoch if none did.
   [[nodiscard]] core::MonotonicTime last_confirmed() const;
 
+  /// @return When a read was last answered, even if not with the log's end; the
+  /// clock's epoch if none was.
+  [[nodiscard]] core::MonotonicTime last_answered() const;
+
   /// @return When the read was sent whose answer last showed the log's end. All
   /// records that were on the log then are in the state.
   [[nodiscard]] core::MonotonicTime last_confirmed_sent() const;
--- a/test/platform_standin/control_routes.cpp
+++ b/test/platform_standin/control_routes.cpp
@@ -20,6 +20,12 @@
   } else if (what == "throttle") {
     store_.SetAppendsPerSecond(static_cast<double>(
         internal::BodyNumber(body, "appends_per_second").value_or(0)));
+  } else if (what == "log") {
+    nlohmann::json ends = nlohmann::json::object();
+    for (const auto& [stream, next] : store_.Ends()) {
+      ends[stream] = next.value;
+    }
+    return internal::Answer(200, ends);
   } else if (what == "expire") {
     store_.ExpireBefore(core::WallNow() + core::Millis{1});
   } else if (what == "lag") {
--- a/test/platform_standin/log_store.cpp
+++ b/test/platform_standin/log_store.cpp
@@ -57,6 +57,14 @@
   return result;
 }
 
+std::map<std::string, core::LogOffset> LogStore::Ends() const {
+  std::map<std::string, core::LogOffset> ends;
+  for (const auto& [name, stream] : streams_) {
+    ends[name] = stream.next;
+  }
+  return ends;
+}
+
 void LogStore::OnAppend(const std::string& stream, std::function<void()> wake) {
   streams_[stream].waiting.push_back(std::move(wake));
 }
--- a/test/platform_standin/log_store.hpp
+++ b/test/platform_standin/log_store.hpp
@@ -41,6 +41,9 @@
                                      core::LogOffset from,
                                      std::size_t max_bytes);
 
+  /// @return The next offset of each stream.
+  [[nodiscard]] std::map<std::string, core::LogOffset> Ends() const;
+
   /// @brief Calls a function once at the next append to a stream.
   void OnAppend(const std::string& stream, std::function<void()> wake);
 
