Read the log without waiting after a read that got no answer

Cause: over a link that drops bytes silently, a read ends only by its timeout: 1 s wait for records plus 3 s. With a back-off of up to 2 s the next read was sent up to 6 s after the link had healed, and a text must be in force within 5 s.

Change: after a failure the next read does not wait for records (it ends after 3 s at most), and the back-off ends at 1 s: at most 4 s from healing to the next read, which answers at once.

TailerTest.ReadsWithoutWaitingAfterAFailure fails without the change (the second read waited 1000 ms, wanted 0).

--- a/src/camphormux/state/tailer.cpp
+++ b/src/camphormux/state/tailer.cpp
@@ -17,7 +17,10 @@
 // A read waits so long for the next record; roll-out needs no polling.
 constexpr core::Millis kReadWait{1000};
 constexpr core::Millis kFirstBackoff{50};
-constexpr core::Millis kMaxBackoff{2000};
+/// After a cut, the last read that was lost ends by its timeout of 3 s; with
+/// this back-off the next one is sent within 4 s, so that the state is in force
+/// within 5 s.
+constexpr core::Millis kMaxBackoff{1000};
 
 }  // namespace internal
 
@@ -32,7 +35,7 @@
   void Read() {
     const core::MonotonicTime sent = core::MonotonicNow();
     port.read(log::kStateStream, follower.read_from, internal::kReadBytes,
-              internal::kReadWait,
+              failing ? core::Millis(0) : internal::kReadWait,
               [weak = weak_from_this(), sent](const log::ReadAnswer& answer) {
                 if (const auto self = weak.lock()) {
                   self->OnAnswer(sent, answer);
@@ -46,6 +49,7 @@
       return;
     }
     backoff = internal::kFirstBackoff;
+    failing = false;
     answered = core::MonotonicNow();
     const FollowResult result = OnRead(follower, answer.value());
     for (const SkippedRecord& skipped : result.skipped) {
@@ -64,6 +68,7 @@
   }
 
   void OnFailure(const log::ReadFailure& failure) {
+    failing = true;
     if (failure.error == log::ReadError::kBelowEarliest && failure.earliest) {
       telemetry::Log(telemetry::Level::kWarning, "records expired unread",
                      {{"from", std::to_string(follower.read_from.value)},
@@ -89,6 +94,9 @@
   core::MonotonicTime confirmed;
   core::MonotonicTime confirmed_sent;
   core::Millis backoff = internal::kFirstBackoff;
+  /// The last read got no answer. The next one does not wait for records, so
+  /// that it ends sooner if it is lost too.
+  bool failing = false;
 };
 
 Tailer::Tailer(asio::io_context& loop, log::LogPort port,
