Keep half of a repeatable request's time for another host

Change: an attempt of a repeatable request that has no head of an answer after half of its remaining time is given up, if that half covers 99% of the recent run times and a retry is left in the budget. Such an attempt does not count as a run time of the service.

GatewayFaultTest.ASilentHostLeavesTimeForAnother fails without the change.

--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -121,6 +121,8 @@
       const core::ServiceName& service) const;
 
   // Attempts (dispatcher_attempts.cpp).
+  [[nodiscard]] bool HasSecondChance(const Exchange& exchange,
+                                     const ServiceState& state) const;
   void StartAttempt(const ExchangePtr& exchange, ServiceState& state,
                     const routing::Endpoint& endpoint);
   BodyStep OnHead(Exchange& exchange, AnswerHead head);
--- a/src/camphormux/gateway/dispatcher_attempts.cpp
+++ b/src/camphormux/gateway/dispatcher_attempts.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -71,8 +72,22 @@
   observer.on_end = [this, exchange](const AttemptEnd& end) {
     OnEnd(exchange, end);
   };
-  exchange->attempt.id = upstream_.Start(
-      ToAttemptRequest(*exchange, endpoint.address, now), std::move(observer));
+  AttemptRequest request = ToAttemptRequest(*exchange, endpoint.address, now);
+  request.head_timeout =
+      HeadTimeout(HasSecondChance(*exchange, state), exchange->deadline - now,
+                  core::Millis(static_cast<core::Millis::rep>(
+                      std::llround(state.queue.rate.recent.quantile_ms))));
+  exchange->attempt.head_timeout = request.head_timeout;
+  exchange->attempt.id =
+      upstream_.Start(std::move(request), std::move(observer));
+}
+
+bool Dispatcher::HasSecondChance(const Exchange& exchange,
+                                 const ServiceState& state) const {
+  const routing::ServiceRoutes* routes = RoutesOf(exchange.options.service);
+  return exchange.repeatable && exchange.attempts < kMaxAttempts &&
+         state.retries.balance >= 1.0 && routes != nullptr &&
+         routes->endpoints.size() > 1;
 }
 
 BodyStep Dispatcher::OnHead(Exchange& exchange, AnswerHead head) {
@@ -182,7 +197,10 @@
     exchange.metrics->refused->Increment();
   } else if (verdict == Verdict::kLost) {
     exchange.metrics->dropped->Increment();
-    if (end.error == AttemptError::kTimeout) {
+    // An attempt that was given up early says nothing about the service.
+    const bool given_up =
+        attempt.head_timeout > core::Millis(0) && !attempt.first_byte;
+    if (end.error == AttemptError::kTimeout && !given_up) {
       admission::ObserveCutRun(state.queue.rate, now - attempt.start);
     }
   }
--- a/src/camphormux/gateway/exchange.hpp
+++ b/src/camphormux/gateway/exchange.hpp
@@ -35,6 +35,7 @@
   core::Generation generation;
   core::MonotonicTime start;
   std::int64_t start_unix_nanos = 0;
+  core::Millis head_timeout{0};  ///< 0: the deadline alone bounds it.
   std::optional<core::MonotonicTime> first_byte;
   telemetry::TraceContext trace;
   std::optional<HeadFacts> facts;
--- a/src/camphormux/gateway/exchange_rules.cpp
+++ b/src/camphormux/gateway/exchange_rules.cpp
@@ -59,6 +59,12 @@
   return AttemptOutcome::kFailed;
 }
 
+core::Millis HeadTimeout(bool may_try_again, core::Millis left,
+                         core::Millis recent_run) {
+  const core::Millis half = left / 2;
+  return may_try_again && half >= recent_run ? half : core::Millis(0);
+}
+
 bool MayRetry(const ExchangeFacts& facts, Verdict last) {
   if (last == Verdict::kAnswered || facts.attempts >= kMaxAttempts ||
       facts.earliest_retry >= facts.deadline) {
--- a/src/camphormux/gateway/exchange_rules.hpp
+++ b/src/camphormux/gateway/exchange_rules.hpp
@@ -62,6 +62,18 @@
 /// @brief Upper bound of attempts of one request, retries included.
 inline constexpr int kMaxAttempts = 4;
 
+/// @brief Bounds the wait for the head of an answer, so that a host that is cut
+/// off without a reset does not use up the time of a request that another host
+/// could answer.
+/// @param may_try_again Whether the request is repeatable and an attempt, a
+/// retry and another host are left.
+/// @param left Time until the deadline.
+/// @param recent_run Covers 99% of the service's recent run times.
+/// @return Half of the time left, if that covers the recent run times; else 0,
+/// no bound.
+[[nodiscard]] core::Millis HeadTimeout(bool may_try_again, core::Millis left,
+                                       core::Millis recent_run);
+
 /// @brief Decides whether another attempt is allowed. The retry budget is asked
 /// afterwards.
 /// @param facts The exchange.
--- a/src/camphormux/gateway/upstream.cpp
+++ b/src/camphormux/gateway/upstream.cpp
@@ -2,8 +2,11 @@
 
 #include <charconv>
 #include <map>
+#include <memory>
+#include <optional>
 #include <utility>
 
+#include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
 #include "camphormux/http/curl_loop.hpp"
@@ -22,6 +25,7 @@
   AttemptObserver observer;
   std::unique_ptr<CURL, CurlDeleter> easy;
   std::unique_ptr<curl_slist, CurlDeleter> header_lines;
+  std::optional<asio::steady_timer> head_timer;
   AnswerHead head;
   bool head_done = false;
   bool malformed = false;  ///< Lengths of the answer contradict each other.
@@ -226,10 +230,11 @@
 
 }  // namespace internal
 
-struct Upstream::Impl {
+struct Upstream::Impl : std::enable_shared_from_this<Upstream::Impl> {
   Impl(asio::io_context& event_loop, int connections_per_endpoint,
        std::string source_ip)
-      : curl(
+      : loop(event_loop),
+        curl(
             event_loop,
             [this](CURL* easy, CURLcode code) { Finish(easy, code); },
             std::move(source_ip)) {
@@ -239,7 +244,10 @@
   }
 
   void Finish(CURL* easy, CURLcode code);
+  void WatchHead(internal::Attempt& attempt);
+  void GiveUpWithoutHead(AttemptId id);
 
+  asio::io_context& loop;
   AttemptId last_id = 0;
   std::map<CURL*, std::unique_ptr<internal::Attempt>> attempts;
   std::map<AttemptId, CURL*> by_id;
@@ -252,6 +260,30 @@
   attempt->observer.on_end(internal::ToEnd(*attempt, code));
 }
 
+void Upstream::Impl::WatchHead(internal::Attempt& attempt) {
+  if (attempt.request.head_timeout <= core::Millis(0)) {
+    return;
+  }
+  attempt.head_timer.emplace(loop, attempt.request.head_timeout);
+  attempt.head_timer->async_wait([weak = weak_from_this(), id = attempt.id](
+                                     const asio::error_code& error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->GiveUpWithoutHead(id);
+    }
+  });
+}
+
+void Upstream::Impl::GiveUpWithoutHead(AttemptId id) {
+  const auto found = by_id.find(id);
+  if (found == by_id.end() || attempts.at(found->second)->head_done) {
+    return;
+  }
+  CURL* easy = found->second;
+  curl.Remove(easy);
+  Finish(easy, CURLE_OPERATION_TIMEDOUT);
+}
+
 Upstream::Upstream(asio::io_context& loop, int connections_per_endpoint,
                    std::string source_ip)
     : impl_(std::make_shared<Impl>(loop, connections_per_endpoint,
@@ -273,6 +305,7 @@
   internal::Configure(*attempt);
   CURL* easy = attempt->easy.get();
   const AttemptId id = attempt->id;
+  impl_->WatchHead(*attempt);
   impl_->by_id.emplace(id, easy);
   impl_->attempts.emplace(easy, std::move(attempt));
   // libcurl starts the transfer from its timer, on a later turn of the loop.
--- a/src/camphormux/gateway/upstream.hpp
+++ b/src/camphormux/gateway/upstream.hpp
@@ -24,6 +24,8 @@
   http::Headers headers;
   std::shared_ptr<const std::string> body;
   core::Millis timeout{0};
+  /// The attempt ends as timed out if no head came until then; 0: no bound.
+  core::Millis head_timeout{0};
   /// Uses a new connection and does not keep it. libcurl resends on a reused
   /// connection that was closed before the first byte of the answer.
   bool single_use_connection = true;
--- a/test/gateway/exchange_rules_test.cpp
+++ b/test/gateway/exchange_rules_test.cpp
@@ -52,6 +52,18 @@
   }
 }
 
+// Guards against giving up runs that are as long as usual, and a request that
+// may not be sent again.
+TEST(ExchangeRulesTest, HalfOfTheTimeIsKeptForAnotherHost) {
+  using std::chrono::milliseconds;
+  EXPECT_EQ(HeadTimeout(true, milliseconds(5000), milliseconds(300)),
+            milliseconds(2500));
+  EXPECT_EQ(HeadTimeout(true, milliseconds(5000), milliseconds(2600)),
+            milliseconds(0));
+  EXPECT_EQ(HeadTimeout(false, milliseconds(5000), milliseconds(300)),
+            milliseconds(0));
+}
+
 // Guards against a second run of a non-repeatable request and against retries
 // past the deadline or the bound of attempts.
 RC_GTEST_PROP(ExchangeRulesTest, RetriesAreSafeAndBounded, ()) {
--- a/test/gateway/faults_test.cpp
+++ b/test/gateway/faults_test.cpp
@@ -141,5 +141,22 @@
   }
 }
 
+// Guards against a host that is cut off without a reset: it answers nothing,
+// and a repeatable request must not spend its whole time on it.
+TEST(GatewayFaultTest, ASilentHostLeavesTimeForAnother) {
+  FakeEndpoint silent([](const std::string&, int) { return FakeReply{}; });
+  FakeEndpoint healthy(
+      [](const std::string&, int) { return FakeReply{WholeAnswer("ok")}; });
+  GatewayHarness gateway({silent.port(), healthy.port()});
+  constexpr int kMostCalls = 50;
+  for (int i = 0; i < kMostCalls && silent.seen() == 0; ++i) {
+    EXPECT_EQ(
+        gateway.Call("GET", "/venue/list", {{"Camphormux-Timeout-Ms", "3000"}})
+            .body,
+        "ok");
+  }
+  EXPECT_GT(silent.seen(), 0);
+}
+
 }  // namespace
 }  // namespace camphormux::gateway
