Hear the platform's list of leaving hosts when it is slow

Change: a read may take 2.5 s; reads overlap, and an answer that a newer one overtook is dropped. A list is then heard at most 1.1 s plus the platform's delay after it changed.

LeavingReaderTest.TakesASlowAnswer fails without the change (no list within 20 s); DropsAnAnswerThatANewerOneOvertook guards the order.

--- a/src/camphormux/gateway/leaving_reader.cpp
+++ b/src/camphormux/gateway/leaving_reader.cpp
@@ -10,11 +10,13 @@
 namespace camphormux::gateway {
 namespace internal {
 
-/// The period, its jitter and the timeout leave most of the 3 s between a sign
-/// of leaving and the last new request to the lag of the platform's list.
+/// The period and its jitter leave most of the 3 s between a sign of leaving
+/// and the last new request to the lag of the platform's list. Reads overlap
+/// when the platform is slow: with a timeout of 800 ms, a platform that took
+/// longer was not heard at all.
 constexpr core::Millis kReadPeriod{900};
 constexpr core::Millis kReadJitter{200};
-constexpr core::Millis kReadTimeout{800};
+constexpr core::Millis kReadTimeout{2500};
 /// Some 7,000 listed hosts; bounds the memory that a wrong list can take.
 constexpr std::size_t kLongestList = std::size_t{1} << 20;
 constexpr int kOk = 200;
@@ -49,12 +51,13 @@
   request.url = url_;
   request.timeout = internal::kReadTimeout;
   request.max_response_bytes = internal::kLongestList;
-  client_.Send(std::move(request), [weak = std::weak_ptr(alive_)](
-                                       const http::ClientResult& result) {
-    if (const auto self = weak.lock()) {
-      (*self)->OnAnswer(result);
-    }
-  });
+  client_.Send(std::move(request),
+               [weak = std::weak_ptr(alive_),
+                read = ++last_read_](const http::ClientResult& result) {
+                 if (const auto self = weak.lock()) {
+                   (*self)->OnAnswer(read, result);
+                 }
+               });
   timer_.expires_after(internal::kReadPeriod +
                        core::Jitter(random_, internal::kReadJitter));
   timer_.async_wait([this](const asio::error_code& error) {
@@ -64,7 +67,8 @@
   });
 }
 
-void LeavingReader::OnAnswer(const http::ClientResult& result) {
+void LeavingReader::OnAnswer(std::uint64_t read,
+                             const http::ClientResult& result) {
   auto named = result && result.value().status == internal::kOk
                    ? routing::ParseLeavingList(result.value().body)
                    : std::nullopt;
@@ -73,6 +77,10 @@
     failures_.Increment();
     return;
   }
+  if (read < last_answered_) {
+    return;  // A newer list is known.
+  }
+  last_answered_ = read;
   LogDoubts(routing::UpdateLeaving(list_, *named, ports_.state(),
                                    core::MonotonicNow()));
   listed_.Set(static_cast<double>(list_.hosts.trusted.size()));
--- a/src/camphormux/gateway/leaving_reader.hpp
+++ b/src/camphormux/gateway/leaving_reader.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_GATEWAY_LEAVING_READER_HPP_
 #define CAMPHORMUX_GATEWAY_LEAVING_READER_HPP_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -46,7 +47,7 @@
 
  private:
   void Read();
-  void OnAnswer(const http::ClientResult& result);
+  void OnAnswer(std::uint64_t read, const http::ClientResult& result);
   void LogDoubts(const std::set<core::ZoneName>& zones);
 
   http::Client& client_;
@@ -59,6 +60,8 @@
   prometheus::Counter& failures_;
   routing::LeavingList list_;
   std::set<core::ZoneName> doubted_zones_;
+  std::uint64_t last_read_ = 0;      ///< Number of the last read sent.
+  std::uint64_t last_answered_ = 0;  ///< Highest number of a used answer.
   /// Answers that arrive after the end of the reader find this expired.
   std::shared_ptr<LeavingReader*> alive_;
 };
--- /dev/null
+++ b/test/gateway/leaving_reader_test.cpp
@@ -0,0 +1,113 @@
+#include "camphormux/gateway/leaving_reader.hpp"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+#include "camphormux/http/server.hpp"
+
+namespace camphormux::gateway {
+namespace {
+
+/// Longer than the time between two reads.
+constexpr core::Millis kSlowAnswer{1500};
+constexpr std::chrono::seconds kLimit{20};
+
+/// Finds a port that nobody listens on.
+std::uint16_t FreePort() {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(
+      loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
+/// A platform whose first answer is slow and names host 1 as leaving; later
+/// ones name nobody.
+struct World {
+  World()
+      : port(FreePort()),
+        server(loop, {"127.0.0.1", port},
+               [this](const http::ServerRequest&,
+                      const http::Respond& respond) { Answer(respond); }),
+        client(loop),
+        reader(loop, client, {"127.0.0.1", port}, registry,
+               {[this]() -> const state::FleetState& { return state; },
+                [this](const auto& hosts) {
+                  ++published;
+                  named = named || !hosts->trusted.empty();
+                  loop.stop();
+                }},
+               core::SeededRandom(1)) {
+    for (int i = 0; i < 10; ++i) {
+      state::Host& host = state.hosts[{"h" + std::to_string(i)}];
+      host.zone = {"a"};
+      host.phase = state::HostPhase::kAdmitted;
+    }
+  }
+
+  void Answer(const http::Respond& respond) {
+    const bool first = ++requests == 1;
+    if (!first && !answer_later_ones) {
+      return;
+    }
+    const std::string body =
+        first ? R"([{"id":"h1","state":"leaving"}])" : "[]";
+    timer = std::make_unique<asio::steady_timer>(
+        loop, first ? kSlowAnswer : core::Millis(0));
+    held = first ? std::move(timer) : std::move(held);
+    auto& wait = first ? held : timer;
+    wait->async_wait([respond, body](const asio::error_code& error) {
+      if (!error) {
+        respond({200, body, "application/json", {}});
+      }
+    });
+  }
+
+  void RunUntilPublished(int count) {
+    const auto end = core::MonotonicNow() + kLimit;
+    while (published < count && core::MonotonicNow() < end) {
+      loop.restart();
+      loop.run_for(kLimit);
+    }
+  }
+
+  asio::io_context loop;
+  state::FleetState state;
+  prometheus::Registry registry;
+  std::unique_ptr<asio::steady_timer> timer;
+  std::unique_ptr<asio::steady_timer> held;
+  int requests = 0;
+  bool answer_later_ones = false;
+  int published = 0;
+  bool named = false;
+  std::uint16_t port;
+  http::Server server;
+  http::Client client;
+  LeavingReader reader;
+};
+
+// Guards against a list that is thrown away because the platform is slow: the
+// host would get new requests later than 3 s after it was listed.
+TEST(LeavingReaderTest, TakesASlowAnswer) {
+  World world;
+  world.reader.Start();
+  world.RunUntilPublished(1);
+  EXPECT_TRUE(world.named);
+}
+
+// Guards against an old answer that comes after a newer one and replaces it.
+TEST(LeavingReaderTest, DropsAnAnswerThatANewerOneOvertook) {
+  World world;
+  world.answer_later_ones = true;
+  world.reader.Start();
+  world.RunUntilPublished(3);
+  EXPECT_GE(world.published, 3);
+  EXPECT_FALSE(world.named);
+}
+
+}  // namespace
+}  // namespace camphormux::gateway
