Let the link stand-in end connections whose caller gave up in the cut

TCP ends such an attempt to connect with its socket. Bytes of connections that were open before the cut are lost as before.

--- a/test/link_standin/link_standin_test.cpp
+++ b/test/link_standin/link_standin_test.cpp
@@ -152,6 +152,22 @@
       [&] { return world.served && world.served->text == "late"; }));
 }
 
+// Guards against requests that reach a host after the cut although their
+// sender gave the connection up long before.
+TEST(RelayTest, ACallerThatGaveUpReachesNobody) {
+  World world;
+  world.Accept();
+  ASSERT_TRUE(world.relay->Set(kNorth, kSouth, {LinkMode::kDrop, {}}));
+  const auto caller = world.Call("127.0.9.11");
+  Send(*caller, "too late");
+  caller->socket.close();
+  EXPECT_FALSE(
+      world.RunUntil([&] { return world.served != nullptr; }, kSilence));
+  ASSERT_TRUE(world.relay->Set(kNorth, kSouth, {}));
+  EXPECT_FALSE(
+      world.RunUntil([&] { return world.served != nullptr; }, kSilence));
+}
+
 // Guards against a rule for a zone that does not exist, which would cut
 // nothing.
 TEST(RelayTest, UnknownZonesAreRefused) {
--- a/test/link_standin/relay.cpp
+++ b/test/link_standin/relay.cpp
@@ -137,32 +137,100 @@
   bool lost_ = false;
 };
 
-/// Connects to the target once the link passes; until then the caller's
-/// connection is open and silent.
-void Connect(const std::shared_ptr<Core>& core,
-             const std::shared_ptr<Pair>& pair, const Direction& direction,
-             const tcp::endpoint& address) {
-  const LinkMode mode = core->Of(direction).mode;
-  if (mode == LinkMode::kDrop || mode == LinkMode::kHold) {
-    core->waiting.push_back([core, pair, direction, address] {
-      Connect(core, pair, direction, address);
-    });
-    return;
-  }
-  pair->target.async_connect(
-      address, [core, pair, direction](const asio::error_code& error) {
-        if (error) {
-          pair->Close();
-          return;
-        }
-        asio::error_code ignored;
-        pair->caller.set_option(tcp::no_delay(true), ignored);
-        pair->target.set_option(tcp::no_delay(true), ignored);
-        const Direction back{direction.second, direction.first};
-        std::make_shared<Pump>(core, pair, direction, true)->Read();
-        std::make_shared<Pump>(core, pair, back, false)->Read();
-      });
-}
+/// A new connection. While the link is cut it is open and silent to the
+/// caller; it reaches the target once the link passes, unless the caller has
+/// given up before, as TCP then ends the attempt to connect.
+class Opening : public std::enable_shared_from_this<Opening> {
+ public:
+  Opening(std::shared_ptr<Core> core, std::shared_ptr<Pair> pair,
+          Direction direction, tcp::endpoint address)
+      : core_(std::move(core)),
+        pair_(std::move(pair)),
+        direction_(std::move(direction)),
+        address_(std::move(address)) {}
+
+  void Start() {
+    if (IsCut()) {
+      core_->waiting.push_back([self = shared_from_this()] { self->Retry(); });
+      Watch();
+    } else {
+      Connect();
+    }
+  }
+
+ private:
+  [[nodiscard]] bool IsCut() const {
+    const LinkMode mode = core_->Of(direction_).mode;
+    return mode == LinkMode::kDrop || mode == LinkMode::kHold;
+  }
+
+  /// Collects what the caller sends, up to the buffer's size.
+  void Watch() {
+    pair_->caller.async_read_some(
+        asio::buffer(early_) + early_bytes_,
+        [self = shared_from_this()](const asio::error_code& error,
+                                    std::size_t count) {
+          self->early_bytes_ += count;
+          if (error && error != asio::error::operation_aborted) {
+            self->pair_->Close();
+          } else if (!error && self->early_bytes_ < self->early_.size()) {
+            self->Watch();
+          }
+        });
+  }
+
+  void Retry() {
+    if (!pair_->caller.is_open()) {
+      return;
+    }
+    if (IsCut()) {
+      core_->waiting.push_back([self = shared_from_this()] { self->Retry(); });
+      return;
+    }
+    asio::error_code ignored;
+    pair_->caller.cancel(ignored);
+    Connect();
+  }
+
+  void Connect() {
+    pair_->target.async_connect(
+        address_, [self = shared_from_this()](const asio::error_code& error) {
+          if (error) {
+            self->pair_->Close();
+          } else {
+            self->SendEarly();
+          }
+        });
+  }
+
+  void SendEarly() {
+    asio::async_write(pair_->target, asio::buffer(early_.data(), early_bytes_),
+                      [self = shared_from_this()](const asio::error_code& error,
+                                                  std::size_t) {
+                        if (error) {
+                          self->pair_->Close();
+                        } else {
+                          self->Relay();
+                        }
+                      });
+  }
+
+  void Relay() {
+    asio::error_code ignored;
+    pair_->caller.set_option(tcp::no_delay(true), ignored);
+    pair_->target.set_option(tcp::no_delay(true), ignored);
+    const Direction back{direction_.second, direction_.first};
+    std::make_shared<Pump>(core_, pair_, direction_, true)->Read();
+    std::make_shared<Pump>(core_, pair_, back, false)->Read();
+  }
+
+  std::shared_ptr<Core> core_;
+  std::shared_ptr<Pair> pair_;
+  Direction direction_;
+  tcp::endpoint address_;
+  std::array<char, kChunkBytes> early_{};
+  std::size_t early_bytes_ = 0;
+};
 
 /// Accepts for one target.
 struct Listener {
@@ -185,8 +253,9 @@
       const Direction direction{
           zone == sources.end() ? core::ZoneName{} : zone->second, target.zone};
       ++core->traffic[direction].connections;
-      Connect(core, std::make_shared<Pair>(std::move(socket)), direction,
-              address);
+      std::make_shared<Opening>(core, std::make_shared<Pair>(std::move(socket)),
+                                direction, address)
+          ->Start();
       Accept(sources);
     });
   }
