Do not renew a lease that the holder cannot read

Its lease holder read nothing and decided nothing, but its renewals still reached the log. If only the holder's host is half cut off, such renewals keep the lease from another controller of the zone, and the zone decides nothing.

Change: a holder whose view of the log is older than 4 s sends no renewal. LeaseTest.AHolderThatCannotReadDoesNotRenew fails without the change.

--- a/src/camphormux/ownership/lease.cpp
+++ b/src/camphormux/ownership/lease.cpp
@@ -97,7 +97,11 @@
   }
   const core::Millis wait = lease.outstanding ? lease.options.resend_after
                                               : lease.options.renew_period;
-  if (now < lease.sent_at + wait) {
+  // A holder that cannot read the log decides nothing; its renewals would keep
+  // the lease from a process that can.
+  const bool blind = !view.complete_until ||
+                     now - *view.complete_until >= lease.options.decide_for;
+  if (blind || now < lease.sent_at + wait) {
     return {};
   }
   lease.sent_at = now;
--- a/test/ownership/lease_property_test.cpp
+++ b/test/ownership/lease_property_test.cpp
@@ -266,5 +266,24 @@
   EXPECT_FALSE(MayDecide(lease, at(65'000)));
 }
 
+// Guards against a holder that is half cut off: its appends reach the log, but
+// it reads nothing, so that it decides nothing, and its renewals would keep the
+// lease from a process that reads the log.
+TEST(LeaseTest, AHolderThatCannotReadDoesNotRenew) {
+  const core::MonotonicTime start{std::chrono::hours(1)};
+  Lease lease = MakeLease(kZone, {"p"}, {}, core::SeededRandom(1));
+  lease.role = Role::kHolder;
+  lease.epoch = {1};
+  lease.sent_at = start;
+  state::ZoneLease held;
+  held.holder = {"p"};
+  held.epoch = {1};
+  const LogView view{&held, start};
+  EXPECT_TRUE(Advance(lease, view, start + std::chrono::seconds(3)).renew);
+  EXPECT_FALSE(Advance(lease, view, start + std::chrono::seconds(5)).renew);
+  const LogView fresh{&held, start + std::chrono::seconds(6)};
+  EXPECT_TRUE(Advance(lease, fresh, start + std::chrono::seconds(7)).renew);
+}
+
 }  // namespace
 }  // namespace camphormux::ownership
