--- a/src/camphormux/controller/app.cpp
+++ b/src/camphormux/controller/app.cpp
@@ -32,6 +32,7 @@
 #include "camphormux/recovery/state_source.hpp"
 #include "camphormux/state/codec.hpp"
 #include "camphormux/state/fold.hpp"
+#include "camphormux/state/log_contact.hpp"
 #include "camphormux/state/snapshot_writer.hpp"
 #include "camphormux/state/tailer.hpp"
 #include "camphormux/telemetry/log.hpp"
@@ -56,7 +57,7 @@
                          core::Incarnation incarnation) {
   return membership::MakeView(
       {settings.process, state::ProcessRole::kController, settings.zone,
-       settings.peer, incarnation},
+       settings.advertised_peer, incarnation},
       settings.seeds, membership::Config{}, core::MonotonicNow());
 }
 
@@ -92,6 +93,7 @@
   void Tick();
   void Announce();
   void TellMembers();
+  void UpdateContact(core::MonotonicTime now);
   void StepControl(core::MonotonicTime now);
   void StepJobs(core::MonotonicTime now);
   void CountAnswers();
@@ -121,6 +123,7 @@
   Collector collector;
   demand::ServiceIndexes indexes;
   Watch watch;
+  state::LogContact contact;
   dispatch::Runner jobs;
   LeaseKeeper lease;
   StepMemory memory;
@@ -145,12 +148,12 @@
     : loop(event_loop),
       settings(checked),
       random(core::SeededRandom(std::random_device{}())),
-      client(loop),
+      client(loop, settings.source_ip),
       port(log::MakeHttpPort(client, settings.platform)),
       incarnation{static_cast<std::uint64_t>(
           core::WallNow().time_since_epoch().count())},
       members(loop, internal::NewView(settings, incarnation),
-              internal::LogTransition),
+              internal::LogTransition, settings.source_ip),
       tailer(loop, port,
              [this](const state::FleetState&) {
                if (pending) {
@@ -240,6 +243,7 @@
   const core::MonotonicTime now = core::MonotonicNow();
   last_tick = now;
   UpdateWatch(tailer.state(), now, watch);
+  UpdateContact(now);
   collector.Poll(tailer.state(), lease.MayDecide(now).has_value(), now);
   Announce();
   TellMembers();
@@ -266,14 +270,28 @@
   SetJobMeters(jobs, now, job_meters);
 }
 
+void App::Impl::UpdateContact(core::MonotonicTime now) {
+  const auto change = state::UpdateContact(
+      contact, {tailer.last_confirmed_sent(), tailer.last_answered(), true},
+      now);
+  meters.cut_off.Set(contact.cut_off ? 1.0 : 0.0);
+  if (change) {
+    state::LogChange(*change);
+    if (!change->cut_off) {
+      meters.converge.Set(
+          std::chrono::duration<double>(change->converge).count());
+    }
+  }
+}
+
 void App::Impl::Announce() {
   if (announced || !tailer.at_end()) {
     return;
   }
   announced = true;
-  const state::PresenceNotice notice{settings.process,
-                                     state::ProcessRole::kController,
-                                     settings.zone, settings.peer, incarnation};
+  const state::PresenceNotice notice{
+      settings.process, state::ProcessRole::kController, settings.zone,
+      settings.advertised_peer, incarnation};
   appender.Append(state::EncodeRecords({notice}),
                   [self = weak_from_this()](const log::AppendResult& result) {
                     const auto impl = self.lock();
--- a/src/camphormux/gateway/app.cpp
+++ b/src/camphormux/gateway/app.cpp
@@ -39,7 +39,7 @@
                          core::Incarnation incarnation) {
   return membership::MakeView(
       {settings.process, state::ProcessRole::kGateway, settings.zone,
-       settings.peer.value_or(core::Address{}), incarnation},
+       settings.advertised_peer, incarnation},
       settings.seeds, membership::Config{}, core::MonotonicNow());
 }
 
@@ -48,6 +48,7 @@
   idempotency::KeyStoreOptions options;
   options.self = {settings.process, incarnation};
   options.seed = std::random_device{}();
+  options.source_ip = settings.source_ip;
   return options;
 }
 
@@ -114,11 +115,11 @@
           core::WallNow().time_since_epoch().count())},
       registry(std::make_shared<prometheus::Registry>()),
       metrics(*registry),
-      client(control),
+      client(control, settings.source_ip),
       port(log::MakeHttpPort(client, settings.platform)),
       appender(control, port, log::kStateStream),
       members(control, internal::NewView(settings, incarnation),
-              internal::LogTransition),
+              internal::LogTransition, settings.source_ip),
       keys(control, port, internal::KeyOptions(settings, incarnation),
            [this](const core::ProcessId& process) { return Locate(process); }),
       gateway(control, settings, registry, MakeKeyStoreFactory(control, keys)),
@@ -154,6 +155,7 @@
 StateView App::Impl::View() const {
   return {[this] { return state::Digest(tailer.state()); },
           [this] { return tailer.last_confirmed_sent(); },
+          [this] { return tailer.last_answered(); },
           [this] {
             const state::Readiness readiness = fetcher.ready();
             return readiness.ready ? std::string() : readiness.reason;
@@ -210,7 +212,7 @@
   announced = true;
   const state::PresenceNotice notice{
       settings.process, state::ProcessRole::kGateway, settings.zone,
-      *settings.peer, incarnation};
+      settings.advertised_peer, incarnation};
   appender.Append(state::EncodeRecords({notice}),
                   [this](const log::AppendResult& result) {
                     announced = result.has_value();
--- a/src/camphormux/gateway/dispatcher.hpp
+++ b/src/camphormux/gateway/dispatcher.hpp
@@ -38,6 +38,7 @@
 /// @brief What a dispatcher is made of.
 struct DispatcherOptions {
   core::ZoneName zone;
+  std::string source_ip;  ///< Of connections to endpoints; may be empty.
   std::string id_prefix;  ///< Unique over threads and restarts.
   core::Bytes max_body;
   core::Bytes max_header;
@@ -121,6 +122,8 @@
       const core::ServiceName& service) const;
 
   // Attempts (dispatcher_attempts.cpp).
+  [[nodiscard]] bool HasSecondChance(const Exchange& exchange,
+                                     const ServiceState& state) const;
   void StartAttempt(const ExchangePtr& exchange, ServiceState& state,
                     const routing::Endpoint& endpoint);
   BodyStep OnHead(Exchange& exchange, AnswerHead head);
--- a/src/camphormux/gateway/upstream.hpp
+++ b/src/camphormux/gateway/upstream.hpp
@@ -24,6 +24,8 @@
   http::Headers headers;
   std::shared_ptr<const std::string> body;
   core::Millis timeout{0};
+  /// The attempt ends as timed out if no head came until then; 0: no bound.
+  core::Millis head_timeout{0};
   /// Uses a new connection and does not keep it. libcurl resends on a reused
   /// connection that was closed before the first byte of the answer.
   bool single_use_connection = true;
@@ -77,7 +79,10 @@
   /// @param loop Event loop; outlives the client.
   /// @param connections_per_endpoint Highest number of connections, idle ones
   /// included, to each endpoint.
-  Upstream(asio::io_context& loop, int connections_per_endpoint);
+  /// @param source_ip Address of this host that connections come from; empty:
+  /// the system chooses.
+  Upstream(asio::io_context& loop, int connections_per_endpoint,
+           std::string source_ip = "");
   /// Drops attempts in flight without calling their observers.
   ~Upstream();
   Upstream(const Upstream&) = delete;
--- a/src/camphormux/state/tailer.cpp
+++ b/src/camphormux/state/tailer.cpp
@@ -17,7 +17,10 @@
 // A read waits so long for the next record; roll-out needs no polling.
 constexpr core::Millis kReadWait{1000};
 constexpr core::Millis kFirstBackoff{50};
-constexpr core::Millis kMaxBackoff{2000};
+/// After a cut, the last read that was lost ends by its timeout of 3 s; with
+/// this back-off the next one is sent within 4 s, so that the state is in force
+/// within 5 s.
+constexpr core::Millis kMaxBackoff{1000};
 
 }  // namespace internal
 
@@ -32,7 +35,7 @@
   void Read() {
     const core::MonotonicTime sent = core::MonotonicNow();
     port.read(log::kStateStream, follower.read_from, internal::kReadBytes,
-              internal::kReadWait,
+              failing ? core::Millis(0) : internal::kReadWait,
               [weak = weak_from_this(), sent,
                from = follower.read_from](const log::ReadAnswer& answer) {
                 const auto self = weak.lock();
@@ -55,6 +58,8 @@
       return;
     }
     backoff = internal::kFirstBackoff;
+    failing = false;
+    answered = core::MonotonicNow();
     const FollowResult result = OnRead(follower, answer.value());
     for (const SkippedRecord& skipped : result.skipped) {
       telemetry::Log(telemetry::Level::kWarning, "skipped a record",
@@ -72,6 +77,7 @@
   }
 
   void OnFailure(const log::ReadFailure& failure) {
+    failing = true;
     if (failure.error == log::ReadError::kBelowEarliest && failure.earliest) {
       telemetry::Log(telemetry::Level::kWarning, "records expired unread",
                      {{"from", std::to_string(follower.read_from.value)},
@@ -93,9 +99,13 @@
   asio::steady_timer timer;
   core::Random random;
   Follower follower;
+  core::MonotonicTime answered;
   core::MonotonicTime confirmed;
   core::MonotonicTime confirmed_sent;
   core::Millis backoff = internal::kFirstBackoff;
+  /// The last read got no answer. The next one does not wait for records, so
+  /// that it ends sooner if it is lost too.
+  bool failing = false;
 };
 
 Tailer::Tailer(asio::io_context& loop, log::LogPort port,
@@ -124,6 +134,8 @@
 
 core::MonotonicTime Tailer::last_confirmed() const { return impl_->confirmed; }
 
+core::MonotonicTime Tailer::last_answered() const { return impl_->answered; }
+
 core::MonotonicTime Tailer::last_confirmed_sent() const {
   return impl_->confirmed_sent;
 }
--- a/test/gateway/lifecycle_test.cpp
+++ b/test/gateway/lifecycle_test.cpp
@@ -69,6 +69,7 @@
         control_, settings, std::make_shared<prometheus::Registry>(),
         &UnavailableKeyStore);
     gateway_->SetView({[] { return std::uint64_t{0}; },
+                       [] { return core::MonotonicNow(); },
                        [] { return core::MonotonicNow(); },
                        [] { return std::string(); }});
     if (state) {
