Test the state transfer in several chunks again

Change: 12,000 hosts with names that do not compress. Conclusion: the transfer's order and completeness checks are tested with more than one chunk again.

--- a/test/gateway/leaving_reader_order_test.cpp
+++ b/test/gateway/leaving_reader_order_test.cpp
@@ -1,5 +1,3 @@
-#include "camphormux/gateway/leaving_reader.hpp"
-
 #include <memory>
 #include <string>
 #include <utility>
@@ -8,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include "camphormux/gateway/leaving_reader.hpp"
 #include "camphormux/http/server.hpp"
 
 namespace camphormux::gateway {
--- a/test/recovery/fetch_test.cpp
+++ b/test/recovery/fetch_test.cpp
@@ -13,14 +13,18 @@
 
 using state::SnapshotChunk;
 
+/// A state whose snapshot takes several chunks although it is compressed: the
+/// names of its hosts have no common digits.
 state::FleetState LargeState() {
+  constexpr std::uint64_t kHosts = 12'000;
+  constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15;  // 2^64 / golden ratio
   state::FleetState state;
   (void)state::Apply(state, state::LeaseClaim{{"a"}, {"c"}, {1}}, {0});
-  for (std::uint64_t i = 1; i < 1000; ++i) {
+  for (std::uint64_t i = 1; i < kHosts; ++i) {
     (void)state::Apply(state,
                        state::HostAdded{{"a"},
                                         {1},
-                                        {"h" + std::to_string(i)},
+                                        {"h" + std::to_string(i * kSpread)},
                                         {"r"},
                                         {},
                                         {"127.0.0.1", 80}},
