--- a/src/camphormux/dispatch/task_port.cpp
+++ b/src/camphormux/dispatch/task_port.cpp
@@ -40,7 +40,7 @@
 }
 
 std::optional<RunState> ParseState(const std::string& word) {
-  static const std::map<std::string, RunState> kWords{
+  static const std::map<std::string, RunState> words{
       {"running", RunState::kRunning},
       {"throttled", RunState::kThrottled},
       {"checkpointed", RunState::kCheckpointed},
@@ -49,8 +49,8 @@
       {"out_of_memory", RunState::kOutOfMemory},
       {"lease_expired", RunState::kLeaseExpired},
       {"absent", RunState::kAbsent}};
-  const auto found = kWords.find(word);
-  return found == kWords.end() ? std::nullopt : std::optional(found->second);
+  const auto found = words.find(word);
+  return found == words.end() ? std::nullopt : std::optional(found->second);
 }
 
 /// Reads one item; nothing if another maker than this program named the task.
--- a/src/camphormux/placement/leases.cpp
+++ b/src/camphormux/placement/leases.cpp
@@ -1,7 +1,6 @@
 #include "camphormux/placement/leases.hpp"
 
 #include <algorithm>
-#include <utility>
 
 #include "camphormux/placement/queue.hpp"
 #include "camphormux/placement/quotas.hpp"
@@ -45,9 +44,9 @@
 }
 
 /// Enters a task in the tables and takes its room.
-TaskIndex AddTask(State& state, Task task) {
+TaskIndex AddTask(State& state, const Task& task) {
   const TaskIndex index = TakeTaskPosition(state);
-  state.tasks[index] = std::move(task);
+  state.tasks[index] = task;
   const Task& added = state.tasks[index];
   state.task_epochs[added.epoch] = index;
   state.workers[added.worker].tasks.push_back(index);
@@ -85,7 +84,7 @@
   task.abandoned = state.jobs[job].task != kNone ||
                    state.jobs[job].phase != JobPhase::kActive;
   const bool counts = !task.abandoned;
-  const TaskIndex index = AddTask(state, std::move(task));
+  const TaskIndex index = AddTask(state, task);
   state.next_epoch = std::max(state.next_epoch, core::Next(epoch));
   if (!counts) {
     effects.push_back(
