--- a/test/gateway/lifecycle_test.cpp
+++ b/test/gateway/lifecycle_test.cpp
@@ -68,10 +68,9 @@
     gateway_ = std::make_unique<Gateway>(
         control_, settings, std::make_shared<prometheus::Registry>(),
         &UnavailableKeyStore);
-    gateway_->SetView({[] { return std::uint64_t{0}; },
-                       [] { return core::MonotonicNow(); },
-                       [] { return core::MonotonicNow(); },
-                       [] { return std::string(); }});
+    gateway_->SetView(
+        {[] { return std::uint64_t{0}; }, [] { return core::MonotonicNow(); },
+         [] { return core::MonotonicNow(); }, [] { return std::string(); }});
     if (state) {
       gateway_->Publish(*state);
     }
--- a/test/recovery/fetch_test.cpp
+++ b/test/recovery/fetch_test.cpp
@@ -13,14 +13,13 @@
 
 using state::SnapshotChunk;
 
-/// A state whose snapshot takes several chunks although it is compressed: the
-/// names of its hosts have no common digits.
-state::FleetState LargeState() {
-  constexpr std::uint64_t kHosts = 12'000;
+/// A state with a host added by each record but the first. Host names without
+/// common digits keep a large one above a chunk's size when it is compressed.
+state::FleetState StateOf(std::uint64_t end) {
   constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15;  // 2^64 / golden ratio
   state::FleetState state;
   (void)state::Apply(state, state::LeaseClaim{{"a"}, {"c"}, {1}}, {0});
-  for (std::uint64_t i = 1; i < kHosts; ++i) {
+  for (std::uint64_t i = 1; i < end; ++i) {
     (void)state::Apply(state,
                        state::HostAdded{{"a"},
                                         {1},
@@ -33,6 +32,8 @@
   return state;
 }
 
+state::FleetState LargeState() { return StateOf(12'000); }
+
 /// Transfers chunks until one is refused; returns why, or "".
 std::string Transfer(Fetch& fetch, const std::vector<SnapshotChunk>& chunks) {
   for (const SnapshotChunk& chunk : chunks) {
@@ -156,7 +157,7 @@
 // Guards against a served state that lacks records between the peer's offset
 // and the log's earliest, or before the records after it were read.
 TEST(FetchTest, ABaseMustMeetTheLog) {
-  const state::FleetState state = LargeState();  // Ends at 1000.
+  const state::FleetState state = StateOf(1000);
   state::Follower late = Searching(1001, 1005);
   EXPECT_TRUE(state::TakeBase(late, state));
   state::Follower early = Searching(990, 999);
