--- a/test/dispatch/driver_test.cpp
+++ b/test/dispatch/driver_test.cpp
@@ -168,6 +168,7 @@
   for (const auto& [job, count] : zone_.starts) running += count;
   ASSERT_GT(running, 0U);
   std::vector<jobs::Record> wave;
+  wave.reserve(2000);
   for (int i = 0; i < 2000; ++i) {
     wave.emplace_back(jobs::Cancel{{"job" + std::to_string(i)}, {"t"}});
   }
