Do not let impossible jobs round the sizes of others

Classes of impossible jobs were counted, so that possible jobs behind them got rounded sizes and found no room. Change: a kind counts the classes of impossible jobs apart; their number is bounded by the same limit.

--- a/src/camphormux/placement/decision.cpp
+++ b/src/camphormux/placement/decision.cpp
@@ -202,8 +202,13 @@
     if (WhyImpossible(state, state.classes[index])) {
       // Rounding may have made it larger than the largest worker.
       key.declared = spec.declared;
-      const ClassIndex rounded = std::exchange(index, InternClass(state, key));
-      if (rounded != index) ForgetUnusedClass(state, rounded);
+      index = ReplaceClass(index, key);
+      const std::uint32_t impossible = state.kinds[key.kind].impossible_classes;
+      if (WhyImpossible(state, state.classes[index]) &&
+          impossible >= kMostExactClasses) {
+        key.declared = RoundUp(spec.declared);
+        index = ReplaceClass(index, key);
+      }
     }
     ReviewClass(state, index, effects);
     Job job;
@@ -215,6 +220,12 @@
     return number;
   }
 
+  [[nodiscard]] ClassIndex ReplaceClass(ClassIndex old, const ClassKey& key) {
+    const ClassIndex index = InternClass(state, key);
+    if (index != old) ForgetUnusedClass(state, old);
+    return index;
+  }
+
   /// Takes the promises of a worker back and makes its tasks yield.
   void Vacate(WorkerIndex index) {
     const std::vector<JobIndex> promises = state.workers[index].promises;
@@ -240,7 +251,8 @@
     key.preemptible = spec.preemptible;
     key.repeatable = spec.repeatable;
     // Exact sizes pack best; rounding bounds the classes of a kind of which
-    // each job has a size of its own.
+    // each job has a size of its own. Impossible jobs are counted apart, or
+    // they would change the sizes of others.
     const bool has_many_sizes =
         state.kinds[key.kind].classes >= kMostExactClasses;
     key.declared = has_many_sizes ? RoundUp(spec.declared) : spec.declared;
--- a/src/camphormux/placement/queue.cpp
+++ b/src/camphormux/placement/queue.cpp
@@ -113,6 +113,9 @@
   JobClass& job_class = state.classes[index];
   if (job_class.impossible == reason.has_value()) return;
   job_class.impossible = reason.has_value();
+  Kind& kind = state.kinds[job_class.key.kind];
+  --(reason ? kind.classes : kind.impossible_classes);
+  ++(reason ? kind.impossible_classes : kind.classes);
   MarkJobs(state, job_class, reason ? &*reason : nullptr, effects);
   if (job_class.impossible && job_class.position != kNone) {
     UnlistClass(state, index);
--- a/src/camphormux/placement/state.hpp
+++ b/src/camphormux/placement/state.hpp
@@ -130,7 +130,8 @@
   double memory_ratio = 0.0;  ///< Used by declared; a slowly falling maximum.
   double cores_ratio = 0.0;
   std::uint32_t samples = 0;
-  std::uint32_t classes = 0;
+  std::uint32_t classes = 0;  ///< Without impossible ones.
+  std::uint32_t impossible_classes = 0;
   std::unordered_map<RackIndex, std::uint32_t> per_rack;  ///< Running tasks.
 };
 
--- a/src/camphormux/placement/tables.cpp
+++ b/src/camphormux/placement/tables.cpp
@@ -131,7 +131,8 @@
   if (unused.jobs > 0) return;
   std::erase(state.teams[unused.team].classes, index);
   std::erase(state.pools[unused.key.pool].classes, index);
-  --state.kinds[unused.key.kind].classes;
+  Kind& kind = state.kinds[unused.key.kind];
+  --(unused.impossible ? kind.impossible_classes : kind.classes);
   state.class_keys.erase(unused.key);
   state.classes[index] = JobClass{};
   state.free_classes.push_back(index);
--- a/test/placement/placement_test.cpp
+++ b/test/placement/placement_test.cpp
@@ -47,6 +47,23 @@
   EXPECT_EQ(fake.starts.back().task.job.value, "big");
 }
 
+// Guards against impossible jobs of many sizes that make the sizes of other
+// jobs of their kind inexact, so that one of three that fit finds no room.
+TEST(PlacementTest, ImpossibleJobsLeaveTheSizesOfOthersExact) {
+  FakeWorkers fake = MakeFake(1);
+  for (int i = 0; i < 40; ++i) {
+    Submit(fake,
+           MakeJob("never" + std::to_string(i), {{9000 + i}, {100}, {0}}));
+  }
+  for (int i = 0; i < 3; ++i) {
+    JobSpec job = MakeJob("third" + std::to_string(i), {{2666}, {100}, {0}});
+    job.preemptible = true;
+    Submit(fake, job);
+  }
+  Step(fake, kSecond);
+  EXPECT_EQ(fake.starts.size(), 3U);
+}
+
 // Guards against preemption that takes longer than its bounds when a worker
 // confirms nothing but the stop.
 TEST(PlacementTest, UrgentWorkGetsRoomWithinTheBoundsOfTheSteps) {
