Free what waits for a cut link when the relay ends

Change: the relay drops what waits when it is destroyed. Conclusion: only the stand-in was at fault; the process that runs it ends with its links.

--- a/test/link_standin/relay.cpp
+++ b/test/link_standin/relay.cpp
@@ -269,6 +269,12 @@
 }  // namespace internal
 
 struct Relay::Impl {
+  Impl() = default;
+  // What waits for a link holds the core that holds it.
+  ~Impl() { std::exchange(core->waiting, {}).clear(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   std::shared_ptr<internal::Core> core = std::make_shared<internal::Core>();
   std::map<std::string, core::ZoneName> sources;
   std::vector<std::unique_ptr<internal::Listener>> listeners;
