--- a/bench/capacity/alternatives.hpp
+++ b/bench/capacity/alternatives.hpp
@@ -7,22 +7,22 @@
 
 namespace camphormux::bench {
 
-/// @brief Numbers of hosts that pools can give and lack, and what a host from
-/// one pool costs another.
+/// @brief A transportation problem: supply and demand of hosts by pool, and
+/// the cost of a move for each pair of pools.
 struct TransportProblem {
   std::vector<int> surplus;
   std::vector<int> deficit;
-  /// Cost of a move, by giving and receiving pool.
+  /// Cost of a move, by supplying and receiving pool.
   std::vector<std::vector<int>> cost;
 };
 
-/// @brief What a solution reaches.
+/// @brief Size and total cost of a solution.
 struct TransportResult {
   int moved = 0;
   long cost = 0;
 };
 
-/// @brief Draws a problem.
+/// @brief Generates a random transportation problem.
 /// @param pools Number of pools; half of them lack hosts.
 /// @param hosts Number of hosts; about a tenth of them moves.
 /// @param random The source.
@@ -30,13 +30,14 @@
 [[nodiscard]] TransportProblem DrawProblem(int pools, int hosts,
                                            core::Random& random);
 
-/// @brief Takes the cheapest giver for each receiver in turn.
+/// @brief Greedy heuristic: serves each demand in turn from its cheapest
+/// supply.
 /// @param problem The problem.
 /// @return Hosts moved and their cost.
 [[nodiscard]] TransportResult SolveGreedy(const TransportProblem& problem);
 
-/// @brief Greedy, then exchanges of givers between two receivers while that
-/// lowers the cost.
+/// @brief Local search from the greedy solution: swaps the supplies of two
+/// demands while that lowers the cost.
 /// @param problem The problem.
 /// @return Hosts moved and their cost.
 [[nodiscard]] TransportResult SolveLocalSearch(const TransportProblem& problem);
