Keep the raise of the file limit of both stand-ins in one place

Cause: found in the read-through; the link stand-in repeated a function of the endpoint stand-in. Change: test/file_limit.hpp, used by both programs. Conclusion: no change of behaviour.

--- a/test/endpoint_standin/main.cpp
+++ b/test/endpoint_standin/main.cpp
@@ -6,12 +6,12 @@
 
 #include <asio/signal_set.hpp>
 #include <gflags/gflags.h>
-#include <sys/resource.h>
 
 #include "camphormux/settings/reader.hpp"
 #include "camphormux/telemetry/log.hpp"
 #include "test/endpoint_standin/control.hpp"
 #include "test/endpoint_standin/fleet_file.hpp"
+#include "test/file_limit.hpp"
 
 DEFINE_string(hosts, "", "fleet file with the hosts to run");
 DEFINE_string(control, "", "IP number and port of the control server");
@@ -29,14 +29,6 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
-void RaiseFileLimit() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-}
-
 int Run(const std::vector<HostSpec>& specs, const core::Address& control) {
   asio::io_context loop;
   Journal journal(FLAGS_journal);
@@ -103,7 +95,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   camphormux::telemetry::ConfigureLog("endpoint-standin",
                                       camphormux::telemetry::Level::kInfo);
-  camphormux::endpoint_standin::RaiseFileLimit();
+  camphormux::standin::RaiseFileLimit();
   try {
     return camphormux::endpoint_standin::Main();
   } catch (const std::exception& error) {
--- a/test/link_standin/main.cpp
+++ b/test/link_standin/main.cpp
@@ -4,10 +4,10 @@
 
 #include <asio/signal_set.hpp>
 #include <gflags/gflags.h>
-#include <sys/resource.h>
 
 #include "camphormux/settings/reader.hpp"
 #include "camphormux/telemetry/log.hpp"
+#include "test/file_limit.hpp"
 #include "test/link_standin/control.hpp"
 #include "test/link_standin/links_file.hpp"
 
@@ -20,14 +20,6 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
-void RaiseFileLimit() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-}
-
 int Run(const Links& links, const core::Address& control) {
   asio::io_context loop;
   Relay relay(loop, links);
@@ -71,7 +63,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   camphormux::telemetry::ConfigureLog("link-standin",
                                       camphormux::telemetry::Level::kInfo);
-  camphormux::link_standin::RaiseFileLimit();
+  camphormux::standin::RaiseFileLimit();
   try {
     return camphormux::link_standin::Main();
   } catch (const std::exception& error) {
