--- /dev/null
+++ b/bin/node/main.cpp
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <gflags/gflags.h>
+
+#include "camphormux/coordinator/node.hpp"
+#include "camphormux/http/client.hpp"
+#include "camphormux/settings/ini.hpp"
+#include "camphormux/telemetry/log.hpp"
+#include "platform/adapter.hpp"
+#include "platform/callers.hpp"
+
+DEFINE_string(config, "", "Path of the settings file (INI).");
+
+namespace camphormux::coordinator {
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+/// The process ends this much before it would be killed.
+constexpr core::Millis kGraceMargin{1000};
+/// The balancer takes a node out of rotation after two questions that were not
+/// answered well, one a second.
+constexpr core::Millis kDrain{3000};
+constexpr core::Millis kStopCheck{50};
+
+core::Result<NodeSettings, settings::Problems> ReadSettings() {
+  const auto file = settings::ReadIniFile(FLAGS_config);
+  return file ? ParseNodeSettings(file.value())
+              : core::Result<NodeSettings, settings::Problems>(file.error());
+}
+
+void PrintProblems(const settings::Problems& problems) {
+  for (const settings::Problem& problem : problems) {
+    std::cerr << settings::Describe(problem) << '\n';
+  }
+}
+
+/// Runs a node until a signal ends it.
+class Process {
+ public:
+  explicit Process(const NodeSettings& settings)
+      : settings_(settings),
+        client_(loop_, settings.peer.ip),
+        node_(loop_, settings, platform::MakePorts(loop_, client_, settings)),
+        callers_(loop_, settings, node_),
+        signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+        timer_(loop_) {}
+
+  void Run() {
+    telemetry::Log(telemetry::Level::kInfo, "started",
+                   {{"node", settings_.name}, {"zone", settings_.zone.value}});
+    WaitForSignal();
+    node_.Start();
+    loop_.run();
+    telemetry::Log(telemetry::Level::kInfo, "stopped");
+  }
+
+ private:
+  void WaitForSignal() {
+    signals_.async_wait([this](const asio::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (!node_.is_leaving()) {
+        node_.Leave();
+        stop_asked_ = core::MonotonicNow();
+        CheckStop();
+      }
+      WaitForSignal();
+    });
+  }
+
+  /// Addresses and bounds are fixed for a process; the log level is not.
+  void Reload() {
+    const auto settings = ReadSettings();
+    if (!settings) {
+      telemetry::Log(telemetry::Level::kError,
+                     "changed settings are not valid; the old ones stay");
+      PrintProblems(settings.error());
+      return;
+    }
+    settings_.log_level = settings.value().log_level;
+    telemetry::ConfigureLog(settings_.name, settings_.log_level);
+    telemetry::Log(telemetry::Level::kInfo, "settings reloaded");
+  }
+
+  void CheckStop() {
+    const core::Millis passed = core::MonotonicNow() - stop_asked_;
+    const core::Millis longest = settings_.grace - kGraceMargin;
+    if (passed >= longest ||
+        (passed >= std::min(kDrain, longest) &&
+         callers_.open_requests() == 0)) {
+      loop_.stop();
+      return;
+    }
+    timer_.expires_after(kStopCheck);
+    timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        CheckStop();
+      }
+    });
+  }
+
+  NodeSettings settings_;
+  asio::io_context loop_{1};
+  http::Client client_;
+  Node node_;
+  platform::Callers callers_;
+  asio::signal_set signals_;
+  asio::steady_timer timer_;
+  core::MonotonicTime stop_asked_;
+};
+
+int Main() {
+  if (FLAGS_config.empty()) {
+    std::cerr << "--config FILE is required\n";
+    return kExitBadSettings;
+  }
+  const auto settings = ReadSettings();
+  if (!settings) {
+    PrintProblems(settings.error());
+    return kExitBadSettings;
+  }
+  telemetry::ConfigureLog(settings.value().name, settings.value().log_level);
+  try {
+    Process(settings.value()).Run();
+    return 0;
+  } catch (const std::exception& error) {
+    telemetry::Log(telemetry::Level::kError, "the node cannot run",
+                   {{"reason", error.what()}});
+    return kExitFailure;
+  }
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "A node of camphormux on the platform.\n  --config FILE");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return camphormux::coordinator::Main();
+}
--- /dev/null
+++ b/src/camphormux/coordinator/election.cpp
@@ -0,0 +1,161 @@
+#include "camphormux/coordinator/election.hpp"
+
+#include <ctime>
+#include <utility>
+
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// A quarter of the time to live, so that a lost call does not cost ownership.
+constexpr core::Millis kJoinPause{375};
+constexpr core::Millis kSoon{30};
+/// Least time between two questions for the holder's address.
+constexpr core::Millis kFindPause{200};
+
+/// Time since boot, with suspensions.
+std::chrono::nanoseconds BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
+}
+
+}  // namespace internal
+
+Election::Election(asio::io_context& loop, ElectionPort port,
+                   Listener listener)
+    : loop_(loop),
+      timer_(loop),
+      port_(std::move(port)),
+      listener_(std::move(listener)) {}
+
+void Election::Start() { Join(); }
+
+void Election::Close() {
+  closed_ = true;
+  timer_.cancel();
+}
+
+bool Election::is_confirmed() const {
+  return internal::BootTime() - confirmed_ < kOwnershipTtl;
+}
+
+void Election::Schedule(core::Millis delay) {
+  timer_.expires_after(delay);
+  timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error && !self->closed_) {
+      self->Join();
+    }
+  });
+}
+
+void Election::Join() {
+  if (left_ || joining_) {
+    return;
+  }
+  joining_ = true;
+  port_.join([weak = weak_from_this(), sent = internal::BootTime()](
+                 const std::optional<MembershipAnswer>& answer) {
+    const auto self = weak.lock();
+    if (self && !self->closed_) {
+      self->OnJoined(sent, answer);
+    }
+  });
+}
+
+void Election::OnJoined(std::chrono::nanoseconds sent,
+                        const std::optional<MembershipAnswer>& answer) {
+  joining_ = false;
+  if (left_) {
+    return;
+  }
+  Schedule(internal::kJoinPause);
+  if (!answer) {
+    if (!store_lost_) {
+      store_lost_ = true;
+      telemetry::Log(telemetry::Level::kWarning, "store lost",
+                     {{"generation", std::to_string(generation_.value)}});
+    }
+    return;
+  }
+  if (store_lost_) {
+    store_lost_ = false;
+    telemetry::Log(telemetry::Level::kInfo, "store regained",
+                   {{"generation", std::to_string(answer->generation.value)}});
+  }
+  confirmed_ = sent;
+  const bool changed = answer->generation != generation_;
+  generation_ = answer->generation;
+  if (answer->holder && !held_) {
+    held_ = true;
+    holder_.reset();
+    listener_.on_gain(generation_);
+  } else if (!answer->holder && held_) {
+    held_ = false;
+    listener_.on_loss();
+  }
+  if (!held_ && (changed || !holder_)) {
+    FindHolder();
+  }
+}
+
+void Election::FindHolder() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (finding_ || now < last_find_ + internal::kFindPause) {
+    return;
+  }
+  finding_ = true;
+  last_find_ = now;
+  port_.find_holder(
+      [weak = weak_from_this()](const std::optional<core::Address>& address) {
+        const auto self = weak.lock();
+        if (!self || self->closed_) {
+          return;
+        }
+        self->finding_ = false;
+        if (address && self->holder_ != address && !self->held_) {
+          telemetry::Log(
+              telemetry::Level::kInfo, "holder found",
+              {{"address", address->ip + ":" + std::to_string(address->port)},
+               {"generation", std::to_string(self->generation_.value)}});
+        }
+        if (address) {
+          self->holder_ = address;
+        }
+      });
+}
+
+void Election::Refresh() {
+  if (held_) {
+    return;
+  }
+  FindHolder();
+  if (!joining_ && !left_) {
+    Schedule(internal::kSoon);
+  }
+}
+
+void Election::Rejoin() {
+  held_ = false;
+  holder_.reset();
+  joining_ = true;  // No join between the two calls.
+  port_.leave([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->closed_) {
+      self->joining_ = false;
+      self->Schedule(internal::kJoinPause);
+    }
+  });
+}
+
+void Election::Leave(std::function<void()> done) {
+  left_ = true;
+  held_ = false;
+  timer_.cancel();
+  port_.leave(std::move(done));
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/front.cpp
@@ -0,0 +1,256 @@
+#include "camphormux/coordinator/front.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// Pause between two tries.
+constexpr core::Millis kRetryPause{80};
+/// A submission that certainly is not stored is refused after this long, so
+/// that its caller can come back within its objective. Longer than a planned
+/// change of holder.
+constexpr core::Millis kPatience{800};
+/// An answer is sent this much before the caller stops waiting: the way to it
+/// and back takes about 6 ms, and late processing some more.
+constexpr core::Millis kAnswerMargin{150};
+/// Longest wait for the holder's answer to one try.
+constexpr core::Millis kTryTimeout{1000};
+constexpr core::Millis kQueryPatience{1500};
+/// A takeover takes about a second and a half.
+constexpr core::Millis kRetryAfter{1000};
+
+core::Millis TimeLeft(core::MonotonicTime deadline) {
+  return std::clamp(deadline - core::MonotonicNow(), core::Millis(1),
+                    kTryTimeout);
+}
+
+}  // namespace internal
+
+Front::Front(asio::io_context& loop, Relay& relay, Meters& meters,
+             std::function<void()> on_trouble)
+    : loop_(loop),
+      relay_(relay),
+      meters_(meters),
+      on_trouble_(std::move(on_trouble)) {}
+
+void Front::After(core::Millis delay, std::function<void()> action) {
+  auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
+  timer->async_wait([weak = weak_from_this(), timer,
+                     action = std::move(action)](const asio::error_code&) {
+    if (weak.lock()) {
+      action();
+    }
+  });
+}
+
+void Front::Submit(workload::JobSpec spec, core::MonotonicTime deadline,
+                   std::function<void(SubmitAnswer)> done) {
+  auto submission = std::make_shared<Submission>();
+  submission->spec = std::move(spec);
+  submission->arrived = core::MonotonicNow();
+  submission->deadline = deadline - internal::kAnswerMargin;
+  submission->done = std::move(done);
+  Try(submission);
+}
+
+void Front::Try(const std::shared_ptr<Submission>& submission) {
+  ++submission->tries;
+  auto on_answer = [weak = weak_from_this(),
+                    submission](SubmitAnswer answer) {
+    if (const auto self = weak.lock()) {
+      self->OnAnswer(submission, answer);
+    }
+  };
+  if (is_holder()) {
+    holder_->Submit(submission->spec, std::move(on_answer));
+  } else if (relay_.has_holder()) {
+    relay_.Submit(submission->spec, internal::TimeLeft(submission->deadline),
+                  std::move(on_answer));
+  } else {
+    OnAnswer(submission, {SubmitOutcome::kUnavailable});
+  }
+}
+
+void Front::OnAnswer(const std::shared_ptr<Submission>& submission,
+                     SubmitAnswer answer) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  switch (answer.outcome) {
+    case SubmitOutcome::kAccepted:
+    case SubmitOutcome::kNoQueue:
+      Finish(*submission, answer);
+      return;
+    case SubmitOutcome::kRefused:
+      // An earlier try may have stored the job after all.
+      if (submission->may_be_stored) {
+        answer.outcome = SubmitOutcome::kUnknown;
+      }
+      Finish(*submission, answer);
+      return;
+    case SubmitOutcome::kUnknown:
+      submission->may_be_stored = true;
+      break;
+    case SubmitOutcome::kUnavailable:
+      break;
+  }
+  on_trouble_();
+  const core::MonotonicTime give_up =
+      submission->may_be_stored
+          ? submission->deadline
+          : std::min(submission->deadline,
+                     submission->arrived + internal::kPatience);
+  if (now + internal::kRetryPause >= give_up) {
+    Finish(*submission, {submission->may_be_stored
+                             ? SubmitOutcome::kUnknown
+                             : SubmitOutcome::kUnavailable,
+                         internal::kRetryAfter});
+    return;
+  }
+  After(internal::kRetryPause, [this, submission] { Try(submission); });
+}
+
+void Front::Finish(const Submission& submission, SubmitAnswer answer) {
+  const core::Millis took = core::MonotonicNow() - submission.arrived;
+  meters_.submit_seconds->Observe(std::chrono::duration<double>(took).count());
+  const char* outcome = "accepted";
+  switch (answer.outcome) {
+    case SubmitOutcome::kAccepted:
+      meters_.accepted->Increment();
+      break;
+    case SubmitOutcome::kRefused:
+      meters_.refused->Increment();
+      outcome = "refused";
+      break;
+    case SubmitOutcome::kNoQueue:
+      outcome = "no such queue";
+      break;
+    case SubmitOutcome::kUnavailable:
+      meters_.unavailable->Increment();
+      outcome = "unavailable";
+      break;
+    case SubmitOutcome::kUnknown:
+      meters_.unanswered->Increment();
+      outcome = "unknown";
+      break;
+  }
+  telemetry::Log(telemetry::Level::kInfo, "submission answered",
+                 {{"job", submission.spec.id.value},
+                  {"queue", submission.spec.queue.value},
+                  {"outcome", outcome},
+                  {"tries", std::to_string(submission.tries)},
+                  {"holder", is_holder() ? "here" : "elsewhere"},
+                  {"milliseconds", std::to_string(took.count())}});
+  submission.done(answer);
+}
+
+template <typename Answer>
+void Front::Ask(std::function<void(std::function<void(Answer)>)> question,
+                std::function<bool(const Answer&)> is_final,
+                core::MonotonicTime deadline,
+                std::function<void(Answer)> done) {
+  auto ask = question;
+  ask([weak = weak_from_this(), question = std::move(question),
+       is_final = std::move(is_final), deadline,
+       done = std::move(done)](Answer answer) mutable {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    if (is_final(answer) ||
+        core::MonotonicNow() + internal::kRetryPause >= deadline) {
+      done(std::move(answer));
+      return;
+    }
+    self->on_trouble_();
+    self->After(internal::kRetryPause,
+                [self = self.get(), question = std::move(question),
+                 is_final = std::move(is_final), deadline,
+                 done = std::move(done)]() mutable {
+                  self->Ask<Answer>(std::move(question), std::move(is_final),
+                                    deadline, std::move(done));
+                });
+  });
+}
+
+namespace internal {
+
+core::MonotonicTime QueryDeadline(core::MonotonicTime deadline) {
+  return std::min(deadline - kAnswerMargin,
+                  core::MonotonicNow() + kQueryPatience);
+}
+
+}  // namespace internal
+
+void Front::State(const core::JobId& id, core::MonotonicTime deadline,
+                  std::function<void(StateAnswer)> done) {
+  const core::MonotonicTime until = internal::QueryDeadline(deadline);
+  Ask<StateAnswer>(
+      [this, id, until](std::function<void(StateAnswer)> answer) {
+        if (is_holder()) {
+          const auto state = holder_->JobStateOf(id);
+          answer({state ? QueryOutcome::kKnown : QueryOutcome::kNone,
+                  state.value_or(workload::JobState::kQueued)});
+        } else if (relay_.has_holder()) {
+          relay_.State(id, internal::TimeLeft(until), std::move(answer));
+        } else {
+          answer({QueryOutcome::kUnavailable});
+        }
+      },
+      [](const StateAnswer& answer) {
+        return answer.outcome != QueryOutcome::kUnavailable;
+      },
+      until, std::move(done));
+}
+
+void Front::Cancel(const core::JobId& id, core::MonotonicTime deadline,
+                   std::function<void(QueryOutcome)> done) {
+  const core::MonotonicTime until = deadline - internal::kAnswerMargin;
+  Ask<QueryOutcome>(
+      [this, id, until](std::function<void(QueryOutcome)> answer) {
+        if (is_holder()) {
+          holder_->Cancel(
+              id, [answer = std::move(answer)](std::optional<bool> known) {
+                if (!known) {
+                  answer(QueryOutcome::kUnavailable);
+                } else {
+                  answer(*known ? QueryOutcome::kKnown : QueryOutcome::kNone);
+                }
+              });
+        } else if (relay_.has_holder()) {
+          relay_.Cancel(id, internal::TimeLeft(until), std::move(answer));
+        } else {
+          answer(QueryOutcome::kUnavailable);
+        }
+      },
+      [](const QueryOutcome& answer) {
+        return answer != QueryOutcome::kUnavailable;
+      },
+      until, std::move(done));
+}
+
+void Front::Pending(const workload::QueueName& queue,
+                    core::MonotonicTime deadline,
+                    std::function<void(CountAnswer)> done) {
+  const core::MonotonicTime until = internal::QueryDeadline(deadline);
+  Ask<CountAnswer>(
+      [this, queue, until](std::function<void(CountAnswer)> answer) {
+        if (is_holder()) {
+          answer({QueryOutcome::kKnown, holder_->Pending(queue)});
+        } else if (relay_.has_holder()) {
+          relay_.Pending(queue, internal::TimeLeft(until), std::move(answer));
+        } else {
+          answer({QueryOutcome::kUnavailable});
+        }
+      },
+      [](const CountAnswer& answer) {
+        return answer.outcome != QueryOutcome::kUnavailable;
+      },
+      until, std::move(done));
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/front.hpp
@@ -0,0 +1,77 @@
+#ifndef CAMPHORMUX_COORDINATOR_FRONT_HPP_
+#define CAMPHORMUX_COORDINATOR_FRONT_HPP_
+
+#include <functional>
+#include <memory>
+
+#include <asio/io_context.hpp>
+
+#include "camphormux/coordinator/holder.hpp"
+#include "camphormux/coordinator/meters.hpp"
+#include "camphormux/coordinator/relay.hpp"
+
+namespace camphormux::coordinator {
+
+/// @brief Serves callers on every node: decides itself if this node is the
+/// holder, otherwise asks it. Tries again while there is no holder; that is
+/// safe because a job's id names it once and for all.
+class Front : public std::enable_shared_from_this<Front> {
+ public:
+  /// @param loop Event loop; outlives the front.
+  /// @param relay Way to the holder; outlives the front.
+  /// @param meters Counters; outlive the front.
+  /// @param on_trouble Called when the holder does not answer.
+  Front(asio::io_context& loop, Relay& relay, Meters& meters,
+        std::function<void()> on_trouble);
+
+  void SetHolder(std::shared_ptr<Holder> holder) {
+    holder_ = std::move(holder);
+  }
+
+  /// @param spec A valid job of a known queue.
+  /// @param deadline When the caller stops waiting.
+  /// @param done Called once.
+  void Submit(workload::JobSpec spec, core::MonotonicTime deadline,
+              std::function<void(SubmitAnswer)> done);
+  void State(const core::JobId& id, core::MonotonicTime deadline,
+             std::function<void(StateAnswer)> done);
+  void Cancel(const core::JobId& id, core::MonotonicTime deadline,
+              std::function<void(QueryOutcome)> done);
+  void Pending(const workload::QueueName& queue, core::MonotonicTime deadline,
+               std::function<void(CountAnswer)> done);
+
+ private:
+  struct Submission {
+    workload::JobSpec spec;
+    core::MonotonicTime arrived;
+    core::MonotonicTime deadline;
+    bool may_be_stored = false;
+    std::uint32_t tries = 0;
+    std::function<void(SubmitAnswer)> done;
+  };
+
+  void Try(const std::shared_ptr<Submission>& submission);
+  void OnAnswer(const std::shared_ptr<Submission>& submission,
+                SubmitAnswer answer);
+  void Finish(const Submission& submission, SubmitAnswer answer);
+  [[nodiscard]] bool is_holder() const {
+    return holder_ && holder_->is_ready();
+  }
+  void After(core::Millis delay, std::function<void()> action);
+
+  /// Asks until there is an answer or the deadline is near.
+  template <typename Answer>
+  void Ask(std::function<void(std::function<void(Answer)>)> question,
+           std::function<bool(const Answer&)> is_final,
+           core::MonotonicTime deadline, std::function<void(Answer)> done);
+
+  asio::io_context& loop_;
+  Relay& relay_;
+  Meters& meters_;
+  std::function<void()> on_trouble_;
+  std::shared_ptr<Holder> holder_;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_FRONT_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/fwd.hpp
@@ -0,0 +1,24 @@
+#ifndef CAMPHORMUX_COORDINATOR_FWD_HPP_
+#define CAMPHORMUX_COORDINATOR_FWD_HPP_
+
+namespace camphormux::coordinator {
+
+struct NodeSettings;
+struct StorePort;
+struct ElectionPort;
+struct HostPort;
+struct CloudPort;
+struct FeedPort;
+struct Ports;
+struct Meters;
+class Election;
+class Front;
+class Holder;
+class HostLinks;
+class Node;
+class Relay;
+class Saver;
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_FWD_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/holder.cpp
@@ -0,0 +1,559 @@
+#include "camphormux/coordinator/holder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "camphormux/cbor/cbor.hpp"
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/plan.hpp"
+#include "camphormux/scheduler/upkeep.hpp"
+#include "camphormux/telemetry/log.hpp"
+#include "camphormux/workload/codec.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// Decisions are taken together for events of this span.
+constexpr core::Millis kPlanPause{8};
+/// Deadlines are looked at in these steps.
+constexpr core::Millis kTick{100};
+constexpr core::Millis kLoadRetry{150};
+/// The list of machines is read this often while machines are to be ordered,
+/// and otherwise.
+constexpr core::Millis kBusyMachinePoll{700};
+constexpr core::Millis kIdleMachinePoll{3000};
+/// Pause before a machine order without an answer is sent again.
+constexpr core::Millis kMachineRetry{400};
+constexpr std::size_t kMaxNameBytes = 1024;
+
+std::string_view Name(SubmitOutcome outcome) {
+  switch (outcome) {
+    case SubmitOutcome::kAccepted:
+      return "accepted";
+    case SubmitOutcome::kRefused:
+      return "refused";
+    case SubmitOutcome::kNoQueue:
+      return "no such queue";
+    case SubmitOutcome::kUnavailable:
+      return "unavailable";
+    case SubmitOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace internal
+
+Holder::Holder(asio::io_context& loop, const scheduler::Settings& settings,
+               Ports ports, core::Epoch token, Meters& meters,
+               std::function<void()> on_deposed)
+    : loop_(loop),
+      plan_timer_(loop),
+      tick_timer_(loop),
+      load_timer_(loop),
+      ports_(std::move(ports)),
+      token_(token),
+      meters_(meters),
+      on_deposed_(std::move(on_deposed)),
+      begun_(core::MonotonicNow()) {
+  state_.settings = settings;
+  state_.took_over = begun_;
+}
+
+void Holder::Start(workload::Catalog catalog) {
+  state_.catalog = std::move(catalog);
+  const auto weak = weak_from_this();
+  Saver::Listener stored;
+  stored.on_submitted = [this](const core::JobId& id) {
+    scheduler::ConfirmSubmission(state_, id);
+    OnSubmitted(id, SubmitOutcome::kAccepted);
+  };
+  stored.on_dropped = [this](const core::JobId& id) {
+    scheduler::DropSubmission(state_, id);
+    OnSubmitted(id, SubmitOutcome::kUnavailable);
+  };
+  stored.on_ends = [this](const core::HostId& host, scheduler::EndNumber end) {
+    links_->Acknowledge(host, end);
+  };
+  stored.on_stored = [this] {
+    AnswerCancels();
+    SchedulePlan();
+  };
+  stored.on_fenced = [this] { Depose("the store refused its epoch"); };
+  saver_ = std::make_shared<Saver>(loop_, ports_.store, token_, state_,
+                                   std::move(stored));
+  links_ = std::make_shared<HostLinks>(
+      ports_.host, token_, state_, meters_,
+      HostLinks::Listener{[this] { SchedulePlan(); },
+                          [this](const core::HostId& host) {
+                            Depose("host " + host.value +
+                                   " obeys a newer holder");
+                          }});
+  Fence();
+}
+
+void Holder::Stop() {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  plan_timer_.cancel();
+  tick_timer_.cancel();
+  load_timer_.cancel();
+  if (saver_) {
+    saver_->Close();
+    links_->Close();
+  }
+  const auto submits = std::exchange(submits_, {});
+  for (const auto& [id, done] : submits) {
+    done({SubmitOutcome::kUnknown});
+  }
+  const auto cancels = std::exchange(cancels_, {});
+  for (const auto& [id, done] : cancels) {
+    done(std::nullopt);
+  }
+  meters_.holds_ownership->Set(0);
+}
+
+void Holder::Depose(const std::string& reason) {
+  if (stopped_) {
+    return;
+  }
+  telemetry::Log(
+      telemetry::Level::kWarning, "ownership lost",
+      {{"token", std::to_string(token_.value)}, {"reason", reason}});
+  Stop();
+  asio::post(loop_, on_deposed_);
+}
+
+void Holder::Fence() {
+  ports_.store.fence(
+      token_, [weak = weak_from_this()](AppendOutcome outcome) {
+        const auto self = weak.lock();
+        if (!self || self->stopped_) {
+          return;
+        }
+        if (outcome == AppendOutcome::kStored) {
+          self->Load();
+        } else if (outcome == AppendOutcome::kFenced) {
+          self->Depose("the store knows a higher epoch");
+        } else {
+          self->load_timer_.expires_after(internal::kLoadRetry);
+          self->load_timer_.async_wait([weak](const asio::error_code& error) {
+            const auto again = weak.lock();
+            if (again && !error && !again->stopped_) {
+              again->Fence();
+            }
+          });
+        }
+      });
+}
+
+void Holder::Load() {
+  ports_.store.load(
+      [weak = weak_from_this()](
+          const std::optional<std::vector<StoreRecord>>& records) {
+        const auto self = weak.lock();
+        if (!self || self->stopped_) {
+          return;
+        }
+        if (records) {
+          self->OnLoaded(*records);
+          return;
+        }
+        self->load_timer_.expires_after(internal::kLoadRetry);
+        self->load_timer_.async_wait([weak](const asio::error_code& error) {
+          const auto again = weak.lock();
+          if (again && !error && !again->stopped_) {
+            again->Load();
+          }
+        });
+      });
+}
+
+void Holder::LoadWave(const StoreRecord& record) {
+  const auto value = cbor::Parse(*record.value);
+  if (!value) {
+    telemetry::Log(telemetry::Level::kError, "stored wave is malformed",
+                   {{"key", record.key}});
+    return;
+  }
+  cbor::ArrayReader reader(*value);
+  const bool complete = reader.Unsigned(1) == 1;
+  const scheduler::WaveId id{
+      std::strtoull(record.key.c_str() + kWaveKey.size(), nullptr, 10)};
+  scheduler::Wave& wave = state_.waves[id];
+  wave.complete = complete;
+  wave.announced = true;
+  for (const auto& machine : reader.Array(SIZE_MAX)) {
+    if (machine.is_string()) {
+      wave.begun.insert({machine.get<std::string>()});
+    }
+  }
+}
+
+void Holder::OnLoaded(const std::vector<StoreRecord>& records) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  const core::WallTime wall = core::WallNow();
+  std::map<core::JobId, std::optional<workload::Progress>> progress;
+  std::map<core::JobId, std::optional<workload::JobSpec>> specs;
+  for (const StoreRecord& record : records) {
+    if (!record.value) {
+      continue;
+    }
+    if (record.key.starts_with(kSpecKey)) {
+      auto spec = workload::DecodeSpec(*record.value);
+      if (!spec) {
+        telemetry::Log(telemetry::Level::kError, "stored job is malformed",
+                       {{"key", record.key}});
+        continue;
+      }
+      const core::JobId id = spec->id;
+      specs[id] = std::move(spec);
+    } else if (record.key.starts_with(kProgressKey)) {
+      auto decoded = workload::DecodeProgress(*record.value);
+      if (!decoded) {
+        telemetry::Log(telemetry::Level::kError,
+                       "stored progress is malformed", {{"key", record.key}});
+        continue;
+      }
+      const core::JobId id{record.key.substr(kProgressKey.size())};
+      progress[id] = std::move(decoded);
+      specs.try_emplace(id);
+    } else if (record.key.starts_with(kWaveKey)) {
+      LoadWave(record);
+    }
+  }
+  for (auto& [id, spec] : specs) {
+    scheduler::LoadJob(state_, id, std::move(spec), progress[id], now, wall);
+  }
+  loaded_ = true;
+  for (const scheduler::WaveRequest& wave : std::exchange(early_waves_, {})) {
+    scheduler::AddWave(state_, wave, now);
+  }
+  meters_.takeovers->Increment();
+  meters_.holds_ownership->Set(1);
+  meters_.takeover_seconds->Observe(
+      std::chrono::duration<double>(now - begun_).count());
+  telemetry::Log(telemetry::Level::kInfo, "ownership taken",
+                 {{"token", std::to_string(token_.value)},
+                  {"jobs", std::to_string(state_.jobs.size())},
+                  {"records", std::to_string(records.size())},
+                  {"milliseconds", std::to_string((now - begun_).count())}});
+  Tick();
+}
+
+void Holder::OnHosts(const std::vector<scheduler::HostListing>& hosts,
+                     core::MonotonicTime trusted_from) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  scheduler::ApplyListings(state_, hosts, now, trusted_from);
+  if (!hosts_known_) {
+    hosts_known_ = true;
+    // Until these hosts have reported, tasks of the predecessor may run there.
+    // Its last grant can be as new as this takeover.
+    for (auto& [id, host] : state_.hosts) {
+      state_.unreported.insert(id);
+      host.lease_end = begun_ + state_.settings.lease * 3 / 2;
+    }
+  }
+  SchedulePlan();
+}
+
+void Holder::OnCatalog(workload::Catalog catalog) {
+  state_.catalog = std::move(catalog);
+  SchedulePlan();
+}
+
+void Holder::OnWave(const scheduler::WaveRequest& wave) {
+  if (!loaded_) {
+    early_waves_.push_back(wave);
+    return;
+  }
+  scheduler::AddWave(state_, wave, core::MonotonicNow());
+  SchedulePlan();
+}
+
+void Holder::Submit(workload::JobSpec spec,
+                    std::function<void(SubmitAnswer)> done) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (!loaded_ || stopped_) {
+    done({SubmitOutcome::kUnavailable});
+    return;
+  }
+  const core::JobId id = spec.id;
+  const bool known = state_.jobs.contains(id) || state_.closed.contains(id);
+  if (!known && saver_->is_stuck(now)) {
+    done({SubmitOutcome::kUnavailable});
+    return;
+  }
+  const scheduler::AdmissionResult result =
+      scheduler::Submit(state_, std::move(spec), now, core::WallNow());
+  switch (result.admission) {
+    case scheduler::Admission::kAccepted:
+      done({SubmitOutcome::kAccepted});
+      return;
+    case scheduler::Admission::kNoQueue:
+      done({SubmitOutcome::kNoQueue});
+      return;
+    case scheduler::Admission::kRefused:
+      telemetry::Log(
+          telemetry::Level::kInfo, "job refused",
+          {{"job", id.value},
+           {"open_jobs", std::to_string(state_.jobs.size())},
+           {"catalog", std::to_string(state_.catalog.version.value)},
+           {"retry_after_ms", std::to_string(result.retry_after.count())}});
+      done({SubmitOutcome::kRefused, result.retry_after});
+      return;
+    case scheduler::Admission::kStoring:
+      submits_.emplace(id, std::move(done));
+      if (!known) {
+        saver_->AddSubmission(id);
+      }
+      return;
+  }
+}
+
+void Holder::OnSubmitted(const core::JobId& id, SubmitOutcome outcome) {
+  telemetry::Log(telemetry::Level::kInfo, "job stored",
+                 {{"job", id.value},
+                  {"token", std::to_string(token_.value)},
+                  {"outcome", std::string(internal::Name(outcome))}});
+  const auto range = submits_.equal_range(id);
+  std::vector<std::function<void(SubmitAnswer)>> waiting;
+  for (auto it = range.first; it != range.second; ++it) {
+    waiting.push_back(std::move(it->second));
+  }
+  submits_.erase(range.first, range.second);
+  for (const auto& done : waiting) {
+    done({outcome});
+  }
+}
+
+void Holder::Cancel(const core::JobId& id,
+                    std::function<void(std::optional<bool> known)> done) {
+  const bool known = scheduler::Cancel(state_, id, core::WallNow());
+  telemetry::Log(telemetry::Level::kInfo, "job cancelled",
+                 {{"job", id.value}, {"known", known ? "yes" : "no"}});
+  if (!known || state_.closed.contains(id)) {
+    done(known);
+    return;
+  }
+  cancels_.emplace(id, std::move(done));
+  Dispatch();
+  saver_->Trigger();
+}
+
+void Holder::AnswerCancels() {
+  for (auto it = cancels_.begin(); it != cancels_.end();) {
+    if (state_.closed.contains(it->first)) {
+      it->second(true);
+      it = cancels_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+std::optional<workload::JobState> Holder::JobStateOf(
+    const core::JobId& id) const {
+  return scheduler::VisibleState(state_, id);
+}
+
+std::size_t Holder::Pending(const workload::QueueName& queue) const {
+  return scheduler::PendingJobs(state_, queue);
+}
+
+double Holder::reachable_share() const {
+  return links_ ? links_->reachable_share(core::MonotonicNow()) : 0.0;
+}
+
+void Holder::SchedulePlan() {
+  if (plan_scheduled_ || stopped_ || !loaded_ || !hosts_known_) {
+    return;
+  }
+  plan_scheduled_ = true;
+  plan_timer_.expires_at(std::max(core::MonotonicNow() + core::Millis(1),
+                                  last_plan_ + internal::kPlanPause));
+  plan_timer_.async_wait(
+      [weak = weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error && !self->stopped_) {
+          self->plan_scheduled_ = false;
+          self->Plan();
+        }
+      });
+}
+
+void Holder::Plan() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  last_plan_ = now;
+  scheduler::Plan(state_, now, core::WallNow());
+  Dispatch();
+  links_->Pump(now);
+  saver_->Trigger();
+}
+
+void Holder::Tick() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  for (const core::JobId& id : scheduler::ForgetClosed(state_, now)) {
+    saver_->Drop(id);
+  }
+  meters_.open_jobs->Set(static_cast<double>(state_.jobs.size()));
+  PollMachines(now);
+  SchedulePlan();
+  tick_timer_.expires_after(internal::kTick);
+  tick_timer_.async_wait(
+      [weak = weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error && !self->stopped_) {
+          self->Tick();
+        }
+      });
+}
+
+void Holder::Dispatch() {
+  const std::vector<scheduler::Order> orders =
+      std::exchange(state_.orders, {});
+  for (const scheduler::Order& order : orders) {
+    std::visit(
+        [this](const auto& each) {
+          using T = std::decay_t<decltype(each)>;
+          if constexpr (std::is_same_v<T, scheduler::StartRun> ||
+                        std::is_same_v<T, scheduler::StopRun> ||
+                        std::is_same_v<T, scheduler::PaceRun>) {
+            links_->Send(each);
+          } else {
+            Send(each);
+          }
+        },
+        order);
+  }
+}
+
+void Holder::Send(const scheduler::MoveMachine& order) {
+  if (!confirmed_) {
+    OnMachineAnswer(order.machine, nullptr,
+                    scheduler::MachineOutcome::kDeferred);
+    return;
+  }
+  meters_.machine_orders->Increment();
+  ports_.cloud.move(order, token_,
+                    [weak = weak_from_this(),
+                     order](scheduler::MachineOutcome outcome) {
+                      if (const auto self = weak.lock()) {
+                        self->OnMachineAnswer(order.machine, nullptr, outcome);
+                      }
+                    });
+}
+
+void Holder::Send(const scheduler::UpkeepMachine& order) {
+  if (!confirmed_) {
+    OnMachineAnswer(order.machine, &order.wave,
+                    scheduler::MachineOutcome::kDeferred);
+    return;
+  }
+  meters_.machine_orders->Increment();
+  ports_.cloud.upkeep(
+      order, token_,
+      [weak = weak_from_this(), order](scheduler::MachineOutcome outcome) {
+        if (const auto self = weak.lock()) {
+          self->OnMachineAnswer(order.machine, &order.wave, outcome);
+        }
+      });
+}
+
+void Holder::Send(const scheduler::SaveWave& order) {
+  saver_->AddWave(order.wave);
+  // Operators are told when a wave begins and when it is complete.
+  if (!order.complete && !state_.waves[order.wave].begun.empty()) {
+    return;
+  }
+  ports_.store.publish_wave(
+      order.wave, order.complete,
+      [weak = weak_from_this(), order](bool stored) {
+        const auto self = weak.lock();
+        if (!self || self->stopped_) {
+          return;
+        }
+        if (!stored) {
+          self->After(internal::kMachineRetry,
+                      [order](Holder& holder) { holder.Send(order); });
+        }
+      });
+}
+
+void Holder::After(core::Millis delay, std::function<void(Holder&)> action) {
+  auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
+  timer->async_wait([weak = weak_from_this(), timer,
+                     action = std::move(action)](const asio::error_code&) {
+    const auto self = weak.lock();
+    if (self && !self->stopped_) {
+      action(*self);
+    }
+  });
+}
+
+void Holder::OnMachineAnswer(const scheduler::MachineId& machine,
+                             const scheduler::WaveId* wave,
+                             scheduler::MachineOutcome outcome) {
+  if (stopped_) {
+    return;
+  }
+  telemetry::Log(
+      telemetry::Level::kInfo, "machine ordered",
+      {{"machine", machine.value},
+       {"wave", wave == nullptr ? "" : std::to_string(wave->value)},
+       {"token", std::to_string(token_.value)},
+       {"outcome", std::to_string(static_cast<int>(outcome))}});
+  if (outcome == scheduler::MachineOutcome::kFenced) {
+    Depose("machine " + machine.value + " obeys a newer holder");
+    return;
+  }
+  const bool repeat = outcome == scheduler::MachineOutcome::kNoAnswer ||
+                      outcome == scheduler::MachineOutcome::kDeferred;
+  const std::optional<scheduler::WaveId> id =
+      wave == nullptr ? std::nullopt : std::optional(*wave);
+  After(repeat ? internal::kMachineRetry : core::Millis(0),
+        [machine, id, outcome](Holder& holder) {
+          scheduler::OnMachineAnswer(holder.state_, machine,
+                                     id ? &*id : nullptr, outcome,
+                                     core::MonotonicNow());
+          holder.SchedulePlan();
+        });
+}
+
+void Holder::PollMachines(core::MonotonicTime now) {
+  const bool busy =
+      std::any_of(state_.waves.begin(), state_.waves.end(),
+                  [](const auto& entry) { return !entry.second.complete; }) ||
+      std::any_of(state_.machines.begin(), state_.machines.end(),
+                  [](const auto& entry) {
+                    return !entry.second.target.value.empty();
+                  });
+  const core::Millis pause =
+      busy ? internal::kBusyMachinePoll : internal::kIdleMachinePoll;
+  if (polling_machines_ || (state_.machines_known &&
+                            now < last_machine_poll_ + pause)) {
+    return;
+  }
+  polling_machines_ = true;
+  last_machine_poll_ = now;
+  ports_.cloud.list(
+      [weak = weak_from_this(), now](
+          const std::optional<std::vector<scheduler::MachineListing>>& list) {
+        const auto self = weak.lock();
+        if (!self || self->stopped_) {
+          return;
+        }
+        self->polling_machines_ = false;
+        if (list) {
+          scheduler::ApplyMachines(self->state_, *list, now);
+          self->SchedulePlan();
+        }
+      });
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/holder.hpp
@@ -0,0 +1,126 @@
+#ifndef CAMPHORMUX_COORDINATOR_HOLDER_HPP_
+#define CAMPHORMUX_COORDINATOR_HOLDER_HPP_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/coordinator/host_link.hpp"
+#include "camphormux/coordinator/meters.hpp"
+#include "camphormux/coordinator/ports.hpp"
+#include "camphormux/coordinator/saver.hpp"
+#include "camphormux/scheduler/state.hpp"
+
+namespace camphormux::coordinator {
+
+enum class SubmitOutcome {
+  kAccepted,
+  kRefused,      ///< Never runs, unless it is submitted again.
+  kNoQueue,
+  kUnavailable,  ///< Nothing was done; try another time.
+  kUnknown,      ///< May be stored; submit it again.
+};
+
+struct SubmitAnswer {
+  SubmitOutcome outcome = SubmitOutcome::kUnavailable;
+  core::Millis retry_after{0};
+};
+
+/// @brief The one node that decides, for the time of one fencing token. Shuts
+/// out its predecessor, reads the stored jobs, learns from the hosts what runs,
+/// then schedules. Use it on the loop's thread only.
+class Holder : public std::enable_shared_from_this<Holder> {
+ public:
+  /// @param loop Event loop; outlives the holder.
+  /// @param settings Bounds of the scheduler.
+  /// @param ports The platform.
+  /// @param token Fencing token; higher than those of all predecessors.
+  /// @param meters Counters; outlive the holder.
+  /// @param on_deposed Called once if a newer holder is at work.
+  Holder(asio::io_context& loop, const scheduler::Settings& settings,
+         Ports ports, core::Epoch token, Meters& meters,
+         std::function<void()> on_deposed);
+
+  void Start(workload::Catalog catalog);
+  /// @brief Gives no more orders; answers what waits as unknown.
+  void Stop();
+
+  void Submit(workload::JobSpec spec,
+              std::function<void(SubmitAnswer)> done);
+  /// @param done Told whether the job is known once its end is stored;
+  /// nothing if that is not certain.
+  void Cancel(const core::JobId& id,
+              std::function<void(std::optional<bool> known)> done);
+  /// @return State of a job; nothing if there is none.
+  [[nodiscard]] std::optional<workload::JobState> JobStateOf(
+      const core::JobId& id) const;
+  [[nodiscard]] std::size_t Pending(const workload::QueueName& queue) const;
+
+  void OnCatalog(workload::Catalog catalog);
+  void OnWave(const scheduler::WaveRequest& wave);
+  void OnHosts(const std::vector<scheduler::HostListing>& hosts,
+               core::MonotonicTime trusted_from);
+  /// @brief Whether machine orders are allowed: the ownership was confirmed
+  /// lately.
+  void SetConfirmed(bool confirmed) { confirmed_ = confirmed; }
+
+  [[nodiscard]] bool is_ready() const { return loaded_; }
+  [[nodiscard]] core::Epoch token() const { return token_; }
+  [[nodiscard]] double reachable_share() const;
+
+ private:
+  void Fence();
+  void Load();
+  void OnLoaded(const std::vector<StoreRecord>& records);
+  void LoadWave(const StoreRecord& record);
+  void SchedulePlan();
+  void Plan();
+  void Tick();
+  void Dispatch();
+  void Send(const scheduler::MoveMachine& order);
+  void Send(const scheduler::UpkeepMachine& order);
+  void Send(const scheduler::SaveWave& order);
+  void OnMachineAnswer(const scheduler::MachineId& machine,
+                       const scheduler::WaveId* wave,
+                       scheduler::MachineOutcome outcome);
+  void After(core::Millis delay, std::function<void(Holder&)> action);
+  void PollMachines(core::MonotonicTime now);
+  void OnSubmitted(const core::JobId& id, SubmitOutcome outcome);
+  void AnswerCancels();
+  void Depose(const std::string& reason);
+
+  asio::io_context& loop_;
+  asio::steady_timer plan_timer_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer load_timer_;
+  Ports ports_;
+  core::Epoch token_;
+  Meters& meters_;
+  std::function<void()> on_deposed_;
+  scheduler::State state_;
+  std::shared_ptr<Saver> saver_;
+  std::shared_ptr<HostLinks> links_;
+  std::multimap<core::JobId, std::function<void(SubmitAnswer)>> submits_;
+  std::multimap<core::JobId, std::function<void(std::optional<bool>)>>
+      cancels_;
+  std::vector<scheduler::WaveRequest> early_waves_;
+  core::MonotonicTime begun_;
+  core::MonotonicTime last_plan_;
+  core::MonotonicTime last_machine_poll_;
+  bool polling_machines_ = false;
+  bool plan_scheduled_ = false;
+  bool hosts_known_ = false;
+  bool loaded_ = false;
+  bool confirmed_ = true;
+  bool stopped_ = false;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_HOLDER_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -0,0 +1,404 @@
+#include "camphormux/coordinator/host_link.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/runs.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// How long a host may hold back its answer until a run ends. Renews the lease
+/// several times before it is over.
+constexpr core::Millis kRenewWait{1000};
+/// A lease that was renewed longer ago than this is renewed now.
+constexpr core::Millis kRenewAfter{1500};
+/// Pause after a question that failed.
+constexpr core::Millis kRetryPause{300};
+/// Calls under way to one host; each needs a connection.
+constexpr std::size_t kMaxCalls = 3;
+/// Hosts' clocks may be this slow.
+constexpr double kClockSlowness = 0.02;
+/// For the delay of a grant on its way and the resolution of the clocks.
+constexpr core::Millis kLeaseMargin{100};
+/// A host that reported within this time counts as reachable.
+constexpr core::Millis kReachableFor{2500};
+
+core::Millis Stretched(core::Millis span) {
+  return core::Millis(static_cast<std::int64_t>(
+      static_cast<double>(span.count()) / (1.0 - kClockSlowness)));
+}
+
+std::string Describe(const scheduler::RunName& name) {
+  return name.job.value + "." + std::to_string(name.place.occurrence) + "." +
+         std::to_string(name.place.step) + "." +
+         std::to_string(name.place.index);
+}
+
+std::string_view Describe(scheduler::StartOutcome outcome) {
+  using scheduler::StartOutcome;
+  switch (outcome) {
+    case StartOutcome::kStarted:
+      return "started";
+    case StartOutcome::kNoRoom:
+      return "no room";
+    case StartOutcome::kOldAttempt:
+      return "old attempt";
+    case StartOutcome::kTooLate:
+      return "lease over";
+    case StartOutcome::kFenced:
+      return "fenced";
+    case StartOutcome::kNoTicket:
+      return "no ticket";
+    case StartOutcome::kOtherLife:
+      return "host restarted";
+    case StartOutcome::kUnhealthy:
+      return "host unhealthy";
+    case StartOutcome::kBadRequest:
+      return "bad request";
+    case StartOutcome::kNoAnswer:
+      return "no answer";
+  }
+  return "unknown";
+}
+
+}  // namespace internal
+
+HostLinks::HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
+                     Meters& meters, Listener listener)
+    : port_(std::move(port)),
+      token_(token),
+      state_(state),
+      meters_(meters),
+      listener_(std::move(listener)) {}
+
+HostLinks::Link& HostLinks::LinkOf(const scheduler::Host& host) {
+  Link& link = links_[host.listing.id];
+  if (link.incarnation != host.listing.incarnation) {
+    link = Link{};
+    link.incarnation = host.listing.incarnation;
+  }
+  return link;
+}
+
+HostTarget HostLinks::TargetOf(const scheduler::Host& host) const {
+  return {host.listing.id, host.listing.incarnation, host.listing.address,
+          token_};
+}
+
+std::optional<std::int64_t> HostLinks::Grant(scheduler::Host& host,
+                                             const Link& link,
+                                             core::MonotonicTime now) {
+  const bool gone = !host.listed && now >= host.gone_at;
+  if (!link.clock_ms || gone) {
+    return std::nullopt;
+  }
+  // The host's clock has advanced at least this much since it was read.
+  const auto elapsed = static_cast<std::int64_t>(
+      static_cast<double>((now - link.clock_read).count()) *
+      (1.0 - internal::kClockSlowness));
+  host.lease_end = std::max(
+      host.lease_end, now + internal::Stretched(state_.settings.lease) +
+                          internal::kLeaseMargin);
+  return *link.clock_ms + elapsed + state_.settings.lease.count();
+}
+
+void HostLinks::Renew(scheduler::Host& host, Link& link,
+                      core::MonotonicTime now) {
+  RenewCall call;
+  call.target = TargetOf(host);
+  call.acknowledged = link.acknowledged;
+  const bool has_unstored_ends = host.ended > link.acknowledged;
+  if (host.synced && !host.runs.empty() && !has_unstored_ends) {
+    call.wait = internal::kRenewWait;
+  }
+  // A host that stays silent gets no more time: its runs must become free.
+  if (link.failures == 0 && !host.runs.empty()) {
+    call.lease_end_ms = Grant(host, link, now);
+  }
+  link.renewing = true;
+  link.sent = now;
+  link.sent_acknowledged = link.acknowledged;
+  meters_.renewals->Increment();
+  port_.renew(call, [weak = weak_from_this(), id = host.listing.id,
+                     incarnation = host.listing.incarnation,
+                     now](const RenewAnswer& answer) {
+    const auto self = weak.lock();
+    if (self && !self->closed_) {
+      self->OnRenewed(id, incarnation, now, answer);
+    }
+  });
+}
+
+void HostLinks::Pump(core::MonotonicTime now) {
+  for (auto& [id, host] : state_.hosts) {
+    Link& link = LinkOf(host);
+    if (link.renewing || now < link.not_before) {
+      continue;
+    }
+    const bool has_unstored_ends = host.ended > link.acknowledged;
+    const bool due = now >= link.sent + internal::kRenewAfter;
+    if (has_unstored_ends && !due) {
+      continue;
+    }
+    if (!host.synced || !host.runs.empty() || host.silent_since ||
+        link.acknowledged > link.sent_acknowledged) {
+      Renew(host, link, now);
+    }
+  }
+  std::erase_if(links_, [&](const auto& entry) {
+    return !state_.hosts.contains(entry.first) && !entry.second.renewing &&
+           entry.second.under_way == 0;
+  });
+}
+
+void HostLinks::ReadClock(const core::HostId& host, std::int64_t clock_ms) {
+  const auto link = links_.find(host);
+  if (link != links_.end()) {
+    link->second.clock_ms = clock_ms;
+    link->second.clock_read = core::MonotonicNow();
+  }
+}
+
+void HostLinks::OnRenewed(const core::HostId& id, core::Incarnation incarnation,
+                          core::MonotonicTime asked,
+                          const RenewAnswer& answer) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  const auto found = links_.find(id);
+  if (found != links_.end() && found->second.incarnation == incarnation) {
+    found->second.renewing = false;
+  }
+  const auto host = state_.hosts.find(id);
+  if (host == state_.hosts.end() || found == links_.end() ||
+      host->second.listing.incarnation != incarnation) {
+    return;
+  }
+  Link& link = found->second;
+  switch (answer.outcome) {
+    case CallOutcome::kDone: {
+      if (host->second.silent_since) {
+        telemetry::Log(telemetry::Level::kInfo, "host answers again",
+                       {{"host", id.value}});
+      }
+      link.failures = 0;
+      ReadClock(id, answer.clock_ms);
+      scheduler::OnReport(
+          state_, {id, incarnation, asked, answer.running, answer.ended}, now,
+          core::WallNow());
+      listener_.on_change();
+      return;
+    }
+    case CallOutcome::kFenced:
+      listener_.on_fenced(id);
+      return;
+    case CallOutcome::kOtherLife:
+      telemetry::Log(telemetry::Level::kWarning, "host has restarted",
+                     {{"host", id.value}});
+      scheduler::LoseHost(state_, id, now);
+      listener_.on_change();
+      return;
+    case CallOutcome::kRefused:
+    case CallOutcome::kNoAnswer:
+      ++link.failures;
+      link.not_before = now + internal::kRetryPause;
+      if (!host->second.silent_since) {
+        telemetry::Log(telemetry::Level::kWarning, "host does not answer",
+                       {{"host", id.value},
+                        {"pool", host->second.listing.pool.value},
+                        {"runs", std::to_string(host->second.runs.size())}});
+      }
+      scheduler::OnHostSilent(host->second, now);
+      listener_.on_change();
+      return;
+  }
+}
+
+void HostLinks::Enqueue(const core::HostId& host, Order order) {
+  const auto found = state_.hosts.find(host);
+  if (found == state_.hosts.end()) {
+    return;
+  }
+  LinkOf(found->second).queue.push_back(std::move(order));
+  RunQueue(host);
+}
+
+void HostLinks::RunQueue(const core::HostId& host) {
+  const auto found = links_.find(host);
+  if (found == links_.end() || closed_) {
+    return;
+  }
+  Link& link = found->second;
+  while (link.under_way < internal::kMaxCalls && !link.queue.empty()) {
+    Order order = std::move(link.queue.front());
+    link.queue.pop_front();
+    ++link.under_way;
+    order([weak = weak_from_this(), host, incarnation = link.incarnation] {
+      const auto self = weak.lock();
+      if (!self || self->closed_) {
+        return;
+      }
+      const auto again = self->links_.find(host);
+      if (again != self->links_.end() &&
+          again->second.incarnation == incarnation) {
+        --again->second.under_way;
+        self->RunQueue(host);
+      }
+    });
+  }
+}
+
+void HostLinks::Send(const scheduler::StartRun& order) {
+  Enqueue(order.host, [this, order](std::function<void()> done) {
+    const auto run = state_.runs.find(order.run);
+    const auto host = state_.hosts.find(order.host);
+    if (run == state_.runs.end() || host == state_.hosts.end() ||
+        run->second.phase != scheduler::RunPhase::kOrdered) {
+      // It was given up before it was sent, so it cannot take effect.
+      if (run != state_.runs.end() && host != state_.hosts.end()) {
+        scheduler::RemoveRun(state_, order.run);
+      }
+      done();
+      return;
+    }
+    const core::MonotonicTime now = core::MonotonicNow();
+    const auto lease_end = Grant(host->second, LinkOf(host->second), now);
+    const auto job = state_.jobs.find(order.name.job);
+    if (!lease_end || job == state_.jobs.end()) {
+      scheduler::RemoveRun(state_, order.run);
+      done();
+      return;
+    }
+    run->second.ordered = now;
+    StartCall call{TargetOf(host->second), order.name, job->second.spec.payload,
+                   order.checkpoint, *lease_end};
+    port_.start(call, [weak = weak_from_this(), order, now,
+                       done = std::move(done)](const StartAnswer& answer) {
+      const auto self = weak.lock();
+      if (!self || self->closed_) {
+        return;
+      }
+      const core::MonotonicTime answered = core::MonotonicNow();
+      self->meters_.start_seconds->Observe(
+          std::chrono::duration<double>(answered - now).count());
+      if (answer.clock_ms) {
+        self->ReadClock(order.host, *answer.clock_ms);
+      }
+      telemetry::Log(telemetry::Level::kInfo, "run ordered",
+                     {{"task", internal::Describe(order.name)},
+                      {"attempt", std::to_string(order.name.attempt)},
+                      {"host", order.host.value},
+                      {"token", std::to_string(self->token_.value)},
+                      {"outcome", std::string(internal::Describe(
+                                      answer.outcome))}});
+      if (answer.outcome == scheduler::StartOutcome::kFenced) {
+        self->listener_.on_fenced(order.host);
+        return;
+      }
+      if (answer.outcome == scheduler::StartOutcome::kOtherLife) {
+        scheduler::LoseHost(self->state_, order.host, answered);
+      } else {
+        scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
+                                 answered);
+      }
+      done();
+      self->listener_.on_change();
+    });
+  });
+}
+
+void HostLinks::Send(const scheduler::StopRun& order) {
+  Enqueue(order.host, [this, order](std::function<void()> done) {
+    const auto host = state_.hosts.find(order.host);
+    if (host == state_.hosts.end()) {
+      done();
+      return;
+    }
+    port_.stop(TargetOf(host->second), order.name,
+               [weak = weak_from_this(), order,
+                done = std::move(done)](CallOutcome outcome) {
+                 const auto self = weak.lock();
+                 if (!self || self->closed_) {
+                   return;
+                 }
+                 telemetry::Log(
+                     telemetry::Level::kInfo, "run stopped",
+                     {{"task", internal::Describe(order.name)},
+                      {"attempt", std::to_string(order.name.attempt)},
+                      {"host", order.host.value},
+                      {"confirmed",
+                       outcome == CallOutcome::kDone ? "yes" : "no"}});
+                 if (outcome == CallOutcome::kFenced) {
+                   self->listener_.on_fenced(order.host);
+                   return;
+                 }
+                 if (outcome == CallOutcome::kDone) {
+                   scheduler::OnStopConfirmed(self->state_, order.host,
+                                              order.name,
+                                              core::MonotonicNow());
+                 }
+                 done();
+               });
+  });
+}
+
+void HostLinks::Send(const scheduler::PaceRun& order) {
+  Enqueue(order.host, [this, order](std::function<void()> done) {
+    const auto host = state_.hosts.find(order.host);
+    if (host == state_.hosts.end()) {
+      done();
+      return;
+    }
+    port_.pace(TargetOf(host->second), order.name, order.percent,
+               [weak = weak_from_this(), order,
+                done = std::move(done)](CallOutcome outcome) {
+                 const auto self = weak.lock();
+                 if (!self || self->closed_) {
+                   return;
+                 }
+                 telemetry::Log(
+                     telemetry::Level::kInfo, "run paced",
+                     {{"task", internal::Describe(order.name)},
+                      {"percent", std::to_string(order.percent)},
+                      {"host", order.host.value},
+                      {"confirmed",
+                       outcome == CallOutcome::kDone ? "yes" : "no"}});
+                 if (outcome == CallOutcome::kFenced) {
+                   self->listener_.on_fenced(order.host);
+                   return;
+                 }
+                 done();
+               });
+  });
+}
+
+void HostLinks::Acknowledge(const core::HostId& host,
+                            scheduler::EndNumber end) {
+  const auto link = links_.find(host);
+  if (link != links_.end()) {
+    link->second.acknowledged = end;
+  }
+}
+
+void HostLinks::Close() {
+  closed_ = true;
+  links_.clear();
+}
+
+double HostLinks::reachable_share(core::MonotonicTime now) const {
+  std::size_t listed = 0;
+  std::size_t reachable = 0;
+  for (const auto& [id, host] : state_.hosts) {
+    if (!host.listed) {
+      continue;
+    }
+    ++listed;
+    reachable += now < host.last_report + internal::kReachableFor ? 1U : 0U;
+  }
+  return listed == 0 ? 0.0
+                     : static_cast<double>(reachable) /
+                           static_cast<double>(listed);
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/host_link.hpp
@@ -0,0 +1,95 @@
+#ifndef CAMPHORMUX_COORDINATOR_HOST_LINK_HPP_
+#define CAMPHORMUX_COORDINATOR_HOST_LINK_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include <asio/io_context.hpp>
+
+#include "camphormux/coordinator/meters.hpp"
+#include "camphormux/coordinator/ports.hpp"
+#include "camphormux/scheduler/state.hpp"
+
+namespace camphormux::coordinator {
+
+/// @brief Calls all hosts: renews their leases, asks for their lists and sends
+/// orders, a few at a time to each host.
+class HostLinks : public std::enable_shared_from_this<HostLinks> {
+ public:
+  struct Listener {
+    /// The state changed in a way that may allow new decisions.
+    std::function<void()> on_change;
+    /// A host obeys a newer holder.
+    std::function<void(const core::HostId&)> on_fenced;
+  };
+
+  /// @param port Calls to hosts.
+  /// @param token Fencing token of this holder.
+  /// @param state The holder's state; outlives the links.
+  /// @param meters Counters; outlive the links.
+  /// @param listener Told of results.
+  HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
+            Meters& meters, Listener listener);
+
+  /// @brief Sends the renewals and questions that are due.
+  void Pump(core::MonotonicTime now);
+  /// @brief Queues an order to a host.
+  void Send(const scheduler::StartRun& order);
+  void Send(const scheduler::StopRun& order);
+  void Send(const scheduler::PaceRun& order);
+  /// @brief Ends of a host up to this number may be acknowledged.
+  void Acknowledge(const core::HostId& host, scheduler::EndNumber end);
+  void Close();
+
+  /// @return Share of the listed hosts that reported lately.
+  [[nodiscard]] double reachable_share(core::MonotonicTime now) const;
+
+ private:
+  using Order = std::function<void(std::function<void()> done)>;
+
+  struct Link {
+    core::Incarnation incarnation;
+    bool renewing = false;
+    core::MonotonicTime sent;
+    core::MonotonicTime not_before;
+    /// A reading of the host's clock and when it was received.
+    std::optional<std::int64_t> clock_ms;
+    core::MonotonicTime clock_read;
+    scheduler::EndNumber acknowledged;       ///< May be acknowledged.
+    scheduler::EndNumber sent_acknowledged;  ///< Was acknowledged.
+    std::uint32_t failures = 0;
+    std::deque<Order> queue;
+    std::size_t under_way = 0;
+  };
+
+  [[nodiscard]] Link& LinkOf(const scheduler::Host& host);
+  [[nodiscard]] HostTarget TargetOf(const scheduler::Host& host) const;
+  /// Latest lease end that may be granted now, on the host's clock; also
+  /// records in the state until when the host may run on.
+  [[nodiscard]] std::optional<std::int64_t> Grant(scheduler::Host& host,
+                                                  const Link& link,
+                                                  core::MonotonicTime now);
+  void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
+  void OnRenewed(const core::HostId& id, core::Incarnation incarnation,
+                 core::MonotonicTime asked, const RenewAnswer& answer);
+  void Enqueue(const core::HostId& host, Order order);
+  void RunQueue(const core::HostId& host);
+  void ReadClock(const core::HostId& host, std::int64_t clock_ms);
+
+  HostPort port_;
+  core::Epoch token_;
+  scheduler::State& state_;
+  Meters& meters_;
+  Listener listener_;
+  std::map<core::HostId, Link> links_;
+  bool closed_ = false;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_HOST_LINK_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/meters.hpp
@@ -0,0 +1,33 @@
+#ifndef CAMPHORMUX_COORDINATOR_METERS_HPP_
+#define CAMPHORMUX_COORDINATOR_METERS_HPP_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace camphormux::coordinator {
+
+/// @brief What a node counts. All pointers are set and live as long as the
+/// registry.
+struct Meters {
+  prometheus::Counter* accepted = nullptr;
+  prometheus::Counter* refused = nullptr;
+  prometheus::Counter* unavailable = nullptr;
+  prometheus::Counter* unanswered = nullptr;
+  prometheus::Counter* renewals = nullptr;
+  prometheus::Counter* takeovers = nullptr;
+  prometheus::Counter* machine_orders = nullptr;
+  prometheus::Gauge* open_jobs = nullptr;
+  prometheus::Gauge* holds_ownership = nullptr;
+  prometheus::Histogram* submit_seconds = nullptr;
+  prometheus::Histogram* start_seconds = nullptr;
+  prometheus::Histogram* takeover_seconds = nullptr;
+};
+
+/// @brief Registers the meters of a node.
+[[nodiscard]] Meters MakeMeters(prometheus::Registry& registry);
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_METERS_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/node.cpp
@@ -0,0 +1,174 @@
+#include "camphormux/coordinator/node.hpp"
+
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+constexpr core::Millis kWatchPause{100};
+constexpr core::Millis kPingPause{500};
+constexpr core::Millis kPingTimeout{600};
+/// Without a holder for this long, callers are better served elsewhere.
+constexpr core::Millis kReadyFor{2500};
+/// A holder that the store no longer confirms goes on while it reaches more
+/// than this share of the hosts: no other node can then have them.
+constexpr double kMajority = 0.5;
+
+}  // namespace internal
+
+Node::Node(asio::io_context& loop, NodeSettings settings, Ports ports)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      registry_(std::make_shared<prometheus::Registry>()),
+      meters_(MakeMeters(*registry_)),
+      relay_(loop, settings_.peer.ip),
+      server_(loop, settings_.peer,
+              [this](const peer::Request& request,
+                     const peer::Respond& respond) {
+                AnswerRelay(holder_, request, respond);
+              }),
+      watch_(loop) {
+  election_ = std::make_shared<Election>(
+      loop, ports_.election,
+      Election::Listener{[this](core::Epoch token) { OnGain(token); },
+                         [this] { OnLoss(); }});
+  front_ = std::make_shared<Front>(loop, relay_, meters_, [this] {
+    if (!holder_) {
+      election_->Refresh();
+    }
+  });
+}
+
+void Node::Start() {
+  ports_.feed.start(
+      {[this](workload::Catalog catalog) { OnCatalog(std::move(catalog)); },
+       [this](const scheduler::WaveRequest& wave) {
+         waves_[wave.id] = wave;
+         if (holder_) {
+           holder_->OnWave(wave);
+         }
+       },
+       [this](const std::vector<scheduler::HostListing>& hosts,
+              core::MonotonicTime trusted_from) {
+         if (holder_) {
+           holder_->OnHosts(hosts, trusted_from);
+         }
+       }});
+  Watch();
+}
+
+void Node::OnCatalog(workload::Catalog catalog) {
+  const bool first = !catalog_;
+  if (!first && catalog.version < catalog_->version) {
+    telemetry::Log(telemetry::Level::kWarning, "older catalog ignored",
+                   {{"version", std::to_string(catalog.version.value)}});
+    return;
+  }
+  if (first || catalog.version > catalog_->version) {
+    telemetry::Log(telemetry::Level::kInfo, "catalog in force",
+                   {{"version", std::to_string(catalog.version.value)},
+                    {"queues", std::to_string(catalog.queues.size())}});
+  }
+  catalog_ = std::move(catalog);
+  if (holder_) {
+    holder_->OnCatalog(*catalog_);
+  }
+  if (first && !leaving_) {
+    election_->Start();
+  }
+}
+
+void Node::OnGain(core::Epoch token) {
+  telemetry::Log(telemetry::Level::kInfo, "ownership gained",
+                 {{"token", std::to_string(token.value)}});
+  relay_.SetHolder(std::nullopt);
+  holder_ = std::make_shared<Holder>(
+      loop_, settings_.scheduler, ports_, token, meters_, [this] {
+        DropHolder();
+        election_->Rejoin();
+      });
+  holder_->Start(*catalog_);
+  for (const auto& [id, wave] : waves_) {
+    holder_->OnWave(wave);
+  }
+  ports_.feed.follow_hosts(true);
+  front_->SetHolder(holder_);
+}
+
+void Node::OnLoss() {
+  telemetry::Log(telemetry::Level::kInfo, "ownership given up");
+  DropHolder();
+}
+
+void Node::DropHolder() {
+  ports_.feed.follow_hosts(false);
+  front_->SetHolder(nullptr);
+  if (const auto holder = std::exchange(holder_, nullptr)) {
+    holder->Stop();
+  }
+}
+
+bool Node::is_ready() const {
+  if (leaving_ || !catalog_) {
+    return false;
+  }
+  return (holder_ && holder_->is_ready()) ||
+         core::MonotonicNow() < last_contact_ + internal::kReadyFor;
+}
+
+void Node::Watch() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (holder_) {
+    const bool confirmed = election_->is_confirmed();
+    holder_->SetConfirmed(confirmed);
+    if (!confirmed && holder_->reachable_share() <= internal::kMajority) {
+      telemetry::Log(telemetry::Level::kWarning,
+                     "ownership given up: neither the store nor most hosts "
+                     "answer",
+                     {{"token", std::to_string(holder_->token().value)}});
+      DropHolder();
+      election_->Rejoin();
+    }
+  } else {
+    relay_.SetHolder(election_->holder());
+    PingHolder(now);
+  }
+  watch_.expires_after(internal::kWatchPause);
+  watch_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Watch();
+    }
+  });
+}
+
+void Node::PingHolder(core::MonotonicTime now) {
+  if (pinging_ || !relay_.has_holder() ||
+      now < last_ping_ + internal::kPingPause) {
+    return;
+  }
+  pinging_ = true;
+  last_ping_ = now;
+  relay_.Ping(internal::kPingTimeout, [this](bool answered) {
+    pinging_ = false;
+    if (answered) {
+      last_contact_ = core::MonotonicNow();
+    } else {
+      election_->Refresh();
+    }
+  });
+}
+
+void Node::Leave() {
+  leaving_ = true;
+  telemetry::Log(telemetry::Level::kInfo, "stopping",
+                 {{"holder", holder_ ? "yes" : "no"}});
+  DropHolder();
+  election_->Leave([] {});
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/node.hpp
@@ -0,0 +1,80 @@
+#ifndef CAMPHORMUX_COORDINATOR_NODE_HPP_
+#define CAMPHORMUX_COORDINATOR_NODE_HPP_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <prometheus/registry.h>
+
+#include "camphormux/coordinator/election.hpp"
+#include "camphormux/coordinator/front.hpp"
+#include "camphormux/coordinator/holder.hpp"
+#include "camphormux/coordinator/meters.hpp"
+#include "camphormux/coordinator/node_settings.hpp"
+#include "camphormux/coordinator/ports.hpp"
+#include "camphormux/coordinator/relay.hpp"
+#include "camphormux/peer/server.hpp"
+
+namespace camphormux::coordinator {
+
+/// @brief One process: serves callers, answers other nodes, and is the holder
+/// while the store's group says so. Runs on one event loop and thread, as the
+/// hosts have one core.
+class Node {
+ public:
+  /// @param loop Event loop; outlives the node.
+  /// @param settings Settings.
+  /// @param ports The platform; outlives the node.
+  /// @throws std::system_error if the peer address cannot be bound.
+  Node(asio::io_context& loop, NodeSettings settings, Ports ports);
+
+  void Start();
+  /// @brief Gives the ownership up and stops to be ready; goes on serving.
+  void Leave();
+
+  [[nodiscard]] Front& front() { return *front_; }
+  /// @return The newest catalog, if one was read.
+  [[nodiscard]] const std::optional<workload::Catalog>& catalog() const {
+    return catalog_;
+  }
+  /// @return Whether new callers should come to this node.
+  [[nodiscard]] bool is_ready() const;
+  [[nodiscard]] bool is_leaving() const { return leaving_; }
+  [[nodiscard]] const prometheus::Registry& registry() const {
+    return *registry_;
+  }
+  [[nodiscard]] Meters& meters() { return meters_; }
+
+ private:
+  void OnGain(core::Epoch token);
+  void OnLoss();
+  void DropHolder();
+  void OnCatalog(workload::Catalog catalog);
+  void Watch();
+  void PingHolder(core::MonotonicTime now);
+
+  asio::io_context& loop_;
+  NodeSettings settings_;
+  Ports ports_;
+  std::shared_ptr<prometheus::Registry> registry_;
+  Meters meters_;
+  Relay relay_;
+  std::shared_ptr<Election> election_;
+  std::shared_ptr<Front> front_;
+  std::shared_ptr<Holder> holder_;
+  peer::Server server_;
+  asio::steady_timer watch_;
+  std::optional<workload::Catalog> catalog_;
+  std::map<scheduler::WaveId, scheduler::WaveRequest> waves_;
+  core::MonotonicTime last_contact_;  ///< With a holder that can decide.
+  core::MonotonicTime last_ping_;
+  bool pinging_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_NODE_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -0,0 +1,69 @@
+#include "camphormux/coordinator/node_settings.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/settings/reader.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr double kMaxRemoteFactor = 100.0;
+
+void ReadAddresses(settings::Reader& reader, NodeSettings& settings) {
+  settings.callers = settings::ReadAddress(reader, "listen", "callers");
+  settings.ready = settings::ReadAddress(reader, "listen", "ready");
+  settings.peer = settings::ReadAddress(reader, "listen", "peer");
+  settings.metrics = settings::ReadAddress(reader, "listen", "metrics");
+  settings.store = settings::ReadAddress(reader, "platform", "store");
+  settings.cloud = settings::ReadAddress(reader, "platform", "cloud");
+  settings.advice =
+      settings::ReadAddressOr(reader, "platform", "advice", core::Address{});
+}
+
+void ReadScheduler(settings::Reader& reader, scheduler::Settings& settings) {
+  const auto longest_lease = settings::ReadDuration(
+      reader, "runs", "longest_lease", seconds(1), minutes(10), seconds(10));
+  settings.lease = std::min(settings.lease, longest_lease);
+  settings.early = settings::ReadDuration(reader, "runs", "early",
+                                          milliseconds(0), minutes(1),
+                                          settings.early);
+  settings.remote_factor = settings::ReadReal(
+      reader, "runs", "remote_factor", 1.0, kMaxRemoteFactor, 1.0);
+  settings.status_kept =
+      settings::ReadDuration(reader, "runs", "status_kept", seconds(1),
+                             minutes(60), settings.status_kept);
+  settings.machine_lease =
+      settings::ReadDuration(reader, "machines", "lease", milliseconds(0),
+                             minutes(1), settings.machine_lease);
+}
+
+}  // namespace internal
+
+core::Result<NodeSettings, settings::Problems> ParseNodeSettings(
+    const settings::IniFile& file) {
+  settings::Reader reader;
+  reader.file = &file;
+  NodeSettings settings;
+  settings.name = settings::ReadText(reader, "process", "name");
+  settings.zone.value = settings::ReadText(reader, "process", "zone");
+  settings.grace =
+      settings::ReadDuration(reader, "process", "grace", internal::seconds(1),
+                             internal::minutes(10), settings.grace);
+  internal::ReadAddresses(reader, settings);
+  internal::ReadScheduler(reader, settings.scheduler);
+  const std::size_t level = settings::ReadWord(
+      reader, "log", "level", {"debug", "info", "warning", "error"}, 1);
+  settings.log_level = static_cast<telemetry::Level>(level);
+  settings::RejectUnknown(reader);
+  if (!reader.problems.empty()) {
+    return std::move(reader.problems);
+  }
+  return settings;
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/node_settings.hpp
@@ -0,0 +1,39 @@
+#ifndef CAMPHORMUX_COORDINATOR_NODE_SETTINGS_HPP_
+#define CAMPHORMUX_COORDINATOR_NODE_SETTINGS_HPP_
+
+#include <string>
+
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/scheduler/state.hpp"
+#include "camphormux/settings/ini.hpp"
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+
+/// @brief Settings of a node process.
+struct NodeSettings {
+  std::string name;
+  core::ZoneName zone;
+  core::Address callers;  ///< Where callers' requests arrive.
+  core::Address ready;    ///< Where the balancer asks for readiness.
+  core::Address peer;     ///< Where other nodes connect.
+  core::Address metrics;
+  core::Address store;
+  core::Address cloud;
+  core::Address advice;  ///< Empty if there is none.
+  core::Millis grace{6000};  ///< From SIGTERM to the end of the process.
+  scheduler::Settings scheduler;
+  telemetry::Level log_level = telemetry::Level::kInfo;
+};
+
+/// @brief Parses the settings of a node.
+/// @param file The file.
+/// @return The settings, or all problems of the file.
+[[nodiscard]] core::Result<NodeSettings, settings::Problems> ParseNodeSettings(
+    const settings::IniFile& file);
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_NODE_SETTINGS_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/ports.hpp
@@ -0,0 +1,178 @@
+#ifndef CAMPHORMUX_COORDINATOR_PORTS_HPP_
+#define CAMPHORMUX_COORDINATOR_PORTS_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphormux/core/ids.hpp"
+#include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
+#include "camphormux/scheduler/events.hpp"
+#include "camphormux/scheduler/upkeep.hpp"
+#include "camphormux/workload/model.hpp"
+
+/// Ports to the platform as this module needs it. Callbacks run on the event
+/// loop, never inside the call.
+namespace camphormux::coordinator {
+
+/// Time after which the store gives the ownership of a silent node away: a few
+/// calls to a slow store, and the larger part of a takeover.
+inline constexpr core::Millis kOwnershipTtl{1500};
+
+/// @brief The newest value under a key; without a value the key is dropped.
+struct StoreRecord {
+  std::string key;
+  std::optional<std::string> value;
+};
+
+enum class AppendOutcome {
+  kStored,
+  kFenced,     ///< A newer holder writes.
+  kNotStored,  ///< Certainly nothing was done.
+  kUnknown,    ///< May have been or may be done; repeat it unchanged.
+};
+
+/// @brief The store of jobs. Only one holder at a time can write: the one with
+/// the highest epoch.
+struct StorePort {
+  /// Shuts out all holders with a lower epoch.
+  std::function<void(core::Epoch epoch, std::function<void(AppendOutcome)>)>
+      fence;
+  /// Appends records, all or none. The same sequence again is the same append.
+  std::function<void(core::Epoch epoch, std::uint64_t sequence,
+                     const std::vector<StoreRecord>& records,
+                     std::function<void(AppendOutcome)>)>
+      append;
+  /// Reads the newest record of each key.
+  std::function<void(
+      std::function<void(std::optional<std::vector<StoreRecord>>)>)>
+      load;
+  /// Publishes the state of a wave to the operators.
+  std::function<void(scheduler::WaveId wave, bool complete,
+                     std::function<void(bool stored)>)>
+      publish_wave;
+};
+
+/// @brief Whether this node holds the ownership.
+struct MembershipAnswer {
+  core::Epoch generation;  ///< Rises with each change of the members.
+  bool holder = false;
+};
+
+/// @brief Ownership by the store's group of nodes.
+struct ElectionPort {
+  /// Joins or stays; nothing if there was no answer.
+  std::function<void(std::function<void(std::optional<MembershipAnswer>)>)>
+      join;
+  /// Gives up membership and ownership at once.
+  std::function<void(std::function<void()>)> leave;
+  /// Finds the address of the holder; nothing if unknown.
+  std::function<void(std::function<void(std::optional<core::Address>)>)>
+      find_holder;
+};
+
+/// @brief Where a call to a host goes and whom it must reach.
+struct HostTarget {
+  core::HostId host;
+  core::Incarnation incarnation;
+  core::Address address;
+  core::Epoch token;
+};
+
+/// @brief An order to start a run.
+struct StartCall {
+  HostTarget target;
+  scheduler::RunName name;
+  std::string payload;
+  std::string checkpoint;
+  std::int64_t lease_end_ms = 0;  ///< On the host's clock.
+};
+
+/// @brief A renewal of a host's lease and a question for its lists.
+struct RenewCall {
+  HostTarget target;
+  scheduler::EndNumber acknowledged;  ///< Ends up to it are stored.
+  std::optional<std::int64_t> lease_end_ms;  ///< On the host's clock.
+  core::Millis wait{0};  ///< The host may wait this long for an end.
+};
+
+enum class CallOutcome {
+  kDone,
+  kFenced,
+  kOtherLife,
+  kRefused,
+  kNoAnswer,
+};
+
+/// @brief Answer to an order to start.
+struct StartAnswer {
+  scheduler::StartOutcome outcome = scheduler::StartOutcome::kNoAnswer;
+  std::optional<std::int64_t> clock_ms;  ///< The host's clock.
+};
+
+/// @brief Answer to a renewal.
+struct RenewAnswer {
+  CallOutcome outcome = CallOutcome::kNoAnswer;
+  std::int64_t clock_ms = 0;  ///< The host's clock.
+  core::Incarnation incarnation;
+  std::vector<scheduler::ListedRun> running;
+  std::vector<scheduler::ListedEnd> ended;
+};
+
+/// @brief Calls to hosts.
+struct HostPort {
+  std::function<void(const StartCall&, std::function<void(StartAnswer)>)>
+      start;
+  std::function<void(const HostTarget&, const scheduler::RunName&,
+                     std::function<void(CallOutcome)>)>
+      stop;
+  std::function<void(const HostTarget&, const scheduler::RunName&, int percent,
+                     std::function<void(CallOutcome)>)>
+      pace;
+  std::function<void(const RenewCall&, std::function<void(RenewAnswer)>)>
+      renew;
+};
+
+/// @brief Calls to the cloud that owns the machines.
+struct CloudPort {
+  std::function<void(
+      std::function<void(std::optional<std::vector<scheduler::MachineListing>>)>)>
+      list;
+  std::function<void(const scheduler::MoveMachine&, core::Epoch token,
+                     std::function<void(scheduler::MachineOutcome)>)>
+      move;
+  std::function<void(const scheduler::UpkeepMachine&, core::Epoch token,
+                     std::function<void(scheduler::MachineOutcome)>)>
+      upkeep;
+};
+
+/// @brief What the operators and hosts publish. Start once; runs until the
+/// port is destroyed.
+struct FeedPort {
+  struct Listener {
+    std::function<void(workload::Catalog)> on_catalog;
+    std::function<void(scheduler::WaveRequest)> on_wave;
+    /// All hosts, and until when a missing one may be due to an outage.
+    std::function<void(std::vector<scheduler::HostListing>,
+                       core::MonotonicTime trusted_from)>
+        on_hosts;
+  };
+  std::function<void(Listener)> start;
+  /// Follows the hosts only while this node needs them.
+  std::function<void(bool follow)> follow_hosts;
+};
+
+struct Ports {
+  StorePort store;
+  ElectionPort election;
+  HostPort host;
+  CloudPort cloud;
+  FeedPort feed;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_PORTS_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/relay.cpp
@@ -0,0 +1,199 @@
+#include "camphormux/coordinator/relay.hpp"
+
+#include <utility>
+
+#include "camphormux/cbor/cbor.hpp"
+#include "camphormux/workload/codec.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+using nlohmann::json;
+
+constexpr std::string_view kSubmitPath = "/jobs/submit";
+constexpr std::string_view kStatePath = "/jobs/state";
+constexpr std::string_view kCancelPath = "/jobs/cancel";
+constexpr std::string_view kPendingPath = "/queues/pending";
+constexpr std::string_view kPingPath = "/ping";
+constexpr std::size_t kMaxNameBytes = 1024;
+constexpr std::uint64_t kMaxRetryAfterMs = 3'600'000;
+
+core::Address WithoutPort(const std::string& ip) { return {ip, 0}; }
+
+peer::ClientOptions Options(const std::string& source_ip) {
+  peer::ClientOptions options;
+  options.connect_timeout = core::Millis(500);
+  options.probe_timeout = core::Millis(500);
+  options.backoff = {core::Millis(50), core::Millis(400)};
+  options.source_ip = WithoutPort(source_ip).ip;
+  return options;
+}
+
+std::string Encode(const std::string& name) {
+  return cbor::Serialize(json::array({name}));
+}
+
+/// Reads the answer's numbers; nothing if it is not a good answer.
+std::optional<std::pair<std::uint64_t, std::uint64_t>> Numbers(
+    const peer::Result& result) {
+  if (!result || result.value().status != peer::kStatusOk) {
+    return std::nullopt;
+  }
+  const auto value = cbor::Parse(result.value().body);
+  if (!value) {
+    return std::nullopt;
+  }
+  cbor::ArrayReader reader(*value);
+  const std::uint64_t first = reader.Unsigned();
+  const std::uint64_t second = reader.Unsigned();
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return std::make_pair(first, second);
+}
+
+peer::Response Reply(std::uint64_t first, std::uint64_t second) {
+  return {peer::kStatusOk, cbor::Serialize(json::array({first, second}))};
+}
+
+std::string NameIn(const peer::Request& request) {
+  const auto value = cbor::Parse(request.body);
+  if (!value) {
+    return "";
+  }
+  cbor::ArrayReader reader(*value);
+  return reader.Text(kMaxNameBytes);
+}
+
+void AnswerSubmit(const std::shared_ptr<Holder>& holder,
+                  const peer::Request& request, const peer::Respond& respond) {
+  auto spec = workload::DecodeSpec(request.body);
+  if (!spec) {
+    respond({peer::kStatusBadRequest, ""});
+    return;
+  }
+  holder->Submit(*std::move(spec), [respond](SubmitAnswer answer) {
+    respond(Reply(static_cast<std::uint64_t>(answer.outcome),
+                  static_cast<std::uint64_t>(answer.retry_after.count())));
+  });
+}
+
+}  // namespace internal
+
+Relay::Relay(asio::io_context& loop, std::string source_ip)
+    : loop_(loop), source_ip_(std::move(source_ip)) {}
+
+void Relay::SetHolder(const std::optional<core::Address>& holder) {
+  if (holder == holder_) {
+    return;
+  }
+  holder_ = holder;
+  client_.reset();
+  if (holder) {
+    client_ = std::make_unique<peer::Client>(loop_, *holder,
+                                             internal::Options(source_ip_));
+  }
+}
+
+void Relay::Submit(const workload::JobSpec& spec, core::Millis timeout,
+                   std::function<void(SubmitAnswer)> done) {
+  client_->Send(
+      {std::string(internal::kSubmitPath), workload::EncodeSpec(spec)},
+      timeout, [done = std::move(done)](const peer::Result& result) {
+        if (!result) {
+          done({result.error().may_have_reached ? SubmitOutcome::kUnknown
+                                                : SubmitOutcome::kUnavailable});
+          return;
+        }
+        const auto numbers = internal::Numbers(result);
+        if (!numbers ||
+            numbers->first >
+                static_cast<std::uint64_t>(SubmitOutcome::kUnknown) ||
+            numbers->second > internal::kMaxRetryAfterMs) {
+          done({SubmitOutcome::kUnavailable});
+          return;
+        }
+        done({static_cast<SubmitOutcome>(numbers->first),
+              core::Millis(static_cast<std::int64_t>(numbers->second))});
+      });
+}
+
+void Relay::State(const core::JobId& id, core::Millis timeout,
+                  std::function<void(StateAnswer)> done) {
+  client_->Send({std::string(internal::kStatePath), internal::Encode(id.value)},
+                timeout, [done = std::move(done)](const peer::Result& result) {
+                  const auto numbers = internal::Numbers(result);
+                  if (!numbers) {
+                    done({QueryOutcome::kUnavailable});
+                    return;
+                  }
+                  done({numbers->first == 1 ? QueryOutcome::kKnown
+                                            : QueryOutcome::kNone,
+                        static_cast<workload::JobState>(numbers->second)});
+                });
+}
+
+void Relay::Cancel(const core::JobId& id, core::Millis timeout,
+                   std::function<void(QueryOutcome)> done) {
+  client_->Send(
+      {std::string(internal::kCancelPath), internal::Encode(id.value)}, timeout,
+      [done = std::move(done)](const peer::Result& result) {
+        const auto numbers = internal::Numbers(result);
+        if (!numbers) {
+          done(QueryOutcome::kUnavailable);
+          return;
+        }
+        done(numbers->first == 1 ? QueryOutcome::kKnown : QueryOutcome::kNone);
+      });
+}
+
+void Relay::Pending(const workload::QueueName& queue, core::Millis timeout,
+                    std::function<void(CountAnswer)> done) {
+  client_->Send(
+      {std::string(internal::kPendingPath), internal::Encode(queue.value)},
+      timeout, [done = std::move(done)](const peer::Result& result) {
+        const auto numbers = internal::Numbers(result);
+        if (!numbers) {
+          done({QueryOutcome::kUnavailable});
+          return;
+        }
+        done({QueryOutcome::kKnown, numbers->second});
+      });
+}
+
+void Relay::Ping(core::Millis timeout, std::function<void(bool)> done) {
+  client_->Send({std::string(internal::kPingPath), ""}, timeout,
+                [done = std::move(done)](const peer::Result& result) {
+                  done(result && result.value().status == peer::kStatusOk);
+                });
+}
+
+void AnswerRelay(const std::shared_ptr<Holder>& holder,
+                 const peer::Request& request, const peer::Respond& respond) {
+  if (!holder || !holder->is_ready()) {
+    respond({peer::kStatusUnavailable, ""});
+  } else if (request.path == internal::kSubmitPath) {
+    internal::AnswerSubmit(holder, request, respond);
+  } else if (request.path == internal::kStatePath) {
+    const auto state = holder->JobStateOf({internal::NameIn(request)});
+    respond(internal::Reply(
+        state ? 1 : 0,
+        static_cast<std::uint64_t>(state.value_or(workload::JobState()))));
+  } else if (request.path == internal::kCancelPath) {
+    holder->Cancel({internal::NameIn(request)}, [respond](std::optional<bool> known) {
+      if (known) {
+        respond(internal::Reply(*known ? 1 : 0, 0));
+      } else {
+        respond({peer::kStatusUnavailable, ""});
+      }
+    });
+  } else if (request.path == internal::kPendingPath) {
+    respond(internal::Reply(1, holder->Pending({internal::NameIn(request)})));
+  } else if (request.path == internal::kPingPath) {
+    respond({peer::kStatusOk, ""});
+  } else {
+    respond({peer::kStatusNotFound, ""});
+  }
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/relay.hpp
@@ -0,0 +1,70 @@
+#ifndef CAMPHORMUX_COORDINATOR_RELAY_HPP_
+#define CAMPHORMUX_COORDINATOR_RELAY_HPP_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <asio/io_context.hpp>
+
+#include "camphormux/coordinator/holder.hpp"
+#include "camphormux/peer/client.hpp"
+#include "camphormux/peer/message.hpp"
+
+namespace camphormux::coordinator {
+
+enum class QueryOutcome {
+  kKnown,
+  kNone,         ///< There is no such job or queue.
+  kUnavailable,  ///< Nobody can tell now.
+};
+
+struct StateAnswer {
+  QueryOutcome outcome = QueryOutcome::kUnavailable;
+  workload::JobState state = workload::JobState::kQueued;
+};
+
+struct CountAnswer {
+  QueryOutcome outcome = QueryOutcome::kUnavailable;
+  std::uint64_t count = 0;
+};
+
+/// @brief Asks the holder on another node, over one connection.
+class Relay {
+ public:
+  /// @param loop Event loop; outlives the relay.
+  /// @param source_ip Address of this node that connections come from.
+  Relay(asio::io_context& loop, std::string source_ip);
+
+  /// @brief Sets the holder's address; nothing if it is not known.
+  void SetHolder(const std::optional<core::Address>& holder);
+  [[nodiscard]] bool has_holder() const { return client_ != nullptr; }
+
+  void Submit(const workload::JobSpec& spec, core::Millis timeout,
+              std::function<void(SubmitAnswer)> done);
+  void State(const core::JobId& id, core::Millis timeout,
+             std::function<void(StateAnswer)> done);
+  void Cancel(const core::JobId& id, core::Millis timeout,
+              std::function<void(QueryOutcome)> done);
+  void Pending(const workload::QueueName& queue, core::Millis timeout,
+               std::function<void(CountAnswer)> done);
+  /// @brief Asks whether the node there is the holder and can decide.
+  void Ping(core::Millis timeout, std::function<void(bool)> done);
+
+ private:
+  asio::io_context& loop_;
+  std::string source_ip_;
+  std::optional<core::Address> holder_;
+  std::unique_ptr<peer::Client> client_;
+};
+
+/// @brief Answers another node's request.
+/// @param holder The holder on this node; may be null.
+/// @param request The request.
+/// @param respond Called once.
+void AnswerRelay(const std::shared_ptr<Holder>& holder,
+                 const peer::Request& request, const peer::Respond& respond);
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_RELAY_HPP_
--- /dev/null
+++ b/src/camphormux/coordinator/saver.cpp
@@ -0,0 +1,232 @@
+#include "camphormux/coordinator/saver.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/cbor/cbor.hpp"
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/telemetry/log.hpp"
+#include "camphormux/workload/codec.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// Least time between two appends: at 600 writes a second for all nodes, one
+/// holder stays below a tenth of them.
+constexpr core::Millis kAppendPause{20};
+constexpr core::Millis kRetryPause{100};
+/// A new job that could not be stored for this long is refused, so that its
+/// caller learns it while it can still come back in time.
+constexpr core::Millis kSubmissionPatience{600};
+/// Bytes of records in one append; below the store's limit of 2 MiB.
+constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20;
+
+std::string EncodeWave(const scheduler::Wave& wave) {
+  nlohmann::json begun = nlohmann::json::array();
+  for (const scheduler::MachineId& id : wave.begun) {
+    begun.push_back(id.value);
+  }
+  return cbor::Serialize(
+      nlohmann::json::array({wave.complete ? 1 : 0, std::move(begun)}));
+}
+
+}  // namespace internal
+
+Saver::Saver(asio::io_context& loop, StorePort store, core::Epoch epoch,
+             scheduler::State& state, Listener listener)
+    : loop_(loop),
+      timer_(loop),
+      store_(std::move(store)),
+      epoch_(epoch),
+      state_(state),
+      listener_(std::move(listener)) {}
+
+void Saver::AddSubmission(const core::JobId& id) {
+  submissions_.push_back(id);
+  Trigger();
+}
+
+void Saver::AddWave(scheduler::WaveId id) {
+  waves_.insert(id);
+  Trigger();
+}
+
+void Saver::Drop(const core::JobId& id) { drops_.push_back(id); }
+
+void Saver::Close() {
+  closed_ = true;
+  timer_.cancel();
+}
+
+bool Saver::is_stuck(core::MonotonicTime now) const {
+  return batch_ != nullptr &&
+         now >= batch_->begun + internal::kSubmissionPatience;
+}
+
+void Saver::Trigger() {
+  if (closed_ || batch_ != nullptr || scheduled_) {
+    return;
+  }
+  scheduled_ = true;
+  const core::MonotonicTime at =
+      std::max(core::MonotonicNow(), last_begun_ + internal::kAppendPause);
+  timer_.expires_at(at);
+  timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error) {
+      self->scheduled_ = false;
+      self->Begin();
+    }
+  });
+}
+
+Saver::Batch Saver::Collect() {
+  Batch batch;
+  std::size_t bytes = 0;
+  const auto add = [&](std::string key, std::optional<std::string> value) {
+    bytes += key.size() + (value ? value->size() : 0);
+    batch.records.push_back({std::move(key), std::move(value)});
+  };
+  for (const core::JobId& id : submissions_) {
+    const auto job = state_.jobs.find(id);
+    if (job != state_.jobs.end()) {
+      add(std::string(kSpecKey) + id.value,
+          workload::EncodeSpec(job->second.spec));
+      batch.submissions.push_back(id);
+      state_.unsaved.insert(id);
+    }
+  }
+  submissions_.clear();
+  while (!state_.unsaved.empty() && bytes < internal::kMaxBatchBytes) {
+    const core::JobId id = *state_.unsaved.begin();
+    state_.unsaved.erase(state_.unsaved.begin());
+    const auto job = state_.jobs.find(id);
+    if (job == state_.jobs.end()) {
+      continue;
+    }
+    const workload::Progress progress = scheduler::ProgressOf(job->second);
+    add(std::string(kProgressKey) + id.value,
+        workload::EncodeProgress(progress));
+    if (workload::IsFinal(progress.state)) {
+      add(std::string(kSpecKey) + id.value, std::nullopt);
+    }
+    batch.progress.emplace_back(id, progress.state);
+  }
+  for (const scheduler::WaveId id : waves_) {
+    add(std::string(kWaveKey) + std::to_string(id.value),
+        internal::EncodeWave(state_.waves[id]));
+  }
+  waves_.clear();
+  for (const core::JobId& id : drops_) {
+    add(std::string(kProgressKey) + id.value, std::nullopt);
+  }
+  drops_.clear();
+  // Ends are acknowledged once all they changed is stored.
+  if (state_.unsaved.empty()) {
+    for (const auto& [id, host] : state_.hosts) {
+      // A new life of a host counts from the start.
+      if (host.ended.value > 0 && host.ended != stored_ends_[id]) {
+        batch.ends[id] = host.ended;
+      }
+    }
+  }
+  return batch;
+}
+
+void Saver::Begin() {
+  if (closed_ || batch_ != nullptr) {
+    return;
+  }
+  auto batch = std::make_unique<Batch>(Collect());
+  batch->begun = core::MonotonicNow();
+  last_begun_ = batch->begun;
+  batch_ = std::move(batch);
+  if (batch_->records.empty()) {
+    OnStored();
+    return;
+  }
+  batch_->sequence = next_sequence_++;
+  Send();
+}
+
+void Saver::Send() {
+  ++appends_;
+  store_.append(epoch_, batch_->sequence, batch_->records,
+                [weak = weak_from_this()](AppendOutcome outcome) {
+                  const auto self = weak.lock();
+                  if (self && !self->closed_) {
+                    self->OnOutcome(outcome);
+                  }
+                });
+}
+
+void Saver::OnOutcome(AppendOutcome outcome) {
+  switch (outcome) {
+    case AppendOutcome::kStored:
+      OnStored();
+      return;
+    case AppendOutcome::kFenced:
+      listener_.on_fenced();
+      return;
+    case AppendOutcome::kNotStored:
+      Retry(true);
+      return;
+    case AppendOutcome::kUnknown:
+      Retry(false);
+      return;
+  }
+}
+
+void Saver::Retry(bool certain) {
+  batch_->certain = batch_->certain && certain;
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (batch_->certain && is_stuck(now) && !batch_->submissions.empty()) {
+    // Nothing of this batch is stored: new jobs can be refused truthfully.
+    for (const core::JobId& id : batch_->submissions) {
+      const std::string key = std::string(kSpecKey) + id.value;
+      const std::string progress = std::string(kProgressKey) + id.value;
+      std::erase_if(batch_->records, [&](const StoreRecord& record) {
+        return record.key == key || record.key == progress;
+      });
+      std::erase_if(batch_->progress,
+                    [&](const auto& entry) { return entry.first == id; });
+      listener_.on_dropped(id);
+    }
+    batch_->submissions.clear();
+    if (batch_->records.empty()) {
+      next_sequence_ = batch_->sequence;
+      OnStored();
+      return;
+    }
+  }
+  timer_.expires_after(internal::kRetryPause);
+  timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error && !self->closed_ && self->batch_) {
+      self->Send();
+    }
+  });
+}
+
+void Saver::OnStored() {
+  const auto batch = std::move(batch_);
+  const core::MonotonicTime now = core::MonotonicNow();
+  for (const core::JobId& id : batch->submissions) {
+    listener_.on_submitted(id);
+  }
+  for (const auto& [id, stored] : batch->progress) {
+    scheduler::ConfirmProgress(state_, id, stored, now);
+  }
+  for (const auto& [host, end] : batch->ends) {
+    stored_ends_[host] = end;
+    listener_.on_ends(host, end);
+  }
+  listener_.on_stored();
+  const bool more = !submissions_.empty() || !state_.unsaved.empty() ||
+                    !waves_.empty() || !drops_.empty();
+  if (more) {
+    Trigger();
+  }
+}
+
+}  // namespace camphormux::coordinator
--- /dev/null
+++ b/src/camphormux/coordinator/saver.hpp
@@ -0,0 +1,103 @@
+#ifndef CAMPHORMUX_COORDINATOR_SAVER_HPP_
+#define CAMPHORMUX_COORDINATOR_SAVER_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "camphormux/coordinator/ports.hpp"
+#include "camphormux/scheduler/state.hpp"
+
+namespace camphormux::coordinator {
+
+/// Keys of the store: jobs as submitted, their progress, waves.
+inline constexpr std::string_view kSpecKey = "j/";
+inline constexpr std::string_view kProgressKey = "p/";
+inline constexpr std::string_view kWaveKey = "w/";
+
+/// @brief Writes what must last. One append is under way at a time; what
+/// changes meanwhile goes into the next one together (group commit).
+class Saver : public std::enable_shared_from_this<Saver> {
+ public:
+  struct Listener {
+    /// Submissions that are stored.
+    std::function<void(const core::JobId&)> on_submitted;
+    /// Submissions that are certainly not stored.
+    std::function<void(const core::JobId&)> on_dropped;
+    /// Ends of a host up to this number are stored.
+    std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
+    /// A batch was stored.
+    std::function<void()> on_stored;
+    /// A newer holder has taken over.
+    std::function<void()> on_fenced;
+  };
+
+  /// @param loop Event loop; outlives the saver.
+  /// @param store The store.
+  /// @param epoch Epoch of this holder.
+  /// @param state The holder's state; outlives the saver.
+  /// @param listener Told of results.
+  Saver(asio::io_context& loop, StorePort store, core::Epoch epoch,
+        scheduler::State& state, Listener listener);
+
+  /// @brief Stores a new job with the next append.
+  void AddSubmission(const core::JobId& id);
+  /// @brief Stores what has begun of a wave.
+  void AddWave(scheduler::WaveId id);
+  /// @brief Drops the stored record of a forgotten job.
+  void Drop(const core::JobId& id);
+  /// @brief Starts an append soon, if there is something to store.
+  void Trigger();
+  /// @brief No more appends.
+  void Close();
+
+  /// @return Whether submissions may wait long: the store does not answer.
+  [[nodiscard]] bool is_stuck(core::MonotonicTime now) const;
+  [[nodiscard]] std::uint64_t appends() const { return appends_; }
+
+ private:
+  struct Batch {
+    std::uint64_t sequence = 0;
+    std::vector<StoreRecord> records;
+    std::vector<core::JobId> submissions;
+    std::vector<std::pair<core::JobId, workload::JobState>> progress;
+    std::map<core::HostId, scheduler::EndNumber> ends;
+    core::MonotonicTime begun;
+    bool certain = true;  ///< No try had an unknown outcome.
+  };
+
+  void Begin();
+  [[nodiscard]] Batch Collect();
+  void Send();
+  void OnOutcome(AppendOutcome outcome);
+  void OnStored();
+  void Retry(bool certain);
+
+  asio::io_context& loop_;
+  asio::steady_timer timer_;
+  StorePort store_;
+  core::Epoch epoch_;
+  scheduler::State& state_;
+  Listener listener_;
+  std::vector<core::JobId> submissions_;
+  std::set<scheduler::WaveId> waves_;
+  std::vector<core::JobId> drops_;
+  std::unique_ptr<Batch> batch_;
+  std::map<core::HostId, scheduler::EndNumber> stored_ends_;
+  std::uint64_t next_sequence_ = 1;
+  std::uint64_t appends_ = 0;
+  core::MonotonicTime last_begun_;
+  bool scheduled_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace camphormux::coordinator
+
+#endif  // CAMPHORMUX_COORDINATOR_SAVER_HPP_
--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -62,6 +62,16 @@
   return line.size();
 }
 
+/// Connections that were not used for this long are closed by libcurl.
+constexpr std::chrono::seconds kLongestIdle{118};
+
+/// Scheme, address and port of a URL.
+std::string Origin(const std::string& url) {
+  const std::size_t host = url.find("://");
+  return url.substr(0, host == std::string::npos ? host
+                                                 : url.find('/', host + 3));
+}
+
 ClientFailure ToFailure(const Transfer& transfer, CURLcode code) {
   long sent_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type.
   curl_easy_getinfo(transfer.easy.get(), CURLINFO_REQUEST_SIZE, &sent_bytes);
@@ -93,12 +103,15 @@
             std::move(source_ip)) {}
 
   void Close();
+  void LimitAge(CURL* easy, const std::string& origin);
   void Start(std::shared_ptr<internal::Transfer> transfer);
   void Finish(CURL* easy, CURLcode code);
 
   asio::io_context& loop;
   bool closed = false;
   std::map<CURL*, std::shared_ptr<internal::Transfer>> transfers;
+  /// Last failure of a request to each origin.
+  std::map<std::string, core::MonotonicTime> failures;
   CurlLoop curl;
 };
 
@@ -110,6 +123,25 @@
   transfers.clear();
 }
 
+/// Keeps a request off connections that are older than the last failure at its
+/// origin: they may be silent too.
+void Client::Impl::LimitAge(CURL* easy, const std::string& origin) {
+  const auto failure = failures.find(origin);
+  if (failure == failures.end()) {
+    return;
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::seconds>(
+      core::MonotonicNow() - failure->second);
+  if (age > internal::kLongestIdle) {
+    failures.erase(failure);
+  } else if (age.count() < 1) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  } else {
+    curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+                     static_cast<long>(age.count()));  // NOLINT
+  }
+}
+
 void Client::Impl::Start(std::shared_ptr<internal::Transfer> transfer) {
   transfer->easy.reset(curl_easy_init());
   CURL* easy = transfer->easy.get();
@@ -131,9 +163,12 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
     // libcurl resends on a reused connection that was closed before the first
     // byte; a request that changes something must not be sent twice.
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    if (!request.idempotent) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
   }
+  LimitAge(easy, internal::Origin(request.url));
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -151,6 +186,7 @@
   const auto transfer = transfers.at(easy);
   transfers.erase(easy);
   if (code != CURLE_OK) {
+    failures[internal::Origin(transfer->request.url)] = core::MonotonicNow();
     transfer->done(internal::ToFailure(*transfer, code));
     return;
   }
--- a/src/camphormux/http/client.hpp
+++ b/src/camphormux/http/client.hpp
@@ -20,6 +20,9 @@
   Headers headers;
   std::string body;
   core::Millis timeout = std::chrono::seconds(5);
+  /// The server does the same for one request and for two: it may be sent on a
+  /// connection that the server is about to close.
+  bool idempotent = false;
   std::size_t max_response_bytes = std::size_t{16} << 20;
 };
 
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -56,6 +56,9 @@
   for (Header& header : response.headers) {
     builder.append_header(std::move(header.name), std::move(header.value));
   }
+  if (response.close) {
+    builder.connection_close();
+  }
   builder.set_body(std::move(response.body));
   builder.done();
 }
--- a/src/camphormux/http/server.hpp
+++ b/src/camphormux/http/server.hpp
@@ -30,6 +30,7 @@
   std::string body;
   std::string content_type = "application/json";
   Headers headers;
+  bool close = false;  ///< Closes the connection afterwards.
 };
 
 using Respond = std::function<void(ServerResponse)>;
--- /dev/null
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -0,0 +1,139 @@
+#include "camphormux/scheduler/hosts.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "camphormux/scheduler/runs.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+/// Different jobs that must fail on a host before it is suspected; one job may
+/// fail by its own fault.
+constexpr std::size_t kSuspectFailures = 3;
+/// First quarantine; doubles with each one without a success between.
+constexpr core::Millis kQuarantine{3000};
+constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+
+void LoseRuns(State& state, Host& host) {
+  const std::vector<RunId> runs = host.runs;
+  for (const RunId run : runs) {
+    RemoveRun(state, run);
+  }
+}
+
+void AddHost(State& state, const HostListing& listing,
+             core::MonotonicTime now) {
+  Host host;
+  host.listing = listing;
+  host.idle_since = now;
+  host.lease_end = now;
+  state.hosts.insert_or_assign(listing.id, std::move(host));
+}
+
+}  // namespace internal
+
+void ApplyListings(State& state, const std::vector<HostListing>& listings,
+                   core::MonotonicTime now, core::MonotonicTime trusted_from) {
+  std::set<core::HostId> seen;
+  for (const HostListing& listing : listings) {
+    seen.insert(listing.id);
+    const auto found = state.hosts.find(listing.id);
+    if (found != state.hosts.end() &&
+        found->second.listing.incarnation != listing.incarnation) {
+      LoseHost(state, listing.id, now);
+    }
+    const auto known = state.hosts.find(listing.id);
+    if (known == state.hosts.end()) {
+      internal::AddHost(state, listing, now);
+    } else {
+      known->second.listing = listing;
+      known->second.listed = true;
+    }
+  }
+  for (auto& [id, host] : state.hosts) {
+    if (host.listed && !seen.contains(id)) {
+      host.listed = false;
+      host.gone_at = std::max(now, trusted_from);
+    }
+  }
+}
+
+void OnHostSilent(Host& host, core::MonotonicTime now) {
+  if (!host.silent_since) {
+    host.silent_since = now;
+  }
+}
+
+void LoseHost(State& state, const core::HostId& id, core::MonotonicTime now) {
+  const auto found = state.hosts.find(id);
+  if (found == state.hosts.end()) {
+    return;
+  }
+  found->second.lease_end = now;
+  internal::LoseRuns(state, found->second);
+  state.unreported.erase(id);
+  state.hosts.erase(found);
+}
+
+void CheckHosts(State& state, core::MonotonicTime now) {
+  std::vector<core::HostId> gone;
+  for (auto& [id, host] : state.hosts) {
+    const bool is_gone = !host.listed && now >= host.gone_at;
+    if (is_gone) {
+      for (const RunId run : host.runs) {
+        RequestStop(state, state.runs.at(run));
+      }
+    }
+    if ((is_gone || host.silent_since) && now >= host.lease_end) {
+      internal::LoseRuns(state, host);
+      state.unreported.erase(id);
+      if (is_gone) {
+        gone.push_back(id);
+      }
+    }
+    if (!host.runs.empty()) {
+      host.idle_since = now;
+    }
+  }
+  for (const core::HostId& id : gone) {
+    state.hosts.erase(id);
+  }
+}
+
+void NoteFailure(State& state, Host& host, const core::JobId& job,
+                 core::MonotonicTime now) {
+  host.failed_jobs.insert(job);
+  if (host.failed_jobs.size() >= internal::kSuspectFailures) {
+    Quarantine(state, host, now);
+  }
+}
+
+void NoteSuccess(Host& host) {
+  host.failed_jobs.clear();
+  host.quarantines = 0;
+}
+
+void Quarantine(State& state, Host& host, core::MonotonicTime now) {
+  if (now < host.quarantined_until) {
+    return;
+  }
+  const std::uint32_t doublings =
+      std::min(host.quarantines, internal::kMaxQuarantineDoublings);
+  host.quarantined_until = now + internal::kQuarantine * (1 << doublings);
+  ++host.quarantines;
+  host.failed_jobs.clear();
+  ++state.counters.quarantined;
+}
+
+bool IsUsable(const Host& host, core::MonotonicTime now) {
+  return host.listed && host.synced && !host.reserved &&
+         !host.listing.draining && !host.silent_since &&
+         now >= host.busy_until && now >= host.quarantined_until;
+}
+
+placement::Resources FreeRoom(const Host& host) {
+  return host.listing.capacity - host.committed;
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -0,0 +1,278 @@
+#include "camphormux/scheduler/jobs.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/urgency.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+/// A later holder numbers attempts from this far above those that are stored,
+/// because starts are not stored before they are sent.
+constexpr std::uint32_t kAttemptGap = 16;
+
+bool IsPermanent(const workload::JobSpec& spec) {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const workload::Step& step) { return step.permanent; });
+}
+
+void CountOpenTasks(Job& job) {
+  const std::size_t steps = job.spec.steps.size();
+  job.open_in_step.assign(steps * std::max(1U, job.spec.occurrences), 0);
+  job.open_tasks = 0;
+  for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+    if (!job.tasks[task].progress.done) {
+      const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+      ++job.open_in_step[place.occurrence * steps + place.step];
+      ++job.open_tasks;
+    }
+  }
+}
+
+/// Takes over the queue's policy. A queue that the catalog no longer has keeps
+/// what the job already knows.
+void ApplyQueue(Job& job, const workload::Queue* queue) {
+  if (queue == nullptr) {
+    return;
+  }
+  job.pool = queue->pool;
+  job.priority = queue->priority;
+  job.max_failures = std::max(1U, queue->max_failures);
+  if (!job.permanent && job.spec.occurrences == 0) {
+    const auto path = static_cast<double>(
+        workload::CriticalPath(job.spec, {}).count());
+    job.objective =
+        core::Millis(static_cast<std::int64_t>(path * queue->stretch)) +
+        queue->latency_target;
+  }
+}
+
+Job MakeJob(workload::JobSpec spec, const workload::Queue* queue) {
+  Job job;
+  job.spec = std::move(spec);
+  job.permanent = IsPermanent(job.spec);
+  job.core_seconds = workload::CoreSeconds(job.spec);
+  job.tasks.resize(workload::TaskCount(job.spec));
+  ApplyQueue(job, queue);
+  CountOpenTasks(job);
+  return job;
+}
+
+}  // namespace internal
+
+AdmissionResult Submit(State& state, workload::JobSpec spec,
+                       core::MonotonicTime now, core::WallTime wall) {
+  if (state.closed.contains(spec.id)) {
+    return {Admission::kAccepted};
+  }
+  const auto known = state.jobs.find(spec.id);
+  if (known != state.jobs.end()) {
+    return {known->second.saved ? Admission::kAccepted : Admission::kStoring};
+  }
+  const workload::Queue* queue =
+      workload::FindQueue(state.catalog, spec.queue);
+  if (queue == nullptr) {
+    return {Admission::kNoQueue};
+  }
+  Job job = internal::MakeJob(std::move(spec), queue);
+  job.submitted = now;
+  job.accepted = wall;
+  if (const auto wait = RefusalWait(state, job, now)) {
+    ++state.counters.refused;
+    return {Admission::kRefused, *wait};
+  }
+  const core::JobId id = job.spec.id;
+  state.jobs.emplace(id, std::move(job));
+  ++state.counters.accepted;
+  return {Admission::kStoring};
+}
+
+void ConfirmSubmission(State& state, const core::JobId& id) {
+  const auto found = state.jobs.find(id);
+  if (found != state.jobs.end()) {
+    found->second.saved = true;
+  }
+}
+
+void DropSubmission(State& state, const core::JobId& id) {
+  const auto found = state.jobs.find(id);
+  if (found != state.jobs.end() && !found->second.saved) {
+    state.jobs.erase(found);
+    state.unsaved.erase(id);
+  }
+}
+
+void EndJob(State& state, Job& job, workload::JobState final_state,
+            core::WallTime wall) {
+  if (workload::IsFinal(job.state)) {
+    return;
+  }
+  job.state = final_state;
+  job.ended = wall;
+  state.unsaved.insert(job.spec.id);
+  for (Task& task : job.tasks) {
+    for (const RunId run : task.runs) {
+      RequestStop(state, state.runs.at(run));
+    }
+  }
+}
+
+bool Cancel(State& state, const core::JobId& id, core::WallTime wall) {
+  const auto found = state.jobs.find(id);
+  if (found == state.jobs.end()) {
+    return state.closed.contains(id);
+  }
+  EndJob(state, found->second, workload::JobState::kCancelled, wall);
+  return true;
+}
+
+void LoadJob(State& state, const core::JobId& id,
+             std::optional<workload::JobSpec> spec,
+             const std::optional<workload::Progress>& progress,
+             core::MonotonicTime now, core::WallTime wall) {
+  if (progress && workload::IsFinal(progress->state)) {
+    const core::Millis age = std::max(core::Millis(0), wall - progress->ended);
+    const core::Millis kept =
+        std::max(core::Millis(0), state.settings.status_kept - age);
+    state.closed[id] = ClosedJob{progress->state, now + kept};
+    return;
+  }
+  if (!spec) {
+    return;
+  }
+  const workload::Queue* queue =
+      workload::FindQueue(state.catalog, spec->queue);
+  Job job = internal::MakeJob(*std::move(spec), queue);
+  job.saved = true;
+  job.loaded = true;
+  job.accepted = progress ? progress->accepted : wall;
+  const core::Millis age = std::max(core::Millis(0), wall - job.accepted);
+  job.submitted = now - age;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    workload::TaskProgress& task = job.tasks[i].progress;
+    if (progress && i < progress->tasks.size()) {
+      task = progress->tasks[i];
+    }
+    task.next_attempt += internal::kAttemptGap;
+  }
+  internal::CountOpenTasks(job);
+  state.jobs.insert_or_assign(id, std::move(job));
+}
+
+std::optional<workload::JobState> VisibleState(const State& state,
+                                               const core::JobId& id) {
+  const auto closed = state.closed.find(id);
+  if (closed != state.closed.end()) {
+    return closed->second.state;
+  }
+  const auto found = state.jobs.find(id);
+  if (found == state.jobs.end() || !found->second.saved) {
+    return std::nullopt;
+  }
+  const Job& job = found->second;
+  if (workload::IsFinal(job.state) && !job.final_saved) {
+    return workload::JobState::kRunning;
+  }
+  return job.state;
+}
+
+std::size_t PendingJobs(const State& state, const workload::QueueName& queue) {
+  return static_cast<std::size_t>(std::count_if(
+      state.jobs.begin(), state.jobs.end(), [&](const auto& entry) {
+        const Job& job = entry.second;
+        return job.saved && job.state == workload::JobState::kQueued &&
+               job.spec.queue == queue;
+      }));
+}
+
+workload::Progress ProgressOf(const Job& job) {
+  workload::Progress progress;
+  progress.state = job.state;
+  progress.queue = job.spec.queue;
+  progress.accepted = job.accepted;
+  progress.ended = job.ended;
+  if (!workload::IsFinal(job.state)) {
+    for (const Task& task : job.tasks) {
+      progress.tasks.push_back(task.progress);
+    }
+  }
+  return progress;
+}
+
+void ConfirmProgress(State& state, const core::JobId& id,
+                     workload::JobState stored, core::MonotonicTime now) {
+  const auto found = state.jobs.find(id);
+  if (found == state.jobs.end() || !workload::IsFinal(stored)) {
+    return;
+  }
+  Job& job = found->second;
+  job.final_saved = true;
+  const bool runs_left =
+      std::any_of(job.tasks.begin(), job.tasks.end(),
+                  [](const Task& task) { return !task.runs.empty(); });
+  state.closed[id] = ClosedJob{job.state, now + state.settings.status_kept};
+  if (!runs_left) {
+    state.jobs.erase(found);
+  }
+}
+
+std::vector<core::JobId> ForgetClosed(State& state, core::MonotonicTime now) {
+  std::vector<core::JobId> forgotten;
+  for (auto it = state.closed.begin(); it != state.closed.end();) {
+    if (it->second.forget_at <= now && !state.jobs.contains(it->first)) {
+      forgotten.push_back(it->first);
+      it = state.closed.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return forgotten;
+}
+
+void CompleteTask(State& state, Job& job, std::uint32_t task,
+                  core::WallTime wall) {
+  Task& entry = job.tasks[task];
+  if (entry.progress.done) {
+    return;
+  }
+  entry.progress.done = true;
+  entry.progress.checkpoint.clear();
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  const bool gang = job.spec.steps[place.step].gang;
+  for (const RunId run : entry.runs) {
+    // Members of a gang end by themselves when one of them is done.
+    if (!gang) {
+      RequestStop(state, state.runs.at(run));
+    }
+  }
+  --job.open_in_step[place.occurrence * job.spec.steps.size() + place.step];
+  --job.open_tasks;
+  state.unsaved.insert(job.spec.id);
+  if (job.open_tasks == 0) {
+    EndJob(state, job, workload::JobState::kSucceeded, wall);
+  }
+}
+
+bool IsStepReady(const State& state, const Job& job, std::uint32_t occurrence,
+                 std::uint32_t step, core::WallTime wall) {
+  const std::size_t base = occurrence * job.spec.steps.size();
+  if (job.open_in_step[base + step] == 0) {
+    return false;
+  }
+  for (const std::uint32_t before : job.spec.steps[step].after) {
+    if (job.open_in_step[base + before] > 0) {
+      return false;
+    }
+  }
+  if (job.spec.occurrences == 0) {
+    return true;
+  }
+  const core::WallTime due =
+      job.spec.first_run + job.spec.interval * occurrence;
+  // Half of the tolerance is left for the difference of the hosts' clocks.
+  return wall >= due - state.settings.early / 2;
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/placing.cpp
@@ -0,0 +1,300 @@
+#include "camphormux/scheduler/placing.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/urgency.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+/// A copy starts when a run takes this much longer than its estimate, which is
+/// often wrong by half.
+constexpr int kCopyFactor = 2;
+constexpr core::Millis kCopyDelay{300};
+/// A task waits this long for room near its data before it runs elsewhere.
+constexpr core::Millis kDataRackPatience{1500};
+
+/// A step of one occurrence of a job.
+struct StepPlace {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t first = 0;  ///< Position of its first task.
+};
+
+std::uint32_t RunsOfStep(const State& state, const Host& host, const Job& job,
+                         const StepPlace& place) {
+  return static_cast<std::uint32_t>(
+      std::count_if(host.runs.begin(), host.runs.end(), [&](RunId id) {
+        const Run& run = state.runs.at(id);
+        return run.name.job == job.spec.id &&
+               run.name.place.occurrence == place.occurrence &&
+               run.name.place.step == place.step;
+      }));
+}
+
+placement::Resources Need(const workload::Step& step) {
+  placement::Resources need = step.size;
+  if (step.fills_idle) {
+    need.cores = core::MilliCores{0};
+  }
+  return need;
+}
+
+bool Admits(const State& state, const Host& host, const Job& job,
+            const workload::Step& step, const StepPlace& place) {
+  if (!placement::Fits(Need(step), FreeRoom(host))) {
+    return false;
+  }
+  if (!step.required_label.empty() &&
+      !host.listing.labels.contains(step.required_label)) {
+    return false;
+  }
+  return step.max_per_host == 0 ||
+         RunsOfStep(state, host, job, place) < step.max_per_host;
+}
+
+std::size_t ServingRuns(const State& state, const Host& host) {
+  return static_cast<std::size_t>(
+      std::count_if(host.runs.begin(), host.runs.end(), [&](RunId id) {
+        return state.runs.at(id).latency_target.count() > 0;
+      }));
+}
+
+/// Racks on which runs of a colocated step already are.
+std::optional<core::RackName> RackOfStep(const State& state, const Job& job,
+                                         const StepPlace& place) {
+  const workload::Step& step = job.spec.steps[place.step];
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    for (const RunId run : job.tasks[place.first + i].runs) {
+      return state.hosts.at(state.runs.at(run).host).listing.rack;
+    }
+  }
+  return std::nullopt;
+}
+
+/// The rack with most free cores.
+std::optional<core::RackName> RoomiestRack(const std::vector<Host*>& hosts) {
+  std::map<core::RackName, std::int64_t> rooms;
+  for (const Host* host : hosts) {
+    rooms[host->listing.rack] += FreeRoom(*host).cores.value;
+  }
+  const auto best = std::max_element(
+      rooms.begin(), rooms.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return best == rooms.end() ? std::nullopt : std::optional(best->first);
+}
+
+/// Chooses the host for a task: near its data or its siblings, not where it
+/// failed, and where it leaves the least room, so that other hosts stay free.
+Host* ChooseHost(const State& state, const Job& job, const StepPlace& place,
+                 const Task& task, const std::vector<Host*>& hosts,
+                 const std::optional<core::RackName>& rack,
+                 bool must_match_rack) {
+  const workload::Step& step = job.spec.steps[place.step];
+  using Score = std::tuple<bool, bool, std::size_t, std::int64_t>;
+  Host* best = nullptr;
+  Score best_score;
+  for (Host* host : hosts) {
+    const bool off_rack = rack && host->listing.rack != *rack;
+    if ((off_rack && must_match_rack) ||
+        !Admits(state, *host, job, step, place)) {
+      continue;
+    }
+    const Score score{
+        off_rack, host->listing.id == task.failed_on,
+        step.fills_idle ? ServingRuns(state, *host) + host->filling : 0,
+        FreeRoom(*host).cores.value * (step.fills_idle ? -1 : 1)};
+    if (best == nullptr || score < best_score) {
+      best = host;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void Start(State& state, Job& job, std::uint32_t task, std::uint32_t attempt,
+           Host& host, core::MonotonicTime now) {
+  Task& entry = job.tasks[task];
+  entry.progress.next_attempt = attempt + 1;
+  const Run& run = AddRun(state, job, task, attempt, host, now);
+  ++state.counters.started;
+  state.orders.emplace_back(
+      StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
+}
+
+/// Tells whether a task of an earlier holder may still run on a host that has
+/// not reported.
+bool MayRunUnseen(const State& state, const Job& job) {
+  return job.loaded && !state.unreported.empty();
+}
+
+bool WaitsForData(const State& state, const Job& job,
+                  const workload::Step& step, core::MonotonicTime now) {
+  const auto remote = core::Millis(static_cast<std::int64_t>(
+      static_cast<double>(step.estimate.count()) *
+      state.settings.remote_factor));
+  return job.objective.count() > 0 &&
+         now + remote > job.submitted + job.objective &&
+         now < job.submitted + kDataRackPatience;
+}
+
+/// Places the tasks of a step one by one.
+core::MilliCores PlaceSingles(State& state, Job& job, const StepPlace& place,
+                              const std::vector<Host*>& hosts,
+                              core::MonotonicTime now) {
+  const workload::Step& step = job.spec.steps[place.step];
+  std::optional<core::RackName> rack;
+  bool must_match = false;
+  if (!step.data_rack.value.empty()) {
+    rack = step.data_rack;
+    must_match = WaitsForData(state, job, step, now);
+  } else if (step.colocated) {
+    rack = RackOfStep(state, job, place);
+    rack = rack ? rack : RoomiestRack(hosts);
+  }
+  core::MilliCores unplaced;
+  bool full = false;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    Task& task = job.tasks[place.first + i];
+    if (task.progress.done || !task.runs.empty()) {
+      continue;
+    }
+    Host* host = full ? nullptr
+                      : ChooseHost(state, job, place, task, hosts, rack,
+                                   must_match);
+    if (host == nullptr) {
+      full = true;  // Tasks of a step are alike.
+      unplaced += Need(step).cores;
+      continue;
+    }
+    Start(state, job, place.first + i, task.progress.next_attempt, *host, now);
+  }
+  return unplaced;
+}
+
+/// Places all tasks of a gang or none.
+core::MilliCores PlaceGang(State& state, Job& job, const StepPlace& place,
+                           const std::vector<Host*>& hosts,
+                           core::MonotonicTime now) {
+  const workload::Step& step = job.spec.steps[place.step];
+  std::uint32_t attempt = 1;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    const Task& task = job.tasks[place.first + i];
+    if (!task.runs.empty()) {
+      return {};  // A run of the gang has not ended everywhere.
+    }
+    attempt = std::max(attempt, task.progress.next_attempt);
+  }
+  std::optional<core::RackName> rack;
+  if (!step.data_rack.value.empty()) {
+    rack = step.data_rack;
+  } else if (step.colocated) {
+    rack = RoomiestRack(hosts);
+  }
+  // The room is taken while the members are chosen and given back if one of
+  // them finds none; no order is sent before.
+  std::vector<RunId> members;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    Task& task = job.tasks[place.first + i];
+    Host* host = ChooseHost(state, job, place, task, hosts, rack, false);
+    if (host == nullptr) {
+      for (const RunId member : members) {
+        RemoveRun(state, member);
+      }
+      return core::MilliCores{Need(step).cores.value * step.count};
+    }
+    members.push_back(
+        AddRun(state, job, place.first + i, attempt, *host, now).id);
+  }
+  for (const RunId member : members) {
+    const Run& run = state.runs.at(member);
+    workload::TaskProgress& progress = job.tasks[run.task].progress;
+    progress.next_attempt = attempt + 1;
+    ++state.counters.started;
+    state.orders.emplace_back(
+        StartRun{run.id, run.host, run.name, progress.checkpoint});
+  }
+  return {};
+}
+
+}  // namespace internal
+
+core::MilliCores PlaceJob(State& state, Job& job,
+                          const std::vector<Host*>& hosts,
+                          core::MonotonicTime now, core::WallTime wall) {
+  core::MilliCores unplaced;
+  if (!job.saved || workload::IsFinal(job.state) ||
+      internal::MayRunUnseen(state, job)) {
+    return unplaced;
+  }
+  const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
+  std::uint32_t first = 0;
+  for (std::uint32_t k = 0; k < occurrences; ++k) {
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      const internal::StepPlace place{k, s, first};
+      first += job.spec.steps[s].count;
+      if (!IsStepReady(state, job, k, s, wall)) {
+        continue;
+      }
+      unplaced += job.spec.steps[s].gang
+                      ? internal::PlaceGang(state, job, place, hosts, now)
+                      : internal::PlaceSingles(state, job, place, hosts, now);
+    }
+  }
+  return unplaced;
+}
+
+void PlaceCopies(State& state, Job& job, const std::vector<Host*>& hosts,
+                 core::MonotonicTime now) {
+  if (workload::IsFinal(job.state) ||
+      UrgencyOf(job, now) == Urgency::kOverdue) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    Task& task = job.tasks[i];
+    if (task.runs.size() != 1 || task.progress.done) {
+      continue;
+    }
+    const Run& run = state.runs.at(task.runs.front());
+    const workload::Step& step = job.spec.steps[run.name.place.step];
+    if (!step.speculative || step.gang || step.permanent ||
+        now < run.ordered + run.estimate * internal::kCopyFactor +
+                  internal::kCopyDelay) {
+      continue;
+    }
+    std::vector<Host*> others = hosts;
+    std::erase_if(others, [&](const Host* host) {
+      return host->listing.id == run.host;
+    });
+    const internal::StepPlace place{run.name.place.occurrence,
+                                    run.name.place.step,
+                                    i - run.name.place.index};
+    Host* host = internal::ChooseHost(state, job, place, task, others,
+                                      std::nullopt, false);
+    if (host != nullptr) {
+      ++state.counters.copies;
+      internal::Start(state, job, i, task.progress.next_attempt, *host, now);
+    }
+  }
+}
+
+bool FitsElsewhere(const State& state, const Run& run,
+                   const std::vector<Host*>& hosts) {
+  const Job& job = state.jobs.at(run.name.job);
+  const internal::StepPlace place{run.name.place.occurrence,
+                                  run.name.place.step,
+                                  run.task - run.name.place.index};
+  return std::any_of(hosts.begin(), hosts.end(), [&](const Host* host) {
+    return host->listing.id != run.host &&
+           internal::Admits(state, *host, job,
+                            job.spec.steps[run.name.place.step], place);
+  });
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/plan.cpp
@@ -0,0 +1,86 @@
+#include "camphormux/scheduler/plan.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/scheduler/balance.hpp"
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/placing.hpp"
+#include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/upkeep.hpp"
+#include "camphormux/scheduler/urgency.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+PoolViews MakeViews(State& state, core::MonotonicTime now) {
+  PoolViews views;
+  for (auto& [id, host] : state.hosts) {
+    PoolView& view = views[host.listing.pool];
+    if (IsUsable(host, now)) {
+      view.usable.push_back(&host);
+    }
+  }
+  return views;
+}
+
+/// Jobs of each pool in the order in which they get room.
+std::map<core::PoolName, std::vector<std::pair<Rank, Job*>>> RankJobs(
+    State& state, core::MonotonicTime now) {
+  std::map<core::PoolName, std::vector<std::pair<Rank, Job*>>> ranked;
+  for (auto& [id, job] : state.jobs) {
+    if (job.saved && !workload::IsFinal(job.state)) {
+      ranked[job.pool].emplace_back(RankOf(job, now), &job);
+    }
+  }
+  for (auto& [pool, jobs] : ranked) {
+    std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
+      return a.first != b.first ? a.first < b.first
+                                : a.second->spec.id < b.second->spec.id;
+    });
+  }
+  return ranked;
+}
+
+void SweepEndedJobs(State& state) {
+  for (const core::JobId& id : state.ended) {
+    const auto found = state.jobs.find(id);
+    if (found == state.jobs.end() || !found->second.final_saved) {
+      continue;
+    }
+    const bool runs_left = std::any_of(
+        found->second.tasks.begin(), found->second.tasks.end(),
+        [](const Task& task) { return !task.runs.empty(); });
+    if (!runs_left) {
+      state.jobs.erase(found);
+    }
+  }
+  state.ended.clear();
+}
+
+}  // namespace internal
+
+void Plan(State& state, core::MonotonicTime now, core::WallTime wall) {
+  CheckHosts(state, now);
+  CheckRuns(state, now);
+  PoolViews views = internal::MakeViews(state, now);
+  for (auto& [pool, jobs] : internal::RankJobs(state, now)) {
+    PoolView& view = views[pool];
+    for (const auto& [rank, job] : jobs) {
+      view.unplaced += PlaceJob(state, *job, view.usable, now, wall);
+    }
+    if (view.unplaced.value > 0) {
+      state.last_pending[pool] = now;
+      continue;
+    }
+    for (const auto& [rank, job] : jobs) {
+      PlaceCopies(state, *job, view.usable, now);
+    }
+  }
+  EvacuateDraining(state, views);
+  PlanUpkeep(state, views, now);
+  PlanMoves(state, views, now);
+  internal::SweepEndedJobs(state);
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/runs.cpp
@@ -0,0 +1,395 @@
+#include "camphormux/scheduler/runs.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/pacing.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+/// A host that refused a start for want of room is not asked again before its
+/// next report can have arrived.
+constexpr core::Millis kRoomPause{200};
+/// A host that calls itself unhealthy is left alone for one health interval.
+constexpr core::Millis kUnhealthyPause{1000};
+/// A stop is sent again if its run is still listed after this long; above the
+/// time of a call and its answer.
+constexpr core::Millis kStopRepeat{500};
+/// A run without progress is replaced after this long and a multiple of its
+/// estimate, which is often wrong by a factor of two.
+constexpr core::Millis kStallMinimum{2000};
+constexpr int kStallFactor = 3;
+/// Attempts are skipped by this much if a host has seen a newer one.
+constexpr std::uint32_t kAttemptSkip = 16;
+
+Run* FindRun(State& state, const Task& task, const core::HostId& host,
+             std::uint32_t attempt) {
+  for (const RunId id : task.runs) {
+    Run& run = state.runs.at(id);
+    if (run.host == host && run.name.attempt == attempt) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+/// Sets the checkpoint of a task, or of all members of its gang: they continue
+/// from the same one.
+void KeepCheckpoint(Job& job, std::uint32_t task,
+                    const std::string& checkpoint) {
+  if (checkpoint.empty() || job.tasks[task].progress.done) {
+    return;
+  }
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  const workload::Step& step = job.spec.steps[place.step];
+  const std::uint32_t first = step.gang ? task - place.index : task;
+  const std::uint32_t count = step.gang ? step.count : 1;
+  for (std::uint32_t i = first; i < first + count; ++i) {
+    job.tasks[i].progress.checkpoint = checkpoint;
+  }
+}
+
+void CountFailure(State& state, Job& job, std::uint32_t task, Host& host,
+                  std::uint32_t attempt, core::WallTime wall,
+                  core::MonotonicTime now) {
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  const workload::Step& step = job.spec.steps[place.step];
+  job.tasks[task].failed_on = host.listing.id;
+  NoteFailure(state, host, job.spec.id, now);
+  if (step.permanent) {
+    return;
+  }
+  // A gang fails as a whole; its failures are counted at its first member.
+  const std::uint32_t counted = step.gang ? task - place.index : task;
+  auto& failed = job.tasks[counted].progress.failed_attempts;
+  failed.insert(attempt);
+  state.unsaved.insert(job.spec.id);
+  if (failed.size() >= job.max_failures) {
+    EndJob(state, job, workload::JobState::kFailed, wall);
+  }
+}
+
+void CompleteGang(State& state, Job& job, std::uint32_t task,
+                  core::WallTime wall) {
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  const std::uint32_t first = task - place.index;
+  for (std::uint32_t i = 0; i < job.spec.steps[place.step].count; ++i) {
+    CompleteTask(state, job, first + i, wall);
+  }
+}
+
+void ProcessEnd(State& state, Host& host, const ListedEnd& end,
+                core::MonotonicTime now, core::WallTime wall) {
+  const auto found = state.jobs.find(end.name.job);
+  if (found == state.jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  const auto position = workload::PositionOf(job.spec, end.name.place);
+  if (!position) {
+    return;
+  }
+  Task& task = job.tasks[*position];
+  if (const Run* run =
+          FindRun(state, task, host.listing.id, end.name.attempt)) {
+    RemoveRun(state, run->id);
+  }
+  task.progress.next_attempt =
+      std::max(task.progress.next_attempt, end.name.attempt + 1);
+  if (workload::IsFinal(job.state) || task.progress.done) {
+    return;
+  }
+  const workload::Step& step = job.spec.steps[end.name.place.step];
+  KeepCheckpoint(job, *position, end.checkpoint);
+  switch (end.kind) {
+    case EndKind::kDone:
+      NoteSuccess(host);
+      if (step.gang) {
+        CompleteGang(state, job, *position, wall);
+      } else if (!step.permanent) {
+        CompleteTask(state, job, *position, wall);
+      }
+      return;
+    case EndKind::kFailed:
+      CountFailure(state, job, *position, host, end.name.attempt, wall, now);
+      return;
+    case EndKind::kStopped:
+    case EndKind::kLapsed:
+    case EndKind::kBroken:
+    case EndKind::kAlone:
+      if (!end.checkpoint.empty()) {
+        state.unsaved.insert(job.spec.id);
+      }
+      return;
+  }
+}
+
+void UpdateRun(State& state, Run& run, const ListedRun& listed,
+               core::MonotonicTime now) {
+  if (run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUnanswered) {
+    run.phase = RunPhase::kRunning;
+    run.confirmed = now;
+    Job& job = state.jobs.at(run.name.job);
+    if (job.state == workload::JobState::kQueued) {
+      job.state = workload::JobState::kRunning;
+    }
+  }
+  if (listed.percent != run.percent) {
+    run.progressed = now;
+  }
+  run.percent = listed.percent;
+  run.load = listed.load;
+  if (!listed.checkpoint.empty()) {
+    run.checkpoint = listed.checkpoint;
+  }
+}
+
+/// Takes over a run that this holder did not order, or orders its stop.
+Run* Adopt(State& state, Host& host, const ListedRun& listed,
+           core::MonotonicTime now) {
+  const auto found = state.jobs.find(listed.name.job);
+  if (found != state.jobs.end() && !workload::IsFinal(found->second.state)) {
+    Job& job = found->second;
+    const auto position = workload::PositionOf(job.spec, listed.name.place);
+    if (position) {
+      Task& task = job.tasks[*position];
+      const bool may_copy =
+          job.spec.steps[listed.name.place.step].speculative;
+      if (!task.progress.done && (task.runs.empty() || may_copy)) {
+        task.progress.next_attempt =
+            std::max(task.progress.next_attempt, listed.name.attempt + 1);
+        return &AddRun(state, job, *position, listed.name.attempt, host, now);
+      }
+    }
+  }
+  state.orders.emplace_back(StopRun{host.listing.id, listed.name});
+  return nullptr;
+}
+
+Run* FindListed(State& state, Host& host, const RunName& name) {
+  for (const RunId id : host.runs) {
+    Run& run = state.runs.at(id);
+    if (run.name == name) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+/// Draws conclusions from a run's absence from its host's lists.
+void CheckMissing(State& state, Run& run, const HostReport& report) {
+  switch (run.phase) {
+    case RunPhase::kOrdered:
+      return;
+    case RunPhase::kUnanswered:
+      // It may start later; a confirmed stop prevents that.
+      if (report.asked >= run.confirmed) {
+        RequestStop(state, run);
+      }
+      return;
+    case RunPhase::kRunning:
+      if (report.asked >= run.confirmed) {
+        RemoveRun(state, run.id);
+      }
+      return;
+    case RunPhase::kStopping:
+      if (run.stop_confirmed && report.asked >= run.confirmed) {
+        RemoveRun(state, run.id);
+      }
+      return;
+  }
+}
+
+bool IsStalled(const Run& run, core::MonotonicTime now,
+               core::MonotonicTime last_report) {
+  if (run.phase != RunPhase::kRunning || run.permanent) {
+    return false;
+  }
+  const core::Millis patience =
+      std::max(kStallMinimum, run.estimate * kStallFactor);
+  return last_report > run.progressed + patience &&
+         now > run.confirmed + patience;
+}
+
+}  // namespace internal
+
+Run& AddRun(State& state, Job& job, std::uint32_t task, std::uint32_t attempt,
+            Host& host, core::MonotonicTime now) {
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  const workload::Step& step = job.spec.steps[place.step];
+  Run run;
+  run.id = state.next_run;
+  state.next_run = core::Next(state.next_run);
+  run.name = {job.spec.id, place, attempt};
+  run.task = task;
+  run.host = host.listing.id;
+  run.reserved = step.size;
+  if (step.fills_idle) {
+    run.reserved.cores = core::MilliCores{0};
+    ++host.filling;
+  }
+  run.fills_idle = step.fills_idle;
+  run.permanent = step.permanent;
+  run.estimate = step.estimate;
+  run.latency_target = step.latency_target;
+  run.ordered = now;
+  run.confirmed = now;
+  run.progressed = now;
+  host.committed += run.reserved;
+  host.runs.push_back(run.id);
+  job.tasks[task].runs.push_back(run.id);
+  const RunId id = run.id;
+  return state.runs.emplace(id, std::move(run)).first->second;
+}
+
+void RemoveRun(State& state, RunId id) {
+  const auto found = state.runs.find(id);
+  const Run& run = found->second;
+  const auto host = state.hosts.find(run.host);
+  if (host != state.hosts.end()) {
+    host->second.committed -= run.reserved;
+    host->second.filling -= run.fills_idle ? 1U : 0U;
+    std::erase(host->second.runs, id);
+  }
+  const auto job = state.jobs.find(run.name.job);
+  if (job != state.jobs.end()) {
+    std::erase(job->second.tasks[run.task].runs, id);
+    internal::KeepCheckpoint(job->second, run.task, run.checkpoint);
+    if (workload::IsFinal(job->second.state)) {
+      state.ended.push_back(run.name.job);
+    }
+  }
+  state.runs.erase(found);
+}
+
+void RequestStop(State& state, Run& run) {
+  if (run.phase == RunPhase::kStopping) {
+    return;
+  }
+  run.phase = RunPhase::kStopping;
+  run.stop_confirmed = false;
+  ++state.counters.stopped;
+  state.orders.emplace_back(StopRun{run.host, run.name});
+}
+
+void OnStartAnswer(State& state, RunId id, StartOutcome outcome,
+                   core::MonotonicTime now) {
+  const auto found = state.runs.find(id);
+  if (found == state.runs.end()) {
+    return;
+  }
+  Run& run = found->second;
+  Host& host = state.hosts.at(run.host);
+  Job& job = state.jobs.at(run.name.job);
+  if (outcome == StartOutcome::kStarted) {
+    if (run.phase == RunPhase::kOrdered) {
+      run.phase = RunPhase::kRunning;
+    }
+    run.confirmed = now;
+    run.progressed = now;
+    if (job.state == workload::JobState::kQueued) {
+      job.state = workload::JobState::kRunning;
+    }
+    return;
+  }
+  if (outcome == StartOutcome::kNoAnswer) {
+    ++state.counters.unanswered_starts;
+    OnHostSilent(host, now);
+    if (run.phase == RunPhase::kOrdered) {
+      run.phase = RunPhase::kUnanswered;
+      run.confirmed = now;
+    }
+    return;
+  }
+  ++state.counters.rejected_starts;
+  workload::TaskProgress& task = job.tasks[run.task].progress;
+  switch (outcome) {
+    case StartOutcome::kNoRoom:
+    case StartOutcome::kTooLate:
+    case StartOutcome::kNoTicket:
+    case StartOutcome::kBadRequest:
+      host.busy_until = now + internal::kRoomPause;
+      break;
+    case StartOutcome::kUnhealthy:
+      host.busy_until = now + internal::kUnhealthyPause;
+      break;
+    case StartOutcome::kOldAttempt:
+      task.next_attempt += internal::kAttemptSkip;
+      break;
+    default:
+      break;
+  }
+  RemoveRun(state, id);
+}
+
+void OnStopConfirmed(State& state, const core::HostId& host,
+                     const RunName& name, core::MonotonicTime now) {
+  const auto found = state.hosts.find(host);
+  if (found == state.hosts.end()) {
+    return;
+  }
+  if (Run* run = internal::FindListed(state, found->second, name)) {
+    run->stop_confirmed = true;
+    run->confirmed = now;
+  }
+}
+
+void OnReport(State& state, const HostReport& report, core::MonotonicTime now,
+              core::WallTime wall) {
+  const auto found = state.hosts.find(report.host);
+  if (found == state.hosts.end() ||
+      found->second.listing.incarnation != report.incarnation) {
+    return;
+  }
+  Host& host = found->second;
+  host.last_report = now;
+  host.silent_since.reset();
+  for (const ListedEnd& end : report.ended) {
+    if (end.number > host.ended) {
+      host.ended = end.number;
+      internal::ProcessEnd(state, host, end, now, wall);
+    }
+  }
+  std::set<RunId> listed_runs;
+  for (const ListedRun& listed : report.running) {
+    Run* run = internal::FindListed(state, host, listed.name);
+    if (run == nullptr) {
+      run = internal::Adopt(state, host, listed, now);
+    }
+    if (run != nullptr) {
+      internal::UpdateRun(state, *run, listed, now);
+      listed_runs.insert(run->id);
+    }
+  }
+  const std::vector<RunId> known = host.runs;
+  for (const RunId id : known) {
+    if (!listed_runs.contains(id)) {
+      internal::CheckMissing(state, state.runs.at(id), report);
+    }
+  }
+  host.synced = true;
+  state.unreported.erase(report.host);
+  PaceFillers(state, host, now);
+}
+
+void CheckRuns(State& state, core::MonotonicTime now) {
+  for (auto& [id, run] : state.runs) {
+    Host& host = state.hosts.at(run.host);
+    if (run.phase == RunPhase::kStopping && !run.stop_confirmed &&
+        now >= run.stop_sent + internal::kStopRepeat) {
+      if (run.stop_sent != core::MonotonicTime{}) {
+        state.orders.emplace_back(StopRun{run.host, run.name});
+      }
+      run.stop_sent = now;
+    }
+    if (internal::IsStalled(run, now, host.last_report)) {
+      RequestStop(state, run);
+      Quarantine(state, host, now);
+    }
+  }
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -0,0 +1,263 @@
+#include "camphormux/scheduler/upkeep.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/placing.hpp"
+#include "camphormux/scheduler/runs.hpp"
+
+namespace camphormux::scheduler {
+namespace internal {
+
+constexpr int kAtWorkPercent = 100;
+/// Hosts that are emptied ahead of the ones that may be down at once, so that
+/// the next one is empty when a machine returns.
+constexpr std::size_t kEmptiedAhead = 2;
+
+/// Tasks of a step that are not at work; those being stopped count.
+std::uint32_t AwayTasks(const State& state, const Job& job, const Run& run) {
+  const workload::Step& step = job.spec.steps[run.name.place.step];
+  const std::uint32_t first = run.task - run.name.place.index;
+  std::uint32_t away = 0;
+  for (std::uint32_t i = first; i < first + step.count; ++i) {
+    const auto& runs = job.tasks[i].runs;
+    const bool at_work = std::any_of(runs.begin(), runs.end(), [&](RunId id) {
+      const Run& other = state.runs.at(id);
+      return other.phase == RunPhase::kRunning &&
+             other.percent >= kAtWorkPercent;
+    });
+    away += at_work ? 0U : 1U;
+  }
+  return away;
+}
+
+/// Stops permanent tasks on a host as far as their budgets allow, if they find
+/// room elsewhere.
+void Evacuate(State& state, const Host& host, const PoolViews& views,
+              bool within_budget) {
+  const auto view = views.find(host.listing.pool);
+  if (view == views.end()) {
+    return;
+  }
+  const std::vector<RunId> runs = host.runs;
+  for (const RunId id : runs) {
+    Run& run = state.runs.at(id);
+    if (!run.permanent || run.phase != RunPhase::kRunning) {
+      continue;
+    }
+    const Job& job = state.jobs.at(run.name.job);
+    const workload::Step& step = job.spec.steps[run.name.place.step];
+    const std::uint32_t budget =
+        std::max(1U, step.max_unavailable.value_or(1));
+    if (within_budget && AwayTasks(state, job, run) >= budget) {
+      continue;
+    }
+    if (FitsElsewhere(state, run, view->second.usable)) {
+      RequestStop(state, run);
+    }
+  }
+}
+
+Host* HostOf(State& state, const Machine& machine) {
+  const auto found = state.hosts.find(machine.listing.host);
+  return found == state.hosts.end() ? nullptr : &found->second;
+}
+
+bool IsDown(const Machine& machine) {
+  return machine.order_pending ||
+         machine.listing.state == MachineState::kUpkeep;
+}
+
+/// Order in which machines are maintained: empty ones first, then those with
+/// few permanent tasks.
+std::tuple<std::size_t, std::size_t> Effort(const State& state,
+                                            const Host* host) {
+  if (host == nullptr) {
+    return {0, 0};
+  }
+  const auto permanent = static_cast<std::size_t>(
+      std::count_if(host->runs.begin(), host->runs.end(), [&](RunId id) {
+        return state.runs.at(id).permanent;
+      }));
+  return {permanent, host->runs.size()};
+}
+
+void CompleteWave(State& state, Wave& wave) {
+  const bool complete = std::all_of(
+      wave.request.machines.begin(), wave.request.machines.end(),
+      [&](const MachineId& id) {
+        return wave.begun.contains(id) || !state.machines.contains(id);
+      });
+  if (complete) {
+    wave.complete = true;
+    state.orders.emplace_back(SaveWave{wave.request.id, true});
+  }
+}
+
+void WorkOnWave(State& state, Wave& wave, const PoolViews& views,
+                core::MonotonicTime now) {
+  std::size_t down = 0;
+  std::vector<std::pair<Machine*, Host*>> waiting;
+  for (const MachineId& id : wave.request.machines) {
+    const auto found = state.machines.find(id);
+    if (found == state.machines.end()) {
+      continue;
+    }
+    Machine& machine = found->second;
+    if (IsDown(machine)) {
+      ++down;
+    } else if (!wave.begun.contains(id) &&
+               machine.listing.state == MachineState::kUp) {
+      waiting.emplace_back(&machine, HostOf(state, machine));
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
+    // Hosts that were chosen before stay chosen.
+    const auto key = [&](const std::pair<Machine*, Host*>& entry) {
+      const bool chosen = entry.second != nullptr && entry.second->reserved;
+      return std::make_tuple(!chosen, Effort(state, entry.second),
+                             entry.first->listing.id);
+    };
+    return key(a) < key(b);
+  });
+  const std::size_t room = wave.request.max_down > down
+                               ? wave.request.max_down - down
+                               : 0;
+  std::size_t ordered = 0;
+  std::size_t chosen = 0;
+  for (const auto& [machine, host] : waiting) {
+    if (chosen >= room + kEmptiedAhead) {
+      break;
+    }
+    ++chosen;
+    if (host != nullptr) {
+      host->reserved = true;
+      if (!host->runs.empty()) {
+        Evacuate(state, *host, views, true);
+        continue;
+      }
+    }
+    if (ordered < room) {
+      ++ordered;
+      machine->order_pending = true;
+      machine->ordered = now;
+      state.orders.emplace_back(
+          UpkeepMachine{machine->listing.id, wave.request.id});
+    }
+  }
+  CompleteWave(state, wave);
+}
+
+}  // namespace internal
+
+Machine* MachineOf(State& state, const core::HostId& host) {
+  for (auto& [id, machine] : state.machines) {
+    if (machine.listing.host == host) {
+      return &machine;
+    }
+  }
+  return nullptr;
+}
+
+void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
+                   core::MonotonicTime asked) {
+  std::set<MachineId> seen;
+  for (const MachineListing& listing : listings) {
+    seen.insert(listing.id);
+    Machine& machine = state.machines[listing.id];
+    if (machine.order_pending && asked <= machine.ordered) {
+      continue;
+    }
+    machine.listing = listing;
+    if (listing.pool == machine.target &&
+        state.hosts.contains(listing.host)) {
+      machine.target.value.clear();
+    }
+  }
+  std::erase_if(state.machines, [&](const auto& entry) {
+    return !seen.contains(entry.first) && !entry.second.order_pending;
+  });
+  state.machines_known = true;
+}
+
+void AddWave(State& state, WaveRequest request, core::MonotonicTime now) {
+  const WaveId id = request.id;
+  Wave& wave = state.waves[id];
+  if (!wave.request.machines.empty()) {
+    return;
+  }
+  wave.request = std::move(request);
+  wave.seen = now;
+  if (!wave.complete && !wave.announced) {
+    wave.announced = true;
+    state.orders.emplace_back(SaveWave{id, false});
+  }
+}
+
+void OnMachineAnswer(State& state, const MachineId& machine,
+                     const WaveId* wave, MachineOutcome outcome,
+                     core::MonotonicTime now) {
+  const auto found = state.machines.find(machine);
+  if (found == state.machines.end()) {
+    return;
+  }
+  Machine& entry = found->second;
+  entry.ordered = now;
+  if (outcome == MachineOutcome::kNoAnswer) {
+    // The order stays pending and is repeated: it has the same effect twice.
+    if (wave != nullptr) {
+      state.orders.emplace_back(UpkeepMachine{machine, *wave});
+    } else {
+      state.orders.emplace_back(MoveMachine{machine, entry.target});
+    }
+    return;
+  }
+  entry.order_pending = false;
+  if (outcome == MachineOutcome::kDone) {
+    LoseHost(state, entry.listing.host, now);
+    entry.listing.host.value.clear();
+    if (wave != nullptr) {
+      entry.listing.state = MachineState::kUpkeep;
+      state.waves[*wave].begun.insert(machine);
+      state.orders.emplace_back(SaveWave{*wave, false});
+    } else {
+      entry.listing.state = MachineState::kMoving;
+      entry.listing.pool = entry.target;
+      ++state.counters.moves;
+    }
+    return;
+  }
+  entry.target.value.clear();
+  if (outcome == MachineOutcome::kRejected && wave != nullptr) {
+    state.waves[*wave].begun.insert(machine);
+  }
+  if (Host* host = internal::HostOf(state, entry)) {
+    host->reserved = false;
+    host->busy_until = now;
+  }
+}
+
+void PlanUpkeep(State& state, const PoolViews& views,
+                core::MonotonicTime now) {
+  if (!state.machines_known ||
+      now < state.took_over + state.settings.machine_lease) {
+    return;
+  }
+  for (auto& [id, wave] : state.waves) {
+    if (!wave.complete && !wave.request.machines.empty()) {
+      internal::WorkOnWave(state, wave, views, now);
+    }
+  }
+}
+
+void EvacuateDraining(State& state, const PoolViews& views) {
+  for (auto& [id, host] : state.hosts) {
+    if (host.listing.draining && host.listed) {
+      internal::Evacuate(state, host, views, false);
+    }
+  }
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -0,0 +1,86 @@
+#include "camphormux/scheduler/urgency.hpp"
+
+#include <algorithm>
+
+namespace camphormux::scheduler {
+namespace internal {
+
+constexpr double kMilliCoresPerCore = 1000.0;
+constexpr double kMillisPerSecond = 1000.0;
+/// A caller that is refused comes back after the excess of the backlog, but
+/// not sooner than a second (the unit of Retry-After) and not later than this.
+constexpr core::Millis kMaxRetryAfter{10'000};
+constexpr core::Millis kMinRetryAfter{1'000};
+
+std::vector<bool> CompleteSteps(const Job& job) {
+  std::vector<bool> complete(job.spec.steps.size());
+  for (std::size_t i = 0; i < complete.size(); ++i) {
+    complete[i] = job.open_in_step[i] == 0;
+  }
+  return complete;
+}
+
+/// Share of a job's work that is left.
+double RemainingWork(const Job& job) {
+  return job.tasks.empty() ? 0.0
+                           : job.core_seconds *
+                                 static_cast<double>(job.open_tasks) /
+                                 static_cast<double>(job.tasks.size());
+}
+
+}  // namespace internal
+
+Urgency UrgencyOf(const Job& job, core::MonotonicTime now) {
+  if (job.permanent || job.spec.occurrences > 0) {
+    return Urgency::kPermanent;
+  }
+  const core::MonotonicTime end =
+      now + workload::CriticalPath(job.spec, internal::CompleteSteps(job));
+  if (end <= job.submitted + job.objective) {
+    return Urgency::kOnTime;
+  }
+  return end <= job.submitted + job.objective * kLateFactor ? Urgency::kLate
+                                                            : Urgency::kOverdue;
+}
+
+Rank RankOf(const Job& job, core::MonotonicTime now) {
+  return {UrgencyOf(job, now), job.priority,
+          job.state == workload::JobState::kQueued, job.core_seconds,
+          job.submitted};
+}
+
+std::optional<core::Millis> RefusalWait(const State& state, const Job& job,
+                                        core::MonotonicTime now) {
+  if (job.objective.count() == 0) {
+    return std::nullopt;
+  }
+  double backlog = 0;
+  for (const auto& [id, other] : state.jobs) {
+    if (other.pool == job.pool && !other.permanent &&
+        !workload::IsFinal(other.state) && other.spec.occurrences == 0 &&
+        now < other.submitted + other.objective * kLateFactor) {
+      backlog += internal::RemainingWork(other);
+    }
+  }
+  double cores = 0;
+  for (const auto& [id, host] : state.hosts) {
+    if (host.listing.pool == job.pool && host.listed && !host.reserved) {
+      cores += static_cast<double>(host.listing.capacity.cores.value) /
+               internal::kMilliCoresPerCore;
+    }
+  }
+  if (cores <= 0) {
+    return std::nullopt;
+  }
+  const auto wait = core::Millis(static_cast<std::int64_t>(
+      backlog / cores * internal::kMillisPerSecond));
+  const core::Millis useful =
+      job.objective * kLateFactor - workload::CriticalPath(job.spec, {});
+  if (wait <= useful) {
+    return std::nullopt;
+  }
+  return std::clamp(wait - useful, internal::kMinRetryAfter,
+                    internal::kMaxRetryAfter);
+}
+
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/src/camphormux/workload/codec.cpp
@@ -0,0 +1,206 @@
+#include "camphormux/workload/codec.hpp"
+
+#include <utility>
+
+#include "camphormux/cbor/cbor.hpp"
+#include "camphormux/workload/validate.hpp"
+
+namespace camphormux::workload {
+namespace internal {
+
+using nlohmann::json;
+
+/// Bit of each yes-or-no property of a step in its encoded form.
+enum StepFlag : std::uint32_t {
+  kCheckpoints = 1,
+  kGang = 2,
+  kColocated = 4,
+  kSpeculative = 8,
+  kPermanent = 16,
+  kFillsIdle = 32,
+};
+
+constexpr std::size_t kMaxNameBytes = 1024;
+constexpr std::size_t kMaxCheckpointBytes = std::size_t{64} << 10;
+constexpr std::uint64_t kMaxAmount = std::uint64_t{1} << 50;
+
+std::int64_t Millis(core::WallTime time) {
+  return time.time_since_epoch().count();
+}
+
+std::uint32_t Flags(const Step& step) {
+  return (step.checkpoints ? kCheckpoints : 0U) | (step.gang ? kGang : 0U) |
+         (step.colocated ? kColocated : 0U) |
+         (step.speculative ? kSpeculative : 0U) |
+         (step.permanent ? kPermanent : 0U) |
+         (step.fills_idle ? kFillsIdle : 0U);
+}
+
+json ToJson(const Step& step) {
+  json after = json::array();
+  for (const std::uint32_t before : step.after) {
+    after.push_back(before);
+  }
+  return json::array(
+      {step.count, step.size.cores.value, step.size.memory.value,
+       step.size.accelerators.value, step.estimate.count(), std::move(after),
+       Flags(step), step.required_label, step.data_rack.value,
+       step.max_per_host, step.image, step.latency_target.count(),
+       step.max_unavailable ? *step.max_unavailable + 1 : 0});
+}
+
+Step StepFrom(const json& value, bool& ok) {
+  cbor::ArrayReader reader(value);
+  Step step;
+  step.count = static_cast<std::uint32_t>(reader.Unsigned(kMaxTasks));
+  step.size.cores.value =
+      static_cast<std::int64_t>(reader.Unsigned(kMaxAmount));
+  step.size.memory.value =
+      static_cast<std::int64_t>(reader.Unsigned(kMaxAmount));
+  step.size.accelerators.value =
+      static_cast<std::int64_t>(reader.Unsigned(kMaxAmount));
+  step.estimate =
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount)));
+  cbor::ArrayReader after(reader.Array(kMaxSteps));
+  for (;;) {
+    const auto before = static_cast<std::uint32_t>(after.Unsigned(kMaxSteps));
+    if (!after.ok()) {
+      break;
+    }
+    step.after.push_back(before);
+  }
+  const auto flags = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  step.checkpoints = (flags & kCheckpoints) != 0;
+  step.gang = (flags & kGang) != 0;
+  step.colocated = (flags & kColocated) != 0;
+  step.speculative = (flags & kSpeculative) != 0;
+  step.permanent = (flags & kPermanent) != 0;
+  step.fills_idle = (flags & kFillsIdle) != 0;
+  step.required_label = reader.Text(kMaxNameBytes);
+  step.data_rack.value = reader.Text(kMaxNameBytes);
+  step.max_per_host = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  step.image = reader.Text(kMaxNameBytes);
+  step.latency_target =
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount)));
+  const auto budget = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  if (budget > 0) {
+    step.max_unavailable = budget - 1;
+  }
+  ok = ok && reader.ok();
+  return step;
+}
+
+bool IsUntouched(const TaskProgress& task) { return task == TaskProgress{}; }
+
+json ToJson(std::size_t position, const TaskProgress& task) {
+  json failed = json::array();
+  for (const std::uint32_t attempt : task.failed_attempts) {
+    failed.push_back(attempt);
+  }
+  return json::array({position, task.done ? 1 : 0, task.next_attempt,
+                      std::move(failed), task.checkpoint});
+}
+
+/// Reads one task into its place in the list; false if it is malformed.
+bool ReadTask(const json& value, std::vector<TaskProgress>& tasks) {
+  cbor::ArrayReader reader(value);
+  const std::uint64_t position = reader.Unsigned(kMaxTasks);
+  TaskProgress task;
+  task.done = reader.Unsigned(1) == 1;
+  task.next_attempt = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  for (const json& attempt : reader.Array(kMaxTasks)) {
+    if (!attempt.is_number_unsigned()) {
+      return false;
+    }
+    task.failed_attempts.insert(attempt.get<std::uint32_t>());
+  }
+  task.checkpoint = reader.Text(kMaxCheckpointBytes);
+  if (!reader.ok()) {
+    return false;
+  }
+  if (tasks.size() <= position) {
+    tasks.resize(position + 1);
+  }
+  tasks[position] = std::move(task);
+  return true;
+}
+
+}  // namespace internal
+
+std::string EncodeSpec(const JobSpec& spec) {
+  using internal::json;
+  json steps = json::array();
+  for (const Step& step : spec.steps) {
+    steps.push_back(internal::ToJson(step));
+  }
+  return cbor::Serialize(json::array(
+      {spec.id.value, spec.queue.value, spec.payload, std::move(steps),
+       spec.occurrences, internal::Millis(spec.first_run),
+       spec.interval.count()}));
+}
+
+std::optional<JobSpec> DecodeSpec(std::string_view data) {
+  const auto value = cbor::Parse(data);
+  if (!value) {
+    return std::nullopt;
+  }
+  cbor::ArrayReader reader(*value);
+  JobSpec spec;
+  bool ok = true;
+  spec.id.value = reader.Text(kJobIdDigits);
+  spec.queue.value = reader.Text(internal::kMaxNameBytes);
+  spec.payload = reader.Text(kMaxPayloadBytes);
+  for (const internal::json& step : reader.Array(kMaxSteps)) {
+    spec.steps.push_back(internal::StepFrom(step, ok));
+  }
+  spec.occurrences = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  spec.first_run = core::WallTime(core::Millis(
+      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
+  spec.interval = core::Millis(
+      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount)));
+  if (!ok || !reader.ok() || Validate(spec)) {
+    return std::nullopt;
+  }
+  return spec;
+}
+
+std::string EncodeProgress(const Progress& progress) {
+  using internal::json;
+  json tasks = json::array();
+  for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+    if (!internal::IsUntouched(progress.tasks[i])) {
+      tasks.push_back(internal::ToJson(i, progress.tasks[i]));
+    }
+  }
+  return cbor::Serialize(json::array(
+      {static_cast<int>(progress.state), progress.queue.value,
+       internal::Millis(progress.accepted), internal::Millis(progress.ended),
+       std::move(tasks)}));
+}
+
+std::optional<Progress> DecodeProgress(std::string_view data) {
+  const auto value = cbor::Parse(data);
+  if (!value) {
+    return std::nullopt;
+  }
+  cbor::ArrayReader reader(*value);
+  Progress progress;
+  progress.state = static_cast<JobState>(
+      reader.Unsigned(static_cast<std::uint64_t>(JobState::kCancelled)));
+  progress.queue.value = reader.Text(internal::kMaxNameBytes);
+  progress.accepted = core::WallTime(core::Millis(
+      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
+  progress.ended = core::WallTime(core::Millis(
+      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
+  for (const internal::json& task : reader.Array(kMaxTasks)) {
+    if (!internal::ReadTask(task, progress.tasks)) {
+      return std::nullopt;
+    }
+  }
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return progress;
+}
+
+}  // namespace camphormux::workload
--- /dev/null
+++ b/src/camphormux/workload/fwd.hpp
@@ -0,0 +1,19 @@
+#ifndef CAMPHORMUX_WORKLOAD_FWD_HPP_
+#define CAMPHORMUX_WORKLOAD_FWD_HPP_
+
+namespace camphormux::workload {
+
+enum class JobState;
+struct Step;
+struct JobSpec;
+struct Advice;
+struct Queue;
+struct PoolPolicy;
+struct Catalog;
+struct TaskProgress;
+struct Progress;
+struct FieldProblem;
+
+}  // namespace camphormux::workload
+
+#endif  // CAMPHORMUX_WORKLOAD_FWD_HPP_
