Store starts before they are sent; reach the store by way of other nodes

A start is now stored with its host before it is sent, and a later holder waits for that host's report or the end of its lease.

--- a/bin/node/main.cpp
+++ b/bin/node/main.cpp
@@ -8,12 +8,14 @@
 #include <asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
+#include "camphormux/coordinator/neighbours.hpp"
 #include "camphormux/coordinator/node.hpp"
 #include "camphormux/http/client.hpp"
 #include "camphormux/settings/ini.hpp"
 #include "camphormux/telemetry/log.hpp"
 #include "platform/adapter.hpp"
 #include "platform/callers.hpp"
+#include "platform/store_client.hpp"
 
 DEFINE_string(config, "", "Path of the settings file (INI).");
 
@@ -47,7 +49,11 @@
   explicit Process(const NodeSettings& settings)
       : settings_(settings),
         client_(loop_, settings.peer.ip),
-        node_(loop_, settings, platform::MakePorts(loop_, client_, settings)),
+        neighbours_(loop_, settings.peer),
+        store_(client_, neighbours_, settings.store),
+        node_(loop_, settings,
+              platform::MakePorts(loop_, client_, store_, settings),
+              neighbours_),
         callers_(loop_, settings, node_),
         signals_(loop_, SIGTERM, SIGINT, SIGHUP),
         timer_(loop_) {}
@@ -88,7 +94,8 @@
       return;
     }
     settings_.log_level = settings.value().log_level;
-    telemetry::ConfigureLog(settings_.name, settings_.log_level);
+    telemetry::ConfigureLog(settings_.name, settings_.log_level,
+                            telemetry::LogStream::kOutput);
     telemetry::Log(telemetry::Level::kInfo, "settings reloaded");
   }
 
@@ -112,6 +119,8 @@
   NodeSettings settings_;
   asio::io_context loop_{1};
   http::Client client_;
+  Neighbours neighbours_;
+  platform::StoreClient store_;
   Node node_;
   platform::Callers callers_;
   asio::signal_set signals_;
@@ -129,7 +138,8 @@
     PrintProblems(settings.error());
     return kExitBadSettings;
   }
-  telemetry::ConfigureLog(settings.value().name, settings.value().log_level);
+  telemetry::ConfigureLog(settings.value().name, settings.value().log_level,
+                          telemetry::LogStream::kOutput);
   try {
     Process(settings.value()).Run();
     return 0;
--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -97,32 +97,37 @@
     held_ = false;
     listener_.on_loss();
   }
-  if (!held_ && (changed || !holder_)) {
-    FindHolder();
+  if (changed || (!held_ && !holder_)) {
+    FindMembers();
   }
 }
 
-void Election::FindHolder() {
+void Election::FindMembers() {
   const core::MonotonicTime now = core::MonotonicNow();
   if (finding_ || now < last_find_ + internal::kFindPause) {
     return;
   }
   finding_ = true;
   last_find_ = now;
-  port_.find_holder(
-      [weak = weak_from_this()](const std::optional<core::Address>& address) {
+  port_.find_members(
+      [weak = weak_from_this()](const std::optional<Members>& members) {
         const auto self = weak.lock();
         if (!self || self->closed_) {
           return;
         }
         self->finding_ = false;
+        if (!members) {
+          return;
+        }
+        self->listener_.on_members(members->all);
+        const std::optional<core::Address>& address = members->holder;
         if (address && self->holder_ != address && !self->held_) {
           telemetry::Log(
               telemetry::Level::kInfo, "holder found",
               {{"address", address->ip + ":" + std::to_string(address->port)},
                {"generation", std::to_string(self->generation_.value)}});
         }
-        if (address) {
+        if (address && !self->held_) {
           self->holder_ = address;
         }
       });
@@ -132,7 +137,7 @@
   if (held_) {
     return;
   }
-  FindHolder();
+  FindMembers();
   if (!joining_ && !left_) {
     Schedule(internal::kSoon);
   }
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -20,6 +20,8 @@
     /// Ownership with a new fencing token.
     std::function<void(core::Epoch token)> on_gain;
     std::function<void()> on_loss;
+    /// Addresses of all nodes.
+    std::function<void(const std::vector<core::Address>&)> on_members;
   };
 
   Election(asio::io_context& loop, ElectionPort port, Listener listener);
@@ -46,7 +48,7 @@
   void Join();
   void OnJoined(std::chrono::nanoseconds sent,
                 const std::optional<MembershipAnswer>& answer);
-  void FindHolder();
+  void FindMembers();
 
   asio::io_context& loop_;
   asio::steady_timer timer_;
--- a/src/camphormux/coordinator/fwd.hpp
+++ b/src/camphormux/coordinator/fwd.hpp
@@ -15,6 +15,7 @@
 class Front;
 class Holder;
 class HostLinks;
+class Neighbours;
 class Node;
 class Relay;
 class Saver;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -82,6 +82,11 @@
     AnswerCancels();
     SchedulePlan();
   };
+  stored.on_starts = [this](const std::vector<scheduler::StartRun>& starts) {
+    for (const scheduler::StartRun& start : starts) {
+      links_->Send(start);
+    }
+  };
   stored.on_fenced = [this] { Depose("the store refused its epoch"); };
   saver_ = std::make_shared<Saver>(loop_, ports_.store, token_, state_,
                                    std::move(stored));
@@ -252,11 +257,9 @@
   scheduler::ApplyListings(state_, hosts, now, trusted_from);
   if (!hosts_known_) {
     hosts_known_ = true;
-    // Until these hosts have reported, tasks of the predecessor may run there.
-    // Its last grant can be as new as this takeover.
+    // The predecessor's last grant can be as new as this takeover.
     for (auto& [id, host] : state_.hosts) {
-      state_.unreported.insert(id);
-      host.lease_end = begun_ + state_.settings.lease * 3 / 2;
+      host.lease_end = begun_ + state_.settings.lease * 2;
     }
   }
   SchedulePlan();
@@ -421,8 +424,9 @@
     std::visit(
         [this](const auto& each) {
           using T = std::decay_t<decltype(each)>;
-          if constexpr (std::is_same_v<T, scheduler::StartRun> ||
-                        std::is_same_v<T, scheduler::StopRun> ||
+          if constexpr (std::is_same_v<T, scheduler::StartRun>) {
+            saver_->AddStart(each);
+          } else if constexpr (std::is_same_v<T, scheduler::StopRun> ||
                         std::is_same_v<T, scheduler::PaceRun>) {
             links_->Send(each);
           } else {
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -135,7 +135,9 @@
 void HostLinks::Pump(core::MonotonicTime now) {
   for (auto& [id, host] : state_.hosts) {
     Link& link = LinkOf(host);
-    if (link.renewing || now < link.not_before) {
+    // A host of which only a stored start tells has no address yet.
+    const bool unseen = host.listing.address.port == 0;
+    if (link.renewing || now < link.not_before || unseen) {
       continue;
     }
     const bool has_unstored_ends = host.ended > link.acknowledged;
@@ -311,7 +313,8 @@
 void HostLinks::Send(const scheduler::StopRun& order) {
   Enqueue(order.host, [this, order](std::function<void()> done) {
     const auto host = state_.hosts.find(order.host);
-    if (host == state_.hosts.end()) {
+    if (host == state_.hosts.end() ||
+        host->second.listing.address.port == 0) {
       done();
       return;
     }
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -20,7 +20,8 @@
 
 }  // namespace internal
 
-Node::Node(asio::io_context& loop, NodeSettings settings, Ports ports)
+Node::Node(asio::io_context& loop, NodeSettings settings, Ports ports,
+           Neighbours& neighbours)
     : loop_(loop),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
@@ -30,13 +31,23 @@
       server_(loop, settings_.peer,
               [this](const peer::Request& request,
                      const peer::Respond& respond) {
+                if (request.path == kForwardPath) {
+                  ports_.serve_forwarded(
+                      request.body, [respond](std::string result) {
+                        respond({peer::kStatusOk, std::move(result)});
+                      });
+                  return;
+                }
                 AnswerRelay(holder_, request, respond);
               }),
       watch_(loop) {
   election_ = std::make_shared<Election>(
       loop, ports_.election,
       Election::Listener{[this](core::Epoch token) { OnGain(token); },
-                         [this] { OnLoss(); }});
+                         [this] { OnLoss(); },
+                         [&neighbours](const auto& members) {
+                           neighbours.SetMembers(members);
+                         }});
   front_ = std::make_shared<Front>(loop, relay_, meters_, [this] {
     if (!holder_) {
       election_->Refresh();
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -13,6 +13,7 @@
 #include "camphormux/coordinator/front.hpp"
 #include "camphormux/coordinator/holder.hpp"
 #include "camphormux/coordinator/meters.hpp"
+#include "camphormux/coordinator/neighbours.hpp"
 #include "camphormux/coordinator/node_settings.hpp"
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/coordinator/relay.hpp"
@@ -28,8 +29,11 @@
   /// @param loop Event loop; outlives the node.
   /// @param settings Settings.
   /// @param ports The platform; outlives the node.
+  /// @param neighbours Other nodes; outlive the node.
   /// @throws std::system_error if the peer address cannot be bound.
-  Node(asio::io_context& loop, NodeSettings settings, Ports ports);
+  Node(asio::io_context& loop, NodeSettings settings, Ports ports,
+       Neighbours& neighbours);
+
 
   void Start();
   /// @brief Gives the ownership up and stops to be ready; goes on serving.
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -62,6 +62,12 @@
   bool holder = false;
 };
 
+/// @brief The nodes of the group.
+struct Members {
+  std::optional<core::Address> holder;
+  std::vector<core::Address> all;
+};
+
 /// @brief Ownership by the store's group of nodes.
 struct ElectionPort {
   /// Joins or stays; nothing if there was no answer.
@@ -69,9 +75,9 @@
       join;
   /// Gives up membership and ownership at once.
   std::function<void(std::function<void()>)> leave;
-  /// Finds the address of the holder; nothing if unknown.
-  std::function<void(std::function<void(std::optional<core::Address>)>)>
-      find_holder;
+  /// Finds the addresses of the nodes; nothing if there was no answer.
+  std::function<void(std::function<void(std::optional<Members>)>)>
+      find_members;
 };
 
 /// @brief Where a call to a host goes and whom it must reach.
@@ -171,6 +177,10 @@
   HostPort host;
   CloudPort cloud;
   FeedPort feed;
+  /// Makes a request that another node has forwarded.
+  std::function<void(const std::string& body,
+                     std::function<void(std::string result)>)>
+      serve_forwarded;
 };
 
 }  // namespace camphormux::coordinator
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -13,11 +13,14 @@
 
 /// Least time between two appends: at 600 writes a second for all nodes, one
 /// holder stays below a tenth of them.
-constexpr core::Millis kAppendPause{20};
+constexpr core::Millis kAppendPause{12};
 constexpr core::Millis kRetryPause{100};
 /// A new job that could not be stored for this long is refused, so that its
 /// caller learns it while it can still come back in time.
 constexpr core::Millis kSubmissionPatience{600};
+/// Starts wait this long for the store. During an outage no other node can
+/// take over, and the next holder learns from the hosts what runs.
+constexpr core::Millis kStartPatience{300};
 /// Bytes of records in one append; below the store's limit of 2 MiB.
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20;
 
@@ -46,6 +49,27 @@
   Trigger();
 }
 
+void Saver::AddStart(const scheduler::StartRun& start) {
+  starts_.push_back(start);
+  if (batch_ &&
+      core::MonotonicNow() >= batch_->begun + internal::kStartPatience) {
+    ReleaseStarts();
+  }
+  Trigger();
+}
+
+void Saver::ReleaseStarts() {
+  auto starts = std::exchange(starts_, {});
+  if (batch_) {
+    starts.insert(starts.begin(), batch_->starts.begin(),
+                  batch_->starts.end());
+    batch_->starts.clear();
+  }
+  if (!starts.empty()) {
+    listener_.on_starts(starts);
+  }
+}
+
 void Saver::AddWave(scheduler::WaveId id) {
   waves_.insert(id);
   Trigger();
@@ -82,6 +106,7 @@
 
 Saver::Batch Saver::Collect() {
   Batch batch;
+  batch.starts = std::exchange(starts_, {});
   std::size_t bytes = 0;
   const auto add = [&](std::string key, std::optional<std::string> value) {
     bytes += key.size() + (value ? value->size() : 0);
@@ -104,7 +129,7 @@
     if (job == state_.jobs.end()) {
       continue;
     }
-    const workload::Progress progress = scheduler::ProgressOf(job->second);
+    const workload::Progress progress = scheduler::ProgressOf(state_, job->second);
     add(std::string(kProgressKey) + id.value,
         workload::EncodeProgress(progress));
     if (workload::IsFinal(progress.state)) {
@@ -180,6 +205,9 @@
 void Saver::Retry(bool certain) {
   batch_->certain = batch_->certain && certain;
   const core::MonotonicTime now = core::MonotonicNow();
+  if (now >= batch_->begun + internal::kStartPatience) {
+    ReleaseStarts();
+  }
   if (batch_->certain && is_stuck(now) && !batch_->submissions.empty()) {
     // Nothing of this batch is stored: new jobs can be refused truthfully.
     for (const core::JobId& id : batch_->submissions) {
@@ -217,13 +245,14 @@
   for (const auto& [id, stored] : batch->progress) {
     scheduler::ConfirmProgress(state_, id, stored, now);
   }
+  listener_.on_starts(batch->starts);
   for (const auto& [host, end] : batch->ends) {
     stored_ends_[host] = end;
     listener_.on_ends(host, end);
   }
   listener_.on_stored();
   const bool more = !submissions_.empty() || !state_.unsaved.empty() ||
-                    !waves_.empty() || !drops_.empty();
+                    !waves_.empty() || !drops_.empty() || !starts_.empty();
   if (more) {
     Trigger();
   }
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -33,6 +33,8 @@
     std::function<void(const core::JobId&)> on_dropped;
     /// Ends of a host up to this number are stored.
     std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
+    /// Starts that are stored, or must not wait longer for the store.
+    std::function<void(const std::vector<scheduler::StartRun>&)> on_starts;
     /// A batch was stored.
     std::function<void()> on_stored;
     /// A newer holder has taken over.
@@ -49,6 +51,9 @@
 
   /// @brief Stores a new job with the next append.
   void AddSubmission(const core::JobId& id);
+  /// @brief Stores a start before it is sent, so that a later holder knows
+  /// where the task may run.
+  void AddStart(const scheduler::StartRun& start);
   /// @brief Stores what has begun of a wave.
   void AddWave(scheduler::WaveId id);
   /// @brief Drops the stored record of a forgotten job.
@@ -69,6 +74,7 @@
     std::vector<core::JobId> submissions;
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
     std::map<core::HostId, scheduler::EndNumber> ends;
+    std::vector<scheduler::StartRun> starts;
     core::MonotonicTime begun;
     bool certain = true;  ///< No try had an unknown outcome.
   };
@@ -79,6 +85,7 @@
   void OnOutcome(AppendOutcome outcome);
   void OnStored();
   void Retry(bool certain);
+  void ReleaseStarts();
 
   asio::io_context& loop_;
   asio::steady_timer timer_;
@@ -87,6 +94,7 @@
   scheduler::State& state_;
   Listener listener_;
   std::vector<core::JobId> submissions_;
+  std::vector<scheduler::StartRun> starts_;
   std::set<scheduler::WaveId> waves_;
   std::vector<core::JobId> drops_;
   std::unique_ptr<Batch> batch_;
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -72,7 +72,6 @@
   }
   found->second.lease_end = now;
   internal::LoseRuns(state, found->second);
-  state.unreported.erase(id);
   state.hosts.erase(found);
 }
 
@@ -87,7 +86,6 @@
     }
     if ((is_gone || host.silent_since) && now >= host.lease_end) {
       internal::LoseRuns(state, host);
-      state.unreported.erase(id);
       if (is_gone) {
         gone.push_back(id);
       }
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -9,9 +9,33 @@
 namespace camphormux::scheduler {
 namespace internal {
 
-/// A later holder numbers attempts from this far above those that are stored,
-/// because starts are not stored before they are sent.
-constexpr std::uint32_t kAttemptGap = 16;
+/// A predecessor that lost the store goes on until the hosts refuse it; what it
+/// granted last is over this multiple of a lease after the takeover.
+constexpr int kTakeoverLeases = 2;
+
+/// Adds the runs of a task that an earlier holder has started. Whether they
+/// exist is known when their hosts report or their leases are over.
+void LoadRuns(State& state, Job& job, std::uint32_t task,
+              core::MonotonicTime now) {
+  for (const workload::PlacedRun& placed : job.tasks[task].progress.runs) {
+    auto host = state.hosts.find(placed.host);
+    if (host == state.hosts.end()) {
+      Host unseen;
+      unseen.listing.id = placed.host;
+      unseen.listing.incarnation = placed.incarnation;
+      unseen.listed = false;
+      unseen.gone_at = now + state.settings.listing_grace;
+      unseen.lease_end = now + state.settings.lease * kTakeoverLeases;
+      host = state.hosts.emplace(placed.host, std::move(unseen)).first;
+    }
+    if (host->second.listing.incarnation != placed.incarnation) {
+      continue;  // It ended with that life of the host.
+    }
+    Run& run =
+        AddRun(state, job, task, placed.attempt, host->second, now);
+    run.phase = RunPhase::kUnanswered;
+  }
+}
 
 bool IsPermanent(const workload::JobSpec& spec) {
   return std::any_of(spec.steps.begin(), spec.steps.end(),
@@ -146,7 +170,6 @@
       workload::FindQueue(state.catalog, spec->queue);
   Job job = internal::MakeJob(*std::move(spec), queue);
   job.saved = true;
-  job.loaded = true;
   job.accepted = progress ? progress->accepted : wall;
   const core::Millis age = std::max(core::Millis(0), wall - job.accepted);
   job.submitted = now - age;
@@ -155,10 +178,15 @@
     if (progress && i < progress->tasks.size()) {
       task = progress->tasks[i];
     }
-    task.next_attempt += internal::kAttemptGap;
   }
   internal::CountOpenTasks(job);
-  state.jobs.insert_or_assign(id, std::move(job));
+  Job& loaded = state.jobs.insert_or_assign(id, std::move(job)).first->second;
+  for (std::uint32_t i = 0; i < loaded.tasks.size(); ++i) {
+    if (!loaded.tasks[i].progress.done) {
+      internal::LoadRuns(state, loaded, i, now);
+    }
+    loaded.tasks[i].progress.runs.clear();
+  }
 }
 
 std::optional<workload::JobState> VisibleState(const State& state,
@@ -187,7 +215,7 @@
       }));
 }
 
-workload::Progress ProgressOf(const Job& job) {
+workload::Progress ProgressOf(const State& state, const Job& job) {
   workload::Progress progress;
   progress.state = job.state;
   progress.queue = job.spec.queue;
@@ -195,7 +223,14 @@
   progress.ended = job.ended;
   if (!workload::IsFinal(job.state)) {
     for (const Task& task : job.tasks) {
-      progress.tasks.push_back(task.progress);
+      workload::TaskProgress& entry =
+          progress.tasks.emplace_back(task.progress);
+      for (const RunId id : task.runs) {
+        const Run& run = state.runs.at(id);
+        entry.runs.push_back({run.host,
+                              state.hosts.at(run.host).listing.incarnation,
+                              run.name.attempt});
+      }
     }
   }
   return progress;
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -63,7 +63,8 @@
                                       const workload::QueueName& queue);
 
 /// @return What is to be stored of a job.
-[[nodiscard]] workload::Progress ProgressOf(const Job& job);
+[[nodiscard]] workload::Progress ProgressOf(const State& state,
+                                            const Job& job);
 
 /// @brief Records that a job's progress was stored.
 /// @param state The state.
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -124,16 +124,11 @@
   entry.progress.next_attempt = attempt + 1;
   const Run& run = AddRun(state, job, task, attempt, host, now);
   ++state.counters.started;
+  state.unsaved.insert(job.spec.id);
   state.orders.emplace_back(
       StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
 }
 
-/// Tells whether a task of an earlier holder may still run on a host that has
-/// not reported.
-bool MayRunUnseen(const State& state, const Job& job) {
-  return job.loaded && !state.unreported.empty();
-}
-
 bool WaitsForData(const State& state, const Job& job,
                   const workload::Step& step, core::MonotonicTime now) {
   const auto remote = core::Millis(static_cast<std::int64_t>(
@@ -212,6 +207,7 @@
     members.push_back(
         AddRun(state, job, place.first + i, attempt, *host, now).id);
   }
+  state.unsaved.insert(job.spec.id);
   for (const RunId member : members) {
     const Run& run = state.runs.at(member);
     workload::TaskProgress& progress = job.tasks[run.task].progress;
@@ -229,8 +225,7 @@
                           const std::vector<Host*>& hosts,
                           core::MonotonicTime now, core::WallTime wall) {
   core::MilliCores unplaced;
-  if (!job.saved || workload::IsFinal(job.state) ||
-      internal::MayRunUnseen(state, job)) {
+  if (!job.saved || workload::IsFinal(job.state)) {
     return unplaced;
   }
   const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -371,7 +371,6 @@
     }
   }
   host.synced = true;
-  state.unreported.erase(report.host);
   PaceFillers(state, host, now);
 }
 
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -83,7 +83,6 @@
   bool permanent = false;
   bool saved = false;        ///< The submission lies in the store.
   bool final_saved = false;  ///< The final state lies in the store.
-  bool loaded = false;       ///< Accepted by an earlier holder.
   std::vector<Task> tasks;
   /// Tasks that are not done, for each step of each occurrence.
   std::vector<std::uint32_t> open_in_step;
@@ -161,8 +160,6 @@
   std::vector<core::JobId> ended;  ///< Final jobs of which a run has ended.
   std::vector<Order> orders;       ///< To be sent; the owner empties it.
   core::MonotonicTime took_over;
-  /// Hosts that may run tasks of an earlier holder and have not reported yet.
-  std::set<core::HostId> unreported;
   bool machines_known = false;
   core::MonotonicTime last_listing;
   core::MonotonicTime next_balance;
--- a/src/camphormux/telemetry/log.cpp
+++ b/src/camphormux/telemetry/log.cpp
@@ -27,10 +27,12 @@
 
 }  // namespace internal
 
-void ConfigureLog(const std::string& process, Level lowest) {
+void ConfigureLog(const std::string& process, Level lowest,
+                  LogStream stream) {
   const auto layout = std::make_shared<log4cxx::JSONLayout>();
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, LOG4CXX_STR("System.err"));
+      layout, stream == LogStream::kError ? LOG4CXX_STR("System.err")
+                                          : LOG4CXX_STR("System.out"));
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
--- a/src/camphormux/telemetry/log.hpp
+++ b/src/camphormux/telemetry/log.hpp
@@ -15,10 +15,14 @@
   std::string value;
 };
 
-/// @brief Sends log lines as JSON to standard error. Call once, before Log.
+enum class LogStream { kError, kOutput };
+
+/// @brief Sends log lines as JSON to a standard stream. Call before Log.
 /// @param process Value of the field "process" of each line.
 /// @param lowest Lines below this level are dropped.
-void ConfigureLog(const std::string& process, Level lowest);
+/// @param stream Where the lines go.
+void ConfigureLog(const std::string& process, Level lowest,
+                  LogStream stream = LogStream::kError);
 
 /// @brief Writes one log line.
 /// @param level Severity.
--- a/src/camphormux/workload/codec.cpp
+++ b/src/camphormux/workload/codec.cpp
@@ -97,8 +97,13 @@
   for (const std::uint32_t attempt : task.failed_attempts) {
     failed.push_back(attempt);
   }
+  json runs = json::array();
+  for (const PlacedRun& run : task.runs) {
+    runs.push_back(json::array(
+        {run.host.value, run.incarnation.value, run.attempt}));
+  }
   return json::array({position, task.done ? 1 : 0, task.next_attempt,
-                      std::move(failed), task.checkpoint});
+                      std::move(failed), task.checkpoint, std::move(runs)});
 }
 
 /// Reads one task into its place in the list; false if it is malformed.
@@ -115,6 +120,17 @@
     task.failed_attempts.insert(attempt.get<std::uint32_t>());
   }
   task.checkpoint = reader.Text(kMaxCheckpointBytes);
+  for (const json& entry : reader.Array(kMaxTasks)) {
+    cbor::ArrayReader fields(entry);
+    PlacedRun run;
+    run.host.value = fields.Text(kMaxNameBytes);
+    run.incarnation.value = fields.Unsigned();
+    run.attempt = static_cast<std::uint32_t>(fields.Unsigned(UINT32_MAX));
+    if (!fields.ok()) {
+      return false;
+    }
+    task.runs.push_back(std::move(run));
+  }
   if (!reader.ok()) {
     return false;
   }
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -103,12 +103,23 @@
 
 enum class JobState { kQueued, kRunning, kSucceeded, kFailed, kCancelled };
 
+/// @brief A start of a task that may be under way.
+struct PlacedRun {
+  core::HostId host;
+  core::Incarnation incarnation;  ///< Life of the host.
+  std::uint32_t attempt = 0;
+
+  friend bool operator==(const PlacedRun&, const PlacedRun&) = default;
+};
+
 /// @brief What must outlast the process that runs a task.
 struct TaskProgress {
   bool done = false;
   std::uint32_t next_attempt = 1;
   std::set<std::uint32_t> failed_attempts;
   std::string checkpoint;
+  /// Starts that were sent or are about to be.
+  std::vector<PlacedRun> runs;
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
