Start without the store only with a majority of hosts; rescue late jobs; admit by the capacity that can follow

Cause 2: admission counted only the present hosts of a pool: 14 open jobs led to refusals of up to 9 s.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -27,7 +27,8 @@
 constexpr core::Millis kIdleMachinePoll{3000};
 /// Pause before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetry{400};
-constexpr std::size_t kMaxNameBytes = 1024;
+/// No other holder can have more than the rest of the hosts.
+constexpr double kMajority = 0.5;
 
 std::string_view Name(SubmitOutcome outcome) {
   switch (outcome) {
@@ -87,6 +88,9 @@
       links_->Send(start);
     }
   };
+  stored.has_majority = [this](core::MonotonicTime since) {
+    return links_->answered_share(since) > internal::kMajority;
+  };
   stored.on_fenced = [this] { Depose("the store refused its epoch"); };
   saver_ = std::make_shared<Saver>(loop_, ports_.store, token_, state_,
                                    std::move(stored));
@@ -395,7 +399,7 @@
   last_plan_ = now;
   scheduler::Plan(state_, now, core::WallNow());
   Dispatch();
-  links_->Pump(now);
+  links_->Pump(now, saver_->stuck_since(now));
   saver_->Trigger();
 }
 
--- a/src/camphormux/coordinator/neighbours.hpp
+++ b/src/camphormux/coordinator/neighbours.hpp
@@ -39,6 +39,9 @@
 
   [[nodiscard]] bool empty() const { return members_.empty(); }
 
+  /// @brief Hands the next request to another node.
+  void Rotate() { ++next_; }
+
   /// @brief Hands a request to one of them, another one after each failure.
   void Forward(std::string body, core::Millis timeout,
                std::function<void(ForwardResult)> done);
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -18,9 +18,13 @@
 /// A new job that could not be stored for this long is refused, so that its
 /// caller learns it while it can still come back in time.
 constexpr core::Millis kSubmissionPatience{600};
-/// Starts wait this long for the store. During an outage no other node can
-/// take over, and the next holder learns from the hosts what runs.
-constexpr core::Millis kStartPatience{300};
+/// Starts wait this long for the store, and longer while less than half of the
+/// hosts answer: then another node may have taken over on the other side.
+constexpr core::Millis kStartPatience{400};
+/// Hosts are asked whether they still obey once an append takes this long.
+constexpr core::Millis kStuckAfter{150};
+/// Answers of hosts count as a majority if they are not older than this.
+constexpr core::Millis kMajorityAge{700};
 /// Bytes of records in one append; below the store's limit of 2 MiB.
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20;
 
@@ -51,14 +55,24 @@
 
 void Saver::AddStart(const scheduler::StartRun& start) {
   starts_.push_back(start);
-  if (batch_ &&
-      core::MonotonicNow() >= batch_->begun + internal::kStartPatience) {
-    ReleaseStarts();
-  }
+  ReleaseOverdueStarts();
   Trigger();
 }
 
-void Saver::ReleaseStarts() {
+std::optional<core::MonotonicTime> Saver::stuck_since(
+    core::MonotonicTime now) const {
+  if (!batch_ || now < batch_->begun + internal::kStuckAfter) {
+    return std::nullopt;
+  }
+  return batch_->begun;
+}
+
+void Saver::ReleaseOverdueStarts() {
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (!batch_ || now < batch_->begun + internal::kStartPatience ||
+      !listener_.has_majority(now - internal::kMajorityAge)) {
+    return;
+  }
   auto starts = std::exchange(starts_, {});
   if (batch_) {
     starts.insert(starts.begin(), batch_->starts.begin(),
@@ -205,9 +219,7 @@
 void Saver::Retry(bool certain) {
   batch_->certain = batch_->certain && certain;
   const core::MonotonicTime now = core::MonotonicNow();
-  if (now >= batch_->begun + internal::kStartPatience) {
-    ReleaseStarts();
-  }
+  ReleaseOverdueStarts();
   if (batch_->certain && is_stuck(now) && !batch_->submissions.empty()) {
     // Nothing of this batch is stored: new jobs can be refused truthfully.
     for (const core::JobId& id : batch_->submissions) {
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -37,6 +38,9 @@
     std::function<void(const std::vector<scheduler::StartRun>&)> on_starts;
     /// A batch was stored.
     std::function<void()> on_stored;
+    /// Whether most hosts have answered since then, so that no other node can
+    /// have taken over.
+    std::function<bool(core::MonotonicTime since)> has_majority;
     /// A newer holder has taken over.
     std::function<void()> on_fenced;
   };
@@ -65,6 +69,9 @@
 
   /// @return Whether submissions may wait long: the store does not answer.
   [[nodiscard]] bool is_stuck(core::MonotonicTime now) const;
+  /// @return When the append began that has no answer for long, if any.
+  [[nodiscard]] std::optional<core::MonotonicTime> stuck_since(
+      core::MonotonicTime now) const;
   [[nodiscard]] std::uint64_t appends() const { return appends_; }
 
  private:
@@ -85,7 +92,7 @@
   void OnOutcome(AppendOutcome outcome);
   void OnStored();
   void Retry(bool certain);
-  void ReleaseStarts();
+  void ReleaseOverdueStarts();
 
   asio::io_context& loop_;
   asio::steady_timer timer_;
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -346,6 +346,7 @@
   }
   Host& host = found->second;
   host.last_report = now;
+  host.last_asked = report.asked;
   host.silent_since.reset();
   for (const ListedEnd& end : report.ended) {
     if (end.number > host.ended) {
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -109,6 +109,7 @@
   /// Nothing that was ordered so far runs or starts here later than this.
   core::MonotonicTime lease_end;
   core::MonotonicTime last_report;
+  core::MonotonicTime last_asked;  ///< When the last answered question was sent.
   std::optional<core::MonotonicTime> silent_since;
   core::MonotonicTime busy_until;   ///< No starts before: it refused one.
   core::MonotonicTime idle_since;
@@ -160,6 +161,7 @@
   std::vector<core::JobId> ended;  ///< Final jobs of which a run has ended.
   std::vector<Order> orders;       ///< To be sent; the owner empties it.
   core::MonotonicTime took_over;
+  bool hosts_settled = false;  ///< All hosts reported, or had time to do so.
   bool machines_known = false;
   core::MonotonicTime last_listing;
   core::MonotonicTime next_balance;
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -12,6 +12,10 @@
 constexpr core::Millis kMaxRetryAfter{10'000};
 constexpr core::Millis kMinRetryAfter{1'000};
 
+/// A late job is put before others when this much is left beyond its estimated
+/// run time, which is often wrong by half.
+constexpr core::Millis kRescueMargin{1500};
+
 std::vector<bool> CompleteSteps(const Job& job) {
   std::vector<bool> complete(job.spec.steps.size());
   for (std::size_t i = 0; i < complete.size(); ++i) {
@@ -39,8 +43,12 @@
   if (end <= job.submitted + job.objective) {
     return Urgency::kOnTime;
   }
-  return end <= job.submitted + job.objective * kLateFactor ? Urgency::kLate
-                                                            : Urgency::kOverdue;
+  const core::MonotonicTime last = job.submitted + job.objective * kLateFactor;
+  if (end > last) {
+    return Urgency::kOverdue;
+  }
+  return end + internal::kRescueMargin > last ? Urgency::kExpiring
+                                              : Urgency::kLate;
 }
 
 Rank RankOf(const Job& job, core::MonotonicTime now) {
@@ -64,11 +72,20 @@
   }
   double cores = 0;
   for (const auto& [id, host] : state.hosts) {
-    if (host.listing.pool == job.pool && host.listed && !host.reserved) {
+    // Idle hosts of other pools can follow the load.
+    if (host.listed && (host.listing.pool == job.pool || host.runs.empty())) {
       cores += static_cast<double>(host.listing.capacity.cores.value) /
                internal::kMilliCoresPerCore;
     }
   }
+  for (const auto& [id, machine] : state.machines) {
+    const auto pool = state.catalog.pools.find(machine.listing.pool);
+    if (pool != state.catalog.pools.end() && pool->second.standby &&
+        !state.hosts.contains(machine.listing.host)) {
+      cores += static_cast<double>(machine.listing.capacity.cores.value) /
+               internal::kMilliCoresPerCore;
+    }
+  }
   if (cores <= 0) {
     return std::nullopt;
   }
--- a/src/camphormux/scheduler/urgency.hpp
+++ b/src/camphormux/scheduler/urgency.hpp
@@ -13,6 +13,7 @@
 
 enum class Urgency {
   kPermanent,  ///< Earns with each second; takes little room.
+  kExpiring,   ///< Is late and must start now for its result to count at all.
   kOnTime,     ///< Can still meet its objective.
   kLate,       ///< Can still end while its result is worth something.
   kOverdue,
@@ -22,8 +23,10 @@
 [[nodiscard]] Urgency UrgencyOf(const Job& job, core::MonotonicTime now);
 
 /// @brief Order in which jobs get room: urgency, priority, jobs that have
-/// begun, least work first. Under a surge small jobs gain most for a core
-/// second, and work that has begun is not left half done.
+/// begun, least work first. Made for surges of some seconds that ask more than
+/// the pool holds: small jobs gain most for a core second, work that has begun
+/// is not left half done, and what had to wait is served before its result is
+/// worthless, as the pool is nearly idle between the surges.
 struct Rank {
   Urgency urgency = Urgency::kOverdue;
   std::uint32_t priority = 0;
