--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -43,7 +43,13 @@
 }
 
 void Election::Schedule(core::Millis delay) {
-  timer_.expires_after(delay);
+  // Never later than planned: many callers in trouble must not put it off.
+  const core::MonotonicTime now = core::MonotonicNow();
+  if (next_join_ > now && next_join_ <= now + delay) {
+    return;
+  }
+  next_join_ = now + delay;
+  timer_.expires_at(next_join_);
   timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
     const auto self = weak.lock();
     if (self && !error && !self->closed_) {
@@ -56,6 +62,7 @@
   if (left_ || joining_) {
     return;
   }
+  next_join_ = core::MonotonicTime{};
   joining_ = true;
   port_.join([weak = weak_from_this(), sent = internal::BootTime()](
                  const std::optional<MembershipAnswer>& answer) {
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -58,6 +58,7 @@
   core::Epoch generation_;
   std::chrono::nanoseconds confirmed_{0};  ///< On the clock since boot.
   core::MonotonicTime last_find_;
+  core::MonotonicTime next_join_;
   bool joining_ = false;
   bool finding_ = false;
   bool held_ = false;
--- a/src/camphormux/coordinator/neighbours.cpp
+++ b/src/camphormux/coordinator/neighbours.cpp
@@ -39,12 +39,13 @@
   const std::size_t chosen = next_ % members_.size();
   auto& client = clients_[members_[chosen]];
   if (!client) {
-    client = std::make_unique<peer::Client>(
+    client = std::make_shared<peer::Client>(
         loop_, members_[chosen], internal::NeighbourOptions(self_.ip));
   }
   client->Send(
       {std::string(kForwardPath), std::move(body)}, timeout,
-      [this, chosen, done = std::move(done)](const peer::Result& result) {
+      [this, chosen, client = client,
+       done = std::move(done)](const peer::Result& result) {
         if (result && result.value().status == peer::kStatusOk) {
           done({true, false, result.value().body});
           return;
--- a/src/camphormux/coordinator/neighbours.hpp
+++ b/src/camphormux/coordinator/neighbours.hpp
@@ -50,7 +50,8 @@
   asio::io_context& loop_;
   core::Address self_;
   std::vector<core::Address> members_;
-  std::map<core::Address, std::unique_ptr<peer::Client>> clients_;
+  /// Shared with the requests under way, which must be answered.
+  std::map<core::Address, std::shared_ptr<peer::Client>> clients_;
   std::size_t next_ = 0;
 };
 
--- a/src/camphormux/coordinator/relay.cpp
+++ b/src/camphormux/coordinator/relay.cpp
@@ -90,7 +90,7 @@
   holder_ = holder;
   client_.reset();
   if (holder) {
-    client_ = std::make_unique<peer::Client>(loop_, *holder,
+    client_ = std::make_shared<peer::Client>(loop_, *holder,
                                              internal::Options(source_ip_));
   }
 }
@@ -98,8 +98,8 @@
 void Relay::Submit(const workload::JobSpec& spec, core::Millis timeout,
                    std::function<void(SubmitAnswer)> done) {
   client_->Send(
-      {std::string(internal::kSubmitPath), workload::EncodeSpec(spec)},
-      timeout, [done = std::move(done)](const peer::Result& result) {
+      {std::string(internal::kSubmitPath), workload::EncodeSpec(spec)}, timeout,
+      [client = client_, done = std::move(done)](const peer::Result& result) {
         if (!result) {
           done({result.error().may_have_reached ? SubmitOutcome::kUnknown
                                                 : SubmitOutcome::kUnavailable});
@@ -120,24 +120,24 @@
 
 void Relay::State(const core::JobId& id, core::Millis timeout,
                   std::function<void(StateAnswer)> done) {
-  client_->Send({std::string(internal::kStatePath), internal::Encode(id.value)},
-                timeout, [done = std::move(done)](const peer::Result& result) {
-                  const auto numbers = internal::Numbers(result);
-                  if (!numbers) {
-                    done({QueryOutcome::kUnavailable});
-                    return;
-                  }
-                  done({numbers->first == 1 ? QueryOutcome::kKnown
-                                            : QueryOutcome::kNone,
-                        static_cast<workload::JobState>(numbers->second)});
-                });
+  client_->Send(
+      {std::string(internal::kStatePath), internal::Encode(id.value)}, timeout,
+      [client = client_, done = std::move(done)](const peer::Result& result) {
+        const auto numbers = internal::Numbers(result);
+        if (!numbers) {
+          done({QueryOutcome::kUnavailable});
+          return;
+        }
+        done({numbers->first == 1 ? QueryOutcome::kKnown : QueryOutcome::kNone,
+              static_cast<workload::JobState>(numbers->second)});
+      });
 }
 
 void Relay::Cancel(const core::JobId& id, core::Millis timeout,
                    std::function<void(QueryOutcome)> done) {
   client_->Send(
       {std::string(internal::kCancelPath), internal::Encode(id.value)}, timeout,
-      [done = std::move(done)](const peer::Result& result) {
+      [client = client_, done = std::move(done)](const peer::Result& result) {
         const auto numbers = internal::Numbers(result);
         if (!numbers) {
           done(QueryOutcome::kUnavailable);
@@ -151,7 +151,8 @@
                     std::function<void(CountAnswer)> done) {
   client_->Send(
       {std::string(internal::kPendingPath), internal::Encode(queue.value)},
-      timeout, [done = std::move(done)](const peer::Result& result) {
+      timeout,
+      [client = client_, done = std::move(done)](const peer::Result& result) {
         const auto numbers = internal::Numbers(result);
         if (!numbers) {
           done({QueryOutcome::kUnavailable});
@@ -162,10 +163,11 @@
 }
 
 void Relay::Ping(core::Millis timeout, std::function<void(bool)> done) {
-  client_->Send({std::string(internal::kPingPath), ""}, timeout,
-                [done = std::move(done)](const peer::Result& result) {
-                  done(result && result.value().status == peer::kStatusOk);
-                });
+  client_->Send(
+      {std::string(internal::kPingPath), ""}, timeout,
+      [client = client_, done = std::move(done)](const peer::Result& result) {
+        done(result && result.value().status == peer::kStatusOk);
+      });
 }
 
 void AnswerRelay(const std::shared_ptr<Holder>& holder,
@@ -180,13 +182,14 @@
         state ? 1 : 0,
         static_cast<std::uint64_t>(state.value_or(workload::JobState()))));
   } else if (request.path == internal::kCancelPath) {
-    holder->Cancel({internal::NameIn(request)}, [respond](std::optional<bool> known) {
-      if (known) {
-        respond(internal::Reply(*known ? 1 : 0, 0));
-      } else {
-        respond({peer::kStatusUnavailable, ""});
-      }
-    });
+    holder->Cancel({internal::NameIn(request)},
+                   [respond](std::optional<bool> known) {
+                     if (known) {
+                       respond(internal::Reply(*known ? 1 : 0, 0));
+                     } else {
+                       respond({peer::kStatusUnavailable, ""});
+                     }
+                   });
   } else if (request.path == internal::kPendingPath) {
     respond(internal::Reply(1, holder->Pending({internal::NameIn(request)})));
   } else if (request.path == internal::kPingPath) {
--- a/src/camphormux/coordinator/relay.hpp
+++ b/src/camphormux/coordinator/relay.hpp
@@ -55,7 +55,8 @@
   asio::io_context& loop_;
   std::string source_ip_;
   std::optional<core::Address> holder_;
-  std::unique_ptr<peer::Client> client_;
+  /// Shared with the requests under way, which must be answered.
+  std::shared_ptr<peer::Client> client_;
 };
 
 /// @brief Answers another node's request.
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -70,7 +70,8 @@
 void Saver::ReleaseOverdueStarts() {
   const core::MonotonicTime now = core::MonotonicNow();
   if (!batch_ || now < batch_->begun + internal::kStartPatience ||
-      !listener_.has_majority(now - internal::kMajorityAge)) {
+      !listener_.has_majority(std::max(batch_->begun + internal::kStuckAfter,
+                                       now - internal::kMajorityAge))) {
     return;
   }
   auto starts = std::exchange(starts_, {});
