--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -64,7 +64,8 @@
   state_.took_over = begun_;
 }
 
-void Holder::Start(workload::Catalog catalog) {
+void Holder::Start(workload::Catalog catalog, bool store_was_away) {
+  store_was_away_ = store_was_away;
   state_.catalog = std::move(catalog);
   const auto weak = weak_from_this();
   Saver::Listener stored;
@@ -209,10 +210,16 @@
   const core::WallTime wall = core::WallNow();
   std::map<core::JobId, std::optional<workload::Progress>> progress;
   std::map<core::JobId, std::optional<workload::JobSpec>> specs;
+  std::map<core::HostId, core::Incarnation> hosts;
   for (const StoreRecord& record : records) {
     if (!record.value) {
       continue;
     }
+    if (record.key.starts_with(kHostKey)) {
+      hosts[{record.key.substr(kHostKey.size())}] = {
+          std::strtoull(record.value->c_str(), nullptr, 10)};
+      continue;
+    }
     if (record.key.starts_with(kSpecKey)) {
       auto spec = workload::DecodeSpec(*record.value);
       if (!spec) {
@@ -239,6 +246,17 @@
   for (auto& [id, spec] : specs) {
     scheduler::LoadJob(state_, id, std::move(spec), progress[id], now, wall);
   }
+  if (store_was_away_) {
+    state_.unaccounted = hosts;
+  }
+  for (const auto& [id, host] : state_.hosts) {
+    const auto expected = state_.unaccounted.find(id);
+    if (expected != state_.unaccounted.end() &&
+        expected->second != host.listing.incarnation) {
+      state_.unaccounted.erase(expected);
+    }
+  }
+  saver_->SetStoredHosts(std::move(hosts));
   loaded_ = true;
   for (const scheduler::WaveRequest& wave : std::exchange(early_waves_, {})) {
     scheduler::AddWave(state_, wave, now);
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -74,14 +74,21 @@
                                        now - internal::kMajorityAge))) {
     return;
   }
-  auto starts = std::exchange(starts_, {});
-  if (batch_) {
-    starts.insert(starts.begin(), batch_->starts.begin(),
-                  batch_->starts.end());
-    batch_->starts.clear();
-  }
-  if (!starts.empty()) {
-    listener_.on_starts(starts);
+  // Only on hosts that the store knows: the next holder waits for those.
+  std::vector<scheduler::StartRun> released;
+  const auto release = [&](std::vector<scheduler::StartRun>& starts) {
+    std::erase_if(starts, [&](const scheduler::StartRun& start) {
+      const bool known = stored_hosts_.contains(start.host);
+      if (known) {
+        released.push_back(start);
+      }
+      return known;
+    });
+  };
+  release(batch_->starts);
+  release(starts_);
+  if (!released.empty()) {
+    listener_.on_starts(released);
   }
 }
 
@@ -119,6 +126,33 @@
   });
 }
 
+void Saver::CollectHosts(Batch& batch) const {
+  for (const auto& [id, host] : state_.hosts) {
+    if (host.synced) {
+      batch.hosts[id] = host.listing.incarnation;
+    } else if (const auto stored = stored_hosts_.find(id);
+               stored != stored_hosts_.end()) {
+      batch.hosts.insert(*stored);
+    }
+  }
+  for (const auto& [id, incarnation] : batch.hosts) {
+    const auto stored = stored_hosts_.find(id);
+    if (stored == stored_hosts_.end() || stored->second != incarnation) {
+      batch.records.push_back({std::string(kHostKey) + id.value,
+                               std::to_string(incarnation.value)});
+    }
+  }
+  for (const auto& [id, incarnation] : stored_hosts_) {
+    const bool awaited = state_.unaccounted.contains(id);
+    if (awaited) {
+      batch.hosts.emplace(id, incarnation);
+    } else if (!batch.hosts.contains(id)) {
+      batch.records.push_back(
+          {std::string(kHostKey) + id.value, std::nullopt});
+    }
+  }
+}
+
 Saver::Batch Saver::Collect() {
   Batch batch;
   batch.starts = std::exchange(starts_, {});
@@ -157,6 +191,7 @@
         internal::EncodeWave(state_.waves[id]));
   }
   waves_.clear();
+  CollectHosts(batch);
   for (const core::JobId& id : drops_) {
     add(std::string(kProgressKey) + id.value, std::nullopt);
   }
@@ -258,6 +293,7 @@
   for (const auto& [id, stored] : batch->progress) {
     scheduler::ConfirmProgress(state_, id, stored, now);
   }
+  stored_hosts_ = batch->hosts;
   listener_.on_starts(batch->starts);
   for (const auto& [host, end] : batch->ends) {
     stored_ends_[host] = end;
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -22,6 +22,8 @@
 inline constexpr std::string_view kSpecKey = "j/";
 inline constexpr std::string_view kProgressKey = "p/";
 inline constexpr std::string_view kWaveKey = "w/";
+/// Hosts that may have runs, with the start of their life.
+inline constexpr std::string_view kHostKey = "h/";
 
 /// @brief Writes what must last. One append is under way at a time; what
 /// changes meanwhile goes into the next one together (group commit).
@@ -62,6 +64,10 @@
   void AddWave(scheduler::WaveId id);
   /// @brief Drops the stored record of a forgotten job.
   void Drop(const core::JobId& id);
+  /// @brief Tells which hosts are stored already.
+  void SetStoredHosts(std::map<core::HostId, core::Incarnation> hosts) {
+    stored_hosts_ = std::move(hosts);
+  }
   /// @brief Starts an append soon, if there is something to store.
   void Trigger();
   /// @brief No more appends.
@@ -82,11 +88,13 @@
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
     std::map<core::HostId, scheduler::EndNumber> ends;
     std::vector<scheduler::StartRun> starts;
+    std::map<core::HostId, core::Incarnation> hosts;
     core::MonotonicTime begun;
     bool certain = true;  ///< No try had an unknown outcome.
   };
 
   void Begin();
+  void CollectHosts(Batch& batch) const;
   [[nodiscard]] Batch Collect();
   void Send();
   void OnOutcome(AppendOutcome outcome);
@@ -106,6 +114,7 @@
   std::vector<core::JobId> drops_;
   std::unique_ptr<Batch> batch_;
   std::map<core::HostId, scheduler::EndNumber> stored_ends_;
+  std::map<core::HostId, core::Incarnation> stored_hosts_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t appends_ = 0;
   core::MonotonicTime last_begun_;
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -372,6 +372,7 @@
     }
   }
   host.synced = true;
+  state.unaccounted.erase(report.host);
   PaceFillers(state, host, now);
 }
 
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -26,7 +26,8 @@
     const bool at_work = std::any_of(runs.begin(), runs.end(), [&](RunId id) {
       const Run& other = state.runs.at(id);
       return other.phase == RunPhase::kRunning &&
-             other.percent >= kAtWorkPercent;
+             other.percent >= kAtWorkPercent &&
+             !state.hosts.at(other.host).silent_since;
     });
     away += at_work ? 0U : 1U;
   }
