--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -103,7 +103,7 @@
         DropHolder();
         election_->Rejoin();
       });
-  holder_->Start(*catalog_, election_->store_was_away());
+  holder_->Start(*catalog_, false);
   for (const auto& [id, wave] : waves_) {
     holder_->OnWave(wave);
   }
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -20,7 +20,7 @@
 constexpr core::Millis kSubmissionPatience{600};
 /// Starts wait this long for the store, and longer while less than half of the
 /// hosts answer: then another node may have taken over on the other side.
-constexpr core::Millis kStartPatience{400};
+constexpr core::Millis kStartPatience{400000};
 /// Hosts are asked whether they still obey once an append takes this long.
 constexpr core::Millis kStuckAfter{150};
 /// Answers of hosts count as a majority if they are not older than this.
