--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -11,8 +11,6 @@
 /// A quarter of the time to live, so that a lost call does not cost ownership.
 constexpr core::Millis kJoinPause{375};
 constexpr core::Millis kSoon{30};
-/// Leases of runs that were started during an outage are over by then.
-constexpr core::Millis kOutageMemory{15'000};
 /// Least time between two questions for the holder's address.
 constexpr core::Millis kFindPause{200};
 
@@ -33,16 +31,7 @@
       port_(std::move(port)),
       listener_(std::move(listener)) {}
 
-void Election::Start() {
-  started_ = core::MonotonicNow();
-  Join();
-}
-
-bool Election::store_was_away() const {
-  const core::MonotonicTime since =
-      core::MonotonicNow() - internal::kOutageMemory;
-  return started_ > since || last_lost_ > since;
-}
+void Election::Start() { Join(); }
 
 void Election::Close() {
   closed_ = true;
@@ -92,7 +81,6 @@
   }
   Schedule(internal::kJoinPause);
   if (!answer) {
-    last_lost_ = core::MonotonicNow();
     if (!store_lost_) {
       store_lost_ = true;
       telemetry::Log(telemetry::Level::kWarning, "store lost",
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -39,8 +39,6 @@
   [[nodiscard]] const std::optional<core::Address>& holder() const {
     return holder_;
   }
-  /// @return Whether the store may have been away from all nodes lately.
-  [[nodiscard]] bool store_was_away() const;
   /// @return Whether the store confirmed this node within the time to live.
   /// Counts the time of a suspension.
   [[nodiscard]] bool is_confirmed() const;
@@ -61,8 +59,6 @@
   std::chrono::nanoseconds confirmed_{0};  ///< On the clock since boot.
   core::MonotonicTime last_find_;
   core::MonotonicTime next_join_;
-  core::MonotonicTime started_;
-  core::MonotonicTime last_lost_;  ///< Last join without an answer.
   bool joining_ = false;
   bool finding_ = false;
   bool held_ = false;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -27,8 +27,6 @@
 constexpr core::Millis kIdleMachinePoll{3000};
 /// Pause before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetry{400};
-/// No other holder can have more than the rest of the hosts.
-constexpr double kMajority = 0.5;
 
 std::string_view Name(SubmitOutcome outcome) {
   switch (outcome) {
@@ -64,8 +62,7 @@
   state_.took_over = begun_;
 }
 
-void Holder::Start(workload::Catalog catalog, bool store_was_away) {
-  store_was_away_ = store_was_away;
+void Holder::Start(workload::Catalog catalog) {
   state_.catalog = std::move(catalog);
   const auto weak = weak_from_this();
   Saver::Listener stored;
@@ -89,9 +86,6 @@
       links_->Send(start);
     }
   };
-  stored.has_majority = [this](core::MonotonicTime since) {
-    return links_->answered_share(since) > internal::kMajority;
-  };
   stored.on_fenced = [this] { Depose("the store refused its epoch"); };
   saver_ = std::make_shared<Saver>(loop_, ports_.store, token_, state_,
                                    std::move(stored));
@@ -210,16 +204,10 @@
   const core::WallTime wall = core::WallNow();
   std::map<core::JobId, std::optional<workload::Progress>> progress;
   std::map<core::JobId, std::optional<workload::JobSpec>> specs;
-  std::map<core::HostId, core::Incarnation> hosts;
   for (const StoreRecord& record : records) {
     if (!record.value) {
       continue;
     }
-    if (record.key.starts_with(kHostKey)) {
-      hosts[{record.key.substr(kHostKey.size())}] = {
-          std::strtoull(record.value->c_str(), nullptr, 10)};
-      continue;
-    }
     if (record.key.starts_with(kSpecKey)) {
       auto spec = workload::DecodeSpec(*record.value);
       if (!spec) {
@@ -246,17 +234,6 @@
   for (auto& [id, spec] : specs) {
     scheduler::LoadJob(state_, id, std::move(spec), progress[id], now, wall);
   }
-  if (store_was_away_) {
-    state_.unaccounted = hosts;
-  }
-  for (const auto& [id, host] : state_.hosts) {
-    const auto expected = state_.unaccounted.find(id);
-    if (expected != state_.unaccounted.end() &&
-        expected->second != host.listing.incarnation) {
-      state_.unaccounted.erase(expected);
-    }
-  }
-  saver_->SetStoredHosts(std::move(hosts));
   loaded_ = true;
   for (const scheduler::WaveRequest& wave : std::exchange(early_waves_, {})) {
     scheduler::AddWave(state_, wave, now);
@@ -417,7 +394,7 @@
   last_plan_ = now;
   scheduler::Plan(state_, now, core::WallNow());
   Dispatch();
-  links_->Pump(now, saver_->stuck_since(now));
+  links_->Pump(now);
   saver_->Trigger();
 }
 
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -47,10 +47,7 @@
          Ports ports, core::Epoch token, Meters& meters,
          std::function<void()> on_deposed);
 
-  /// @param catalog The operators' catalog.
-  /// @param store_was_away Whether the store may have been away shortly before,
-  /// so that the predecessor could not store its last starts.
-  void Start(workload::Catalog catalog, bool store_was_away);
+  void Start(workload::Catalog catalog);
   /// @brief Gives no more orders; answers what waits as unknown.
   void Stop();
 
@@ -118,7 +115,6 @@
   core::MonotonicTime last_machine_poll_;
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
-  bool store_was_away_ = false;
   bool hosts_known_ = false;
   bool loaded_ = false;
   bool confirmed_ = true;
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -17,8 +17,6 @@
 constexpr core::Millis kRenewAfter{1500};
 /// Pause after a question that failed.
 constexpr core::Millis kRetryPause{300};
-/// Time between two questions to a host while the store does not answer.
-constexpr core::Millis kProbePause{400};
 /// Calls under way to one host; each needs a connection.
 constexpr std::size_t kMaxCalls = 3;
 /// Hosts' clocks may be this slow.
@@ -113,7 +111,7 @@
   call.target = TargetOf(host);
   call.acknowledged = link.acknowledged;
   const bool has_unstored_ends = host.ended > link.acknowledged;
-  if (host.synced && !host.runs.empty() && !has_unstored_ends && !asking_) {
+  if (host.synced && !host.runs.empty() && !has_unstored_ends) {
     call.wait = internal::kRenewWait;
   }
   // A host that stays silent gets no more time: its runs must become free.
@@ -134,9 +132,7 @@
   });
 }
 
-void HostLinks::Pump(core::MonotonicTime now,
-                     std::optional<core::MonotonicTime> ask_since) {
-  asking_ = ask_since.has_value();
+void HostLinks::Pump(core::MonotonicTime now) {
   for (auto& [id, host] : state_.hosts) {
     Link& link = LinkOf(host);
     // A host of which only a stored start tells has no address yet.
@@ -146,12 +142,10 @@
     }
     const bool has_unstored_ends = host.ended > link.acknowledged;
     const bool due = now >= link.sent + internal::kRenewAfter;
-    const bool probe =
-        asking_ && now >= link.sent + internal::kProbePause;
-    if (has_unstored_ends && !due && !probe) {
+    if (has_unstored_ends && !due) {
       continue;
     }
-    if (probe || !host.synced || !host.runs.empty() || host.silent_since ||
+    if (!host.synced || !host.runs.empty() || host.silent_since ||
         link.acknowledged > link.sent_acknowledged) {
       Renew(host, link, now);
     }
@@ -395,20 +389,6 @@
   links_.clear();
 }
 
-double HostLinks::answered_share(core::MonotonicTime since) const {
-  std::size_t listed = 0;
-  std::size_t answered = 0;
-  for (const auto& [id, host] : state_.hosts) {
-    if (host.listed) {
-      ++listed;
-      answered += host.last_asked >= since ? 1U : 0U;
-    }
-  }
-  return listed == 0 ? 0.0
-                     : static_cast<double>(answered) /
-                           static_cast<double>(listed);
-}
-
 double HostLinks::reachable_share(core::MonotonicTime now) const {
   std::size_t listed = 0;
   std::size_t reachable = 0;
--- a/src/camphormux/coordinator/host_link.hpp
+++ b/src/camphormux/coordinator/host_link.hpp
@@ -37,11 +37,7 @@
             Meters& meters, Listener listener);
 
   /// @brief Sends the renewals and questions that are due.
-  /// @param now The time.
-  /// @param ask_since All hosts that have not answered a question since then
-  /// are asked, if given.
-  void Pump(core::MonotonicTime now,
-            std::optional<core::MonotonicTime> ask_since);
+  void Pump(core::MonotonicTime now);
   /// @brief Queues an order to a host.
   void Send(const scheduler::StartRun& order);
   void Send(const scheduler::StopRun& order);
@@ -52,8 +48,6 @@
 
   /// @return Share of the listed hosts that reported lately.
   [[nodiscard]] double reachable_share(core::MonotonicTime now) const;
-  /// @return Share of the listed hosts that answered a question sent since.
-  [[nodiscard]] double answered_share(core::MonotonicTime since) const;
 
  private:
   using Order = std::function<void(std::function<void()> done)>;
@@ -93,7 +87,6 @@
   Meters& meters_;
   Listener listener_;
   std::map<core::HostId, Link> links_;
-  bool asking_ = false;
   bool closed_ = false;
 };
 
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -103,7 +103,7 @@
         DropHolder();
         election_->Rejoin();
       });
-  holder_->Start(*catalog_, false);
+  holder_->Start(*catalog_);
   for (const auto& [id, wave] : waves_) {
     holder_->OnWave(wave);
   }
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -18,13 +18,6 @@
 /// A new job that could not be stored for this long is refused, so that its
 /// caller learns it while it can still come back in time.
 constexpr core::Millis kSubmissionPatience{600};
-/// Starts wait this long for the store, and longer while less than half of the
-/// hosts answer: then another node may have taken over on the other side.
-constexpr core::Millis kStartPatience{400000};
-/// Hosts are asked whether they still obey once an append takes this long.
-constexpr core::Millis kStuckAfter{150};
-/// Answers of hosts count as a majority if they are not older than this.
-constexpr core::Millis kMajorityAge{700};
 /// Bytes of records in one append; below the store's limit of 2 MiB.
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20;
 
@@ -55,43 +48,9 @@
 
 void Saver::AddStart(const scheduler::StartRun& start) {
   starts_.push_back(start);
-  ReleaseOverdueStarts();
   Trigger();
 }
 
-std::optional<core::MonotonicTime> Saver::stuck_since(
-    core::MonotonicTime now) const {
-  if (!batch_ || now < batch_->begun + internal::kStuckAfter) {
-    return std::nullopt;
-  }
-  return batch_->begun;
-}
-
-void Saver::ReleaseOverdueStarts() {
-  const core::MonotonicTime now = core::MonotonicNow();
-  if (!batch_ || now < batch_->begun + internal::kStartPatience ||
-      !listener_.has_majority(std::max(batch_->begun + internal::kStuckAfter,
-                                       now - internal::kMajorityAge))) {
-    return;
-  }
-  // Only on hosts that the store knows: the next holder waits for those.
-  std::vector<scheduler::StartRun> released;
-  const auto release = [&](std::vector<scheduler::StartRun>& starts) {
-    std::erase_if(starts, [&](const scheduler::StartRun& start) {
-      const bool known = stored_hosts_.contains(start.host);
-      if (known) {
-        released.push_back(start);
-      }
-      return known;
-    });
-  };
-  release(batch_->starts);
-  release(starts_);
-  if (!released.empty()) {
-    listener_.on_starts(released);
-  }
-}
-
 void Saver::AddWave(scheduler::WaveId id) {
   waves_.insert(id);
   Trigger();
@@ -126,33 +85,6 @@
   });
 }
 
-void Saver::CollectHosts(Batch& batch) const {
-  for (const auto& [id, host] : state_.hosts) {
-    if (host.synced) {
-      batch.hosts[id] = host.listing.incarnation;
-    } else if (const auto stored = stored_hosts_.find(id);
-               stored != stored_hosts_.end()) {
-      batch.hosts.insert(*stored);
-    }
-  }
-  for (const auto& [id, incarnation] : batch.hosts) {
-    const auto stored = stored_hosts_.find(id);
-    if (stored == stored_hosts_.end() || stored->second != incarnation) {
-      batch.records.push_back({std::string(kHostKey) + id.value,
-                               std::to_string(incarnation.value)});
-    }
-  }
-  for (const auto& [id, incarnation] : stored_hosts_) {
-    const bool awaited = state_.unaccounted.contains(id);
-    if (awaited) {
-      batch.hosts.emplace(id, incarnation);
-    } else if (!batch.hosts.contains(id)) {
-      batch.records.push_back(
-          {std::string(kHostKey) + id.value, std::nullopt});
-    }
-  }
-}
-
 Saver::Batch Saver::Collect() {
   Batch batch;
   batch.starts = std::exchange(starts_, {});
@@ -191,7 +123,6 @@
         internal::EncodeWave(state_.waves[id]));
   }
   waves_.clear();
-  CollectHosts(batch);
   for (const core::JobId& id : drops_) {
     add(std::string(kProgressKey) + id.value, std::nullopt);
   }
@@ -255,7 +186,6 @@
 void Saver::Retry(bool certain) {
   batch_->certain = batch_->certain && certain;
   const core::MonotonicTime now = core::MonotonicNow();
-  ReleaseOverdueStarts();
   if (batch_->certain && is_stuck(now) && !batch_->submissions.empty()) {
     // Nothing of this batch is stored: new jobs can be refused truthfully.
     for (const core::JobId& id : batch_->submissions) {
@@ -293,7 +223,6 @@
   for (const auto& [id, stored] : batch->progress) {
     scheduler::ConfirmProgress(state_, id, stored, now);
   }
-  stored_hosts_ = batch->hosts;
   listener_.on_starts(batch->starts);
   for (const auto& [host, end] : batch->ends) {
     stored_ends_[host] = end;
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -22,8 +22,6 @@
 inline constexpr std::string_view kSpecKey = "j/";
 inline constexpr std::string_view kProgressKey = "p/";
 inline constexpr std::string_view kWaveKey = "w/";
-/// Hosts that may have runs, with the start of their life.
-inline constexpr std::string_view kHostKey = "h/";
 
 /// @brief Writes what must last. One append is under way at a time; what
 /// changes meanwhile goes into the next one together (group commit).
@@ -36,13 +34,10 @@
     std::function<void(const core::JobId&)> on_dropped;
     /// Ends of a host up to this number are stored.
     std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
-    /// Starts that are stored, or must not wait longer for the store.
+    /// Starts that are stored.
     std::function<void(const std::vector<scheduler::StartRun>&)> on_starts;
     /// A batch was stored.
     std::function<void()> on_stored;
-    /// Whether most hosts have answered since then, so that no other node can
-    /// have taken over.
-    std::function<bool(core::MonotonicTime since)> has_majority;
     /// A newer holder has taken over.
     std::function<void()> on_fenced;
   };
@@ -64,10 +59,6 @@
   void AddWave(scheduler::WaveId id);
   /// @brief Drops the stored record of a forgotten job.
   void Drop(const core::JobId& id);
-  /// @brief Tells which hosts are stored already.
-  void SetStoredHosts(std::map<core::HostId, core::Incarnation> hosts) {
-    stored_hosts_ = std::move(hosts);
-  }
   /// @brief Starts an append soon, if there is something to store.
   void Trigger();
   /// @brief No more appends.
@@ -75,9 +66,6 @@
 
   /// @return Whether submissions may wait long: the store does not answer.
   [[nodiscard]] bool is_stuck(core::MonotonicTime now) const;
-  /// @return When the append began that has no answer for long, if any.
-  [[nodiscard]] std::optional<core::MonotonicTime> stuck_since(
-      core::MonotonicTime now) const;
   [[nodiscard]] std::uint64_t appends() const { return appends_; }
 
  private:
@@ -88,19 +76,16 @@
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
     std::map<core::HostId, scheduler::EndNumber> ends;
     std::vector<scheduler::StartRun> starts;
-    std::map<core::HostId, core::Incarnation> hosts;
     core::MonotonicTime begun;
     bool certain = true;  ///< No try had an unknown outcome.
   };
 
   void Begin();
-  void CollectHosts(Batch& batch) const;
   [[nodiscard]] Batch Collect();
   void Send();
   void OnOutcome(AppendOutcome outcome);
   void OnStored();
   void Retry(bool certain);
-  void ReleaseOverdueStarts();
 
   asio::io_context& loop_;
   asio::steady_timer timer_;
@@ -114,7 +99,6 @@
   std::vector<core::JobId> drops_;
   std::unique_ptr<Batch> batch_;
   std::map<core::HostId, scheduler::EndNumber> stored_ends_;
-  std::map<core::HostId, core::Incarnation> stored_hosts_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t appends_ = 0;
   core::MonotonicTime last_begun_;
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -38,11 +38,6 @@
   std::set<core::HostId> seen;
   for (const HostListing& listing : listings) {
     seen.insert(listing.id);
-    const auto expected = state.unaccounted.find(listing.id);
-    if (expected != state.unaccounted.end() &&
-        expected->second != listing.incarnation) {
-      state.unaccounted.erase(expected);  // That life is over.
-    }
     const auto found = state.hosts.find(listing.id);
     if (found != state.hosts.end() &&
         found->second.listing.incarnation != listing.incarnation) {
@@ -129,12 +124,6 @@
   ++state.counters.quarantined;
 }
 
-bool HasUnaccountedHosts(const State& state, core::MonotonicTime now) {
-  // A predecessor that is cut off stops to renew leases within half of one.
-  return !state.unaccounted.empty() &&
-         now < state.took_over + state.settings.lease * 3 / 2;
-}
-
 bool IsUsable(const Host& host, core::MonotonicTime now) {
   return host.listed && host.synced && !host.reserved &&
          !host.listing.draining && !host.silent_since &&
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -36,11 +36,6 @@
 /// @brief Keeps new runs away from a host for a while.
 void Quarantine(State& state, Host& host, core::MonotonicTime now);
 
-/// @brief Tells whether tasks of an earlier holder may run on hosts that have
-/// not reported, without being stored.
-[[nodiscard]] bool HasUnaccountedHosts(const State& state,
-                                       core::MonotonicTime now);
-
 /// @brief Tells whether a host takes new runs.
 [[nodiscard]] bool IsUsable(const Host& host, core::MonotonicTime now);
 
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -170,7 +170,6 @@
       workload::FindQueue(state.catalog, spec->queue);
   Job job = internal::MakeJob(*std::move(spec), queue);
   job.saved = true;
-  job.loaded = true;
   job.accepted = progress ? progress->accepted : wall;
   const core::Millis age = std::max(core::Millis(0), wall - job.accepted);
   job.submitted = now - age;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -225,8 +225,7 @@
                           const std::vector<Host*>& hosts,
                           core::MonotonicTime now, core::WallTime wall) {
   core::MilliCores unplaced;
-  if (!job.saved || workload::IsFinal(job.state) ||
-      (job.loaded && HasUnaccountedHosts(state, now))) {
+  if (!job.saved || workload::IsFinal(job.state)) {
     return unplaced;
   }
   const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -42,23 +42,6 @@
   return ranked;
 }
 
-/// A predecessor without the store may have started tasks shortly before it
-/// was shut out; the hosts tell.
-constexpr core::Millis kSettleTime{500};
-
-bool AreHostsSettled(State& state, core::MonotonicTime now) {
-  if (!state.hosts_settled) {
-    state.hosts_settled =
-        now >= state.took_over + kSettleTime ||
-        std::all_of(state.hosts.begin(), state.hosts.end(),
-                    [](const auto& entry) {
-                      return entry.second.synced ||
-                             entry.second.listing.address.port == 0;
-                    });
-  }
-  return state.hosts_settled;
-}
-
 void SweepEndedJobs(State& state) {
   for (const core::JobId& id : state.ended) {
     const auto found = state.jobs.find(id);
@@ -80,9 +63,6 @@
 void Plan(State& state, core::MonotonicTime now, core::WallTime wall) {
   CheckHosts(state, now);
   CheckRuns(state, now);
-  if (!internal::AreHostsSettled(state, now)) {
-    return;
-  }
   PoolViews views = internal::MakeViews(state, now);
   for (auto& [pool, jobs] : internal::RankJobs(state, now)) {
     PoolView& view = views[pool];
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -346,7 +346,6 @@
   }
   Host& host = found->second;
   host.last_report = now;
-  host.last_asked = report.asked;
   host.silent_since.reset();
   for (const ListedEnd& end : report.ended) {
     if (end.number > host.ended) {
@@ -372,7 +371,6 @@
     }
   }
   host.synced = true;
-  state.unaccounted.erase(report.host);
   PaceFillers(state, host, now);
 }
 
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -81,7 +81,6 @@
   core::Millis objective{0};  ///< From submission; 0: permanent or scheduled.
   double core_seconds = 0;
   bool permanent = false;
-  bool loaded = false;       ///< Accepted by an earlier holder.
   bool saved = false;        ///< The submission lies in the store.
   bool final_saved = false;  ///< The final state lies in the store.
   std::vector<Task> tasks;
@@ -110,7 +109,6 @@
   /// Nothing that was ordered so far runs or starts here later than this.
   core::MonotonicTime lease_end;
   core::MonotonicTime last_report;
-  core::MonotonicTime last_asked;  ///< When the last answered question was sent.
   std::optional<core::MonotonicTime> silent_since;
   core::MonotonicTime busy_until;   ///< No starts before: it refused one.
   core::MonotonicTime idle_since;
@@ -162,10 +160,6 @@
   std::vector<core::JobId> ended;  ///< Final jobs of which a run has ended.
   std::vector<Order> orders;       ///< To be sent; the owner empties it.
   core::MonotonicTime took_over;
-  /// Hosts of the predecessor that have not reported, if it may have started
-  /// tasks there while the store was away.
-  std::map<core::HostId, core::Incarnation> unaccounted;
-  bool hosts_settled = false;  ///< All hosts reported, or had time to do so.
   bool machines_known = false;
   core::MonotonicTime last_listing;
   core::MonotonicTime next_balance;
