--- /dev/null
+++ b/test/scheduler/balance_test.cpp
@@ -0,0 +1,61 @@
+#include "camphormux/scheduler/balance.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+std::size_t MovesTo(const Fleet& fleet, const std::string& pool) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.sent.begin(), fleet.sent.end(), [&](const Order& order) {
+        const auto* move = std::get_if<MoveMachine>(&order);
+        return move != nullptr && move->pool.value == pool;
+      }));
+}
+
+// Guards against a move that ends a run.
+TEST(BalanceTest, OnlyMachinesWithoutRunsMove) {
+  Fleet fleet;
+  fleet.AddQueue("q", "busy");
+  fleet.AddQueue("p", "rich");
+  fleet.AddHosts("busy", 1);
+  fleet.AddHosts("rich", 6);
+  (void)fleet.Submit(MakeJob(1, "p", 4, 40, core::Millis(60'000)));
+  fleet.Advance(core::Millis(100));
+  (void)fleet.Submit(MakeJob(2, "q", 20, 40, core::Millis(2000)));
+  fleet.Advance(core::Millis(3000));
+  EXPECT_EQ(fleet.Starts(MakeJob(1, "p", 1, 1, {}).id.value), 4U);
+  EXPECT_EQ(fleet.state.jobs.count(MakeJob(1, "p", 1, 1, {}).id), 1U);
+}
+
+// Guards against hosts that cost money although nobody needs them.
+TEST(BalanceTest, IdleHostsGoToTheStandbyPool) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 8);
+  fleet.Advance(core::Millis(6000));
+  EXPECT_GT(MovesTo(fleet, "spare"), 0U);
+  EXPECT_LT(MovesTo(fleet, "spare"), 8U);
+}
+
+// Guards against machine orders that alternate with those of a predecessor.
+TEST(BalanceTest, NoMachineIsOrderedShortlyAfterATakeover) {
+  Fleet fleet;
+  fleet.state.took_over = fleet.now;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("spare", 4);
+  (void)fleet.Submit(MakeJob(1, "q", 4, 40, core::Millis(1000)));
+  fleet.Advance(core::Millis(2900));
+  EXPECT_EQ(MovesTo(fleet, "pool"), 0U);
+  fleet.Advance(core::Millis(500));
+  EXPECT_GT(MovesTo(fleet, "pool"), 0U);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/fleet.hpp
@@ -0,0 +1,64 @@
+#ifndef TEST_SCHEDULER_FLEET_HPP_
+#define TEST_SCHEDULER_FLEET_HPP_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/state.hpp"
+
+namespace camphormux::scheduler {
+
+/// A scheduler and the hosts that it orders, in simulated time. Orders are
+/// carried out at once; runs last as long as their duration says.
+struct Fleet {
+  struct Running {
+    RunName name;
+    core::HostId host;
+    core::MonotonicTime end;
+    EndKind kind = EndKind::kDone;
+  };
+
+  State state;
+  core::MonotonicTime now{core::Millis(1'000'000)};
+  core::WallTime wall{core::Millis(1'700'000'000'000)};
+  std::vector<Running> running;
+  std::map<core::HostId, std::vector<ListedEnd>> ends;
+  std::vector<Order> sent;  ///< All orders so far.
+  std::vector<HostListing> listings;
+  std::vector<MachineListing> machines;
+  std::map<MachineId, core::MonotonicTime> back_at;  ///< Moves and upkeeps.
+  std::set<core::HostId> silent;
+  bool instant_answers = true;
+  core::Millis run_time{0};  ///< Zero: as estimated.
+
+  Fleet();
+  void AddQueue(const std::string& name, const std::string& pool,
+                double stretch = 2.0);
+  void AddHosts(const std::string& pool, int count, std::int64_t cores = 64,
+                const std::string& rack = "r1");
+  void AddStandbyPool(const std::string& pool);
+  void Publish();
+  /// Submits and stores a job.
+  AdmissionResult Submit(const workload::JobSpec& spec);
+  /// Plans, carries the orders out and lets the hosts report.
+  void Step();
+  /// Advances in steps of 10 ms.
+  void Advance(core::Millis span);
+  void Report(const core::HostId& host);
+  [[nodiscard]] std::size_t Starts(const std::string& job) const;
+
+ private:
+  void CarryOut(const Order& order);
+  void EndRuns();
+};
+
+workload::JobSpec MakeJob(std::uint64_t number, const std::string& queue,
+                          std::uint32_t tasks, std::int64_t cores,
+                          core::Millis estimate);
+
+}  // namespace camphormux::scheduler
+
+#endif  // TEST_SCHEDULER_FLEET_HPP_
--- /dev/null
+++ b/test/scheduler/hosts_test.cpp
@@ -0,0 +1,72 @@
+#include "camphormux/scheduler/hosts.hpp"
+
+#include <gtest/gtest.h>
+
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+Fleet SmallFleet() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 2);
+  return fleet;
+}
+
+// Guards against runs that a restarted host does not have any more.
+TEST(HostsTest, ANewLifeUnderTheSameIdEndsTheOldRuns) {
+  Fleet fleet = SmallFleet();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(5000)));
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  for (HostListing& listing : fleet.listings) {
+    listing.incarnation.value = 2;
+  }
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  EXPECT_TRUE(fleet.state.runs.empty());
+}
+
+// Guards against work that is thrown away because the list was away.
+TEST(HostsTest, AMissingEntryIsNotGoneBeforeTheListIsTrusted) {
+  Fleet fleet = SmallFleet();
+  ApplyListings(fleet.state, {}, fleet.now,
+                fleet.now + core::Millis(2500));
+  CheckHosts(fleet.state, fleet.now + core::Millis(2000));
+  EXPECT_EQ(fleet.state.hosts.size(), 2U);
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  CheckHosts(fleet.state, fleet.now + core::Millis(3000));
+  EXPECT_EQ(fleet.state.hosts.size(), 2U);
+  ApplyListings(fleet.state, {}, fleet.now, fleet.now);
+  CheckHosts(fleet.state, fleet.now + core::Millis(3000));
+  EXPECT_TRUE(fleet.state.hosts.empty());
+}
+
+// Guards against a host that fails all it starts and takes all tasks, as it
+// is always free.
+TEST(HostsTest, AHostThatFailsSeveralJobsIsQuarantined) {
+  Fleet fleet = SmallFleet();
+  Host& host = fleet.state.hosts.begin()->second;
+  NoteFailure(fleet.state, host, {"a"}, fleet.now);
+  NoteFailure(fleet.state, host, {"a"}, fleet.now);
+  NoteFailure(fleet.state, host, {"b"}, fleet.now);
+  EXPECT_TRUE(IsUsable(host, fleet.now));
+  NoteFailure(fleet.state, host, {"c"}, fleet.now);
+  EXPECT_FALSE(IsUsable(host, fleet.now));
+  EXPECT_TRUE(IsUsable(host, fleet.now + core::Millis(3001)));
+}
+
+// Guards against new work on a host that is leaving.
+TEST(HostsTest, ADrainingHostGetsNoRuns) {
+  Fleet fleet = SmallFleet();
+  for (HostListing& listing : fleet.listings) {
+    listing.draining = true;
+  }
+  fleet.Publish();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(100)));
+  fleet.Advance(core::Millis(100));
+  EXPECT_TRUE(fleet.running.empty());
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/jobs_test.cpp
@@ -0,0 +1,157 @@
+#include "camphormux/scheduler/jobs.hpp"
+
+#include <gtest/gtest.h>
+
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+Fleet SmallFleet() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 3);
+  return fleet;
+}
+
+// Guards against a doubled job after a lost answer.
+TEST(JobsTest, TheSameIdIsOneJob) {
+  Fleet fleet = SmallFleet();
+  const auto job = MakeJob(1, "q", 2, 4, core::Millis(100));
+  EXPECT_EQ(fleet.Submit(job).admission, Admission::kStoring);
+  EXPECT_EQ(fleet.Submit(job).admission, Admission::kAccepted);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(fleet.Submit(job).admission, Admission::kAccepted);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(fleet.Starts(job.id.value), 2U);
+}
+
+// Guards against a task of a job whose caller may have been refused.
+TEST(JobsTest, AJobRunsOnlyOnceItIsStored) {
+  Fleet fleet = SmallFleet();
+  const auto job = MakeJob(1, "q", 1, 4, core::Millis(100));
+  (void)Submit(fleet.state, job, fleet.now, fleet.wall);
+  fleet.Advance(core::Millis(200));
+  EXPECT_EQ(fleet.Starts(job.id.value), 0U);
+  EXPECT_FALSE(VisibleState(fleet.state, job.id));
+  ConfirmSubmission(fleet.state, job.id);
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(fleet.Starts(job.id.value), 1U);
+}
+
+// Guards against a success that a later holder does not know of.
+TEST(JobsTest, AFinalStateIsToldOnceItIsStored) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(100));
+  (void)fleet.Submit(spec);
+  Job& job = fleet.state.jobs.at(spec.id);
+  CompleteTask(fleet.state, job, 0, fleet.wall);
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kRunning);
+  ConfirmProgress(fleet.state, spec.id, workload::JobState::kSucceeded,
+                  fleet.now);
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
+}
+
+// Guards against steps that start before the ones they need.
+TEST(JobsTest, AStepWaitsForTheStepsBeforeIt) {
+  Fleet fleet = SmallFleet();
+  auto job = MakeJob(1, "q", 2, 4, core::Millis(300));
+  job.steps.push_back(job.steps.front());
+  job.steps[1].after = {0};
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(250));
+  EXPECT_EQ(fleet.Starts(job.id.value), 2U);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(fleet.Starts(job.id.value), 4U);
+}
+
+// Guards against an occurrence that starts before its due time.
+TEST(JobsTest, AnOccurrenceWaitsForItsDueTime) {
+  Fleet fleet = SmallFleet();
+  auto job = MakeJob(1, "q", 1, 4, core::Millis(100));
+  job.occurrences = 2;
+  job.first_run = fleet.wall + core::Millis(1000);
+  job.interval = core::Millis(1000);
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(800));
+  EXPECT_EQ(fleet.Starts(job.id.value), 0U);
+  fleet.Advance(core::Millis(300));
+  EXPECT_EQ(fleet.Starts(job.id.value), 1U);
+  fleet.Advance(core::Millis(1500));
+  EXPECT_EQ(fleet.Starts(job.id.value), 2U);
+}
+
+// Guards against tasks that run on after a cancellation.
+TEST(JobsTest, ACancelledJobIsStopped) {
+  Fleet fleet = SmallFleet();
+  const auto job = MakeJob(1, "q", 3, 4, core::Millis(5000));
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 3U);
+  EXPECT_TRUE(Cancel(fleet.state, job.id, fleet.wall));
+  fleet.Advance(core::Millis(50));
+  EXPECT_TRUE(fleet.running.empty());
+  EXPECT_EQ(VisibleState(fleet.state, job.id), workload::JobState::kCancelled);
+  EXPECT_FALSE(Cancel(fleet.state, {"0123456789abcdef"}, fleet.wall));
+}
+
+// Guards against a task that runs twice after a takeover: what was started is
+// known from the store, and its host is asked before it is started again.
+TEST(JobsTest, ALaterHolderWaitsForTheHostOfAStoredStart) {
+  Fleet before = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  (void)before.Submit(spec);
+  before.Advance(core::Millis(50));
+  const workload::Progress stored =
+      ProgressOf(before.state, before.state.jobs.at(spec.id));
+  ASSERT_EQ(stored.tasks.at(0).runs.size(), 1U);
+
+  // The next holder does not see the task's host any more.
+  Fleet after;
+  after.AddQueue("q", "pool");
+  LoadJob(after.state, spec.id, spec, stored, after.now, after.wall);
+  after.AddHosts("pool", 3);
+  std::erase_if(after.listings, [&](const HostListing& listing) {
+    return listing.id == stored.tasks[0].runs[0].host;
+  });
+  after.state.hosts.at(stored.tasks[0].runs[0].host).listed = false;
+  after.Advance(core::Millis(5000));
+  EXPECT_EQ(after.Starts(spec.id.value), 0U);
+  after.Advance(core::Millis(6000));
+  EXPECT_EQ(after.Starts(spec.id.value), 1U);
+}
+
+// Guards against attempts that are counted again from the start.
+TEST(JobsTest, ALaterHolderContinuesTheAttempts) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(100));
+  workload::Progress stored;
+  stored.state = workload::JobState::kRunning;
+  stored.accepted = fleet.wall;
+  stored.tasks.resize(1);
+  stored.tasks[0].next_attempt = 5;
+  stored.tasks[0].failed_attempts = {3, 4};
+  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  EXPECT_EQ(fleet.running[0].name.attempt, 5U);
+  fleet.running[0].end = fleet.now;
+  fleet.running[0].kind = EndKind::kFailed;
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kFailed);
+}
+
+// Guards against a queue's count of waiting jobs that misses some.
+TEST(JobsTest, PendingCountsStoredJobsWithoutAStart) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(100)));
+  (void)fleet.Submit(MakeJob(2, "q", 1, 4, core::Millis(100)));
+  EXPECT_EQ(PendingJobs(fleet.state, {"q"}), 2U);
+  fleet.AddHosts("pool", 1);
+  fleet.Advance(core::Millis(20));
+  EXPECT_EQ(PendingJobs(fleet.state, {"q"}), 0U);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/pacing_test.cpp
@@ -0,0 +1,65 @@
+#include "camphormux/scheduler/pacing.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/scheduler/runs.hpp"
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+/// A host with a serving task (target 100 ms) and a filler beside it.
+Fleet SharedHost() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  auto serving = MakeJob(1, "q", 1, 4, core::Millis(100));
+  serving.steps[0].permanent = true;
+  serving.steps[0].latency_target = core::Millis(100);
+  auto filler = MakeJob(2, "q", 1, 4, core::Millis(100));
+  filler.steps[0].permanent = true;
+  filler.steps[0].fills_idle = true;
+  (void)fleet.Submit(serving);
+  (void)fleet.Submit(filler);
+  fleet.Advance(core::Millis(50));
+  return fleet;
+}
+
+/// Reports a tail latency for the serving task and returns the filler's pace.
+int PaceAfter(Fleet& fleet, std::int64_t latency) {
+  Host& host = fleet.state.hosts.begin()->second;
+  int pace = 0;
+  for (auto& [id, run] : fleet.state.runs) {
+    if (!run.fills_idle) {
+      run.load = latency;
+    }
+  }
+  PaceFillers(fleet.state, host, fleet.now);
+  for (const auto& [id, run] : fleet.state.runs) {
+    pace = run.fills_idle ? run.pace : pace;
+  }
+  return pace;
+}
+
+// Guards against a service that stays over its target because of fillers.
+TEST(PacingTest, FillersHaltWhileAServingTaskIsOverItsTarget) {
+  Fleet fleet = SharedHost();
+  int pace = 100;
+  for (int i = 0; i < 3; ++i) {
+    const int next = PaceAfter(fleet, 150);
+    EXPECT_LT(next, pace);
+    pace = next;
+  }
+  EXPECT_EQ(pace, 0);
+}
+
+// Guards against a pace that swings: between the bounds it stays.
+TEST(PacingTest, FillersRecoverOnlyWellBelowTheTarget) {
+  Fleet fleet = SharedHost();
+  const int slowed = PaceAfter(fleet, 150);
+  EXPECT_EQ(PaceAfter(fleet, 80), slowed);
+  EXPECT_GT(PaceAfter(fleet, 30), slowed);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/placing_test.cpp
@@ -0,0 +1,103 @@
+#include "camphormux/scheduler/placing.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+// Guards against starts over a host's capacity.
+TEST(PlacingTest, RunsNeverExceedAHostsRoom) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 3);
+  for (std::uint64_t i = 1; i < 40; ++i) {
+    (void)fleet.Submit(MakeJob(i, "q", 4, 1 + static_cast<std::int64_t>(i % 23),
+                               core::Millis(300)));
+    fleet.Advance(core::Millis(30));
+    for (const auto& [id, host] : fleet.state.hosts) {
+      ASSERT_GE(FreeRoom(host).cores.value, 0);
+      ASSERT_GE(FreeRoom(host).memory.value, 0);
+    }
+  }
+}
+
+// Guards against a gang that holds room while it waits for its members.
+TEST(PlacingTest, AGangStartsWholeOrNotAtAll) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  auto gang = MakeJob(1, "q", 4, 30, core::Millis(200));
+  gang.steps[0].gang = true;
+  (void)fleet.Submit(gang);
+  fleet.Advance(core::Millis(100));
+  EXPECT_TRUE(fleet.running.empty());
+  EXPECT_EQ(FreeRoom(fleet.state.hosts.begin()->second).cores.value, 64'000);
+  fleet.AddHosts("pool", 1);
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.running.size(), 4U);
+  for (const Fleet::Running& run : fleet.running) {
+    EXPECT_EQ(run.name.attempt, fleet.running[0].name.attempt);
+  }
+}
+
+// Guards against tasks of a step that fail together with one host.
+TEST(PlacingTest, KeepsToTheLimitOfTasksOnOneHost) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 2);
+  auto job = MakeJob(1, "q", 5, 1, core::Millis(5000));
+  job.steps[0].max_per_host = 1;
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(fleet.running.size(), 2U);
+}
+
+TEST(PlacingTest, KeepsToTheRequiredLabel) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 2);
+  auto job = MakeJob(1, "q", 1, 1, core::Millis(100));
+  job.steps[0].required_label = "b";
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(50));
+  EXPECT_TRUE(fleet.running.empty());
+}
+
+// Guards against tasks that run away from their data while there is room.
+TEST(PlacingTest, PrefersTheRackOfTheData) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 3, 64, "r1");
+  fleet.AddHosts("pool", 1, 64, "r2");
+  auto job = MakeJob(1, "q", 2, 4, core::Millis(100));
+  job.steps[0].data_rack.value = "r2";
+  (void)fleet.Submit(job);
+  fleet.Step();
+  ASSERT_EQ(fleet.running.size(), 2U);
+  for (const Fleet::Running& run : fleet.running) {
+    EXPECT_EQ(fleet.state.hosts.at(run.host).listing.rack.value, "r2");
+  }
+}
+
+// Guards against a straggler that makes its job late.
+TEST(PlacingTest, ACopyOfASlowSpeculativeTaskStartsElsewhere) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool", 10.0);
+  fleet.AddHosts("pool", 2);
+  fleet.run_time = core::Millis(60'000);
+  auto job = MakeJob(1, "q", 1, 4, core::Millis(400));
+  job.steps[0].speculative = true;
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(1000));
+  EXPECT_EQ(fleet.running.size(), 1U);
+  fleet.Advance(core::Millis(200));
+  ASSERT_EQ(fleet.running.size(), 2U);
+  EXPECT_NE(fleet.running[0].host, fleet.running[1].host);
+  EXPECT_EQ(fleet.state.counters.copies, 1U);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/runs_test.cpp
@@ -0,0 +1,136 @@
+#include "camphormux/scheduler/runs.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/plan.hpp"
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+Fleet SmallFleet(int hosts = 2) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", hosts);
+  return fleet;
+}
+
+const Run& OnlyRun(const Fleet& fleet) {
+  return fleet.state.runs.begin()->second;
+}
+
+// Guards against a start that takes effect late, after the task was started
+// elsewhere: it counts until its stop is confirmed and a report lacks it.
+TEST(RunsTest, AStartWithoutAnswerIsFencedBeforeTheTaskRunsAgain) {
+  Fleet fleet = SmallFleet();
+  fleet.instant_answers = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  const RunId first = OnlyRun(fleet).id;
+  const core::HostId host = OnlyRun(fleet).host;
+  const RunName name = OnlyRun(fleet).name;
+  OnStartAnswer(fleet.state, first, StartOutcome::kNoAnswer, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  ASSERT_TRUE(fleet.state.runs.contains(first));
+  EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
+  fleet.Report(host);
+  EXPECT_TRUE(fleet.state.runs.contains(first));
+  OnStopConfirmed(fleet.state, host, name, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_FALSE(fleet.state.runs.contains(first));
+}
+
+// Guards against a run that is stopped although its start took effect.
+TEST(RunsTest, AStartWithoutAnswerThatIsListedGoesOn) {
+  Fleet fleet = SmallFleet();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const scheduler::Run& run = OnlyRun(fleet);
+  OnStartAnswer(fleet.state, run.id, StartOutcome::kNoAnswer, fleet.now);
+  fleet.Report(run.host);
+  EXPECT_EQ(run.phase, RunPhase::kRunning);
+}
+
+// Guards against a doubled task after a cut: the lease of a silent host must
+// be over first.
+TEST(RunsTest, ATaskOnASilentHostRunsAgainAfterItsLease) {
+  Fleet fleet = SmallFleet(1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  const core::HostId host = fleet.running[0].host;
+  fleet.state.hosts.at(host).lease_end = fleet.now + core::Millis(5000);
+  fleet.silent.insert(host);
+  fleet.state.hosts.at(host).silent_since = fleet.now;
+  fleet.AddHosts("pool", 1);
+  fleet.Advance(core::Millis(4900));
+  EXPECT_EQ(fleet.Starts(MakeJob(1, "q", 1, 1, {}).id.value), 1U);
+  fleet.Advance(core::Millis(300));
+  EXPECT_EQ(fleet.Starts(MakeJob(1, "q", 1, 1, {}).id.value), 2U);
+}
+
+// Guards against an end that is counted twice when a host lists it again.
+TEST(RunsTest, AnEndThatIsListedAgainCountsOnce) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(100));
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  fleet.running[0].end = fleet.now;
+  fleet.running[0].kind = EndKind::kFailed;
+  fleet.Advance(core::Millis(20));
+  const Job& job = fleet.state.jobs.at(spec.id);
+  EXPECT_EQ(job.tasks[0].progress.failed_attempts.size(), 1U);
+  // A later holder gets the list from its beginning.
+  for (auto& [id, host] : fleet.state.hosts) {
+    host.ended = EndNumber{};
+    fleet.Report(id);
+  }
+  EXPECT_EQ(job.tasks[0].progress.failed_attempts.size(), 1U);
+}
+
+// Guards against tasks that run although nobody asked for them.
+TEST(RunsTest, AnUnknownRunIsStopped) {
+  Fleet fleet = SmallFleet();
+  const core::HostId host = fleet.listings[0].id;
+  fleet.running.push_back(
+      {{{"0123456789abcdef"}, {}, 1}, host, fleet.now + core::Millis(5000)});
+  fleet.Advance(core::Millis(30));
+  EXPECT_TRUE(fleet.running.empty());
+}
+
+// Guards against a takeover that stops sound work.
+TEST(RunsTest, ARunningTaskOfAPredecessorIsAdopted) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(1000));
+  workload::Progress stored;
+  stored.state = workload::JobState::kRunning;
+  stored.accepted = fleet.wall;
+  stored.tasks.resize(1);
+  stored.tasks[0].runs = {{fleet.listings[0].id, {1}, 1}};
+  stored.tasks[0].next_attempt = 2;
+  fleet.running.push_back(
+      {{spec.id, {}, 1}, fleet.listings[0].id, fleet.now + core::Millis(300)});
+  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  fleet.Advance(core::Millis(400));
+  EXPECT_EQ(fleet.Starts(spec.id.value), 0U);
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
+}
+
+// Guards against a host that hangs: its task is replaced.
+TEST(RunsTest, ARunWithoutProgressIsReplaced) {
+  Fleet fleet = SmallFleet();
+  fleet.run_time = core::Millis(3'600'000);
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(500));
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(2500));
+  EXPECT_EQ(fleet.Starts(spec.id.value), 2U);
+  EXPECT_EQ(fleet.state.counters.quarantined, 1U);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/scheduler/upkeep_test.cpp
@@ -0,0 +1,114 @@
+#include "camphormux/scheduler/upkeep.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+WaveRequest WaveOf(const Fleet& fleet, std::uint32_t max_down) {
+  WaveRequest wave;
+  wave.id.value = 1;
+  wave.max_down = max_down;
+  wave.deadline = core::Millis(20'000);
+  for (const MachineListing& machine : fleet.machines) {
+    wave.machines.push_back(machine.id);
+  }
+  return wave;
+}
+
+std::size_t Upkeeps(const Fleet& fleet) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.sent.begin(), fleet.sent.end(), [](const Order& order) {
+        return std::holds_alternative<UpkeepMachine>(order);
+      }));
+}
+
+// Guards against more machines of a wave down than it allows.
+TEST(UpkeepTest, AtMostAsManyMachinesAreDownAsTheWaveAllows) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 6);
+  AddWave(fleet.state, WaveOf(fleet, 2), fleet.now);
+  fleet.Step();
+  EXPECT_EQ(Upkeeps(fleet), 2U);
+  fleet.Advance(core::Millis(1000));
+  EXPECT_EQ(Upkeeps(fleet), 2U);
+}
+
+// Guards against a wave that is said to be complete too early.
+TEST(UpkeepTest, AWaveIsCompleteWhenEachMachineHasBegun) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 2);
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Step();
+  EXPECT_FALSE(fleet.state.waves.at({1}).complete);
+  fleet.now += core::Millis(2000);
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  fleet.Step();
+  fleet.Step();
+  EXPECT_TRUE(fleet.state.waves.at({1}).complete);
+}
+
+// Guards against urgent work that is thrown away for upkeep.
+TEST(UpkeepTest, ARunningJobIsNotInterrupted) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Advance(core::Millis(50));
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Advance(core::Millis(900));
+  EXPECT_EQ(Upkeeps(fleet), 0U);
+  fleet.Advance(core::Millis(200));
+  EXPECT_EQ(Upkeeps(fleet), 1U);
+}
+
+Fleet ServingFleet() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 6);
+  auto job = MakeJob(1, "q", 4, 4, core::Millis(1000));
+  job.steps[0].permanent = true;
+  job.steps[0].max_per_host = 1;
+  job.steps[0].max_unavailable = 1;
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(50));
+  return fleet;
+}
+
+std::size_t Stops(const Fleet& fleet) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.sent.begin(), fleet.sent.end(), [](const Order& order) {
+        return std::holds_alternative<StopRun>(order);
+      }));
+}
+
+// Guards against a service that loses more tasks to upkeep than its budget.
+TEST(UpkeepTest, PermanentTasksLeaveWithinTheirBudget) {
+  Fleet fleet = ServingFleet();
+  ASSERT_EQ(fleet.running.size(), 4U);
+  AddWave(fleet.state, WaveOf(fleet, 6), fleet.now);
+  fleet.Step();
+  EXPECT_LE(Stops(fleet), 1U);
+}
+
+// Guards against planned work that takes a task while another one is away
+// because its host does not answer.
+TEST(UpkeepTest, TasksOnSilentHostsCountAsAway) {
+  Fleet fleet = ServingFleet();
+  const core::HostId host = fleet.running[0].host;
+  fleet.silent.insert(host);
+  fleet.state.hosts.at(host).silent_since = fleet.now;
+  fleet.state.hosts.at(host).lease_end = fleet.now + core::Millis(60'000);
+  AddWave(fleet.state, WaveOf(fleet, 6), fleet.now);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(Stops(fleet), 0U);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- /dev/null
+++ b/test/workload/codec_test.cpp
@@ -0,0 +1,79 @@
+#include "camphormux/workload/codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace camphormux::workload {
+namespace {
+
+JobSpec FullSpec() {
+  Step first;
+  first.count = 3;
+  first.size = {{500}, {256}, {0}};
+  first.estimate = core::Millis(900);
+  first.data_rack.value = "r1-3";
+  first.speculative = true;
+  Step second;
+  second.count = 20;
+  second.after = {0};
+  second.checkpoints = true;
+  second.gang = true;
+  second.colocated = true;
+  second.required_label = "a";
+  second.max_per_host = 2;
+  second.image = "img";
+  second.latency_target = core::Millis(40);
+  second.max_unavailable = 0;
+  JobSpec spec;
+  spec.id.value = "5c0e7a21d94b36f8";
+  spec.queue.value = "q";
+  spec.payload = "text";
+  spec.steps = {first, second};
+  spec.occurrences = 2;
+  spec.first_run = core::WallTime(core::Millis(1'700'000'000'000));
+  spec.interval = core::Millis(3000);
+  return spec;
+}
+
+// Guards against a field that is lost between nodes or in the store.
+TEST(CodecTest, SpecSurvivesARoundTrip) {
+  const auto decoded = DecodeSpec(EncodeSpec(FullSpec()));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(*decoded, FullSpec());
+}
+
+// Guards against a start that a later holder does not know of.
+TEST(CodecTest, ProgressKeepsRunsFailuresAndCheckpoints) {
+  Progress progress;
+  progress.state = JobState::kRunning;
+  progress.queue.value = "q";
+  progress.accepted = core::WallTime(core::Millis(5));
+  progress.tasks.resize(4);
+  progress.tasks[1].done = true;
+  progress.tasks[3].next_attempt = 7;
+  progress.tasks[3].failed_attempts = {2, 5};
+  progress.tasks[3].checkpoint = "00ab";
+  progress.tasks[3].runs = {{{"i-1"}, {9}, 6}};
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(*decoded, progress);
+}
+
+// Guards against a holder that ends on bytes of another writer.
+RC_GTEST_PROP(CodecPropertyTest, ArbitraryBytesDoNotDecodeToAnInvalidJob,
+              (const std::string& bytes)) {
+  const auto spec = DecodeSpec(bytes);
+  RC_ASSERT(!spec || !spec->steps.empty());
+  (void)DecodeProgress(bytes);
+}
+
+// Guards against a crash on a record that was cut off.
+TEST(CodecTest, CutBytesAreRejected) {
+  const std::string bytes = EncodeSpec(FullSpec());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_FALSE(DecodeSpec(bytes.substr(0, size)));
+  }
+}
+
+}  // namespace
+}  // namespace camphormux::workload
--- /dev/null
+++ b/test/workload/validate_test.cpp
@@ -0,0 +1,57 @@
+#include "camphormux/workload/validate.hpp"
+
+#include <gtest/gtest.h>
+
+namespace camphormux::workload {
+namespace {
+
+JobSpec Valid() {
+  JobSpec spec;
+  spec.id.value = "5c0e7a21d94b36f8";
+  spec.steps.resize(2);
+  spec.steps[1].after = {0};
+  return spec;
+}
+
+std::string FieldOf(const JobSpec& spec) {
+  const auto problem = Validate(spec);
+  return problem ? problem->field : "";
+}
+
+TEST(ValidateTest, AcceptsAValidJob) { EXPECT_EQ(FieldOf(Valid()), ""); }
+
+// Guards against a job that can never run and blocks its queue.
+TEST(ValidateTest, AStepCannotWaitForItselfOrALaterOne) {
+  JobSpec spec = Valid();
+  spec.steps[1].after = {1};
+  EXPECT_EQ(FieldOf(spec), "steps[1].after");
+  spec.steps[1].after = {7};
+  EXPECT_EQ(FieldOf(spec), "steps[1].after");
+}
+
+// Guards against one request that takes all memory.
+TEST(ValidateTest, BoundsTheNumberOfTasks) {
+  JobSpec spec = Valid();
+  spec.steps[0].count = 0;
+  EXPECT_EQ(FieldOf(spec), "steps[0].count");
+  spec.steps[0].count = 1'000'000;
+  EXPECT_EQ(FieldOf(spec), "steps[0].count");
+  spec.steps[0].count = kMaxTasks / 2;
+  spec.occurrences = 3;
+  EXPECT_EQ(FieldOf(spec), "steps");
+}
+
+TEST(ValidateTest, BoundsIdPayloadAndSteps) {
+  JobSpec spec = Valid();
+  spec.id.value = "5c0e";
+  EXPECT_EQ(FieldOf(spec), "id");
+  spec = Valid();
+  spec.payload.assign(kMaxPayloadBytes + 1, 'x');
+  EXPECT_EQ(FieldOf(spec), "payload");
+  spec = Valid();
+  spec.steps.clear();
+  EXPECT_EQ(FieldOf(spec), "steps");
+}
+
+}  // namespace
+}  // namespace camphormux::workload
