--- a/bin/node/main.cpp
+++ b/bin/node/main.cpp
@@ -102,9 +102,8 @@
   void CheckStop() {
     const core::Millis passed = core::MonotonicNow() - stop_asked_;
     const core::Millis longest = settings_.grace - kGraceMargin;
-    if (passed >= longest ||
-        (passed >= std::min(kDrain, longest) &&
-         callers_.open_requests() == 0)) {
+    if (passed >= longest || (passed >= std::min(kDrain, longest) &&
+                              callers_.open_requests() == 0)) {
       loop_.stop();
       return;
     }
--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -24,8 +24,7 @@
 
 }  // namespace internal
 
-Election::Election(asio::io_context& loop, ElectionPort port,
-                   Listener listener)
+Election::Election(asio::io_context& loop, ElectionPort port, Listener listener)
     : loop_(loop),
       timer_(loop),
       port_(std::move(port)),
--- a/src/camphormux/coordinator/front.cpp
+++ b/src/camphormux/coordinator/front.cpp
@@ -61,8 +61,7 @@
 
 void Front::Try(const std::shared_ptr<Submission>& submission) {
   ++submission->tries;
-  auto on_answer = [weak = weak_from_this(),
-                    submission](SubmitAnswer answer) {
+  auto on_answer = [weak = weak_from_this(), submission](SubmitAnswer answer) {
     if (const auto self = weak.lock()) {
       self->OnAnswer(submission, answer);
     }
@@ -105,10 +104,10 @@
           : std::min(submission->deadline,
                      submission->arrived + internal::kPatience);
   if (now + internal::kRetryPause >= give_up) {
-    Finish(*submission, {submission->may_be_stored
-                             ? SubmitOutcome::kUnknown
-                             : SubmitOutcome::kUnavailable,
-                         internal::kRetryAfter});
+    Finish(*submission,
+           {submission->may_be_stored ? SubmitOutcome::kUnknown
+                                      : SubmitOutcome::kUnavailable,
+            internal::kRetryAfter});
     return;
   }
   After(internal::kRetryPause, [this, submission] { Try(submission); });
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -126,34 +126,32 @@
   if (stopped_) {
     return;
   }
-  telemetry::Log(
-      telemetry::Level::kWarning, "ownership lost",
-      {{"token", std::to_string(token_.value)}, {"reason", reason}});
+  telemetry::Log(telemetry::Level::kWarning, "ownership lost",
+                 {{"token", std::to_string(token_.value)}, {"reason", reason}});
   Stop();
   asio::post(loop_, on_deposed_);
 }
 
 void Holder::Fence() {
-  ports_.store.fence(
-      token_, [weak = weak_from_this()](AppendOutcome outcome) {
-        const auto self = weak.lock();
-        if (!self || self->stopped_) {
-          return;
-        }
-        if (outcome == AppendOutcome::kStored) {
-          self->Load();
-        } else if (outcome == AppendOutcome::kFenced) {
-          self->Depose("the store knows a higher epoch");
-        } else {
-          self->load_timer_.expires_after(internal::kLoadRetry);
-          self->load_timer_.async_wait([weak](const asio::error_code& error) {
-            const auto again = weak.lock();
-            if (again && !error && !again->stopped_) {
-              again->Fence();
-            }
-          });
+  ports_.store.fence(token_, [weak = weak_from_this()](AppendOutcome outcome) {
+    const auto self = weak.lock();
+    if (!self || self->stopped_) {
+      return;
+    }
+    if (outcome == AppendOutcome::kStored) {
+      self->Load();
+    } else if (outcome == AppendOutcome::kFenced) {
+      self->Depose("the store knows a higher epoch");
+    } else {
+      self->load_timer_.expires_after(internal::kLoadRetry);
+      self->load_timer_.async_wait([weak](const asio::error_code& error) {
+        const auto again = weak.lock();
+        if (again && !error && !again->stopped_) {
+          again->Fence();
         }
       });
+    }
+  });
 }
 
 void Holder::Load() {
@@ -220,8 +218,8 @@
     } else if (record.key.starts_with(kProgressKey)) {
       auto decoded = workload::DecodeProgress(*record.value);
       if (!decoded) {
-        telemetry::Log(telemetry::Level::kError,
-                       "stored progress is malformed", {{"key", record.key}});
+        telemetry::Log(telemetry::Level::kError, "stored progress is malformed",
+                       {{"key", record.key}});
         continue;
       }
       const core::JobId id{record.key.substr(kProgressKey.size())};
@@ -417,8 +415,7 @@
 }
 
 void Holder::Dispatch() {
-  const std::vector<scheduler::Order> orders =
-      std::exchange(state_.orders, {});
+  const std::vector<scheduler::Order> orders = std::exchange(state_.orders, {});
   for (const scheduler::Order& order : orders) {
     std::visit(
         [this](const auto& each) {
@@ -426,7 +423,7 @@
           if constexpr (std::is_same_v<T, scheduler::StartRun>) {
             saver_->AddStart(each);
           } else if constexpr (std::is_same_v<T, scheduler::StopRun> ||
-                        std::is_same_v<T, scheduler::PaceRun>) {
+                               std::is_same_v<T, scheduler::PaceRun>) {
             links_->Send(each);
           } else {
             Send(each);
@@ -443,13 +440,13 @@
     return;
   }
   meters_.machine_orders->Increment();
-  ports_.cloud.move(order, token_,
-                    [weak = weak_from_this(),
-                     order](scheduler::MachineOutcome outcome) {
-                      if (const auto self = weak.lock()) {
-                        self->OnMachineAnswer(order.machine, nullptr, outcome);
-                      }
-                    });
+  ports_.cloud.move(
+      order, token_,
+      [weak = weak_from_this(), order](scheduler::MachineOutcome outcome) {
+        if (const auto self = weak.lock()) {
+          self->OnMachineAnswer(order.machine, nullptr, outcome);
+        }
+      });
 }
 
 void Holder::Send(const scheduler::UpkeepMachine& order) {
@@ -505,12 +502,11 @@
   if (stopped_) {
     return;
   }
-  telemetry::Log(
-      telemetry::Level::kInfo, "machine ordered",
-      {{"machine", machine.value},
-       {"wave", wave == nullptr ? "" : std::to_string(wave->value)},
-       {"token", std::to_string(token_.value)},
-       {"outcome", std::to_string(static_cast<int>(outcome))}});
+  telemetry::Log(telemetry::Level::kInfo, "machine ordered",
+                 {{"machine", machine.value},
+                  {"wave", wave == nullptr ? "" : std::to_string(wave->value)},
+                  {"token", std::to_string(token_.value)},
+                  {"outcome", std::to_string(static_cast<int>(outcome))}});
   if (outcome == scheduler::MachineOutcome::kFenced) {
     Depose("machine " + machine.value + " obeys a newer holder");
     return;
@@ -532,21 +528,20 @@
   const bool busy =
       std::any_of(state_.waves.begin(), state_.waves.end(),
                   [](const auto& entry) { return !entry.second.complete; }) ||
-      std::any_of(state_.machines.begin(), state_.machines.end(),
-                  [](const auto& entry) {
-                    return !entry.second.target.value.empty();
-                  });
+      std::any_of(
+          state_.machines.begin(), state_.machines.end(),
+          [](const auto& entry) { return !entry.second.target.value.empty(); });
   const core::Millis pause =
       busy ? internal::kBusyMachinePoll : internal::kIdleMachinePoll;
-  if (polling_machines_ || (state_.machines_known &&
-                            now < last_machine_poll_ + pause)) {
+  if (polling_machines_ ||
+      (state_.machines_known && now < last_machine_poll_ + pause)) {
     return;
   }
   polling_machines_ = true;
   last_machine_poll_ = now;
   ports_.cloud.list(
-      [weak = weak_from_this(), now](
-          const std::optional<std::vector<scheduler::MachineListing>>& list) {
+      [weak = weak_from_this(),
+       now](const std::optional<std::vector<scheduler::MachineListing>>& list) {
         const auto self = weak.lock();
         if (!self || self->stopped_) {
           return;
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -21,7 +21,7 @@
 
 enum class SubmitOutcome {
   kAccepted,
-  kRefused,      ///< Never runs, unless it is submitted again.
+  kRefused,  ///< Never runs, unless it is submitted again.
   kNoQueue,
   kUnavailable,  ///< Nothing was done; try another time.
   kUnknown,      ///< May be stored; submit it again.
@@ -51,8 +51,7 @@
   /// @brief Gives no more orders; answers what waits as unknown.
   void Stop();
 
-  void Submit(workload::JobSpec spec,
-              std::function<void(SubmitAnswer)> done);
+  void Submit(workload::JobSpec spec, std::function<void(SubmitAnswer)> done);
   /// @param done Told whether the job is known once its end is stored;
   /// nothing if that is not certain.
   void Cancel(const core::JobId& id,
@@ -107,8 +106,7 @@
   std::shared_ptr<Saver> saver_;
   std::shared_ptr<HostLinks> links_;
   std::multimap<core::JobId, std::function<void(SubmitAnswer)>> submits_;
-  std::multimap<core::JobId, std::function<void(std::optional<bool>)>>
-      cancels_;
+  std::multimap<core::JobId, std::function<void(std::optional<bool>)>> cancels_;
   std::vector<scheduler::WaveRequest> early_waves_;
   core::MonotonicTime begun_;
   core::MonotonicTime last_plan_;
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -99,9 +99,9 @@
   const auto elapsed = static_cast<std::int64_t>(
       static_cast<double>((now - link.clock_read).count()) *
       (1.0 - internal::kClockSlowness));
-  host.lease_end = std::max(
-      host.lease_end, now + internal::Stretched(state_.settings.lease) +
-                          internal::kLeaseMargin);
+  host.lease_end = std::max(host.lease_end,
+                            now + internal::Stretched(state_.settings.lease) +
+                                internal::kLeaseMargin);
   return *link.clock_ms + elapsed + state_.settings.lease.count();
 }
 
@@ -287,13 +287,13 @@
       if (answer.clock_ms) {
         self->ReadClock(order.host, *answer.clock_ms);
       }
-      telemetry::Log(telemetry::Level::kInfo, "run ordered",
-                     {{"task", internal::Describe(order.name)},
-                      {"attempt", std::to_string(order.name.attempt)},
-                      {"host", order.host.value},
-                      {"token", std::to_string(self->token_.value)},
-                      {"outcome", std::string(internal::Describe(
-                                      answer.outcome))}});
+      telemetry::Log(
+          telemetry::Level::kInfo, "run ordered",
+          {{"task", internal::Describe(order.name)},
+           {"attempt", std::to_string(order.name.attempt)},
+           {"host", order.host.value},
+           {"token", std::to_string(self->token_.value)},
+           {"outcome", std::string(internal::Describe(answer.outcome))}});
       if (answer.outcome == scheduler::StartOutcome::kFenced) {
         self->listener_.on_fenced(order.host);
         return;
@@ -313,36 +313,34 @@
 void HostLinks::Send(const scheduler::StopRun& order) {
   Enqueue(order.host, [this, order](std::function<void()> done) {
     const auto host = state_.hosts.find(order.host);
-    if (host == state_.hosts.end() ||
-        host->second.listing.address.port == 0) {
+    if (host == state_.hosts.end() || host->second.listing.address.port == 0) {
       done();
       return;
     }
-    port_.stop(TargetOf(host->second), order.name,
-               [weak = weak_from_this(), order,
-                done = std::move(done)](CallOutcome outcome) {
-                 const auto self = weak.lock();
-                 if (!self || self->closed_) {
-                   return;
-                 }
-                 telemetry::Log(
-                     telemetry::Level::kInfo, "run stopped",
-                     {{"task", internal::Describe(order.name)},
-                      {"attempt", std::to_string(order.name.attempt)},
-                      {"host", order.host.value},
-                      {"confirmed",
-                       outcome == CallOutcome::kDone ? "yes" : "no"}});
-                 if (outcome == CallOutcome::kFenced) {
-                   self->listener_.on_fenced(order.host);
-                   return;
-                 }
-                 if (outcome == CallOutcome::kDone) {
-                   scheduler::OnStopConfirmed(self->state_, order.host,
-                                              order.name,
-                                              core::MonotonicNow());
-                 }
-                 done();
-               });
+    port_.stop(
+        TargetOf(host->second), order.name,
+        [weak = weak_from_this(), order,
+         done = std::move(done)](CallOutcome outcome) {
+          const auto self = weak.lock();
+          if (!self || self->closed_) {
+            return;
+          }
+          telemetry::Log(
+              telemetry::Level::kInfo, "run stopped",
+              {{"task", internal::Describe(order.name)},
+               {"attempt", std::to_string(order.name.attempt)},
+               {"host", order.host.value},
+               {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
+          if (outcome == CallOutcome::kFenced) {
+            self->listener_.on_fenced(order.host);
+            return;
+          }
+          if (outcome == CallOutcome::kDone) {
+            scheduler::OnStopConfirmed(self->state_, order.host, order.name,
+                                       core::MonotonicNow());
+          }
+          done();
+        });
   });
 }
 
@@ -353,26 +351,26 @@
       done();
       return;
     }
-    port_.pace(TargetOf(host->second), order.name, order.percent,
-               [weak = weak_from_this(), order,
-                done = std::move(done)](CallOutcome outcome) {
-                 const auto self = weak.lock();
-                 if (!self || self->closed_) {
-                   return;
-                 }
-                 telemetry::Log(
-                     telemetry::Level::kInfo, "run paced",
-                     {{"task", internal::Describe(order.name)},
-                      {"percent", std::to_string(order.percent)},
-                      {"host", order.host.value},
-                      {"confirmed",
-                       outcome == CallOutcome::kDone ? "yes" : "no"}});
-                 if (outcome == CallOutcome::kFenced) {
-                   self->listener_.on_fenced(order.host);
-                   return;
-                 }
-                 done();
-               });
+    port_.pace(
+        TargetOf(host->second), order.name, order.percent,
+        [weak = weak_from_this(), order,
+         done = std::move(done)](CallOutcome outcome) {
+          const auto self = weak.lock();
+          if (!self || self->closed_) {
+            return;
+          }
+          telemetry::Log(
+              telemetry::Level::kInfo, "run paced",
+              {{"task", internal::Describe(order.name)},
+               {"percent", std::to_string(order.percent)},
+               {"host", order.host.value},
+               {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
+          if (outcome == CallOutcome::kFenced) {
+            self->listener_.on_fenced(order.host);
+            return;
+          }
+          done();
+        });
   });
 }
 
@@ -399,9 +397,9 @@
     ++listed;
     reachable += now < host.last_report + internal::kReachableFor ? 1U : 0U;
   }
-  return listed == 0 ? 0.0
-                     : static_cast<double>(reachable) /
-                           static_cast<double>(listed);
+  return listed == 0
+             ? 0.0
+             : static_cast<double>(reachable) / static_cast<double>(listed);
 }
 
 }  // namespace camphormux::coordinator
--- a/src/camphormux/coordinator/meters.cpp
+++ b/src/camphormux/coordinator/meters.cpp
@@ -14,9 +14,9 @@
   meters.refused =
       &AddCounter(registry, "camphormux_jobs_refused_total",
                   "Jobs refused because their queue is too far behind.");
-  meters.unavailable = &AddCounter(
-      registry, "camphormux_requests_unavailable_total",
-      "Requests refused because no node could decide about them.");
+  meters.unavailable =
+      &AddCounter(registry, "camphormux_requests_unavailable_total",
+                  "Requests refused because no node could decide about them.");
   meters.unanswered =
       &AddCounter(registry, "camphormux_requests_unanswered_total",
                   "Submissions whose fate was not known at their deadline.");
@@ -37,9 +37,9 @@
   meters.start_seconds =
       &AddLatencyHistogram(registry, "camphormux_run_start_seconds",
                            "From an order to start to its answer.");
-  meters.takeover_seconds = &AddLatencyHistogram(
-      registry, "camphormux_takeover_seconds",
-      "From becoming the holder to the first decisions.");
+  meters.takeover_seconds =
+      &AddLatencyHistogram(registry, "camphormux_takeover_seconds",
+                           "From becoming the holder to the first decisions.");
   return meters;
 }
 
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -28,18 +28,18 @@
       registry_(std::make_shared<prometheus::Registry>()),
       meters_(MakeMeters(*registry_)),
       relay_(loop, settings_.peer.ip),
-      server_(loop, settings_.peer,
-              [this](const peer::Request& request,
-                     const peer::Respond& respond) {
-                if (request.path == kForwardPath) {
-                  ports_.serve_forwarded(
-                      request.body, [respond](std::string result) {
-                        respond({peer::kStatusOk, std::move(result)});
-                      });
-                  return;
-                }
-                AnswerRelay(holder_, request, respond);
-              }),
+      server_(
+          loop, settings_.peer,
+          [this](const peer::Request& request, const peer::Respond& respond) {
+            if (request.path == kForwardPath) {
+              ports_.serve_forwarded(
+                  request.body, [respond](std::string result) {
+                    respond({peer::kStatusOk, std::move(result)});
+                  });
+              return;
+            }
+            AnswerRelay(holder_, request, respond);
+          }),
       watch_(loop) {
   election_ = std::make_shared<Election>(
       loop, ports_.election,
@@ -98,11 +98,11 @@
   telemetry::Log(telemetry::Level::kInfo, "ownership gained",
                  {{"token", std::to_string(token.value)}});
   relay_.SetHolder(std::nullopt);
-  holder_ = std::make_shared<Holder>(
-      loop_, settings_.scheduler, ports_, token, meters_, [this] {
-        DropHolder();
-        election_->Rejoin();
-      });
+  holder_ = std::make_shared<Holder>(loop_, settings_.scheduler, ports_, token,
+                                     meters_, [this] {
+                                       DropHolder();
+                                       election_->Rejoin();
+                                     });
   holder_->Start(*catalog_);
   for (const auto& [id, wave] : waves_) {
     holder_->OnWave(wave);
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -34,7 +34,6 @@
   Node(asio::io_context& loop, NodeSettings settings, Ports ports,
        Neighbours& neighbours);
 
-
   void Start();
   /// @brief Gives the ownership up and stops to be ready; goes on serving.
   void Leave();
--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -29,11 +29,10 @@
   const auto longest_lease = settings::ReadDuration(
       reader, "runs", "longest_lease", seconds(1), minutes(10), seconds(10));
   settings.lease = std::min(settings.lease, longest_lease);
-  settings.early = settings::ReadDuration(reader, "runs", "early",
-                                          milliseconds(0), minutes(1),
-                                          settings.early);
-  settings.remote_factor = settings::ReadReal(
-      reader, "runs", "remote_factor", 1.0, kMaxRemoteFactor, 1.0);
+  settings.early = settings::ReadDuration(
+      reader, "runs", "early", milliseconds(0), minutes(1), settings.early);
+  settings.remote_factor = settings::ReadReal(reader, "runs", "remote_factor",
+                                              1.0, kMaxRemoteFactor, 1.0);
   settings.status_kept =
       settings::ReadDuration(reader, "runs", "status_kept", seconds(1),
                              minutes(60), settings.status_kept);
--- a/src/camphormux/coordinator/node_settings.hpp
+++ b/src/camphormux/coordinator/node_settings.hpp
@@ -22,7 +22,7 @@
   core::Address metrics;
   core::Address store;
   core::Address cloud;
-  core::Address advice;  ///< Empty if there is none.
+  core::Address advice;      ///< Empty if there is none.
   core::Millis grace{6000};  ///< From SIGTERM to the end of the process.
   scheduler::Settings scheduler;
   telemetry::Level log_level = telemetry::Level::kInfo;
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -76,8 +76,7 @@
   /// Gives up membership and ownership at once.
   std::function<void(std::function<void()>)> leave;
   /// Finds the addresses of the nodes; nothing if there was no answer.
-  std::function<void(std::function<void(std::optional<Members>)>)>
-      find_members;
+  std::function<void(std::function<void(std::optional<Members>)>)> find_members;
 };
 
 /// @brief Where a call to a host goes and whom it must reach.
@@ -100,7 +99,7 @@
 /// @brief A renewal of a host's lease and a question for its lists.
 struct RenewCall {
   HostTarget target;
-  scheduler::EndNumber acknowledged;  ///< Ends up to it are stored.
+  scheduler::EndNumber acknowledged;         ///< Ends up to it are stored.
   std::optional<std::int64_t> lease_end_ms;  ///< On the host's clock.
   core::Millis wait{0};  ///< The host may wait this long for an end.
 };
@@ -130,22 +129,21 @@
 
 /// @brief Calls to hosts.
 struct HostPort {
-  std::function<void(const StartCall&, std::function<void(StartAnswer)>)>
-      start;
+  std::function<void(const StartCall&, std::function<void(StartAnswer)>)> start;
   std::function<void(const HostTarget&, const scheduler::RunName&,
                      std::function<void(CallOutcome)>)>
       stop;
   std::function<void(const HostTarget&, const scheduler::RunName&, int percent,
                      std::function<void(CallOutcome)>)>
       pace;
-  std::function<void(const RenewCall&, std::function<void(RenewAnswer)>)>
-      renew;
+  std::function<void(const RenewCall&, std::function<void(RenewAnswer)>)> renew;
 };
 
 /// @brief Calls to the cloud that owns the machines.
 struct CloudPort {
   std::function<void(
-      std::function<void(std::optional<std::vector<scheduler::MachineListing>>)>)>
+      std::function<void(
+          std::optional<std::vector<scheduler::MachineListing>>)>)>
       list;
   std::function<void(const scheduler::MoveMachine&, core::Epoch token,
                      std::function<void(scheduler::MachineOutcome)>)>
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -110,7 +110,8 @@
     if (job == state_.jobs.end()) {
       continue;
     }
-    const workload::Progress progress = scheduler::ProgressOf(state_, job->second);
+    const workload::Progress progress =
+        scheduler::ProgressOf(state_, job->second);
     add(std::string(kProgressKey) + id.value,
         workload::EncodeProgress(progress));
     if (workload::IsFinal(progress.state)) {
--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -68,8 +68,8 @@
 /// Scheme, address and port of a URL.
 std::string Origin(const std::string& url) {
   const std::size_t host = url.find("://");
-  return url.substr(0, host == std::string::npos ? host
-                                                 : url.find('/', host + 3));
+  return url.substr(0,
+                    host == std::string::npos ? host : url.find('/', host + 3));
 }
 
 ClientFailure ToFailure(const Transfer& transfer, CURLcode code) {
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -25,8 +25,9 @@
 constexpr std::size_t kMovesPerLook = 8;
 
 struct PoolBalance {
-  std::int64_t missing_cores = 0;  ///< In millicores; what is on its way is off.
-  std::vector<Machine*> idle;      ///< Machines that could leave at once.
+  std::int64_t missing_cores =
+      0;                       ///< In millicores; what is on its way is off.
+  std::vector<Machine*> idle;  ///< Machines that could leave at once.
   std::int64_t usable = 0;
 };
 
--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -96,13 +96,13 @@
   kStarted,
   kNoRoom,
   kOldAttempt,
-  kTooLate,     ///< Its lease was over when it arrived.
-  kFenced,      ///< The host obeys a newer holder.
+  kTooLate,  ///< Its lease was over when it arrived.
+  kFenced,   ///< The host obeys a newer holder.
   kNoTicket,
-  kOtherLife,   ///< The host has restarted.
-  kUnhealthy,   ///< The host refused and did nothing.
+  kOtherLife,  ///< The host has restarted.
+  kUnhealthy,  ///< The host refused and did nothing.
   kBadRequest,
-  kNoAnswer,    ///< May have been carried out, or may be later.
+  kNoAnswer,  ///< May have been carried out, or may be later.
 };
 
 // Orders: what the owner of the state has to send.
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -31,8 +31,7 @@
     if (host->second.listing.incarnation != placed.incarnation) {
       continue;  // It ended with that life of the host.
     }
-    Run& run =
-        AddRun(state, job, task, placed.attempt, host->second, now);
+    Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
   }
 }
@@ -65,8 +64,8 @@
   job.priority = queue->priority;
   job.max_failures = std::max(1U, queue->max_failures);
   if (!job.permanent && job.spec.occurrences == 0) {
-    const auto path = static_cast<double>(
-        workload::CriticalPath(job.spec, {}).count());
+    const auto path =
+        static_cast<double>(workload::CriticalPath(job.spec, {}).count());
     job.objective =
         core::Millis(static_cast<std::int64_t>(path * queue->stretch)) +
         queue->latency_target;
@@ -95,8 +94,7 @@
   if (known != state.jobs.end()) {
     return {known->second.saved ? Admission::kAccepted : Admission::kStoring};
   }
-  const workload::Queue* queue =
-      workload::FindQueue(state.catalog, spec.queue);
+  const workload::Queue* queue = workload::FindQueue(state.catalog, spec.queue);
   if (queue == nullptr) {
     return {Admission::kNoQueue};
   }
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -10,10 +10,10 @@
 namespace camphormux::scheduler {
 
 enum class Admission {
-  kAccepted,   ///< Stored; runs.
-  kStoring,    ///< Taken, not yet stored; answer once it is saved.
+  kAccepted,  ///< Stored; runs.
+  kStoring,   ///< Taken, not yet stored; answer once it is saved.
   kNoQueue,
-  kRefused,    ///< Cannot be served in useful time.
+  kRefused,  ///< Cannot be served in useful time.
 };
 
 /// @brief Answer to a submission.
@@ -63,8 +63,7 @@
                                       const workload::QueueName& queue);
 
 /// @return What is to be stored of a job.
-[[nodiscard]] workload::Progress ProgressOf(const State& state,
-                                            const Job& job);
+[[nodiscard]] workload::Progress ProgressOf(const State& state, const Job& job);
 
 /// @brief Records that a job's progress was stored.
 /// @param state The state.
--- a/src/camphormux/scheduler/pacing.cpp
+++ b/src/camphormux/scheduler/pacing.cpp
@@ -21,9 +21,9 @@
     const Run& run = state.runs.at(id);
     if (run.latency_target.count() > 0 && !run.fills_idle &&
         run.phase == RunPhase::kRunning) {
-      worst = std::max(worst,
-                       static_cast<double>(run.load) /
-                           static_cast<double>(run.latency_target.count()));
+      worst =
+          std::max(worst, static_cast<double>(run.load) /
+                              static_cast<double>(run.latency_target.count()));
     }
   }
   return worst;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -60,10 +60,9 @@
 }
 
 std::size_t ServingRuns(const State& state, const Host& host) {
-  return static_cast<std::size_t>(
-      std::count_if(host.runs.begin(), host.runs.end(), [&](RunId id) {
-        return state.runs.at(id).latency_target.count() > 0;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      host.runs.begin(), host.runs.end(),
+      [&](RunId id) { return state.runs.at(id).latency_target.count() > 0; }));
 }
 
 /// Racks on which runs of a colocated step already are.
@@ -131,9 +130,9 @@
 
 bool WaitsForData(const State& state, const Job& job,
                   const workload::Step& step, core::MonotonicTime now) {
-  const auto remote = core::Millis(static_cast<std::int64_t>(
-      static_cast<double>(step.estimate.count()) *
-      state.settings.remote_factor));
+  const auto remote = core::Millis(
+      static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) *
+                                state.settings.remote_factor));
   return job.objective.count() > 0 &&
          now + remote > job.submitted + job.objective &&
          now < job.submitted + kDataRackPatience;
@@ -160,9 +159,9 @@
     if (task.progress.done || !task.runs.empty()) {
       continue;
     }
-    Host* host = full ? nullptr
-                      : ChooseHost(state, job, place, task, hosts, rack,
-                                   must_match);
+    Host* host =
+        full ? nullptr
+             : ChooseHost(state, job, place, task, hosts, rack, must_match);
     if (host == nullptr) {
       full = true;  // Tasks of a step are alike.
       unplaced += Need(step).cores;
@@ -264,9 +263,8 @@
       continue;
     }
     std::vector<Host*> others = hosts;
-    std::erase_if(others, [&](const Host* host) {
-      return host->listing.id == run.host;
-    });
+    std::erase_if(
+        others, [&](const Host* host) { return host->listing.id == run.host; });
     const internal::StepPlace place{run.name.place.occurrence,
                                     run.name.place.step,
                                     i - run.name.place.index};
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -48,9 +48,9 @@
     if (found == state.jobs.end() || !found->second.final_saved) {
       continue;
     }
-    const bool runs_left = std::any_of(
-        found->second.tasks.begin(), found->second.tasks.end(),
-        [](const Task& task) { return !task.runs.empty(); });
+    const bool runs_left =
+        std::any_of(found->second.tasks.begin(), found->second.tasks.end(),
+                    [](const Task& task) { return !task.runs.empty(); });
     if (!runs_left) {
       state.jobs.erase(found);
     }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -156,8 +156,7 @@
     const auto position = workload::PositionOf(job.spec, listed.name.place);
     if (position) {
       Task& task = job.tasks[*position];
-      const bool may_copy =
-          job.spec.steps[listed.name.place.step].speculative;
+      const bool may_copy = job.spec.steps[listed.name.place.step].speculative;
       if (!task.progress.done && (task.runs.empty() || may_copy)) {
         task.progress.next_attempt =
             std::max(task.progress.next_attempt, listed.name.attempt + 1);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -110,7 +110,7 @@
   core::MonotonicTime lease_end;
   core::MonotonicTime last_report;
   std::optional<core::MonotonicTime> silent_since;
-  core::MonotonicTime busy_until;   ///< No starts before: it refused one.
+  core::MonotonicTime busy_until;  ///< No starts before: it refused one.
   core::MonotonicTime idle_since;
   std::set<core::JobId> failed_jobs;  ///< Since its last success.
   core::MonotonicTime quarantined_until;
@@ -156,7 +156,7 @@
   RunId next_run{1};
   std::map<MachineId, Machine> machines;
   std::map<WaveId, Wave> waves;
-  std::set<core::JobId> unsaved;  ///< Jobs whose progress is to be written.
+  std::set<core::JobId> unsaved;   ///< Jobs whose progress is to be written.
   std::vector<core::JobId> ended;  ///< Final jobs of which a run has ended.
   std::vector<Order> orders;       ///< To be sent; the owner empties it.
   core::MonotonicTime took_over;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -50,8 +50,7 @@
     }
     const Job& job = state.jobs.at(run.name.job);
     const workload::Step& step = job.spec.steps[run.name.place.step];
-    const std::uint32_t budget =
-        std::max(1U, step.max_unavailable.value_or(1));
+    const std::uint32_t budget = std::max(1U, step.max_unavailable.value_or(1));
     if (within_budget && AwayTasks(state, job, run) >= budget) {
       continue;
     }
@@ -79,9 +78,8 @@
     return {0, 0};
   }
   const auto permanent = static_cast<std::size_t>(
-      std::count_if(host->runs.begin(), host->runs.end(), [&](RunId id) {
-        return state.runs.at(id).permanent;
-      }));
+      std::count_if(host->runs.begin(), host->runs.end(),
+                    [&](RunId id) { return state.runs.at(id).permanent; }));
   return {permanent, host->runs.size()};
 }
 
@@ -123,9 +121,8 @@
     };
     return key(a) < key(b);
   });
-  const std::size_t room = wave.request.max_down > down
-                               ? wave.request.max_down - down
-                               : 0;
+  const std::size_t room =
+      wave.request.max_down > down ? wave.request.max_down - down : 0;
   std::size_t ordered = 0;
   std::size_t chosen = 0;
   for (const auto& [machine, host] : waiting) {
@@ -172,8 +169,7 @@
       continue;
     }
     machine.listing = listing;
-    if (listing.pool == machine.target &&
-        state.hosts.contains(listing.host)) {
+    if (listing.pool == machine.target && state.hosts.contains(listing.host)) {
       machine.target.value.clear();
     }
   }
@@ -197,9 +193,8 @@
   }
 }
 
-void OnMachineAnswer(State& state, const MachineId& machine,
-                     const WaveId* wave, MachineOutcome outcome,
-                     core::MonotonicTime now) {
+void OnMachineAnswer(State& state, const MachineId& machine, const WaveId* wave,
+                     MachineOutcome outcome, core::MonotonicTime now) {
   const auto found = state.machines.find(machine);
   if (found == state.machines.end()) {
     return;
@@ -240,8 +235,7 @@
   }
 }
 
-void PlanUpkeep(State& state, const PoolViews& views,
-                core::MonotonicTime now) {
+void PlanUpkeep(State& state, const PoolViews& views, core::MonotonicTime now) {
   if (!state.machines_known ||
       now < state.took_over + state.settings.machine_lease) {
     return;
--- a/src/camphormux/scheduler/upkeep.hpp
+++ b/src/camphormux/scheduler/upkeep.hpp
@@ -26,9 +26,8 @@
 };
 
 /// @brief Takes the answer to a machine order into account.
-void OnMachineAnswer(State& state, const MachineId& machine,
-                     const WaveId* wave, MachineOutcome outcome,
-                     core::MonotonicTime now);
+void OnMachineAnswer(State& state, const MachineId& machine, const WaveId* wave,
+                     MachineOutcome outcome, core::MonotonicTime now);
 
 /// @brief Orders the upkeep of machines of open waves: empty hosts first, at
 /// most as many at once as the wave allows. Hosts that are next take no new
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -26,10 +26,10 @@
 
 /// Share of a job's work that is left.
 double RemainingWork(const Job& job) {
-  return job.tasks.empty() ? 0.0
-                           : job.core_seconds *
-                                 static_cast<double>(job.open_tasks) /
-                                 static_cast<double>(job.tasks.size());
+  return job.tasks.empty()
+             ? 0.0
+             : job.core_seconds * static_cast<double>(job.open_tasks) /
+                   static_cast<double>(job.tasks.size());
 }
 
 }  // namespace internal
@@ -89,8 +89,8 @@
   if (cores <= 0) {
     return std::nullopt;
   }
-  const auto wait = core::Millis(static_cast<std::int64_t>(
-      backlog / cores * internal::kMillisPerSecond));
+  const auto wait = core::Millis(
+      static_cast<std::int64_t>(backlog / cores * internal::kMillisPerSecond));
   const core::Millis useful =
       job.objective * kLateFactor - workload::CriticalPath(job.spec, {});
   if (wait <= useful) {
--- /dev/null
+++ b/src/camphormux/telemetry/line_budget.hpp
@@ -0,0 +1,49 @@
+#ifndef CAMPHORMUX_TELEMETRY_LINE_BUDGET_HPP_
+#define CAMPHORMUX_TELEMETRY_LINE_BUDGET_HPP_
+
+#include <cstdint>
+
+#include "camphormux/core/time.hpp"
+
+namespace camphormux::telemetry {
+
+/// Ordinary lines that a process writes in a second. Twice what the busiest
+/// node wrote; at 250 bytes a line it bounds the volume to 150 kB a second.
+inline constexpr std::uint32_t kMaxLinesPerSecond = 600;
+
+/// @brief Counts ordinary log lines in windows of one second.
+struct LineBudget {
+  core::MonotonicTime window;  ///< Start of the present window.
+  std::uint32_t written = 0;
+  std::uint64_t suppressed = 0;  ///< Since the last report.
+};
+
+/// @brief What to do with a line.
+struct LineDecision {
+  bool write = true;
+  std::uint64_t report_suppressed = 0;  ///< Lines to report as left out first.
+};
+
+/// @brief Decides about an ordinary line.
+/// @param budget The budget; updated.
+/// @param now The time.
+[[nodiscard]] inline LineDecision Spend(LineBudget& budget,
+                                        core::MonotonicTime now) {
+  constexpr core::Millis kWindow{1000};
+  LineDecision decision;
+  if (now >= budget.window + kWindow) {
+    decision.report_suppressed = budget.suppressed;
+    budget = LineBudget{now};
+  }
+  if (budget.written >= kMaxLinesPerSecond) {
+    ++budget.suppressed;
+    decision.write = false;
+    return decision;
+  }
+  ++budget.written;
+  return decision;
+}
+
+}  // namespace camphormux::telemetry
+
+#endif  // CAMPHORMUX_TELEMETRY_LINE_BUDGET_HPP_
--- a/src/camphormux/telemetry/log.cpp
+++ b/src/camphormux/telemetry/log.cpp
@@ -1,16 +1,40 @@
 #include "camphormux/telemetry/log.hpp"
 
 #include <memory>
+#include <mutex>
 
+#include <fcntl.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
+#include <unistd.h>
+
+#include "camphormux/telemetry/line_budget.hpp"
 
 namespace camphormux::telemetry {
 namespace internal {
 
+/// Takes a line off the budget and reports what was left out before.
+bool MayWrite(Level level) {
+  static std::mutex mutex;
+  static LineBudget budget;
+  if (level == Level::kWarning || level == Level::kError) {
+    return true;
+  }
+  LineDecision decision;
+  {
+    const std::lock_guard lock(mutex);
+    decision = Spend(budget, core::MonotonicNow());
+  }
+  if (decision.report_suppressed > 0) {
+    Log(Level::kWarning, "log lines left out",
+        {{"lines", std::to_string(decision.report_suppressed)}});
+  }
+  return decision.write;
+}
+
 log4cxx::LevelPtr ToLog4cxx(Level level) {
   switch (level) {
     case Level::kDebug:
@@ -27,12 +51,16 @@
 
 }  // namespace internal
 
-void ConfigureLog(const std::string& process, Level lowest,
-                  LogStream stream) {
+void ConfigureLog(const std::string& process, Level lowest, LogStream stream) {
   const auto layout = std::make_shared<log4cxx::JSONLayout>();
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
       layout, stream == LogStream::kError ? LOG4CXX_STR("System.err")
                                           : LOG4CXX_STR("System.out"));
+  if (stream == LogStream::kOutput) {
+    // A reader that does not keep up costs lines, not time.
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
@@ -44,7 +72,7 @@
          std::initializer_list<Field> fields) {
   const auto logger = log4cxx::Logger::getRootLogger();
   const auto severity = internal::ToLog4cxx(level);
-  if (!logger->isEnabledFor(severity)) {
+  if (!logger->isEnabledFor(severity) || !internal::MayWrite(level)) {
     return;
   }
   for (const Field& field : fields) {
--- a/src/camphormux/workload/codec.cpp
+++ b/src/camphormux/workload/codec.cpp
@@ -41,12 +41,12 @@
   for (const std::uint32_t before : step.after) {
     after.push_back(before);
   }
-  return json::array(
-      {step.count, step.size.cores.value, step.size.memory.value,
-       step.size.accelerators.value, step.estimate.count(), std::move(after),
-       Flags(step), step.required_label, step.data_rack.value,
-       step.max_per_host, step.image, step.latency_target.count(),
-       step.max_unavailable ? *step.max_unavailable + 1 : 0});
+  return json::array({step.count, step.size.cores.value, step.size.memory.value,
+                      step.size.accelerators.value, step.estimate.count(),
+                      std::move(after), Flags(step), step.required_label,
+                      step.data_rack.value, step.max_per_host, step.image,
+                      step.latency_target.count(),
+                      step.max_unavailable ? *step.max_unavailable + 1 : 0});
 }
 
 Step StepFrom(const json& value, bool& ok) {
@@ -99,8 +99,8 @@
   }
   json runs = json::array();
   for (const PlacedRun& run : task.runs) {
-    runs.push_back(json::array(
-        {run.host.value, run.incarnation.value, run.attempt}));
+    runs.push_back(
+        json::array({run.host.value, run.incarnation.value, run.attempt}));
   }
   return json::array({position, task.done ? 1 : 0, task.next_attempt,
                       std::move(failed), task.checkpoint, std::move(runs)});
@@ -149,10 +149,10 @@
   for (const Step& step : spec.steps) {
     steps.push_back(internal::ToJson(step));
   }
-  return cbor::Serialize(json::array(
-      {spec.id.value, spec.queue.value, spec.payload, std::move(steps),
-       spec.occurrences, internal::Millis(spec.first_run),
-       spec.interval.count()}));
+  return cbor::Serialize(
+      json::array({spec.id.value, spec.queue.value, spec.payload,
+                   std::move(steps), spec.occurrences,
+                   internal::Millis(spec.first_run), spec.interval.count()}));
 }
 
 std::optional<JobSpec> DecodeSpec(std::string_view data) {
@@ -188,10 +188,10 @@
       tasks.push_back(internal::ToJson(i, progress.tasks[i]));
     }
   }
-  return cbor::Serialize(json::array(
-      {static_cast<int>(progress.state), progress.queue.value,
-       internal::Millis(progress.accepted), internal::Millis(progress.ended),
-       std::move(tasks)}));
+  return cbor::Serialize(
+      json::array({static_cast<int>(progress.state), progress.queue.value,
+                   internal::Millis(progress.accepted),
+                   internal::Millis(progress.ended), std::move(tasks)}));
 }
 
 std::optional<Progress> DecodeProgress(std::string_view data) {
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -27,15 +27,15 @@
   /// Indices of earlier steps that must be complete first.
   std::vector<std::uint32_t> after;
   bool checkpoints = false;
-  bool gang = false;       ///< All tasks run at the same time or not at all.
-  bool colocated = false;  ///< Slower if its tasks are on several racks.
+  bool gang = false;         ///< All tasks run at the same time or not at all.
+  bool colocated = false;    ///< Slower if its tasks are on several racks.
   bool speculative = false;  ///< Copies of a task may run at the same time.
   bool permanent = false;    ///< Runs until the job is cancelled.
   /// Its tasks use the cores that others on the host leave idle; their own
   /// cores are not reserved.
   bool fills_idle = false;
-  std::string required_label;  ///< Empty: any host.
-  core::RackName data_rack;    ///< Slower elsewhere; empty: no preference.
+  std::string required_label;      ///< Empty: any host.
+  core::RackName data_rack;        ///< Slower elsewhere; empty: no preference.
   std::uint32_t max_per_host = 0;  ///< 0: no limit.
   std::string image;
   core::Millis latency_target{0};  ///< Of a serving task; 0: none.
--- /dev/null
+++ b/test/platform/decode_test.cpp
@@ -0,0 +1,117 @@
+#include "platform/decode.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace camphormux::platform {
+namespace {
+
+constexpr const char* kId = "5c0e7a21d94b36f8";
+
+std::string WrongField(const std::string& body) {
+  const auto decoded = DecodeJob(kId, {"q"}, body);
+  const auto* problem = std::get_if<workload::FieldProblem>(&decoded);
+  return problem == nullptr ? "" : problem->field;
+}
+
+// Guards against a property of a step that does not reach the scheduler.
+TEST(DecodeTest, AJobKeepsAllItsProperties) {
+  const auto decoded =
+      DecodeJob(kId, {"q"},
+                R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,
+      "estRuntimeMs":900,"affinity":"r1-3","speculative":true},
+      {"count":5,"cpu":2000,"after":[0],"longRunning":true,"antiAffinity":1,
+      "mayMiss":1,"targetMs":40,"image":"i","fills":true,
+      "requiredLabel":"a","gang":true,"colocated":true,
+      "checkpointing":true}]})");
+  const auto* spec = std::get_if<workload::JobSpec>(&decoded);
+  ASSERT_NE(spec, nullptr);
+  EXPECT_EQ(spec->steps[0].data_rack.value, "r1-3");
+  EXPECT_TRUE(spec->steps[0].speculative);
+  const workload::Step& second = spec->steps[1];
+  EXPECT_EQ(second.after, std::vector<std::uint32_t>{0});
+  EXPECT_TRUE(second.permanent && second.fills_idle && second.gang &&
+              second.colocated && second.checkpoints);
+  EXPECT_EQ(second.max_unavailable, 1U);
+  EXPECT_EQ(second.max_per_host, 1U);
+  EXPECT_EQ(second.latency_target, core::Millis(40));
+}
+
+// Guards against malformed jobs that are stored, and against answers that do
+// not say what is wrong.
+TEST(DecodeTest, AMalformedJobIsRejectedWithItsField) {
+  EXPECT_EQ(WrongField("nonsense"), "body");
+  EXPECT_EQ(WrongField(R"({"spec":"x"})"), "steps");
+  EXPECT_EQ(WrongField(R"({"spec":5,"steps":[{"count":1}]})"), "spec");
+  EXPECT_EQ(WrongField(R"({"steps":[{"count":0}]})"), "steps[0].count");
+  EXPECT_EQ(WrongField(R"({"steps":[{"count":"many"}]})"), "steps[0].count");
+  EXPECT_EQ(WrongField(R"({"steps":[{"count":1,"cpu":-5}]})"), "steps[0].cpu");
+  EXPECT_EQ(WrongField(R"({"steps":[{"count":1,"after":[0]}]})"),
+            "steps[0].after");
+  EXPECT_EQ(WrongField(R"({"steps":[{"count":1,"gang":"yes"}]})"),
+            "steps[0].gang");
+}
+
+// Guards against runners that broken entries of other writers name.
+TEST(DecodeTest, AnEntryThatIsNotWholeNamesNoRunner) {
+  const std::string valid =
+      R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",
+      "state":"ready","capacity":{"cpu":16000,"memMb":32768,"gpu":0},
+      "labels":["a","r1-3"],"born":1700000000123,"future":[1]})";
+  const auto listing = DecodeRunner("i-1", valid);
+  ASSERT_TRUE(listing);
+  EXPECT_EQ(listing->incarnation.value, 1'700'000'000'123U);
+  EXPECT_EQ(listing->rack.value, "r1-3");
+  EXPECT_FALSE(DecodeRunner("i-1", "\xff\x00garbage"));
+  EXPECT_FALSE(DecodeRunner("i-1", R"({"service":"s","state":"ready"})"));
+  EXPECT_FALSE(DecodeRunner(
+      "i-1", R"({"service":"s","address":"10.0.0.1:1","state":"asleep",
+      "capacity":{"cpu":1}})"));
+  EXPECT_FALSE(DecodeRunner(
+      "i-1", R"({"service":7,"address":"10.0.0.1:1","state":"ready",
+      "capacity":{"cpu":1}})"));
+}
+
+TEST(DecodeTest, ReadsTheListsOfARunner) {
+  const auto body = ParseObject(
+      R"({"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ab",41,7],["x",1,"",0]],
+      "finished":[[58,"5c0e7a21d94b36f8.3.1.9",1,"broken","c"],[59,"x",1,"?"]]})");
+  const auto running = DecodeRunning(*body);
+  ASSERT_EQ(running.size(), 1U);
+  EXPECT_EQ(running[0].name.place, (workload::TaskPlace{0, 1, 17}));
+  EXPECT_EQ(running[0].percent, 41);
+  EXPECT_EQ(running[0].load, 7);
+  const auto ended = DecodeEnded(*body);
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(ended[0].number.value, 58U);
+  EXPECT_EQ(ended[0].kind, scheduler::EndKind::kBroken);
+  EXPECT_EQ(TaskName(ended[0].name), "5c0e7a21d94b36f8.3.1.9");
+}
+
+// Guards against offsets that run away from the log when a record of another
+// writer cannot be read.
+TEST(DecodeTest, AnUnreadableRecordStillTakesAnOffset) {
+  std::string data(16, '\0');
+  AppendRecord(data, "config", "value");
+  data += std::string("\0\0\0\1\x09", 5);  // Its key is cut off.
+  AppendRecord(data, "gone", std::nullopt);
+  const auto part = DecodeLogPart(data);
+  ASSERT_TRUE(part);
+  ASSERT_EQ(part->records.size(), 3U);
+  EXPECT_EQ(part->records[0].value, "value");
+  EXPECT_FALSE(part->records[1].value);
+  EXPECT_EQ(part->records[2].key, "gone");
+}
+
+RC_GTEST_PROP(DecodePropertyTest, NoDecoderThrows, (const std::string& bytes)) {
+  (void)DecodeCatalog(bytes);
+  (void)DecodeWave(bytes);
+  (void)DecodeRunner("i-1", bytes);
+  (void)DecodeMachines(bytes);
+  (void)DecodeJob(kId, {"q"}, bytes);
+  (void)DecodeLogPart(bytes);
+  (void)DecodeNewest(bytes);
+}
+
+}  // namespace
+}  // namespace camphormux::platform
--- /dev/null
+++ b/test/platform/store_standin.cpp
@@ -0,0 +1,124 @@
+#include "test/platform/store_standin.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/decode.hpp"
+
+namespace camphormux::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kPage = 500;
+
+std::string Base64(const std::string& bytes) {
+  static constexpr std::string_view kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  std::uint32_t bits = 0;
+  unsigned count = 0;
+  for (const char byte : bytes) {
+    bits = (bits << 8U) | static_cast<std::uint8_t>(byte);
+    count += 8;
+    while (count >= 6) {
+      count -= 6;
+      text.push_back(kDigits[(bits >> count) & 63U]);
+    }
+  }
+  if (count > 0) {
+    text.push_back(kDigits[(bits << (6 - count)) & 63U]);
+  }
+  while (text.size() % 4 != 0) {
+    text.push_back('=');
+  }
+  return text;
+}
+
+http::ServerResponse Answer(int status, const json& body) {
+  http::ServerResponse response;
+  response.status = status;
+  response.body = body.dump();
+  return response;
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(asio::io_context& loop, std::uint16_t port)
+    : server_(loop, {"127.0.0.1", port},
+              [this](const http::ServerRequest& request,
+                     const http::Respond& respond) {
+                if (turns_away) {
+                  respond(Answer(503, json::object()));
+                  return;
+                }
+                http::ServerResponse response =
+                    request.path == "/-/log-append" ? Append(request)
+                    : request.path == "/-/log-newest"
+                        ? Newest(request)
+                        : Answer(200, json::object());
+                if (loses_answers) {
+                  unanswered_.push_back(respond);
+                } else {
+                  respond(std::move(response));
+                }
+              }) {}
+
+http::ServerResponse StoreStandin::Append(const http::ServerRequest& request) {
+  const auto producer = request.query.find("producer");
+  if (producer != request.query.end()) {
+    Producer& known = producers_[producer->second];
+    const std::uint64_t epoch = std::stoull(request.query.at("epoch"));
+    const std::uint64_t sequence = std::stoull(request.query.at("sequence"));
+    if (epoch < known.epoch) {
+      return Answer(409, {{"reason", "fenced"}});
+    }
+    if (epoch > known.epoch) {
+      known = {epoch, std::nullopt};
+    }
+    if (request.body.empty()) {
+      return Answer(200, {{"offset", 0}, {"end", 0}});
+    }
+    if (known.sequence && sequence <= *known.sequence) {
+      return Answer(200, {{"offset", 0}, {"end", 0}});  // A repeat.
+    }
+    if (known.sequence && sequence != *known.sequence + 1) {
+      return Answer(409, {{"reason", "seq"}});
+    }
+    known.sequence = sequence;
+  }
+  ++appends;
+  const auto part =
+      DecodeLogPart(std::string(16, '\0') + request.body);  // Without offsets.
+  for (const KeyedRecord& record : part->records) {
+    auto& topic = newest[request.query.at("topic")];
+    if (record.value) {
+      topic[record.key] = *record.value;
+    } else {
+      topic.erase(record.key);
+    }
+  }
+  return Answer(200, {{"offset", 0}, {"end", 0}});
+}
+
+http::ServerResponse StoreStandin::Newest(
+    const http::ServerRequest& request) const {
+  json items = json::array();
+  const auto after = request.query.find("after");
+  bool more = false;
+  const auto topic = newest.find(request.query.at("topic"));
+  if (topic != newest.end()) {
+    for (const auto& [key, value] : topic->second) {
+      if (after != request.query.end() && key <= after->second) {
+        continue;
+      }
+      if (items.size() == kPage) {
+        more = true;
+        break;
+      }
+      items.push_back({{"key", key}, {"value", Base64(value)}, {"offset", 0}});
+    }
+  }
+  return Answer(200, {{"items", items}, {"hasMore", more}, {"end", 0}});
+}
+
+}  // namespace camphormux::platform
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -69,8 +69,7 @@
 }
 
 AdmissionResult Fleet::Submit(const workload::JobSpec& spec) {
-  const AdmissionResult result =
-      scheduler::Submit(state, spec, now, wall);
+  const AdmissionResult result = scheduler::Submit(state, spec, now, wall);
   ConfirmSubmission(state, spec.id);
   return result;
 }
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -30,8 +30,7 @@
 // Guards against work that is thrown away because the list was away.
 TEST(HostsTest, AMissingEntryIsNotGoneBeforeTheListIsTrusted) {
   Fleet fleet = SmallFleet();
-  ApplyListings(fleet.state, {}, fleet.now,
-                fleet.now + core::Millis(2500));
+  ApplyListings(fleet.state, {}, fleet.now, fleet.now + core::Millis(2500));
   CheckHosts(fleet.state, fleet.now + core::Millis(2000));
   EXPECT_EQ(fleet.state.hosts.size(), 2U);
   ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
--- a/test/scheduler/urgency_test.cpp
+++ b/test/scheduler/urgency_test.cpp
@@ -41,9 +41,9 @@
   fleet.AddHosts("pool", 1);
   fleet.AddHosts("rich", 10);
   for (std::uint64_t i = 1; i < 30; ++i) {
-    EXPECT_NE(fleet.Submit(MakeJob(i, "q", 4, 16, core::Millis(1000)))
-                  .admission,
-              Admission::kRefused);
+    EXPECT_NE(
+        fleet.Submit(MakeJob(i, "q", 4, 16, core::Millis(1000))).admission,
+        Admission::kRefused);
   }
 }
 
