--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -25,10 +25,7 @@
 }  // namespace internal
 
 Election::Election(asio::io_context& loop, ElectionPort port, Listener listener)
-    : loop_(loop),
-      timer_(loop),
-      port_(std::move(port)),
-      listener_(std::move(listener)) {}
+    : timer_(loop), port_(std::move(port)), listener_(std::move(listener)) {}
 
 void Election::Start() { Join(); }
 
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -50,7 +50,6 @@
                 const std::optional<MembershipAnswer>& answer);
   void FindMembers();
 
-  asio::io_context& loop_;
   asio::steady_timer timer_;
   ElectionPort port_;
   Listener listener_;
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/scheduler/balance.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <vector>
 
@@ -24,11 +25,16 @@
 /// Moves of one look; the cloud's limit of calls is far above.
 constexpr std::size_t kMovesPerLook = 8;
 
+/// Time constant of the arriving work: half of a move's duration, so that hosts
+/// are ordered in the first half second of a surge.
+constexpr double kInflowMillis = 700;
+constexpr double kMillisPerSecond = 1000;
+constexpr double kMilliCoresPerCore = 1000;
+
 struct PoolBalance {
   std::int64_t missing_cores =
       0;                       ///< In millicores; what is on its way is off.
   std::vector<Machine*> idle;  ///< Machines that could leave at once.
-  std::int64_t usable = 0;
 };
 
 bool IsStandby(const State& state, const core::PoolName& pool) {
@@ -61,8 +67,14 @@
                                               core::MonotonicTime now) {
   std::map<core::PoolName, PoolBalance> pools;
   for (const auto& [pool, view] : views) {
-    pools[pool].missing_cores += view.unplaced.value;
-    pools[pool].usable += static_cast<std::int64_t>(view.usable.size());
+    std::int64_t capacity = 0;
+    for (const Host* host : view.usable) {
+      capacity += host->listing.capacity.cores.value;
+    }
+    const auto arriving = static_cast<std::int64_t>(InflowOf(state, pool, now) *
+                                                    kMilliCoresPerCore);
+    pools[pool].missing_cores +=
+        std::max(view.unplaced.value, arriving - capacity);
   }
   for (auto& [id, machine] : state.machines) {
     if (!machine.target.value.empty()) {
@@ -173,6 +185,27 @@
 
 }  // namespace internal
 
+double InflowOf(const State& state, const core::PoolName& pool,
+                core::MonotonicTime now) {
+  const auto found = state.inflows.find(pool);
+  if (found == state.inflows.end()) {
+    return 0;
+  }
+  const auto age = static_cast<double>((now - found->second.updated).count());
+  return found->second.cores * std::exp(-age / internal::kInflowMillis);
+}
+
+void NoteArrival(State& state, const Job& job, core::MonotonicTime now) {
+  if (job.permanent || job.spec.occurrences > 0) {
+    return;
+  }
+  const double cores = InflowOf(state, job.pool, now);
+  state.inflows[job.pool] = {cores + job.core_seconds *
+                                         internal::kMillisPerSecond /
+                                         internal::kInflowMillis,
+                             now};
+}
+
 void PlanMoves(State& state, const PoolViews& views, core::MonotonicTime now) {
   if (!state.machines_known || now < state.next_balance ||
       now < state.took_over + state.settings.machine_lease) {
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/scheduler/balance.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
@@ -106,6 +107,7 @@
     return {Admission::kRefused, *wait};
   }
   const core::JobId id = job.spec.id;
+  NoteArrival(state, job, now);
   state.jobs.emplace(id, std::move(job));
   ++state.counters.accepted;
   return {Admission::kStoring};
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -133,6 +133,12 @@
   bool complete = false;
 };
 
+/// @brief Work that arrives at a pool, as an exponentially weighted average.
+struct Inflow {
+  double cores = 0;  ///< Core seconds a second.
+  core::MonotonicTime updated;
+};
+
 struct Counters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -164,6 +170,7 @@
   core::MonotonicTime last_listing;
   core::MonotonicTime next_balance;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
+  std::map<core::PoolName, Inflow> inflows;
   Counters counters;
 };
 
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -101,6 +101,7 @@
 TEST(StoreTest, AllPagesAreLoaded) {
   World world;
   std::vector<StoreRecord> records;
+  records.reserve(1201);
   for (int i = 0; i < 1200; ++i) {
     records.push_back({"p/" + std::to_string(i), std::string(i % 7, '\x80')});
   }
--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/hosts.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
@@ -32,6 +33,29 @@
   EXPECT_EQ(fleet.state.jobs.count(MakeJob(1, "p", 1, 1, {}).id), 1U);
 }
 
+// Guards against a surge whose first jobs wait until the pool is full: hosts
+// are ordered as soon as more work arrives than the pool's hosts do.
+TEST(BalanceTest, HostsAreOrderedBeforeThePoolIsFull) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 4);
+  fleet.AddHosts("spare", 8);
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    (void)fleet.Submit(MakeJob(i, "q", 1, 10, core::Millis(2000)));
+    fleet.Advance(core::Millis(10));
+  }
+  std::int64_t free = 0;
+  for (const auto& [id, host] : fleet.state.hosts) {
+    free += host.listing.pool.value == "pool" ? FreeRoom(host).cores.value : 0;
+  }
+  EXPECT_GT(free, 0);
+  EXPECT_GT(MovesTo(fleet, "pool"), 0U);
+  EXPECT_GT(InflowOf(fleet.state, {"pool"}, fleet.now), 256.0);
+  EXPECT_LT(InflowOf(fleet.state, {"pool"}, fleet.now + core::Millis(5000)),
+            1.0);
+}
+
 // Guards against hosts that cost money although nobody needs them.
 TEST(BalanceTest, IdleHostsGoToTheStandbyPool) {
   Fleet fleet;
