--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -502,8 +502,12 @@
   if (stopped_) {
     return;
   }
+  const auto known = state_.machines.find(machine);
+  const bool listed = known != state_.machines.end();
   telemetry::Log(telemetry::Level::kInfo, "machine ordered",
                  {{"machine", machine.value},
+                  {"from", listed ? known->second.listing.pool.value : ""},
+                  {"to", listed ? known->second.target.value : ""},
                   {"wave", wave == nullptr ? "" : std::to_string(wave->value)},
                   {"token", std::to_string(token_.value)},
                   {"outcome", std::to_string(static_cast<int>(outcome))}});
