Keep the holder of a large fleet responsive

Cause: on the grown Tazi deployment a node of 0.12 of a core became the holder; its passes of decisions (each 8 ms, all jobs against all hosts, waves sorted with the effort worked out in each comparison) kept it from joining, so that the ownership moved every few seconds. Passes now rest for three times their duration, a pool's largest room is known, paths and efforts are worked out once, and nodes below a fifth of a core join only without a holder.

--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -11,6 +11,10 @@
 /// A quarter of the time to live, so that a lost call does not cost ownership.
 constexpr core::Millis kJoinPause{375};
 constexpr core::Millis kSoon{30};
+/// A node that does not join looks for the holder in these steps.
+constexpr core::Millis kLookPause{1000};
+/// Without a holder for this long, twice a takeover, any node will do.
+constexpr core::Millis kReluctance{4000};
 /// Least time between two questions for the holder's address.
 constexpr core::Millis kFindPause{200};
 
@@ -24,10 +28,17 @@
 
 }  // namespace internal
 
-Election::Election(asio::io_context& loop, ElectionPort port, Listener listener)
-    : timer_(loop), port_(std::move(port)), listener_(std::move(listener)) {}
+Election::Election(asio::io_context& loop, ElectionPort port, Listener listener,
+                   bool reluctant)
+    : timer_(loop),
+      port_(std::move(port)),
+      listener_(std::move(listener)),
+      reluctant_(reluctant) {}
 
-void Election::Start() { Join(); }
+void Election::Start() {
+  last_holder_ = core::MonotonicNow();
+  Join();
+}
 
 void Election::Close() {
   closed_ = true;
@@ -59,6 +70,11 @@
     return;
   }
   next_join_ = core::MonotonicTime{};
+  if (StandsBack()) {
+    FindMembers();
+    Schedule(internal::kLookPause);
+    return;
+  }
   joining_ = true;
   port_.join([weak = weak_from_this(), sent = internal::BootTime()](
                  const std::optional<MembershipAnswer>& answer) {
@@ -105,6 +121,16 @@
   }
 }
 
+bool Election::StandsBack() {
+  if (reluctant_ &&
+      core::MonotonicNow() >= last_holder_ + internal::kReluctance) {
+    reluctant_ = false;
+    telemetry::Log(telemetry::Level::kWarning,
+                   "no larger node holds the ownership; joining");
+  }
+  return reluctant_;
+}
+
 void Election::FindMembers() {
   const core::MonotonicTime now = core::MonotonicNow();
   if (finding_ || now < last_find_ + internal::kFindPause) {
@@ -132,6 +158,7 @@
         }
         if (address && !self->held_) {
           self->holder_ = address;
+          self->last_holder_ = core::MonotonicNow();
         }
       });
 }
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -24,7 +24,13 @@
     std::function<void(const std::vector<core::Address>&)> on_members;
   };
 
-  Election(asio::io_context& loop, ElectionPort port, Listener listener);
+  /// @param loop Event loop; outlives the election.
+  /// @param port The store's group.
+  /// @param listener Told of changes.
+  /// @param reluctant This node is too small to be the holder of a large fleet:
+  /// it joins only when there has been no holder for a while.
+  Election(asio::io_context& loop, ElectionPort port, Listener listener,
+           bool reluctant = false);
 
   void Start();
   /// @brief Asks again soon, as the holder does not answer.
@@ -49,6 +55,8 @@
   void OnJoined(std::chrono::nanoseconds sent,
                 const std::optional<MembershipAnswer>& answer);
   void FindMembers();
+  /// Whether this node leaves the ownership to others for now.
+  [[nodiscard]] bool StandsBack();
 
   asio::steady_timer timer_;
   ElectionPort port_;
@@ -58,6 +66,8 @@
   std::chrono::nanoseconds confirmed_{0};  ///< On the clock since boot.
   core::MonotonicTime last_find_;
   core::MonotonicTime next_join_;
+  core::MonotonicTime last_holder_;  ///< When a holder was last known.
+  bool reluctant_ = false;
   bool joining_ = false;
   bool finding_ = false;
   bool held_ = false;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -18,6 +18,9 @@
 
 /// Decisions are taken together for events of this span.
 constexpr core::Millis kPlanPause{8};
+/// A pass of decisions is followed by this multiple of its duration for other
+/// work, so that a large fleet does not keep a small host from its calls.
+constexpr int kPlanRest = 3;
 /// Deadlines are looked at in these steps.
 constexpr core::Millis kTick{100};
 constexpr core::Millis kLoadRetry{150};
@@ -375,8 +378,8 @@
     return;
   }
   plan_scheduled_ = true;
-  plan_timer_.expires_at(std::max(core::MonotonicNow() + core::Millis(1),
-                                  last_plan_ + internal::kPlanPause));
+  plan_timer_.expires_at(
+      std::max(core::MonotonicNow() + core::Millis(1), next_plan_));
   plan_timer_.async_wait(
       [weak = weak_from_this()](const asio::error_code& error) {
         const auto self = weak.lock();
@@ -389,11 +392,14 @@
 
 void Holder::Plan() {
   const core::MonotonicTime now = core::MonotonicNow();
-  last_plan_ = now;
   scheduler::Plan(state_, now, core::WallNow());
   Dispatch();
   links_->Pump(now);
   saver_->Trigger();
+  const core::MonotonicTime end = core::MonotonicNow();
+  const core::Millis pause =
+      std::max(internal::kPlanPause, (end - now) * internal::kPlanRest);
+  next_plan_ = end + pause;
 }
 
 void Holder::Tick() {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -109,7 +109,7 @@
   std::multimap<core::JobId, std::function<void(std::optional<bool>)>> cancels_;
   std::vector<scheduler::WaveRequest> early_waves_;
   core::MonotonicTime begun_;
-  core::MonotonicTime last_plan_;
+  core::MonotonicTime next_plan_;
   core::MonotonicTime last_machine_poll_;
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -14,6 +14,8 @@
 constexpr core::Millis kPingTimeout{600};
 /// Without a holder for this long, callers are better served elsewhere.
 constexpr core::Millis kReadyFor{2500};
+/// A holder of 50 hosts and 60 jobs a second needs up to a fifth of a core.
+constexpr double kHolderShare = 0.2;
 /// A holder that the store no longer confirms goes on while it reaches more
 /// than this share of the hosts: no other node can then have them.
 constexpr double kMajority = 0.5;
@@ -47,7 +49,8 @@
                          [this] { OnLoss(); },
                          [&neighbours](const auto& members) {
                            neighbours.SetMembers(members);
-                         }});
+                         }},
+      settings_.processor_share < internal::kHolderShare);
   front_ = std::make_shared<Front>(loop, relay_, meters_, [this] {
     if (!holder_) {
       election_->Refresh();
--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr double kMaxRemoteFactor = 100.0;
+constexpr double kMaxCores = 1024.0;
 
 void ReadAddresses(settings::Reader& reader, NodeSettings& settings) {
   settings.callers = settings::ReadAddress(reader, "listen", "callers");
@@ -53,6 +54,8 @@
   settings.grace =
       settings::ReadDuration(reader, "process", "grace", internal::seconds(1),
                              internal::minutes(10), settings.grace);
+  settings.processor_share = settings::ReadReal(
+      reader, "process", "processor_share", 0.0, internal::kMaxCores, 1.0);
   internal::ReadAddresses(reader, settings);
   internal::ReadScheduler(reader, settings.scheduler);
   const std::size_t level = settings::ReadWord(
--- a/src/camphormux/coordinator/node_settings.hpp
+++ b/src/camphormux/coordinator/node_settings.hpp
@@ -22,8 +22,9 @@
   core::Address metrics;
   core::Address store;
   core::Address cloud;
-  core::Address advice;      ///< Empty if there is none.
-  core::Millis grace{6000};  ///< From SIGTERM to the end of the process.
+  core::Address advice;          ///< Empty if there is none.
+  double processor_share = 1.0;  ///< Of a core.
+  core::Millis grace{6000};      ///< From SIGTERM to the end of the process.
   scheduler::Settings scheduler;
   telemetry::Level log_level = telemetry::Level::kInfo;
 };
--- a/src/camphormux/scheduler/balance.hpp
+++ b/src/camphormux/scheduler/balance.hpp
@@ -15,7 +15,8 @@
                               core::MonotonicTime now);
 
 /// @brief Moves machines without runs between pools: to pools whose ready
-/// tasks find no room or where more work arrives than their hosts do, and to the standby pool when their pool has been idle.
+/// tasks find no room or where more work arrives than their hosts do, and to
+/// the standby pool when their pool has been idle.
 void PlanMoves(State& state, const PoolViews& views, core::MonotonicTime now);
 
 }  // namespace camphormux::scheduler
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -42,6 +42,16 @@
                      [](const workload::Step& step) { return step.permanent; });
 }
 
+/// Estimates what is left of the job's longest chain of steps. Occurrences of a
+/// scheduled job have due times instead.
+void UpdateRemainingPath(Job& job) {
+  std::vector<bool> complete(job.spec.steps.size());
+  for (std::size_t i = 0; i < complete.size(); ++i) {
+    complete[i] = job.open_in_step[i] == 0;
+  }
+  job.remaining_path = workload::CriticalPath(job.spec, complete);
+}
+
 void CountOpenTasks(Job& job) {
   const std::size_t steps = job.spec.steps.size();
   job.open_in_step.assign(steps * std::max(1U, job.spec.occurrences), 0);
@@ -53,6 +63,7 @@
       ++job.open_tasks;
     }
   }
+  UpdateRemainingPath(job);
 }
 
 /// Takes over the queue's policy. A queue that the catalog no longer has keeps
@@ -282,8 +293,13 @@
       RequestStop(state, state.runs.at(run));
     }
   }
-  --job.open_in_step[place.occurrence * job.spec.steps.size() + place.step];
+  const std::size_t step =
+      place.occurrence * job.spec.steps.size() + place.step;
+  --job.open_in_step[step];
   --job.open_tasks;
+  if (job.open_in_step[step] == 0) {
+    internal::UpdateRemainingPath(job);
+  }
   state.unsaved.insert(job.spec.id);
   if (job.open_tasks == 0) {
     EndJob(state, job, workload::JobState::kSucceeded, wall);
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -138,6 +138,19 @@
          now < job.submitted + kDataRackPatience;
 }
 
+/// Cores of the tasks of a step that wait for room.
+core::MilliCores WaitingCores(const Job& job, const StepPlace& place) {
+  const workload::Step& step = job.spec.steps[place.step];
+  core::MilliCores waiting;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    const Task& task = job.tasks[place.first + i];
+    if (!task.progress.done && task.runs.empty()) {
+      waiting += Need(step).cores;
+    }
+  }
+  return waiting;
+}
+
 /// Places the tasks of a step one by one.
 core::MilliCores PlaceSingles(State& state, Job& job, const StepPlace& place,
                               const std::vector<Host*>& hosts,
@@ -220,9 +233,17 @@
 
 }  // namespace internal
 
-core::MilliCores PlaceJob(State& state, Job& job,
-                          const std::vector<Host*>& hosts,
+void MeasureRoom(Candidates& candidates) {
+  candidates.largest_room = {};
+  for (const Host* host : candidates.hosts) {
+    candidates.largest_room =
+        placement::Largest(candidates.largest_room, FreeRoom(*host));
+  }
+}
+
+core::MilliCores PlaceJob(State& state, Job& job, Candidates& hosts,
                           core::MonotonicTime now, core::WallTime wall) {
+  const std::uint64_t started = state.counters.started;
   core::MilliCores unplaced;
   if (!job.saved || workload::IsFinal(job.state)) {
     return unplaced;
@@ -236,11 +257,20 @@
       if (!IsStepReady(state, job, k, s, wall)) {
         continue;
       }
-      unplaced += job.spec.steps[s].gang
-                      ? internal::PlaceGang(state, job, place, hosts, now)
-                      : internal::PlaceSingles(state, job, place, hosts, now);
+      const workload::Step& step = job.spec.steps[s];
+      if (!placement::Fits(internal::Need(step), hosts.largest_room)) {
+        unplaced += internal::WaitingCores(job, place);
+        continue;
+      }
+      unplaced +=
+          step.gang
+              ? internal::PlaceGang(state, job, place, hosts.hosts, now)
+              : internal::PlaceSingles(state, job, place, hosts.hosts, now);
     }
   }
+  if (state.counters.started != started) {
+    MeasureRoom(hosts);
+  }
   return unplaced;
 }
 
--- a/src/camphormux/scheduler/placing.hpp
+++ b/src/camphormux/scheduler/placing.hpp
@@ -7,6 +7,16 @@
 
 namespace camphormux::scheduler {
 
+/// @brief Hosts that may get runs.
+struct Candidates {
+  std::vector<Host*> hosts;
+  /// At least the room of each of them, for each resource by itself.
+  placement::Resources largest_room;
+};
+
+/// @brief Measures the largest room again after runs were placed.
+void MeasureRoom(Candidates& candidates);
+
 /// @brief Starts all tasks of a job that are ready and find room.
 /// @param state The state; gets the orders.
 /// @param job The job.
@@ -14,8 +24,7 @@
 /// @param now Monotonic time.
 /// @param wall Wall-clock time.
 /// @return Cores of ready tasks that found no room.
-core::MilliCores PlaceJob(State& state, Job& job,
-                          const std::vector<Host*>& hosts,
+core::MilliCores PlaceJob(State& state, Job& job, Candidates& hosts,
                           core::MonotonicTime now, core::WallTime wall);
 
 /// @brief Starts copies of speculative tasks that take much longer than
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -66,8 +66,10 @@
   PoolViews views = internal::MakeViews(state, now);
   for (auto& [pool, jobs] : internal::RankJobs(state, now)) {
     PoolView& view = views[pool];
+    Candidates candidates{view.usable, {}};
+    MeasureRoom(candidates);
     for (const auto& [rank, job] : jobs) {
-      view.unplaced += PlaceJob(state, *job, view.usable, now, wall);
+      view.unplaced += PlaceJob(state, *job, candidates, now, wall);
     }
     if (view.unplaced.value > 0) {
       state.last_pending[pool] = now;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -80,6 +80,7 @@
   core::MonotonicTime submitted;
   core::Millis objective{0};  ///< From submission; 0: permanent or scheduled.
   double core_seconds = 0;
+  core::Millis remaining_path{0};  ///< Of the steps that are not complete.
   bool permanent = false;
   bool saved = false;        ///< The submission lies in the store.
   bool final_saved = false;  ///< The final state lies in the store.
@@ -169,6 +170,7 @@
   bool machines_known = false;
   core::MonotonicTime last_listing;
   core::MonotonicTime next_balance;
+  core::MonotonicTime next_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
   std::map<core::PoolName, Inflow> inflows;
   Counters counters;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -16,6 +16,9 @@
 /// the next one is empty when a machine returns.
 constexpr std::size_t kEmptiedAhead = 2;
 
+/// Time between two looks at the waves; a small part of an upkeep.
+constexpr core::Millis kUpkeepPause{50};
+
 /// Tasks of a step that are not at work; those being stopped count.
 std::uint32_t AwayTasks(const State& state, const Job& job, const Run& run) {
   const workload::Step& step = job.spec.steps[run.name.place.step];
@@ -83,6 +86,13 @@
   return {permanent, host->runs.size()};
 }
 
+/// A machine that waits for its upkeep, with its place in the order.
+struct Candidate {
+  std::tuple<bool, std::tuple<std::size_t, std::size_t>, MachineId> key;
+  Machine* machine = nullptr;
+  Host* host = nullptr;
+};
+
 void CompleteWave(State& state, Wave& wave) {
   const bool complete = std::all_of(
       wave.request.machines.begin(), wave.request.machines.end(),
@@ -98,7 +108,7 @@
 void WorkOnWave(State& state, Wave& wave, const PoolViews& views,
                 core::MonotonicTime now) {
   std::size_t down = 0;
-  std::vector<std::pair<Machine*, Host*>> waiting;
+  std::vector<Candidate> waiting;
   for (const MachineId& id : wave.request.machines) {
     const auto found = state.machines.find(id);
     if (found == state.machines.end()) {
@@ -109,23 +119,20 @@
       ++down;
     } else if (!wave.begun.contains(id) &&
                machine.listing.state == MachineState::kUp) {
-      waiting.emplace_back(&machine, HostOf(state, machine));
+      Host* host = HostOf(state, machine);
+      // Hosts that were chosen before stay chosen.
+      const bool chosen = host != nullptr && host->reserved;
+      waiting.push_back({{!chosen, Effort(state, host), id}, &machine, host});
     }
   }
-  std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
-    // Hosts that were chosen before stay chosen.
-    const auto key = [&](const std::pair<Machine*, Host*>& entry) {
-      const bool chosen = entry.second != nullptr && entry.second->reserved;
-      return std::make_tuple(!chosen, Effort(state, entry.second),
-                             entry.first->listing.id);
-    };
-    return key(a) < key(b);
-  });
+  std::sort(
+      waiting.begin(), waiting.end(),
+      [](const Candidate& a, const Candidate& b) { return a.key < b.key; });
   const std::size_t room =
       wave.request.max_down > down ? wave.request.max_down - down : 0;
   std::size_t ordered = 0;
   std::size_t chosen = 0;
-  for (const auto& [machine, host] : waiting) {
+  for (const auto& [key, machine, host] : waiting) {
     if (chosen >= room + kEmptiedAhead) {
       break;
     }
@@ -236,10 +243,11 @@
 }
 
 void PlanUpkeep(State& state, const PoolViews& views, core::MonotonicTime now) {
-  if (!state.machines_known ||
+  if (!state.machines_known || now < state.next_upkeep ||
       now < state.took_over + state.settings.machine_lease) {
     return;
   }
+  state.next_upkeep = now + internal::kUpkeepPause;
   for (auto& [id, wave] : state.waves) {
     if (!wave.complete && !wave.request.machines.empty()) {
       internal::WorkOnWave(state, wave, views, now);
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -16,14 +16,6 @@
 /// run time, which is often wrong by half.
 constexpr core::Millis kRescueMargin{1500};
 
-std::vector<bool> CompleteSteps(const Job& job) {
-  std::vector<bool> complete(job.spec.steps.size());
-  for (std::size_t i = 0; i < complete.size(); ++i) {
-    complete[i] = job.open_in_step[i] == 0;
-  }
-  return complete;
-}
-
 /// Share of a job's work that is left.
 double RemainingWork(const Job& job) {
   return job.tasks.empty()
@@ -38,8 +30,7 @@
   if (job.permanent || job.spec.occurrences > 0) {
     return Urgency::kPermanent;
   }
-  const core::MonotonicTime end =
-      now + workload::CriticalPath(job.spec, internal::CompleteSteps(job));
+  const core::MonotonicTime end = now + job.remaining_path;
   if (end <= job.submitted + job.objective) {
     return Urgency::kOnTime;
   }
--- a/test/coordinator/election_test.cpp
+++ b/test/coordinator/election_test.cpp
@@ -81,6 +81,33 @@
   EXPECT_FALSE(world.election->is_confirmed());
 }
 
+// Guards against a small node that becomes the holder of a large fleet, and
+// against a fleet of small nodes that has no holder at all.
+TEST(ElectionTest, AReluctantNodeJoinsOnlyWithoutAHolder) {
+  World world;
+  ElectionPort port;
+  int joins = 0;
+  port.join = [&](auto done) {
+    ++joins;
+    done(MembershipAnswer{{1}, false});
+  };
+  std::optional<Members> members =
+      Members{core::Address{"10.0.0.1", 1}, {{"10.0.0.1", 1}}};
+  port.find_members = [&](auto done) { done(members); };
+  const auto election = std::make_shared<Election>(
+      world.loop, port,
+      Election::Listener{[](core::Epoch) {}, [] {},
+                         [](const std::vector<core::Address>&) {}},
+      true);
+  election->Start();
+  world.RunFor(std::chrono::milliseconds(2500));
+  EXPECT_EQ(joins, 0);
+  EXPECT_TRUE(election->holder());
+  members = Members{};
+  world.RunFor(std::chrono::milliseconds(5500));
+  EXPECT_GT(joins, 0);
+}
+
 // Guards against a leaving node that takes the ownership again.
 TEST(ElectionTest, ANodeThatLeftDoesNotJoinAgain) {
   World world;
