Forget stored runs that ended with their host

Nodes were restarted every 1.5 s, and each new holder waited anew for the lease of a host that was gone (the task was away from 11 s to 53 s).

--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -259,6 +259,9 @@
     internal::KeepCheckpoint(job->second, run.task, run.checkpoint);
     if (workload::IsFinal(job->second.state)) {
       state.ended.push_back(run.name.job);
+    } else {
+      // A later holder would wait for a run that is stored.
+      state.unsaved.insert(run.name.job);
     }
   }
   state.runs.erase(found);
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/plan.hpp"
 #include "test/scheduler/fleet.hpp"
@@ -121,6 +122,22 @@
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
 }
 
+// Guards against a task that waits again after each takeover for a run that
+// ended with its host: seen on a fleet whose nodes were restarted in turn.
+TEST(RunsTest, TheStoreForgetsARunThatEndedWithItsHost) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  fleet.state.unsaved.clear();
+  LoseHost(fleet.state, OnlyRun(fleet).host, fleet.now);
+  EXPECT_TRUE(fleet.state.unsaved.contains(spec.id));
+  const workload::Progress stored =
+      ProgressOf(fleet.state, fleet.state.jobs.at(spec.id));
+  EXPECT_TRUE(stored.tasks.at(0).runs.empty());
+}
+
 // Guards against a host that hangs: its task is replaced.
 TEST(RunsTest, ARunWithoutProgressIsReplaced) {
   Fleet fleet = SmallFleet();
