--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -52,6 +52,7 @@
   void Stop();
 
   void Submit(workload::JobSpec spec, std::function<void(SubmitAnswer)> done);
+  /// @param id The job.
   /// @param done Told whether the job is known once its end is stored;
   /// nothing if that is not certain.
   void Cancel(const core::JobId& id,
