Let hosts follow the forecast of the arriving work

Hosts that were moved away were added again while the list of hosts still named them, counted as idle ones and were asked for nothing.

Change: need is the forecast of the inflow (average and trend, one move ahead) or what runs and waits; a donor keeps its own need; ended lives of a host are forgotten until the list drops them; a line a second on the load of each pool.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/coordinator/holder.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -8,6 +9,7 @@
 #include "camphormux/cbor/cbor.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/plan.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "camphormux/telemetry/log.hpp"
@@ -28,6 +30,8 @@
 /// and otherwise.
 constexpr core::Millis kBusyMachinePoll{700};
 constexpr core::Millis kIdleMachinePoll{3000};
+/// Time between two lines on the load of the pools.
+constexpr core::Millis kLoadReport{1000};
 /// Pause before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetry{400};
 
@@ -408,6 +412,7 @@
     saver_->Drop(id);
   }
   meters_.open_jobs->Set(static_cast<double>(state_.jobs.size()));
+  ReportLoads(now);
   PollMachines(now);
   SchedulePlan();
   tick_timer_.expires_after(internal::kTick);
@@ -420,6 +425,26 @@
       });
 }
 
+void Holder::ReportLoads(core::MonotonicTime now) {
+  if (now < last_load_report_ + internal::kLoadReport) {
+    return;
+  }
+  last_load_report_ = now;
+  for (const auto& [pool, load] : scheduler::MeasureLoads(state_, now)) {
+    telemetry::Log(telemetry::Level::kInfo, "pool load",
+                   {{"pool", pool.value},
+                    {"hosts", std::to_string(load.hosts)},
+                    {"idle_hosts", std::to_string(load.idle_hosts)},
+                    {"millicores", std::to_string(load.capacity.value)},
+                    {"permanent", std::to_string(load.permanent.value)},
+                    {"urgent", std::to_string(load.urgent.value)},
+                    {"waiting", std::to_string(load.waiting.value)},
+                    {"open_jobs", std::to_string(load.open_jobs)},
+                    {"late_jobs", std::to_string(load.late_jobs)},
+                    {"inflow", std::to_string(std::lround(load.inflow))}});
+  }
+}
+
 void Holder::Dispatch() {
   const std::vector<scheduler::Order> orders = std::exchange(state_.orders, {});
   for (const scheduler::Order& order : orders) {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -82,6 +82,7 @@
   void SchedulePlan();
   void Plan();
   void Tick();
+  void ReportLoads(core::MonotonicTime now);
   void Dispatch();
   void Send(const scheduler::MoveMachine& order);
   void Send(const scheduler::UpkeepMachine& order);
@@ -112,6 +113,7 @@
   core::MonotonicTime begun_;
   core::MonotonicTime next_plan_;
   core::MonotonicTime last_machine_poll_;
+  core::MonotonicTime last_load_report_;
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
   bool hosts_known_ = false;
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -1,10 +1,10 @@
 #include "camphormux/scheduler/balance.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <vector>
 
+#include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 
@@ -13,8 +13,6 @@
 
 /// Time between two looks at the balance; a fraction of a move's duration.
 constexpr core::Millis kBalancePause{100};
-/// A pool gives hosts away when none of its tasks has waited for this long.
-constexpr core::Millis kCalm{1000};
 /// An idle host is worth keeping this long, the price of a move and the move
 /// back that its next surge would need.
 constexpr core::Millis kIdleKept{2500};
@@ -25,16 +23,16 @@
 /// Moves of one look; the cloud's limit of calls is far above.
 constexpr std::size_t kMovesPerLook = 8;
 
-/// Time constant of the arriving work: half of a move's duration, so that hosts
-/// are ordered in the first half second of a surge.
-constexpr double kInflowMillis = 700;
-constexpr double kMillisPerSecond = 1000;
 constexpr double kMilliCoresPerCore = 1000;
 
+/// What a pool has and needs, in millicores.
 struct PoolBalance {
-  std::int64_t missing_cores =
-      0;                       ///< In millicores; what is on its way is off.
+  std::int64_t capacity = 0;  ///< With what is on its way.
+  /// For what runs, what can still be on time and what is about to arrive.
+  std::int64_t urgent_need = 0;
+  std::int64_t need = 0;       ///< With what is late already.
   std::vector<Machine*> idle;  ///< Machines that could leave at once.
+  bool standby = false;
 };
 
 bool IsStandby(const State& state, const core::PoolName& pool) {
@@ -62,29 +60,64 @@
          !host->second.listing.draining && !host->second.silent_since;
 }
 
+/// Adds the machines that are on their way to a pool. A host that has joined
+/// while the list of machines does not name it yet is one of them.
+void CountMoving(State& state, std::map<core::PoolName, PoolBalance>& pools,
+                 core::MonotonicTime now) {
+  std::set<core::HostId> linked;
+  for (const auto& [id, machine] : state.machines) {
+    linked.insert(machine.listing.host);
+  }
+  std::map<core::PoolName, std::int64_t> joined;
+  for (const auto& [id, host] : state.hosts) {
+    if (host.listed && !linked.contains(id)) {
+      joined[host.listing.pool] += host.listing.capacity.cores.value;
+    }
+  }
+  std::map<core::PoolName, std::int64_t> moving;
+  for (auto& [id, machine] : state.machines) {
+    if (machine.target.value.empty()) {
+      continue;
+    }
+    if (now >= machine.ordered + kMoveTimeout) {
+      machine.target.value.clear();
+    } else {
+      moving[machine.target] += machine.listing.capacity.cores.value;
+    }
+  }
+  for (const auto& [pool, cores] : moving) {
+    pools[pool].capacity += std::max<std::int64_t>(0, cores - joined[pool]);
+  }
+}
+
 std::map<core::PoolName, PoolBalance> Measure(State& state,
                                               const PoolViews& views,
                                               core::MonotonicTime now) {
   std::map<core::PoolName, PoolBalance> pools;
+  for (const auto& [pool, policy] : state.catalog.pools) {
+    pools[pool].standby = policy.standby;
+  }
   for (const auto& [pool, view] : views) {
-    std::int64_t capacity = 0;
+    PoolBalance& balance = pools[pool];
+    std::int64_t taken = 0;
+    std::int64_t permanent = 0;
     for (const Host* host : view.usable) {
-      capacity += host->listing.capacity.cores.value;
+      balance.capacity += host->listing.capacity.cores.value;
+      taken += host->committed.cores.value;
+      for (const RunId id : host->runs) {
+        const Run& run = state.runs.at(id);
+        permanent += run.permanent ? run.reserved.cores.value : 0;
+      }
     }
-    const auto arriving = static_cast<std::int64_t>(InflowOf(state, pool, now) *
-                                                    kMilliCoresPerCore);
-    pools[pool].missing_cores +=
-        std::max(view.unplaced.value, arriving - capacity);
+    const auto arriving = static_cast<std::int64_t>(
+        ForecastInflow(state, pool, now) * kMilliCoresPerCore);
+    balance.urgent_need =
+        std::max(taken + view.unplaced.value - view.unplaced_late.value,
+                 permanent + arriving);
+    balance.need = std::max(balance.urgent_need, taken + view.unplaced.value);
   }
+  CountMoving(state, pools, now);
   for (auto& [id, machine] : state.machines) {
-    if (!machine.target.value.empty()) {
-      if (now >= machine.ordered + kMoveTimeout) {
-        machine.target.value.clear();
-      } else {
-        pools[machine.target].missing_cores -=
-            machine.listing.capacity.cores.value;
-      }
-    }
     if (CanMove(state, machine)) {
       pools[machine.listing.pool].idle.push_back(&machine);
     }
@@ -105,24 +138,23 @@
 }
 
 /// Takes an idle machine from the pool that can best spare one: a standby pool
-/// first, then calm pools with most idle hosts.
-Machine* TakeIdle(const State& state,
-                  std::map<core::PoolName, PoolBalance>& pools,
-                  const core::PoolName& except, core::MonotonicTime now) {
+/// first, then the pool with most idle hosts beyond its own need.
+Machine* TakeIdle(std::map<core::PoolName, PoolBalance>& pools,
+                  const core::PoolName& except) {
   PoolBalance* best = nullptr;
-  bool best_standby = false;
   for (auto& [pool, balance] : pools) {
-    const bool standby = IsStandby(state, pool);
-    const std::size_t kept = standby ? 0 : kWarmHosts;
-    if (pool == except || balance.idle.size() <= kept ||
-        balance.missing_cores > 0 ||
-        (!standby && !IsCalm(state, pool, now, kCalm))) {
+    if (pool == except || balance.idle.empty()) {
+      continue;
+    }
+    const std::int64_t size =
+        balance.idle.back()->listing.capacity.cores.value;
+    if (!balance.standby && balance.capacity - size < balance.urgent_need) {
       continue;
     }
-    if (best == nullptr || (standby && !best_standby) ||
-        (standby == best_standby && balance.idle.size() > best->idle.size())) {
+    if (best == nullptr || (balance.standby && !best->standby) ||
+        (balance.standby == best->standby &&
+         balance.idle.size() > best->idle.size())) {
       best = &balance;
-      best_standby = standby;
     }
   }
   if (best == nullptr) {
@@ -130,23 +162,28 @@
   }
   Machine* machine = best->idle.back();
   best->idle.pop_back();
+  best->capacity -= machine->listing.capacity.cores.value;
   return machine;
 }
 
+/// Moves machines to pools that have less than they need, in turn.
 void FillPools(State& state, std::map<core::PoolName, PoolBalance>& pools,
-               core::MonotonicTime now) {
+               std::int64_t PoolBalance::*need, core::MonotonicTime now) {
   std::size_t moves = 0;
-  for (auto& [pool, balance] : pools) {
-    if (IsStandby(state, pool)) {
-      continue;
-    }
-    while (balance.missing_cores > 0 && moves < kMovesPerLook) {
-      Machine* machine = TakeIdle(state, pools, pool, now);
+  bool moved = true;
+  while (moved && moves < kMovesPerLook) {
+    moved = false;
+    for (auto& [pool, balance] : pools) {
+      if (balance.standby || balance.*need <= balance.capacity) {
+        continue;
+      }
+      Machine* machine = TakeIdle(pools, pool);
       if (machine == nullptr) {
-        return;
+        continue;
       }
-      balance.missing_cores -= machine->listing.capacity.cores.value;
+      balance.capacity += machine->listing.capacity.cores.value;
       Move(state, *machine, pool, now);
+      moved = true;
       ++moves;
     }
   }
@@ -169,13 +206,17 @@
     return;
   }
   for (auto& [pool, balance] : pools) {
-    if (IsStandby(state, pool) || !IsCalm(state, pool, now, kIdleKept)) {
+    if (balance.standby || !IsCalm(state, pool, now, kIdleKept)) {
       continue;
     }
     while (balance.idle.size() > kWarmHosts) {
       Machine& machine = *balance.idle.back();
       balance.idle.pop_back();
       const Host& host = state.hosts.at(machine.listing.host);
+      balance.capacity -= machine.listing.capacity.cores.value;
+      if (balance.capacity < balance.urgent_need) {
+        break;
+      }
       if (now >= host.idle_since + kIdleKept) {
         Move(state, machine, *standby, now);
       }
@@ -185,27 +226,6 @@
 
 }  // namespace internal
 
-double InflowOf(const State& state, const core::PoolName& pool,
-                core::MonotonicTime now) {
-  const auto found = state.inflows.find(pool);
-  if (found == state.inflows.end()) {
-    return 0;
-  }
-  const auto age = static_cast<double>((now - found->second.updated).count());
-  return found->second.cores * std::exp(-age / internal::kInflowMillis);
-}
-
-void NoteArrival(State& state, const Job& job, core::MonotonicTime now) {
-  if (job.permanent || job.spec.occurrences > 0) {
-    return;
-  }
-  const double cores = InflowOf(state, job.pool, now);
-  state.inflows[job.pool] = {cores + job.core_seconds *
-                                         internal::kMillisPerSecond /
-                                         internal::kInflowMillis,
-                             now};
-}
-
 void PlanMoves(State& state, const PoolViews& views, core::MonotonicTime now) {
   if (!state.machines_known || now < state.next_balance ||
       now < state.took_over + state.settings.machine_lease) {
@@ -213,7 +233,8 @@
   }
   state.next_balance = now + internal::kBalancePause;
   auto pools = internal::Measure(state, views, now);
-  internal::FillPools(state, pools, now);
+  internal::FillPools(state, pools, &internal::PoolBalance::urgent_need, now);
+  internal::FillPools(state, pools, &internal::PoolBalance::need, now);
   internal::ParkIdle(state, pools, now);
 }
 
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -38,6 +38,11 @@
   std::set<core::HostId> seen;
   for (const HostListing& listing : listings) {
     seen.insert(listing.id);
+    const auto ended = state.ended_lives.find(listing.id);
+    if (ended != state.ended_lives.end() &&
+        ended->second == listing.incarnation) {
+      continue;
+    }
     const auto found = state.hosts.find(listing.id);
     if (found != state.hosts.end() &&
         found->second.listing.incarnation != listing.incarnation) {
@@ -51,6 +56,9 @@
       known->second.listed = true;
     }
   }
+  std::erase_if(state.ended_lives, [&](const auto& ended) {
+    return !seen.contains(ended.first);
+  });
   for (auto& [id, host] : state.hosts) {
     if (host.listed && !seen.contains(id)) {
       host.listed = false;
@@ -70,6 +78,7 @@
   if (found == state.hosts.end()) {
     return;
   }
+  state.ended_lives[id] = found->second.listing.incarnation;
   found->second.lease_end = now;
   internal::LoseRuns(state, found->second);
   state.hosts.erase(found);
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "camphormux/scheduler/balance.hpp"
+#include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
--- /dev/null
+++ b/src/camphormux/scheduler/load.cpp
@@ -0,0 +1,39 @@
+#include "camphormux/scheduler/load.hpp"
+
+#include "camphormux/scheduler/arrivals.hpp"
+
+namespace camphormux::scheduler {
+
+PoolLoads MeasureLoads(const State& state, core::MonotonicTime now) {
+  PoolLoads loads;
+  for (const auto& [pool, policy] : state.catalog.pools) {
+    loads[pool].inflow = InflowOf(state, pool, now);
+  }
+  for (const auto& [pool, waiting] : state.waiting) {
+    loads[pool].waiting = waiting;
+  }
+  for (const auto& [id, host] : state.hosts) {
+    if (!host.listed || host.reserved) {
+      continue;
+    }
+    PoolLoad& load = loads[host.listing.pool];
+    ++load.hosts;
+    load.idle_hosts += host.runs.empty() ? 1U : 0U;
+    load.capacity += host.listing.capacity.cores;
+    for (const RunId id_of_run : host.runs) {
+      const Run& run = state.runs.at(id_of_run);
+      (run.permanent ? load.permanent : load.urgent) += run.reserved.cores;
+    }
+  }
+  for (const auto& [id, job] : state.jobs) {
+    if (job.objective.count() == 0 || workload::IsFinal(job.state)) {
+      continue;
+    }
+    PoolLoad& load = loads[job.pool];
+    ++load.open_jobs;
+    load.late_jobs += now > job.submitted + job.objective ? 1U : 0U;
+  }
+  return loads;
+}
+
+}  // namespace camphormux::scheduler
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -64,13 +64,20 @@
   CheckHosts(state, now);
   CheckRuns(state, now);
   PoolViews views = internal::MakeViews(state, now);
+  state.waiting.clear();
   for (auto& [pool, jobs] : internal::RankJobs(state, now)) {
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     MeasureRoom(candidates);
     for (const auto& [rank, job] : jobs) {
-      view.unplaced += PlaceJob(state, *job, candidates, now, wall);
+      const core::MilliCores unplaced =
+          PlaceJob(state, *job, candidates, now, wall);
+      view.unplaced += unplaced;
+      if (rank.urgency >= Urgency::kLate) {
+        view.unplaced_late += unplaced;
+      }
     }
+    state.waiting[pool] = view.unplaced;
     if (view.unplaced.value > 0) {
       state.last_pending[pool] = now;
       continue;
--- a/src/camphormux/scheduler/plan.hpp
+++ b/src/camphormux/scheduler/plan.hpp
@@ -11,7 +11,8 @@
 /// @brief A pool as one planning pass sees it.
 struct PoolView {
   std::vector<Host*> usable;
-  core::MilliCores unplaced;  ///< Of ready tasks without room.
+  core::MilliCores unplaced;       ///< Of ready tasks without room.
+  core::MilliCores unplaced_late;  ///< Of these, of jobs past their objective.
 };
 
 using PoolViews = std::map<core::PoolName, PoolView>;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -134,9 +134,11 @@
   bool complete = false;
 };
 
-/// @brief Work that arrives at a pool, as an exponentially weighted average.
+/// @brief Work that arrives at a pool: exponentially weighted averages, in core
+/// seconds a second.
 struct Inflow {
-  double cores = 0;  ///< Core seconds a second.
+  double fast = 0;
+  double slow = 0;
   core::MonotonicTime updated;
 };
 
@@ -159,6 +161,8 @@
   std::unordered_map<core::JobId, Job> jobs;
   std::unordered_map<core::JobId, ClosedJob> closed;
   std::map<core::HostId, Host> hosts;
+  /// Lives of hosts that are known to be over, while the list still has them.
+  std::map<core::HostId, core::Incarnation> ended_lives;
   std::unordered_map<RunId, Run> runs;
   RunId next_run{1};
   std::map<MachineId, Machine> machines;
@@ -173,6 +177,8 @@
   core::MonotonicTime next_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
   std::map<core::PoolName, Inflow> inflows;
+  /// Cores of ready tasks without room, as of the last planning pass.
+  std::map<core::PoolName, core::MilliCores> waiting;
   Counters counters;
 };
 
