--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_COORDINATOR_ELECTION_HPP_
 #define CAMPHORMUX_COORDINATOR_ELECTION_HPP_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,8 +13,9 @@
 
 namespace camphormux::coordinator {
 
-/// @brief Keeps this node in the group and tells when it gains or loses the
-/// ownership, and where the holder is.
+/// @brief Follows who holds the ownership, becomes a candidate when nobody does
+/// and tells when this node gains or loses it. Nodes that start later leave a
+/// working holder alone: each change of holder delays decisions.
 class Election : public std::enable_shared_from_this<Election> {
  public:
   struct Listener {
@@ -27,17 +29,19 @@
   /// @param loop Event loop; outlives the election.
   /// @param port The store's group.
   /// @param listener Told of changes.
+  /// @param turn Nodes become candidates one after the other, in the order of
+  /// their turns, so that usually only one does; from 0.
   /// @param reluctant This node is too small to be the holder of a large fleet:
   /// it joins only when there has been no holder for a while.
   Election(asio::io_context& loop, ElectionPort port, Listener listener,
-           bool reluctant = false);
+           std::size_t turn, bool reluctant = false);
 
   void Start();
   /// @brief Asks again soon, as the holder does not answer.
   void Refresh();
-  /// @brief Gives the ownership up and joins anew, for a higher token.
+  /// @brief Gives the ownership up; may gain it anew with a higher token.
   void Rejoin();
-  /// @brief Leaves for good; still finds the holder.
+  /// @brief Gives it up for good; still finds the holder.
   void Leave(std::function<void()> done);
   void Close();
 
@@ -50,26 +54,36 @@
   [[nodiscard]] bool is_confirmed() const;
 
  private:
-  void Schedule(core::Millis delay);
+  void Announce();
+  void Look();
+  void OnLooked(const std::optional<Ownership>& ownership);
+  void OnVacant();
+  void ScheduleLook(core::Millis delay);
   void Join();
+  void ScheduleJoin();
   void OnJoined(std::chrono::nanoseconds sent,
                 const std::optional<MembershipAnswer>& answer);
-  void FindMembers();
-  /// Whether this node leaves the ownership to others for now.
-  [[nodiscard]] bool StandsBack();
+  void Withdraw();
+  void NoteStore(bool answered);
 
-  asio::steady_timer timer_;
+  asio::steady_timer look_timer_;
+  asio::steady_timer join_timer_;
+  asio::steady_timer announce_timer_;
   ElectionPort port_;
   Listener listener_;
+  std::size_t turn_;
+  core::Millis look_took_{0};  ///< Duration of the last look.
+  bool reluctant_;
   std::optional<core::Address> holder_;
   core::Epoch generation_;
   std::chrono::nanoseconds confirmed_{0};  ///< On the clock since boot.
-  core::MonotonicTime last_find_;
-  core::MonotonicTime next_join_;
-  core::MonotonicTime last_holder_;  ///< When a holder was last known.
-  bool reluctant_ = false;
+  core::MonotonicTime last_look_;
+  core::MonotonicTime next_look_;
+  /// Since when no holder was seen; none while there is one.
+  std::optional<core::MonotonicTime> vacant_since_;
+  bool looking_ = false;
+  bool candidate_ = false;
   bool joining_ = false;
-  bool finding_ = false;
   bool held_ = false;
   bool store_lost_ = false;
   bool left_ = false;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 
 #include "camphormux/cbor/cbor.hpp"
+#include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
@@ -88,9 +89,9 @@
     AnswerCancels();
     SchedulePlan();
   };
-  stored.on_starts = [this](const std::vector<scheduler::StartRun>& starts) {
-    for (const scheduler::StartRun& start : starts) {
-      links_->Send(start);
+  stored.on_orders = [this](const std::vector<scheduler::Order>& orders) {
+    for (const scheduler::Order& order : orders) {
+      SendStored(order);
     }
   };
   stored.on_fenced = [this] { Depose("the store refused its epoch"); };
@@ -204,6 +205,22 @@
   }
 }
 
+void Holder::LoadMachineOrder(const StoreRecord& record) {
+  const auto value = cbor::Parse(*record.value);
+  if (!value) {
+    telemetry::Log(telemetry::Level::kError,
+                   "stored time of a machine order is malformed",
+                   {{"key", record.key}});
+    return;
+  }
+  cbor::ArrayReader reader(*value);
+  const core::WallTime ordered{
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned()))};
+  scheduler::LoadMachineOrder(
+      state_, {record.key.substr(kMachineKey.size())},
+      core::WallNow() - ordered);
+}
+
 void Holder::OnLoaded(const std::vector<StoreRecord>& records) {
   const core::MonotonicTime now = core::MonotonicNow();
   const core::WallTime wall = core::WallNow();
@@ -234,11 +251,14 @@
       specs.try_emplace(id);
     } else if (record.key.starts_with(kWaveKey)) {
       LoadWave(record);
+    } else if (record.key.starts_with(kMachineKey)) {
+      LoadMachineOrder(record);
     }
   }
   for (auto& [id, spec] : specs) {
     scheduler::LoadJob(state_, id, std::move(spec), progress[id], now, wall);
   }
+  scheduler::RecallArrivals(state_, now);
   loaded_ = true;
   for (const scheduler::WaveRequest& wave : std::exchange(early_waves_, {})) {
     scheduler::AddWave(state_, wave, now);
@@ -448,19 +468,26 @@
 void Holder::Dispatch() {
   const std::vector<scheduler::Order> orders = std::exchange(state_.orders, {});
   for (const scheduler::Order& order : orders) {
-    std::visit(
-        [this](const auto& each) {
-          using T = std::decay_t<decltype(each)>;
-          if constexpr (std::is_same_v<T, scheduler::StartRun>) {
-            saver_->AddStart(each);
-          } else if constexpr (std::is_same_v<T, scheduler::StopRun> ||
-                               std::is_same_v<T, scheduler::PaceRun>) {
-            links_->Send(each);
-          } else {
-            Send(each);
-          }
-        },
-        order);
+    if (const auto* stop = std::get_if<scheduler::StopRun>(&order)) {
+      links_->Send(*stop);
+    } else if (const auto* pace = std::get_if<scheduler::PaceRun>(&order)) {
+      links_->Send(*pace);
+    } else if (const auto* save = std::get_if<scheduler::SaveWave>(&order)) {
+      Send(*save);
+    } else {
+      saver_->AddOrder(order);
+    }
+  }
+}
+
+void Holder::SendStored(const scheduler::Order& order) {
+  if (const auto* start = std::get_if<scheduler::StartRun>(&order)) {
+    links_->Send(*start);
+  } else if (const auto* move = std::get_if<scheduler::MoveMachine>(&order)) {
+    Send(*move);
+  } else if (const auto* upkeep =
+                 std::get_if<scheduler::UpkeepMachine>(&order)) {
+    Send(*upkeep);
   }
 }
 
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -79,11 +79,14 @@
   void Load();
   void OnLoaded(const std::vector<StoreRecord>& records);
   void LoadWave(const StoreRecord& record);
+  void LoadMachineOrder(const StoreRecord& record);
   void SchedulePlan();
   void Plan();
   void Tick();
   void ReportLoads(core::MonotonicTime now);
   void Dispatch();
+  /// Sends an order that had to be stored first.
+  void SendStored(const scheduler::Order& order);
   void Send(const scheduler::MoveMachine& order);
   void Send(const scheduler::UpkeepMachine& order);
   void Send(const scheduler::SaveWave& order);
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -1,5 +1,7 @@
 #include "camphormux/coordinator/node.hpp"
 
+#include <functional>
+#include <string>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -19,6 +21,12 @@
 /// A holder that the store no longer confirms goes on while it reaches more
 /// than this share of the hosts: no other node can then have them.
 constexpr double kMajority = 0.5;
+/// Turns in which nodes become candidates; about as many as there are nodes.
+constexpr std::size_t kTurns = 8;
+
+std::size_t TurnOf(const core::Address& self) {
+  return std::hash<std::string>()(self.ip) % kTurns;
+}
 
 }  // namespace internal
 
@@ -50,6 +58,7 @@
                          [&neighbours](const auto& members) {
                            neighbours.SetMembers(members);
                          }},
+      internal::TurnOf(settings_.peer),
       settings_.processor_share < internal::kHolderShare);
   front_ = std::make_shared<Front>(loop, relay_, meters_, [this] {
     if (!holder_) {
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -58,25 +58,33 @@
 
 /// @brief Whether this node holds the ownership.
 struct MembershipAnswer {
-  core::Epoch generation;  ///< Rises with each change of the members.
+  core::Epoch generation;  ///< Rises with each change of the candidates.
   bool holder = false;
 };
 
-/// @brief The nodes of the group.
-struct Members {
-  std::optional<core::Address> holder;
-  std::vector<core::Address> all;
+/// @brief Who holds the ownership.
+struct Ownership {
+  std::optional<core::Address> holder;  ///< None: it is vacant.
+  /// The holder is an earlier process at this node's own address.
+  bool by_past_life = false;
 };
 
-/// @brief Ownership by the store's group of nodes.
+/// @brief Ownership by the store's groups of nodes.
 struct ElectionPort {
-  /// Joins or stays; nothing if there was no answer.
+  /// Becomes or stays a candidate; nothing if there was no answer.
   std::function<void(std::function<void(std::optional<MembershipAnswer>)>)>
       join;
-  /// Gives up membership and ownership at once.
+  /// Gives up candidacy and ownership at once.
   std::function<void(std::function<void()>)> leave;
-  /// Finds the addresses of the nodes; nothing if there was no answer.
-  std::function<void(std::function<void(std::optional<Members>)>)> find_members;
+  /// Finds the holder; nothing if there was no answer.
+  std::function<void(std::function<void(std::optional<Ownership>)>)> look;
+  /// Ends the candidacy of an earlier process at this node's own address.
+  std::function<void(std::function<void()>)> evict_past_life;
+  /// Tells the other nodes that this one runs; returns the addresses of all,
+  /// or nothing if there was no answer.
+  std::function<void(
+      std::function<void(std::optional<std::vector<core::Address>>)>)>
+      announce;
 };
 
 /// @brief Where a call to a host goes and whom it must reach.
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -30,6 +30,21 @@
       nlohmann::json::array({wave.complete ? 1 : 0, std::move(begun)}));
 }
 
+/// The time of an order, for the age that a later holder sees.
+std::string EncodeOrderTime(core::WallTime now) {
+  return cbor::Serialize(
+      nlohmann::json::array({now.time_since_epoch().count()}));
+}
+
+/// @return The machine of an order; nullptr if it is not for a machine.
+const scheduler::MachineId* MachineOf(const scheduler::Order& order) {
+  if (const auto* move = std::get_if<scheduler::MoveMachine>(&order)) {
+    return &move->machine;
+  }
+  const auto* upkeep = std::get_if<scheduler::UpkeepMachine>(&order);
+  return upkeep == nullptr ? nullptr : &upkeep->machine;
+}
+
 }  // namespace internal
 
 Saver::Saver(asio::io_context& loop, StorePort store, core::Epoch epoch,
@@ -46,8 +61,8 @@
   Trigger();
 }
 
-void Saver::AddStart(const scheduler::StartRun& start) {
-  starts_.push_back(start);
+void Saver::AddOrder(scheduler::Order order) {
+  orders_.push_back(std::move(order));
   Trigger();
 }
 
@@ -87,7 +102,7 @@
 
 Saver::Batch Saver::Collect() {
   Batch batch;
-  batch.starts = std::exchange(starts_, {});
+  batch.orders = std::exchange(orders_, {});
   std::size_t bytes = 0;
   const auto add = [&](std::string key, std::optional<std::string> value) {
     bytes += key.size() + (value ? value->size() : 0);
@@ -124,6 +139,13 @@
         internal::EncodeWave(state_.waves[id]));
   }
   waves_.clear();
+  const core::WallTime wall = core::WallNow();
+  for (const scheduler::Order& order : batch.orders) {
+    if (const scheduler::MachineId* machine = internal::MachineOf(order)) {
+      add(std::string(kMachineKey) + machine->value,
+          internal::EncodeOrderTime(wall));
+    }
+  }
   for (const core::JobId& id : drops_) {
     add(std::string(kProgressKey) + id.value, std::nullopt);
   }
@@ -224,14 +246,14 @@
   for (const auto& [id, stored] : batch->progress) {
     scheduler::ConfirmProgress(state_, id, stored, now);
   }
-  listener_.on_starts(batch->starts);
+  listener_.on_orders(batch->orders);
   for (const auto& [host, end] : batch->ends) {
     stored_ends_[host] = end;
     listener_.on_ends(host, end);
   }
   listener_.on_stored();
   const bool more = !submissions_.empty() || !state_.unsaved.empty() ||
-                    !waves_.empty() || !drops_.empty() || !starts_.empty();
+                    !waves_.empty() || !drops_.empty() || !orders_.empty();
   if (more) {
     Trigger();
   }
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -18,10 +18,12 @@
 
 namespace camphormux::coordinator {
 
-/// Keys of the store: jobs as submitted, their progress, waves.
+/// Keys of the store: jobs as submitted, their progress, waves, last orders of
+/// machines.
 inline constexpr std::string_view kSpecKey = "j/";
 inline constexpr std::string_view kProgressKey = "p/";
 inline constexpr std::string_view kWaveKey = "w/";
+inline constexpr std::string_view kMachineKey = "m/";
 
 /// @brief Writes what must last. One append is under way at a time; what
 /// changes meanwhile goes into the next one together (group commit).
@@ -34,8 +36,8 @@
     std::function<void(const core::JobId&)> on_dropped;
     /// Ends of a host up to this number are stored.
     std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
-    /// Starts that are stored.
-    std::function<void(const std::vector<scheduler::StartRun>&)> on_starts;
+    /// Orders that are stored and may be sent.
+    std::function<void(const std::vector<scheduler::Order>&)> on_orders;
     /// A batch was stored.
     std::function<void()> on_stored;
     /// A newer holder has taken over.
@@ -52,9 +54,10 @@
 
   /// @brief Stores a new job with the next append.
   void AddSubmission(const core::JobId& id);
-  /// @brief Stores a start before it is sent, so that a later holder knows
-  /// where the task may run.
-  void AddStart(const scheduler::StartRun& start);
+  /// @brief Stores an order before it is sent: a later holder has to know where
+  /// a task may run and when a machine was ordered last.
+  /// @param order A start of a run, or a move or upkeep of a machine.
+  void AddOrder(scheduler::Order order);
   /// @brief Stores what has begun of a wave.
   void AddWave(scheduler::WaveId id);
   /// @brief Drops the stored record of a forgotten job.
@@ -75,7 +78,7 @@
     std::vector<core::JobId> submissions;
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
     std::map<core::HostId, scheduler::EndNumber> ends;
-    std::vector<scheduler::StartRun> starts;
+    std::vector<scheduler::Order> orders;
     core::MonotonicTime begun;
     bool certain = true;  ///< No try had an unknown outcome.
   };
@@ -94,7 +97,7 @@
   scheduler::State& state_;
   Listener listener_;
   std::vector<core::JobId> submissions_;
-  std::vector<scheduler::StartRun> starts_;
+  std::vector<scheduler::Order> orders_;
   std::set<scheduler::WaveId> waves_;
   std::vector<core::JobId> drops_;
   std::unique_ptr<Batch> batch_;
--- a/src/camphormux/scheduler/arrivals.cpp
+++ b/src/camphormux/scheduler/arrivals.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace camphormux::scheduler {
 namespace internal {
@@ -39,6 +40,21 @@
   state.inflows[job.pool] = inflow;
 }
 
+void RecallArrivals(State& state, core::MonotonicTime now) {
+  std::vector<const Job*> jobs;
+  for (const auto& [id, job] : state.jobs) {
+    if (job.submitted <= now) {
+      jobs.push_back(&job);
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    return a->submitted < b->submitted;
+  });
+  for (const Job* job : jobs) {
+    NoteArrival(state, *job, job->submitted);
+  }
+}
+
 double InflowOf(const State& state, const core::PoolName& pool,
                 core::MonotonicTime now) {
   return internal::InflowAt(state, pool, now).fast;
--- a/src/camphormux/scheduler/arrivals.hpp
+++ b/src/camphormux/scheduler/arrivals.hpp
@@ -8,6 +8,9 @@
 /// @brief Takes the work of an accepted job into account.
 void NoteArrival(State& state, const Job& job, core::MonotonicTime now);
 
+/// @brief Takes the arrivals of all open jobs into account, after a takeover.
+void RecallArrivals(State& state, core::MonotonicTime now);
+
 /// @brief Work that arrives at a pool now.
 /// @return Core seconds a second, averaged over the last second or so.
 [[nodiscard]] double InflowOf(const State& state, const core::PoolName& pool,
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -46,9 +46,11 @@
   return last == state.last_pending.end() || now >= last->second + calm;
 }
 
-bool CanMove(const State& state, const Machine& machine) {
+bool CanMove(const State& state, const Machine& machine,
+             core::MonotonicTime now) {
   if (machine.listing.state != MachineState::kUp || machine.order_pending ||
-      !machine.target.value.empty()) {
+      !machine.target.value.empty() ||
+      !MayOrder(state, machine.listing.id, now)) {
     return false;
   }
   const auto host = state.hosts.find(machine.listing.host);
@@ -118,7 +120,7 @@
   }
   CountMoving(state, pools, now);
   for (auto& [id, machine] : state.machines) {
-    if (CanMove(state, machine)) {
+    if (CanMove(state, machine, now)) {
       pools[machine.listing.pool].idle.push_back(&machine);
     }
   }
@@ -227,8 +229,7 @@
 }  // namespace internal
 
 void PlanMoves(State& state, const PoolViews& views, core::MonotonicTime now) {
-  if (!state.machines_known || now < state.next_balance ||
-      now < state.took_over + state.settings.machine_lease) {
+  if (!state.machines_known || now < state.next_balance) {
     return;
   }
   state.next_balance = now + internal::kBalancePause;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -21,8 +21,7 @@
   core::Millis lease{5000};
   /// A run may begin this much before its due time.
   core::Millis early{250};
-  /// Time without machine orders after a takeover, so that orders of two
-  /// holders do not alternate.
+  /// Least time between the orders of two holders for one machine.
   core::Millis machine_lease{3000};
   /// A final state is kept this long for callers.
   core::Millis status_kept{120'000};
@@ -166,6 +165,8 @@
   std::unordered_map<RunId, Run> runs;
   RunId next_run{1};
   std::map<MachineId, Machine> machines;
+  /// Machines that an earlier holder ordered lately: not ordered before then.
+  std::map<MachineId, core::MonotonicTime> held_machines;
   std::map<WaveId, Wave> waves;
   std::set<core::JobId> unsaved;   ///< Jobs whose progress is to be written.
   std::vector<core::JobId> ended;  ///< Final jobs of which a run has ended.
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -19,6 +19,10 @@
 /// Time between two looks at the waves; a small part of an upkeep.
 constexpr core::Millis kUpkeepPause{50};
 
+/// Wall clocks of two nodes may differ by this much: a jump of a clock, and
+/// some more.
+constexpr core::Millis kClockMargin{4000};
+
 /// Tasks of a step that are not at work; those being stopped count.
 std::uint32_t AwayTasks(const State& state, const Job& job, const Run& run) {
   const workload::Step& step = job.spec.steps[run.name.place.step];
@@ -117,7 +121,7 @@
     Machine& machine = found->second;
     if (IsDown(machine)) {
       ++down;
-    } else if (!wave.begun.contains(id) &&
+    } else if (!wave.begun.contains(id) && MayOrder(state, id, now) &&
                machine.listing.state == MachineState::kUp) {
       Host* host = HostOf(state, machine);
       // Hosts that were chosen before stay chosen.
@@ -186,6 +190,20 @@
   state.machines_known = true;
 }
 
+void LoadMachineOrder(State& state, const MachineId& machine,
+                      core::Millis age) {
+  if (age < state.settings.machine_lease + internal::kClockMargin) {
+    state.held_machines[machine] =
+        state.took_over + state.settings.machine_lease;
+  }
+}
+
+bool MayOrder(const State& state, const MachineId& machine,
+              core::MonotonicTime now) {
+  const auto held = state.held_machines.find(machine);
+  return held == state.held_machines.end() || now >= held->second;
+}
+
 void AddWave(State& state, WaveRequest request, core::MonotonicTime now) {
   const WaveId id = request.id;
   Wave& wave = state.waves[id];
@@ -243,8 +261,7 @@
 }
 
 void PlanUpkeep(State& state, const PoolViews& views, core::MonotonicTime now) {
-  if (!state.machines_known || now < state.next_upkeep ||
-      now < state.took_over + state.settings.machine_lease) {
+  if (!state.machines_known || now < state.next_upkeep) {
     return;
   }
   state.next_upkeep = now + internal::kUpkeepPause;
--- a/src/camphormux/scheduler/upkeep.hpp
+++ b/src/camphormux/scheduler/upkeep.hpp
@@ -13,6 +13,17 @@
 void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
                    core::MonotonicTime asked);
 
+/// @brief Takes a stored order of an earlier holder into account.
+/// @param state The state.
+/// @param machine The machine.
+/// @param age Time since the order by the wall clock, which may be off.
+void LoadMachineOrder(State& state, const MachineId& machine, core::Millis age);
+
+/// @brief Tells whether a machine may be ordered: no earlier holder did so
+/// lately.
+[[nodiscard]] bool MayOrder(const State& state, const MachineId& machine,
+                            core::MonotonicTime now);
+
 /// @brief Adds a request to maintain machines; a known one is left as it is.
 void AddWave(State& state, WaveRequest request, core::MonotonicTime now);
 
