--- /dev/null
+++ b/test/scheduler/arrivals_test.cpp
@@ -0,0 +1,73 @@
+#include "camphormux/scheduler/arrivals.hpp"
+
+#include <gtest/gtest.h>
+
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+constexpr core::Millis kGap{20};
+const core::PoolName kPool{"pool"};
+
+/// Arrivals of so many core seconds each gap.
+void Arrive(State& state, core::MonotonicTime& now, core::Millis span,
+            double first, double last) {
+  Job job;
+  job.pool = kPool;
+  job.objective = core::Millis(1000);
+  const auto steps = span.count() / kGap.count();
+  for (std::int64_t i = 0; i < steps; ++i) {
+    job.core_seconds = first + (last - first) * static_cast<double>(i) /
+                                   static_cast<double>(steps);
+    now += kGap;
+    NoteArrival(state, job, now);
+  }
+}
+
+// Guards against hosts that are ordered for a load that does not grow.
+TEST(ArrivalsTest, ASteadyInflowIsItsOwnForecast) {
+  State state;
+  core::MonotonicTime now{core::Millis(1000)};
+  Arrive(state, now, core::Millis(20'000), 10, 10);  // 500 cores.
+  EXPECT_NEAR(InflowOf(state, kPool, now), 500, 25);
+  EXPECT_NEAR(ForecastInflow(state, kPool, now), 500, 50);
+}
+
+// Guards against hosts that join a growing surge too late.
+TEST(ArrivalsTest, TheForecastOfARampIsAheadOfIt) {
+  State state;
+  core::MonotonicTime now{core::Millis(1000)};
+  Arrive(state, now, core::Millis(4000), 0, 20);  // 250 cores more a second.
+  EXPECT_LT(InflowOf(state, kPool, now), 1000);
+  EXPECT_GT(ForecastInflow(state, kPool, now), 1250);
+  EXPECT_LT(ForecastInflow(state, kPool, now), 1750);
+}
+
+// Guards against a forecast below what arrives now, and against one that stays.
+TEST(ArrivalsTest, AfterASurgeTheForecastFallsWithTheInflow) {
+  State state;
+  core::MonotonicTime now{core::Millis(1000)};
+  Arrive(state, now, core::Millis(5000), 20, 20);
+  now += core::Millis(1000);
+  EXPECT_EQ(ForecastInflow(state, kPool, now), InflowOf(state, kPool, now));
+  EXPECT_LT(ForecastInflow(state, kPool, now + core::Millis(5000)), 1);
+}
+
+// Guards against a new holder that knows nothing of a surge under way.
+TEST(ArrivalsTest, OpenJobsAreRecalledAfterATakeover) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    (void)fleet.Submit(MakeJob(i, "q", 4, 5, core::Millis(500)));
+    fleet.now += kGap;
+  }
+  const double before = InflowOf(fleet.state, kPool, fleet.now);
+  EXPECT_GT(before, 100);
+  fleet.state.inflows.clear();
+  RecallArrivals(fleet.state, fleet.now);
+  EXPECT_NEAR(InflowOf(fleet.state, kPool, fleet.now), before, before * 0.01);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -67,5 +67,27 @@
   EXPECT_TRUE(fleet.running.empty());
 }
 
+// Guards against a machine that was moved away and counts as an idle host of
+// its old pool while the list still names its past life.
+TEST(HostsTest, AnEndedLifeIsNotAddedAgainWhileTheListNamesIt) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 2);
+  const HostListing listing = fleet.listings[0];
+  LoseHost(fleet.state, listing.id, fleet.now);
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  EXPECT_FALSE(fleet.state.hosts.contains(listing.id));
+  // Another life under the same id is a new host.
+  fleet.listings[0].incarnation.value = 2;
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  EXPECT_TRUE(fleet.state.hosts.contains(listing.id));
+  // Once the list has dropped the life, nothing is kept of it.
+  std::erase_if(fleet.listings, [&](const HostListing& other) {
+    return other.id == listing.id;
+  });
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  EXPECT_TRUE(fleet.state.ended_lives.empty());
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
