--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -421,6 +421,9 @@
   links_->Pump(now);
   saver_->Trigger();
   const core::MonotonicTime end = core::MonotonicNow();
+  ++passes_.count;
+  passes_.total += end - now;
+  passes_.longest = std::max(passes_.longest, end - now);
   const core::Millis pause =
       std::max(internal::kPlanPause, (end - now) * internal::kPlanRest);
   next_plan_ = end + pause;
@@ -435,7 +438,8 @@
   ReportLoads(now);
   PollMachines(now);
   SchedulePlan();
-  tick_timer_.expires_after(internal::kTick);
+  next_tick_ = core::MonotonicNow() + internal::kTick;
+  tick_timer_.expires_at(next_tick_);
   tick_timer_.async_wait(
       [weak = weak_from_this()](const asio::error_code& error) {
         const auto self = weak.lock();
@@ -450,6 +454,16 @@
     return;
   }
   last_load_report_ = now;
+  telemetry::Log(
+      telemetry::Level::kInfo, "planning",
+      {{"passes", std::to_string(passes_.count)},
+       {"total_ms", std::to_string(passes_.total.count())},
+       {"longest_ms", std::to_string(passes_.longest.count())},
+       {"jobs", std::to_string(state_.jobs.size())},
+       {"runs", std::to_string(state_.runs.size())},
+       {"hosts", std::to_string(state_.hosts.size())},
+       {"loop_late_ms", std::to_string((now - next_tick_).count())}});
+  passes_ = {};
   for (const auto& [pool, load] : scheduler::MeasureLoads(state_, now)) {
     telemetry::Log(telemetry::Level::kInfo, "pool load",
                    {{"pool", pool.value},
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -99,6 +99,13 @@
   void AnswerCancels();
   void Depose(const std::string& reason);
 
+  /// Planning passes since the last report.
+  struct Passes {
+    std::size_t count = 0;
+    core::Millis total{0};
+    core::Millis longest{0};
+  };
+
   asio::io_context& loop_;
   asio::steady_timer plan_timer_;
   asio::steady_timer tick_timer_;
@@ -115,6 +122,8 @@
   std::vector<scheduler::WaveRequest> early_waves_;
   core::MonotonicTime begun_;
   core::MonotonicTime next_plan_;
+  core::MonotonicTime next_tick_;
+  Passes passes_;
   core::MonotonicTime last_machine_poll_;
   core::MonotonicTime last_load_report_;
   bool polling_machines_ = false;
