Do not let an old list of machines undo an order's answer

A slow loop makes it likely.

Test: UpkeepTest.AListFromBeforeAnOrderDoesNotBringItsMachineBack (failed first).

--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -151,6 +151,7 @@
 }
 
 void Node::Watch() {
+  telemetry::FlushLog();
   const core::MonotonicTime now = core::MonotonicNow();
   if (holder_) {
     const bool confirmed = election_->is_confirmed();
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -176,8 +176,8 @@
   for (const MachineListing& listing : listings) {
     seen.insert(listing.id);
     Machine& machine = state.machines[listing.id];
-    if (machine.order_pending && asked <= machine.ordered) {
-      continue;
+    if (asked <= machine.ordered) {
+      continue;  // Older than what the last order's answer said.
     }
     machine.listing = listing;
     if (listing.pool == machine.target && state.hosts.contains(listing.host)) {
--- a/src/camphormux/telemetry/log.cpp
+++ b/src/camphormux/telemetry/log.cpp
@@ -1,17 +1,19 @@
 #include "camphormux/telemetry/log.hpp"
 
+#include <cstdio>
 #include <memory>
 #include <mutex>
 
 #include <fcntl.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/mdc.h>
+#include <log4cxx/patternlayout.h>
 #include <unistd.h>
 
+#include "camphormux/core/time.hpp"
 #include "camphormux/telemetry/line_budget.hpp"
+#include "camphormux/telemetry/log_line.hpp"
 
 namespace camphormux::telemetry {
 namespace internal {
@@ -35,6 +37,26 @@
   return decision.write;
 }
 
+/// Lines wait this long for others to be written with them.
+constexpr core::Millis kFlushPause{50};
+
+std::string& ProcessName() {
+  static std::string name;
+  return name;
+}
+
+/// Writes what waits if it is due.
+void FlushIfDue(bool now) {
+  static std::mutex mutex;
+  static core::MonotonicTime last;
+  const std::lock_guard lock(mutex);
+  const core::MonotonicTime time = core::MonotonicNow();
+  if (now || time >= last + kFlushPause) {
+    last = time;
+    FlushLog();
+  }
+}
+
 log4cxx::LevelPtr ToLog4cxx(Level level) {
   switch (level) {
     case Level::kDebug:
@@ -52,11 +74,15 @@
 }  // namespace internal
 
 void ConfigureLog(const std::string& process, Level lowest, LogStream stream) {
-  const auto layout = std::make_shared<log4cxx::JSONLayout>();
+  // The message is the whole line: JSONLayout with a diagnostic context takes
+  // several times longer.
+  const auto layout =
+      std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
       layout, stream == LogStream::kError ? LOG4CXX_STR("System.err")
                                           : LOG4CXX_STR("System.out"));
   if (stream == LogStream::kOutput) {
+    appender->setImmediateFlush(false);
     // A reader that does not keep up costs lines, not time.
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
@@ -65,9 +91,11 @@
   root->removeAllAppenders();
   root->addAppender(appender);
   root->setLevel(internal::ToLog4cxx(lowest));
-  log4cxx::MDC::put("process", process);
+  internal::ProcessName() = process;
 }
 
+void FlushLog() { std::fflush(stdout); }
+
 void Log(Level level, std::string_view message,
          std::initializer_list<Field> fields) {
   const auto logger = log4cxx::Logger::getRootLogger();
@@ -75,13 +103,10 @@
   if (!logger->isEnabledFor(severity) || !internal::MayWrite(level)) {
     return;
   }
-  for (const Field& field : fields) {
-    log4cxx::MDC::put(field.name, field.value);
-  }
-  logger->forcedLog(severity, std::string(message));
-  for (const Field& field : fields) {
-    log4cxx::MDC::remove(field.name);
-  }
+  logger->forcedLog(
+      severity, FormatLogLine(core::WallNow(), level, internal::ProcessName(),
+                              message, fields));
+  internal::FlushIfDue(level >= Level::kWarning);
 }
 
 }  // namespace camphormux::telemetry
--- a/src/camphormux/telemetry/log.hpp
+++ b/src/camphormux/telemetry/log.hpp
@@ -24,6 +24,10 @@
 void ConfigureLog(const std::string& process, Level lowest,
                   LogStream stream = LogStream::kError);
 
+/// @brief Writes the lines that wait for others. Lines for the standard output
+/// are written together; those of a warning or an error at once.
+void FlushLog();
+
 /// @brief Writes one log line.
 /// @param level Severity.
 /// @param message What happened, without variable parts.
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -39,6 +39,21 @@
   EXPECT_EQ(Upkeeps(fleet), 2U);
 }
 
+// Guards against a machine too many that is taken down since a list, asked for
+// before the last order was answered, shows a machine as up.
+TEST(UpkeepTest, AListFromBeforeAnOrderDoesNotBringItsMachineBack) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 6);
+  AddWave(fleet.state, WaveOf(fleet, 2), fleet.now);
+  const core::MonotonicTime asked = fleet.now;
+  fleet.Advance(core::Millis(20));
+  EXPECT_EQ(Upkeeps(fleet), 2U);
+  ApplyMachines(fleet.state, fleet.machines, asked);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(Upkeeps(fleet), 2U);
+}
+
 // Guards against a wave that is said to be complete too early.
 TEST(UpkeepTest, AWaveIsCompleteWhenEachMachineHasBegun) {
   Fleet fleet;
