Do not end the next life of a machine; order hosts for tasks that wait beside free cores

Cause 1: a machine order without an answer is repeated; if the first one was carried out, the answer to the second ended whatever host the machine had by then, and its tasks started again beside their runs. Test: UpkeepTest.ALateAnswerDoesNotEndTheNextLifeOfAMachine (failed first).

Cause 2: need was counted in cores, so tasks that must be apart waited beside free cores: on grown Tazi 24 permanent tasks a job on pools of 7 hosts. Test: BalanceTest.HostsJoinForTasksThatMustBeApart.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -216,9 +216,8 @@
   cbor::ArrayReader reader(*value);
   const core::WallTime ordered{
       core::Millis(static_cast<std::int64_t>(reader.Unsigned()))};
-  scheduler::LoadMachineOrder(
-      state_, {record.key.substr(kMachineKey.size())},
-      core::WallNow() - ordered);
+  scheduler::LoadMachineOrder(state_, {record.key.substr(kMachineKey.size())},
+                              core::WallNow() - ordered);
 }
 
 void Holder::OnLoaded(const std::vector<StoreRecord>& records) {
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -29,8 +29,7 @@
 
 /// Large nodes become candidates before small ones.
 std::size_t TurnOf(const NodeSettings& settings) {
-  const std::size_t turn =
-      std::hash<std::string>()(settings.peer.ip) % kTurns;
+  const std::size_t turn = std::hash<std::string>()(settings.peer.ip) % kTurns;
   return settings.processor_share < kLargeShare ? turn + kTurns : turn;
 }
 
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -113,10 +113,25 @@
     }
     const auto arriving = static_cast<std::int64_t>(
         ForecastInflow(state, pool, now) * kMilliCoresPerCore);
-    balance.urgent_need =
-        std::max(taken + view.unplaced.value - view.unplaced_late.value,
-                 permanent + arriving);
-    balance.need = std::max(balance.urgent_need, taken + view.unplaced.value);
+    balance.urgent_need = std::max(taken, permanent + arriving);
+    // What waits found no room although some may be free: its tasks must be
+    // apart, or need more memory than is left.
+    const std::int64_t spread =
+        view.usable.empty()
+            ? 0
+            : view.hosts_to_spread *
+                  view.usable.front()->listing.capacity.cores.value;
+    const std::int64_t waiting =
+        std::max(view.unplaced.value - view.unplaced_late.value, spread);
+    if (waiting > 0) {
+      balance.urgent_need =
+          std::max(balance.urgent_need, balance.capacity + waiting);
+    }
+    balance.need = balance.urgent_need;
+    if (view.unplaced_late.value > 0) {
+      balance.need =
+          std::max(balance.need, balance.capacity + view.unplaced.value);
+    }
   }
   CountMoving(state, pools, now);
   for (auto& [id, machine] : state.machines) {
@@ -131,6 +146,7 @@
           core::MonotonicTime now) {
   machine.order_pending = true;
   machine.ordered = now;
+  machine.ordered_host = machine.listing.host;
   machine.target = pool;
   const auto host = state.hosts.find(machine.listing.host);
   if (host != state.hosts.end()) {
@@ -148,8 +164,7 @@
     if (pool == except || balance.idle.empty()) {
       continue;
     }
-    const std::int64_t size =
-        balance.idle.back()->listing.capacity.cores.value;
+    const std::int64_t size = balance.idle.back()->listing.capacity.cores.value;
     if (!balance.standby && balance.capacity - size < balance.urgent_need) {
       continue;
     }
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -56,9 +56,8 @@
       known->second.listed = true;
     }
   }
-  std::erase_if(state.ended_lives, [&](const auto& ended) {
-    return !seen.contains(ended.first);
-  });
+  std::erase_if(state.ended_lives,
+                [&](const auto& ended) { return !seen.contains(ended.first); });
   for (auto& [id, host] : state.hosts) {
     if (host.listed && !seen.contains(id)) {
       host.listed = false;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -151,6 +151,17 @@
   return waiting;
 }
 
+/// Hosts that the waiting tasks of a step need if none of its own may be there.
+std::uint32_t HostsToSpread(const Job& job, const StepPlace& place) {
+  const workload::Step& step = job.spec.steps[place.step];
+  std::uint32_t waiting = 0;
+  for (std::uint32_t i = 0; i < step.count; ++i) {
+    const Task& task = job.tasks[place.first + i];
+    waiting += !task.progress.done && task.runs.empty() ? 1U : 0U;
+  }
+  return (waiting + step.max_per_host - 1) / step.max_per_host;
+}
+
 /// Places the tasks of a step one by one.
 core::MilliCores PlaceSingles(State& state, Job& job, const StepPlace& place,
                               const std::vector<Host*>& hosts,
@@ -241,10 +252,10 @@
   }
 }
 
-core::MilliCores PlaceJob(State& state, Job& job, Candidates& hosts,
-                          core::MonotonicTime now, core::WallTime wall) {
+Unplaced PlaceJob(State& state, Job& job, Candidates& hosts,
+                  core::MonotonicTime now, core::WallTime wall) {
   const std::uint64_t started = state.counters.started;
-  core::MilliCores unplaced;
+  Unplaced unplaced;
   if (!job.saved || workload::IsFinal(job.state)) {
     return unplaced;
   }
@@ -259,13 +270,18 @@
       }
       const workload::Step& step = job.spec.steps[s];
       if (!placement::Fits(internal::Need(step), hosts.largest_room)) {
-        unplaced += internal::WaitingCores(job, place);
+        unplaced.cores += internal::WaitingCores(job, place);
         continue;
       }
-      unplaced +=
+      const core::MilliCores cores =
           step.gang
               ? internal::PlaceGang(state, job, place, hosts.hosts, now)
               : internal::PlaceSingles(state, job, place, hosts.hosts, now);
+      unplaced.cores += cores;
+      if (cores.value > 0 && step.max_per_host > 0) {
+        unplaced.hosts_to_spread = std::max(
+            unplaced.hosts_to_spread, internal::HostsToSpread(job, place));
+      }
     }
   }
   if (state.counters.started != started) {
--- a/src/camphormux/scheduler/placing.hpp
+++ b/src/camphormux/scheduler/placing.hpp
@@ -14,6 +14,13 @@
   placement::Resources largest_room;
 };
 
+/// @brief Ready tasks that found no room.
+struct Unplaced {
+  core::MilliCores cores;
+  /// Hosts for those of the step with the most that must be apart.
+  std::uint32_t hosts_to_spread = 0;
+};
+
 /// @brief Measures the largest room again after runs were placed.
 void MeasureRoom(Candidates& candidates);
 
@@ -23,9 +30,9 @@
 /// @param hosts Usable hosts of the job's pool.
 /// @param now Monotonic time.
 /// @param wall Wall-clock time.
-/// @return Cores of ready tasks that found no room.
-core::MilliCores PlaceJob(State& state, Job& job, Candidates& hosts,
-                          core::MonotonicTime now, core::WallTime wall);
+/// @return What found no room.
+Unplaced PlaceJob(State& state, Job& job, Candidates& hosts,
+                  core::MonotonicTime now, core::WallTime wall);
 
 /// @brief Starts copies of speculative tasks that take much longer than
 /// estimated.
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -77,11 +77,12 @@
     Candidates candidates{view.usable, {}};
     MeasureRoom(candidates);
     for (const auto& [rank, job] : jobs) {
-      const core::MilliCores unplaced =
-          PlaceJob(state, *job, candidates, now, wall);
-      view.unplaced += unplaced;
+      const Unplaced unplaced = PlaceJob(state, *job, candidates, now, wall);
+      view.unplaced += unplaced.cores;
+      view.hosts_to_spread =
+          std::max(view.hosts_to_spread, unplaced.hosts_to_spread);
       if (rank.urgency >= Urgency::kLate) {
-        view.unplaced_late += unplaced;
+        view.unplaced_late += unplaced.cores;
       }
     }
     state.waiting[pool] = view.unplaced;
--- a/src/camphormux/scheduler/plan.hpp
+++ b/src/camphormux/scheduler/plan.hpp
@@ -13,6 +13,8 @@
   std::vector<Host*> usable;
   core::MilliCores unplaced;       ///< Of ready tasks without room.
   core::MilliCores unplaced_late;  ///< Of these, of jobs past their objective.
+  /// Further hosts for the job that most needs to spread its tasks.
+  std::uint32_t hosts_to_spread = 0;
 };
 
 using PoolViews = std::map<core::PoolName, PoolView>;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -122,7 +122,8 @@
   MachineListing listing;
   bool order_pending = false;
   core::MonotonicTime ordered;
-  core::PoolName target;  ///< Of a move under way; else empty.
+  core::PoolName target;      ///< Of a move under way; else empty.
+  core::HostId ordered_host;  ///< Its life that the last order ends.
 };
 
 struct Wave {
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -152,6 +152,7 @@
       ++ordered;
       machine->order_pending = true;
       machine->ordered = now;
+      machine->ordered_host = machine->listing.host;
       state.orders.emplace_back(
           UpkeepMachine{machine->listing.id, wave.request.id});
     }
@@ -237,15 +238,22 @@
   }
   entry.order_pending = false;
   if (outcome == MachineOutcome::kDone) {
-    LoseHost(state, entry.listing.host, now);
-    entry.listing.host.value.clear();
+    LoseHost(state, entry.ordered_host, now);
+    // An order that was repeated may be answered after the machine's next life
+    // has begun.
+    const bool listed_before = entry.listing.host == entry.ordered_host;
+    if (listed_before) {
+      entry.listing.host.value.clear();
+      entry.listing.state =
+          wave != nullptr ? MachineState::kUpkeep : MachineState::kMoving;
+    }
     if (wave != nullptr) {
-      entry.listing.state = MachineState::kUpkeep;
       state.waves[*wave].begun.insert(machine);
       state.orders.emplace_back(SaveWave{*wave, false});
     } else {
-      entry.listing.state = MachineState::kMoving;
-      entry.listing.pool = entry.target;
+      if (listed_before) {
+        entry.listing.pool = entry.target;
+      }
       ++state.counters.moves;
     }
     return;
--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -58,6 +58,22 @@
             1.0);
 }
 
+// Guards against permanent tasks that wait although their pool has free cores:
+// they must be apart, so that each needs a host of its own.
+TEST(BalanceTest, HostsJoinForTasksThatMustBeApart) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 4);
+  fleet.AddHosts("spare", 30);
+  workload::JobSpec job = MakeJob(1, "q", 24, 2, core::Millis(1000));
+  job.steps[0].permanent = true;
+  job.steps[0].max_per_host = 1;
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(5000));
+  EXPECT_EQ(fleet.Starts(job.id.value), 24U);
+}
+
 // Guards against hosts that cost money although nobody needs them.
 TEST(BalanceTest, IdleHostsGoToTheStandbyPool) {
   Fleet fleet;
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -119,6 +119,8 @@
       }
     }
     OnStopConfirmed(state, stop->host, stop->name, now);
+  } else if (!carry_out_machine_orders) {
+    return;
   } else if (const auto* move = std::get_if<MoveMachine>(&order)) {
     back_at[move->machine] = now + kMigrate;
     OnMachineAnswer(state, move->machine, nullptr, MachineOutcome::kDone, now);
--- a/test/scheduler/fleet.hpp
+++ b/test/scheduler/fleet.hpp
@@ -32,6 +32,7 @@
   std::map<MachineId, core::MonotonicTime> back_at;  ///< Moves and upkeeps.
   std::set<core::HostId> silent;
   bool instant_answers = true;
+  bool carry_out_machine_orders = true;
   core::Millis run_time{0};  ///< Zero: as estimated.
 
   Fleet();
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -54,6 +54,35 @@
   EXPECT_EQ(Upkeeps(fleet), 2U);
 }
 
+// Guards against tasks that run twice: an order whose answer was lost is
+// repeated, and its answer comes when the machine's next life has runs.
+TEST(UpkeepTest, ALateAnswerDoesNotEndTheNextLifeOfAMachine) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  const MachineId machine = fleet.machines[0].id;
+  const WaveId wave{1};
+  fleet.carry_out_machine_orders = false;
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Step();
+  ASSERT_EQ(Upkeeps(fleet), 1U);
+  OnMachineAnswer(fleet.state, machine, &wave, MachineOutcome::kNoAnswer,
+                  fleet.now);
+  // The order had been carried out: the next life is listed and gets a run.
+  fleet.now += core::Millis(2000);
+  fleet.listings[0].id.value = "i-next";
+  fleet.machines[0].host.value = "i-next";
+  fleet.Publish();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Step();
+  ASSERT_EQ(fleet.state.hosts.at({"i-next"}).runs.size(), 1U);
+  OnMachineAnswer(fleet.state, machine, &wave, MachineOutcome::kDone,
+                  fleet.now);
+  ASSERT_TRUE(fleet.state.hosts.contains({"i-next"}));
+  EXPECT_EQ(fleet.state.hosts.at({"i-next"}).runs.size(), 1U);
+  EXPECT_EQ(fleet.state.machines.at(machine).listing.host.value, "i-next");
+}
+
 // Guards against a wave that is said to be complete too early.
 TEST(UpkeepTest, AWaveIsCompleteWhenEachMachineHasBegun) {
   Fleet fleet;
