--- a/bench/holder/fake_ports.cpp
+++ b/bench/holder/fake_ports.cpp
@@ -106,12 +106,12 @@
 Ports FakePlatform::MakePorts() {
   Ports ports;
   ports.store.fence = [this](core::Epoch,
-                             std::function<void(AppendOutcome)> done) {
+                             const std::function<void(AppendOutcome)>& done) {
     After(kStoreCall, [done] { done(AppendOutcome::kStored); });
   };
   ports.store.append = [this](core::Epoch, std::uint64_t,
                               const std::vector<StoreRecord>& records,
-                              std::function<void(AppendOutcome)> done) {
+                              const std::function<void(AppendOutcome)>& done) {
     for (const StoreRecord& record : records) {
       stored_bytes_ += record.value ? record.value->size() : 0;
     }
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/scheduler/balance.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <vector>
 
@@ -17,7 +18,7 @@
 /// back that its next surge would need.
 constexpr core::Millis kIdleKept{2500};
 /// Idle hosts that a pool keeps for the first moments of a surge.
-constexpr std::size_t kWarmHosts = 2;
+constexpr std::int64_t kWarmHosts = 2;
 /// A move that was not seen to end by then is not counted any more.
 constexpr core::Millis kMoveTimeout{6000};
 /// Moves of one look; the cloud's limit of calls is far above.
@@ -31,15 +32,11 @@
   /// For what runs, what can still be on time and what is about to arrive.
   std::int64_t urgent_need = 0;
   std::int64_t need = 0;       ///< With what is late already.
+  std::int64_t permanent = 0;  ///< Taken by permanent tasks.
   std::vector<Machine*> idle;  ///< Machines that could leave at once.
   bool standby = false;
 };
 
-bool IsStandby(const State& state, const core::PoolName& pool) {
-  const auto found = state.catalog.pools.find(pool);
-  return found != state.catalog.pools.end() && found->second.standby;
-}
-
 bool IsCalm(const State& state, const core::PoolName& pool,
             core::MonotonicTime now, core::Millis calm) {
   const auto last = state.last_pending.find(pool);
@@ -102,18 +99,17 @@
   for (const auto& [pool, view] : views) {
     PoolBalance& balance = pools[pool];
     std::int64_t taken = 0;
-    std::int64_t permanent = 0;
     for (const Host* host : view.usable) {
       balance.capacity += host->listing.capacity.cores.value;
       taken += host->committed.cores.value;
       for (const RunId id : host->runs) {
         const Run& run = state.runs.at(id);
-        permanent += run.permanent ? run.reserved.cores.value : 0;
+        balance.permanent += run.permanent ? run.reserved.cores.value : 0;
       }
     }
     const auto arriving = static_cast<std::int64_t>(
         ForecastInflow(state, pool, now) * kMilliCoresPerCore);
-    balance.urgent_need = std::max(taken, permanent + arriving);
+    balance.urgent_need = std::max(taken, balance.permanent + arriving);
     // What waits found no room although some may be free: its tasks must be
     // apart, or need more memory than is left.
     const std::int64_t spread =
@@ -165,7 +161,9 @@
       continue;
     }
     const std::int64_t size = balance.idle.back()->listing.capacity.cores.value;
-    if (!balance.standby && balance.capacity - size < balance.urgent_need) {
+    const std::int64_t kept =
+        std::max(balance.urgent_need, balance.permanent + kWarmHosts * size);
+    if (!balance.standby && balance.capacity - size < kept) {
       continue;
     }
     if (best == nullptr || (balance.standby && !best->standby) ||
@@ -226,7 +224,7 @@
     if (balance.standby || !IsCalm(state, pool, now, kIdleKept)) {
       continue;
     }
-    while (balance.idle.size() > kWarmHosts) {
+    while (std::ssize(balance.idle) > kWarmHosts) {
       Machine& machine = *balance.idle.back();
       balance.idle.pop_back();
       const Host& host = state.hosts.at(machine.listing.host);
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -162,6 +162,11 @@
 
 }  // namespace internal
 
+bool IsStandby(const State& state, const core::PoolName& pool) {
+  const auto found = state.catalog.pools.find(pool);
+  return found != state.catalog.pools.end() && found->second.standby;
+}
+
 Machine* MachineOf(State& state, const core::HostId& host) {
   for (auto& [id, machine] : state.machines) {
     if (machine.listing.host == host) {
@@ -181,7 +186,11 @@
       continue;  // Older than what the last order's answer said.
     }
     machine.listing = listing;
-    if (listing.pool == machine.target && state.hosts.contains(listing.host)) {
+    // Machines of a standby pool have no hosts.
+    const bool arrived =
+        state.hosts.contains(listing.host) ||
+        (listing.state == MachineState::kUp && IsStandby(state, listing.pool));
+    if (listing.pool == machine.target && arrived) {
       machine.target.value.clear();
     }
   }
--- a/src/camphormux/scheduler/upkeep.hpp
+++ b/src/camphormux/scheduler/upkeep.hpp
@@ -48,6 +48,9 @@
 /// @brief Moves permanent tasks away from hosts that are leaving.
 void EvacuateDraining(State& state, const PoolViews& views);
 
+/// @brief Tells whether the machines of a pool are powered off.
+[[nodiscard]] bool IsStandby(const State& state, const core::PoolName& pool);
+
 /// @brief Finds the machine of a host.
 /// @return The machine, or nullptr.
 [[nodiscard]] Machine* MachineOf(State& state, const core::HostId& host);
--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -85,6 +85,34 @@
   EXPECT_LT(MovesTo(fleet, "spare"), 8U);
 }
 
+// Guards against machines that cannot be used for seconds after they were
+// parked: a standby pool has no hosts that would show their arrival.
+TEST(BalanceTest, AParkedMachineCanReturnAtOnce) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 8);
+  for (int i = 0; i < 100 && MovesTo(fleet, "spare") == 0; ++i) {
+    fleet.Advance(core::Millis(100));
+  }
+  fleet.Advance(core::Millis(1700));
+  (void)fleet.Submit(MakeJob(1, "q", 30, 60, core::Millis(2000)));
+  fleet.Advance(core::Millis(300));
+  EXPECT_GT(MovesTo(fleet, "pool"), 0U);
+}
+
+// Guards against a pool without any host when its own surge begins.
+TEST(BalanceTest, APoolDoesNotGiveItsLastHostsAway) {
+  Fleet fleet;
+  fleet.AddQueue("p", "first");
+  fleet.AddQueue("q", "second");
+  fleet.AddHosts("first", 4);
+  fleet.AddHosts("second", 1);
+  (void)fleet.Submit(MakeJob(1, "q", 40, 60, core::Millis(2000)));
+  fleet.Advance(core::Millis(3000));
+  EXPECT_EQ(MovesTo(fleet, "second"), 2U);
+}
+
 // Guards against machine orders that alternate with those of a predecessor,
 // and against a surge after a takeover that no host may follow.
 TEST(BalanceTest, OnlyMachinesThatAPredecessorOrderedLatelyWait) {
--- a/test/scheduler/surge_test.cpp
+++ b/test/scheduler/surge_test.cpp
@@ -1,3 +1,8 @@
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/jobs.hpp"
@@ -88,5 +93,99 @@
   EXPECT_LE(served.unserved, (served.on_time + served.late) / 5);
 }
 
+/// Two queues that surge by turns: the work of each rises for 4.5 s to twice
+/// what its pool holds and falls again, while the other is almost idle.
+class Turns {
+ public:
+  explicit Turns(Fleet& fleet) : fleet_(fleet) {}
+
+  /// Plays one surge of a queue.
+  void Play(const std::string& queue) {
+    constexpr core::Millis kHalf{4500};
+    constexpr core::Millis kGap{10};
+    constexpr double kPeakJobsASecond = 30;
+    double due = 0;
+    for (core::Millis at{0}; at < kHalf * 2; at += kGap) {
+      const double height =
+          1.0 - std::abs(static_cast<double>((at - kHalf).count())) /
+                    static_cast<double>(kHalf.count());
+      due += kPeakJobsASecond * height * static_cast<double>(kGap.count()) /
+             1000.0;
+      for (; due >= 1.0; due -= 1.0) {
+        Submit(queue);
+      }
+      fleet_.Advance(kGap);
+      Look();
+    }
+  }
+
+  /// Lets what is open end.
+  void Drain() {
+    for (int i = 0; i < 1000; ++i) {
+      fleet_.Advance(core::Millis(10));
+      Look();
+    }
+  }
+
+  [[nodiscard]] core::Millis LongestWait() const { return longest_wait_; }
+  [[nodiscard]] std::size_t Waiting() const { return waiting_.size(); }
+  [[nodiscard]] std::size_t Refused() const { return refused_; }
+
+ private:
+  void Submit(const std::string& queue) {
+    // Six tasks of 4 to 6 cores for 0.64 s: 19 core seconds.
+    ++number_;
+    const auto job =
+        MakeJob(number_, queue, 6, 4 + static_cast<std::int64_t>(number_ % 3),
+                core::Millis(640));
+    if (fleet_.Submit(job).admission == Admission::kRefused) {
+      ++refused_;
+    } else {
+      waiting_[job.id] = fleet_.now;
+    }
+  }
+
+  void Look() {
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+      const auto state = VisibleState(fleet_.state, it->first);
+      if (state != workload::JobState::kQueued) {
+        longest_wait_ = std::max(longest_wait_, fleet_.now - it->second);
+        it = waiting_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  Fleet& fleet_;
+  std::uint64_t number_ = 0;
+  std::size_t refused_ = 0;
+  std::map<core::JobId, core::MonotonicTime> waiting_;
+  core::Millis longest_wait_{0};
+};
+
+// Guards against hosts that follow a surge too late: the fleet can carry each
+// peak, so urgent work starts within 3.1 s, the target of
+// the two years' size.
+TEST(SurgeTest, UrgentWorkStartsInTimeWhenQueuesSurgeByTurns) {
+  constexpr core::Millis kStartTarget{3100};
+  Fleet fleet;
+  fleet.AddQueue("first", "a");
+  fleet.AddQueue("second", "b");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("a", 5);
+  fleet.AddHosts("b", 5);
+  fleet.AddHosts("spare", 4);
+  Turns turns(fleet);
+  for (int round = 0; round < 2; ++round) {
+    turns.Play("first");
+    turns.Play("second");
+  }
+  turns.Drain();
+  EXPECT_EQ(turns.Refused(), 0U);
+  EXPECT_EQ(turns.Waiting(), 0U);
+  EXPECT_LE(turns.LongestWait(), kStartTarget);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
