--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -19,6 +19,11 @@
 /// Time between two looks at the waves; a small part of an upkeep.
 constexpr core::Millis kUpkeepPause{50};
 
+/// Stops that an earlier holder ordered have taken effect by this time after a
+/// takeover: a host takes up to 0.9 s. Until then a task may seem to be at work
+/// that is about to end.
+constexpr core::Millis kStopsSettled{3000};
+
 /// Wall clocks of two nodes may differ by this much: a jump of a clock, and
 /// some more.
 constexpr core::Millis kClockMargin{4000};
@@ -144,7 +149,9 @@
     if (host != nullptr) {
       host->reserved = true;
       if (!host->runs.empty()) {
-        Evacuate(state, *host, views, true);
+        if (now >= state.took_over + kStopsSettled) {
+          Evacuate(state, *host, views, true);
+        }
         continue;
       }
     }
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -83,6 +83,38 @@
   EXPECT_EQ(fleet.state.machines.at(machine).listing.host.value, "i-next");
 }
 
+// Guards against more tasks of a step away than its budget allows: right after
+// a takeover a run that the predecessor has stopped still seems to be at work.
+TEST(UpkeepTest, PermanentTasksStayRightAfterATakeover) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 4);
+  workload::JobSpec job = MakeJob(1, "q", 3, 2, core::Millis(1000));
+  job.steps[0].permanent = true;
+  job.steps[0].max_per_host = 1;
+  job.steps[0].max_unavailable = 1;
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(500));
+  fleet.state.took_over = fleet.now;
+  WaveRequest wave = WaveOf(fleet, 2);
+  std::erase_if(wave.machines, [&](const MachineId& id) {
+    const Machine& machine = fleet.state.machines.at(id);
+    return fleet.state.hosts.at(machine.listing.host).runs.empty();
+  });
+  ASSERT_EQ(wave.machines.size(), 3U);
+  AddWave(fleet.state, wave, fleet.now);
+  const auto stops = [&] {
+    return std::count_if(fleet.sent.begin(), fleet.sent.end(),
+                         [](const Order& order) {
+                           return std::holds_alternative<StopRun>(order);
+                         });
+  };
+  fleet.Advance(core::Millis(900));
+  EXPECT_EQ(stops(), 0);
+  fleet.Advance(core::Millis(2500));
+  EXPECT_GT(stops(), 0);
+}
+
 // Guards against a wave that is said to be complete too early.
 TEST(UpkeepTest, AWaveIsCompleteWhenEachMachineHasBegun) {
   Fleet fleet;
