Log what tells a slow holder, late hosts and late work apart

Lines of single runs now leave a third of the budget to others, and the lines of each second are always written. New are the processor time of the process, the starts that were stored, sent and answered with their times, and the runs and core seconds in time and late by pool.

--- a/bin/node/main.cpp
+++ b/bin/node/main.cpp
@@ -59,8 +59,11 @@
         timer_(loop_) {}
 
   void Run() {
-    telemetry::Log(telemetry::Level::kInfo, "started",
-                   {{"node", settings_.name}, {"zone", settings_.zone.value}});
+    telemetry::Log(
+        telemetry::Level::kInfo, "started",
+        {{"node", settings_.name},
+         {"zone", settings_.zone.value},
+         {"processor_share", std::to_string(settings_.processor_share)}});
     WaitForSignal();
     node_.Start();
     loop_.run();
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -36,6 +37,17 @@
 /// Pause before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetry{400};
 
+/// @return Processor time that this process has used.
+core::Millis ProcessorTime() {
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  return std::chrono::duration_cast<core::Millis>(
+      std::chrono::seconds(used.tv_sec) +
+      std::chrono::nanoseconds(used.tv_nsec));
+}
+
+std::string Rounded(double value) { return std::to_string(std::lround(value)); }
+
 std::string_view Name(SubmitOutcome outcome) {
   switch (outcome) {
     case SubmitOutcome::kAccepted:
@@ -98,7 +110,7 @@
   saver_ = std::make_shared<Saver>(loop_, ports_.store, token_, state_,
                                    std::move(stored));
   links_ = std::make_shared<HostLinks>(
-      ports_.host, token_, state_, meters_,
+      ports_.host, token_, state_, meters_, flow_,
       HostLinks::Listener{[this] { SchedulePlan(); },
                           [this](const core::HostId& host) {
                             Depose("host " + host.value +
@@ -453,28 +465,51 @@
     return;
   }
   last_load_report_ = now;
+  const core::Millis used = internal::ProcessorTime();
   telemetry::Log(
-      telemetry::Level::kInfo, "planning",
+      telemetry::Volume::kPeriodic, telemetry::Level::kInfo, "planning",
       {{"passes", std::to_string(passes_.count)},
        {"total_ms", std::to_string(passes_.total.count())},
        {"longest_ms", std::to_string(passes_.longest.count())},
        {"jobs", std::to_string(state_.jobs.size())},
        {"runs", std::to_string(state_.runs.size())},
        {"hosts", std::to_string(state_.hosts.size())},
-       {"loop_late_ms", std::to_string((now - next_tick_).count())}});
+       {"loop_late_ms", std::to_string((now - next_tick_).count())},
+       {"processor_ms", std::to_string((used - processor_used_).count())}});
   passes_ = {};
+  processor_used_ = used;
+  const RunFlow flow = std::exchange(flow_, {});
+  telemetry::Log(
+      telemetry::Volume::kPeriodic, telemetry::Level::kInfo, "run flow",
+      {{"stored", std::to_string(flow.stored.runs)},
+       {"stored_ms", std::to_string(Mean(flow.stored).count())},
+       {"stored_longest_ms", std::to_string(flow.stored.longest.count())},
+       {"sent", std::to_string(flow.sent.runs)},
+       {"sent_ms", std::to_string(Mean(flow.sent).count())},
+       {"sent_longest_ms", std::to_string(flow.sent.longest.count())},
+       {"answered", std::to_string(flow.answered.runs)},
+       {"answered_ms", std::to_string(Mean(flow.answered).count())},
+       {"answered_longest_ms", std::to_string(flow.answered.longest.count())}});
+  auto work = std::exchange(state_.work, {});
   for (const auto& [pool, load] : scheduler::MeasureLoads(state_, now)) {
-    telemetry::Log(telemetry::Level::kInfo, "pool load",
-                   {{"pool", pool.value},
-                    {"hosts", std::to_string(load.hosts)},
-                    {"idle_hosts", std::to_string(load.idle_hosts)},
-                    {"millicores", std::to_string(load.capacity.value)},
-                    {"permanent", std::to_string(load.permanent.value)},
-                    {"urgent", std::to_string(load.urgent.value)},
-                    {"waiting", std::to_string(load.waiting.value)},
-                    {"open_jobs", std::to_string(load.open_jobs)},
-                    {"late_jobs", std::to_string(load.late_jobs)},
-                    {"inflow", std::to_string(std::lround(load.inflow))}});
+    const scheduler::PoolWork& done = work[pool];
+    telemetry::Log(
+        telemetry::Volume::kPeriodic, telemetry::Level::kInfo, "pool load",
+        {{"pool", pool.value},
+         {"hosts", std::to_string(load.hosts)},
+         {"idle_hosts", std::to_string(load.idle_hosts)},
+         {"millicores", std::to_string(load.capacity.value)},
+         {"permanent", std::to_string(load.permanent.value)},
+         {"urgent", std::to_string(load.urgent.value)},
+         {"waiting", std::to_string(load.waiting.value)},
+         {"open_jobs", std::to_string(load.open_jobs)},
+         {"late_jobs", std::to_string(load.late_jobs)},
+         {"inflow", std::to_string(std::lround(load.inflow))},
+         {"started_in_time", std::to_string(done.started_in_time)},
+         {"started_late", std::to_string(done.started_late)},
+         {"done_in_time", internal::Rounded(done.done_in_time)},
+         {"done_late", internal::Rounded(done.done_late)},
+         {"done_worthless", internal::Rounded(done.done_worthless)}});
   }
 }
 
@@ -495,6 +530,13 @@
 
 void Holder::SendStored(const scheduler::Order& order) {
   if (const auto* start = std::get_if<scheduler::StartRun>(&order)) {
+    const auto run = state_.runs.find(start->run);
+    if (run != state_.runs.end()) {
+      const core::Millis took = core::MonotonicNow() - run->second.ordered;
+      Note(flow_.stored, took);
+      meters_.store_seconds->Observe(
+          std::chrono::duration<double>(took).count());
+    }
     links_->Send(*start);
   } else if (const auto* move = std::get_if<scheduler::MoveMachine>(&order)) {
     Send(*move);
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -14,6 +14,7 @@
 #include "camphormux/coordinator/host_link.hpp"
 #include "camphormux/coordinator/meters.hpp"
 #include "camphormux/coordinator/ports.hpp"
+#include "camphormux/coordinator/run_flow.hpp"
 #include "camphormux/coordinator/saver.hpp"
 #include "camphormux/scheduler/state.hpp"
 
@@ -124,6 +125,8 @@
   core::MonotonicTime next_plan_;
   core::MonotonicTime next_tick_;
   Passes passes_;
+  RunFlow flow_;
+  core::Millis processor_used_{0};
   core::MonotonicTime last_machine_poll_;
   core::MonotonicTime last_load_report_;
   bool polling_machines_ = false;
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -69,11 +69,12 @@
 }  // namespace internal
 
 HostLinks::HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
-                     Meters& meters, Listener listener)
+                     Meters& meters, RunFlow& flow, Listener listener)
     : port_(std::move(port)),
       token_(token),
       state_(state),
       meters_(meters),
+      flow_(flow),
       listener_(std::move(listener)) {}
 
 HostLinks::Link& HostLinks::LinkOf(const scheduler::Host& host) {
@@ -283,6 +284,7 @@
       done();
       return;
     }
+    Note(flow_.sent, now - run->second.ordered);
     run->second.ordered = now;
     StartCall call{TargetOf(host->second), order.name, job->second.spec.payload,
                    order.checkpoint, *lease_end};
@@ -293,13 +295,14 @@
         return;
       }
       const core::MonotonicTime answered = core::MonotonicNow();
+      Note(self->flow_.answered, answered - now);
       self->meters_.start_seconds->Observe(
           std::chrono::duration<double>(answered - now).count());
       if (answer.clock_ms) {
         self->ReadClock(order.host, *answer.clock_ms);
       }
       telemetry::Log(
-          telemetry::Level::kInfo, "run ordered",
+          telemetry::Volume::kFrequent, telemetry::Level::kInfo, "run ordered",
           {{"task", internal::Describe(order.name)},
            {"attempt", std::to_string(order.name.attempt)},
            {"host", order.host.value},
@@ -341,7 +344,8 @@
             return;
           }
           telemetry::Log(
-              telemetry::Level::kInfo, "run stopped",
+              telemetry::Volume::kFrequent, telemetry::Level::kInfo,
+              "run stopped",
               {{"task", internal::Describe(order.name)},
                {"attempt", std::to_string(order.name.attempt)},
                {"host", order.host.value},
@@ -375,7 +379,8 @@
             return;
           }
           telemetry::Log(
-              telemetry::Level::kInfo, "run paced",
+              telemetry::Volume::kFrequent, telemetry::Level::kInfo,
+              "run paced",
               {{"task", internal::Describe(order.name)},
                {"percent", std::to_string(order.percent)},
                {"host", order.host.value},
--- a/src/camphormux/coordinator/host_link.hpp
+++ b/src/camphormux/coordinator/host_link.hpp
@@ -12,6 +12,7 @@
 
 #include "camphormux/coordinator/meters.hpp"
 #include "camphormux/coordinator/ports.hpp"
+#include "camphormux/coordinator/run_flow.hpp"
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::coordinator {
@@ -31,9 +32,10 @@
   /// @param token Fencing token of this holder.
   /// @param state The holder's state; outlives the links.
   /// @param meters Counters; outlive the links.
+  /// @param flow Stages of runs; outlives the links.
   /// @param listener Told of results.
   HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
-            Meters& meters, Listener listener);
+            Meters& meters, RunFlow& flow, Listener listener);
 
   /// @brief Sends the renewals and questions that are due. Those that an event
   /// makes due are sent with it.
@@ -86,6 +88,7 @@
   core::Epoch token_;
   scheduler::State& state_;
   Meters& meters_;
+  RunFlow& flow_;
   Listener listener_;
   std::unordered_map<core::HostId, Link> links_;
   core::MonotonicTime next_pump_;
--- a/src/camphormux/coordinator/meters.cpp
+++ b/src/camphormux/coordinator/meters.cpp
@@ -34,6 +34,9 @@
   meters.submit_seconds = &AddLatencyHistogram(
       registry, "camphormux_submit_seconds",
       "From a submission's arrival at this node to its answer.");
+  meters.store_seconds = &AddLatencyHistogram(
+      registry, "camphormux_run_store_seconds",
+      "From the decision to start a run until the start is stored.");
   meters.start_seconds =
       &AddLatencyHistogram(registry, "camphormux_run_start_seconds",
                            "From an order to start to its answer.");
--- a/src/camphormux/coordinator/meters.hpp
+++ b/src/camphormux/coordinator/meters.hpp
@@ -21,6 +21,7 @@
   prometheus::Gauge* open_jobs = nullptr;
   prometheus::Gauge* holds_ownership = nullptr;
   prometheus::Histogram* submit_seconds = nullptr;
+  prometheus::Histogram* store_seconds = nullptr;
   prometheus::Histogram* start_seconds = nullptr;
   prometheus::Histogram* takeover_seconds = nullptr;
 };
--- a/src/camphormux/scheduler/load.cpp
+++ b/src/camphormux/scheduler/load.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/scheduler/load.hpp"
 
 #include "camphormux/scheduler/arrivals.hpp"
+#include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
 
@@ -36,4 +37,28 @@
   return loads;
 }
 
+void NoteStart(State& state, const Job& job, core::MonotonicTime now) {
+  if (job.objective.count() == 0) {
+    return;
+  }
+  PoolWork& work = state.work[job.pool];
+  ++(UrgencyOf(job, now) == Urgency::kOnTime ? work.started_in_time
+                                             : work.started_late);
+}
+
+void NoteCompletion(State& state, const Job& job, core::MonotonicTime now) {
+  if (job.objective.count() == 0) {
+    return;
+  }
+  PoolWork& work = state.work[job.pool];
+  const core::Millis took = now - job.submitted;
+  if (took <= job.objective) {
+    work.done_in_time += job.core_seconds;
+  } else if (took <= job.objective * kLateFactor) {
+    work.done_late += job.core_seconds;
+  } else {
+    work.done_worthless += job.core_seconds;
+  }
+}
+
 }  // namespace camphormux::scheduler
--- a/src/camphormux/scheduler/load.hpp
+++ b/src/camphormux/scheduler/load.hpp
@@ -27,6 +27,12 @@
 [[nodiscard]] PoolLoads MeasureLoads(const State& state,
                                      core::MonotonicTime now);
 
+/// @brief Counts a start by whether its job can still be in time.
+void NoteStart(State& state, const Job& job, core::MonotonicTime now);
+
+/// @brief Counts the work of a job that has just succeeded.
+void NoteCompletion(State& state, const Job& job, core::MonotonicTime now);
+
 }  // namespace camphormux::scheduler
 
 #endif  // CAMPHORMUX_SCHEDULER_LOAD_HPP_
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -7,6 +7,7 @@
 
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
@@ -123,6 +124,7 @@
   entry.progress.next_attempt = attempt + 1;
   const Run& run = AddRun(state, job, task, attempt, host, now);
   ++state.counters.started;
+  NoteStart(state, job, now);
   state.unsaved.insert(job.spec.id);
   state.orders.emplace_back(
       StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
@@ -236,6 +238,7 @@
     workload::TaskProgress& progress = job.tasks[run.task].progress;
     progress.next_attempt = attempt + 1;
     ++state.counters.started;
+    NoteStart(state, job, now);
     state.orders.emplace_back(
         StartRun{run.id, run.host, run.name, progress.checkpoint});
   }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -5,6 +5,7 @@
 
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/pacing.hpp"
 
 namespace camphormux::scheduler {
@@ -112,6 +113,9 @@
       } else if (!step.permanent) {
         CompleteTask(state, job, *position, wall);
       }
+      if (job.state == workload::JobState::kSucceeded) {
+        NoteCompletion(state, job, now);
+      }
       return;
     case EndKind::kFailed:
       CountFailure(state, job, *position, host, end.name.attempt, wall, now);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -142,6 +142,15 @@
   core::MonotonicTime updated;
 };
 
+/// @brief What a pool's room was used for since the last report.
+struct PoolWork {
+  std::uint64_t started_in_time = 0;  ///< Runs of jobs that could be in time.
+  std::uint64_t started_late = 0;
+  double done_in_time = 0;    ///< Core seconds of jobs that met the objective.
+  double done_late = 0;       ///< Of jobs that ended after it.
+  double done_worthless = 0;  ///< Of jobs that ended too late to be worth any.
+};
+
 struct Counters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -182,6 +191,8 @@
   std::map<core::PoolName, Inflow> inflows;
   /// Cores of ready tasks without room, as of the last planning pass.
   std::map<core::PoolName, core::MilliCores> waiting;
+  /// The owner empties it with each report.
+  std::map<core::PoolName, PoolWork> work;
   Counters counters;
 };
 
--- a/src/camphormux/telemetry/line_budget.hpp
+++ b/src/camphormux/telemetry/line_budget.hpp
@@ -10,6 +10,9 @@
 /// Ordinary lines that a process writes in a second. Twice what the busiest
 /// node wrote; at 250 bytes a line it bounds the volume to 150 kB a second.
 inline constexpr std::uint32_t kMaxLinesPerSecond = 600;
+/// Part of it that frequent lines may use, so that a flood of them does not
+/// crowd out the lines that explain it.
+inline constexpr std::uint32_t kMaxFrequentLinesPerSecond = 400;
 
 /// @brief Counts ordinary log lines in windows of one second.
 struct LineBudget {
@@ -27,15 +30,18 @@
 /// @brief Decides about an ordinary line.
 /// @param budget The budget; updated.
 /// @param now The time.
+/// @param frequent The line is one of many of its kind.
 [[nodiscard]] inline LineDecision Spend(LineBudget& budget,
-                                        core::MonotonicTime now) {
+                                        core::MonotonicTime now,
+                                        bool frequent = false) {
   constexpr core::Millis kWindow{1000};
   LineDecision decision;
   if (now >= budget.window + kWindow) {
     decision.report_suppressed = budget.suppressed;
     budget = LineBudget{now};
   }
-  if (budget.written >= kMaxLinesPerSecond) {
+  if (budget.written >=
+      (frequent ? kMaxFrequentLinesPerSecond : kMaxLinesPerSecond)) {
     ++budget.suppressed;
     decision.write = false;
     return decision;
--- a/src/camphormux/telemetry/log.cpp
+++ b/src/camphormux/telemetry/log.cpp
@@ -19,16 +19,17 @@
 namespace internal {
 
 /// Takes a line off the budget and reports what was left out before.
-bool MayWrite(Level level) {
+bool MayWrite(Volume volume, Level level) {
   static std::mutex mutex;
   static LineBudget budget;
-  if (level == Level::kWarning || level == Level::kError) {
+  if (level == Level::kWarning || level == Level::kError ||
+      volume == Volume::kPeriodic) {
     return true;
   }
   LineDecision decision;
   {
     const std::lock_guard lock(mutex);
-    decision = Spend(budget, core::MonotonicNow());
+    decision = Spend(budget, core::MonotonicNow(), volume == Volume::kFrequent);
   }
   if (decision.report_suppressed > 0) {
     Log(Level::kWarning, "log lines left out",
@@ -98,9 +99,14 @@
 
 void Log(Level level, std::string_view message,
          std::initializer_list<Field> fields) {
+  Log(Volume::kOrdinary, level, message, fields);
+}
+
+void Log(Volume volume, Level level, std::string_view message,
+         std::initializer_list<Field> fields) {
   const auto logger = log4cxx::Logger::getRootLogger();
   const auto severity = internal::ToLog4cxx(level);
-  if (!logger->isEnabledFor(severity) || !internal::MayWrite(level)) {
+  if (!logger->isEnabledFor(severity) || !internal::MayWrite(volume, level)) {
     return;
   }
   logger->forcedLog(
--- a/src/camphormux/telemetry/log.hpp
+++ b/src/camphormux/telemetry/log.hpp
@@ -28,7 +28,22 @@
 /// are written together; those of a warning or an error at once.
 void FlushLog();
 
+/// @brief What is left out first when a process has too much to write.
+enum class Volume {
+  kFrequent,  ///< One line a run or a call; left out first.
+  kOrdinary,
+  kPeriodic,  ///< A few lines a second, whatever the load; never left out.
+};
+
 /// @brief Writes one log line.
+/// @param volume How often lines of this kind come.
+/// @param level Severity.
+/// @param message What happened, without variable parts.
+/// @param fields The variable parts.
+void Log(Volume volume, Level level, std::string_view message,
+         std::initializer_list<Field> fields = {});
+
+/// @brief Writes one log line of ordinary volume.
 /// @param level Severity.
 /// @param message What happened, without variable parts.
 /// @param fields The variable parts.
--- a/test/telemetry/line_budget_test.cpp
+++ b/test/telemetry/line_budget_test.cpp
@@ -21,5 +21,17 @@
   EXPECT_EQ(Spend(budget, now).report_suppressed, 0U);
 }
 
+// Guards against a flood of lines of one kind that hides those that explain it.
+TEST(LineBudgetTest, FrequentLinesLeaveRoomForOthers) {
+  LineBudget budget;
+  const core::MonotonicTime now{core::Millis(5000)};
+  std::uint32_t frequent = 0;
+  for (std::uint32_t i = 0; i < kMaxLinesPerSecond; ++i) {
+    frequent += Spend(budget, now, true).write ? 1U : 0U;
+  }
+  EXPECT_EQ(frequent, kMaxFrequentLinesPerSecond);
+  EXPECT_TRUE(Spend(budget, now).write);
+}
+
 }  // namespace
 }  // namespace camphormux::telemetry
