--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ctime>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -37,15 +36,6 @@
 /// Pause before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetry{400};
 
-/// @return Processor time that this process has used.
-core::Millis ProcessorTime() {
-  timespec used{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-  return std::chrono::duration_cast<core::Millis>(
-      std::chrono::seconds(used.tv_sec) +
-      std::chrono::nanoseconds(used.tv_nsec));
-}
-
 std::string Rounded(double value) { return std::to_string(std::lround(value)); }
 
 std::string_view Name(SubmitOutcome outcome) {
@@ -465,7 +455,6 @@
     return;
   }
   last_load_report_ = now;
-  const core::Millis used = internal::ProcessorTime();
   telemetry::Log(
       telemetry::Volume::kPeriodic, telemetry::Level::kInfo, "planning",
       {{"passes", std::to_string(passes_.count)},
@@ -474,10 +463,8 @@
        {"jobs", std::to_string(state_.jobs.size())},
        {"runs", std::to_string(state_.runs.size())},
        {"hosts", std::to_string(state_.hosts.size())},
-       {"loop_late_ms", std::to_string((now - next_tick_).count())},
-       {"processor_ms", std::to_string((used - processor_used_).count())}});
+       {"loop_late_ms", std::to_string((now - next_tick_).count())}});
   passes_ = {};
-  processor_used_ = used;
   const RunFlow flow = std::exchange(flow_, {});
   telemetry::Log(
       telemetry::Volume::kPeriodic, telemetry::Level::kInfo, "run flow",
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -126,7 +126,6 @@
   core::MonotonicTime next_tick_;
   Passes passes_;
   RunFlow flow_;
-  core::Millis processor_used_{0};
   core::MonotonicTime last_machine_poll_;
   core::MonotonicTime last_load_report_;
   bool polling_machines_ = false;
