--- a/bench/holder/main.cpp
+++ b/bench/holder/main.cpp
@@ -6,9 +6,9 @@
 
 #include <gflags/gflags.h>
 
-#include "bench/holder/fake_ports.hpp"
 #include "camphormux/coordinator/holder.hpp"
 #include "camphormux/telemetry/log.hpp"
+#include "test/coordinator/fake_platform.hpp"
 
 DEFINE_int32(hosts, 300, "Hosts of the pool.");
 DEFINE_int32(seconds, 5, "Duration.");
--- a/bench/holder/fake_ports.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -1,4 +1,4 @@
-#include "bench/holder/fake_ports.hpp"
+#include "test/coordinator/fake_platform.hpp"
 
 #include <memory>
 #include <utility>
--- a/bench/holder/fake_ports.hpp
+++ b/test/coordinator/fake_platform.hpp
@@ -1,5 +1,5 @@
-#ifndef BENCH_HOLDER_FAKE_PORTS_HPP_
-#define BENCH_HOLDER_FAKE_PORTS_HPP_
+#ifndef TEST_COORDINATOR_FAKE_PLATFORM_HPP_
+#define TEST_COORDINATOR_FAKE_PLATFORM_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -49,4 +49,4 @@
 
 }  // namespace camphormux::coordinator
 
-#endif  // BENCH_HOLDER_FAKE_PORTS_HPP_
+#endif  // TEST_COORDINATOR_FAKE_PLATFORM_HPP_
--- /dev/null
+++ b/test/coordinator/node_test.cpp
@@ -0,0 +1,177 @@
+#include "camphormux/coordinator/node.hpp"
+
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include "test/coordinator/fake_platform.hpp"
+
+namespace camphormux::coordinator {
+namespace {
+
+constexpr std::size_t kNodes = 4;
+constexpr core::Millis kRunTime{50};
+constexpr std::int64_t kTaskCores = 6000;
+
+/// A port that is free now.
+std::uint16_t FreePort(asio::io_context& loop) {
+  asio::ip::tcp::acceptor acceptor(loop,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+workload::JobSpec MakeSpec(std::uint64_t number, std::uint32_t tasks) {
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016llx",
+                static_cast<unsigned long long>(number));  // NOLINT
+  workload::JobSpec spec;
+  spec.id.value = id;
+  spec.queue.value = "q";
+  workload::Step step;
+  step.count = tasks;
+  step.size = {{kTaskCores}, {1000}, {0}};
+  step.estimate = kRunTime;
+  spec.steps = {step};
+  return spec;
+}
+
+/// Calls to hosts that one node has made.
+struct Calls {
+  std::uint64_t starts = 0;
+  std::uint64_t renewals = 0;
+};
+
+/// Nodes of one deployment on one platform; the first is the holder.
+class Deployment {
+ public:
+  explicit Deployment(std::size_t hosts) : platform_(loop_, hosts, kRunTime) {
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      addresses_.push_back({"127.0.0.1", FreePort(loop_)});
+    }
+    calls_.resize(kNodes);
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      NodeSettings settings;
+      settings.name = "node-" + std::to_string(i);
+      settings.zone.value = "z";
+      settings.peer = addresses_[i];
+      neighbours_.push_back(std::make_unique<Neighbours>(loop_, settings.peer));
+      nodes_.push_back(std::make_unique<Node>(loop_, settings, MakePorts(i),
+                                              *neighbours_.back()));
+      nodes_.back()->Start();
+    }
+  }
+
+  template <typename Condition>
+  bool RunUntil(const Condition& condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      loop_.restart();
+      loop_.run_one_for(std::chrono::milliseconds(50));
+    }
+    return condition();
+  }
+
+  void Submit(const workload::JobSpec& spec) {
+    nodes_[0]->front().Submit(
+        spec, core::MonotonicNow() + core::Millis(20'000),
+        [this](SubmitAnswer answer) {
+          accepted_ += answer.outcome == SubmitOutcome::kAccepted ? 1U : 0U;
+        });
+  }
+
+  [[nodiscard]] bool IsReady() const { return nodes_[0]->is_ready(); }
+  [[nodiscard]] std::size_t Accepted() const { return accepted_; }
+  [[nodiscard]] const Calls& CallsOf(std::size_t node) const {
+    return calls_[node];
+  }
+  [[nodiscard]] std::uint64_t Starts() const { return platform_.starts(); }
+  void ResetCalls() { calls_.assign(kNodes, {}); }
+
+ private:
+  Ports MakePorts(std::size_t node) {
+    Ports ports = platform_.MakePorts();
+    const HostPort direct = ports.host;
+    ports.host.start = [this, node, direct](const StartCall& call, auto done) {
+      ++calls_[node].starts;
+      direct.start(call, std::move(done));
+    };
+    ports.host.renew = [this, node, direct](const RenewCall& call, auto done) {
+      ++calls_[node].renewals;
+      direct.renew(call, std::move(done));
+    };
+    ports.election.join = [node](auto done) {
+      done(MembershipAnswer{{1}, node == 0});
+    };
+    ports.election.leave = [](auto done) { done(); };
+    ports.election.evict_past_life = [](auto done) { done(); };
+    ports.election.look = [this, node](auto done) {
+      done(node == 0 ? Ownership{} : Ownership{addresses_[0]});
+    };
+    ports.election.announce = [this](auto done) { done(addresses_); };
+    ports.feed.start = [this](const FeedPort::Listener& listener) {
+      workload::Catalog catalog;
+      workload::Queue queue;
+      queue.name.value = "q";
+      queue.pool.value = "pool";
+      queue.stretch = 100.0;
+      queue.latency_target = core::Millis(60'000);
+      catalog.queues = {queue};
+      catalog.pools[{"pool"}];
+      listener.on_catalog(catalog);
+      listeners_.push_back(listener);
+    };
+    ports.feed.follow_hosts = [this, node](bool follow) {
+      if (follow) {
+        asio::post(loop_, [this, node] {
+          listeners_[node].on_hosts(platform_.Listings(),
+                                    core::MonotonicTime{});
+        });
+      }
+    };
+    return ports;
+  }
+
+  asio::io_context loop_;
+  FakePlatform platform_;
+  std::vector<core::Address> addresses_;
+  std::vector<Calls> calls_;
+  std::vector<FeedPort::Listener> listeners_;
+  std::vector<std::unique_ptr<Neighbours>> neighbours_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::size_t accepted_ = 0;
+};
+
+// Guards against a fleet whose surge one node has to call out by itself: a call
+// costs half of the processor time that a start may take at the holder.
+TEST(NodeTest, AHolderOfALargeFleetDoesNotCallEachHostItself) {
+  constexpr std::size_t kHosts = 349;
+  constexpr std::size_t kJobs = 60;
+  constexpr std::uint32_t kTasks = 10;
+  Deployment deployment(kHosts);
+  ASSERT_TRUE(deployment.RunUntil([&] { return deployment.IsReady(); }));
+  // Until the hosts have reported to the holder and other nodes are known.
+  deployment.Submit(MakeSpec(1, 1));
+  ASSERT_TRUE(deployment.RunUntil([&] { return deployment.Starts() == 1; }));
+  const auto settled =
+      std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  deployment.RunUntil(
+      [&] { return std::chrono::steady_clock::now() >= settled; });
+  deployment.ResetCalls();
+  for (std::uint64_t i = 0; i < kJobs; ++i) {
+    deployment.Submit(MakeSpec(i + 2, kTasks));
+  }
+  ASSERT_TRUE(deployment.RunUntil(
+      [&] { return deployment.Starts() > kJobs * kTasks; }));
+  const Calls& holder = deployment.CallsOf(0);
+  EXPECT_LT(holder.starts + holder.renewals, deployment.Starts());
+  EXPECT_EQ(deployment.Accepted(), kJobs + 1);
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
