Let other nodes call the hosts of a large fleet for the holder

Cause: one node called each of 349 hosts itself, an HTTP exchange for each start and each question. At 1,700 to 2,300 starts a second its half of a core was used up, and passes (123 to 10 a second), answers (5 to 113 ms) and moves queued behind the calls. Class: the work of one node grows with the fleet.

The decisions stay with the holder; the calls go in batches to the larger nodes of the hosts' zones, which make them and hand the answers back. A call that may have reached a failed node counts as unanswered, as one to a silent host does, so nothing that keeps runs from starting twice changes. A fleet of up to 60 hosts is called by the holder as before.

In its deployment a node now announces its zone and processor, and the test does so.

--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -68,7 +68,7 @@
 
 void Election::Announce() {
   port_.announce([weak = weak_from_this()](
-                     const std::optional<std::vector<core::Address>>& nodes) {
+                     const std::optional<std::vector<Member>>& nodes) {
     const auto self = weak.lock();
     if (!self || self->closed_) {
       return;
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -22,8 +22,8 @@
     /// Ownership with a new fencing token.
     std::function<void(core::Epoch token)> on_gain;
     std::function<void()> on_loss;
-    /// Addresses of all nodes.
-    std::function<void(const std::vector<core::Address>&)> on_members;
+    /// All nodes.
+    std::function<void(const std::vector<Member>&)> on_members;
   };
 
   /// @param loop Event loop; outlives the election.
--- /dev/null
+++ b/src/camphormux/coordinator/host_agent.cpp
@@ -0,0 +1,95 @@
+#include "camphormux/coordinator/host_agent.hpp"
+
+#include <utility>
+
+#include "camphormux/telemetry/log.hpp"
+
+namespace camphormux::coordinator {
+namespace internal {
+
+/// Answers wait this long for others, a small part of the time to an answer of
+/// the store.
+constexpr core::Millis kAnswerPause{4};
+/// A holder that has not asked for this long is gone: several times as long as
+/// it waits for an answer.
+constexpr core::Millis kSessionKept{10'000};
+
+}  // namespace internal
+
+HostAgent::HostAgent(asio::io_context& loop, HostPort port)
+    : loop_(loop), port_(std::move(port)) {}
+
+void HostAgent::Serve(const peer::Request& request, peer::Respond respond) {
+  const auto batch = DecodeCalls(request.body);
+  if (!batch) {
+    telemetry::Log(telemetry::Level::kError,
+                   "calls of another node are malformed");
+    respond({peer::kStatusBadRequest, ""});
+    return;
+  }
+  if (leaving_ && !batch->calls.empty()) {
+    respond({peer::kStatusUnavailable, ""});
+    return;
+  }
+  const core::MonotonicTime now = core::MonotonicNow();
+  ForgetUnused(now);
+  auto& session = sessions_[batch->holder];
+  if (!session) {
+    session = std::make_shared<Session>(loop_);
+    telemetry::Log(telemetry::Level::kInfo, "calling hosts for a holder",
+                   {{"holder", batch->holder},
+                    {"token", std::to_string(batch->token.value)}});
+  }
+  if (session->open) {
+    RespondNow(*session);
+  }
+  session->last_used = now;
+  session->open = std::move(respond);
+  session->respond_at = now + kLongestExchange;
+  RespondAt(session, session->answers.empty() ? session->respond_at
+                                              : now + internal::kAnswerPause);
+  for (const NumberedCall& entry : batch->calls) {
+    Make(port_, entry.call,
+         [weak = weak_from_this(), session,
+          number = entry.number](HostAnswer answer) {
+           if (const auto self = weak.lock()) {
+             self->Add(session, {number, std::move(answer)});
+           }
+         });
+  }
+}
+
+void HostAgent::Add(const std::shared_ptr<Session>& session,
+                    NumberedAnswer answer) {
+  const bool first = session->answers.empty();
+  session->answers.push_back(std::move(answer));
+  if (first && session->open) {
+    RespondAt(session, core::MonotonicNow() + internal::kAnswerPause);
+  }
+}
+
+void HostAgent::RespondAt(const std::shared_ptr<Session>& session,
+                          core::MonotonicTime at) {
+  session->timer.expires_at(at);
+  session->timer.async_wait(
+      [weak = std::weak_ptr(session)](const asio::error_code& error) {
+        const auto waiting = weak.lock();
+        if (waiting && !error && waiting->open) {
+          RespondNow(*waiting);
+        }
+      });
+}
+
+void HostAgent::RespondNow(Session& session) {
+  session.timer.cancel();
+  const peer::Respond respond = std::exchange(session.open, nullptr);
+  respond({peer::kStatusOk, EncodeAnswers(std::exchange(session.answers, {}))});
+}
+
+void HostAgent::ForgetUnused(core::MonotonicTime now) {
+  std::erase_if(sessions_, [&](const auto& entry) {
+    return now >= entry.second->last_used + internal::kSessionKept;
+  });
+}
+
+}  // namespace camphormux::coordinator
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -88,7 +88,7 @@
 
 HostTarget HostLinks::TargetOf(const scheduler::Host& host) const {
   return {host.listing.id, host.listing.incarnation, host.listing.address,
-          token_};
+          host.listing.zone, token_};
 }
 
 std::optional<std::int64_t> HostLinks::Grant(scheduler::Host& host,
--- a/src/camphormux/coordinator/meters.cpp
+++ b/src/camphormux/coordinator/meters.cpp
@@ -22,6 +22,17 @@
                   "Submissions whose fate was not known at their deadline.");
   meters.renewals = &AddCounter(registry, "camphormux_host_renewals_total",
                                 "Renewals of leases and questions to hosts.");
+  meters.host_calls_direct =
+      &AddCounter(registry, "camphormux_host_calls_total",
+                  "Calls to hosts by this node as the holder, by their way.",
+                  {{"way", "direct"}});
+  meters.host_calls_shared =
+      &AddCounter(registry, "camphormux_host_calls_total",
+                  "Calls to hosts by this node as the holder, by their way.",
+                  {{"way", "other node"}});
+  meters.agent_failures = &AddCounter(
+      registry, "camphormux_host_call_node_failures_total",
+      "Times that a node failed which calls hosts for this holder.");
   meters.takeovers = &AddCounter(registry, "camphormux_takeovers_total",
                                  "Times that this node became the holder.");
   meters.machine_orders =
--- a/src/camphormux/coordinator/meters.hpp
+++ b/src/camphormux/coordinator/meters.hpp
@@ -16,6 +16,9 @@
   prometheus::Counter* unavailable = nullptr;
   prometheus::Counter* unanswered = nullptr;
   prometheus::Counter* renewals = nullptr;
+  prometheus::Counter* host_calls_direct = nullptr;
+  prometheus::Counter* host_calls_shared = nullptr;
+  prometheus::Counter* agent_failures = nullptr;
   prometheus::Counter* takeovers = nullptr;
   prometheus::Counter* machine_orders = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -43,6 +43,7 @@
       registry_(std::make_shared<prometheus::Registry>()),
       meters_(MakeMeters(*registry_)),
       relay_(loop, settings_.peer.ip),
+      agent_(std::make_shared<HostAgent>(loop, ports_.host)),
       server_(
           loop, settings_.peer,
           [this](const peer::Request& request, const peer::Respond& respond) {
@@ -53,6 +54,10 @@
                   });
               return;
             }
+            if (request.path == kHostCallsPath) {
+              agent_->Serve(request, respond);
+              return;
+            }
             AnswerRelay(holder_, request, respond);
           }),
       watch_(loop) {
@@ -60,8 +65,8 @@
       loop, ports_.election,
       Election::Listener{[this](core::Epoch token) { OnGain(token); },
                          [this] { OnLoss(); },
-                         [&neighbours](const auto& members) {
-                           neighbours.SetMembers(members);
+                         [this, &neighbours](const auto& members) {
+                           OnMembers(members, neighbours);
                          }},
       internal::TurnOf(settings_),
       settings_.processor_share < internal::kHolderShare);
@@ -84,6 +89,7 @@
        [this](const std::vector<scheduler::HostListing>& hosts,
               core::MonotonicTime trusted_from) {
          if (holder_) {
+           router_->SetHosts(hosts.size());
            holder_->OnHosts(hosts, trusted_from);
          }
        }});
@@ -115,7 +121,12 @@
   telemetry::Log(telemetry::Level::kInfo, "ownership gained",
                  {{"token", std::to_string(token.value)}});
   relay_.SetHolder(std::nullopt);
-  holder_ = std::make_shared<Holder>(loop_, settings_.scheduler, ports_, token,
+  router_ = std::make_shared<HostRouter>(loop_, ports_.host, settings_.peer,
+                                         token, meters_);
+  router_->SetMembers(members_);
+  Ports ports = ports_;
+  ports.host = router_->MakePort();
+  holder_ = std::make_shared<Holder>(loop_, settings_.scheduler, ports, token,
                                      meters_, [this] {
                                        DropHolder();
                                        election_->Rejoin();
@@ -128,6 +139,19 @@
   front_->SetHolder(holder_);
 }
 
+void Node::OnMembers(const std::vector<Member>& members,
+                     Neighbours& neighbours) {
+  members_ = members;
+  std::vector<core::Address> addresses;
+  for (const Member& member : members) {
+    addresses.push_back(member.address);
+  }
+  neighbours.SetMembers(addresses);
+  if (router_) {
+    router_->SetMembers(members);
+  }
+}
+
 void Node::OnLoss() {
   telemetry::Log(telemetry::Level::kInfo, "ownership given up");
   DropHolder();
@@ -138,6 +162,8 @@
   front_->SetHolder(nullptr);
   if (const auto holder = std::exchange(holder_, nullptr)) {
     holder->Stop();
+    router_->Close();
+    router_.reset();
   }
 }
 
@@ -194,6 +220,7 @@
 
 void Node::Leave() {
   leaving_ = true;
+  agent_->Leave();
   telemetry::Log(telemetry::Level::kInfo, "stopping",
                  {{"holder", holder_ ? "yes" : "no"}});
   DropHolder();
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -12,6 +12,8 @@
 #include "camphormux/coordinator/election.hpp"
 #include "camphormux/coordinator/front.hpp"
 #include "camphormux/coordinator/holder.hpp"
+#include "camphormux/coordinator/host_agent.hpp"
+#include "camphormux/coordinator/host_router.hpp"
 #include "camphormux/coordinator/meters.hpp"
 #include "camphormux/coordinator/neighbours.hpp"
 #include "camphormux/coordinator/node_settings.hpp"
@@ -55,6 +57,7 @@
   void OnGain(core::Epoch token);
   void OnLoss();
   void DropHolder();
+  void OnMembers(const std::vector<Member>& members, Neighbours& neighbours);
   void OnCatalog(workload::Catalog catalog);
   void Watch();
   void PingHolder(core::MonotonicTime now);
@@ -65,12 +68,15 @@
   std::shared_ptr<prometheus::Registry> registry_;
   Meters meters_;
   Relay relay_;
+  std::shared_ptr<HostAgent> agent_;
   std::shared_ptr<Election> election_;
   std::shared_ptr<Front> front_;
   std::shared_ptr<Holder> holder_;
+  std::shared_ptr<HostRouter> router_;  ///< While this node is the holder.
   peer::Server server_;
   asio::steady_timer watch_;
   std::optional<workload::Catalog> catalog_;
+  std::vector<Member> members_;
   std::map<scheduler::WaveId, scheduler::WaveRequest> waves_;
   core::MonotonicTime last_contact_;  ///< With a holder that can decide.
   core::MonotonicTime last_ping_;
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "camphormux/coordinator/member.hpp"
 #include "camphormux/core/ids.hpp"
 #include "camphormux/core/time.hpp"
 #include "camphormux/core/units.hpp"
@@ -80,10 +81,9 @@
   std::function<void(std::function<void(std::optional<Ownership>)>)> look;
   /// Ends the candidacy of an earlier process at this node's own address.
   std::function<void(std::function<void()>)> evict_past_life;
-  /// Tells the other nodes that this one runs; returns the addresses of all,
-  /// or nothing if there was no answer.
-  std::function<void(
-      std::function<void(std::optional<std::vector<core::Address>>)>)>
+  /// Tells the other nodes that this one runs; returns all of them, or nothing
+  /// if there was no answer.
+  std::function<void(std::function<void(std::optional<std::vector<Member>>)>)>
       announce;
 };
 
@@ -92,6 +92,7 @@
   core::HostId host;
   core::Incarnation incarnation;
   core::Address address;
+  core::ZoneName zone;  ///< Chooses the way of the call.
   core::Epoch token;
 };
 
--- a/test/coordinator/election_test.cpp
+++ b/test/coordinator/election_test.cpp
@@ -36,7 +36,8 @@
         loop, port,
         Election::Listener{
             [this](core::Epoch token) { tokens.push_back(token); },
-            [this] { ++losses; }, [](const std::vector<core::Address>&) {}},
+            [this] { ++losses; },
+            [](const std::vector<coordinator::Member>&) {}},
         0, reluctant);
   }
 
@@ -216,7 +217,7 @@
                              member.holds = true;
                            },
                            [&member] { member.holds = false; },
-                           [](const std::vector<core::Address>&) {}},
+                           [](const std::vector<coordinator::Member>&) {}},
         turn);
   }
 
--- a/test/coordinator/node_test.cpp
+++ b/test/coordinator/node_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <gtest/gtest.h>
 
 #include "test/coordinator/fake_platform.hpp"
@@ -113,7 +114,13 @@
     ports.election.look = [this, node](auto done) {
       done(node == 0 ? Ownership{} : Ownership{addresses_[0]});
     };
-    ports.election.announce = [this](auto done) { done(addresses_); };
+    ports.election.announce = [this](auto done) {
+      std::vector<Member> members;
+      for (const core::Address& address : addresses_) {
+        members.push_back({address, {"z"}, {500}});
+      }
+      done(members);
+    };
     ports.feed.start = [this](const FeedPort::Listener& listener) {
       workload::Catalog catalog;
       workload::Queue queue;
