Decide orders anew that waited too long for the store

Cause: an order is stored before it is sent, and was sent as decided however long that took. Hosts that were idle while nothing could be stored were ordered to the standby pool, 21 of them within 25 ms of the store's return, in the middle of a surge; they worked again four seconds later. Class: a decision that is carried out after the state it came from has changed. The same held for starts behind the store, and for starts that wait at a host's link.

An order of more than 1.5 s that was never sent is withdrawn and its task or machine decided about anew; one that may have taken effect is still repeated.

HolderTest.MovesThatWaitedForTheStoreAreDecidedAnew failed before (7 moves to the standby pool) and passes; StaleOrdersTest is new.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -12,6 +12,7 @@
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/plan.hpp"
+#include "camphormux/scheduler/stale_orders.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "camphormux/telemetry/log.hpp"
 #include "camphormux/workload/codec.hpp"
@@ -91,9 +92,16 @@
     AnswerCancels();
     SchedulePlan();
   };
-  stored.on_orders = [this](const std::vector<scheduler::Order>& orders) {
-    for (const scheduler::Order& order : orders) {
-      SendStored(order);
+  stored.on_orders = [this](const std::vector<StoredOrder>& orders) {
+    std::size_t withdrawn = 0;
+    for (const StoredOrder& order : orders) {
+      withdrawn += SendStored(order) ? 0U : 1U;
+    }
+    if (withdrawn > 0) {
+      telemetry::Log(telemetry::Level::kWarning,
+                     "orders that waited for the store were withdrawn",
+                     {{"orders", std::to_string(orders.size())},
+                      {"withdrawn", std::to_string(withdrawn)}});
     }
   };
   stored.on_fenced = [this] { Depose("the store refused its epoch"); };
@@ -515,15 +523,17 @@
   }
 }
 
-void Holder::SendStored(const scheduler::Order& order) {
+bool Holder::SendStored(const StoredOrder& stored) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  const core::Millis took = now - stored.decided;
+  const scheduler::Order& order = stored.order;
+  if (took > scheduler::kOrderValidity &&
+      scheduler::Withdraw(state_, order, now)) {
+    return false;
+  }
   if (const auto* start = std::get_if<scheduler::StartRun>(&order)) {
-    const auto run = state_.runs.find(start->run);
-    if (run != state_.runs.end()) {
-      const core::Millis took = core::MonotonicNow() - run->second.ordered;
-      Note(flow_.stored, took);
-      meters_.store_seconds->Observe(
-          std::chrono::duration<double>(took).count());
-    }
+    Note(flow_.stored, took);
+    meters_.store_seconds->Observe(std::chrono::duration<double>(took).count());
     links_->Send(*start);
   } else if (const auto* move = std::get_if<scheduler::MoveMachine>(&order)) {
     Send(*move);
@@ -531,6 +541,7 @@
                  std::get_if<scheduler::UpkeepMachine>(&order)) {
     Send(*upkeep);
   }
+  return true;
 }
 
 void Holder::Send(const scheduler::MoveMachine& order) {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -86,8 +86,9 @@
   void Tick();
   void ReportLoads(core::MonotonicTime now);
   void Dispatch();
-  /// Sends an order that had to be stored first.
-  void SendStored(const scheduler::Order& order);
+  /// Sends an order that had to be stored first, unless that took too long.
+  /// @return Whether it was sent.
+  bool SendStored(const StoredOrder& stored);
   void Send(const scheduler::MoveMachine& order);
   void Send(const scheduler::UpkeepMachine& order);
   void Send(const scheduler::SaveWave& order);
--- a/src/camphormux/coordinator/host_link.cpp
+++ b/src/camphormux/coordinator/host_link.cpp
@@ -5,6 +5,7 @@
 
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/stale_orders.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
@@ -268,7 +269,9 @@
     const auto run = state_.runs.find(order.run);
     const auto host = state_.hosts.find(order.host);
     if (run == state_.runs.end() || host == state_.hosts.end() ||
-        run->second.phase != scheduler::RunPhase::kOrdered) {
+        run->second.phase != scheduler::RunPhase::kOrdered ||
+        core::MonotonicNow() >
+            run->second.ordered + scheduler::kOrderValidity) {
       // It was given up before it was sent, so it cannot take effect.
       if (run != state_.runs.end() && host != state_.hosts.end()) {
         scheduler::RemoveRun(state_, order.run);
--- a/src/camphormux/coordinator/saver.cpp
+++ b/src/camphormux/coordinator/saver.cpp
@@ -62,7 +62,7 @@
 }
 
 void Saver::AddOrder(scheduler::Order order) {
-  orders_.push_back(std::move(order));
+  orders_.push_back({std::move(order), core::MonotonicNow()});
   Trigger();
 }
 
@@ -140,8 +140,9 @@
   }
   waves_.clear();
   const core::WallTime wall = core::WallNow();
-  for (const scheduler::Order& order : batch.orders) {
-    if (const scheduler::MachineId* machine = internal::MachineOf(order)) {
+  for (const StoredOrder& stored : batch.orders) {
+    if (const scheduler::MachineId* machine =
+            internal::MachineOf(stored.order)) {
       add(std::string(kMachineKey) + machine->value,
           internal::EncodeOrderTime(wall));
     }
--- a/src/camphormux/coordinator/saver.hpp
+++ b/src/camphormux/coordinator/saver.hpp
@@ -26,6 +26,12 @@
 inline constexpr std::string_view kWaveKey = "w/";
 inline constexpr std::string_view kMachineKey = "m/";
 
+/// @brief An order that is stored before it is sent.
+struct StoredOrder {
+  scheduler::Order order;
+  core::MonotonicTime decided;
+};
+
 /// @brief Writes what must last. One append is under way at a time; what
 /// changes meanwhile goes into the next one together (group commit).
 class Saver : public std::enable_shared_from_this<Saver> {
@@ -38,7 +44,7 @@
     /// Ends of a host up to this number are stored.
     std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
     /// Orders that are stored and may be sent.
-    std::function<void(const std::vector<scheduler::Order>&)> on_orders;
+    std::function<void(const std::vector<StoredOrder>&)> on_orders;
     /// A batch was stored.
     std::function<void()> on_stored;
     /// A newer holder has taken over.
@@ -79,7 +85,7 @@
     std::vector<core::JobId> submissions;
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
     std::map<core::HostId, scheduler::EndNumber> ends;
-    std::vector<scheduler::Order> orders;
+    std::vector<StoredOrder> orders;
     core::MonotonicTime begun;
     bool certain = true;  ///< No try had an unknown outcome.
   };
@@ -98,7 +104,7 @@
   scheduler::State& state_;
   Listener listener_;
   std::vector<core::JobId> submissions_;
-  std::vector<scheduler::Order> orders_;
+  std::vector<StoredOrder> orders_;
   std::set<scheduler::WaveId> waves_;
   std::vector<core::JobId> drops_;
   std::unique_ptr<Batch> batch_;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -121,6 +121,7 @@
 struct Machine {
   MachineListing listing;
   bool order_pending = false;
+  bool unanswered = false;  ///< The pending order may have taken effect.
   core::MonotonicTime ordered;
   core::PoolName target;      ///< Of a move under way; else empty.
   core::HostId ordered_host;  ///< Its life that the last order ends.
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -245,6 +245,7 @@
   entry.ordered = now;
   if (outcome == MachineOutcome::kNoAnswer) {
     // The order stays pending and is repeated: it has the same effect twice.
+    entry.unanswered = true;
     if (wave != nullptr) {
       state.orders.emplace_back(UpkeepMachine{machine, *wave});
     } else {
@@ -253,6 +254,7 @@
     return;
   }
   entry.order_pending = false;
+  entry.unanswered = false;
   if (outcome == MachineOutcome::kDone) {
     LoseHost(state, entry.ordered_host, now);
     // An order that was repeated may be answered after the machine's next life
--- a/test/coordinator/fake_platform.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -51,6 +51,18 @@
   return listings;
 }
 
+std::vector<scheduler::MachineListing> FakePlatform::Machines() const {
+  std::vector<scheduler::MachineListing> machines;
+  for (const scheduler::HostListing& host : Listings()) {
+    machines.push_back({{"m-" + host.id.value},
+                        host.pool,
+                        scheduler::MachineState::kUp,
+                        host.id,
+                        host.capacity});
+  }
+  return machines;
+}
+
 RenewAnswer FakePlatform::Report(const FakeHost& host) const {
   RenewAnswer answer;
   answer.outcome = CallOutcome::kDone;
@@ -115,7 +127,9 @@
     for (const StoreRecord& record : records) {
       stored_bytes_ += record.value ? record.value->size() : 0;
     }
-    After(kStoreCall, [done] { done(AppendOutcome::kStored); });
+    const AppendOutcome outcome =
+        store_down_ ? AppendOutcome::kNotStored : AppendOutcome::kStored;
+    After(kStoreCall, [done, outcome] { done(outcome); });
   };
   ports.store.load = [this](auto done) {
     After(kStoreCall, [done] { done(std::vector<StoreRecord>{}); });
@@ -130,8 +144,14 @@
   ports.host.stop = [](const HostTarget&, const scheduler::RunName&, auto) {};
   ports.host.pace = [](const HostTarget&, const scheduler::RunName&, int,
                        auto) {};
-  ports.cloud.list = [](auto) {};
-  ports.cloud.move = [](const scheduler::MoveMachine&, core::Epoch, auto) {};
+  ports.cloud.list = [this](auto done) {
+    After(kCall, [this, done] { done(Machines()); });
+  };
+  ports.cloud.move = [this](const scheduler::MoveMachine& order, core::Epoch,
+                            auto done) {
+    moves_.push_back(order);
+    After(kCall, [done] { done(scheduler::MachineOutcome::kBusy); });
+  };
   ports.cloud.upkeep = [](const scheduler::UpkeepMachine&, core::Epoch, auto) {
   };
   return ports;
--- a/test/coordinator/fake_platform.hpp
+++ b/test/coordinator/fake_platform.hpp
@@ -23,6 +23,14 @@
 
   [[nodiscard]] Ports MakePorts();
   [[nodiscard]] std::vector<scheduler::HostListing> Listings() const;
+  /// @brief Lists a machine for each host, in its pool.
+  [[nodiscard]] std::vector<scheduler::MachineListing> Machines() const;
+  /// @brief Refuses appends until it is called with false.
+  void SetStoreDown(bool down) { store_down_ = down; }
+  /// @return Moves that were ordered; none is carried out.
+  [[nodiscard]] const std::vector<scheduler::MoveMachine>& moves() const {
+    return moves_;
+  }
   [[nodiscard]] std::uint64_t starts() const { return starts_; }
   [[nodiscard]] std::uint64_t stored_bytes() const { return stored_bytes_; }
 
@@ -43,6 +51,8 @@
   asio::io_context& loop_;
   core::Millis run_time_;
   std::map<core::HostId, FakeHost> hosts_;
+  std::vector<scheduler::MoveMachine> moves_;
+  bool store_down_ = false;
   std::uint64_t starts_ = 0;
   std::uint64_t stored_bytes_ = 0;
 };
--- /dev/null
+++ b/test/coordinator/holder_test.cpp
@@ -0,0 +1,99 @@
+#include "camphormux/coordinator/holder.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include "test/coordinator/fake_platform.hpp"
+
+namespace camphormux::coordinator {
+namespace {
+
+constexpr std::size_t kHosts = 10;
+/// Of each task; long enough for hosts to be idle meanwhile.
+constexpr core::Millis kRunTime{3500};
+constexpr std::int64_t kHostCores = 64'000;
+
+/// A holder of one pool of hosts beside a standby pool.
+struct World {
+  World() : platform(loop, kHosts, kRunTime), meters(MakeMeters(registry)) {
+    workload::Queue queue;
+    queue.name.value = "q";
+    queue.pool.value = "pool";
+    queue.stretch = 10.0;
+    queue.latency_target = core::Millis(60'000);
+    workload::Catalog catalog;
+    catalog.queues = {queue};
+    catalog.pools[{"pool"}];
+    catalog.pools[{"spare"}].standby = true;
+    holder = std::make_shared<Holder>(loop, scheduler::Settings{},
+                                      platform.MakePorts(), core::Epoch{1},
+                                      meters, [] {});
+    holder->Start(catalog);
+    holder->OnHosts(platform.Listings(), core::MonotonicTime{});
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+  }
+
+  void RunFor(core::Millis span) {
+    const auto end = std::chrono::steady_clock::now() + span;
+    RunUntil([&] { return std::chrono::steady_clock::now() >= end; });
+  }
+
+  [[nodiscard]] std::ptrdiff_t MovesToStandby() const {
+    return std::count_if(
+        platform.moves().begin(), platform.moves().end(),
+        [](const auto& move) { return move.pool.value == "spare"; });
+  }
+
+  asio::io_context loop;
+  FakePlatform platform;
+  prometheus::Registry registry;
+  Meters meters;
+  std::shared_ptr<Holder> holder;
+};
+
+/// A job of one small task, then one task for each host.
+workload::JobSpec SmallThenWide() {
+  workload::JobSpec spec;
+  spec.id.value = "5c0e7a21d94b36f8";
+  spec.queue.value = "q";
+  spec.steps.resize(2);
+  spec.steps[0].size = {{1000}, {1000}, {0}};
+  spec.steps[0].estimate = kRunTime;
+  spec.steps[1] = spec.steps[0];
+  spec.steps[1].count = kHosts;
+  spec.steps[1].size.cores.value = kHostCores;
+  spec.steps[1].after = {0};
+  return spec;
+}
+
+// Guards against hosts that are sent away in the middle of a surge because the
+// decision, made when they were idle, had to wait for the store.
+TEST(HolderTest, MovesThatWaitedForTheStoreAreDecidedAnew) {
+  World world;
+  ASSERT_TRUE(world.RunUntil([&] { return world.holder->is_ready(); }));
+  world.holder->Submit(SmallThenWide(), [](const SubmitAnswer&) {});
+  ASSERT_TRUE(world.RunUntil([&] { return world.platform.starts() == 1; }));
+  world.platform.SetStoreDown(true);
+  // Hosts become idle first, then the wide step becomes ready.
+  world.RunFor(kRunTime + core::Millis(2500));
+  EXPECT_EQ(world.MovesToStandby(), 0);
+  world.platform.SetStoreDown(false);
+  ASSERT_TRUE(world.RunUntil([&] { return world.platform.starts() > kHosts; }));
+  EXPECT_EQ(world.MovesToStandby(), 0);
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
--- a/test/coordinator/saver_test.cpp
+++ b/test/coordinator/saver_test.cpp
@@ -44,7 +44,7 @@
     };
     listener.on_ends = [this](const core::HostId& host,
                               scheduler::EndNumber end) { ends[host] = end; };
-    listener.on_orders = [this](const std::vector<scheduler::Order>& released) {
+    listener.on_orders = [this](const std::vector<StoredOrder>& released) {
       orders += released.size();
     };
     listener.on_stored = [] {};
--- /dev/null
+++ b/test/scheduler/stale_orders_test.cpp
@@ -0,0 +1,76 @@
+#include "camphormux/scheduler/stale_orders.hpp"
+
+#include <gtest/gtest.h>
+
+#include "camphormux/scheduler/upkeep.hpp"
+#include "test/scheduler/fleet.hpp"
+
+namespace camphormux::scheduler {
+namespace {
+
+/// Returns the first order of a kind that was sent.
+template <typename Kind>
+const Kind* FirstSent(const Fleet& fleet) {
+  for (const Order& order : fleet.sent) {
+    if (const auto* found = std::get_if<Kind>(&order)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+// Guards against room that stays taken by a start that is never sent.
+TEST(StaleOrdersTest, AWithdrawnStartIsDecidedAnew) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  fleet.instant_answers = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 64, core::Millis(500)));
+  fleet.Step();
+  const auto* first = FirstSent<StartRun>(fleet);
+  ASSERT_NE(first, nullptr);
+  const RunName name = first->name;
+  EXPECT_TRUE(Withdraw(fleet.state, *first, fleet.now));
+  EXPECT_TRUE(fleet.state.runs.empty());
+  fleet.Step();
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  EXPECT_GT(fleet.state.runs.begin()->second.name.attempt, name.attempt);
+}
+
+/// A fleet whose idle hosts are ordered to a standby pool; orders are not
+/// carried out.
+Fleet FleetWithMove() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 4);
+  fleet.carry_out_machine_orders = false;
+  fleet.Advance(core::Millis(4000));
+  return fleet;
+}
+
+TEST(StaleOrdersTest, AMachineWhoseMoveIsWithdrawnStaysInUse) {
+  Fleet fleet = FleetWithMove();
+  const auto* move = FirstSent<MoveMachine>(fleet);
+  ASSERT_NE(move, nullptr);
+  const core::HostId host = fleet.state.machines.at(move->machine).listing.host;
+  EXPECT_TRUE(fleet.state.hosts.at(host).reserved);
+  EXPECT_TRUE(Withdraw(fleet.state, *move, fleet.now));
+  EXPECT_FALSE(fleet.state.hosts.at(host).reserved);
+  EXPECT_TRUE(fleet.state.machines.at(move->machine).target.value.empty());
+}
+
+// Guards against runs on a machine that a first, unanswered order still takes
+// away.
+TEST(StaleOrdersTest, AnOrderThatMayHaveTakenEffectIsNotWithdrawn) {
+  Fleet fleet = FleetWithMove();
+  const auto* move = FirstSent<MoveMachine>(fleet);
+  ASSERT_NE(move, nullptr);
+  OnMachineAnswer(fleet.state, move->machine, nullptr,
+                  MachineOutcome::kNoAnswer, fleet.now);
+  EXPECT_FALSE(Withdraw(fleet.state, *move, fleet.now));
+  EXPECT_TRUE(fleet.state.machines.at(move->machine).order_pending);
+}
+
+}  // namespace
+}  // namespace camphormux::scheduler
