Keep the idle hosts of a pool whose callers are turned away

A submission that is turned away now counts as work that waits.

BalanceTest.APoolThatTurnsCallersAwayKeepsItsIdleHosts needs the new call.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -322,6 +322,7 @@
   const core::JobId id = spec.id;
   const bool known = state_.jobs.contains(id) || state_.closed.contains(id);
   if (!known && saver_->is_stuck(now)) {
+    scheduler::NoteTurnedAway(state_, spec.queue, now);
     done({SubmitOutcome::kUnavailable});
     return;
   }
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -124,6 +124,14 @@
   return {Admission::kStoring};
 }
 
+void NoteTurnedAway(State& state, const workload::QueueName& queue,
+                    core::MonotonicTime now) {
+  if (const workload::Queue* known =
+          workload::FindQueue(state.catalog, queue)) {
+    state.last_pending[known->pool] = now;
+  }
+}
+
 void ConfirmSubmission(State& state, const core::JobId& id) {
   const auto found = state.jobs.find(id);
   if (found != state.jobs.end()) {
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -31,6 +31,11 @@
                                      core::MonotonicTime now,
                                      core::WallTime wall);
 
+/// @brief Notes that a submission was turned away because nothing can be
+/// stored: its pool looks idle, but its callers come back.
+void NoteTurnedAway(State& state, const workload::QueueName& queue,
+                    core::MonotonicTime now);
+
 /// @brief Records that a job's submission lies in the store.
 void ConfirmSubmission(State& state, const core::JobId& id);
 
--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -6,6 +6,7 @@
 
 #include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "test/scheduler/fleet.hpp"
 
@@ -35,6 +36,27 @@
   EXPECT_EQ(fleet.state.jobs.count(MakeJob(1, "p", 1, 1, {}).id), 1U);
 }
 
+// Guards against hosts that are sent away during a store outage, because no job
+// can be stored, just before its callers come back.
+TEST(BalanceTest, APoolThatTurnsCallersAwayKeepsItsIdleHosts) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddQueue("other", "calm");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 8);
+  fleet.AddHosts("calm", 8);
+  for (int i = 0; i < 60; ++i) {
+    NoteTurnedAway(fleet.state, {"q"}, fleet.now);
+    fleet.Advance(core::Millis(100));
+  }
+  std::size_t kept = 0;
+  for (const MachineListing& machine : fleet.machines) {
+    kept += machine.pool.value == "pool" ? 1U : 0U;
+  }
+  EXPECT_EQ(kept, 8U);
+  EXPECT_GT(MovesTo(fleet, "spare"), 0U);
+}
+
 // Guards against a surge whose first jobs wait until the pool is full: hosts
 // are ordered as soon as more work arrives than the pool's hosts do.
 TEST(BalanceTest, HostsAreOrderedBeforeThePoolIsFull) {
