Do not end a run by a question that may have overtaken its start

Times are kept in milliseconds, so that 'asked at or after the answer' held. Class: an order of events taken from a clock that is too coarse for it.

A report now says something about a run only if it was asked for in a later millisecond than the run's confirmation; the same for stops and for starts without an answer.

RunsTest.AReportAskedForInTheMillisecondOfTheAnswerDoesNotEndARun failed before.

--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -182,24 +182,26 @@
   return nullptr;
 }
 
-/// Draws conclusions from a run's absence from its host's lists.
+/// Draws conclusions from a run's absence from its host's lists. A question of
+/// the same millisecond may have been sent before the run was confirmed.
 void CheckMissing(State& state, Run& run, const HostReport& report) {
+  const bool asked_after = report.asked > run.confirmed;
   switch (run.phase) {
     case RunPhase::kOrdered:
       return;
     case RunPhase::kUnanswered:
       // It may start later; a confirmed stop prevents that.
-      if (report.asked >= run.confirmed) {
+      if (asked_after) {
         RequestStop(state, run);
       }
       return;
     case RunPhase::kRunning:
-      if (report.asked >= run.confirmed) {
+      if (asked_after) {
         RemoveRun(state, run.id);
       }
       return;
     case RunPhase::kStopping:
-      if (run.stop_confirmed && report.asked >= run.confirmed) {
+      if (run.stop_confirmed && asked_after) {
         RemoveRun(state, run.id);
       }
       return;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -45,6 +45,23 @@
   EXPECT_FALSE(fleet.state.runs.contains(first));
 }
 
+// Guards against a task that runs twice: a question of the millisecond of the
+// start's answer may have overtaken the start.
+TEST(RunsTest, AReportAskedForInTheMillisecondOfTheAnswerDoesNotEndARun) {
+  Fleet fleet = SmallFleet();
+  fleet.instant_answers = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const RunId id = OnlyRun(fleet).id;
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, id, StartOutcome::kStarted, fleet.now);
+  fleet.Report(host);
+  EXPECT_TRUE(fleet.state.runs.contains(id));
+  fleet.now += core::Millis(1);
+  fleet.Report(host);
+  EXPECT_FALSE(fleet.state.runs.contains(id));
+}
+
 // Guards against a run that is stopped although its start took effect.
 TEST(RunsTest, AStartWithoutAnswerThatIsListedGoesOn) {
   Fleet fleet = SmallFleet();
