Do not wait for the lease of a life that no machine has any more

Class: a wait that starts anew with each takeover.

A host that is not listed and that two successive lists of machines lack has ended, and its tasks start elsewhere. One that a machine still has, or a deployment whose machines are not told of, is waited for as before.

UpkeepTest.ALifeThatNoMachineHasIsNotWaitedFor failed before.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -642,6 +642,8 @@
 
 void Holder::PollMachines(core::MonotonicTime now) {
   const bool busy =
+      std::any_of(state_.hosts.begin(), state_.hosts.end(),
+                  [](const auto& entry) { return !entry.second.listed; }) ||
       std::any_of(state_.waves.begin(), state_.waves.end(),
                   [](const auto& entry) { return !entry.second.complete; }) ||
       std::any_of(
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -143,6 +143,7 @@
                      Neighbours& neighbours) {
   members_ = members;
   std::vector<core::Address> addresses;
+  addresses.reserve(members.size());
   for (const Member& member : members) {
     addresses.push_back(member.address);
   }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -100,8 +100,10 @@
   HostListing listing;
   bool listed = true;
   core::MonotonicTime gone_at;  ///< If not listed: when it counts as gone.
-  bool synced = false;          ///< Reported all it has to this holder.
-  bool reserved = false;        ///< Takes no new runs: it is about to leave.
+  /// Successive lists of machines without it, since it was listed last.
+  std::uint32_t lists_without = 0;
+  bool synced = false;    ///< Reported all it has to this holder.
+  bool reserved = false;  ///< Takes no new runs: it is about to leave.
   placement::Resources committed;
   std::vector<RunId> runs;
   std::uint32_t filling = 0;  ///< Runs that use idle cores.
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -28,6 +28,37 @@
 /// some more.
 constexpr core::Millis kClockMargin{4000};
 
+/// Complete lists of machines that must lack a life before it is over: a
+/// machine that changes while the pages of one are read may be on none of them.
+constexpr std::uint32_t kListsWithout = 2;
+
+/// Ends the lives that no machine has any more. A host that only stored runs or
+/// an old list tell of is not waited for until its lease is over.
+void EndMissingLives(State& state, const std::set<core::HostId>& lives,
+                     core::MonotonicTime asked) {
+  const auto named =
+      std::count_if(state.hosts.begin(), state.hosts.end(), [&](const auto& e) {
+        return e.second.listed && lives.contains(e.first);
+      });
+  const auto listed =
+      std::count_if(state.hosts.begin(), state.hosts.end(),
+                    [](const auto& entry) { return entry.second.listed; });
+  if (named * 2 <= listed) {
+    return;  // The machines are not those of these hosts.
+  }
+  std::vector<core::HostId> over;
+  for (auto& [id, host] : state.hosts) {
+    if (host.listed || lives.contains(id)) {
+      host.lists_without = 0;
+    } else if (++host.lists_without >= kListsWithout) {
+      over.push_back(id);
+    }
+  }
+  for (const core::HostId& id : over) {
+    LoseHost(state, id, asked);
+  }
+}
+
 /// Tasks of a step that are not at work; those being stopped count.
 std::uint32_t AwayTasks(const State& state, const Job& job, const Run& run) {
   const workload::Step& step = job.spec.steps[run.name.place.step];
@@ -186,8 +217,10 @@
 void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
                    core::MonotonicTime asked) {
   std::set<MachineId> seen;
+  std::set<core::HostId> lives;
   for (const MachineListing& listing : listings) {
     seen.insert(listing.id);
+    lives.insert(listing.host);
     Machine& machine = state.machines[listing.id];
     if (asked <= machine.ordered) {
       continue;  // Older than what the last order's answer said.
@@ -205,6 +238,7 @@
     return !seen.contains(entry.first) && !entry.second.order_pending;
   });
   state.machines_known = true;
+  internal::EndMissingLives(state, lives, asked);
 }
 
 void LoadMachineOrder(State& state, const MachineId& machine,
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/jobs.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
@@ -186,5 +187,60 @@
   EXPECT_EQ(Stops(fleet), 0U);
 }
 
+/// A holder that has just loaded a job with a run on a host that is not listed.
+Fleet FleetWithStoredRun() {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  workload::Progress progress;
+  progress.state = workload::JobState::kRunning;
+  progress.accepted = fleet.wall;
+  progress.tasks.resize(1);
+  progress.tasks[0].next_attempt = 2;
+  progress.tasks[0].runs = {{{"i-old"}, {7}, 1}};
+  const workload::JobSpec spec = MakeJob(1, "q", 1, 4, core::Millis(500));
+  LoadJob(fleet.state, spec.id, spec, progress, fleet.now, fleet.wall);
+  fleet.Step();
+  EXPECT_EQ(fleet.Starts(spec.id.value), 0U);
+  return fleet;
+}
+
+// Guards against tasks that stay away for two leases after each takeover
+// although the machine of their host has had another life for long.
+TEST(UpkeepTest, ALifeThatNoMachineHasIsNotWaitedFor) {
+  Fleet fleet = FleetWithStoredRun();
+  const std::string job = MakeJob(1, "q", 1, 1, {}).id.value;
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  fleet.Advance(core::Millis(20));
+  EXPECT_EQ(fleet.Starts(job), 0U);
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  fleet.Advance(core::Millis(20));
+  EXPECT_EQ(fleet.Starts(job), 1U);
+}
+
+// Guards against a task that runs twice where machines are not told of.
+TEST(UpkeepTest, WithoutAListOfMachinesALifeIsWaitedFor) {
+  Fleet fleet = FleetWithStoredRun();
+  for (int i = 0; i < 5; ++i) {
+    ApplyMachines(fleet.state, {}, fleet.now);
+    fleet.Advance(core::Millis(20));
+  }
+  EXPECT_EQ(fleet.Starts(MakeJob(1, "q", 1, 1, {}).id.value), 0U);
+}
+
+// Guards against a task that runs twice, as its host is only cut off.
+TEST(UpkeepTest, ALifeThatAMachineHasIsWaitedFor) {
+  Fleet fleet = FleetWithStoredRun();
+  std::vector<MachineListing> machines = fleet.machines;
+  machines.push_back(machines.front());
+  machines.back().id.value = "m-old";
+  machines.back().host.value = "i-old";
+  for (int i = 0; i < 5; ++i) {
+    ApplyMachines(fleet.state, machines, fleet.now);
+    fleet.Advance(core::Millis(20));
+  }
+  EXPECT_EQ(fleet.Starts(MakeJob(1, "q", 1, 1, {}).id.value), 0U);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
