--- a/test/coordinator/agent_choice_test.cpp
+++ b/test/coordinator/agent_choice_test.cpp
@@ -58,11 +58,10 @@
 
 // Guards against connections that are all opened anew when a node leaves.
 TEST(AgentChoiceTest, OnlyTheHostsOfALostNodeChange) {
-  std::vector<Member> nodes;
-  for (int i = 0; i < 4; ++i) {
-    nodes.push_back(MakeMember("a" + std::to_string(i), "a", 500));
-  }
-  std::vector<Member> rest(nodes.begin() + 1, nodes.end());
+  const std::vector<Member> nodes{
+      MakeMember("a0", "a", 500), MakeMember("a1", "a", 500),
+      MakeMember("a2", "a", 500), MakeMember("a3", "a", 500)};
+  const std::vector<Member> rest(nodes.begin() + 1, nodes.end());
   for (int i = 0; i < kHosts; ++i) {
     const auto before = ChooseAgent(nodes, HostNumber(i), {"a"});
     const auto after = ChooseAgent(rest, HostNumber(i), {"a"});
