Do not keep a client alive by its own request

The router, which outlives its requests' use, now only compares them. A client is destroyed after its callback, not inside it. NodeTest ends between two pings, whose client is kept alive on purpose.

--- a/src/camphormux/coordinator/host_router.cpp
+++ b/src/camphormux/coordinator/host_router.cpp
@@ -118,7 +118,7 @@
 void HostRouter::Close() {
   closed_ = true;
   give_up_timer_.cancel();
-  lines_.clear();
+  asio::post(loop_, [lines = std::exchange(lines_, {})] {});
 }
 
 std::optional<core::Address> HostRouter::AgentOf(const HostTarget& target) {
@@ -217,7 +217,7 @@
   line.client->Send(
       {std::string(kHostCallsPath), EncodeCalls(batch)},
       kLongestExchange + internal::kExchangeSlack,
-      [weak = weak_from_this(), agent, client = line.client,
+      [weak = weak_from_this(), agent, client = std::weak_ptr(line.client),
        sent = std::move(sent)](const peer::Result& result) {
         const auto self = weak.lock();
         if (!self || self->closed_) {
@@ -225,7 +225,8 @@
         }
         // Answers to exchanges with a node that was lost are too late.
         const auto found = self->lines_.find(agent);
-        if (found != self->lines_.end() && found->second.client == client) {
+        if (found != self->lines_.end() &&
+            found->second.client == client.lock()) {
           self->OnExchanged(agent, sent, result);
         }
       });
@@ -314,7 +315,8 @@
   auto pending = std::exchange(line.pending, {});
   std::vector<std::uint64_t> unsent = std::exchange(line.queue, {});
   unsent.insert(unsent.end(), not_reached.begin(), not_reached.end());
-  line.client.reset();
+  // This may run inside a callback of the client.
+  asio::post(loop_, [client = std::exchange(line.client, nullptr)] {});
   line.open = 0;
   line.rest_until = core::MonotonicNow() + internal::kAgentRest;
   chosen_.clear();
--- a/test/coordinator/node_test.cpp
+++ b/test/coordinator/node_test.cpp
@@ -67,6 +67,15 @@
     }
   }
 
+  /// Ends between two requests of the nodes: each keeps its client alive.
+  ~Deployment() {
+    do {
+      loop_.restart();
+    } while (loop_.run_one_for(std::chrono::milliseconds(10)) > 0);
+  }
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
   template <typename Condition>
   bool RunUntil(const Condition& condition) {
     const auto end =
