Log on which evidence a run is treated as over

New lines: 'run presumed ended' with the evidence, 'host lists an unexpected run' (the second run itself, seen by the holder), 'list of hosts has changed' and 'host is listed with another incarnation'; 'run ordered' and 'host has restarted' name the incarnation. Renewal answers between nodes carry it as a trailing element that older nodes ignore.

--- a/src/camphormux/cbor/cbor.cpp
+++ b/src/camphormux/cbor/cbor.cpp
@@ -77,6 +77,10 @@
 ArrayReader::ArrayReader(const nlohmann::json& value)
     : value_(&value), ok_(value.is_array()) {}
 
+bool ArrayReader::has_more() const {
+  return ok_ && value_->is_array() && index_ < value_->size();
+}
+
 const nlohmann::json* ArrayReader::Next() {
   if (!ok_ || index_ >= value_->size()) {
     ok_ = false;
--- a/src/camphormux/cbor/cbor.hpp
+++ b/src/camphormux/cbor/cbor.hpp
@@ -44,6 +44,9 @@
   const nlohmann::json& Array(std::size_t max_size);
 
   [[nodiscard]] bool ok() const { return ok_; }
+  /// @return Whether the array has elements that were not read; a newer version
+  /// of the program may have appended some.
+  [[nodiscard]] bool has_more() const;
 
  private:
   const nlohmann::json* Next();
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 
 #include "camphormux/cbor/cbor.hpp"
+#include "camphormux/coordinator/run_log.hpp"
 #include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
@@ -294,7 +295,8 @@
 void Holder::OnHosts(const std::vector<scheduler::HostListing>& hosts,
                      core::MonotonicTime trusted_from) {
   const core::MonotonicTime now = core::MonotonicNow();
-  scheduler::ApplyListings(state_, hosts, now, trusted_from);
+  LogListingChanges(scheduler::ApplyListings(state_, hosts, now, trusted_from),
+                    token_);
   if (!hosts_known_) {
     hosts_known_ = true;
     // The previous holder may have granted leases until this takeover began.
@@ -434,6 +436,7 @@
 void Holder::Plan() {
   const core::MonotonicTime now = core::MonotonicNow();
   scheduler::Plan(state_, now, core::WallNow());
+  LogRunEvents(state_, token_, node_metrics_, now);
   Dispatch();
   links_->RenewAllDue(now);
   store_writer_->ScheduleAppend();
--- a/src/camphormux/coordinator/host_calls.cpp
+++ b/src/camphormux/coordinator/host_calls.cpp
@@ -183,6 +183,7 @@
                    }
                    row.push_back(std::move(running));
                    row.push_back(std::move(ended));
+                   row.push_back(answer.incarnation.value);
                  }},
       entry.answer);
   return row;
@@ -221,6 +222,8 @@
         ends.Unsigned(static_cast<std::uint64_t>(scheduler::EndKind::kAlone)));
     end.checkpoint = ends.Text(kMaxPayloadBytes);
   }
+  // Absent in answers of earlier versions.
+  answer.incarnation.value = reader.has_more() ? reader.Unsigned() : 0;
   if (!runs.ok() || !ends.ok()) {
     // An incomplete list would mean that the missing runs are gone.
     return RenewAnswer{};
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/coordinator/run_log.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/stale_orders.hpp"
@@ -34,12 +35,6 @@
       static_cast<double>(span.count()) / (1.0 - kMaxClockDrift)));
 }
 
-std::string Describe(const scheduler::RunName& name) {
-  return name.job.value + "." + std::to_string(name.place.occurrence) + "." +
-         std::to_string(name.place.step) + "." +
-         std::to_string(name.place.index);
-}
-
 std::string_view Describe(scheduler::StartOutcome outcome) {
   using scheduler::StartOutcome;
   switch (outcome) {
@@ -212,8 +207,10 @@
       return;
     case CallOutcome::kHostRestarted:
       telemetry::Log(telemetry::Level::kWarning, "host has restarted",
-                     {{"host", id.value}});
-      scheduler::RemoveHost(state_, id, now);
+                     {{"host", id.value},
+                      {"incarnation", std::to_string(incarnation.value)},
+                      {"reported", std::to_string(answer.incarnation.value)}});
+      scheduler::RemoveHost(state_, id, scheduler::EndEvidence::kHostReplaced);
       listener_.on_change();
       return;
     case CallOutcome::kRefused:
@@ -277,7 +274,8 @@
             run->second.ordered + scheduler::kOrderValidity) {
       // The order expired before it was sent, so it cannot take effect.
       if (run != state_.runs.end() && host != state_.hosts.end()) {
-        scheduler::RemoveRun(state_, order.run);
+        scheduler::RemoveRun(state_, order.run,
+                             scheduler::EndEvidence::kNotSent);
       }
       done();
       return;
@@ -286,7 +284,7 @@
     const auto lease_end = GrantLease(host->second, LinkOf(host->second), now);
     const auto job = state_.jobs.find(order.name.job);
     if (!lease_end || job == state_.jobs.end()) {
-      scheduler::RemoveRun(state_, order.run);
+      scheduler::RemoveRun(state_, order.run, scheduler::EndEvidence::kNotSent);
       done();
       return;
     }
@@ -295,6 +293,7 @@
     StartCall call{TargetOf(host->second), order.name, job->second.spec.payload,
                    order.checkpoint, *lease_end};
     port_.start(call, [weak = weak_from_this(), order, now,
+                       incarnation = call.target.incarnation,
                        done = std::move(done)](const StartAnswer& answer) {
       const auto self = weak.lock();
       if (!self || self->closed_) {
@@ -310,9 +309,12 @@
       telemetry::Log(
           telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
           "run ordered",
-          {{"task", internal::Describe(order.name)},
+          {{"task", DescribeTask(order.name)},
            {"attempt", std::to_string(order.name.attempt)},
            {"host", order.host.value},
+           {"incarnation", std::to_string(incarnation.value)},
+           {"host_clock_ms",
+            answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
            {"token", std::to_string(self->token_.value)},
            {"outcome", std::string(internal::Describe(answer.outcome))}});
       if (answer.outcome == scheduler::StartOutcome::kFenced) {
@@ -320,7 +322,8 @@
         return;
       }
       if (answer.outcome == scheduler::StartOutcome::kHostRestarted) {
-        scheduler::RemoveHost(self->state_, order.host, answered);
+        scheduler::RemoveHost(self->state_, order.host,
+                              scheduler::EndEvidence::kHostReplaced);
       } else {
         scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
                                  answered);
@@ -353,7 +356,7 @@
           telemetry::Log(
               telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
               "run stopped",
-              {{"task", internal::Describe(order.name)},
+              {{"task", DescribeTask(order.name)},
                {"attempt", std::to_string(order.name.attempt)},
                {"host", order.host.value},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
@@ -388,7 +391,7 @@
           telemetry::Log(
               telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
               "run paced",
-              {{"task", internal::Describe(order.name)},
+              {{"task", DescribeTask(order.name)},
                {"percent", std::to_string(order.percent)},
                {"host", order.host.value},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -41,6 +41,12 @@
   node_metrics.machine_orders =
       &AddCounter(registry, "camphormux_machine_orders_total",
                   "Moves and upkeeps ordered by this node.");
+  node_metrics.presumed_ends =
+      &AddCounter(registry, "camphormux_runs_presumed_ended_total",
+                  "Runs treated as ended although no host reported their end.");
+  node_metrics.unexpected_runs =
+      &AddCounter(registry, "camphormux_unexpected_runs_total",
+                  "Runs that a host listed although they were not expected.");
   node_metrics.open_jobs = &AddGauge(registry, "camphormux_open_jobs",
                                      "Jobs that are not final, at the holder.");
   node_metrics.holds_ownership = &AddGauge(
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -21,6 +21,8 @@
   prometheus::Counter* agent_failures = nullptr;
   prometheus::Counter* takeovers = nullptr;
   prometheus::Counter* machine_orders = nullptr;
+  prometheus::Counter* presumed_ends = nullptr;
+  prometheus::Counter* unexpected_runs = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
   prometheus::Gauge* holds_ownership = nullptr;
   prometheus::Histogram* submit_seconds = nullptr;
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -16,10 +16,10 @@
 constexpr core::Millis kFirstQuarantine{3000};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 
-void RemoveRuns(State& state, Host& host) {
+void RemoveRuns(State& state, Host& host, EndEvidence evidence) {
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
-    RemoveRun(state, run);
+    RemoveRun(state, run, evidence);
   }
 }
 
@@ -34,8 +34,11 @@
 
 }  // namespace internal
 
-void ApplyListings(State& state, const std::vector<HostListing>& listings,
-                   core::MonotonicTime now, core::MonotonicTime trusted_from) {
+ListingChanges ApplyListings(State& state,
+                             const std::vector<HostListing>& listings,
+                             core::MonotonicTime now,
+                             core::MonotonicTime trusted_from) {
+  ListingChanges changes;
   std::set<core::HostId> seen;
   for (const HostListing& listing : listings) {
     seen.insert(listing.id);
@@ -47,11 +50,14 @@
     const auto found = state.hosts.find(listing.id);
     if (found != state.hosts.end() &&
         found->second.listing.incarnation != listing.incarnation) {
-      RemoveHost(state, listing.id, now);
+      changes.replaced.push_back(
+          {listing.id, found->second.listing.incarnation, listing.incarnation});
+      RemoveHost(state, listing.id, EndEvidence::kHostReplaced);
     }
     const auto known = state.hosts.find(listing.id);
     if (known == state.hosts.end()) {
       internal::AddHost(state, listing, now);
+      changes.added.push_back(listing.id);
     } else {
       known->second.listing = listing;
       known->second.listed = true;
@@ -63,8 +69,10 @@
     if (host.listed && !seen.contains(id)) {
       host.listed = false;
       host.gone_at = std::max(now, trusted_from);
+      changes.vanished.push_back(id);
     }
   }
+  return changes;
 }
 
 void MarkUnresponsive(Host& host, core::MonotonicTime now) {
@@ -73,14 +81,13 @@
   }
 }
 
-void RemoveHost(State& state, const core::HostId& id, core::MonotonicTime now) {
+void RemoveHost(State& state, const core::HostId& id, EndEvidence evidence) {
   const auto found = state.hosts.find(id);
   if (found == state.hosts.end()) {
     return;
   }
   state.ended_incarnations[id] = found->second.listing.incarnation;
-  found->second.lease_end = now;
-  internal::RemoveRuns(state, found->second);
+  internal::RemoveRuns(state, found->second, evidence);
   state.hosts.erase(found);
 }
 
@@ -94,7 +101,7 @@
       }
     }
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
-      internal::RemoveRuns(state, host);
+      internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
       if (is_gone) {
         gone.push_back(id);
       }
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -7,20 +7,40 @@
 
 namespace camphormux::scheduler {
 
+/// @brief A host that the list names with another incarnation than before.
+struct ReplacedHost {
+  core::HostId id;
+  core::Incarnation before;
+  core::Incarnation after;
+};
+
+/// @brief What a list of hosts has changed.
+struct ListingChanges {
+  std::vector<core::HostId> added;
+  std::vector<core::HostId> vanished;
+  std::vector<ReplacedHost> replaced;
+};
+
 /// @brief Applies the list of live hosts to the state.
 /// @param state The state.
 /// @param listings All live hosts.
 /// @param now The time.
 /// @param trusted_from Until this time a missing entry may be due to an outage
 /// of the list.
-void ApplyListings(State& state, const std::vector<HostListing>& listings,
-                   core::MonotonicTime now, core::MonotonicTime trusted_from);
+/// @return What has changed.
+ListingChanges ApplyListings(State& state,
+                             const std::vector<HostListing>& listings,
+                             core::MonotonicTime now,
+                             core::MonotonicTime trusted_from);
 
 /// @brief Marks a host as unresponsive: it did not answer.
 void MarkUnresponsive(Host& host, core::MonotonicTime now);
 
 /// @brief Removes a host that has ended, along with all its runs.
-void RemoveHost(State& state, const core::HostId& id, core::MonotonicTime now);
+/// @param state The state.
+/// @param id The host.
+/// @param evidence What shows that its runs are over.
+void RemoveHost(State& state, const core::HostId& id, EndEvidence evidence);
 
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -235,7 +235,7 @@
     Host* host = ChooseHost(state, job, instance, task, hosts, rack, false);
     if (host == nullptr) {
       for (const RunId member : members) {
-        RemoveRun(state, member);
+        RemoveRun(state, member, std::nullopt);
       }
       return core::MilliCores{ReservationOf(step).cores.value * step.count};
     }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -96,7 +96,7 @@
   Task& task = job.tasks[*position];
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
-    RemoveRun(state, run->id);
+    RemoveRun(state, run->id, std::nullopt);
   }
   task.progress.next_attempt =
       std::max(task.progress.next_attempt, end.name.attempt + 1);
@@ -141,6 +141,7 @@
       job.state = workload::JobState::kRunning;
     }
   }
+  run.was_listed = true;
   if (listed.percent != run.percent) {
     run.progressed = now;
   }
@@ -154,6 +155,10 @@
 /// Adopts a run that this lease holder did not start, or orders it to stop.
 Run* AdoptRun(State& state, Host& host, const ReportedRun& listed,
               core::MonotonicTime now) {
+  UnexpectedRun unexpected;
+  unexpected.name = listed.name;
+  unexpected.host = host.listing.id;
+  unexpected.incarnation = host.listing.incarnation;
   const auto found = state.jobs.find(listed.name.job);
   if (found != state.jobs.end() && !workload::IsFinal(found->second.state)) {
     Job& job = found->second;
@@ -166,8 +171,13 @@
             std::max(task.progress.next_attempt, listed.name.attempt + 1);
         return &AddRun(state, job, *position, listed.name.attempt, host, now);
       }
+      unexpected.is_open = !task.progress.done;
+      if (!task.runs.empty()) {
+        unexpected.other_host = state.runs.at(task.runs.front()).host;
+      }
     }
   }
+  state.unexpected_runs.push_back(std::move(unexpected));
   state.orders.emplace_back(StopRun{host.listing.id, listed.name});
   return nullptr;
 }
@@ -198,12 +208,12 @@
       return;
     case RunPhase::kRunning:
       if (asked_after) {
-        RemoveRun(state, run.id);
+        RemoveRun(state, run.id, EndEvidence::kNotListed);
       }
       return;
     case RunPhase::kStopping:
       if (run.stop_confirmed && asked_after) {
-        RemoveRun(state, run.id);
+        RemoveRun(state, run.id, EndEvidence::kStopConfirmed);
       }
       return;
   }
@@ -251,11 +261,16 @@
   return state.runs.emplace(id, std::move(run)).first->second;
 }
 
-void RemoveRun(State& state, RunId id) {
+void RemoveRun(State& state, RunId id, std::optional<EndEvidence> evidence) {
   const auto found = state.runs.find(id);
   const Run& run = found->second;
   const auto host = state.hosts.find(run.host);
   if (host != state.hosts.end()) {
+    if (evidence) {
+      state.presumed_ends.push_back(
+          {run.name, run.host, host->second.listing.incarnation, *evidence,
+           run.phase, run.was_listed, run.ordered, host->second.lease_end});
+    }
     host->second.committed -= run.reserved;
     host->second.best_effort_runs -= run.best_effort ? 1U : 0U;
     std::erase(host->second.runs, id);
@@ -331,7 +346,7 @@
     default:
       break;
   }
-  RemoveRun(state, id);
+  RemoveRun(state, id, EndEvidence::kRefused);
 }
 
 void OnStopConfirmed(State& state, const core::HostId& host,
--- a/src/camphormux/scheduler/runs.hpp
+++ b/src/camphormux/scheduler/runs.hpp
@@ -1,6 +1,8 @@
 #ifndef CAMPHORMUX_SCHEDULER_RUNS_HPP_
 #define CAMPHORMUX_SCHEDULER_RUNS_HPP_
 
+#include <optional>
+
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::scheduler {
@@ -12,7 +14,10 @@
 
 /// @brief Removes a run whose end is certain and releases its resources. Its
 /// latest checkpoint is kept for the task.
-void RemoveRun(State& state, RunId id);
+/// @param state The state.
+/// @param id The run.
+/// @param evidence What shows the end; nothing if the host has reported it.
+void RemoveRun(State& state, RunId id, std::optional<EndEvidence> evidence);
 
 /// @brief Orders a run to stop; has no effect if that was done before.
 void RequestStop(State& state, Run& run);
--- a/src/camphormux/scheduler/stale_orders.cpp
+++ b/src/camphormux/scheduler/stale_orders.cpp
@@ -21,7 +21,7 @@
 bool Withdraw(State& state, const Order& order, core::MonotonicTime now) {
   if (const auto* start = std::get_if<StartRun>(&order)) {
     if (state.runs.contains(start->run)) {
-      RemoveRun(state, start->run);
+      RemoveRun(state, start->run, EndEvidence::kNotSent);
     }
     return true;
   }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -61,6 +61,44 @@
   std::int64_t load = 0;
   std::string checkpoint;
   bool stop_confirmed = false;
+  bool was_listed = false;  ///< A report of the host has listed the run.
+};
+
+/// @brief What shows that a run is over, other than its end in a report of its
+/// host.
+enum class EndEvidence {
+  kNotListed,       ///< A later report of the host does not list the run.
+  kStopConfirmed,   ///< As kNotListed, after the host confirmed a stop.
+  kRefused,         ///< The host refused the start.
+  kNotSent,         ///< The start was withdrawn before it was sent.
+  kLeaseExpired,    ///< The host does not answer, and its lease has expired.
+  kHostReplaced,    ///< The host has another incarnation.
+  kMachineOrdered,  ///< The host's machine was moved or taken down.
+  kNoMachine,       ///< No machine has the host any more.
+};
+
+/// @brief A run that is treated as ended without a report of its end.
+struct PresumedEnd {
+  RunName name;
+  core::HostId host;
+  core::Incarnation incarnation;
+  EndEvidence evidence = EndEvidence::kNotListed;
+  RunPhase phase = RunPhase::kOrdered;  ///< Phase before the end.
+  /// Whether a report of this incarnation of the host has listed the run.
+  bool was_listed = false;
+  core::MonotonicTime ordered;
+  core::MonotonicTime lease_end;
+};
+
+/// @brief A run that a host lists although it was not expected there.
+struct UnexpectedRun {
+  RunName name;
+  core::HostId host;
+  core::Incarnation incarnation;
+  /// Whether the job is open and the task not done.
+  bool is_open = false;
+  /// Host of another run of the task; empty if there is none.
+  core::HostId other_host;
 };
 
 /// @brief A task of a job and its present runs.
@@ -207,6 +245,9 @@
   std::set<core::JobId> unsaved;  ///< Jobs whose progress has to be stored.
   /// Final jobs of which a run has ended since the last planning pass.
   std::vector<core::JobId> ended;
+  /// Emptied by the owner of the state, which logs them.
+  std::vector<PresumedEnd> presumed_ends;
+  std::vector<UnexpectedRun> unexpected_runs;
   /// Orders to send; the owner of the state empties the list.
   std::vector<Order> orders;
   core::MonotonicTime took_over;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -37,8 +37,7 @@
 /// Removes hosts that no machine has any more, so that a host which is only
 /// known from stored runs or an old list is not kept until its lease expires.
 void RemoveHostsWithoutMachine(State& state,
-                               const std::set<core::HostId>& machine_hosts,
-                               core::MonotonicTime asked) {
+                               const std::set<core::HostId>& machine_hosts) {
   const auto with_machine =
       std::count_if(state.hosts.begin(), state.hosts.end(), [&](const auto& e) {
         return e.second.listed && machine_hosts.contains(e.first);
@@ -58,7 +57,7 @@
     }
   }
   for (const core::HostId& id : ended) {
-    RemoveHost(state, id, asked);
+    RemoveHost(state, id, EndEvidence::kNoMachine);
   }
 }
 
@@ -245,7 +244,7 @@
     return !seen.contains(entry.first) && !entry.second.order_pending;
   });
   state.machines_known = true;
-  internal::RemoveHostsWithoutMachine(state, machine_hosts, asked);
+  internal::RemoveHostsWithoutMachine(state, machine_hosts);
 }
 
 void LoadMachineOrder(State& state, const MachineId& machine,
@@ -297,7 +296,7 @@
   entry.order_pending = false;
   entry.unanswered = false;
   if (outcome == MachineOutcome::kDone) {
-    RemoveHost(state, entry.ordered_host, now);
+    RemoveHost(state, entry.ordered_host, EndEvidence::kMachineOrdered);
     // A repeated order may be answered when the machine already has its next
     // host.
     const bool listed_before = entry.listing.host == entry.ordered_host;
--- a/test/coordinator/host_calls_test.cpp
+++ b/test/coordinator/host_calls_test.cpp
@@ -59,6 +59,7 @@
   RenewAnswer renewed;
   renewed.outcome = CallOutcome::kDone;
   renewed.clock_ms = 4321;
+  renewed.incarnation.value = 1'790'329'676'759;
   renewed.running.push_back({Name(1), "ab", 40, 2000});
   renewed.ended.push_back(
       {{7}, Name(2), scheduler::EndKind::kLeaseExpired, "cd"});
@@ -75,6 +76,7 @@
   const auto& answer = std::get<RenewAnswer>((*decoded)[2].answer);
   EXPECT_EQ(answer.outcome, CallOutcome::kDone);
   EXPECT_EQ(answer.clock_ms, 4321);
+  EXPECT_EQ(answer.incarnation, renewed.incarnation);
   ASSERT_EQ(answer.running.size(), 1U);
   EXPECT_EQ(answer.running[0].name, Name(1));
   EXPECT_EQ(answer.running[0].percent, 40);
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -74,7 +74,7 @@
   fleet.AddQueue("q", "pool");
   fleet.AddHosts("pool", 2);
   const HostListing listing = fleet.listings[0];
-  RemoveHost(fleet.state, listing.id, fleet.now);
+  RemoveHost(fleet.state, listing.id, EndEvidence::kMachineOrdered);
   ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
   EXPECT_FALSE(fleet.state.hosts.contains(listing.id));
   // Another incarnation under the same id is a new host.
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -151,7 +151,7 @@
   fleet.Advance(core::Millis(50));
   ASSERT_EQ(fleet.state.runs.size(), 1U);
   fleet.state.unsaved.clear();
-  RemoveHost(fleet.state, OnlyRun(fleet).host, fleet.now);
+  RemoveHost(fleet.state, OnlyRun(fleet).host, EndEvidence::kHostReplaced);
   EXPECT_TRUE(fleet.state.unsaved.contains(spec.id));
   const workload::Progress stored =
       ProgressOf(fleet.state, fleet.state.jobs.at(spec.id));
@@ -169,5 +169,42 @@
   EXPECT_EQ(fleet.state.counters.quarantined, 1U);
 }
 
+// Guards against a run that ends twice without a trace: the evidence for an end
+// that no host has reported is recorded.
+TEST(RunsTest, EndWithoutAReportIsRecordedWithItsEvidence) {
+  Fleet fleet = SmallFleet(1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  const core::HostId host = fleet.running[0].host;
+  fleet.unresponsive.insert(host);
+  fleet.state.hosts.at(host).lease_end = fleet.now;
+  MarkUnresponsive(fleet.state.hosts.at(host), fleet.now);
+  fleet.Advance(core::Millis(100));
+  ASSERT_EQ(fleet.state.presumed_ends.size(), 1U);
+  const PresumedEnd& end = fleet.state.presumed_ends[0];
+  EXPECT_EQ(end.evidence, EndEvidence::kLeaseExpired);
+  EXPECT_EQ(end.name, fleet.running[0].name);
+  EXPECT_TRUE(end.was_listed);
+}
+
+// Guards against a second run of a task that goes unnoticed.
+TEST(RunsTest, UnexpectedRunOfAnOpenTaskIsRecordedWithTheOtherHost) {
+  Fleet fleet = SmallFleet(2);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  const Fleet::Running first = fleet.running[0];
+  Fleet::Running second = first;
+  second.name.attempt = 2;
+  second.host = fleet.listings[first.host == fleet.listings[0].id ? 1 : 0].id;
+  fleet.running.push_back(second);
+  fleet.Report(second.host);
+  ASSERT_EQ(fleet.state.unexpected_runs.size(), 1U);
+  EXPECT_TRUE(fleet.state.unexpected_runs[0].is_open);
+  EXPECT_EQ(fleet.state.unexpected_runs[0].host, second.host);
+  EXPECT_EQ(fleet.state.unexpected_runs[0].other_host, first.host);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
