Do not let libcurl send a start, a machine order or an append twice

Cause: requests to hosts were marked idempotent, and libcurl sends such a POST again when a kept connection closes before the first byte of the answer. The host may have received the first copy and carry it out seconds later; the answer to the second copy was taken as the answer to the start. When the second was refused (429, 503, no room), the run was removed at once as 'refused', the task started elsewhere, and then the first copy took effect. A start is idempotent in its effect, but a refusal of one copy says nothing about another. Orders to machines and appends to the store had the same fault: an append whose second copy was refused counted as certainly not stored, and its callers were told that the job never runs.

Change: a request says how it uses kept connections. Starts, machine orders and appends may use one but are never sent again: their body is read by a callback, which libcurl cannot rewind. If the connection closes, the outcome is unknown, and the paths for unknown outcomes settle it (a confirmed stop, a repeated sequence number).

The new tests fail on the old behaviour: 'host unhealthy' and 'not stored' instead of 'no answer' and 'unknown', and three requests received instead of two.

--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/http/client.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <utility>
@@ -25,9 +26,23 @@
   std::unique_ptr<CURL, CurlDeleter> easy;
   std::unique_ptr<curl_slist, CurlDeleter> header_lines;
   ClientResponse response;
+  std::size_t body_sent = 0;
   bool too_large = false;
 };
 
+/// Passes the next part of the request's body to libcurl. libcurl cannot rewind
+/// a body that it reads this way, so it cannot send the request twice.
+std::size_t OnSendBody(char* buffer, std::size_t size, std::size_t count,
+                       void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  const std::string& body = transfer.request.body;
+  const std::size_t bytes =
+      std::min(size * count, body.size() - transfer.body_sent);
+  body.copy(buffer, bytes, transfer.body_sent);
+  transfer.body_sent += bytes;
+  return bytes;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
@@ -186,10 +201,16 @@
   if (request.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request.body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
     // libcurl resends on a reused connection that was closed before the first
-    // byte; a request that changes something must not be sent twice.
-    if (!request.idempotent) {
+    // byte of the answer, although the server may have received the request.
+    if (request.reuse == ConnectionReuse::kResend) {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    } else {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_READFUNCTION, &internal::OnSendBody);
+      curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+    }
+    if (request.reuse == ConnectionReuse::kNone) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
--- a/src/camphormux/http/client.hpp
+++ b/src/camphormux/http/client.hpp
@@ -13,6 +13,19 @@
 
 namespace camphormux::http {
 
+/// @brief How a request uses connections that were kept open.
+enum class ConnectionReuse {
+  kNone,  ///< The request gets a connection of its own.
+  /// May use a kept connection. If the server closes that one without an
+  /// answer, the request fails.
+  kOnce,
+  /// May use a kept connection. If the server closes that one without an
+  /// answer, the request is sent again, and the answer to the second copy is
+  /// the result. Only for requests that have the same effect and the same
+  /// answer whatever became of the first copy.
+  kResend,
+};
+
 /// @brief A request of the control path. Bodies are held in memory.
 struct ClientRequest {
   std::string method = "GET";
@@ -20,9 +33,7 @@
   Headers headers;
   std::string body;
   core::Millis timeout = std::chrono::seconds(5);
-  /// The server does the same for one request and for two: it may be sent on a
-  /// connection that the server is about to close.
-  bool idempotent = false;
+  ConnectionReuse reuse = ConnectionReuse::kNone;  ///< Not used by GET.
   std::size_t max_response_bytes = std::size_t{16} << 20;
 };
 
@@ -57,7 +68,8 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// @brief Sends a request. Never resends by itself.
+  /// @brief Sends a request. Sends it again only if its reuse of connections
+  /// allows that, or if it is a GET.
   /// @param request The request.
   /// @param done Called once with the result.
   void Send(ClientRequest request, std::function<void(ClientResult)> done);
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -1,4 +1,5 @@
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 
 #include "camphormux/http/client.hpp"
 #include "camphormux/http/server.hpp"
+#include "test/http/scripted_server.hpp"
 
 namespace camphormux::http {
 namespace {
@@ -105,5 +107,43 @@
   EXPECT_EQ(result.error().error, ClientError::kCut);
 }
 
+/// Sends two requests one after the other.
+/// @return The result of the second.
+ClientResult ExchangeTwo(asio::io_context& loop, const ClientRequest& request) {
+  Client client(loop);
+  std::optional<ClientResult> result;
+  client.Send(request, [&](const ClientResult&) {
+    client.Send(request, [&](ClientResult answer) {
+      result = std::move(answer);
+      loop.stop();
+    });
+  });
+  loop.restart();
+  loop.run_for(kLimit);
+  EXPECT_TRUE(result.has_value());
+  return result.value_or(ClientFailure{});
+}
+
+// Guards against a refusal of a second copy that is taken for the answer to the
+// first, which the server may carry out later.
+TEST(ClientServerTest, RequestOnAClosedConnectionIsNotSentTwice) {
+  asio::io_context loop;
+  const ScriptedAnswer closed{0, "", true};
+  ScriptedServer server(loop, {{}, closed, {}, closed, {}});
+  ClientRequest request;
+  request.method = "POST";
+  request.url = Url(server.port(), "/");
+  request.body = "body";
+  request.reuse = ConnectionReuse::kOnce;
+  const ClientResult result = ExchangeTwo(loop, request);
+  ASSERT_FALSE(result.has_value());
+  EXPECT_TRUE(result.error().sent);
+  EXPECT_EQ(server.received(), 2U);
+
+  request.reuse = ConnectionReuse::kResend;
+  EXPECT_TRUE(ExchangeTwo(loop, request).has_value());
+  EXPECT_EQ(server.received(), 5U);
+}
+
 }  // namespace
 }  // namespace camphormux::http
--- /dev/null
+++ b/test/platform/hosts_test.cpp
@@ -0,0 +1,85 @@
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "platform/adapter.hpp"
+#include "platform/store_client.hpp"
+#include "test/http/scripted_server.hpp"
+
+namespace camphormux::platform {
+namespace {
+
+using coordinator::AppendOutcome;
+using coordinator::StartAnswer;
+using scheduler::StartOutcome;
+
+const http::ScriptedAnswer kDone{200, R"({"clockMs":1,"offset":0})"};
+const http::ScriptedAnswer kClosed{0, "", true};
+
+/// A server that answers from a script, and a client for it.
+struct Harness {
+  explicit Harness(std::vector<http::ScriptedAnswer> script)
+      : server(loop, std::move(script)), client(loop) {}
+
+  template <typename T>
+  T Wait(const std::function<void(std::function<void(T)>)>& call) {
+    std::optional<T> result;
+    call([&](T value) { result = std::move(value); });
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!result && std::chrono::steady_clock::now() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_TRUE(result);
+    return result.value_or(T{});
+  }
+
+  asio::io_context loop;
+  http::ScriptedServer server;
+  http::Client client;
+};
+
+// Guards against a task that runs twice: a start whose connection was reset is
+// still carried out, and the refusal of a second copy does not undo it.
+TEST(HostsTest, RefusalOfARepeatedStartIsNotTheAnswerToTheFirst) {
+  Harness harness({kDone, kClosed, {429, ""}});
+  const coordinator::HostPort port = MakeHostPort(harness.client);
+  const auto start = [&] {
+    coordinator::StartCall call;
+    call.target.host.value = "i-1";
+    call.target.address = {"127.0.0.1", harness.server.port()};
+    call.name = {{"5c0e7a21d94b36f8"}, {0, 0, 1}, 1};
+    return harness
+        .Wait<StartAnswer>(
+            [&](auto done) { port.start(call, std::move(done)); })
+        .outcome;
+  };
+  EXPECT_EQ(start(), StartOutcome::kStarted);
+  EXPECT_EQ(start(), StartOutcome::kNoAnswer);
+  EXPECT_EQ(harness.server.received(), 2U);
+}
+
+// Guards against a job that was rejected and runs: the append whose connection
+// was reset may still be stored.
+TEST(HostsTest, RefusalOfARepeatedAppendIsNotTheAnswerToTheFirst) {
+  Harness harness({kDone, kClosed, {503, ""}});
+  coordinator::PeerForwarder peer_forwarder(harness.loop, {"127.0.0.1", 1});
+  StoreClient store(harness.client, peer_forwarder,
+                    {"127.0.0.1", harness.server.port()});
+  const coordinator::StorePort port = MakeStorePort(store);
+  const auto append = [&](std::uint64_t sequence) {
+    return harness.Wait<AppendOutcome>([&](auto done) {
+      port.append({1}, sequence, {{"key", "value"}}, std::move(done));
+    });
+  };
+  EXPECT_EQ(append(1), AppendOutcome::kStored);
+  EXPECT_EQ(append(2), AppendOutcome::kUnknown);
+  EXPECT_EQ(harness.server.received(), 2U);
+}
+
+}  // namespace
+}  // namespace camphormux::platform
