Keep starts that the next incarnation of a host may have accepted

Cause: a host that restarts keeps its id and address, and calls are bound to the id only. A start that is sent before the restart is noticed is accepted by the next incarnation, on a clock of its own. When a report or the list then named the new incarnation, all runs of the host counted as ended, stored runs of another incarnation were dropped at a takeover, and the task started elsewhere beside the accepted start.

Change: only a report says which incarnation a run is on. When a host is replaced, the runs that its reports have listed are over; the others are kept as unanswered on the new incarnation, so that it must list them or confirm a stop, or be unreachable for the longest lease that hosts accept, as the granted end of the lease means nothing on another clock. Stored runs are kept the same way. Ended incarnations are remembered for a minute after the list stops naming the host. Whether a start was accepted is read from its status alone.

EndedIncarnationIsNotAddedAgainWhileListed asked for the old behaviour in its last lines: that an entry is forgotten at once. It now asks for both, that it is kept at first and forgotten after the minute.

Six tests of HostsTest fail with the old decisions (all runs over, stored runs of another incarnation dropped, ended incarnations forgotten at once) and pass now.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -301,7 +301,8 @@
     hosts_known_ = true;
     // The previous holder may have granted leases until this takeover began.
     for (auto& [id, host] : state_.hosts) {
-      host.lease_end = takeover_start_ + state_.settings.lease * 2;
+      host.lease_end =
+          std::max(host.lease_end, takeover_start_ + state_.settings.lease * 2);
     }
   }
   SchedulePlan();
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -23,18 +23,9 @@
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
 constexpr std::size_t kMaxCallsPerHost = 3;
-/// Hosts' clocks may run slower than this node's clock by this fraction.
-constexpr double kMaxClockDrift = 0.02;
-/// Allows for the transit time of a grant and the resolution of the clocks.
-constexpr core::Millis kLeaseMargin{100};
 /// A host that reported within this time counts as reachable.
 constexpr core::Millis kReachableWindow{2500};
 
-core::Millis WithClockDrift(core::Millis span) {
-  return core::Millis(static_cast<std::int64_t>(
-      static_cast<double>(span.count()) / (1.0 - kMaxClockDrift)));
-}
-
 std::string_view Describe(scheduler::StartOutcome outcome) {
   using scheduler::StartOutcome;
   switch (outcome) {
@@ -98,10 +89,9 @@
   // The host's clock has advanced by at least this much since it was read.
   const auto elapsed = static_cast<std::int64_t>(
       static_cast<double>((now - link.clock_read_at).count()) *
-      (1.0 - internal::kMaxClockDrift));
+      (1.0 - scheduler::kMaxClockDrift));
   host.lease_end = std::max(
-      host.lease_end, now + internal::WithClockDrift(state_.settings.lease) +
-                          internal::kLeaseMargin);
+      host.lease_end, now + scheduler::LongestDuration(state_.settings.lease));
   return *link.clock_ms + elapsed + state_.settings.lease.count();
 }
 
@@ -210,7 +200,14 @@
                      {{"host", id.value},
                       {"incarnation", std::to_string(incarnation.value)},
                       {"reported", std::to_string(answer.incarnation.value)}});
-      scheduler::RemoveHost(state_, id, scheduler::EndEvidence::kHostReplaced);
+      if (answer.incarnation.value == 0) {
+        // Another host answers at this address.
+        scheduler::RemoveHost(state_, id,
+                              scheduler::EndEvidence::kHostReplaced);
+      } else {
+        scheduler::ReplaceIncarnation(state_, host->second, answer.incarnation,
+                                      now);
+      }
       listener_.on_change();
       return;
     case CallOutcome::kRefused:
--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -27,9 +27,10 @@
 }
 
 void ReadScheduler(settings::Reader& reader, scheduler::Settings& settings) {
-  const auto longest_lease = settings::ReadDuration(
-      reader, "runs", "longest_lease", seconds(1), minutes(10), seconds(10));
-  settings.lease = std::min(settings.lease, longest_lease);
+  settings.longest_lease =
+      settings::ReadDuration(reader, "runs", "longest_lease", seconds(1),
+                             minutes(10), settings.longest_lease);
+  settings.lease = std::min(settings.lease, settings.longest_lease);
   settings.max_early_start =
       settings::ReadDuration(reader, "runs", "early", milliseconds(0),
                              minutes(1), settings.max_early_start);
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -15,6 +15,37 @@
 /// succeeds.
 constexpr core::Millis kFirstQuarantine{3000};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+/// Allows for the transit time of a grant and the resolution of the clocks.
+constexpr core::Millis kLeaseMargin{100};
+/// Time for which an ended incarnation is remembered after the list no longer
+/// names it. A record that it wrote before its end can be held up in the
+/// network and then reach the list.
+constexpr core::Millis kEndedRetention{60'000};
+
+bool HasEnded(const State& state, const HostListing& listing) {
+  const auto ended = state.ended_incarnations.find(listing.id);
+  return ended != state.ended_incarnations.end() &&
+         ended->second.incarnations.contains(listing.incarnation);
+}
+
+void ForgetEndedIncarnations(State& state, const std::set<core::HostId>& listed,
+                             core::MonotonicTime now) {
+  for (auto it = state.ended_incarnations.begin();
+       it != state.ended_incarnations.end();) {
+    EndedIncarnations& ended = it->second;
+    if (listed.contains(it->first)) {
+      ended.unlisted_since.reset();
+    } else if (!ended.unlisted_since) {
+      ended.unlisted_since = now;
+    }
+    if (ended.unlisted_since &&
+        now >= *ended.unlisted_since + kEndedRetention) {
+      it = state.ended_incarnations.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
 
 void RemoveRuns(State& state, Host& host, EndEvidence evidence) {
   const std::vector<RunId> runs = host.runs;
@@ -42,9 +73,7 @@
   std::set<core::HostId> seen;
   for (const HostListing& listing : listings) {
     seen.insert(listing.id);
-    const auto ended = state.ended_incarnations.find(listing.id);
-    if (ended != state.ended_incarnations.end() &&
-        ended->second == listing.incarnation) {
+    if (internal::HasEnded(state, listing)) {
       continue;
     }
     const auto found = state.hosts.find(listing.id);
@@ -52,7 +81,7 @@
         found->second.listing.incarnation != listing.incarnation) {
       changes.replaced.push_back(
           {listing.id, found->second.listing.incarnation, listing.incarnation});
-      RemoveHost(state, listing.id, EndEvidence::kHostReplaced);
+      ReplaceIncarnation(state, found->second, listing.incarnation, now);
     }
     const auto known = state.hosts.find(listing.id);
     if (known == state.hosts.end()) {
@@ -63,8 +92,7 @@
       known->second.listed = true;
     }
   }
-  std::erase_if(state.ended_incarnations,
-                [&](const auto& ended) { return !seen.contains(ended.first); });
+  internal::ForgetEndedIncarnations(state, seen, now);
   for (auto& [id, host] : state.hosts) {
     if (host.listed && !seen.contains(id)) {
       host.listed = false;
@@ -86,11 +114,47 @@
   if (found == state.hosts.end()) {
     return;
   }
-  state.ended_incarnations[id] = found->second.listing.incarnation;
+  state.ended_incarnations[id].incarnations.insert(
+      found->second.listing.incarnation);
   internal::RemoveRuns(state, found->second, evidence);
   state.hosts.erase(found);
 }
 
+core::Millis LongestDuration(core::Millis lease) {
+  return core::Millis(static_cast<std::int64_t>(
+             static_cast<double>(lease.count()) / (1.0 - kMaxClockDrift))) +
+         internal::kLeaseMargin;
+}
+
+void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
+                        core::MonotonicTime now) {
+  state.ended_incarnations[host.listing.id].incarnations.insert(
+      host.listing.incarnation);
+  const std::vector<RunId> runs = host.runs;
+  for (const RunId id : runs) {
+    Run& run = state.runs.at(id);
+    if (run.was_listed) {
+      RemoveRun(state, id, EndEvidence::kHostReplaced);
+    } else {
+      run.phase = RunPhase::kUnanswered;
+      run.confirmed = now;
+      run.stop_confirmed = false;
+    }
+  }
+  host.listing.incarnation = incarnation;
+  host.listed = false;
+  host.gone_at = now + state.settings.listing_grace;
+  host.missed_machine_lists = 0;
+  host.synced = false;
+  host.ended = {};
+  host.unresponsive_since.reset();
+  host.failed_jobs.clear();
+  // The end of a lease is a time on the clock of the incarnation for which it
+  // was meant; on another clock it can be any time.
+  host.lease_end = std::max(
+      host.lease_end, now + LongestDuration(state.settings.longest_lease));
+}
+
 void CheckHosts(State& state, core::MonotonicTime now) {
   std::vector<core::HostId> gone;
   for (auto& [id, host] : state.hosts) {
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -7,6 +7,9 @@
 
 namespace camphormux::scheduler {
 
+/// Hosts' clocks may run slower than this node's clock by this fraction.
+inline constexpr double kMaxClockDrift = 0.02;
+
 /// @brief A host that the list names with another incarnation than before.
 struct ReplacedHost {
   core::HostId id;
@@ -42,6 +45,20 @@
 /// @param evidence What shows that its runs are over.
 void RemoveHost(State& state, const core::HostId& id, EndEvidence evidence);
 
+/// @brief Records that a host has another incarnation. Its listed runs have
+/// ended. The other ones may have been accepted by the new incarnation, or may
+/// still be: they are kept until it has reported or has confirmed a stop.
+/// @param state The state.
+/// @param host The host; not usable until it is listed and has reported.
+/// @param incarnation The new incarnation.
+/// @param now The time.
+void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
+                        core::MonotonicTime now);
+
+/// @return Longest time that a lease can last by this node's clock, from when
+/// it is granted.
+[[nodiscard]] core::Millis LongestDuration(core::Millis lease);
+
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
 
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -30,9 +30,8 @@
       missing.lease_end = now + state.settings.lease * kTakeoverLeases;
       host = state.hosts.emplace(placed.host, std::move(missing)).first;
     }
-    if (host->second.listing.incarnation != placed.incarnation) {
-      continue;  // The run ended with that incarnation of the host.
-    }
+    // Also if the host has another incarnation now, which may have accepted the
+    // start.
     Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
   }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -19,6 +19,8 @@
   /// Time that a host keeps its runs without a renewal. Longer than a takeover
   /// by another node (about 3 s) and shorter than the platform's limit.
   core::Millis lease{5000};
+  /// Longest lease that a host accepts; it shortens longer ones to this.
+  core::Millis longest_lease{10'000};
   /// A scheduled run may start this much before its due time.
   core::Millis max_early_start{250};
   /// Minimum time between orders of two different lease holders for the same
@@ -53,6 +55,8 @@
   core::Millis estimate{0};
   core::Millis latency_target{0};
   core::MonotonicTime ordered;
+  /// Last answer to an order for the run, or when it became uncertain whether
+  /// the run exists. Only a report that was requested later can end the run.
   core::MonotonicTime confirmed;
   core::MonotonicTime progressed;  ///< When `percent` last changed.
   core::MonotonicTime stop_sent;
@@ -61,7 +65,9 @@
   std::int64_t load = 0;
   std::string checkpoint;
   bool stop_confirmed = false;
-  bool was_listed = false;  ///< A report of the host has listed the run.
+  /// A report of this incarnation of the host has listed the run. An answer to
+  /// the start does not say which incarnation accepted it.
+  bool was_listed = false;
 };
 
 /// @brief What shows that a run is over, other than its end in a report of its
@@ -168,6 +174,14 @@
   std::uint32_t quarantines = 0;
 };
 
+/// @brief Incarnations of a host that have ended, but which the list of hosts
+/// may still name.
+struct EndedIncarnations {
+  std::set<core::Incarnation> incarnations;
+  /// Since when the list does not name the host.
+  std::optional<core::MonotonicTime> unlisted_since;
+};
+
 /// @brief A machine of the cloud and the state of the orders for it.
 struct Machine {
   MachineListing listing;
@@ -232,9 +246,8 @@
   std::unordered_map<core::JobId, Job> jobs;
   std::unordered_map<core::JobId, ClosedJob> closed;
   std::map<core::HostId, Host> hosts;
-  /// Host incarnations that are known to have ended but are still in the list
-  /// of hosts.
-  std::map<core::HostId, core::Incarnation> ended_incarnations;
+  /// Host incarnations that are known to have ended.
+  std::map<core::HostId, EndedIncarnations> ended_incarnations;
   std::unordered_map<RunId, Run> runs;
   RunId next_run{1};
   std::map<MachineId, Machine> machines;
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -1,7 +1,11 @@
 #include "camphormux/scheduler/hosts.hpp"
 
+#include <variant>
+#include <vector>
+
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/jobs.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
@@ -81,13 +85,136 @@
   fleet.listings[0].incarnation.value = 2;
   ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
   EXPECT_TRUE(fleet.state.hosts.contains(listing.id));
-  // Once the list no longer contains the incarnation, its entry is removed.
+  // The entry is removed some time after the list stopped naming the host, and
+  // not before: a late record can bring the ended incarnation back.
   std::erase_if(fleet.listings, [&](const HostListing& other) {
     return other.id == listing.id;
   });
   ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  EXPECT_FALSE(fleet.state.ended_incarnations.empty());
+  fleet.now += core::Millis(60'000);
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
   EXPECT_TRUE(fleet.state.ended_incarnations.empty());
 }
 
+/// A fleet with a job of one task that a host has accepted but not listed yet.
+struct AcceptedStart {
+  AcceptedStart() : fleet(SmallFleet()) {
+    (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+    fleet.Step();
+    name = fleet.running.at(0).name;
+    host = fleet.running.at(0).host;
+  }
+
+  void List(std::uint64_t incarnation) {
+    for (HostListing& listing : fleet.listings) {
+      if (listing.id == host) {
+        listing.incarnation.value = incarnation;
+      }
+    }
+    ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  }
+
+  [[nodiscard]] std::size_t Starts() const {
+    return fleet.CountStarts(name.job.value);
+  }
+
+  Fleet fleet;
+  RunName name;
+  core::HostId host;
+};
+
+// Guards against a task that runs twice: a host that restarts keeps its id, and
+// its next incarnation can accept a start that was meant for the last one.
+TEST(HostsTest, StartThatTheNextIncarnationAcceptedIsNotRepeatedElsewhere) {
+  AcceptedStart test;
+  test.List(2);
+  // The planning pass comes before the first report.
+  test.fleet.unresponsive.insert(test.host);
+  test.fleet.Advance(core::Millis(20));
+  test.fleet.unresponsive.clear();
+  test.fleet.Advance(core::Millis(1000));
+  EXPECT_EQ(test.Starts(), 1U);
+  ASSERT_EQ(test.fleet.state.runs.size(), 1U);
+  EXPECT_EQ(test.fleet.state.runs.begin()->second.phase, RunPhase::kRunning);
+}
+
+// Guards against a start that takes effect on the next incarnation after the
+// task was started elsewhere: the new incarnation must confirm a stop first.
+TEST(HostsTest, StartMissingFromTheNextIncarnationIsStoppedThereFirst) {
+  AcceptedStart test;
+  test.fleet.running.clear();
+  test.fleet.execute_starts = false;
+  test.List(2);
+  const std::size_t sent = test.fleet.sent.size();
+  test.fleet.Advance(core::Millis(100));
+  ASSERT_GE(test.fleet.sent.size(), sent + 2);
+  const auto* stop = std::get_if<StopRun>(&test.fleet.sent[sent]);
+  ASSERT_NE(stop, nullptr);
+  EXPECT_EQ(stop->host, test.host);
+  EXPECT_EQ(stop->name, test.name);
+  EXPECT_EQ(test.Starts(), 2U);
+}
+
+// Guards against a second run while the next incarnation cannot be reached: the
+// lease of a start on another clock can last as long as the host allows.
+TEST(HostsTest, UnreachableNextIncarnationIsWaitedForTheLongestLease) {
+  AcceptedStart test;
+  const core::MonotonicTime replaced = test.fleet.now;
+  test.List(2);
+  Host& host = test.fleet.state.hosts.at(test.host);
+  test.fleet.unresponsive.insert(test.host);
+  MarkUnresponsive(host, test.fleet.now);
+  test.fleet.Advance(test.fleet.state.settings.longest_lease);
+  EXPECT_EQ(test.Starts(), 1U);
+  test.fleet.Advance(core::Millis(400));
+  EXPECT_EQ(test.Starts(), 2U);
+  EXPECT_GT(test.fleet.now, replaced + test.fleet.state.settings.longest_lease);
+}
+
+// Guards against a task that runs twice after a takeover: the stored run names
+// the incarnation that the previous holder knew.
+TEST(HostsTest, StoredRunOfAnEarlierIncarnationIsNotRepeatedElsewhere) {
+  Fleet fleet = SmallFleet();
+  for (HostListing& listing : fleet.listings) {
+    listing.incarnation.value = 2;
+  }
+  fleet.Publish();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(1000));
+  workload::Progress stored;
+  stored.state = workload::JobState::kRunning;
+  stored.accepted = fleet.wall;
+  stored.tasks.resize(1);
+  stored.tasks[0].runs = {{fleet.listings[0].id, {1}, 1}};
+  stored.tasks[0].next_attempt = 2;
+  fleet.running.push_back(
+      {{spec.id, {}, 1}, fleet.listings[0].id, fleet.now + core::Millis(300)});
+  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  // The planning pass comes before the first report.
+  fleet.unresponsive.insert(fleet.listings[0].id);
+  fleet.Advance(core::Millis(20));
+  fleet.unresponsive.clear();
+  fleet.Advance(core::Millis(400));
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
+}
+
+// Guards against runs that are dropped because a record of the host's last
+// incarnation reaches the list late.
+TEST(HostsTest, LateRecordOfAnEndedIncarnationIsIgnored) {
+  AcceptedStart test;
+  test.List(2);
+  test.fleet.Advance(core::Millis(50));
+  std::vector<HostListing> others = test.fleet.listings;
+  std::erase_if(others, [&](const HostListing& listing) {
+    return listing.id == test.host;
+  });
+  ApplyListings(test.fleet.state, others, test.fleet.now,
+                test.fleet.now + core::Millis(2500));
+  test.List(1);
+  EXPECT_EQ(test.fleet.state.hosts.at(test.host).listing.incarnation.value, 2U);
+  EXPECT_EQ(test.fleet.state.runs.size(), 1U);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
