Attribute acknowledgements, clocks and stops to an incarnation

An append that was in flight while a host restarted acknowledged the ends of the old incarnation to the new one, which numbers its ends from 1 and forgets what is acknowledged: a 'done' that no report shows, so that the task starts again. A late answer put the clock of the old incarnation into the link to the new one, so that leases could outlast the time for which the holder waits. A stop that the old incarnation had confirmed counted for the new one, which had never heard of it.

Change: stored ends carry the incarnation, and acknowledgements, readings of the clock and confirmed stops have no effect if the host has another one by then.

RunsTest.StopConfirmedByAnEarlierIncarnationDoesNotEndTheRun and HostLinksTest.EndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext and .ClockOfAnEarlierIncarnationIsNotUsedForTheNext fail without the three checks.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -90,7 +90,7 @@
     scheduler::DropSubmission(state_, id);
     OnSubmitted(id, SubmitOutcome::kUnavailable);
   };
-  stored.on_ends = [this](const core::HostId& host, scheduler::EndNumber end) {
+  stored.on_ends = [this](const core::HostId& host, StoredEnd end) {
     links_->Acknowledge(host, end);
   };
   stored.on_stored = [this] {
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -155,9 +155,11 @@
   });
 }
 
-void HostLinks::RecordClock(const core::HostId& host, std::int64_t clock_ms) {
+void HostLinks::RecordClock(const core::HostId& host,
+                            core::Incarnation incarnation,
+                            std::int64_t clock_ms) {
   const auto link = links_.find(host);
-  if (link != links_.end()) {
+  if (link != links_.end() && link->second.incarnation == incarnation) {
     link->second.clock_ms = clock_ms;
     link->second.clock_read_at = core::MonotonicNow();
   }
@@ -184,7 +186,7 @@
                        {{"host", id.value}});
       }
       link.failures = 0;
-      RecordClock(id, answer.clock_ms);
+      RecordClock(id, incarnation, answer.clock_ms);
       scheduler::OnReport(
           state_, {id, incarnation, asked, answer.running, answer.ended}, now,
           core::WallNow());
@@ -301,7 +303,7 @@
       self->node_metrics_.start_seconds->Observe(
           std::chrono::duration<double>(answered - now).count());
       if (answer.clock_ms) {
-        self->RecordClock(order.host, *answer.clock_ms);
+        self->RecordClock(order.host, incarnation, *answer.clock_ms);
       }
       telemetry::Log(
           telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
@@ -345,6 +347,7 @@
     port_.stop(
         TargetOf(host->second), order.name,
         [weak = weak_from_this(), order,
+         incarnation = host->second.listing.incarnation,
          done = std::move(done)](CallOutcome outcome) {
           const auto self = weak.lock();
           if (!self || self->closed_) {
@@ -362,8 +365,8 @@
             return;
           }
           if (outcome == CallOutcome::kDone) {
-            scheduler::OnStopConfirmed(self->state_, order.host, order.name,
-                                       core::MonotonicNow());
+            scheduler::OnStopConfirmed(self->state_, order.host, incarnation,
+                                       order.name, core::MonotonicNow());
           }
           done();
         });
@@ -401,12 +404,12 @@
   });
 }
 
-void HostLinks::Acknowledge(const core::HostId& host,
-                            scheduler::EndNumber end) {
+void HostLinks::Acknowledge(const core::HostId& host, StoredEnd end) {
   const auto link = links_.find(host);
   const auto known = state_.hosts.find(host);
-  if (link != links_.end() && known != state_.hosts.end()) {
-    link->second.acknowledged = end;
+  if (link != links_.end() && known != state_.hosts.end() &&
+      link->second.incarnation == end.incarnation) {
+    link->second.acknowledged = end.number;
     RenewIfDue(known->second, core::MonotonicNow());
   }
 }
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -13,6 +13,7 @@
 #include "camphormux/coordinator/node_metrics.hpp"
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/coordinator/run_latency.hpp"
+#include "camphormux/coordinator/store_writer.hpp"
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::coordinator {
@@ -45,8 +46,9 @@
   void Send(const scheduler::StartRun& order);
   void Send(const scheduler::StopRun& order);
   void Send(const scheduler::PaceRun& order);
-  /// @brief Allows run ends of a host up to this number to be acknowledged.
-  void Acknowledge(const core::HostId& host, scheduler::EndNumber end);
+  /// @brief Allows run ends of a host's incarnation up to this number to be
+  /// acknowledged. Has no effect if the host has another incarnation by now.
+  void Acknowledge(const core::HostId& host, StoredEnd end);
   void Close();
 
   /// @return Share of the listed hosts that reported recently.
@@ -84,7 +86,10 @@
                  core::MonotonicTime asked, const RenewAnswer& answer);
   void Enqueue(const core::HostId& host, Order order);
   void SendQueued(const core::HostId& host);
-  void RecordClock(const core::HostId& host, std::int64_t clock_ms);
+  /// Records a reading of a host's clock, unless the host has another
+  /// incarnation than the call that returned the reading.
+  void RecordClock(const core::HostId& host, core::Incarnation incarnation,
+                   std::int64_t clock_ms);
 
   HostPort port_;
   core::Epoch token_;
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -157,9 +157,9 @@
   // stored.
   if (state_.unsaved.empty()) {
     for (const auto& [id, host] : state_.hosts) {
-      // A restarted host counts its ends from the start.
-      if (host.ended.value > 0 && host.ended != stored_ends_[id]) {
-        batch.ends[id] = host.ended;
+      const StoredEnd end{host.listing.incarnation, host.ended};
+      if (host.ended.value > 0 && end != stored_ends_[id]) {
+        batch.ends[id] = end;
       }
     }
   }
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -26,6 +26,15 @@
 inline constexpr std::string_view kWaveKeyPrefix = "w/";
 inline constexpr std::string_view kMachineKeyPrefix = "m/";
 
+/// @brief The highest stored end of one incarnation of a host; each
+/// incarnation numbers its ends from 1.
+struct StoredEnd {
+  core::Incarnation incarnation;
+  scheduler::EndNumber number;
+
+  friend bool operator==(const StoredEnd&, const StoredEnd&) = default;
+};
+
 /// @brief An order that is stored before it is sent.
 struct StoredOrder {
   scheduler::Order order;
@@ -42,8 +51,8 @@
     std::function<void(const core::JobId&)> on_submitted;
     /// The submission is certainly not stored.
     std::function<void(const core::JobId&)> on_dropped;
-    /// Ends of a host up to this number are stored.
-    std::function<void(const core::HostId&, scheduler::EndNumber)> on_ends;
+    /// Ends of a host's incarnation up to this number are stored.
+    std::function<void(const core::HostId&, StoredEnd)> on_ends;
     /// The orders are stored and may be sent.
     std::function<void(const std::vector<StoredOrder>&)> on_orders;
     /// A batch was stored.
@@ -86,7 +95,7 @@
     std::vector<StoreRecord> records;
     std::vector<core::JobId> submissions;
     std::vector<std::pair<core::JobId, workload::JobState>> progress;
-    std::map<core::HostId, scheduler::EndNumber> ends;
+    std::map<core::HostId, StoredEnd> ends;
     std::vector<StoredOrder> orders;
     core::MonotonicTime begun;
     bool outcome_certain = true;  ///< No attempt had an unknown outcome.
@@ -110,7 +119,7 @@
   std::set<scheduler::WaveId> waves_;
   std::vector<core::JobId> dropped_jobs_;
   std::unique_ptr<Batch> batch_;
-  std::unordered_map<core::HostId, scheduler::EndNumber> stored_ends_;
+  std::unordered_map<core::HostId, StoredEnd> stored_ends_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t appends_ = 0;
   core::MonotonicTime last_append_start_;
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -350,9 +350,11 @@
 }
 
 void OnStopConfirmed(State& state, const core::HostId& host,
-                     const RunName& name, core::MonotonicTime now) {
+                     core::Incarnation incarnation, const RunName& name,
+                     core::MonotonicTime now) {
   const auto found = state.hosts.find(host);
-  if (found == state.hosts.end()) {
+  if (found == state.hosts.end() ||
+      found->second.listing.incarnation != incarnation) {
     return;
   }
   if (Run* run = internal::FindRunOnHost(state, found->second, name)) {
--- a/src/camphormux/scheduler/runs.hpp
+++ b/src/camphormux/scheduler/runs.hpp
@@ -27,8 +27,15 @@
                    core::MonotonicTime now);
 
 /// @brief Handles the confirmation of a stop: the run cannot start any more.
+/// @param state The state.
+/// @param host The host.
+/// @param incarnation The incarnation to which the stop was sent. Has no effect
+/// if the host has another one by now, which may not know of the stop.
+/// @param name The run.
+/// @param now The time.
 void OnStopConfirmed(State& state, const core::HostId& host,
-                     const RunName& name, core::MonotonicTime now);
+                     core::Incarnation incarnation, const RunName& name,
+                     core::MonotonicTime now);
 
 /// @brief Handles a host's report of its current and ended runs.
 void OnReport(State& state, const HostReport& report, core::MonotonicTime now,
--- /dev/null
+++ b/test/coordinator/host_links_test.cpp
@@ -0,0 +1,163 @@
+#include "camphormux/coordinator/host_links.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/runs.hpp"
+
+namespace camphormux::coordinator {
+namespace {
+
+constexpr core::Incarnation kFirst{100};
+constexpr core::Incarnation kSecond{200};
+
+/// The links of a holder to one host, whose answers the test gives.
+struct Harness {
+  struct Renewal {
+    RenewCall call;
+    std::function<void(RenewAnswer)> done;
+  };
+  struct Start {
+    StartCall call;
+    std::function<void(StartAnswer)> done;
+  };
+
+  Harness() : node_metrics(RegisterNodeMetrics(registry)) {
+    HostPort port;
+    port.renew = [this](const RenewCall& call,
+                        std::function<void(RenewAnswer)> done) {
+      renewals.push_back({call, std::move(done)});
+    };
+    port.start = [this](const StartCall& call,
+                        std::function<void(StartAnswer)> done) {
+      starts.push_back({call, std::move(done)});
+    };
+    port.stop = [this](const HostTarget& target, const scheduler::RunName&,
+                       std::function<void(CallOutcome)> done) {
+      stops.emplace_back(target.incarnation, std::move(done));
+    };
+    links = std::make_shared<HostLinks>(
+        port, core::Epoch{1}, state, node_metrics, run_latency,
+        HostLinks::Listener{[] {}, [](const core::HostId&) {}});
+    List(kFirst);
+  }
+
+  void List(core::Incarnation incarnation) {
+    scheduler::HostListing listing;
+    listing.id = id;
+    listing.incarnation = incarnation;
+    listing.address = {"10.0.0.1", 1};
+    listing.pool.value = "pool";
+    listing.capacity = {{64'000}, {262'144}, {0}};
+    (void)scheduler::ApplyListings(state, {listing}, core::MonotonicNow(),
+                                   core::MonotonicTime{});
+  }
+
+  /// Sends the renewal that is due and returns it.
+  Renewal NextRenewal() {
+    for (int i = 0; i < 100 && renewals.empty(); ++i) {
+      links->RenewAllDue(core::MonotonicNow() + core::Millis(60 * i));
+    }
+    Renewal renewal = std::move(renewals.front());
+    renewals.pop_front();
+    return renewal;
+  }
+
+  static RenewAnswer Report(core::Incarnation incarnation,
+                            std::int64_t clock_ms) {
+    RenewAnswer answer;
+    answer.outcome = CallOutcome::kDone;
+    answer.incarnation = incarnation;
+    answer.clock_ms = clock_ms;
+    return answer;
+  }
+
+  /// Orders a run of a task on the host.
+  scheduler::RunId OrderRun() {
+    workload::JobSpec spec;
+    spec.id.value = "5c0e7a21d94b36f8";
+    spec.queue.value = "q";
+    spec.steps.resize(1);
+    workload::Queue queue;
+    queue.name.value = "q";
+    queue.pool.value = "pool";
+    queue.latency_target = core::Millis(60'000);
+    state.catalog.queues = {queue};
+    (void)scheduler::Submit(state, spec, core::MonotonicNow(), core::WallNow());
+    scheduler::ConfirmSubmission(state, spec.id);
+    scheduler::Host& host = state.hosts.at(id);
+    const scheduler::Run& run = scheduler::AddRun(
+        state, state.jobs.at(spec.id), 0, 1, host, core::MonotonicNow());
+    links->Send(scheduler::StartRun{run.id, id, run.name, ""});
+    return run.id;
+  }
+
+  core::HostId id{"i-1"};
+  scheduler::State state;
+  prometheus::Registry registry;
+  NodeMetrics node_metrics;
+  RunLatency run_latency;
+  std::deque<Renewal> renewals;
+  std::deque<Start> starts;
+  std::deque<std::pair<core::Incarnation, std::function<void(CallOutcome)>>>
+      stops;
+  std::shared_ptr<HostLinks> links;
+};
+
+// Guards against a task that runs twice: the answer to a start does not say
+// which incarnation of the host has accepted it.
+TEST(HostLinksTest, RunAcceptedBeforeARestartWasNoticedIsKept) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  const scheduler::RunId run = harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  harness.starts[0].done({scheduler::StartOutcome::kStarted, 50});
+  RenewAnswer restarted;
+  restarted.outcome = CallOutcome::kHostRestarted;
+  restarted.incarnation = kSecond;
+  harness.NextRenewal().done(restarted);
+  ASSERT_TRUE(harness.state.runs.contains(run));
+  const Harness::Renewal renewal = harness.NextRenewal();
+  EXPECT_EQ(renewal.call.target.incarnation, kSecond);
+  RenewAnswer report = Harness::Report(kSecond, 80);
+  report.running.push_back({harness.state.runs.at(run).name, "", 0, 0});
+  renewal.done(report);
+  EXPECT_EQ(harness.state.runs.at(run).phase, scheduler::RunPhase::kRunning);
+}
+
+// Guards against ends that are lost: an incarnation numbers its ends from 1,
+// and forgets those up to the acknowledged number.
+TEST(HostLinksTest, EndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.List(kSecond);
+  harness.NextRenewal().done(Harness::Report(kSecond, 50));
+  harness.links->Acknowledge(harness.id, {kFirst, {57}});
+  (void)harness.OrderRun();
+  EXPECT_EQ(harness.NextRenewal().call.acknowledged.value, 0U);
+  harness.links->Acknowledge(harness.id, {kSecond, {2}});
+}
+
+// Guards against leases that outlast the time for which a host is waited for:
+// each incarnation has a clock of its own.
+TEST(HostLinksTest, ClockOfAnEarlierIncarnationIsNotUsedForTheNext) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1'000'000));
+  (void)harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  harness.List(kSecond);
+  harness.NextRenewal().done(Harness::Report(kSecond, 50));
+  harness.starts[0].done({scheduler::StartOutcome::kNoCapacity, 1'000'010});
+  (void)harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 2U);
+  EXPECT_LT(harness.starts[1].call.lease_end_ms, 100'000);
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -42,8 +42,9 @@
       scheduler::DropSubmission(state, id);
       dropped.push_back(id);
     };
-    listener.on_ends = [this](const core::HostId& host,
-                              scheduler::EndNumber end) { ends[host] = end; };
+    listener.on_ends = [this](const core::HostId& host, StoredEnd end) {
+      ends[host] = end;
+    };
     listener.on_orders = [this](const std::vector<StoredOrder>& released) {
       orders += released.size();
     };
@@ -75,7 +76,7 @@
   std::vector<Append> appends;
   std::vector<core::JobId> submitted;
   std::vector<core::JobId> dropped;
-  std::map<core::HostId, scheduler::EndNumber> ends;
+  std::map<core::HostId, StoredEnd> ends;
   std::size_t orders = 0;
   bool fenced = false;
   std::shared_ptr<StoreWriter> store_writer;
@@ -172,7 +173,7 @@
   harness.WaitForAppends(2);
   EXPECT_TRUE(harness.ends.empty());
   harness.appends[1].done(AppendOutcome::kStored);
-  EXPECT_EQ(harness.ends.at({"i-1"}).value, 3U);
+  EXPECT_EQ(harness.ends.at({"i-1"}).number.value, 3U);
 }
 
 // Guards against an old holder that continues after a newer one has started.
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -118,7 +118,11 @@
         run.kind = EndKind::kStopped;
       }
     }
-    OnStopConfirmed(state, stop->host, stop->name, now);
+    const auto host = state.hosts.find(stop->host);
+    if (host != state.hosts.end()) {
+      OnStopConfirmed(state, stop->host, host->second.listing.incarnation,
+                      stop->name, now);
+    }
   } else if (!execute_machine_orders) {
     return;
   } else if (const auto* move = std::get_if<MoveMachine>(&order)) {
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -40,7 +40,7 @@
   EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
   fleet.Report(host);
   EXPECT_TRUE(fleet.state.runs.contains(first));
-  OnStopConfirmed(fleet.state, host, name, fleet.now);
+  OnStopConfirmed(fleet.state, host, {1}, name, fleet.now);
   fleet.now += core::Millis(10);
   fleet.Report(host);
   EXPECT_FALSE(fleet.state.runs.contains(first));
@@ -206,5 +206,29 @@
   EXPECT_EQ(fleet.state.unexpected_runs[0].other_host, first.host);
 }
 
+// Guards against a start that takes effect after a stop was confirmed by an
+// incarnation of the host that has ended.
+TEST(RunsTest, StopConfirmedByAnEarlierIncarnationDoesNotEndTheRun) {
+  Fleet fleet = SmallFleet(1);
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const RunId id = OnlyRun(fleet).id;
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, id, StartOutcome::kNoAnswer, fleet.now);
+  ReplaceIncarnation(fleet.state, fleet.state.hosts.at(host), {2}, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  ASSERT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
+  OnStopConfirmed(fleet.state, host, {1}, OnlyRun(fleet).name, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_TRUE(fleet.state.runs.contains(id));
+  OnStopConfirmed(fleet.state, host, {2}, OnlyRun(fleet).name, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_FALSE(fleet.state.runs.contains(id));
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
