Hold back starts whose job did not fit into the batch

Cause: an append holds at most 1 MiB of records, but the orders of all jobs were released with it. A start was sent although the store did not know of it, so that a later holder would start the task again beside it.

Change: a start waits for the batch that stores its job.

StoreWriterTest.StartOrderWaitsForTheBatchWithItsJob failed before.

--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -104,7 +104,6 @@
 
 StoreWriter::Batch StoreWriter::CollectBatch() {
   Batch batch;
-  batch.orders = std::exchange(orders_, {});
   std::size_t bytes = 0;
   const auto add = [&](std::string key, std::optional<std::string> value) {
     bytes += key.size() + (value ? value->size() : 0);
@@ -141,6 +140,13 @@
         internal::EncodeWave(state_.waves[id]));
   }
   waves_.clear();
+  // A start whose job did not fit into this batch waits for a later one.
+  for (StoredOrder& stored : std::exchange(orders_, {})) {
+    const auto* start = std::get_if<scheduler::StartRun>(&stored.order);
+    const bool is_stored =
+        start == nullptr || !state_.unsaved.contains(start->name.job);
+    (is_stored ? batch.orders : orders_).push_back(std::move(stored));
+  }
   const core::WallTime wall = core::WallNow();
   for (const StoredOrder& stored : batch.orders) {
     if (const scheduler::MachineId* machine =
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -142,6 +142,32 @@
   EXPECT_EQ(harness.orders, 1U);
 }
 
+// Guards against a task that runs twice after a takeover: a start was sent
+// although the progress of its job did not fit into the append before it.
+TEST(StoreWriterTest, StartOrderWaitsForTheBatchWithItsJob) {
+  constexpr std::size_t kBatchBytes = std::size_t{1} << 20;
+  Harness harness;
+  harness.Submit();
+  workload::JobSpec large = Spec();
+  large.id.value = "0000000000000001";
+  (void)scheduler::Submit(harness.state, large, core::MonotonicNow(),
+                          core::WallNow());
+  harness.WaitForAppends(1);
+  harness.appends[0].done(AppendOutcome::kStored);
+  harness.state.jobs.at(large.id).tasks[0].progress.checkpoint =
+      std::string(kBatchBytes, 'c');
+  harness.state.unsaved = {large.id, Spec().id};
+  harness.store_writer->AddOrder(
+      scheduler::StartRun{{1}, {"i-1"}, {Spec().id, {}, 1}, ""});
+  harness.WaitForAppends(2);
+  ASSERT_EQ(harness.appends[1].records.size(), 1U);
+  harness.appends[1].done(AppendOutcome::kStored);
+  EXPECT_EQ(harness.orders, 0U);
+  harness.WaitForAppends(3);
+  harness.appends[2].done(AppendOutcome::kStored);
+  EXPECT_EQ(harness.orders, 1U);
+}
+
 // Guards against alternating machine orders by two holders: a later holder must
 // know which machines were ordered recently.
 TEST(StoreWriterTest, MachineOrderIsReleasedOnlyAfterItIsStored) {
