Wait for a predecessor's lease on runs of a host that is listed late

Cause: only hosts of the first list after a takeover, and those of stored runs, were waited for until the leases of the previous holder had ended. A host that is listed later, as its entry had lapsed, has a lease that ends at once by this holder's books. If it reports a run that this holder does not know and stops answering before the first grant, the run was removed and started elsewhere beside it.

The multiple of a lease that a takeover waits is in one place.

RunsTest.AdoptedRunIsWaitedForUntilPreviousLeasesHaveExpired fails without it.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -302,7 +302,7 @@
     // The previous holder may have granted leases until this takeover began.
     for (auto& [id, host] : state_.hosts) {
       host.lease_end =
-          std::max(host.lease_end, takeover_start_ + state_.settings.lease * 2);
+          std::max(host.lease_end, scheduler::PreviousLeasesEnd(state_));
     }
   }
   SchedulePlan();
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -126,6 +126,10 @@
          internal::kLeaseMargin;
 }
 
+core::MonotonicTime PreviousLeasesEnd(const State& state) {
+  return state.took_over + state.settings.lease * kTakeoverLeases;
+}
+
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
                         core::MonotonicTime now) {
   state.ended_incarnations[host.listing.id].incarnations.insert(
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -4,17 +4,13 @@
 #include <utility>
 
 #include "camphormux/scheduler/arrivals.hpp"
+#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
 namespace internal {
 
-/// A previous lease holder that lost the store continues until hosts refuse its
-/// orders. The last leases that it granted have expired after this multiple of
-/// a lease following the takeover.
-constexpr int kTakeoverLeases = 2;
-
 /// Adds the stored runs of a task that a previous lease holder started. Whether
 /// they exist is known once their hosts report or their leases expire.
 void LoadRuns(State& state, Job& job, std::uint32_t task,
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -141,6 +141,28 @@
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
 }
 
+// Guards against a task that runs twice: a host that is listed for the first
+// time after a takeover reports a run on a lease of the previous holder, and
+// stops answering before it gets a new one.
+TEST(RunsTest, AdoptedRunIsWaitedForUntilPreviousLeasesHaveExpired) {
+  Fleet fleet = SmallFleet(2);
+  fleet.state.took_over = fleet.now;
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  fleet.execute_starts = false;
+  (void)fleet.Submit(spec);
+  const core::HostId host = fleet.listings[0].id;
+  fleet.running.push_back(
+      {{spec.id, {}, 1}, host, fleet.now + core::Millis(60'000)});
+  fleet.Report(host);
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  fleet.unresponsive.insert(host);
+  MarkUnresponsive(fleet.state.hosts.at(host), fleet.now);
+  fleet.Advance(PreviousLeasesEnd(fleet.state) - fleet.now - core::Millis(50));
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
+  fleet.Advance(core::Millis(200));
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 1U);
+}
+
 // Guards against a task that waits after each takeover for a run that ended
 // with its host. This was observed in a fleet whose nodes were restarted one
 // after the other.
