Do not take a run as ended by a partial report

Cause: a run that a report did not list was taken as ended.

Change: a report says whether it is partial, and then nothing is missing from it. The flag travels between nodes as a trailing element.

RunsTest.RunIsNotMissingFromAPartialReport fails without the check; HostsTest.ReportWithMoreEndsThanAHostListsIsPartial and .ReportWithAnUnreadableEntryIsPartial cover the reading.

--- a/src/camphormux/coordinator/host_calls.cpp
+++ b/src/camphormux/coordinator/host_calls.cpp
@@ -184,6 +184,7 @@
                    row.push_back(std::move(running));
                    row.push_back(std::move(ended));
                    row.push_back(answer.incarnation.value);
+                   row.push_back(answer.is_partial ? 1 : 0);
                  }},
       entry.answer);
   return row;
@@ -224,6 +225,7 @@
   }
   // Absent in answers of earlier versions.
   answer.incarnation.value = reader.has_more() ? reader.Unsigned() : 0;
+  answer.is_partial = reader.has_more() && reader.Unsigned() != 0;
   if (!runs.ok() || !ends.ok()) {
     // An incomplete list would mean that the missing runs are gone.
     return RenewAnswer{};
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -187,9 +187,10 @@
       }
       link.failures = 0;
       RecordClock(id, incarnation, answer.clock_ms);
-      scheduler::OnReport(
-          state_, {id, incarnation, asked, answer.running, answer.ended}, now,
-          core::WallNow());
+      scheduler::OnReport(state_,
+                          {id, incarnation, asked, answer.running, answer.ended,
+                           answer.is_partial},
+                          now, core::WallNow());
       RenewIfDue(host->second, now);
       listener_.on_change();
       return;
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -137,6 +137,9 @@
   core::Incarnation incarnation;
   std::vector<scheduler::ReportedRun> running;
   std::vector<scheduler::ReportedEnd> ended;
+  /// Runs or ends are missing from the lists: the host has more ends than it
+  /// lists at a time, or an entry could not be read.
+  bool is_partial = false;
 };
 
 /// @brief Calls to hosts.
--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -94,6 +94,8 @@
   core::MonotonicTime asked;  ///< When the request for the report was sent.
   std::vector<ReportedRun> running;
   std::vector<ReportedEnd> ended;
+  /// Runs or ends are missing from the lists.
+  bool is_partial = false;
 };
 
 /// @brief Outcome of an order to start a run.
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -197,6 +197,9 @@
 /// requested in the millisecond of the run's confirmation, the request may have
 /// been sent before the confirmation; such a report does not end the run.
 void HandleMissingRun(State& state, Run& run, const HostReport& report) {
+  if (report.is_partial) {
+    return;  // The run or its end may be among those that are missing.
+  }
   const bool asked_after = report.asked > run.confirmed;
   switch (run.phase) {
     case RunPhase::kOrdered:
--- a/test/coordinator/host_calls_test.cpp
+++ b/test/coordinator/host_calls_test.cpp
@@ -63,6 +63,7 @@
   renewed.running.push_back({Name(1), "ab", 40, 2000});
   renewed.ended.push_back(
       {{7}, Name(2), scheduler::EndKind::kLeaseExpired, "cd"});
+  renewed.is_partial = true;
   const auto decoded = DecodeAnswers(
       EncodeAnswers({{1, StartAnswer{scheduler::StartOutcome::kNoCapacity, 99}},
                      {2, CallOutcome::kFenced},
@@ -77,6 +78,7 @@
   EXPECT_EQ(answer.outcome, CallOutcome::kDone);
   EXPECT_EQ(answer.clock_ms, 4321);
   EXPECT_EQ(answer.incarnation, renewed.incarnation);
+  EXPECT_TRUE(answer.is_partial);
   ASSERT_EQ(answer.running.size(), 1U);
   EXPECT_EQ(answer.running[0].name, Name(1));
   EXPECT_EQ(answer.running[0].percent, 40);
--- a/test/platform/hosts_test.cpp
+++ b/test/platform/hosts_test.cpp
@@ -81,5 +81,45 @@
   EXPECT_EQ(harness.server.received(), 2U);
 }
 
+/// Asks a host that answers with this body for its lists.
+coordinator::RenewAnswer Renew(const std::string& body) {
+  Harness harness({{200, body}});
+  const coordinator::HostPort port = MakeHostPort(harness.client);
+  coordinator::RenewCall call;
+  call.target.host.value = "i-1";
+  call.target.address = {"127.0.0.1", harness.server.port()};
+  return harness.Wait<coordinator::RenewAnswer>(
+      [&](auto done) { port.renew(call, std::move(done)); });
+}
+
+// Guards against runs that count as gone because a report leaves them out.
+TEST(HostsTest, ReportWithMoreEndsThanAHostListsIsPartial) {
+  constexpr std::size_t kListedEnds = 500;
+  std::string ends;
+  for (std::size_t i = 1; i <= kListedEnds; ++i) {
+    ends += (i == 1 ? "" : ",") + ("[" + std::to_string(i)) +
+            R"(,"5c0e7a21d94b36f8.0.0.)" + std::to_string(i) +
+            R"(",1,"done",""])";
+    if (i + 1 == kListedEnds) {
+      EXPECT_FALSE(
+          Renew(R"({"clockMs":1,"running":[],"finished":[)" + ends + "]}")
+              .is_partial);
+    }
+  }
+  const auto full =
+      Renew(R"({"clockMs":1,"running":[],"finished":[)" + ends + "]}");
+  EXPECT_EQ(full.ended.size(), kListedEnds);
+  EXPECT_TRUE(full.is_partial);
+}
+
+TEST(HostsTest, ReportWithAnUnreadableEntryIsPartial) {
+  const std::string run = R"(["5c0e7a21d94b36f8.0.0.1",1,"",40])";
+  const std::string unreadable = R"(["5c0e7a21d94b36f8.0.0.2",-1,"",40])";
+  EXPECT_FALSE(Renew(R"({"clockMs":1,"running":[)" + run + "]}").is_partial);
+  EXPECT_TRUE(
+      Renew(R"({"clockMs":1,"running":[)" + run + "," + unreadable + "]}")
+          .is_partial);
+}
+
 }  // namespace
 }  // namespace camphormux::platform
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -163,6 +163,25 @@
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 1U);
 }
 
+// Guards against a task that is done and runs again: its end is not among those
+// that the host has listed.
+TEST(RunsTest, RunIsNotMissingFromAPartialReport) {
+  Fleet fleet = SmallFleet(1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  HostReport report;
+  report.host = fleet.listings[0].id;
+  report.incarnation = fleet.listings[0].incarnation;
+  report.asked = fleet.now + core::Millis(10);
+  report.is_partial = true;
+  OnReport(fleet.state, report, report.asked, fleet.wall);
+  EXPECT_EQ(fleet.state.runs.size(), 1U);
+  report.is_partial = false;
+  OnReport(fleet.state, report, report.asked, fleet.wall);
+  EXPECT_TRUE(fleet.state.runs.empty());
+}
+
 // Guards against a task that waits after each takeover for a run that ended
 // with its host. This was observed in a fleet whose nodes were restarted one
 // after the other.
