Reject odd entries of the runners' list

A number like 1e300 went through a conversion that is undefined (the largest integer on arm64, the smallest on x86-64), and an unsigned one above the signed range wrapped: a host with that much room attracts all tasks, and sums over hosts overflow. Negative and fractional amounts, text after a port, host names (which the platform cannot look up) and ids that break the header that carries them were accepted as well, and the values of malformed entries were kept whole, without a limit.

Numbers outside of their range are no numbers.

--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/decode.hpp"
 
+#include <map>
+#include <string>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -74,6 +77,71 @@
       "capacity":{"cpu":1}})"));
 }
 
+/// Encodes a host's entry with one field replaced or added.
+std::string HostEntry(const std::string& field, const std::string& value) {
+  std::map<std::string, std::string> fields{
+      {"service", R"("s")"},
+      {"address", R"("10.0.0.1:8080")"},
+      {"state", R"("ready")"},
+      {"capacity", R"({"cpu":16000,"memMb":32768})"},
+      {"born", "1700000000123"}};
+  fields[field] = value;
+  std::string text;
+  for (const auto& [name, member] : fields) {
+    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + member;
+  }
+  return text + "}";
+}
+
+// Guards against processes that end because of one entry of another writer.
+TEST(DecodeTest, RejectsDeeplyNestedHostEntry) {
+  constexpr std::size_t kDepth = 100'000;
+  EXPECT_TRUE(DecodeHostListing("i-1", HostEntry("extra", "[[1]]")));
+  EXPECT_FALSE(DecodeHostListing(
+      "i-1",
+      HostEntry("extra", std::string(kDepth, '[') + std::string(kDepth, ']'))));
+  EXPECT_FALSE(
+      DecodeHostListing("i-1", HostEntry("extra", std::string(kDepth, '['))));
+  EXPECT_TRUE(DecodeHostListing(
+      "i-1", HostEntry("extra", "\"" + std::string(kDepth, '[') + "\"")));
+}
+
+// Guards against numbers that are outside of their range: their conversion is
+// undefined, or they become another host's amounts.
+TEST(DecodeTest, RejectsHostEntryWithANumberOutOfRange) {
+  for (const char* amount :
+       {"1e300", "-1", "18446744073709551615", "9223372036854775808", "1e400",
+        "123456789012345678901234567890", "-1e300", "0.5"}) {
+    EXPECT_FALSE(DecodeHostListing(
+        "i-1", HostEntry("capacity", std::string("{\"cpu\":") + amount + "}")))
+        << amount;
+    EXPECT_FALSE(DecodeHostListing("i-1", HostEntry("born", amount))) << amount;
+  }
+  EXPECT_FALSE(DecodeHostListing("i-1", HostEntry("born", R"("now")")));
+}
+
+// Guards against calls to an address that is none, and against name look-ups.
+TEST(DecodeTest, RejectsHostEntryWithAnInvalidAddress) {
+  for (const char* address :
+       {"10.0.0.1:70000", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1",
+        "10.0.0.1:80x", "10.0.0.1:", "10.0.0.1", "host:80", ":80",
+        "10.0.0.1/x:80", "10.0.0.1:4294967376"}) {
+    EXPECT_FALSE(DecodeHostListing(
+        "i-1", HostEntry("address", "\"" + std::string(address) + "\"")))
+        << address;
+  }
+}
+
+// Guards against ids that break the header or the message that carries them.
+TEST(DecodeTest, RejectsHostEntryWithAnIdThatIsNotPrintable) {
+  const std::string entry = HostEntry("zone", R"("z")");
+  EXPECT_TRUE(DecodeHostListing("i-252c85fc5b", entry));
+  EXPECT_FALSE(DecodeHostListing("", entry));
+  EXPECT_FALSE(DecodeHostListing("i-1\r\nX: y", entry));
+  EXPECT_FALSE(DecodeHostListing("i 1", entry));
+  EXPECT_FALSE(DecodeHostListing("\xff\xfe", entry));
+}
+
 TEST(DecodeTest, DecodesRunsReportedByHost) {
   const auto body = ParseObject(
       R"({"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ab",41,7],["x",1,"",0]],
