Do not stop all runs of a host that left the list but answers

Cause: the holder stopped all runs of a host as soon as the list of hosts no longer named it, without a look at the budgets of their steps, and granted it no more leases. A host that is cut off from the store drops out of the list after three missed heartbeats, but nodes still reach it.

Change: a host that answers keeps its leases. While it is not listed, it gets no new runs, tasks that end by themselves end there, and permanent ones are evacuated within their budgets. A host that does not answer is waited for until its lease is over, as before.

UpkeepTest.UnlistedHostsThatAnswerAreEvacuatedWithinTheBudget failed before.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -82,8 +82,7 @@
 std::optional<std::int64_t> HostLinks::GrantLease(scheduler::Host& host,
                                                   const Link& link,
                                                   core::MonotonicTime now) {
-  const bool gone = !host.listed && now >= host.gone_at;
-  if (!link.clock_ms || gone) {
+  if (!link.clock_ms) {
     return std::nullopt;
   }
   // The host's clock has advanced by at least this much since it was read.
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -163,11 +163,6 @@
   std::vector<core::HostId> gone;
   for (auto& [id, host] : state.hosts) {
     const bool is_gone = !host.listed && now >= host.gone_at;
-    if (is_gone) {
-      for (const RunId run : host.runs) {
-        RequestStop(state, state.runs.at(run));
-      }
-    }
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
       internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
       if (is_gone) {
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -94,7 +94,7 @@
       PlaceCopies(state, *job, view.usable, now);
     }
   }
-  EvacuateDraining(state, views);
+  EvacuateLeaving(state, views, now);
   PlanUpkeep(state, views, now);
   PlanMoves(state, views, now);
   internal::RemoveEndedJobs(state);
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -338,10 +338,15 @@
   }
 }
 
-void EvacuateDraining(State& state, const PoolViews& views) {
+void EvacuateLeaving(State& state, const PoolViews& views,
+                     core::MonotonicTime now) {
   for (auto& [id, host] : state.hosts) {
-    if (host.listing.draining && host.listed) {
+    const bool is_gone = !host.listed && now >= host.gone_at;
+    if (host.listing.draining) {
       internal::Evacuate(state, host, views, false);
+    } else if (is_gone && host.synced && !host.unresponsive_since &&
+               now >= state.took_over + internal::kStopSettleTime) {
+      internal::Evacuate(state, host, views, true);
     }
   }
 }
--- a/src/camphormux/scheduler/upkeep.hpp
+++ b/src/camphormux/scheduler/upkeep.hpp
@@ -48,8 +48,10 @@
 /// evacuated from them within their budgets.
 void PlanUpkeep(State& state, const PoolViews& views, core::MonotonicTime now);
 
-/// @brief Evacuates permanent tasks from draining hosts.
-void EvacuateDraining(State& state, const PoolViews& views);
+/// @brief Evacuates permanent tasks from draining hosts and, within their
+/// budgets, from hosts that are no longer listed but answer.
+void EvacuateLeaving(State& state, const PoolViews& views,
+                     core::MonotonicTime now);
 
 /// @brief Returns whether the machines of a pool are powered off.
 [[nodiscard]] bool IsStandby(const State& state, const core::PoolName& pool);
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -1,9 +1,13 @@
 #include "camphormux/scheduler/upkeep.hpp"
 
 #include <algorithm>
+#include <set>
+#include <variant>
+#include <vector>
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "test/scheduler/fleet.hpp"
 
@@ -247,5 +251,55 @@
   EXPECT_EQ(fleet.CountStarts(MakeJob(1, "q", 1, 1, {}).id.value), 0U);
 }
 
+// Guards against a permanent job that loses more tasks than it may: hosts that
+// are cut off from the list but answer were stopped all at once.
+TEST(UpkeepTest, UnlistedHostsThatAnswerAreEvacuatedWithinTheBudget) {
+  constexpr std::uint32_t kTasks = 4;
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 3);
+  workload::JobSpec spec = MakeJob(1, "q", kTasks, 4, core::Millis(0));
+  spec.steps[0].permanent = true;
+  spec.steps[0].max_unavailable = 1;
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(100));
+  ASSERT_EQ(fleet.running.size(), kTasks);
+  const std::vector<HostListing> all = fleet.listings;
+  std::set<core::HostId> cut;
+  for (const Fleet::Running& run : fleet.running) {
+    cut.insert(run.host);
+  }
+  std::vector<HostListing> others = all;
+  std::erase_if(others, [&](const HostListing& listing) {
+    return cut.contains(listing.id);
+  });
+  ASSERT_FALSE(others.empty());
+  for (const core::HostId& id : cut) {
+    fleet.state.hosts.at(id).lease_end = fleet.now + core::Millis(5000);
+  }
+  ApplyListings(fleet.state, others, fleet.now, fleet.now);
+  const std::size_t before = fleet.sent.size();
+  std::size_t most_at_once = 0;
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t sent = fleet.sent.size();
+    fleet.Step();
+    fleet.now += core::Millis(10);
+    most_at_once =
+        std::max(most_at_once,
+                 static_cast<std::size_t>(std::count_if(
+                     fleet.sent.begin() + static_cast<std::ptrdiff_t>(sent),
+                     fleet.sent.end(), [](const Order& order) {
+                       return std::holds_alternative<StopRun>(order);
+                     })));
+  }
+  EXPECT_EQ(most_at_once, 1U);
+  // All tasks are on listed hosts in the end.
+  EXPECT_GT(fleet.sent.size(), before);
+  EXPECT_EQ(fleet.running.size(), kTasks);
+  for (const Fleet::Running& run : fleet.running) {
+    EXPECT_FALSE(cut.contains(run.host));
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
