Believe a host's reports over the list about its incarnation

The list alone could still replace a living incarnation: after a takeover nothing is known of ended ones, so that a late record of an earlier incarnation dropped all listed runs of the present one, and their tasks started elsewhere beside them. An incarnation that had been taken for ended by mistake was never usable again, and a 421 that came late, for a start to an earlier incarnation whose address another host has now, removed the present one with its runs. A replaced host kept its draining flag.

A report decides, and takes an incarnation out of the ended ones. A 421 ends the host only if it still has the incarnation that was called, and otherwise only the run.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -320,7 +320,12 @@
         self->listener_.on_fenced(order.host);
         return;
       }
-      if (answer.outcome == scheduler::StartOutcome::kHostRestarted) {
+      const auto known = self->state_.hosts.find(order.host);
+      const bool same_incarnation =
+          known != self->state_.hosts.end() &&
+          known->second.listing.incarnation == incarnation;
+      if (answer.outcome == scheduler::StartOutcome::kHostRestarted &&
+          same_incarnation) {
         scheduler::RemoveHost(self->state_, order.host,
                               scheduler::EndEvidence::kHostReplaced);
       } else {
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -77,6 +77,10 @@
       continue;
     }
     const auto found = state.hosts.find(listing.id);
+    if (found != state.hosts.end() &&
+        listing.incarnation < found->second.listing.incarnation) {
+      continue;  // A late record; a report of the host would correct it.
+    }
     if (found != state.hosts.end() &&
         found->second.listing.incarnation != listing.incarnation) {
       changes.replaced.push_back(
@@ -132,8 +136,11 @@
 
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
                         core::MonotonicTime now) {
-  state.ended_incarnations[host.listing.id].incarnations.insert(
-      host.listing.incarnation);
+  std::set<core::Incarnation>& ended =
+      state.ended_incarnations[host.listing.id].incarnations;
+  ended.insert(host.listing.incarnation);
+  // A report can show that an incarnation lives which seemed to have ended.
+  ended.erase(incarnation);
   const std::vector<RunId> runs = host.runs;
   for (const RunId id : runs) {
     Run& run = state.runs.at(id);
@@ -146,6 +153,7 @@
     }
   }
   host.listing.incarnation = incarnation;
+  host.listing.draining = false;
   host.listed = false;
   host.gone_at = now + state.settings.listing_grace;
   host.missed_machine_lists = 0;
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -216,5 +216,30 @@
   EXPECT_EQ(test.fleet.state.runs.size(), 1U);
 }
 
+// Guards against the same after a takeover: the new holder does not know which
+// incarnations have ended.
+TEST(HostsTest, RecordOfAnEarlierIncarnationIsIgnoredByALaterHolder) {
+  AcceptedStart test;
+  test.List(2);
+  test.fleet.Advance(core::Millis(50));
+  test.fleet.state.ended_incarnations.clear();
+  test.List(1);
+  test.fleet.Advance(core::Millis(50));
+  EXPECT_EQ(test.fleet.state.hosts.at(test.host).listing.incarnation.value, 2U);
+  EXPECT_EQ(test.Starts(), 1U);
+}
+
+// Guards against a host that is never used again: a stored run or a late record
+// made the living incarnation seem ended.
+TEST(HostsTest, IncarnationThatReportsIsUsableOnceItIsListed) {
+  Fleet fleet = SmallFleet();
+  const core::HostId id = fleet.listings[0].id;
+  Host& host = fleet.state.hosts.at(id);
+  ReplaceIncarnation(fleet.state, host, {2}, fleet.now);
+  ReplaceIncarnation(fleet.state, host, {1}, fleet.now);
+  fleet.Publish();
+  EXPECT_TRUE(IsUsable(fleet.state.hosts.at(id), fleet.now));
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
