Do not remove a host without a machine while it answers

A host that neither the list nor two lists of machines name was removed at once with its runs, whatever was left of its lease. Since hosts that left the list keep working while they answer, a host that is cut off from the store and the cloud could be one of them.

Change: a host that answers is not counted as missing from the lists of machines.

UpkeepTest.HostThatAnswersIsKeptWithoutAMachine failed before.

--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -34,8 +34,9 @@
 /// are read may be on none of them.
 constexpr std::uint32_t kMissedListsUntilEnded = 2;
 
-/// Removes hosts that no machine has any more, so that a host which is only
-/// known from stored runs or an old list is not kept until its lease expires.
+/// Removes hosts that no machine has any more and that do not answer, so that a
+/// host which is only known from stored runs or an old list is not kept until
+/// its lease expires.
 void RemoveHostsWithoutMachine(State& state,
                                const std::set<core::HostId>& machine_hosts) {
   const auto with_machine =
@@ -50,7 +51,8 @@
   }
   std::vector<core::HostId> ended;
   for (auto& [id, host] : state.hosts) {
-    if (host.listed || machine_hosts.contains(id)) {
+    const bool answers = host.synced && !host.unresponsive_since;
+    if (host.listed || answers || machine_hosts.contains(id)) {
       host.missed_machine_lists = 0;
     } else if (++host.missed_machine_lists >= kMissedListsUntilEnded) {
       ended.push_back(id);
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -297,5 +297,38 @@
   }
 }
 
+// Guards against a task that runs twice: a host that is cut off from the list
+// and from the cloud still answers, and its runs go on.
+TEST(UpkeepTest, HostThatAnswersIsKeptWithoutAMachine) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 3);
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  const core::HostId host = fleet.running[0].host;
+  fleet.state.hosts.at(host).lease_end = fleet.now + core::Millis(60'000);
+  std::vector<HostListing> others = fleet.listings;
+  std::erase_if(others,
+                [&](const HostListing& listing) { return listing.id == host; });
+  std::erase_if(fleet.machines, [&](const MachineListing& machine) {
+    return machine.host == host;
+  });
+  ApplyListings(fleet.state, others, fleet.now, fleet.now);
+  for (int i = 0; i < 3; ++i) {
+    ApplyMachines(fleet.state, fleet.machines, fleet.now);
+    fleet.Advance(core::Millis(100));
+  }
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 1U);
+  MarkUnresponsive(fleet.state.hosts.at(host), fleet.now);
+  fleet.unresponsive.insert(host);
+  for (int i = 0; i < 3; ++i) {
+    ApplyMachines(fleet.state, fleet.machines, fleet.now);
+    fleet.Advance(core::Millis(100));
+  }
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 2U);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
