Keep a machine's order open when only its repetition is refused

An order to a machine that gets no answer is repeated by the scheduler. When the second copy was refused (busy, too many calls), the machine was free again, its host got new runs, and another machine of the wave could be ordered; then the first copy was carried out and took the machine with all its runs.

Change: while a copy without an answer can still be carried out, for 12 s, a refusal leaves the order pending, and it is repeated. The cloud answers 200 to an order that is already done.

StaleOrdersTest.RefusalOfARepeatedMachineOrderIsNotTheAnswerToTheFirst fails without the 12 s.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -642,8 +642,11 @@
     StepDown("machine " + machine.value + " was ordered by a newer holder");
     return;
   }
+  const bool is_unanswered = listed && known->second.unanswered_since &&
+                             outcome != scheduler::MachineOutcome::kDone;
   const bool repeat = outcome == scheduler::MachineOutcome::kNoAnswer ||
-                      outcome == scheduler::MachineOutcome::kDeferred;
+                      outcome == scheduler::MachineOutcome::kDeferred ||
+                      is_unanswered;
   const std::optional<scheduler::WaveId> id =
       wave == nullptr ? std::nullopt : std::optional(*wave);
   RunAfter(repeat ? internal::kMachineRetryDelay : core::Millis(0),
--- a/src/camphormux/scheduler/stale_orders.cpp
+++ b/src/camphormux/scheduler/stale_orders.cpp
@@ -9,7 +9,7 @@
 bool WithdrawMachineOrder(State& state, const MachineId& id, const WaveId* wave,
                           core::MonotonicTime now) {
   const auto machine = state.machines.find(id);
-  if (machine == state.machines.end() || machine->second.unanswered) {
+  if (machine == state.machines.end() || machine->second.unanswered_since) {
     return false;
   }
   OnMachineAnswer(state, id, wave, MachineOutcome::kDeferred, now);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -186,8 +186,9 @@
 struct Machine {
   MachineListing listing;
   bool order_pending = false;
-  /// The pending order got no answer and may have taken effect.
-  bool unanswered = false;
+  /// When the pending order first got no answer. It may have taken effect, or
+  /// may still.
+  std::optional<core::MonotonicTime> unanswered_since;
   core::MonotonicTime ordered;
   /// Destination of a move in progress; otherwise empty.
   core::PoolName target;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -29,6 +29,9 @@
 /// plus a margin.
 constexpr core::Millis kMaxClockDifference{4000};
 
+/// A call without an answer is carried out at most this much later.
+constexpr core::Millis kMaxCallDelay{12'000};
+
 /// Number of consecutive complete lists of machines without a host before the
 /// host is considered ended. A machine that changes while the pages of a list
 /// are read may be on none of them.
@@ -285,9 +288,17 @@
   }
   Machine& entry = found->second;
   entry.ordered = now;
-  if (outcome == MachineOutcome::kNoAnswer) {
-    // The order stays pending and is repeated, as it is idempotent.
-    entry.unanswered = true;
+  if (outcome == MachineOutcome::kNoAnswer && !entry.unanswered_since) {
+    entry.unanswered_since = now;
+  }
+  // The refusal of a repeated order says nothing about the copy without an
+  // answer, which can still be carried out.
+  const bool is_open =
+      entry.unanswered_since && outcome != MachineOutcome::kDone &&
+      (outcome == MachineOutcome::kNoAnswer ||
+       now < *entry.unanswered_since + internal::kMaxCallDelay);
+  if (is_open) {
+    // The order stays pending and is repeated.
     if (wave != nullptr) {
       state.orders.emplace_back(UpkeepMachine{machine, *wave});
     } else {
@@ -296,7 +307,7 @@
     return;
   }
   entry.order_pending = false;
-  entry.unanswered = false;
+  entry.unanswered_since.reset();
   if (outcome == MachineOutcome::kDone) {
     RemoveHost(state, entry.ordered_host, EndEvidence::kMachineOrdered);
     // A repeated order may be answered when the machine already has its next
--- a/test/scheduler/stale_orders_test.cpp
+++ b/test/scheduler/stale_orders_test.cpp
@@ -72,5 +72,31 @@
   EXPECT_TRUE(fleet.state.machines.at(move->machine).order_pending);
 }
 
+// Guards against new runs on a machine that the first copy of an order still
+// takes away after the second was refused.
+TEST(StaleOrdersTest, RefusalOfARepeatedMachineOrderIsNotTheAnswerToTheFirst) {
+  constexpr core::Millis kLongestDelay{12'000};
+  Fleet fleet = FleetWithMove();
+  const auto* move = FirstSent<MoveMachine>(fleet);
+  ASSERT_NE(move, nullptr);
+  const MachineId id = move->machine;
+  const core::HostId host = fleet.state.machines.at(id).listing.host;
+  OnMachineAnswer(fleet.state, id, nullptr, MachineOutcome::kNoAnswer,
+                  fleet.now);
+  for (const MachineOutcome refusal :
+       {MachineOutcome::kBusy, MachineOutcome::kDeferred,
+        MachineOutcome::kRejected}) {
+    fleet.state.orders.clear();
+    OnMachineAnswer(fleet.state, id, nullptr, refusal, fleet.now);
+    EXPECT_TRUE(fleet.state.machines.at(id).order_pending);
+    EXPECT_TRUE(fleet.state.hosts.at(host).reserved);
+    EXPECT_EQ(fleet.state.orders.size(), 1U);
+  }
+  OnMachineAnswer(fleet.state, id, nullptr, MachineOutcome::kBusy,
+                  fleet.now + kLongestDelay);
+  EXPECT_FALSE(fleet.state.machines.at(id).order_pending);
+  EXPECT_FALSE(fleet.state.hosts.at(host).reserved);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
