--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -159,6 +159,11 @@
     add(std::string(kProgressKeyPrefix) + id.value, std::nullopt);
   }
   dropped_jobs_.clear();
+  if (stored_ends_.size() > state_.hosts.size()) {
+    std::erase_if(stored_ends_, [&](const auto& entry) {
+      return !state_.hosts.contains(entry.first);
+    });
+  }
   // Run ends are acknowledged only once all changes that they caused are
   // stored.
   if (state_.unsaved.empty()) {
