--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -300,9 +300,10 @@
   if (!hosts_known_) {
     hosts_known_ = true;
     // The previous holder may have granted leases until this takeover began.
+    const core::MonotonicTime previous_leases_end =
+        takeover_start_ + scheduler::PreviousLeasesDuration(state_.settings);
     for (auto& [id, host] : state_.hosts) {
-      host.lease_end =
-          std::max(host.lease_end, scheduler::PreviousLeasesEnd(state_));
+      host.lease_end = std::max(host.lease_end, previous_leases_end);
     }
   }
   SchedulePlan();
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -22,6 +22,10 @@
 /// network and then reach the list.
 constexpr core::Millis kEndedRetention{60'000};
 
+/// Previous holders grant leases for at most this multiple of a lease after a
+/// takeover.
+constexpr int kTakeoverLeases = 2;
+
 bool HasEnded(const State& state, const HostListing& listing) {
   const auto ended = state.ended_incarnations.find(listing.id);
   return ended != state.ended_incarnations.end() &&
@@ -130,8 +134,9 @@
          internal::kLeaseMargin;
 }
 
-core::MonotonicTime PreviousLeasesEnd(const State& state) {
-  return state.took_over + state.settings.lease * kTakeoverLeases;
+core::Millis PreviousLeasesDuration(const Settings& settings) {
+  return std::max(settings.lease * internal::kTakeoverLeases,
+                  LongestDuration(settings.longest_lease));
 }
 
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -10,10 +10,6 @@
 /// Hosts' clocks may run slower than this node's clock by this fraction.
 inline constexpr double kMaxClockDrift = 0.02;
 
-/// Previous holders' leases have expired after this multiple of a lease
-/// following the takeover.
-inline constexpr int kTakeoverLeases = 2;
-
 /// @brief A host that the list names with another incarnation than before.
 struct ReplacedHost {
   core::HostId id;
@@ -63,9 +59,11 @@
 /// it is granted.
 [[nodiscard]] core::Millis LongestDuration(core::Millis lease);
 
-/// @return When the last leases that previous holders granted have expired. A
-/// previous holder that lost the store continues until hosts refuse its orders.
-[[nodiscard]] core::MonotonicTime PreviousLeasesEnd(const State& state);
+/// @return Time after a takeover by which the leases of previous holders have
+/// expired. A previous holder that lost the store continues until hosts refuse
+/// its orders, and the next incarnation of a host may have accepted a start for
+/// the longest lease.
+[[nodiscard]] core::Millis PreviousLeasesDuration(const Settings& settings);
 
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -169,7 +169,9 @@
       if (!task.progress.done && (task.runs.empty() || may_copy)) {
         task.progress.next_attempt =
             std::max(task.progress.next_attempt, listed.name.attempt + 1);
-        host.lease_end = std::max(host.lease_end, PreviousLeasesEnd(state));
+        host.lease_end =
+            std::max(host.lease_end,
+                     state.took_over + PreviousLeasesDuration(state.settings));
         return &AddRun(state, job, *position, listed.name.attempt, host, now);
       }
       unexpected.is_open = !task.progress.done;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -157,7 +157,8 @@
   ASSERT_EQ(fleet.state.runs.size(), 1U);
   fleet.unresponsive.insert(host);
   MarkUnresponsive(fleet.state.hosts.at(host), fleet.now);
-  fleet.Advance(PreviousLeasesEnd(fleet.state) - fleet.now - core::Millis(50));
+  fleet.Advance(PreviousLeasesDuration(fleet.state.settings) -
+                core::Millis(50));
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
   fleet.Advance(core::Millis(200));
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 1U);
