--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -90,7 +90,7 @@
       static_cast<double>((now - link.clock_read_at).count()) *
       (1.0 - scheduler::kMaxClockDrift));
   host.lease_end = std::max(
-      host.lease_end, now + scheduler::LongestDuration(state_.settings.lease));
+      host.lease_end, now + scheduler::MaxLeaseDuration(state_.settings.lease));
   return *link.clock_ms + elapsed + state_.settings.lease.count();
 }
 
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -128,7 +128,7 @@
   state.hosts.erase(found);
 }
 
-core::Millis LongestDuration(core::Millis lease) {
+core::Millis MaxLeaseDuration(core::Millis lease) {
   return core::Millis(static_cast<std::int64_t>(
              static_cast<double>(lease.count()) / (1.0 - kMaxClockDrift))) +
          internal::kLeaseMargin;
@@ -136,7 +136,7 @@
 
 core::Millis PreviousLeasesDuration(const Settings& settings) {
   return std::max(settings.lease * internal::kTakeoverLeases,
-                  LongestDuration(settings.longest_lease));
+                  MaxLeaseDuration(settings.longest_lease));
 }
 
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
@@ -169,7 +169,7 @@
   // The end of a lease is a time on the clock of the incarnation for which it
   // was meant; on another clock it can be any time.
   host.lease_end = std::max(
-      host.lease_end, now + LongestDuration(state.settings.longest_lease));
+      host.lease_end, now + MaxLeaseDuration(state.settings.longest_lease));
 }
 
 void CheckHosts(State& state, core::MonotonicTime now) {
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -57,7 +57,7 @@
 
 /// @return Longest time that a lease can last by this node's clock, from when
 /// it is granted.
-[[nodiscard]] core::Millis LongestDuration(core::Millis lease);
+[[nodiscard]] core::Millis MaxLeaseDuration(core::Millis lease);
 
 /// @return Time after a takeover by which the leases of previous holders have
 /// expired. A previous holder that lost the store continues until hosts refuse
--- a/test/platform/hosts_test.cpp
+++ b/test/platform/hosts_test.cpp
@@ -1,6 +1,5 @@
-#include <chrono>
-#include <functional>
-#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -8,6 +7,7 @@
 #include "platform/adapter.hpp"
 #include "platform/store_client.hpp"
 #include "test/http/scripted_server.hpp"
+#include "test/platform/wait_for.hpp"
 
 namespace camphormux::platform {
 namespace {
@@ -24,20 +24,6 @@
   explicit Harness(std::vector<http::ScriptedAnswer> script)
       : server(loop, std::move(script)), client(loop) {}
 
-  template <typename T>
-  T Wait(const std::function<void(std::function<void(T)>)>& call) {
-    std::optional<T> result;
-    call([&](T value) { result = std::move(value); });
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!result && std::chrono::steady_clock::now() < end) {
-      loop.restart();
-      loop.run_one_for(std::chrono::milliseconds(50));
-    }
-    EXPECT_TRUE(result);
-    return result.value_or(T{});
-  }
-
   asio::io_context loop;
   http::ScriptedServer server;
   http::Client client;
@@ -53,9 +39,9 @@
     call.target.host.value = "i-1";
     call.target.address = {"127.0.0.1", harness.server.port()};
     call.name = {{"5c0e7a21d94b36f8"}, {0, 0, 1}, 1};
-    return harness
-        .Wait<StartAnswer>(
-            [&](auto done) { port.start(call, std::move(done)); })
+    return WaitFor<StartAnswer>(
+               harness.loop,
+               [&](auto done) { port.start(call, std::move(done)); })
         .outcome;
   };
   EXPECT_EQ(start(), StartOutcome::kStarted);
@@ -72,7 +58,7 @@
                     {"127.0.0.1", harness.server.port()});
   const coordinator::StorePort port = MakeStorePort(store);
   const auto append = [&](std::uint64_t sequence) {
-    return harness.Wait<AppendOutcome>([&](auto done) {
+    return WaitFor<AppendOutcome>(harness.loop, [&](auto done) {
       port.append({1}, sequence, {{"key", "value"}}, std::move(done));
     });
   };
@@ -88,8 +74,8 @@
   coordinator::RenewCall call;
   call.target.host.value = "i-1";
   call.target.address = {"127.0.0.1", harness.server.port()};
-  return harness.Wait<coordinator::RenewAnswer>(
-      [&](auto done) { port.renew(call, std::move(done)); });
+  return WaitFor<coordinator::RenewAnswer>(
+      harness.loop, [&](auto done) { port.renew(call, std::move(done)); });
 }
 
 // Guards against runs that count as gone because a report leaves them out.
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/adapter.hpp"
 #include "platform/store_client.hpp"
 #include "test/platform/fake_store.hpp"
+#include "test/platform/wait_for.hpp"
 
 namespace camphormux::platform {
 namespace {
@@ -28,35 +29,21 @@
         store(client, peer_forwarder, {"127.0.0.1", port_number}),
         port(MakeStorePort(store)) {}
 
-  template <typename T>
-  T Wait(const std::function<void(std::function<void(T)>)>& call) {
-    std::optional<T> result;
-    call([&](T value) { result = std::move(value); });
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!result && std::chrono::steady_clock::now() < end) {
-      loop.restart();
-      loop.run_one_for(std::chrono::milliseconds(50));
-    }
-    EXPECT_TRUE(result);
-    return result.value_or(T{});
-  }
-
   AppendOutcome Append(std::uint64_t epoch, std::uint64_t sequence,
                        const std::vector<StoreRecord>& records) {
-    return Wait<AppendOutcome>([&](auto done) {
+    return WaitFor<AppendOutcome>(loop, [&](auto done) {
       port.append({epoch}, sequence, records, std::move(done));
     });
   }
 
   AppendOutcome Fence(std::uint64_t epoch) {
-    return Wait<AppendOutcome>(
-        [&](auto done) { port.fence({epoch}, std::move(done)); });
+    return WaitFor<AppendOutcome>(
+        loop, [&](auto done) { port.fence({epoch}, std::move(done)); });
   }
 
   std::optional<std::vector<StoreRecord>> Load() {
-    return Wait<std::optional<std::vector<StoreRecord>>>(
-        [&](auto done) { port.load(std::move(done)); });
+    return WaitFor<std::optional<std::vector<StoreRecord>>>(
+        loop, [&](auto done) { port.load(std::move(done)); });
   }
 
   asio::io_context loop;
@@ -134,7 +121,7 @@
   peer_forwarder.SetMembers({{"127.0.0.1", server.port()}});
   StoreClient store(healthy.client, peer_forwarder, {"127.0.0.1", closed_port});
   coordinator::StorePort port = MakeStorePort(store);
-  const auto outcome = healthy.Wait<AppendOutcome>([&](auto done) {
+  const auto outcome = WaitFor<AppendOutcome>(healthy.loop, [&](auto done) {
     port.append({1}, 1, {{"j/a", "1"}}, std::move(done));
   });
   EXPECT_EQ(outcome, AppendOutcome::kStored);
