--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -88,7 +88,10 @@
   fields[field] = value;
   std::string text;
   for (const auto& [name, member] : fields) {
-    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + member;
+    text += text.empty() ? "{\"" : ",\"";
+    text += name;
+    text += "\":";
+    text += member;
   }
   return text + "}";
 }
