--- a/bench/http_client/main.cpp
+++ b/bench/http_client/main.cpp
@@ -53,7 +53,7 @@
                        {"Expected-Instance", "i-1"}};
     request.body = std::string(300, 'x');
     request.timeout = core::Millis(900);
-    request.idempotent = true;
+    request.reuse = ConnectionReuse::kOnce;
     client.Send(std::move(request), [&](const ClientResult& result) {
       failed += result ? 0 : 1;
       ++answered;
