End a holder's leases before its successor may start their tasks elsewhere

What callers could see: a task that runs twice (TWICE). A holder that had lost the store went on granting leases without a bound in time, as long as it reached more than half of the hosts. Its successor waits two leases after its takeover and then starts the tasks of hosts that it does not reach elsewhere. The majority rule protects only if the hosts that the two reach are not disjoint, as a fenced host is what ends the first holder. A process that was suspended could also grant before a timer looked at its clock.

Cause: the right to grant was a flag set by a timer, not a time. Now it is a time, asked at each grant, start and machine order: a holder's authority lasts from the last confirmation for as long as a successor waits, on the clock that counts suspensions, and no lease ends later. In an outage of the store, in which nobody can take over, all other nodes confirm the holder instead: each answers that it is not the holder, does not reach the store and knows of no other holder. That is as good as the store's word, because a node that takes over after its answer waits in full. An authority that lapsed stays lapsed.

--- a/bench/holder/main.cpp
+++ b/bench/holder/main.cpp
@@ -54,7 +54,7 @@
   FakePlatform platform(loop, static_cast<std::size_t>(FLAGS_hosts), kRunTime);
   const auto holder = std::make_shared<Holder>(
       loop, scheduler::Settings{}, platform.MakePorts(), core::Epoch{1},
-      node_metrics, [] {});
+      node_metrics, UnlimitedAuthority(), [] {});
   workload::Catalog catalog;
   workload::Queue queue;
   queue.name.value = "q";
--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -1,7 +1,6 @@
 #include "camphormux/coordinator/election.hpp"
 
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 #include "camphormux/telemetry/log.hpp"
@@ -34,14 +33,6 @@
          static_cast<std::int64_t>(candidate_rank);
 }
 
-/// @return Time since boot, including the time that the system was suspended.
-std::chrono::nanoseconds BootTime() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) +
-         std::chrono::nanoseconds(now.tv_nsec);
-}
-
 }  // namespace internal
 
 Election::Election(asio::io_context& loop, ElectionPort port, Listener listener,
@@ -67,7 +58,17 @@
 }
 
 bool Election::is_confirmed() const {
-  return internal::BootTime() - confirmed_ < kOwnershipTtl;
+  return core::BootTime() - confirmed_by_store_ < kOwnershipTtl;
+}
+
+core::Millis Election::since_confirmation() const {
+  // Rounded up, so that it is never too short.
+  return std::chrono::ceil<core::Millis>(
+      core::BootTime() - std::max(confirmed_by_store_, confirmed_by_nodes_));
+}
+
+void Election::ConfirmByNodes(std::chrono::nanoseconds asked) {
+  confirmed_by_nodes_ = std::max(confirmed_by_nodes_, asked);
 }
 
 void Election::Announce() {
@@ -200,7 +201,7 @@
     return;
   }
   join_pending_ = true;
-  port_.join([weak = weak_from_this(), sent = internal::BootTime()](
+  port_.join([weak = weak_from_this(), sent = core::BootTime()](
                  const std::optional<MembershipAnswer>& answer) {
     const auto self = weak.lock();
     if (self && !self->closed_) {
@@ -220,7 +221,7 @@
   if (!answer) {
     return;
   }
-  confirmed_ = sent;
+  confirmed_by_store_ = sent;
   generation_ = answer->generation;
   if (answer->holder && !is_holder_) {
     is_holder_ = true;
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_COORDINATOR_ELECTION_HPP_
 #define CAMPHORMUX_COORDINATOR_ELECTION_HPP_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -55,6 +56,14 @@
   /// @return Whether the store confirmed this node's membership within the
   /// ownership's time to live. Time in which the system was suspended counts.
   [[nodiscard]] bool is_confirmed() const;
+  /// @return Time since it was last certain that no other node had taken over
+  /// from this one. Time in which the system was suspended counts.
+  [[nodiscard]] core::Millis since_confirmation() const;
+  /// @brief Records that no other node held the ownership.
+  /// @param asked When the first of the other nodes was asked, as `BootTime`.
+  void ConfirmByNodes(std::chrono::nanoseconds asked);
+  /// @return Whether the store did not answer the last call.
+  [[nodiscard]] bool is_store_lost() const { return store_lost_; }
 
  private:
   void Announce();
@@ -79,7 +88,9 @@
   bool last_resort_;
   std::optional<core::Address> holder_;
   core::Epoch generation_;
-  std::chrono::nanoseconds confirmed_{0};  ///< On CLOCK_BOOTTIME.
+  /// When the calls were sent that showed no other holder, as `BootTime`.
+  std::chrono::nanoseconds confirmed_by_store_{0};
+  std::chrono::nanoseconds confirmed_by_nodes_{0};
   core::MonotonicTime last_lookup_;
   core::MonotonicTime next_lookup_;
   /// When the holder was first found missing; empty while there is one.
--- a/src/camphormux/coordinator/fwd.hpp
+++ b/src/camphormux/coordinator/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace camphormux::coordinator {
 
+struct Authority;
 struct NodeSettings;
 struct StorePort;
 struct ElectionPort;
@@ -12,6 +13,7 @@
 struct FeedPort;
 struct Ports;
 struct NodeMetrics;
+class ConfirmationPoll;
 class Election;
 class JobFrontend;
 class Holder;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -64,7 +64,7 @@
 
 Holder::Holder(asio::io_context& loop, const scheduler::Settings& settings,
                Ports ports, core::Epoch token, NodeMetrics& node_metrics,
-               std::function<void()> on_superseded)
+               Authority authority, std::function<void()> on_superseded)
     : loop_(loop),
       plan_timer_(loop),
       tick_timer_(loop),
@@ -72,6 +72,7 @@
       ports_(std::move(ports)),
       token_(token),
       node_metrics_(node_metrics),
+      authority_(std::move(authority)),
       on_superseded_(std::move(on_superseded)),
       takeover_start_(core::MonotonicNow()) {
   state_.settings = settings;
@@ -113,7 +114,7 @@
   store_writer_ = std::make_shared<StoreWriter>(loop_, ports_.store, token_,
                                                 state_, std::move(stored));
   links_ = std::make_shared<HostLinks>(
-      ports_.host, token_, state_, node_metrics_, run_latency_,
+      ports_.host, token_, state_, node_metrics_, run_latency_, authority_,
       HostLinks::Listener{[this] { SchedulePlan(); },
                           [this](const core::HostId& host) {
                             StepDown("host " + host.value +
@@ -562,7 +563,7 @@
 }
 
 void Holder::Send(const scheduler::MoveMachine& order) {
-  if (!confirmed_) {
+  if (!authority_.is_confirmed()) {
     OnMachineAnswer(order.machine, nullptr,
                     scheduler::MachineOutcome::kDeferred);
     return;
@@ -578,7 +579,7 @@
 }
 
 void Holder::Send(const scheduler::UpkeepMachine& order) {
-  if (!confirmed_) {
+  if (!authority_.is_confirmed()) {
     OnMachineAnswer(order.machine, &order.wave,
                     scheduler::MachineOutcome::kDeferred);
     return;
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -44,10 +44,11 @@
   /// @param ports Access to the platform.
   /// @param token Fencing token; higher than those of all previous holders.
   /// @param node_metrics Metrics; outlive the holder.
+  /// @param authority Tells how long the holder may rely on its ownership.
   /// @param on_superseded Called once if a newer holder is active.
   Holder(asio::io_context& loop, const scheduler::Settings& settings,
          Ports ports, core::Epoch token, NodeMetrics& node_metrics,
-         std::function<void()> on_superseded);
+         Authority authority, std::function<void()> on_superseded);
 
   void Start(workload::Catalog catalog);
   /// @brief Sends no more orders; answers pending requests with an unknown
@@ -69,9 +70,6 @@
   void OnWave(const scheduler::WaveRequest& wave);
   void OnHosts(const std::vector<scheduler::HostListing>& hosts,
                core::MonotonicTime trusted_from);
-  /// @brief Sets whether machine orders are allowed: only while the store has
-  /// confirmed the ownership recently.
-  void SetConfirmed(bool confirmed) { confirmed_ = confirmed; }
 
   [[nodiscard]] bool is_ready() const { return loaded_; }
   [[nodiscard]] core::Epoch token() const { return token_; }
@@ -118,6 +116,7 @@
   Ports ports_;
   core::Epoch token_;
   NodeMetrics& node_metrics_;
+  Authority authority_;
   std::function<void()> on_superseded_;
   scheduler::State state_;
   std::shared_ptr<StoreWriter> store_writer_;
@@ -138,7 +137,6 @@
   bool plan_scheduled_ = false;
   bool hosts_known_ = false;
   bool loaded_ = false;
-  bool confirmed_ = true;
   bool stopped_ = false;
 };
 
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -57,12 +57,13 @@
 
 HostLinks::HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
                      NodeMetrics& node_metrics, RunLatency& run_latency,
-                     Listener listener)
+                     Authority authority, Listener listener)
     : port_(std::move(port)),
       token_(token),
       state_(state),
       node_metrics_(node_metrics),
       run_latency_(run_latency),
+      authority_(std::move(authority)),
       listener_(std::move(listener)) {}
 
 HostLinks::Link& HostLinks::LinkOf(const scheduler::Host& host) {
@@ -82,16 +83,18 @@
 std::optional<std::int64_t> HostLinks::GrantLease(scheduler::Host& host,
                                                   const Link& link,
                                                   core::MonotonicTime now) {
-  if (!link.clock_ms) {
+  const core::Millis lease =
+      LimitLease(state_.settings.lease, authority_.time_left());
+  if (!link.clock_ms || lease.count() == 0) {
     return std::nullopt;
   }
   // The host's clock has advanced by at least this much since it was read.
   const auto elapsed = static_cast<std::int64_t>(
       static_cast<double>((now - link.clock_read_at).count()) *
       (1.0 - scheduler::kMaxClockDrift));
-  host.lease_end = std::max(
-      host.lease_end, now + scheduler::MaxLeaseDuration(state_.settings.lease));
-  return *link.clock_ms + elapsed + state_.settings.lease.count();
+  host.lease_end =
+      std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
+  return *link.clock_ms + elapsed + lease.count();
 }
 
 void HostLinks::Renew(scheduler::Host& host, Link& link,
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "camphormux/coordinator/authority.hpp"
 #include "camphormux/coordinator/node_metrics.hpp"
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/coordinator/run_latency.hpp"
@@ -34,10 +35,11 @@
   /// @param state The holder's state; outlives this object.
   /// @param node_metrics Metrics; outlive this object.
   /// @param run_latency Latencies of the stages of runs; outlives this object.
+  /// @param authority Bounds the leases that are granted.
   /// @param listener Receives the results.
   HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
             NodeMetrics& node_metrics, RunLatency& run_latency,
-            Listener listener);
+            Authority authority, Listener listener);
 
   /// @brief Sends the renewals that are due. A renewal that becomes due because
   /// of an event is sent when the event is handled.
@@ -75,7 +77,8 @@
 
   [[nodiscard]] Link& LinkOf(const scheduler::Host& host);
   [[nodiscard]] HostTarget TargetOf(const scheduler::Host& host) const;
-  /// @return Latest lease end that may be granted now, on the host's clock.
+  /// @return Latest lease end that may be granted now, on the host's clock;
+  /// empty if none may be granted or the host's clock is not known.
   /// Also records in the state until when the host may run.
   [[nodiscard]] std::optional<std::int64_t> GrantLease(scheduler::Host& host,
                                                        const Link& link,
@@ -96,6 +99,7 @@
   scheduler::State& state_;
   NodeMetrics& node_metrics_;
   RunLatency& run_latency_;
+  Authority authority_;
   Listener listener_;
   std::unordered_map<core::HostId, Link> links_;
   core::MonotonicTime next_renewal_check_;
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/post.hpp>
 
+#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
@@ -14,6 +15,10 @@
 constexpr core::Millis kCheckInterval{100};
 constexpr core::Millis kPingInterval{500};
 constexpr core::Millis kPingTimeout{600};
+/// Interval between polls of the other nodes by a holder without the store; a
+/// small part of the time for which one confirmation lasts.
+constexpr core::Millis kPollInterval{1000};
+constexpr core::Millis kPollTimeout{800};
 /// After this time without a holder the node is not ready, so that the balancer
 /// sends callers to other nodes.
 constexpr core::Millis kMaxTimeWithoutHolder{2500};
@@ -49,6 +54,7 @@
       node_metrics_(RegisterNodeMetrics(*registry_)),
       holder_client_(loop, settings_.peer.ip),
       host_agent_(std::make_shared<HostAgent>(loop, ports_.host)),
+      confirmation_poll_(loop, settings_.peer),
       server_(
           loop, settings_.peer,
           [this](const peer::Request& request, const peer::Respond& respond) {
@@ -63,6 +69,13 @@
               host_agent_->Serve(request, respond);
               return;
             }
+            if (request.path == kConfirmHolderPath) {
+              respond(AnswerConfirmHolder(
+                  {holder_ != nullptr, election_->is_store_lost(),
+                   election_->holder()},
+                  request));
+              return;
+            }
             ServeHolderRequest(holder_, request, respond);
           }),
       check_timer_(loop) {
@@ -132,11 +145,14 @@
   host_router_->SetMembers(members_);
   Ports ports = ports_;
   ports.host = host_router_->MakePort();
-  holder_ = std::make_shared<Holder>(loop_, settings_.scheduler, ports, token,
-                                     node_metrics_, [this] {
-                                       StopHolder();
-                                       election_->Rejoin();
-                                     });
+  holder_ = std::make_shared<Holder>(
+      loop_, settings_.scheduler, ports, token, node_metrics_,
+      Authority{[this] { return election_->is_confirmed(); },
+                [this] { return authority_left(); }},
+      [this] {
+        StopHolder();
+        election_->Rejoin();
+      });
   holder_->Start(*catalog_);
   for (const auto& [id, wave] : waves_) {
     holder_->OnWave(wave);
@@ -154,6 +170,7 @@
     addresses.push_back(member.address);
   }
   peer_forwarder.SetMembers(addresses);
+  confirmation_poll_.SetMembers(members);
   if (host_router_) {
     host_router_->SetMembers(members);
   }
@@ -187,16 +204,7 @@
   telemetry::FlushLog();
   const core::MonotonicTime now = core::MonotonicNow();
   if (holder_) {
-    const bool confirmed = election_->is_confirmed();
-    holder_->SetConfirmed(confirmed);
-    if (!confirmed && holder_->reachable_share() <= internal::kMajorityShare) {
-      telemetry::Log(telemetry::Level::kWarning,
-                     "ownership given up: neither the store nor most hosts "
-                     "answer",
-                     {{"token", std::to_string(holder_->token().value)}});
-      StopHolder();
-      election_->Rejoin();
-    }
+    CheckUnconfirmedHolder(now);
   } else {
     holder_client_.SetHolder(election_->holder());
     PingHolder(now);
@@ -209,6 +217,72 @@
   });
 }
 
+core::Millis Node::authority_left() const {
+  return AuthorityLeft(election_->since_confirmation(),
+                       scheduler::PreviousLeasesDuration(settings_.scheduler));
+}
+
+void Node::CheckUnconfirmedHolder(core::MonotonicTime now) {
+  if (election_->is_confirmed()) {
+    if (confirmed_by_nodes_) {
+      confirmed_by_nodes_.reset();
+      confirmation_poll_.Disconnect();
+    }
+    return;
+  }
+  const char* reason = nullptr;
+  if (holder_->reachable_share() <= internal::kMajorityShare) {
+    reason = "ownership given up: neither the store nor most hosts answer";
+  } else if (authority_left().count() == 0) {
+    reason =
+        "ownership given up: neither the store nor all other nodes confirm it";
+  }
+  if (reason == nullptr) {
+    AskOtherNodes(now);
+    return;
+  }
+  telemetry::Log(telemetry::Level::kWarning, reason,
+                 {{"token", std::to_string(holder_->token().value)},
+                  {"unconfirmed_ms",
+                   std::to_string(election_->since_confirmation().count())}});
+  StopHolder();
+  election_->Rejoin();
+}
+
+void Node::AskOtherNodes(core::MonotonicTime now) {
+  if (poll_pending_ || now < last_poll_ + internal::kPollInterval) {
+    return;
+  }
+  poll_pending_ = true;
+  last_poll_ = now;
+  confirmation_poll_.Ask(
+      internal::kPollTimeout,
+      [this, token = holder_->token(),
+       asked = core::BootTime()](const ConfirmationPoll::Round& round) {
+        poll_pending_ = false;
+        // An ownership that has lapsed meanwhile stays lapsed: a successor may
+        // have come and gone.
+        if (!holder_ || holder_->token() != token ||
+            authority_left().count() == 0) {
+          return;
+        }
+        const bool is_confirmed = round.is_unanimous();
+        if (is_confirmed) {
+          election_->ConfirmByNodes(asked);
+        }
+        if (confirmed_by_nodes_ != is_confirmed) {
+          confirmed_by_nodes_ = is_confirmed;
+          telemetry::Log(telemetry::Level::kWarning,
+                         is_confirmed
+                             ? "ownership confirmed by the other nodes"
+                             : "ownership not confirmed by the other nodes",
+                         {{"token", std::to_string(token.value)},
+                          {"asked", std::to_string(round.asked)},
+                          {"confirmed", std::to_string(round.confirmed)}});
+        }
+      });
+}
+
 void Node::PingHolder(core::MonotonicTime now) {
   if (ping_pending_ || !holder_client_.has_holder() ||
       now < last_ping_ + internal::kPingInterval) {
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 #include <prometheus/registry.h>
 
+#include "camphormux/coordinator/confirmation_poll.hpp"
 #include "camphormux/coordinator/election.hpp"
 #include "camphormux/coordinator/holder.hpp"
 #include "camphormux/coordinator/holder_client.hpp"
@@ -63,6 +64,10 @@
   void OnCatalog(workload::Catalog catalog);
   void CheckHolder();
   void PingHolder(core::MonotonicTime now);
+  /// Decides whether a holder without a confirmation by the store continues.
+  void CheckUnconfirmedHolder(core::MonotonicTime now);
+  void AskOtherNodes(core::MonotonicTime now);
+  [[nodiscard]] core::Millis authority_left() const;
 
   asio::io_context& loop_;
   NodeSettings settings_;
@@ -76,6 +81,7 @@
   std::shared_ptr<Holder> holder_;
   std::shared_ptr<HostRouter>
       host_router_;  ///< Set while this node is the holder.
+  ConfirmationPoll confirmation_poll_;
   peer::Server server_;
   asio::steady_timer check_timer_;
   std::optional<workload::Catalog> catalog_;
@@ -84,6 +90,10 @@
   core::MonotonicTime last_holder_answer_;  ///< Of one that can decide.
   core::MonotonicTime last_ping_;
   bool ping_pending_ = false;
+  core::MonotonicTime last_poll_;
+  bool poll_pending_ = false;
+  /// Result of the last poll since the store did not confirm the ownership.
+  std::optional<bool> confirmed_by_nodes_;
   bool leaving_ = false;
 };
 
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -134,6 +134,12 @@
          internal::kLeaseMargin;
 }
 
+core::Millis LongestLeaseWithin(core::Millis duration) {
+  return core::Millis(static_cast<std::int64_t>(
+      static_cast<double>((duration - internal::kLeaseMargin).count()) *
+      (1.0 - kMaxClockDrift)));
+}
+
 core::Millis PreviousLeasesDuration(const Settings& settings) {
   return std::max(settings.lease * internal::kTakeoverLeases,
                   MaxLeaseDuration(settings.longest_lease));
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -59,6 +59,10 @@
 /// it is granted.
 [[nodiscard]] core::Millis MaxLeaseDuration(core::Millis lease);
 
+/// @return Longest lease whose `MaxLeaseDuration` does not exceed the duration;
+/// may be negative.
+[[nodiscard]] core::Millis LongestLeaseWithin(core::Millis duration);
+
 /// @return Time after a takeover by which the leases of previous holders have
 /// expired. A previous holder that lost the store continues until hosts refuse
 /// its orders, and the next incarnation of a host may have accepted a start for
--- a/test/coordinator/fake_platform.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -18,6 +18,10 @@
 
 }  // namespace
 
+Authority UnlimitedAuthority() {
+  return {[] { return true; }, [] { return core::Millis(3'600'000); }};
+}
+
 FakePlatform::FakePlatform(asio::io_context& loop, std::size_t hosts,
                            core::Millis run_time)
     : loop_(loop), run_time_(run_time) {
--- a/test/coordinator/fake_platform.hpp
+++ b/test/coordinator/fake_platform.hpp
@@ -10,10 +10,14 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "camphormux/coordinator/authority.hpp"
 #include "camphormux/coordinator/ports.hpp"
 
 namespace camphormux::coordinator {
 
+/// @return Authority of a holder that is always confirmed.
+[[nodiscard]] Authority UnlimitedAuthority();
+
 /// Fake hosts and a fake store that answer on the holder's own event loop, to
 /// measure the cost of the holder alone. All runs take the same time.
 class FakePlatform {
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -31,9 +31,9 @@
     catalog.queues = {queue};
     catalog.pools[{"pool"}];
     catalog.pools[{"spare"}].standby = true;
-    holder = std::make_shared<Holder>(loop, scheduler::Settings{},
-                                      platform.MakePorts(), core::Epoch{1},
-                                      node_metrics, [] {});
+    holder = std::make_shared<Holder>(
+        loop, scheduler::Settings{}, platform.MakePorts(), core::Epoch{1},
+        node_metrics, UnlimitedAuthority(), [] {});
     holder->Start(catalog);
     holder->OnHosts(platform.Listings(), core::MonotonicTime{});
   }
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -44,6 +44,7 @@
     };
     links = std::make_shared<HostLinks>(
         port, core::Epoch{1}, state, node_metrics, run_latency,
+        Authority{[] { return true; }, [this] { return authority_left; }},
         HostLinks::Listener{[] {}, [](const core::HostId&) {}});
     List(kFirst);
   }
@@ -103,6 +104,7 @@
   }
 
   core::HostId id{"i-1"};
+  core::Millis authority_left{3'600'000};
   scheduler::State state;
   prometheus::Registry registry;
   NodeMetrics node_metrics;
@@ -183,6 +185,35 @@
   EXPECT_TRUE(harness.state.runs.empty());
 }
 
+// Guards against tasks that run twice: a successor counts the leases of this
+// holder as expired at the end of its authority.
+TEST(HostLinksTest, LeasesEndBeforeTheAuthorityOfTheHolder) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  const scheduler::RunId run = harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  harness.authority_left = core::Millis(1500);
+  harness.starts[0].done({scheduler::StartOutcome::kStarted, 1010});
+  const Harness::Renewal limited = harness.NextRenewal();
+  EXPECT_LT(limited.call.lease_end_ms.value_or(0), 1010 + 1500);
+  RenewAnswer report = Harness::Report(kFirst, 1020);
+  report.running.push_back({harness.state.runs.at(run).name, "", 0, 0});
+  harness.authority_left = core::Millis(0);
+  limited.done(report);
+  EXPECT_FALSE(harness.NextRenewal().call.lease_end_ms.has_value());
+}
+
+// Guards against starts on a lapsed ownership, which can be decided and sent
+// before a timer notices that the process was suspended.
+TEST(HostLinksTest, StartIsWithdrawnWithoutAuthority) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.authority_left = core::Millis(0);
+  const scheduler::RunId run = harness.OrderRun();
+  EXPECT_TRUE(harness.starts.empty());
+  EXPECT_FALSE(harness.state.runs.contains(run));
+}
+
 // Guards against runs that lapse on a host that is only cut off from the list.
 TEST(HostLinksTest, UnlistedHostThatAnswersKeepsItsLease) {
   Harness harness;
--- a/test/coordinator/node_test.cpp
+++ b/test/coordinator/node_test.cpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <gtest/gtest.h>
 
 #include "test/coordinator/fake_platform.hpp"
+#include "test/coordinator/free_port.hpp"
 
 namespace camphormux::coordinator {
 namespace {
@@ -19,13 +19,6 @@
 constexpr core::Millis kRunTime{50};
 constexpr std::int64_t kTaskMillicores = 6000;
 
-/// Returns a port that is free now.
-std::uint16_t FreePort(asio::io_context& loop) {
-  asio::ip::tcp::acceptor acceptor(loop,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 workload::JobSpec MakeSpec(std::uint64_t number, std::uint32_t tasks) {
   char id[17];
   std::snprintf(id, sizeof(id), "%016llx",
