Ask idle hosts whether they answer while the store is lost

What callers could see: all runs lapse in an outage of the store of a few seconds. A holder without the store remains the holder while it reaches more than half of the listed hosts, and a host counts as reached if it reported in the last 2.5 s. Hosts without runs are not renewed, so a fleet that is half idle counted as lost, and the holder gave the ownership up.

While the store does not confirm the ownership, idle hosts are renewed at the same interval as busy ones.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -137,8 +137,11 @@
   if (has_unstored_ends && !due) {
     return;
   }
+  // Without the store, whether most hosts answer decides whether this node
+  // remains the holder, so idle hosts are asked too.
   if (!host.synced || !host.runs.empty() || host.unresponsive_since ||
-      link.acknowledged > link.sent_acknowledged) {
+      link.acknowledged > link.sent_acknowledged ||
+      (due && !authority_.is_confirmed())) {
     Renew(host, link, now);
   }
 }
--- a/test/coordinator/isolated_holder_test.cpp
+++ b/test/coordinator/isolated_holder_test.cpp
@@ -369,5 +369,21 @@
   EXPECT_LE(*deployment.runs().front().ended, successor.started);
 }
 
+// Guards against runs that lapse in an outage of the store, in which no other
+// node can take over.
+TEST(IsolatedHolderTest, RunsContinueWhileNoNodeReachesTheStore) {
+  Deployment deployment;
+  ASSERT_TRUE(deployment.RunUntil([&] { return deployment.IsReady(); },
+                                  core::Millis(20'000)));
+  deployment.SubmitPermanentTask();
+  ASSERT_TRUE(deployment.RunUntil(
+      [&] { return deployment.RunningCount() == 1; }, core::Millis(20'000)));
+  deployment.CutFromStore(0);
+  deployment.CutFromStore(1);
+  deployment.RunUntil([] { return false; }, core::Millis(5000));
+  EXPECT_EQ(deployment.RunningCount(), 1U);
+  EXPECT_EQ(deployment.runs().size(), 1U);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
