Repeat a start without an answer instead of stopping its run

Cause: one question, whether the run exists, was asked with an order that also answers it for the worse. The same attempt is now ordered again from the same host until the host says what is: a run that is there is answered as done and lost nothing. A refusal of the repetition says nothing about the first copy, so the run is kept; it is stopped when a report does not list it, a permanent one only when its step can miss it. The stop still has to be confirmed before the task starts elsewhere.

Two tests expected the stop at once and now refuse the repetition first; what they check after that is unchanged. RunsTest.UnansweredStartIsRepeatedOnTheSame Host and UnansweredStartThatItsStepCannotMissIsNotStopped are new.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -530,6 +530,9 @@
   for (const scheduler::Order& order : orders) {
     if (const auto* stop = std::get_if<scheduler::StopRun>(&order)) {
       links_->Send(*stop);
+    } else if (const auto* repeat =
+                   std::get_if<scheduler::RepeatStart>(&order)) {
+      links_->Send(*repeat);  // The start itself is stored.
     } else if (const auto* pace = std::get_if<scheduler::PaceRun>(&order)) {
       links_->Send(*pace);
     } else if (const auto* save = std::get_if<scheduler::SaveWave>(&order)) {
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -286,66 +286,98 @@
       return;
     }
     const core::MonotonicTime now = core::MonotonicNow();
-    const auto lease_end = GrantLease(host->second, LinkOf(host->second), now);
-    const auto job = state_.jobs.find(order.name.job);
-    if (!lease_end || job == state_.jobs.end()) {
+    const core::Millis waited = now - run->second.ordered;
+    if (!CallStart(order, done)) {
       scheduler::RemoveRun(state_, order.run, scheduler::EndEvidence::kNotSent);
       done();
       return;
     }
-    RecordStage(run_latency_.sent, now - run->second.ordered);
+    RecordStage(run_latency_.sent, waited);
     run->second.ordered = now;
-    StartCall call{TargetOf(host->second), order.name, job->second.spec.payload,
-                   order.checkpoint, *lease_end};
-    port_.start(call, [weak = weak_from_this(), order, now,
-                       incarnation = call.target.incarnation,
-                       done = std::move(done)](const StartAnswer& answer) {
-      const auto self = weak.lock();
-      if (!self || self->closed_) {
-        return;
-      }
-      const core::MonotonicTime answered = core::MonotonicNow();
-      RecordStage(self->run_latency_.answered, answered - now);
-      self->node_metrics_.start_seconds->Observe(
-          std::chrono::duration<double>(answered - now).count());
-      if (answer.clock_ms) {
-        self->RecordClock(order.host, incarnation, *answer.clock_ms);
-      }
-      telemetry::Log(
-          telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
-          "run ordered",
-          {{"task", DescribeTask(order.name)},
-           {"attempt", std::to_string(order.name.attempt)},
-           {"host", order.host.value},
-           {"incarnation", std::to_string(incarnation.value)},
-           {"host_clock_ms",
-            answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
-           {"token", std::to_string(self->token_.value)},
-           {"outcome", std::string(internal::Describe(answer.outcome))}});
-      if (answer.outcome == scheduler::StartOutcome::kFenced) {
-        self->listener_.on_fenced(order.host);
-        return;
-      }
-      const auto known = self->state_.hosts.find(order.host);
-      const bool same_incarnation =
-          known != self->state_.hosts.end() &&
-          known->second.listing.incarnation == incarnation;
-      if (answer.outcome == scheduler::StartOutcome::kHostRestarted &&
-          same_incarnation) {
-        scheduler::RemoveHost(self->state_, order.host,
-                              scheduler::EndEvidence::kHostReplaced);
-      } else {
-        scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
-                                 answered);
-      }
-      const auto again = self->state_.hosts.find(order.host);
-      if (again != self->state_.hosts.end()) {
-        self->RenewIfDue(again->second, answered);
-      }
+  });
+}
+
+void HostLinks::Send(const scheduler::RepeatStart& order) {
+  Enqueue(order.host, [this, order](const std::function<void()>& done) {
+    const auto run = state_.runs.find(order.run);
+    const bool is_open = run != state_.runs.end() &&
+                         run->second.phase == scheduler::RunPhase::kUnanswered;
+    if (!is_open ||
+        !CallStart({order.run, order.host, order.name, order.checkpoint},
+                   done)) {
       done();
-      self->listener_.on_change();
-    });
+    }
+  });
+}
+
+bool HostLinks::CallStart(const scheduler::StartRun& order,
+                          std::function<void()> done) {
+  const auto host = state_.hosts.find(order.host);
+  const auto job = state_.jobs.find(order.name.job);
+  if (host == state_.hosts.end() || job == state_.jobs.end()) {
+    return false;
+  }
+  const core::MonotonicTime now = core::MonotonicNow();
+  const auto lease_end = GrantLease(host->second, LinkOf(host->second), now);
+  if (!lease_end) {
+    return false;
+  }
+  StartCall call{TargetOf(host->second), order.name, job->second.spec.payload,
+                 order.checkpoint, *lease_end};
+  const auto run = state_.runs.find(order.run);
+  const bool is_repeated =
+      run != state_.runs.end() &&
+      run->second.phase == scheduler::RunPhase::kUnanswered;
+  port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
+                     incarnation = call.target.incarnation,
+                     done = std::move(done)](const StartAnswer& answer) {
+    const auto self = weak.lock();
+    if (!self || self->closed_) {
+      return;
+    }
+    const core::MonotonicTime answered = core::MonotonicNow();
+    RecordStage(self->run_latency_.answered, answered - now);
+    self->node_metrics_.start_seconds->Observe(
+        std::chrono::duration<double>(answered - now).count());
+    if (answer.clock_ms) {
+      self->RecordClock(order.host, incarnation, *answer.clock_ms);
+    }
+    telemetry::Log(
+        telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+        "run ordered",
+        {{"task", DescribeTask(order.name)},
+         {"attempt", std::to_string(order.name.attempt)},
+         {"host", order.host.value},
+         {"incarnation", std::to_string(incarnation.value)},
+         {"host_clock_ms",
+          answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
+         {"token", std::to_string(self->token_.value)},
+         {"repeated", is_repeated ? "yes" : "no"},
+         {"outcome", std::string(internal::Describe(answer.outcome))}});
+    if (answer.outcome == scheduler::StartOutcome::kFenced) {
+      self->listener_.on_fenced(order.host);
+      return;
+    }
+    const auto known = self->state_.hosts.find(order.host);
+    const bool same_incarnation =
+        known != self->state_.hosts.end() &&
+        known->second.listing.incarnation == incarnation;
+    if (answer.outcome == scheduler::StartOutcome::kHostRestarted &&
+        same_incarnation) {
+      scheduler::RemoveHost(self->state_, order.host,
+                            scheduler::EndEvidence::kHostReplaced);
+    } else {
+      scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
+                               answered);
+    }
+    const auto again = self->state_.hosts.find(order.host);
+    if (again != self->state_.hosts.end()) {
+      self->RenewIfDue(again->second, answered);
+    }
+    done();
+    self->listener_.on_change();
   });
+  return true;
 }
 
 void HostLinks::Send(const scheduler::StopRun& order) {
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -46,6 +46,7 @@
   void RenewAllDue(core::MonotonicTime now);
   /// @brief Queues an order for a host.
   void Send(const scheduler::StartRun& order);
+  void Send(const scheduler::RepeatStart& order);
   void Send(const scheduler::StopRun& order);
   void Send(const scheduler::PaceRun& order);
   /// @brief Allows run ends of a host's incarnation up to this number to be
@@ -87,6 +88,9 @@
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
   void OnRenewed(const core::HostId& id, core::Incarnation incarnation,
                  core::MonotonicTime asked, const RenewAnswer& answer);
+  /// Sends a start and handles its answer; `done` is called afterwards.
+  /// @return Whether it was sent; `done` is not called otherwise.
+  bool CallStart(const scheduler::StartRun& order, std::function<void()> done);
   void Enqueue(const core::HostId& host, Order order);
   void SendQueued(const core::HostId& host);
   /// Records a reading of a host's clock, unless the host has another
--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -122,6 +122,15 @@
   std::string checkpoint;
 };
 
+/// @brief Repeats a start order that got no answer, unchanged: the host
+/// answers it as done if the run exists by then.
+struct RepeatStart {
+  RunId run;
+  core::HostId host;
+  RunName name;
+  std::string checkpoint;
+};
+
 struct StopRun {
   core::HostId host;
   RunName name;
@@ -152,7 +161,7 @@
   bool complete = false;
 };
 
-using Order = std::variant<StartRun, StopRun, PaceRun, MoveMachine,
+using Order = std::variant<StartRun, RepeatStart, StopRun, PaceRun, MoveMachine,
                            UpkeepMachine, SaveWave>;
 
 }  // namespace camphormux::scheduler
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -158,7 +158,10 @@
     if (run.was_listed) {
       RemoveRun(state, id, EndEvidence::kHostReplaced);
     } else {
+      // A start whose answer is still to come has no other copy.
+      run.has_open_copy |= run.phase != RunPhase::kOrdered;
       run.phase = RunPhase::kUnanswered;
+      run.repetition_refused = false;
       run.confirmed = now;
       run.stop_confirmed = false;
     }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/scheduler/availability.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
@@ -19,6 +20,12 @@
 /// A stop is sent again if its run is still listed after this time; longer than
 /// a call and its answer.
 constexpr core::Millis kStopRetryInterval{500};
+/// A start without an answer is repeated after this time; longer than a call
+/// and its answer.
+constexpr core::Millis kStartRepeatInterval{1000};
+/// Time by which a call has an answer or has failed, also one that another node
+/// makes.
+constexpr core::Millis kMaxCallDuration{3000};
 /// A run without progress is replaced after this minimum or a multiple of its
 /// estimate, whichever is longer; estimates are often wrong by a factor of two.
 constexpr core::Millis kMinStallTimeout{2000};
@@ -195,10 +202,29 @@
   return nullptr;
 }
 
+/// Finds out what became of a start without an answer. A stop would settle it,
+/// too, but would end a run that takes effect just before.
+void SettleUnansweredStart(State& state, Run& run, core::MonotonicTime now) {
+  if (!run.has_open_copy && now < run.confirmed + kMaxCallDuration) {
+    return;  // Its answer is still to come.
+  }
+  if (run.repetition_refused && MayStopWithinBudget(state, run)) {
+    RequestStop(state, run);
+    return;
+  }
+  const bool was_repeated = run.start_repeated != core::MonotonicTime{};
+  if (!was_repeated || now >= run.start_repeated + kStartRepeatInterval) {
+    run.start_repeated = now;
+    state.orders.emplace_back(
+        RepeatStart{run.id, run.host, run.name, run.resumed_from});
+  }
+}
+
 /// Handles a run that is missing from its host's report. If the report was
 /// requested in the millisecond of the run's confirmation, the request may have
 /// been sent before the confirmation; such a report does not end the run.
-void HandleMissingRun(State& state, Run& run, const HostReport& report) {
+void HandleMissingRun(State& state, Run& run, const HostReport& report,
+                      core::MonotonicTime now) {
   if (report.is_partial) {
     return;  // The run or its end may be among those that are missing.
   }
@@ -207,9 +233,8 @@
     case RunPhase::kOrdered:
       return;
     case RunPhase::kUnanswered:
-      // The run may still start; a confirmed stop prevents that.
       if (asked_after) {
-        RequestStop(state, run);
+        SettleUnansweredStart(state, run, now);
       }
       return;
     case RunPhase::kRunning:
@@ -257,6 +282,7 @@
   run.permanent = step.permanent;
   run.estimate = step.estimate;
   run.latency_target = step.latency_target;
+  run.resumed_from = job.tasks[task].progress.checkpoint;
   run.ordered = now;
   run.confirmed = now;
   run.progressed = now;
@@ -315,7 +341,7 @@
   Host& host = state.hosts.at(run.host);
   Job& job = state.jobs.at(run.name.job);
   if (outcome == StartOutcome::kStarted) {
-    if (run.phase == RunPhase::kOrdered) {
+    if (run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUnanswered) {
       run.phase = RunPhase::kRunning;
     }
     run.confirmed = now;
@@ -328,7 +354,8 @@
   if (outcome == StartOutcome::kNoAnswer) {
     ++state.counters.unanswered_starts;
     MarkUnresponsive(host, now);
-    if (run.phase == RunPhase::kOrdered) {
+    run.has_open_copy = true;
+    if (run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUnanswered) {
       run.phase = RunPhase::kUnanswered;
       run.confirmed = now;
     }
@@ -352,6 +379,11 @@
     default:
       break;
   }
+  if (run.has_open_copy) {
+    run.repetition_refused = true;
+    run.confirmed = now;
+    return;
+  }
   RemoveRun(state, id, EndEvidence::kRefused);
 }
 
@@ -399,7 +431,7 @@
   const std::vector<RunId> known = host.runs;
   for (const RunId id : known) {
     if (!listed_runs.contains(id)) {
-      internal::HandleMissingRun(state, state.runs.at(id), report);
+      internal::HandleMissingRun(state, state.runs.at(id), report, now);
     }
   }
   host.synced = true;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -64,7 +64,15 @@
   int pace = 100;
   std::int64_t load = 0;
   std::string checkpoint;
+  /// Checkpoint that the start order carries.
+  std::string resumed_from;
   bool stop_confirmed = false;
+  /// A copy of the start order has no answer and may still take effect, so the
+  /// refusal of another copy does not end the run.
+  bool has_open_copy = false;
+  /// A repetition of the start order was refused.
+  bool repetition_refused = false;
+  core::MonotonicTime start_repeated;
   /// A report of this incarnation of the host has listed the run. An answer to
   /// the start does not say which incarnation accepted it.
   bool was_listed = false;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "camphormux/scheduler/availability.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/placing.hpp"
 #include "camphormux/scheduler/runs.hpp"
@@ -11,7 +12,6 @@
 namespace camphormux::scheduler {
 namespace internal {
 
-constexpr int kServingPercent = 100;
 /// Number of hosts that are drained in addition to those that may be down at
 /// the same time, so that the next one is empty when a machine returns.
 constexpr std::size_t kHostsDrainedAhead = 2;
@@ -66,27 +66,6 @@
   }
 }
 
-/// Counts the tasks of a run's step that are unavailable, including those that
-/// are being stopped.
-std::uint32_t UnavailableTasks(const State& state, const Job& job,
-                               const Run& run) {
-  const workload::Step& step = job.spec.steps[run.name.place.step];
-  const std::uint32_t first = run.task - run.name.place.index;
-  std::uint32_t unavailable = 0;
-  for (std::uint32_t i = first; i < first + step.count; ++i) {
-    const auto& runs = job.tasks[i].runs;
-    const bool is_serving =
-        std::any_of(runs.begin(), runs.end(), [&](RunId id) {
-          const Run& other = state.runs.at(id);
-          return other.phase == RunPhase::kRunning &&
-                 other.percent >= kServingPercent &&
-                 !state.hosts.at(other.host).unresponsive_since;
-        });
-    unavailable += is_serving ? 0U : 1U;
-  }
-  return unavailable;
-}
-
 /// Stops permanent tasks on a host if they fit on another host and, if
 /// requested, as far as their budgets allow.
 void Evacuate(State& state, const Host& host, const PoolViews& views,
@@ -101,10 +80,11 @@
     if (!run.permanent || run.phase != RunPhase::kRunning) {
       continue;
     }
-    const Job& job = state.jobs.at(run.name.job);
-    const workload::Step& step = job.spec.steps[run.name.place.step];
-    const std::uint32_t budget = std::max(1U, step.max_unavailable.value_or(1));
-    if (within_budget && UnavailableTasks(state, job, run) >= budget) {
+    const workload::Step& step =
+        state.jobs.at(run.name.job).spec.steps[run.name.place.step];
+    const std::uint32_t unavailable =
+        OtherUnavailableTasks(state, run) + (IsServing(state, run) ? 0U : 1U);
+    if (within_budget && unavailable >= AvailabilityBudget(step)) {
       continue;
     }
     if (FitsElsewhere(state, run, view->second.usable)) {
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -1,5 +1,8 @@
 #include "camphormux/scheduler/runs.hpp"
 
+#include <variant>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/hosts.hpp"
@@ -21,9 +24,32 @@
   return fleet.state.runs.begin()->second;
 }
 
+// Guards against stopping a run whose start got no answer but takes effect just
+// before the stop: the start is repeated instead.
+TEST(RunsTest, UnansweredStartIsRepeatedOnTheSameHost) {
+  Fleet fleet = SmallFleet();
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const RunId run = OnlyRun(fleet).id;
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, run, StartOutcome::kNoAnswer, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  fleet.Report(host);
+  ASSERT_EQ(fleet.state.orders.size(), 1U);
+  const auto* repeat = std::get_if<RepeatStart>(&fleet.state.orders[0]);
+  ASSERT_NE(repeat, nullptr);
+  EXPECT_EQ(repeat->host, host);
+  EXPECT_EQ(repeat->name, OnlyRun(fleet).name);
+  OnStartAnswer(fleet.state, run, StartOutcome::kStarted, fleet.now);
+  EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kRunning);
+}
+
 // Guards against an unanswered start that takes effect after the task was
-// started elsewhere: the run is kept until its stop is confirmed and a later
-// report does not list it.
+// started elsewhere: the refusal of a repetition says nothing about the first
+// copy, so the run is kept until its stop is confirmed and a later report does
+// not list it.
 TEST(RunsTest, UnansweredStartIsStoppedBeforeTheTaskRunsAgain) {
   Fleet fleet = SmallFleet();
   fleet.execute_starts = false;
@@ -36,6 +62,10 @@
   OnStartAnswer(fleet.state, first, StartOutcome::kNoAnswer, fleet.now);
   fleet.now += core::Millis(10);
   fleet.Report(host);
+  OnStartAnswer(fleet.state, first, StartOutcome::kNoCapacity, fleet.now);
+  ASSERT_TRUE(fleet.state.runs.contains(first));
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
   ASSERT_TRUE(fleet.state.runs.contains(first));
   EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
   fleet.Report(host);
@@ -46,6 +76,42 @@
   EXPECT_FALSE(fleet.state.runs.contains(first));
 }
 
+// Guards against a stop that ends a task at work while its step cannot miss it:
+// the start without an answer can take effect just before the stop.
+TEST(RunsTest, UnansweredStartThatItsStepCannotMissIsNotStopped) {
+  Fleet fleet = SmallFleet(3);
+  auto spec = MakeJob(1, "q", 3, 4, core::Millis(1000));
+  spec.steps[0].permanent = true;
+  spec.steps[0].max_unavailable = 1;
+  fleet.execute_starts = false;
+  (void)fleet.Submit(spec);
+  fleet.Step();
+  ASSERT_EQ(fleet.state.runs.size(), 3U);
+  std::vector<scheduler::Run*> runs(3);
+  for (auto& [id, run] : fleet.state.runs) {
+    runs[run.task] = &run;
+  }
+  const RunId doubtful = runs[0]->id;
+  const core::HostId host = runs[0]->host;
+  const auto serve = [&](const scheduler::Run& run) {
+    fleet.running.push_back(
+        {run.name, run.host, fleet.now + core::Millis(60'000)});
+    fleet.Report(run.host);
+  };
+  serve(*runs[1]);
+  OnStartAnswer(fleet.state, doubtful, StartOutcome::kNoAnswer, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  OnStartAnswer(fleet.state, doubtful, StartOutcome::kNoCapacity, fleet.now);
+  fleet.now += core::Millis(2000);
+  fleet.Report(host);
+  EXPECT_EQ(fleet.state.runs.at(doubtful).phase, RunPhase::kUnanswered);
+  serve(*runs[2]);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_EQ(fleet.state.runs.at(doubtful).phase, RunPhase::kStopping);
+}
+
 // Guards against a task that runs twice: a report requested in the same
 // millisecond as the answer to a start may have been requested before the start
 // took effect.
@@ -261,6 +327,9 @@
   ReplaceIncarnation(fleet.state, fleet.state.hosts.at(host), {2}, fleet.now);
   fleet.now += core::Millis(10);
   fleet.Report(host);
+  OnStartAnswer(fleet.state, id, StartOutcome::kNoCapacity, fleet.now);
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
   ASSERT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
   OnStopConfirmed(fleet.state, host, {1}, OnlyRun(fleet).name, fleet.now);
   fleet.now += core::Millis(10);
