Do not take another host's answer as the end of a host

What callers could see: a task that runs twice (TWICE). A 421 to a start or a renewal comes from whoever answers at the address. It was taken as the end of the host for which the call was meant, and all its runs started elsewhere at once, although that host can be alive and out of reach.

Such a host now counts as unresponsive, so its runs wait for its lease, and the list of machines is read at once: a machine that has another host now, or two lists without the host, show that it has ended.

HostLinksTest.RefusalByAnotherHostDoesNotEndTheRunsOfTheFirst failed before (the host and its run were removed at once).

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -35,6 +35,9 @@
 /// ordered, and otherwise.
 constexpr core::Millis kBusyMachinePollInterval{700};
 constexpr core::Millis kIdleMachinePollInterval{3000};
+/// The same while a host may have ended: only the list shows that its machine
+/// has another host.
+constexpr core::Millis kUrgentMachinePollInterval{250};
 /// Interval between log lines about the load of the pools.
 constexpr core::Millis kLoadReportInterval{1000};
 /// Delay before a machine order without an answer is sent again.
@@ -661,7 +664,11 @@
 }
 
 void Holder::PollMachines(core::MonotonicTime now) {
+  const bool address_taken =
+      std::any_of(state_.hosts.begin(), state_.hosts.end(),
+                  [](const auto& entry) { return entry.second.address_taken; });
   const bool busy =
+      address_taken ||
       std::any_of(state_.hosts.begin(), state_.hosts.end(),
                   [](const auto& entry) { return !entry.second.listed; }) ||
       std::any_of(state_.waves.begin(), state_.waves.end(),
@@ -669,8 +676,11 @@
       std::any_of(
           state_.machines.begin(), state_.machines.end(),
           [](const auto& entry) { return !entry.second.target.value.empty(); });
-  const core::Millis pause = busy ? internal::kBusyMachinePollInterval
-                                  : internal::kIdleMachinePollInterval;
+  core::Millis pause = busy ? internal::kBusyMachinePollInterval
+                            : internal::kIdleMachinePollInterval;
+  if (address_taken) {
+    pause = internal::kUrgentMachinePollInterval;
+  }
   if (polling_machines_ ||
       (state_.machines_known && now < last_machine_poll_ + pause)) {
     return;
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -170,6 +170,17 @@
   }
 }
 
+void HostLinks::OnAddressTaken(scheduler::Host& host, core::MonotonicTime now) {
+  if (!host.address_taken) {
+    telemetry::Log(telemetry::Level::kWarning,
+                   "another host answers at the address of a host",
+                   {{"host", host.listing.id.value},
+                    {"pool", host.listing.pool.value},
+                    {"runs", std::to_string(host.runs.size())}});
+  }
+  scheduler::OnAddressTaken(host, now);
+}
+
 void HostLinks::OnRenewed(const core::HostId& id, core::Incarnation incarnation,
                           core::MonotonicTime asked,
                           const RenewAnswer& answer) {
@@ -204,15 +215,16 @@
       listener_.on_fenced(id);
       return;
     case CallOutcome::kHostRestarted:
-      telemetry::Log(telemetry::Level::kWarning, "host has restarted",
-                     {{"host", id.value},
-                      {"incarnation", std::to_string(incarnation.value)},
-                      {"reported", std::to_string(answer.incarnation.value)}});
       if (answer.incarnation.value == 0) {
-        // Another host answers at this address.
-        scheduler::RemoveHost(state_, id,
-                              scheduler::EndEvidence::kHostReplaced);
+        ++link.failures;
+        link.retry_not_before = now + internal::kRetryDelay;
+        OnAddressTaken(host->second, now);
       } else {
+        telemetry::Log(
+            telemetry::Level::kWarning, "host has restarted",
+            {{"host", id.value},
+             {"incarnation", std::to_string(incarnation.value)},
+             {"reported", std::to_string(answer.incarnation.value)}});
         scheduler::ReplaceIncarnation(state_, host->second, answer.incarnation,
                                       now);
       }
@@ -332,12 +344,10 @@
           known->second.listing.incarnation == incarnation;
       if (answer.outcome == scheduler::StartOutcome::kHostRestarted &&
           same_incarnation) {
-        scheduler::RemoveHost(self->state_, order.host,
-                              scheduler::EndEvidence::kHostReplaced);
-      } else {
-        scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
-                                 answered);
+        self->OnAddressTaken(known->second, answered);
       }
+      scheduler::OnStartAnswer(self->state_, order.run, answer.outcome,
+                               answered);
       const auto again = self->state_.hosts.find(order.host);
       if (again != self->state_.hosts.end()) {
         self->RenewIfDue(again->second, answered);
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -87,6 +87,7 @@
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
   void OnRenewed(const core::HostId& id, core::Incarnation incarnation,
                  core::MonotonicTime asked, const RenewAnswer& answer);
+  void OnAddressTaken(scheduler::Host& host, core::MonotonicTime now);
   void Enqueue(const core::HostId& host, Order order);
   void SendQueued(const core::HostId& host);
   /// Records a reading of a host's clock, unless the host has another
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -96,6 +96,9 @@
       internal::AddHost(state, listing, now);
       changes.added.push_back(listing.id);
     } else {
+      if (known->second.listing.address != listing.address) {
+        known->second.address_taken = false;
+      }
       known->second.listing = listing;
       known->second.listed = true;
     }
@@ -117,6 +120,11 @@
   }
 }
 
+void OnAddressTaken(Host& host, core::MonotonicTime now) {
+  MarkUnresponsive(host, now);
+  host.address_taken = true;
+}
+
 void RemoveHost(State& state, const core::HostId& id, EndEvidence evidence) {
   const auto found = state.hosts.find(id);
   if (found == state.hosts.end()) {
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -39,6 +39,11 @@
 /// @brief Marks a host as unresponsive: it did not answer.
 void MarkUnresponsive(Host& host, core::MonotonicTime now);
 
+/// @brief Handles an answer of another host at a host's address. It does not
+/// show that the host has ended: its runs are kept until its lease expires or
+/// no machine has the host any more.
+void OnAddressTaken(Host& host, core::MonotonicTime now);
+
 /// @brief Removes a host that has ended, along with all its runs.
 /// @param state The state.
 /// @param id The host.
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -379,6 +379,7 @@
   Host& host = found->second;
   host.last_report = now;
   host.unresponsive_since.reset();
+  host.address_taken = false;
   for (const ReportedEnd& end : report.ended) {
     if (end.number > host.ended) {
       host.ended = end.number;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -151,7 +151,7 @@
   bool listed = true;
   /// If not listed: when the host is considered gone.
   core::MonotonicTime gone_at;
-  /// Consecutive lists of machines without this host since it was last listed.
+  /// Consecutive lists of machines without this host since it last answered.
   std::uint32_t missed_machine_lists = 0;
   /// The host has reported all its runs to this lease holder.
   bool synced = false;
@@ -165,6 +165,9 @@
   core::MonotonicTime lease_end;
   core::MonotonicTime last_report;
   std::optional<core::MonotonicTime> unresponsive_since;
+  /// Another host answers at its address. It may have ended, or may be alive
+  /// and out of reach.
+  bool address_taken = false;
   /// No run is started before this time, as the host refused one.
   core::MonotonicTime busy_until;
   core::MonotonicTime idle_since;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -38,8 +38,8 @@
 constexpr std::uint32_t kMissedListsUntilEnded = 2;
 
 /// Removes hosts that no machine has any more and that do not answer, so that a
-/// host which is only known from stored runs or an old list is not kept until
-/// its lease expires.
+/// host which is only known from stored runs or an old list, or whose address
+/// another one has, is not kept until its lease expires.
 void RemoveHostsWithoutMachine(State& state,
                                const std::set<core::HostId>& machine_hosts) {
   const auto with_machine =
@@ -55,9 +55,13 @@
   std::vector<core::HostId> ended;
   for (auto& [id, host] : state.hosts) {
     const bool answers = host.synced && !host.unresponsive_since;
-    if (host.listed || answers || machine_hosts.contains(id)) {
+    if (answers || machine_hosts.contains(id)) {
       host.missed_machine_lists = 0;
-    } else if (++host.missed_machine_lists >= kMissedListsUntilEnded) {
+      continue;
+    }
+    ++host.missed_machine_lists;
+    const bool is_expected = host.listed && !host.address_taken;
+    if (!is_expected && host.missed_machine_lists >= kMissedListsUntilEnded) {
       ended.push_back(id);
     }
   }
@@ -236,6 +240,11 @@
     if (asked <= machine.ordered) {
       continue;  // The list is older than the answer to the last order.
     }
+    const auto previous = state.hosts.find(machine.listing.host);
+    if (listing.host != machine.listing.host && previous != state.hosts.end() &&
+        previous->second.address_taken) {
+      RemoveHost(state, machine.listing.host, EndEvidence::kNoMachine);
+    }
     machine.listing = listing;
     // Machines of a standby pool have no hosts.
     const bool arrived =
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -214,6 +214,27 @@
   EXPECT_FALSE(harness.state.runs.contains(run));
 }
 
+// Guards against tasks that run twice: a host whose address another one answers
+// at can be alive and out of reach.
+TEST(HostLinksTest, RefusalByAnotherHostDoesNotEndTheRunsOfTheFirst) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  const scheduler::RunId run = harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  harness.starts[0].done({scheduler::StartOutcome::kStarted, 1010});
+  RenewAnswer refused;
+  refused.outcome = CallOutcome::kHostRestarted;
+  harness.NextRenewal().done(refused);
+  ASSERT_TRUE(harness.state.runs.contains(run));
+  EXPECT_TRUE(harness.state.hosts.at(harness.id).unresponsive_since);
+  const core::MonotonicTime lease_end =
+      harness.state.hosts.at(harness.id).lease_end;
+  scheduler::CheckHosts(harness.state, lease_end - core::Millis(1));
+  EXPECT_TRUE(harness.state.runs.contains(run));
+  scheduler::CheckHosts(harness.state, lease_end);
+  EXPECT_FALSE(harness.state.runs.contains(run));
+}
+
 // Guards against runs that lapse on a host that is only cut off from the list.
 TEST(HostLinksTest, UnlistedHostThatAnswersKeepsItsLease) {
   Harness harness;
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -226,6 +226,33 @@
   EXPECT_EQ(fleet.CountStarts(job), 1U);
 }
 
+// Guards against tasks that wait for a lease although their host has ended: its
+// address belongs to another host, and its machine has a new one.
+TEST(UpkeepTest, HostWithoutAnAddressAndAMachineIsNotWaitedFor) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 4);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  const core::HostId first = fleet.running[0].host;
+  Host& host = fleet.state.hosts.at(first);
+  host.lease_end = fleet.now + core::Millis(60'000);
+  fleet.unresponsive.insert(first);
+  OnAddressTaken(host, fleet.now);
+  fleet.Advance(core::Millis(100));
+  const std::string job = MakeJob(1, "q", 1, 1, {}).id.value;
+  EXPECT_EQ(fleet.CountStarts(job), 1U);
+  for (MachineListing& machine : fleet.machines) {
+    if (machine.host == first) {
+      machine.host.value += "+";
+    }
+  }
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(fleet.CountStarts(job), 2U);
+}
+
 // Guards against a task that runs twice on platforms that do not list machines.
 TEST(UpkeepTest, UnlistedHostIsWaitedForWithoutAListOfMachines) {
   Fleet fleet = FleetWithStoredRun();
