--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -91,6 +91,7 @@
   /// Sends a start and handles its answer; `done` is called afterwards.
   /// @return Whether it was sent; `done` is not called otherwise.
   bool CallStart(const scheduler::StartRun& order, std::function<void()> done);
+  void OnAddressTaken(scheduler::Host& host, core::MonotonicTime now);
   void Enqueue(const core::HostId& host, Order order);
   void SendQueued(const core::HostId& host);
   /// Records a reading of a host's clock, unless the host has another
