Answer open requests before the process ends

What callers saw: connections that end without an answer while nodes are restarted in turn (LOST). A node that stops served on until a second before the end of its grace and then ended with requests open: those that waited for a holder, which was leaving too, or for an append without an answer.

Cause: the deadlines of requests knew nothing of the end of the process. The frontend now bounds them, of open and new requests, by a time 300 ms before that end, and answers with what is true of each: 503 if nothing was done, 504 if the job may be stored.

The tests need the new call, so they were not seen red.

--- a/bin/node/main.cpp
+++ b/bin/node/main.cpp
@@ -30,6 +30,9 @@
 /// which it sends once per second.
 constexpr core::Millis kMinDrainTime{3000};
 constexpr core::Millis kStopCheckInterval{50};
+/// The last answers are given this long before the end of the process, so that
+/// they are on their way by then.
+constexpr core::Millis kAnswerMargin{300};
 
 core::Result<NodeSettings, settings::Problems> ReadSettings() {
   const auto file = settings::ReadIniFile(FLAGS_config);
@@ -79,8 +82,8 @@
       if (signal == SIGHUP) {
         Reload();
       } else if (!node_.is_leaving()) {
-        node_.Leave();
         stop_requested_at_ = core::MonotonicNow();
+        node_.Leave(stop_requested_at_ + MaxDrainTime() - kAnswerMargin);
         CheckStop();
       }
       WaitForSignal();
@@ -103,13 +106,20 @@
     telemetry::Log(telemetry::Level::kInfo, "settings reloaded");
   }
 
+  [[nodiscard]] core::Millis MaxDrainTime() const {
+    return settings_.termination_grace - kGraceMargin;
+  }
+
   void CheckStop() {
     const core::Millis elapsed_since_stop =
         core::MonotonicNow() - stop_requested_at_;
-    const core::Millis longest = settings_.termination_grace - kGraceMargin;
+    const core::Millis longest = MaxDrainTime();
     if (elapsed_since_stop >= longest ||
         (elapsed_since_stop >= std::min(kMinDrainTime, longest) &&
          callers_.open_requests() == 0)) {
+      telemetry::Log(
+          telemetry::Level::kInfo, "stop accepting requests",
+          {{"open_requests", std::to_string(callers_.open_requests())}});
       loop_.stop();
       return;
     }
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -41,6 +41,10 @@
       node_metrics_(node_metrics),
       on_no_answer_(std::move(on_no_answer)) {}
 
+core::MonotonicTime JobFrontend::Bounded(core::MonotonicTime deadline) const {
+  return last_answer_time_ ? std::min(deadline, *last_answer_time_) : deadline;
+}
+
 void JobFrontend::RunAfter(core::Millis delay, std::function<void()> action) {
   auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
   timer->async_wait([weak = weak_from_this(), timer,
@@ -72,7 +76,7 @@
     holder_->Submit(submission->spec, std::move(on_answer));
   } else if (holder_client_.has_holder()) {
     holder_client_.Submit(submission->spec,
-                          internal::TimeLeft(submission->deadline),
+                          internal::TimeLeft(Bounded(submission->deadline)),
                           std::move(on_answer));
   } else {
     OnAnswer(submission, {SubmitOutcome::kUnavailable});
@@ -101,11 +105,11 @@
       break;
   }
   on_no_answer_();
+  const core::MonotonicTime deadline = Bounded(submission->deadline);
   const core::MonotonicTime give_up_at =
       submission->may_be_stored
-          ? submission->deadline
-          : std::min(submission->deadline,
-                     submission->arrived + internal::kSubmitTimeout);
+          ? deadline
+          : std::min(deadline, submission->arrived + internal::kSubmitTimeout);
   if (now + internal::kRetryDelay >= give_up_at) {
     Finish(*submission,
            {submission->may_be_stored ? SubmitOutcome::kUnknown
@@ -165,8 +169,8 @@
     if (!self) {
       return;
     }
-    if (is_final(answer) ||
-        core::MonotonicNow() + internal::kRetryDelay >= deadline) {
+    if (is_final(answer) || core::MonotonicNow() + internal::kRetryDelay >=
+                                self->Bounded(deadline)) {
       done(std::move(answer));
       return;
     }
@@ -201,7 +205,7 @@
           answer({state ? QueryOutcome::kKnown : QueryOutcome::kNone,
                   state.value_or(workload::JobState::kQueued)});
         } else if (holder_client_.has_holder()) {
-          holder_client_.State(id, internal::TimeLeft(until),
+          holder_client_.State(id, internal::TimeLeft(Bounded(until)),
                                std::move(answer));
         } else {
           answer({QueryOutcome::kUnavailable});
@@ -228,7 +232,7 @@
                 }
               });
         } else if (holder_client_.has_holder()) {
-          holder_client_.Cancel(id, internal::TimeLeft(until),
+          holder_client_.Cancel(id, internal::TimeLeft(Bounded(until)),
                                 std::move(answer));
         } else {
           answer(QueryOutcome::kUnavailable);
@@ -249,7 +253,7 @@
         if (is_holder()) {
           answer({QueryOutcome::kKnown, holder_->Pending(queue)});
         } else if (holder_client_.has_holder()) {
-          holder_client_.Pending(queue, internal::TimeLeft(until),
+          holder_client_.Pending(queue, internal::TimeLeft(Bounded(until)),
                                  std::move(answer));
         } else {
           answer({QueryOutcome::kUnavailable});
--- a/src/camphormux/coordinator/job_frontend.hpp
+++ b/src/camphormux/coordinator/job_frontend.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <asio/io_context.hpp>
 
@@ -29,6 +30,10 @@
     holder_ = std::move(holder);
   }
 
+  /// @brief Bounds the deadlines of all requests, open and new ones, because
+  /// the process ends then.
+  void SetLastAnswerTime(core::MonotonicTime time) { last_answer_time_ = time; }
+
   /// @param spec A valid job of a known queue.
   /// @param deadline Deadline of the caller.
   /// @param done Called once.
@@ -72,7 +77,11 @@
   HolderClient& holder_client_;
   NodeMetrics& node_metrics_;
   std::function<void()> on_no_answer_;
+  /// @return The deadline, or the time of the last answer if it is earlier.
+  [[nodiscard]] core::MonotonicTime Bounded(core::MonotonicTime deadline) const;
+
   std::shared_ptr<Holder> holder_;
+  std::optional<core::MonotonicTime> last_answer_time_;
 };
 
 }  // namespace camphormux::coordinator
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -300,8 +300,9 @@
   });
 }
 
-void Node::Leave() {
+void Node::Leave(core::MonotonicTime last_answer_time) {
   leaving_ = true;
+  job_frontend_->SetLastAnswerTime(last_answer_time);
   host_agent_->Leave();
   telemetry::Log(telemetry::Level::kInfo, "stopping",
                  {{"holder", holder_ ? "yes" : "no"}});
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -40,7 +40,8 @@
   void Start();
   /// @brief Gives the ownership up and reports the node as not ready; continues
   /// to serve requests.
-  void Leave();
+  /// @param last_answer_time When the last request has to be answered.
+  void Leave(core::MonotonicTime last_answer_time);
 
   [[nodiscard]] JobFrontend& job_frontend() { return *job_frontend_; }
   /// @return The newest catalog, if one was read.
--- /dev/null
+++ b/test/coordinator/job_frontend_test.cpp
@@ -0,0 +1,97 @@
+#include "camphormux/coordinator/job_frontend.hpp"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "camphormux/coordinator/node_metrics.hpp"
+#include "camphormux/peer/server.hpp"
+
+namespace camphormux::coordinator {
+namespace {
+
+/// The frontend of a node whose holder receives requests and never answers.
+struct Harness {
+  Harness()
+      : node_metrics(RegisterNodeMetrics(registry)),
+        server(loop, {"127.0.0.1", 0},
+               [this](const peer::Request&, const peer::Respond& respond) {
+                 unanswered.push_back(respond);
+               }),
+        holder_client(loop, "127.0.0.1"),
+        frontend(std::make_shared<JobFrontend>(loop, holder_client,
+                                               node_metrics, [] {})) {}
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+  }
+
+  static workload::JobSpec Spec() {
+    workload::JobSpec spec;
+    spec.id.value = "5c0e7a21d94b36f8";
+    spec.queue.value = "q";
+    spec.steps.resize(1);
+    return spec;
+  }
+
+  asio::io_context loop;
+  prometheus::Registry registry;
+  NodeMetrics node_metrics;
+  std::vector<peer::Respond> unanswered;
+  peer::Server server;
+  HolderClient holder_client;
+  std::shared_ptr<JobFrontend> frontend;
+};
+
+constexpr core::Millis kDeadline{60'000};
+constexpr core::Millis kLastAnswer{300};
+
+// Guards against callers whose connection ends without an answer because the
+// process stops while their request waits for the holder.
+TEST(JobFrontendTest, OpenRequestsAreAnsweredBeforeTheProcessEnds) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  const core::MonotonicTime deadline = core::MonotonicNow() + kDeadline;
+  std::optional<SubmitAnswer> submitted;
+  std::optional<StateAnswer> state;
+  std::optional<QueryOutcome> cancelled;
+  harness.frontend->Submit(Harness::Spec(), deadline,
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  harness.frontend->State({"5c0e7a21d94b36f8"}, deadline,
+                          [&](StateAnswer answer) { state = answer; });
+  harness.frontend->Cancel({"5c0e7a21d94b36f8"}, deadline,
+                           [&](QueryOutcome answer) { cancelled = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 3; }));
+  harness.frontend->SetLastAnswerTime(core::MonotonicNow() + kLastAnswer);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return submitted && state && cancelled; }));
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
+  EXPECT_EQ(state->outcome, QueryOutcome::kUnavailable);
+  EXPECT_EQ(*cancelled, QueryOutcome::kUnavailable);
+}
+
+// Guards against a request that arrives on an open connection just before the
+// process ends.
+TEST(JobFrontendTest, RequestAfterTheLastAnswerTimeIsRejectedAtOnce) {
+  Harness harness;
+  harness.frontend->SetLastAnswerTime(core::MonotonicNow());
+  std::optional<SubmitAnswer> submitted;
+  const core::MonotonicTime start = core::MonotonicNow();
+  harness.frontend->Submit(Harness::Spec(), start + kDeadline,
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnavailable);
+  EXPECT_LT(core::MonotonicNow() - start, core::Millis(500));
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
