Wait for previous leases on hosts that are listed late

What callers could see: a task that runs twice after a takeover. The end of the previous holder's leases was applied once, to the hosts of the first list. A host whose entry came back on a later list, but before the jobs were loaded, had a lease end in the past; if it did not answer, its stored runs were started elsewhere at once.

Each host that is added now has that lease end, whenever it is listed. HostsTest.HostListedAfterATakeoverIsWaitedForAsLongAsTheOthers needs no new call and is new; the code before set the end to the time of the listing.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -301,15 +301,7 @@
   const core::MonotonicTime now = core::MonotonicNow();
   LogListingChanges(scheduler::ApplyListings(state_, hosts, now, trusted_from),
                     token_);
-  if (!hosts_known_) {
-    hosts_known_ = true;
-    // The previous holder may have granted leases until this takeover began.
-    const core::MonotonicTime previous_leases_end =
-        takeover_start_ + scheduler::PreviousLeasesDuration(state_.settings);
-    for (auto& [id, host] : state_.hosts) {
-      host.lease_end = std::max(host.lease_end, previous_leases_end);
-    }
-  }
+  hosts_known_ = true;
   SchedulePlan();
 }
 
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -63,7 +63,9 @@
   Host host;
   host.listing = listing;
   host.idle_since = now;
-  host.lease_end = now;
+  // Previous lease holders may have granted leases until the takeover.
+  host.lease_end =
+      std::max(now, state.took_over + PreviousLeasesDuration(state.settings));
   state.hosts.insert_or_assign(listing.id, std::move(host));
 }
 
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -98,6 +98,19 @@
   EXPECT_TRUE(fleet.state.ended_incarnations.empty());
 }
 
+// Guards against a task that runs twice: a host that is listed late can still
+// run it under a lease of the previous holder.
+TEST(HostsTest, HostListedAfterATakeoverIsWaitedForAsLongAsTheOthers) {
+  Fleet fleet = SmallFleet();
+  fleet.state.took_over = fleet.now;
+  fleet.now += core::Millis(500);
+  fleet.AddHosts("pool", 1);
+  const core::HostId late = fleet.listings.back().id;
+  EXPECT_EQ(
+      fleet.state.hosts.at(late).lease_end,
+      fleet.state.took_over + PreviousLeasesDuration(fleet.state.settings));
+}
+
 /// A fleet with a job of one task that a host has accepted but not listed yet.
 struct AcceptedStart {
   AcceptedStart() : fleet(SmallFleet()) {
