Do not grant leases by the clock of another host

What callers could see: a lease that outlasts what the holder believes (TWICE), or starts that are refused as late. A misdirected call is answered with the clock of whoever answers, and the holder recorded it as the clock of the host it meant.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -85,7 +85,7 @@
                                                   core::MonotonicTime now) {
   const core::Millis lease =
       LimitLease(state_.settings.lease, authority_.time_left());
-  if (!link.clock_ms || lease.count() == 0) {
+  if (!link.clock_ms || host.address_taken || lease.count() == 0) {
     return std::nullopt;
   }
   // The host's clock has advanced by at least this much since it was read.
