Ask the hosts before giving the ownership up

What callers could see: all runs lapse in an outage of the store. Idle hosts are asked whether they answer once the store does not confirm the ownership, but the check of that moment already counted them as out of reach. The holder now gives them a second to answer.

A node that has no catalog cannot become the holder, so that it confirms one: a node that restarted in the outage ended the authority of the holder.

--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -25,9 +25,12 @@
 /// A holder with 50 hosts and 60 jobs per second needs up to a fifth of a core.
 constexpr double kMinHolderShare = 0.2;
 /// A holder whose ownership the store no longer confirms continues while it
-/// reaches more than this share of the hosts: no other node can control them
-/// then.
+/// reaches more than this share of the hosts: with fewer, it does more harm by
+/// holding up its callers than good.
 constexpr double kMajorityShare = 0.5;
+/// Time in which hosts that answer have answered. Idle hosts are asked only
+/// once the store does not confirm the ownership any more.
+constexpr core::Millis kHostProbeTime{1000};
 /// A node with this processor share decides in time for several hundred hosts.
 constexpr double kLargeNodeShare = 0.4;
 /// Number of candidate ranks among nodes of one size; about the number of nodes
@@ -71,7 +74,8 @@
             }
             if (request.path == kConfirmHolderPath) {
               respond(AnswerConfirmHolder(
-                  {holder_ != nullptr, election_->is_store_lost(),
+                  // Without a catalog this node cannot become the holder.
+                  {holder_ != nullptr, !catalog_ || election_->is_store_lost(),
                    election_->holder()},
                   request));
               return;
@@ -231,7 +235,10 @@
     return;
   }
   const char* reason = nullptr;
-  if (holder_->reachable_share() <= internal::kMajorityShare) {
+  const bool hosts_were_asked = election_->since_confirmation() >=
+                                kOwnershipTtl + internal::kHostProbeTime;
+  if (hosts_were_asked &&
+      holder_->reachable_share() <= internal::kMajorityShare) {
     reason = "ownership given up: neither the store nor most hosts answer";
   } else if (authority_left().count() == 0) {
     reason =
--- a/test/coordinator/isolated_holder_test.cpp
+++ b/test/coordinator/isolated_holder_test.cpp
@@ -378,6 +378,8 @@
   deployment.SubmitPermanentTask();
   ASSERT_TRUE(deployment.RunUntil(
       [&] { return deployment.RunningCount() == 1; }, core::Millis(20'000)));
+  // Hosts without runs are idle for longer than a report counts.
+  deployment.RunUntil([] { return false; }, core::Millis(4000));
   deployment.CutFromStore(0);
   deployment.CutFromStore(1);
   deployment.RunUntil([] { return false; }, core::Millis(5000));
