Settle starts in doubt also on hosts and for jobs that are leaving

Found by the review of the repetition of starts, by reading.

The repetition asks first whether the run is still of use and the host takes new runs; else it stops the run, which a restart of the host no longer undoes. After the longest delay of a call, no copy can take effect, and a stop is always allowed. A run with an open copy survives a restart of its host, and a repetition that was sent keeps the run from counting as not sent.

Four tests of RunsTest are new (TasksInDoubtAreStoppedOnceNoCopyCanTakeEffect, StartIsNotRepeatedOnADrainingHost, StartOfACancelledJobIsNotRepeatedAfterARestart, RunWithAnOpenCopySurvivesARestartOfItsHost). They were written with the fix and not run on the code before.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -290,7 +290,9 @@
         core::MonotonicNow() >
             run->second.ordered + scheduler::kOrderValidity) {
       // The order expired before it was sent, so it cannot take effect.
-      if (run != state_.runs.end() && host != state_.hosts.end()) {
+      // If the host has restarted meanwhile, a repetition may have been sent.
+      if (run != state_.runs.end() && host != state_.hosts.end() &&
+          run->second.phase != scheduler::RunPhase::kUnanswered) {
         scheduler::RemoveRun(state_, order.run,
                              scheduler::EndEvidence::kNotSent);
       }
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -165,16 +165,21 @@
   const std::vector<RunId> runs = host.runs;
   for (const RunId id : runs) {
     Run& run = state.runs.at(id);
-    if (run.was_listed) {
+    if (run.was_listed && !run.has_open_copy) {
       RemoveRun(state, id, EndEvidence::kHostReplaced);
-    } else {
-      // A start whose answer is still to come has no other copy.
-      run.has_open_copy |= run.phase != RunPhase::kOrdered;
+      continue;
+    }
+    // A start whose answer is still to come has no other copy.
+    run.has_open_copy |= run.phase != RunPhase::kOrdered;
+    run.last_open_copy = now;
+    run.was_listed = false;
+    run.repetition_refused = false;
+    run.is_superseded = false;
+    if (run.phase != RunPhase::kStopping) {
       run.phase = RunPhase::kUnanswered;
-      run.repetition_refused = false;
-      run.confirmed = now;
-      run.stop_confirmed = false;
     }
+    run.confirmed = now;
+    run.stop_confirmed = false;
   }
   host.listing.incarnation = incarnation;
   host.listing.draining = false;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -31,6 +31,7 @@
     Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
     run.has_open_copy = true;
+    run.last_open_copy = now;
   }
 }
 
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -26,6 +26,8 @@
 /// Time by which a call has an answer or has failed, also one that another node
 /// makes.
 constexpr core::Millis kMaxCallDuration{3000};
+/// A call without an answer is carried out at most this much later.
+constexpr core::Millis kMaxCallDelay{12'000};
 /// A run without progress is replaced after this minimum or a multiple of its
 /// estimate, whichever is longer; estimates are often wrong by a factor of two.
 constexpr core::Millis kMinStallTimeout{2000};
@@ -138,6 +140,12 @@
   }
 }
 
+/// Whether a run is of no use any more, because its job or its task has ended.
+bool IsObsolete(const State& state, const Run& run) {
+  const Job& job = state.jobs.at(run.name.job);
+  return workload::IsFinal(job.state) || job.tasks[run.task].progress.done;
+}
+
 void UpdateRun(State& state, Run& run, const ReportedRun& listed,
                core::MonotonicTime now) {
   if (run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUnanswered) {
@@ -148,6 +156,10 @@
       job.state = workload::JobState::kRunning;
     }
   }
+  if (run.phase == RunPhase::kRunning && !run.was_listed &&
+      IsObsolete(state, run)) {
+    RequestStop(state, run);
+  }
   run.was_listed = true;
   if (listed.percent != run.percent) {
     run.progressed = now;
@@ -208,10 +220,21 @@
   if (!run.has_open_copy && now < run.confirmed + kMaxCallDuration) {
     return;  // Its answer is still to come.
   }
-  if (run.repetition_refused && MayStopWithinBudget(state, run)) {
+  const Host& host = state.hosts.at(run.host);
+  const bool is_leaving =
+      host.reserved || (!host.listed && now >= host.gone_at);
+  // A copy that can still take effect may put the task to work just before the
+  // stop.
+  const bool may_stop = now >= run.last_open_copy + kMaxCallDelay ||
+                        MayStopWithinBudget(state, run);
+  if (IsObsolete(state, run) || host.listing.draining || run.is_superseded ||
+      ((run.repetition_refused || is_leaving) && may_stop)) {
     RequestStop(state, run);
     return;
   }
+  if (is_leaving) {
+    return;
+  }
   const bool was_repeated = run.start_repeated != core::MonotonicTime{};
   if (!was_repeated || now >= run.start_repeated + kStartRepeatInterval) {
     run.start_repeated = now;
@@ -355,6 +378,7 @@
     ++state.counters.unanswered_starts;
     MarkUnresponsive(host, now);
     run.has_open_copy = true;
+    run.last_open_copy = now;
     if (run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUnanswered) {
       run.phase = RunPhase::kUnanswered;
       run.confirmed = now;
@@ -381,6 +405,7 @@
   }
   if (run.has_open_copy) {
     run.repetition_refused = true;
+    run.is_superseded = outcome == StartOutcome::kStaleAttempt;
     run.confirmed = now;
     return;
   }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -70,8 +70,13 @@
   /// A copy of the start order has no answer and may still take effect, so the
   /// refusal of another copy does not end the run.
   bool has_open_copy = false;
+  /// When the last copy without an answer was found to have none.
+  core::MonotonicTime last_open_copy;
   /// A repetition of the start order was refused.
   bool repetition_refused = false;
+  /// The host has seen the end of this attempt or of a newer one, so no copy of
+  /// the start can take effect any more.
+  bool is_superseded = false;
   core::MonotonicTime start_repeated;
   /// A report of this incarnation of the host has listed the run. An answer to
   /// the start does not say which incarnation accepted it.
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -112,6 +112,87 @@
   EXPECT_EQ(fleet.state.runs.at(doubtful).phase, RunPhase::kStopping);
 }
 
+// Guards against two tasks in doubt that keep each other from being stopped,
+// and so from running elsewhere, for as long as their host refuses them.
+TEST(RunsTest, TasksInDoubtAreStoppedOnceNoCopyCanTakeEffect) {
+  Fleet fleet = SmallFleet(1);
+  auto spec = MakeJob(1, "q", 2, 4, core::Millis(1000));
+  spec.steps[0].permanent = true;
+  spec.steps[0].max_unavailable = 1;
+  fleet.execute_starts = false;
+  (void)fleet.Submit(spec);
+  fleet.Step();
+  ASSERT_EQ(fleet.state.runs.size(), 2U);
+  const core::HostId host = OnlyRun(fleet).host;
+  const auto answer = [&](StartOutcome outcome) {
+    for (auto& [id, run] : fleet.state.runs) {
+      OnStartAnswer(fleet.state, id, outcome, fleet.now);
+    }
+    fleet.now += core::Millis(1000);
+    fleet.Report(host);
+  };
+  answer(StartOutcome::kNoAnswer);
+  answer(StartOutcome::kNoCapacity);
+  EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kUnanswered);
+  fleet.now += core::Millis(12'000);
+  fleet.Report(host);
+  for (const auto& [id, run] : fleet.state.runs) {
+    EXPECT_EQ(run.phase, RunPhase::kStopping);
+  }
+}
+
+// Guards against a start on a host that is about to leave.
+TEST(RunsTest, StartIsNotRepeatedOnADrainingHost) {
+  Fleet fleet = SmallFleet();
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, OnlyRun(fleet).id, StartOutcome::kNoAnswer,
+                fleet.now);
+  fleet.state.hosts.at(host).listing.draining = true;
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
+}
+
+// Guards against a cancelled task that is started again on the next incarnation
+// of its host.
+TEST(RunsTest, StartOfACancelledJobIsNotRepeatedAfterARestart) {
+  Fleet fleet = SmallFleet();
+  fleet.execute_starts = false;
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(1000));
+  (void)fleet.Submit(spec);
+  fleet.Step();
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, OnlyRun(fleet).id, StartOutcome::kStarted,
+                fleet.now);
+  (void)Cancel(fleet.state, spec.id, fleet.wall);
+  ReplaceIncarnation(fleet.state, fleet.state.hosts.at(host), {2}, fleet.now);
+  fleet.state.orders.clear();
+  fleet.now += core::Millis(10);
+  fleet.Report(host);
+  EXPECT_EQ(OnlyRun(fleet).phase, RunPhase::kStopping);
+  for (const Order& order : fleet.state.orders) {
+    EXPECT_EQ(std::get_if<RepeatStart>(&order), nullptr);
+  }
+}
+
+// Guards against a task that runs twice: a copy of its start that is held up
+// can reach the next incarnation of the host.
+TEST(RunsTest, RunWithAnOpenCopySurvivesARestartOfItsHost) {
+  Fleet fleet = SmallFleet();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const RunId id = OnlyRun(fleet).id;
+  const core::HostId host = OnlyRun(fleet).host;
+  OnStartAnswer(fleet.state, id, StartOutcome::kNoAnswer, fleet.now);
+  fleet.Report(host);
+  ASSERT_EQ(OnlyRun(fleet).phase, RunPhase::kRunning);
+  ReplaceIncarnation(fleet.state, fleet.state.hosts.at(host), {2}, fleet.now);
+  EXPECT_TRUE(fleet.state.runs.contains(id));
+}
+
 // Guards against a task that runs twice: a report requested in the same
 // millisecond as the answer to a start may have been requested before the start
 // took effect.
