Take a request as sent if only its second copy cannot connect

Cause: a server receives a request on a kept connection, closes that and accepts no other. libcurl then connects again for a second copy, also for a body that it cannot rewind (kOnce), and fails with CURLE_COULDNT_CONNECT, which counted as "not sent". The append to the store was "certainly not stored" and its new jobs were refused, though the store had received it.

Change: a failure to connect is "not sent" only if no byte of any copy was written (libcurl's CURLINFO_REQUEST_SIZE counts all copies); else it is a cut.

Evidence: RequestIsSentIfOnlyItsSecondCopyCannotConnect failed for kOnce and kResend before, AppendToAStoreThatClosesItsConnectionsMayBeStored gave kNotStored; both pass after. http_test 5 of 5, platform_test 22 of 22.

--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -93,6 +93,7 @@
 }
 
 ClientFailure ToFailure(const Transfer& transfer, CURLcode code) {
+  // Counts all copies of the request: the failure may be that of a second one.
   long sent_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type.
   curl_easy_getinfo(transfer.easy.get(), CURLINFO_REQUEST_SIZE, &sent_bytes);
   const bool sent = sent_bytes > 0;
@@ -101,7 +102,7 @@
   }
   switch (code) {
     case CURLE_COULDNT_CONNECT:
-      return {ClientError::kConnect, false};
+      return {sent ? ClientError::kCut : ClientError::kConnect, sent};
     case CURLE_OPERATION_TIMEDOUT:
       return {ClientError::kTimeout, sent};
     case CURLE_URL_MALFORMAT:
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -145,5 +145,24 @@
   EXPECT_EQ(server.received(), 5U);
 }
 
+// Guards against a request that is taken for not sent because its second copy
+// found no server: the first one was received.
+TEST(ClientServerTest, RequestIsSentIfOnlyItsSecondCopyCannotConnect) {
+  for (const ConnectionReuse reuse :
+       {ConnectionReuse::kOnce, ConnectionReuse::kResend}) {
+    asio::io_context loop;
+    ScriptedServer server(loop, {{}, {0, "", true, true}});
+    ClientRequest request;
+    request.method = "POST";
+    request.url = Url(server.port(), "/");
+    request.body = "body";
+    request.reuse = reuse;
+    const ClientResult result = ExchangeTwo(loop, request);
+    ASSERT_FALSE(result.has_value());
+    EXPECT_TRUE(result.error().sent);
+    EXPECT_EQ(server.received(), 2U);
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::http
--- a/test/http/scripted_server.cpp
+++ b/test/http/scripted_server.cpp
@@ -70,6 +70,9 @@
   const ScriptedAnswer& answer =
       script_[std::min(received_, script_.size() - 1)];
   ++received_;
+  if (answer.refuse) {
+    acceptor_.close();
+  }
   if (answer.close) {
     connection->socket.close();
     return;
--- a/test/http/scripted_server.hpp
+++ b/test/http/scripted_server.hpp
@@ -15,7 +15,8 @@
 struct ScriptedAnswer {
   int status = 200;
   std::string body;
-  bool close = false;  ///< Closes the connection without an answer.
+  bool close = false;   ///< Closes the connection without an answer.
+  bool refuse = false;  ///< Accepts no connections from now on.
 };
 
 /// HTTP server that answers the requests of all connections, in the order of
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -4,6 +4,7 @@
 #include "camphormux/peer/server.hpp"
 #include "platform/adapter.hpp"
 #include "platform/store_client.hpp"
+#include "test/http/scripted_server.hpp"
 #include "test/platform/fake_store.hpp"
 #include "test/platform/wait_for.hpp"
 
@@ -128,5 +129,24 @@
   EXPECT_EQ(healthy.fake_store.newest_values["keyed.camphormux"]["j/a"], "1");
 }
 
+// Guards against a job that is rejected and runs: the store received an append,
+// closed the kept connection and accepted no other.
+TEST(StoreTest, AppendToAStoreThatClosesItsConnectionsMayBeStored) {
+  asio::io_context loop;
+  http::ScriptedServer fake_store(loop, {{}, {0, "", true, true}});
+  http::Client client(loop);
+  coordinator::PeerForwarder peer_forwarder(loop, {"127.0.0.1", 1});
+  StoreClient store(client, peer_forwarder, {"127.0.0.1", fake_store.port()});
+  coordinator::StorePort port = MakeStorePort(store);
+  const auto append = [&](std::uint64_t sequence) {
+    return WaitFor<AppendOutcome>(loop, [&](auto done) {
+      port.append({1}, sequence, {{"j/a", "1"}}, std::move(done));
+    });
+  };
+  EXPECT_EQ(append(1), AppendOutcome::kStored);
+  EXPECT_EQ(append(2), AppendOutcome::kUnknown);
+  EXPECT_EQ(fake_store.received(), 2U);
+}
+
 }  // namespace
 }  // namespace camphormux::platform
