--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -1,6 +1,7 @@
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
+#include "camphormux/cbor/cbor.hpp"
 #include "camphormux/peer/server.hpp"
 #include "platform/adapter.hpp"
 #include "platform/store_client.hpp"
@@ -129,6 +130,31 @@
   EXPECT_EQ(healthy.fake_store.newest_values["keyed.camphormux"]["j/a"], "1");
 }
 
+// Guards against an append that counts as not stored because the answer of the
+// node that sent it could not be read.
+TEST(StoreTest, AppendWithAnUnreadableForwardedAnswerMayBeStored) {
+  // An answer of another node that cannot be read, and one whose body cannot.
+  for (const std::string& answer :
+       {std::string("unreadable"),
+        cbor::Serialize(nlohmann::json::array({200, 7}))}) {
+    asio::io_context loop;
+    peer::Server server(
+        loop, {"127.0.0.1", 0},
+        [&](const peer::Request& /*request*/, const peer::Respond& respond) {
+          respond({peer::kStatusOk, answer});
+        });
+    http::Client client(loop);
+    coordinator::PeerForwarder peer_forwarder(loop, {"127.0.0.1", 1});
+    peer_forwarder.SetMembers({{"127.0.0.1", server.port()}});
+    StoreClient store(client, peer_forwarder, {"127.0.0.1", FreePort(loop)});
+    coordinator::StorePort port = MakeStorePort(store);
+    const auto outcome = WaitFor<AppendOutcome>(loop, [&](auto done) {
+      port.append({1}, 1, {{"j/a", "1"}}, std::move(done));
+    });
+    EXPECT_EQ(outcome, AppendOutcome::kUnknown);
+  }
+}
+
 // Guards against a job that is rejected and runs: the store received an append,
 // closed the kept connection and accepted no other.
 TEST(StoreTest, AppendToAStoreThatClosesItsConnectionsMayBeStored) {
