Do not take a holder's unreadable answer as "nothing was done"

What callers could see: a job that is rejected with 503 and runs.

Cause: HolderClient::Submit turned an answer of status 200 that it could not read (also one with a retry time beyond its bound) into kUnavailable, although the holder had handled the request and may have stored the job.

Change: such an answer is kUnknown; other statuses stay kUnavailable, as the holder answers them without handling the submission.

Evidence: SubmissionWithAnUnreadableAnswerIsNotRejected failed before and passes after.

--- a/src/camphormux/coordinator/holder_client.cpp
+++ b/src/camphormux/coordinator/holder_client.cpp
@@ -105,12 +105,17 @@
                                                 : SubmitOutcome::kUnavailable});
           return;
         }
+        if (result.value().status != peer::kStatusOk) {
+          done({SubmitOutcome::kUnavailable});
+          return;
+        }
+        // An answer that cannot be read does not tell that nothing was stored.
         const auto numbers = internal::Numbers(result);
         if (!numbers ||
             numbers->first >
                 static_cast<std::uint64_t>(SubmitOutcome::kUnknown) ||
             numbers->second > internal::kMaxRetryAfterMs) {
-          done({SubmitOutcome::kUnavailable});
+          done({SubmitOutcome::kUnknown});
           return;
         }
         done({static_cast<SubmitOutcome>(numbers->first),
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -93,5 +93,19 @@
   EXPECT_LT(core::MonotonicNow() - start, core::Millis(500));
 }
 
+// Guards against a job that is rejected and runs: the holder stored it, and its
+// answer could not be read.
+TEST(JobFrontendTest, SubmissionWithAnUnreadableAnswerIsNotRejected) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitAnswer> answer;
+  harness.holder_client.Submit(Harness::Spec(), kDeadline,
+                               [&](SubmitAnswer a) { answer = a; });
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.unanswered.empty(); }));
+  harness.unanswered[0]({peer::kStatusOk, "unreadable"});
+  ASSERT_TRUE(harness.RunUntil([&] { return answer.has_value(); }));
+  EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
