Do not answer 404 if an earlier attempt may have stored the job

What callers could see: a job that is answered with 404 and runs.

Cause: JobFrontend repeats a submission whose outcome is unknown. If the queue was removed meanwhile, the answer to the repetition, "no such queue", went to the caller, although the first attempt may have stored the job.

Change: "no such queue" is treated like a refusal: 504 if the job may be stored.

Evidence: RemovedQueueDoesNotHideAnEarlierAttempt failed before and passes after; coordinator_test 59 of 59.

--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -88,9 +88,9 @@
   const core::MonotonicTime now = core::MonotonicNow();
   switch (answer.outcome) {
     case SubmitOutcome::kAccepted:
-    case SubmitOutcome::kNoQueue:
       Finish(*submission, answer);
       return;
+    case SubmitOutcome::kNoQueue:
     case SubmitOutcome::kRefused:
       // An earlier attempt may have stored the job.
       if (submission->may_be_stored) {
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/cbor/cbor.hpp"
 #include "camphormux/coordinator/node_metrics.hpp"
 #include "camphormux/peer/server.hpp"
 
@@ -107,5 +108,26 @@
   EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
 }
 
+// Guards against a job that is reported as not accepted and runs: an earlier
+// attempt may have stored it before its queue was removed.
+TEST(JobFrontendTest, RemovedQueueDoesNotHideAnEarlierAttempt) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  const auto respond_with = [](SubmitOutcome outcome) {
+    return peer::Response{peer::kStatusOk,
+                          cbor::Serialize(nlohmann::json::array(
+                              {static_cast<std::uint64_t>(outcome), 0}))};
+  };
+  std::optional<SubmitAnswer> submitted;
+  harness.frontend->Submit(Harness::Spec(), core::MonotonicNow() + kDeadline,
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 1; }));
+  harness.unanswered[0](respond_with(SubmitOutcome::kUnknown));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 2; }));
+  harness.unanswered[1](respond_with(SubmitOutcome::kNoQueue));
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
