Take a stream that ends without a status as a failure

What callers could see: a job that is rejected with 503 and runs, a call to a host that another node repeats.

Cause: the response of an exchange began with status 200, so that a stream that the peer ended with NO_ERROR and without headers counted as answered by an empty 200. HolderClient, PeerForwarder and HostRouter take an answer as the end of the question whether the request may have been handled.

Change: the status is 0 until it has arrived; a stream that ends with status 0 is a cut, with may_have_reached as for other cuts.

Evidence: StreamThatEndsWithoutAnAnswerIsAFailure failed before and passes after; peer_test 7 of 7.

--- a/src/camphormux/peer/client.cpp
+++ b/src/camphormux/peer/client.cpp
@@ -24,9 +24,9 @@
   Outgoing body;
   std::function<void(Result)> done;  ///< Empty when the exchange has ended.
   asio::steady_timer timer;
-  Response response;
-  std::int32_t stream = 0;  ///< 0 until it is handed to the session.
-  bool sent = false;        ///< The header frame was given to the socket.
+  Response response{0, {}};  ///< Status 0 until one has arrived.
+  std::int32_t stream = 0;   ///< 0 until it is handed to the session.
+  bool sent = false;         ///< The header frame was given to the socket.
   std::uint64_t received_before = 0;
 
   void Finish(Result result) {
@@ -345,7 +345,7 @@
     }
     if (code == NGHTTP2_REFUSED_STREAM) {
       End(user, id, Failure{Error::kRefused, false});
-    } else if (code != NGHTTP2_NO_ERROR) {
+    } else if (code != NGHTTP2_NO_ERROR || exchange->response.status == 0) {
       End(user, id, Failure{Error::kCut, exchange->sent});
     } else if (exchange->response.status == kStatusTooLarge) {
       End(user, id, Failure{Error::kTooLarge, false});
--- a/test/peer/client_server_test.cpp
+++ b/test/peer/client_server_test.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -215,5 +216,33 @@
   }
 }
 
+// Guards against a request that is taken for answered, and so for not handled,
+// because its stream ended without an answer and without an error.
+TEST(PeerTest, StreamThatEndsWithoutAnAnswerIsAFailure) {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::socket socket(loop);
+  std::string received;
+  // An empty SETTINGS frame, and RST_STREAM of stream 1 with NO_ERROR.
+  const std::string frames(
+      "\0\0\0\x04\0\0\0\0\0"
+      "\0\0\x04\x03\0\0\0\0\x01\0\0\0\0",
+      22);
+  acceptor.async_accept(socket, [&](const asio::error_code&) {
+    asio::async_read_until(socket, asio::dynamic_buffer(received), "the body",
+                           [&](const asio::error_code&, std::size_t) {
+                             asio::write(socket, asio::buffer(frames));
+                           });
+  });
+  Client client(loop, {"127.0.0.1", acceptor.local_endpoint().port()});
+  Collected collected;
+  client.Send({"/path", "the body"}, kLimit, collected.Add(loop, 1));
+  RunLoop(loop);
+  ASSERT_EQ(collected.results.size(), 1U);
+  ASSERT_FALSE(collected.results[0].has_value());
+  EXPECT_EQ(collected.results[0].error().error, Error::kCut);
+  EXPECT_TRUE(collected.results[0].error().may_have_reached);
+}
+
 }  // namespace
 }  // namespace camphormux::peer
