Ask nodes that left the list whether they confirm the holder

What callers could see: a task that runs twice. After an outage of the store the list of nodes can lack nodes that are alive, as their memberships have lapsed; the first list can name only the node itself. Its poll was then unanimous with nobody asked, and a node that took over next was never asked. Found by the review, by reading.

Nodes that leave the list are asked for as long as a successor waits. ConfirmationPollTest.NodesThatLeftTheListAreStillAskedForAWhile is new and needs the new parameter.

The clock that counts suspensions has a header of its own, as only two sources use it.

--- a/src/camphormux/coordinator/confirmation_poll.cpp
+++ b/src/camphormux/coordinator/confirmation_poll.cpp
@@ -49,17 +49,26 @@
           ""};
 }
 
-ConfirmationPoll::ConfirmationPoll(asio::io_context& loop, core::Address self)
-    : loop_(loop), self_(std::move(self)) {}
+ConfirmationPoll::ConfirmationPoll(asio::io_context& loop, core::Address self,
+                                   core::Millis retention)
+    : loop_(loop), self_(std::move(self)), retention_(retention) {}
 
-void ConfirmationPoll::SetMembers(const std::vector<Member>& members) {
+void ConfirmationPoll::SetMembers(const std::vector<Member>& members,
+                                  core::MonotonicTime now) {
   members_known_ = true;
-  others_.clear();
+  for (auto& [address, missing_since] : others_) {
+    if (!missing_since) {
+      missing_since = now;
+    }
+  }
   for (const Member& member : members) {
     if (member.address != self_) {
-      others_.push_back(member.address);
+      others_[member.address].reset();
     }
   }
+  std::erase_if(others_, [&](const auto& entry) {
+    return entry.second && now >= *entry.second + retention_;
+  });
   Disconnect();
 }
 
@@ -81,7 +90,7 @@
   }
   const std::string body =
       cbor::Serialize(nlohmann::json::array({self_.ip, self_.port}));
-  for (const core::Address& address : others_) {
+  for (const auto& [address, missing_since] : others_) {
     auto& client = clients_[address];
     if (!client) {
       client = std::make_shared<peer::Client>(loop_, address,
--- a/src/camphormux/coordinator/confirmation_poll.hpp
+++ b/src/camphormux/coordinator/confirmation_poll.hpp
@@ -54,10 +54,13 @@
 
   /// @param loop Event loop; outlives the poll.
   /// @param self Peer address of this node.
-  ConfirmationPoll(asio::io_context& loop, core::Address self);
+  /// @param retention Time for which a node that is not listed any more is
+  /// asked: after an outage of the store, its list lacks nodes that are alive.
+  ConfirmationPoll(asio::io_context& loop, core::Address self,
+                   core::Millis retention);
 
-  /// @brief Replaces the list of nodes; this node is left out.
-  void SetMembers(const std::vector<Member>& members);
+  /// @brief Applies a new list of nodes; this node is left out.
+  void SetMembers(const std::vector<Member>& members, core::MonotonicTime now);
   /// @brief Asks all other nodes.
   /// @param timeout Bound on the whole round.
   /// @param done Called once on the loop with the answers.
@@ -68,8 +71,10 @@
  private:
   asio::io_context& loop_;
   core::Address self_;
+  core::Millis retention_;
   bool members_known_ = false;
-  std::vector<core::Address> others_;
+  /// The other nodes, with the time since when a list lacks them.
+  std::map<core::Address, std::optional<core::MonotonicTime>> others_;
   std::map<core::Address, std::shared_ptr<peer::Client>> clients_;
 };
 
--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/core/boot_time.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/post.hpp>
 
+#include "camphormux/core/boot_time.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/telemetry/log.hpp"
 
@@ -57,7 +58,9 @@
       node_metrics_(RegisterNodeMetrics(*registry_)),
       holder_client_(loop, settings_.peer.ip),
       host_agent_(std::make_shared<HostAgent>(loop, ports_.host)),
-      confirmation_poll_(loop, settings_.peer),
+      confirmation_poll_(
+          loop, settings_.peer,
+          scheduler::PreviousLeasesDuration(settings_.scheduler)),
       server_(
           loop, settings_.peer,
           [this](const peer::Request& request, const peer::Respond& respond) {
@@ -174,7 +177,7 @@
     addresses.push_back(member.address);
   }
   peer_forwarder.SetMembers(addresses);
-  confirmation_poll_.SetMembers(members);
+  confirmation_poll_.SetMembers(members, core::MonotonicNow());
   if (host_router_) {
     host_router_->SetMembers(members);
   }
--- a/src/camphormux/core/time.hpp
+++ b/src/camphormux/core/time.hpp
@@ -2,7 +2,6 @@
 #define CAMPHORMUX_CORE_TIME_HPP_
 
 #include <chrono>
-#include <ctime>
 
 namespace camphormux::core {
 
@@ -29,16 +28,6 @@
   return std::chrono::time_point_cast<Millis>(std::chrono::system_clock::now());
 }
 
-/// @brief Reads the clock that counts from the start of the system. Unlike the
-/// monotonic clock, it also counts the time in which the system was suspended.
-/// @return Time since the start of the system.
-[[nodiscard]] inline std::chrono::nanoseconds BootTime() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) +
-         std::chrono::nanoseconds(now.tv_nsec);
-}
-
 }  // namespace camphormux::core
 
 #endif  // CAMPHORMUX_CORE_TIME_HPP_
--- a/test/coordinator/confirmation_poll_test.cpp
+++ b/test/coordinator/confirmation_poll_test.cpp
@@ -15,11 +15,13 @@
 
 const core::Address kAsking{"127.0.0.1", 1};
 const core::Address kOther{"127.0.0.1", 2};
+constexpr core::Millis kRetention{10'000};
+constexpr core::MonotonicTime kNow{core::Millis(1'000'000)};
 
 /// Nodes with the given views, and a holder at kAsking that asks them.
 struct Harness {
   explicit Harness(std::vector<HolderView> nodes)
-      : views(std::move(nodes)), poll(loop, kAsking) {
+      : views(std::move(nodes)), poll(loop, kAsking, kRetention) {
     std::vector<Member> members = {{kAsking, {"z"}, {250}}};
     for (std::size_t i = 0; i < views.size(); ++i) {
       const core::Address address{"127.0.0.1", FreePort(loop)};
@@ -31,7 +33,7 @@
           }));
       members.push_back({address, {"z"}, {250}});
     }
-    poll.SetMembers(members);
+    poll.SetMembers(members, kNow);
   }
 
   ConfirmationPoll::Round Ask() {
@@ -79,9 +81,21 @@
   EXPECT_FALSE(harness.Ask().is_unanimous());
 }
 
+// Guards against a holder that confirms itself: the first list after an outage
+// can name nobody else.
+TEST(ConfirmationPollTest, NodesThatLeftTheListAreStillAskedForAWhile) {
+  Harness harness({{false, false, kAsking}});
+  const std::vector<Member> alone = {{kAsking, {"z"}, {250}}};
+  harness.poll.SetMembers(alone, kNow);
+  harness.poll.SetMembers(alone, kNow + kRetention - core::Millis(1));
+  EXPECT_FALSE(harness.Ask().is_unanimous());
+  harness.poll.SetMembers(alone, kNow + kRetention);
+  EXPECT_TRUE(harness.Ask().is_unanimous());
+}
+
 TEST(ConfirmationPollTest, NothingIsConfirmedBeforeTheNodesAreKnown) {
   asio::io_context loop;
-  ConfirmationPoll poll(loop, kAsking);
+  ConfirmationPoll poll(loop, kAsking, kRetention);
   bool unanimous = true;
   poll.Ask(core::Millis(100), [&](const ConfirmationPoll::Round& round) {
     unanimous = round.is_unanimous();
