--- a/src/camphormux/coordinator/authority.hpp
+++ b/src/camphormux/coordinator/authority.hpp
@@ -13,7 +13,7 @@
   /// Whether the store has confirmed the ownership recently.
   std::function<bool()> is_confirmed;
   /// Time until a successor may treat the leases of this holder as expired; 0
-  /// or less when it may do so already.
+  /// when it may do so already.
   std::function<core::Millis()> time_left;
 };
 
--- a/src/camphormux/coordinator/job_frontend.hpp
+++ b/src/camphormux/coordinator/job_frontend.hpp
@@ -64,6 +64,8 @@
     return holder_ && holder_->is_ready();
   }
   void RunAfter(core::Millis delay, std::function<void()> action);
+  /// @return The deadline, or the time of the last answer if it is earlier.
+  [[nodiscard]] core::MonotonicTime Bounded(core::MonotonicTime deadline) const;
 
   /// Sends a query repeatedly until there is a final answer or the deadline is
   /// near.
@@ -77,9 +79,6 @@
   HolderClient& holder_client_;
   NodeMetrics& node_metrics_;
   std::function<void()> on_no_answer_;
-  /// @return The deadline, or the time of the last answer if it is earlier.
-  [[nodiscard]] core::MonotonicTime Bounded(core::MonotonicTime deadline) const;
-
   std::shared_ptr<Holder> holder_;
   std::optional<core::MonotonicTime> last_answer_time_;
 };
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -231,8 +231,8 @@
 
 void Node::CheckUnconfirmedHolder(core::MonotonicTime now) {
   if (election_->is_confirmed()) {
-    if (confirmed_by_nodes_) {
-      confirmed_by_nodes_.reset();
+    if (last_poll_unanimous_) {
+      last_poll_unanimous_.reset();
       confirmation_poll_.Disconnect();
     }
     return;
@@ -280,8 +280,8 @@
         if (is_confirmed) {
           election_->ConfirmByNodes(asked);
         }
-        if (confirmed_by_nodes_ != is_confirmed) {
-          confirmed_by_nodes_ = is_confirmed;
+        if (last_poll_unanimous_ != is_confirmed) {
+          last_poll_unanimous_ = is_confirmed;
           telemetry::Log(telemetry::Level::kWarning,
                          is_confirmed
                              ? "ownership confirmed by the other nodes"
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -94,7 +94,7 @@
   core::MonotonicTime last_poll_;
   bool poll_pending_ = false;
   /// Result of the last poll since the store did not confirm the ownership.
-  std::optional<bool> confirmed_by_nodes_;
+  std::optional<bool> last_poll_unanimous_;
   bool leaving_ = false;
 };
 
