--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -282,7 +282,7 @@
 }
 
 void HostLinks::Send(const scheduler::StartRun& order) {
-  Enqueue(order.host, [this, order](std::function<void()> done) {
+  Enqueue(order.host, [this, order](const std::function<void()>& done) {
     const auto run = state_.runs.find(order.run);
     const auto host = state_.hosts.find(order.host);
     if (run == state_.runs.end() || host == state_.hosts.end() ||
--- a/test/coordinator/confirmation_poll_test.cpp
+++ b/test/coordinator/confirmation_poll_test.cpp
@@ -23,13 +23,12 @@
   explicit Harness(std::vector<HolderView> nodes)
       : views(std::move(nodes)), poll(loop, kAsking, kRetention) {
     std::vector<Member> members = {{kAsking, {"z"}, {250}}};
-    for (std::size_t i = 0; i < views.size(); ++i) {
+    for (const HolderView& view : views) {
       const core::Address address{"127.0.0.1", FreePort(loop)};
       servers.push_back(std::make_unique<peer::Server>(
           loop, address,
-          [this, i](const peer::Request& request,
-                    const peer::Respond& respond) {
-            respond(AnswerConfirmHolder(views[i], request));
+          [&view](const peer::Request& request, const peer::Respond& respond) {
+            respond(AnswerConfirmHolder(view, request));
           }));
       members.push_back({address, {"z"}, {250}});
     }
