Reject submissions truthfully while the store does not answer

Change: the writer drops queued jobs 600 ms after an append without an answer; the frontend sends nothing that the holder cannot answer in time; an outage that the holder reports is passed on at once instead of after ten attempts; work that is rejected meanwhile counts as arrived, so that hosts come with the returning callers.

Tests written with the fix: JobFrontendTest.SubmissionWithoutTimeForAnAnswerIsRejectedAndNotSent, OutageThatTheHolderKnowsIsReportedAtOnce, OutageDoesNotHideAnEarlierAttempt, StoreWriterTest.JobBehindAnAppendWithoutAnAnswerIsReportedAsNotStored.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -40,6 +40,8 @@
 constexpr core::Millis kUrgentMachinePollInterval{250};
 /// Interval between log lines about the load of the pools.
 constexpr core::Millis kLoadReportInterval{1000};
+/// Time after which callers retry whose jobs cannot be stored.
+constexpr core::Millis kOutageRetryAfter{1000};
 /// Delay before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetryDelay{400};
 
@@ -329,8 +331,8 @@
   const core::JobId id = spec.id;
   const bool known = state_.jobs.contains(id) || state_.closed.contains(id);
   if (!known && store_writer_->is_overdue(now)) {
-    scheduler::RecordRejectedSubmission(state_, spec.queue, now);
-    done({SubmitOutcome::kUnavailable});
+    scheduler::RecordRejectedSubmission(state_, spec, now);
+    done({SubmitOutcome::kUnavailable, internal::kOutageRetryAfter});
     return;
   }
   const scheduler::AdmissionResult result =
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -30,6 +30,8 @@
 
 struct SubmitAnswer {
   SubmitOutcome outcome = SubmitOutcome::kUnavailable;
+  /// When the caller may retry. 0 from a holder that is unavailable for a
+  /// reason that may not last.
   core::Millis retry_after{0};
 };
 
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -18,7 +18,10 @@
 constexpr core::Millis kSubmitTimeout{800};
 /// The answer is sent this long before the caller's deadline: the network round
 /// trip takes about 6 ms, and late processing adds some more.
-constexpr core::Millis kAnswerMargin{150};
+constexpr core::Millis kAnswerMargin{50};
+/// Least time in which the holder can store a job and answer. An attempt that
+/// is cut off earlier leaves it unknown whether the job is stored.
+constexpr core::Millis kMinAttemptTime{40};
 /// Maximum time to wait for the holder's answer to one attempt.
 constexpr core::Millis kAttemptTimeout{1000};
 /// A query without an answer ends after this time.
@@ -66,6 +69,12 @@
 }
 
 void JobFrontend::SendAttempt(const std::shared_ptr<Submission>& submission) {
+  if (!submission->may_be_stored &&
+      core::MonotonicNow() + internal::kMinAttemptTime >
+          Bounded(submission->deadline)) {
+    Finish(*submission, {SubmitOutcome::kUnavailable, internal::kRetryAfter});
+    return;
+  }
   ++submission->attempt_count;
   auto on_answer = [weak = weak_from_this(), submission](SubmitAnswer answer) {
     if (const auto self = weak.lock()) {
@@ -102,6 +111,12 @@
       submission->may_be_stored = true;
       break;
     case SubmitOutcome::kUnavailable:
+      // The holder knows that it cannot store jobs for now, which another
+      // attempt does not change.
+      if (answer.retry_after.count() > 0 && !submission->may_be_stored) {
+        Finish(*submission, answer);
+        return;
+      }
       break;
   }
   on_no_answer_();
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -53,6 +53,7 @@
                          Listener listener)
     : loop_(loop),
       timer_(loop),
+      overdue_timer_(loop),
       store_(std::move(store)),
       epoch_(epoch),
       state_(state),
@@ -78,6 +79,7 @@
 void StoreWriter::Close() {
   closed_ = true;
   timer_.cancel();
+  overdue_timer_.cancel();
 }
 
 bool StoreWriter::is_overdue(core::MonotonicTime now) const {
@@ -190,9 +192,27 @@
     return;
   }
   batch_->sequence = next_sequence_++;
+  overdue_timer_.expires_at(batch_->begun + internal::kSubmissionTimeout);
+  overdue_timer_.async_wait(
+      [weak = weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error && !self->closed_) {
+          self->DropQueued();
+        }
+      });
   Send();
 }
 
+void StoreWriter::DropQueued() {
+  if (!is_overdue(core::MonotonicNow())) {
+    return;
+  }
+  // They are in no append yet, so they are certainly not stored.
+  for (const core::JobId& id : std::exchange(submissions_, {})) {
+    listener_.on_dropped(id);
+  }
+}
+
 void StoreWriter::Send() {
   ++appends_;
   store_.append(epoch_, batch_->sequence, batch_->records,
@@ -255,6 +275,7 @@
 }
 
 void StoreWriter::OnStored() {
+  overdue_timer_.cancel();
   const auto batch = std::move(batch_);
   const core::MonotonicTime now = core::MonotonicNow();
   for (const core::JobId& id : batch->submissions) {
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -107,9 +107,12 @@
   void OnOutcome(AppendOutcome outcome);
   void OnStored();
   void Retry(bool outcome_certain);
+  /// Drops new jobs that wait behind an append without an answer.
+  void DropQueued();
 
   asio::io_context& loop_;
   asio::steady_timer timer_;
+  asio::steady_timer overdue_timer_;
   StorePort store_;
   core::Epoch epoch_;
   scheduler::State& state_;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -122,12 +122,14 @@
   return {Admission::kStoring};
 }
 
-void RecordRejectedSubmission(State& state, const workload::QueueName& queue,
+void RecordRejectedSubmission(State& state, const workload::JobSpec& spec,
                               core::MonotonicTime now) {
-  if (const workload::Queue* known =
-          workload::FindQueue(state.catalog, queue)) {
-    state.last_pending[known->pool] = now;
+  const workload::Queue* queue = workload::FindQueue(state.catalog, spec.queue);
+  if (queue == nullptr) {
+    return;
   }
+  state.last_pending[queue->pool] = now;
+  RecordArrival(state, internal::MakeJob(spec, queue), now);
 }
 
 void ConfirmSubmission(State& state, const core::JobId& id) {
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -33,8 +33,9 @@
                                      core::WallTime wall);
 
 /// @brief Records that a submission was rejected because nothing can be stored.
-/// The pool appears idle, but its callers will retry.
-void RecordRejectedSubmission(State& state, const workload::QueueName& queue,
+/// The pool appears idle, but its callers will retry: the work counts as
+/// arrived, so that the pool has hosts for it when jobs can be stored again.
+void RecordRejectedSubmission(State& state, const workload::JobSpec& spec,
                               core::MonotonicTime now);
 
 /// @brief Records that a job's submission was stored.
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -44,6 +44,13 @@
     return spec;
   }
 
+  static peer::Response Answer(SubmitOutcome outcome,
+                               std::uint64_t retry_after_ms) {
+    return {peer::kStatusOk,
+            cbor::Serialize(nlohmann::json::array(
+                {static_cast<std::uint64_t>(outcome), retry_after_ms}))};
+  }
+
   asio::io_context loop;
   prometheus::Registry registry;
   NodeMetrics node_metrics;
@@ -94,6 +101,55 @@
   EXPECT_LT(core::MonotonicNow() - start, core::Millis(500));
 }
 
+// Guards against a caller that is told that nobody knows whether its job is
+// stored, although the job was never sent: callers do not retry after that.
+TEST(JobFrontendTest, SubmissionWithoutTimeForAnAnswerIsRejectedAndNotSent) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitAnswer> submitted;
+  harness.frontend->Submit(Harness::Spec(),
+                           core::MonotonicNow() + core::Millis(60),
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnavailable);
+  harness.loop.restart();
+  harness.loop.run_for(std::chrono::milliseconds(100));
+  EXPECT_TRUE(harness.unanswered.empty());
+}
+
+// Guards against callers that wait, and lose the time for further attempts,
+// although the holder has already told that it cannot store jobs.
+TEST(JobFrontendTest, OutageThatTheHolderKnowsIsReportedAtOnce) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitAnswer> submitted;
+  harness.frontend->Submit(Harness::Spec(), core::MonotonicNow() + kDeadline,
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 1; }));
+  harness.unanswered[0](Harness::Answer(SubmitOutcome::kUnavailable, 2000));
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(harness.unanswered.size(), 1U);
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnavailable);
+  EXPECT_EQ(submitted->retry_after, core::Millis(2000));
+}
+
+// Guards against a job that is reported as not accepted and runs: an earlier
+// attempt may have stored it before the outage began.
+TEST(JobFrontendTest, OutageDoesNotHideAnEarlierAttempt) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitAnswer> submitted;
+  harness.frontend->Submit(Harness::Spec(),
+                           core::MonotonicNow() + core::Millis(1000),
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 1; }));
+  harness.unanswered[0](Harness::Answer(SubmitOutcome::kUnknown, 0));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 2; }));
+  harness.unanswered[1](Harness::Answer(SubmitOutcome::kUnavailable, 1000));
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
+}
+
 // Guards against a job that is rejected and runs: the holder stored it, and its
 // answer could not be read.
 TEST(JobFrontendTest, SubmissionWithAnUnreadableAnswerIsNotRejected) {
@@ -113,18 +169,13 @@
 TEST(JobFrontendTest, RemovedQueueDoesNotHideAnEarlierAttempt) {
   Harness harness;
   harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
-  const auto respond_with = [](SubmitOutcome outcome) {
-    return peer::Response{peer::kStatusOk,
-                          cbor::Serialize(nlohmann::json::array(
-                              {static_cast<std::uint64_t>(outcome), 0}))};
-  };
   std::optional<SubmitAnswer> submitted;
   harness.frontend->Submit(Harness::Spec(), core::MonotonicNow() + kDeadline,
                            [&](SubmitAnswer answer) { submitted = answer; });
   ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 1; }));
-  harness.unanswered[0](respond_with(SubmitOutcome::kUnknown));
+  harness.unanswered[0](Harness::Answer(SubmitOutcome::kUnknown, 0));
   ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 2; }));
-  harness.unanswered[1](respond_with(SubmitOutcome::kNoQueue));
+  harness.unanswered[1](Harness::Answer(SubmitOutcome::kNoQueue, 0));
   ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
   EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
 }
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -92,6 +92,37 @@
   EXPECT_EQ(harness.submitted.size(), 1U);
 }
 
+// Guards against callers that learn only at their deadline that nobody knows
+// whether their job is stored, although it was in no append: it waited behind
+// one without an answer.
+TEST(StoreWriterTest, JobBehindAnAppendWithoutAnAnswerIsReportedAsNotStored) {
+  Harness harness;
+  harness.Submit();
+  harness.WaitForAppends(1);
+  workload::JobSpec later = Spec();
+  later.id.value = "00000000000000aa";
+  (void)scheduler::Submit(harness.state, later, core::MonotonicNow(),
+                          core::WallNow());
+  harness.store_writer->AddSubmission(later.id);
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (harness.dropped.empty() && std::chrono::steady_clock::now() < end) {
+    harness.loop.restart();
+    harness.loop.run_one_for(std::chrono::milliseconds(50));
+  }
+  ASSERT_EQ(harness.dropped.size(), 1U);
+  EXPECT_EQ(harness.dropped[0], later.id);
+  // The job of the append without an answer may be stored.
+  EXPECT_TRUE(harness.state.jobs.contains(Spec().id));
+  harness.appends[0].done(AppendOutcome::kStored);
+  ASSERT_EQ(harness.submitted.size(), 1U);
+  EXPECT_EQ(harness.submitted[0], Spec().id);
+  for (const Harness::Append& append : harness.appends) {
+    for (const StoreRecord& record : append.records) {
+      EXPECT_EQ(record.key.find(later.id.value), std::string::npos);
+    }
+  }
+}
+
 // Guards against a job that is stored twice, or wrongly reported as not stored,
 // after an append without an answer.
 TEST(StoreWriterTest, AppendWithoutAnAnswerIsRepeatedUnchanged) {
