List all nodes, and take over once

Cause 1: the store's topic has 48 partitions, and only members that own one are listed: of 97 nodes 48 were known (log line 'list of nodes has changed', nodes=48). A holder without the store asked only these whether they know another holder, so that a node that it did not know could have taken over.

Cause 2: candidates drew their rank from a hash with 8 values, and nodes find out at different times that there is no holder. Two candidates that join at once make the store deal the ownership anew: the first loses it 0.3 s after it gained it. Ranks are now places in the list of nodes, their distance covers the interval of lookups, and a candidate that is not the first leaves at once.

Appends answered with a status that the protocol does not name count as maybe stored (StoreTest.AppendWithAnAnswerThatTheProtocolDoesNotNameMayBeStored).

--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -22,28 +22,31 @@
 /// Interval between announcements; a third of their time to live.
 constexpr core::Millis kAnnounceInterval{1500};
 
-/// Bounds of the delay between the candidacies of two consecutive ranks. The
-/// delay must be long enough for the next node to see the first candidate even
-/// when the store is slow.
-constexpr core::Millis kMinRankDelay{25};
-constexpr core::Millis kMaxRankDelay{300};
+/// Bounds of the delay between the candidacies of two consecutive ranks. Nodes
+/// find out at different times, up to one lookup interval apart, that there is
+/// no holder, and the next node must see the first candidate even when the
+/// store is slow.
+constexpr core::Millis kMinRankDelay{170};
+constexpr core::Millis kMaxRankDelay{400};
 
 core::Millis RankDelay(std::size_t candidate_rank,
                        core::Millis lookup_duration) {
-  return std::clamp(lookup_duration * 2, kMinRankDelay, kMaxRankDelay) *
+  return std::clamp(kMinLookupInterval + lookup_duration * 2, kMinRankDelay,
+                    kMaxRankDelay) *
          static_cast<std::int64_t>(candidate_rank);
 }
 
 }  // namespace internal
 
 Election::Election(asio::io_context& loop, ElectionPort port, Listener listener,
-                   std::size_t candidate_rank, bool last_resort)
+                   std::function<std::size_t()> candidate_rank,
+                   bool last_resort)
     : lookup_timer_(loop),
       join_timer_(loop),
       announce_timer_(loop),
       port_(std::move(port)),
       listener_(std::move(listener)),
-      candidate_rank_(candidate_rank),
+      candidate_rank_(std::move(candidate_rank)),
       last_resort_(last_resort) {}
 
 void Election::Start() {
@@ -172,7 +175,7 @@
   }
   const core::MonotonicTime due =
       *no_holder_since_ +
-      internal::RankDelay(candidate_rank_, last_lookup_duration_) +
+      internal::RankDelay(candidate_rank_(), last_lookup_duration_) +
       (last_resort_ ? internal::kLastResortDelay : core::Millis(0));
   if (now < due) {
     ScheduleLookup(due - now);
@@ -192,11 +195,58 @@
       [weak = weak_from_this()](const asio::error_code& error) {
         const auto self = weak.lock();
         if (self && !error && !self->closed_) {
-          self->Join();
+          self->RenewMembership();
         }
       });
 }
 
+void Election::RenewMembership() {
+  if (!is_candidate_ || join_pending_) {
+    return;
+  }
+  if (is_confirmed()) {
+    Join();
+    return;
+  }
+  // The membership may have expired while the process was suspended. Joining
+  // again would take the ownership from a node that has taken over.
+  join_pending_ = true;
+  port_.find_holder(
+      [weak = weak_from_this()](const std::optional<Ownership>& ownership) {
+        const auto self = weak.lock();
+        if (self && !self->closed_) {
+          self->join_pending_ = false;
+          self->OnOwnershipBeforeJoin(ownership);
+        }
+      });
+}
+
+void Election::OnOwnershipBeforeJoin(
+    const std::optional<Ownership>& ownership) {
+  if (!is_candidate_) {
+    return;
+  }
+  UpdateStoreState(ownership.has_value());
+  if (!ownership) {
+    ScheduleJoin();
+    return;
+  }
+  const bool is_other_node = ownership->holder && !ownership->is_self &&
+                             !ownership->is_previous_process;
+  if (!is_other_node) {
+    Join();
+    return;
+  }
+  telemetry::Log(telemetry::Level::kInfo, "another node has taken over",
+                 {{"generation", std::to_string(generation_.value)}});
+  holder_ = ownership->holder;
+  Withdraw();
+  if (std::exchange(is_holder_, false)) {
+    listener_.on_loss();
+  }
+  ScheduleLookup(internal::kLookupInterval);
+}
+
 void Election::Join() {
   if (!is_candidate_ || join_pending_) {
     return;
@@ -234,6 +284,9 @@
     listener_.on_loss();
   }
   if (!is_holder_) {
+    // Another candidate was earlier. The store would move the ownership to this
+    // one if it stayed in the group.
+    Withdraw();
     ScheduleLookup(core::Millis(0));
   }
 }
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -31,13 +31,14 @@
   /// @param loop Event loop; outlives the election.
   /// @param port Access to the store's membership groups.
   /// @param listener Receives the changes.
-  /// @param candidate_rank Order in which nodes become candidates, from 0.
-  /// Nodes of different ranks wait for different times, so that usually only
-  /// one becomes a candidate.
+  /// @param candidate_rank Returns the node's place in the order in which nodes
+  /// become candidates, from 0. Nodes of different ranks wait for different
+  /// times, so that usually only one becomes a candidate.
   /// @param last_resort This node is too small to be the holder of a large
   /// fleet: it becomes a candidate only after a long time without a holder.
   Election(asio::io_context& loop, ElectionPort port, Listener listener,
-           std::size_t candidate_rank, bool last_resort = false);
+           std::function<std::size_t()> candidate_rank,
+           bool last_resort = false);
 
   void Start();
   /// @brief Looks the holder up again soon, because it does not answer.
@@ -73,6 +74,9 @@
   void ScheduleLookup(core::Millis delay);
   void Join();
   void ScheduleJoin();
+  /// Joins again, unless another node took over while this one was suspended.
+  void RenewMembership();
+  void OnOwnershipBeforeJoin(const std::optional<Ownership>& ownership);
   void OnJoined(std::chrono::nanoseconds sent,
                 const std::optional<MembershipAnswer>& answer);
   void Withdraw();
@@ -83,7 +87,7 @@
   asio::steady_timer announce_timer_;
   ElectionPort port_;
   Listener listener_;
-  std::size_t candidate_rank_;
+  std::function<std::size_t()> candidate_rank_;
   core::Millis last_lookup_duration_{0};
   bool last_resort_;
   std::optional<core::Address> holder_;
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -1,11 +1,13 @@
 #include "camphormux/coordinator/node.hpp"
 
+#include <cmath>
 #include <functional>
 #include <string>
 #include <utility>
 
 #include <asio/post.hpp>
 
+#include "camphormux/coordinator/candidate_rank.hpp"
 #include "camphormux/core/boot_time.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/telemetry/log.hpp"
@@ -32,19 +34,17 @@
 /// Time in which hosts that answer have answered. Idle hosts are asked only
 /// once the store does not confirm the ownership any more.
 constexpr core::Millis kHostProbeTime{1000};
-/// A node with this processor share decides in time for several hundred hosts.
-constexpr double kLargeNodeShare = 0.4;
-/// Number of candidate ranks among nodes of one size; about the number of nodes
-/// in a small deployment.
-constexpr std::size_t kCandidateRanks = 8;
+/// Time in which nodes that start together are all listed.
+constexpr core::Millis kListingTime{8000};
+constexpr double kMilliCoresPerCore = 1000;
 
-/// Large nodes become candidates before small ones.
-std::size_t CandidateRank(const NodeSettings& settings) {
-  const std::size_t candidate_rank =
-      std::hash<std::string>()(settings.peer.ip) % kCandidateRanks;
-  return settings.processor_share < kLargeNodeShare
-             ? candidate_rank + kCandidateRanks
-             : candidate_rank;
+Member AsMember(const NodeSettings& settings) {
+  Member member;
+  member.address = settings.peer;
+  member.zone = settings.zone;
+  member.processor.value =
+      std::lround(settings.processor_share * kMilliCoresPerCore);
+  return member;
 }
 
 }  // namespace internal
@@ -93,7 +93,7 @@
                          [this, &peer_forwarder](const auto& members) {
                            OnMembers(members, peer_forwarder);
                          }},
-      internal::CandidateRank(settings_),
+      [this] { return candidate_rank(); },
       settings_.processor_share < internal::kMinHolderShare);
   job_frontend_ = std::make_shared<JobFrontend>(loop, holder_client_,
                                                 node_metrics_, [this] {
@@ -171,6 +171,9 @@
 void Node::OnMembers(const std::vector<Member>& members,
                      PeerForwarder& peer_forwarder) {
   members_ = members;
+  if (!members_known_since_) {
+    members_known_since_ = core::MonotonicNow();
+  }
   std::vector<core::Address> addresses;
   addresses.reserve(members.size());
   for (const Member& member : members) {
@@ -180,9 +183,22 @@
   confirmation_poll_.SetMembers(members, core::MonotonicNow());
   if (host_router_) {
     host_router_->SetMembers(members);
+    telemetry::Log(telemetry::Level::kInfo, "list of nodes has changed",
+                   {{"nodes", std::to_string(members.size())}});
   }
 }
 
+std::size_t Node::candidate_rank() const {
+  // Nodes that start together are listed one after the other, and know
+  // different members until then.
+  const bool is_list_complete =
+      members_known_since_ &&
+      core::MonotonicNow() >= *members_known_since_ + internal::kListingTime;
+  return CandidateRank(internal::AsMember(settings_),
+                       is_list_complete ? members_ : std::vector<Member>(),
+                       election_->holder());
+}
+
 void Node::OnLoss() {
   telemetry::Log(telemetry::Level::kInfo, "ownership given up");
   StopHolder();
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -69,6 +69,7 @@
   void CheckUnconfirmedHolder(core::MonotonicTime now);
   void AskOtherNodes(core::MonotonicTime now);
   [[nodiscard]] core::Millis authority_left() const;
+  [[nodiscard]] std::size_t candidate_rank() const;
 
   asio::io_context& loop_;
   NodeSettings settings_;
@@ -87,6 +88,7 @@
   asio::steady_timer check_timer_;
   std::optional<workload::Catalog> catalog_;
   std::vector<Member> members_;
+  std::optional<core::MonotonicTime> members_known_since_;
   std::map<scheduler::WaveId, scheduler::WaveRequest> waves_;
   core::MonotonicTime last_holder_answer_;  ///< Of one that can decide.
   core::MonotonicTime last_ping_;
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -70,6 +70,7 @@
   std::optional<core::Address> holder;  ///< Empty if there is no holder.
   /// The holder is an earlier process at this node's own address.
   bool is_previous_process = false;
+  bool is_self = false;  ///< The holder is this process.
 };
 
 /// @brief Ownership and node list, kept in membership groups of the store.
--- a/test/coordinator/election_test.cpp
+++ b/test/coordinator/election_test.cpp
@@ -38,7 +38,7 @@
             [this](core::Epoch token) { tokens.push_back(token); },
             [this] { ++losses; },
             [](const std::vector<coordinator::Member>&) {}},
-        0, last_resort);
+        [] { return std::size_t{0}; }, last_resort);
   }
 
   void RunFor(std::chrono::milliseconds span) {
@@ -191,6 +191,7 @@
     std::shared_ptr<Election> election;
     int gains = 0;
     bool holds = false;
+    bool is_cut_off = false;  ///< The store does not answer it.
   };
 
   void Add(std::size_t candidate_rank) {
@@ -198,6 +199,10 @@
     member.address = {"10.0.0." + std::to_string(members.size()), 1};
     ElectionPort port;
     port.join = [this, &member](auto done) {
+      if (member.is_cut_off) {
+        done(std::nullopt);
+        return;
+      }
       if (std::find(joined.begin(), joined.end(), &member) == joined.end()) {
         joined.push_back(&member);
         ++generation;
@@ -208,8 +213,15 @@
       Remove(member);
       done();
     };
-    port.find_holder = [this](auto done) {
-      done(joined.empty() ? Ownership{} : Ownership{joined.back()->address});
+    port.find_holder = [this, &member](auto done) {
+      if (member.is_cut_off) {
+        done(std::nullopt);
+      } else if (joined.empty()) {
+        done(Ownership{});
+      } else {
+        done(
+            Ownership{joined.back()->address, false, joined.back() == &member});
+      }
     };
     port.announce = [](auto done) { done(std::nullopt); };
     member.election = std::make_shared<Election>(
@@ -220,7 +232,7 @@
                            },
                            [&member] { member.holds = false; },
                            [](const std::vector<coordinator::Member>&) {}},
-        candidate_rank);
+        [candidate_rank] { return candidate_rank; });
   }
 
   void Remove(Member& member) {
@@ -257,6 +269,34 @@
   std::uint64_t generation = 0;
 };
 
+// Guards against a holder that was suspended or cut off, joins again when it is
+// back, and so takes the ownership from the node that has taken over.
+TEST(ElectionTest, HolderThatIsBackLeavesTheOwnershipToItsSuccessor) {
+  Group group;
+  for (std::size_t candidate_rank = 0; candidate_rank < 3; ++candidate_rank) {
+    group.Add(candidate_rank * 4);
+    group.members.back().election->Start();
+  }
+  group.RunFor(std::chrono::milliseconds(1000));
+  ASSERT_EQ(group.Holders(), 1);
+  const auto first =
+      std::find_if(group.members.begin(), group.members.end(),
+                   [](const Group::Member& member) { return member.holds; });
+  first->is_cut_off = true;
+  group.Remove(*first);  // Its time to live is over.
+  group.RunFor(kOwnershipTtl + core::Millis(1000));
+  const auto second = std::find_if(group.members.begin(), group.members.end(),
+                                   [&](const Group::Member& member) {
+                                     return member.holds && &member != &*first;
+                                   });
+  ASSERT_NE(second, group.members.end());
+  first->is_cut_off = false;
+  group.RunFor(std::chrono::milliseconds(1500));
+  EXPECT_TRUE(second->holds);
+  EXPECT_EQ(second->gains, 1);
+  EXPECT_FALSE(first->holds);
+}
+
 // Guards against ownership that moves from node to node: after the holder
 // fails, one node takes it and keeps it, even while other nodes start.
 TEST(ElectionTest, FailureOfTheHolderCausesOneTakeover) {
--- a/test/platform/fake_store.cpp
+++ b/test/platform/fake_store.cpp
@@ -1,5 +1,8 @@
 #include "test/platform/fake_store.hpp"
 
+#include <algorithm>
+#include <set>
+
 #include <nlohmann/json.hpp>
 
 #include "platform/decode.hpp"
@@ -52,10 +55,15 @@
                   return;
                 }
                 http::ServerResponse response =
-                    request.path == "/-/log-append" ? Append(request)
-                    : request.path == "/-/log-newest"
-                        ? Newest(request)
+                    request.path == "/-/log-append"   ? Append(request)
+                    : request.path == "/-/log-newest" ? Newest(request)
+                    : request.path == "/-/log-join"   ? Join(request)
+                    : request.path == "/-/log-owners"
+                        ? Owners(request)
                         : Answer(200, json::object());
+                if (request.path == "/-/log-append" && append_status != 0) {
+                  response = Answer(append_status, json::object());
+                }
                 if (drops_answers) {
                   unanswered_.push_back(respond);
                 } else {
@@ -100,6 +108,62 @@
   return Answer(200, {{"offset", 0}, {"end", 0}});
 }
 
+std::vector<std::string> FakeStore::Deal(const Group& group,
+                                         const std::string& topic) const {
+  std::vector<std::string> members;
+  for (const auto& [member, own_topic] : group) {
+    if (own_topic == topic) {
+      members.push_back(member);
+    }
+  }
+  std::vector<std::string> owners;
+  for (std::size_t part = 0; part < partitions && !members.empty(); ++part) {
+    owners.push_back(members[part % members.size()]);
+  }
+  return owners;
+}
+
+http::ServerResponse FakeStore::Join(const http::ServerRequest& request) {
+  const json body = json::parse(request.body);
+  Group& group = groups_[body["group"].get<std::string>()];
+  const std::string member = body["member"].get<std::string>();
+  const std::string topic = body["topics"][0].get<std::string>();
+  const auto known =
+      std::find_if(group.begin(), group.end(),
+                   [&](const auto& entry) { return entry.first == member; });
+  if (known == group.end()) {
+    group.emplace_back(member, topic);
+    ++generation_;
+  } else if (known->second != topic) {
+    known->second = topic;
+    ++generation_;
+  }
+  json parts = json::array();
+  const std::vector<std::string> owners = Deal(group, topic);
+  for (std::size_t part = 0; part < owners.size(); ++part) {
+    if (owners[part] == member) {
+      parts.push_back({topic, part, 0});
+    }
+  }
+  return Answer(200, {{"generation", generation_}, {"parts", parts}});
+}
+
+http::ServerResponse FakeStore::Owners(const http::ServerRequest& request) {
+  const Group& group = groups_[request.query.at("group")];
+  std::set<std::string> topics;
+  for (const auto& [member, topic] : group) {
+    topics.insert(topic);
+  }
+  json rows = json::array();
+  for (const std::string& topic : topics) {
+    const std::vector<std::string> owners = Deal(group, topic);
+    for (std::size_t part = 0; part < owners.size(); ++part) {
+      rows.push_back({topic, part, owners[part], 0});
+    }
+  }
+  return Answer(200, {{"owners", rows}});
+}
+
 http::ServerResponse FakeStore::Newest(
     const http::ServerRequest& request) const {
   json items = json::array();
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -1,3 +1,6 @@
+#include <map>
+#include <string>
+
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
@@ -86,6 +89,54 @@
   EXPECT_EQ(fixture.fake_store.executed_appends, 0U);
 }
 
+// Guards against a job that is rejected and runs: the answer came from
+// something between this node and the store, which had stored the job.
+TEST(StoreTest, AppendWithAnAnswerThatTheProtocolDoesNotNameMayBeStored) {
+  for (const int status : {201, 302, 404, 500, 502, 504}) {
+    StoreFixture fixture;
+    fixture.fake_store.append_status = status;
+    EXPECT_EQ(fixture.Append(1, 1, {{"j/a", "1"}}), AppendOutcome::kUnknown)
+        << status;
+    EXPECT_EQ(fixture.fake_store.executed_appends, 1U);
+  }
+  for (const int status : {429, 503, 507}) {
+    StoreFixture fixture;
+    fixture.fake_store.append_status = status;
+    EXPECT_EQ(fixture.Append(1, 1, {{"j/a", "1"}}), AppendOutcome::kNotStored)
+        << status;
+  }
+}
+
+// Guards against nodes that no other node knows because a topic has fewer
+// partitions than the deployment has nodes: a holder without the store would
+// not ask them whether they know another holder.
+TEST(StoreTest, AllNodesAreListedThoughATopicHasFewerPartitions) {
+  constexpr int kNodes = 12;
+  StoreFixture fixture;
+  fixture.fake_store.partitions = 5;
+  std::vector<coordinator::ElectionPort> nodes;
+  for (int i = 0; i < kNodes; ++i) {
+    coordinator::NodeSettings settings;
+    settings.peer = {"10.0.0." + std::to_string(i), 7580};
+    settings.zone.value = "a";
+    nodes.push_back(MakeElectionPort(fixture.store, settings));
+  }
+  using Members = std::optional<std::vector<coordinator::Member>>;
+  std::map<int, std::size_t> listed;
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < kNodes; ++i) {
+      const auto members = WaitFor<Members>(
+          fixture.loop, [&](auto done) { nodes[i].announce(std::move(done)); });
+      if (members) {
+        listed[i] = members->size();
+      }
+    }
+  }
+  for (int i = 0; i < kNodes; ++i) {
+    EXPECT_EQ(listed[i], static_cast<std::size_t>(kNodes)) << i;
+  }
+}
+
 // Guards against jobs that are lost because they are on a later page.
 TEST(StoreTest, LoadsAllPages) {
   StoreFixture fixture;
