Move hosts as fast as the platform accepts, idle ones first

Machines were taken from the standby pool while another pool had 50 to 100 idle hosts, which were parked later by moves of their own. Permanent tasks went to the host with the fewest free cores, so that a surge spread them over hosts that could then never leave.

Change: the limit comes from the settings, as a budget with a burst of half a second that all moves share; idle hosts of other pools go first; permanent tasks share hosts.

--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -8,6 +8,8 @@
 namespace camphormux::coordinator {
 namespace internal {
 
+constexpr double kMaxOrdersPerSecond = 100'000;
+
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
@@ -42,6 +44,10 @@
   settings.machine_lease =
       settings::ReadDuration(reader, "machines", "lease", milliseconds(0),
                              minutes(1), settings.machine_lease);
+  settings.machine_orders_per_second =
+      static_cast<std::uint32_t>(settings::ReadReal(
+          reader, "machines", "orders_per_second", 1.0, kMaxOrdersPerSecond,
+          settings.machine_orders_per_second));
 }
 
 }  // namespace internal
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/scheduler/balance.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <map>
 #include <vector>
@@ -22,9 +23,10 @@
 /// A move that has not been observed to complete within this time is no longer
 /// counted.
 constexpr core::Millis kMoveTimeout{6000};
-/// Maximum number of moves in a pass; far below the rate limit of the cloud
-/// API.
-constexpr std::size_t kMaxMovesPerPass = 8;
+/// Share of the platform's limit that moves use; upkeep needs the rest.
+constexpr double kMoveShare = 0.9;
+/// Moves of this time may be ordered at once.
+constexpr std::chrono::duration<double> kMoveBurst{0.5};
 
 constexpr double kMilliCoresPerCore = 1000;
 
@@ -156,12 +158,13 @@
   if (host != state.hosts.end()) {
     host->second.reserved = true;
   }
+  state.move_budget -= 1;
   state.orders.emplace_back(MoveMachine{machine.listing.id, pool});
 }
 
-/// Takes an idle machine from a standby pool if there is one, otherwise from
-/// the pool with most idle hosts among those whose capacity exceeds their own
-/// demand.
+/// Takes an idle machine from the pool with most idle hosts among those whose
+/// capacity exceeds their own demand, otherwise from a standby pool: hosts that
+/// are idle are paid for, and would be parked later by a move of their own.
 Machine* TakeIdleMachine(std::map<core::PoolName, PoolBalance>& pools,
                          const core::PoolName& except) {
   PoolBalance* best = nullptr;
@@ -175,7 +178,7 @@
     if (!balance.standby && balance.capacity - size < required) {
       continue;
     }
-    if (best == nullptr || (balance.standby && !best->standby) ||
+    if (best == nullptr || (!balance.standby && best->standby) ||
         (balance.standby == best->standby &&
          balance.idle.size() > best->idle.size())) {
       best = &balance;
@@ -190,16 +193,28 @@
   return machine;
 }
 
+/// Adds the moves that the platform accepts since the last pass to those that
+/// may be ordered.
+void RefillMoveBudget(State& state, core::MonotonicTime now) {
+  const double per_second =
+      kMoveShare * state.settings.machine_orders_per_second;
+  const std::chrono::duration<double> elapsed = now - state.move_budget_updated;
+  state.move_budget =
+      std::min(per_second * kMoveBurst.count(),
+               state.move_budget + per_second * elapsed.count());
+  state.move_budget_updated = now;
+}
+
 /// Moves machines to pools whose capacity is below their demand, one pool after
 /// the other.
 void FillPools(State& state, std::map<core::PoolName, PoolBalance>& pools,
                std::int64_t PoolBalance::*demand, core::MonotonicTime now) {
-  std::size_t moves = 0;
   bool moved = true;
-  while (moved && moves < kMaxMovesPerPass) {
+  while (moved) {
     moved = false;
     for (auto& [pool, balance] : pools) {
-      if (balance.standby || balance.*demand <= balance.capacity) {
+      if (balance.standby || balance.*demand <= balance.capacity ||
+          state.move_budget < 1) {
         continue;
       }
       Machine* machine = TakeIdleMachine(pools, pool);
@@ -209,7 +224,6 @@
       balance.capacity += machine->listing.capacity.cores.value;
       OrderMove(state, *machine, pool, now);
       moved = true;
-      ++moves;
     }
   }
 }
@@ -237,7 +251,7 @@
         !HadNoPendingTasks(state, pool, now, kIdleRetention)) {
       continue;
     }
-    while (std::ssize(balance.idle) > kWarmHosts) {
+    while (std::ssize(balance.idle) > kWarmHosts && state.move_budget >= 1) {
       Machine& machine = *balance.idle.back();
       balance.idle.pop_back();
       const Host& host = state.hosts.at(machine.listing.host);
@@ -259,6 +273,7 @@
     return;
   }
   state.next_balance = now + internal::kBalanceInterval;
+  internal::RefillMoveBudget(state, now);
   auto pools = internal::MeasurePools(state, views, now);
   internal::FillPools(state, pools, &internal::PoolBalance::urgent_demand, now);
   internal::FillPools(state, pools, &internal::PoolBalance::demand, now);
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -67,6 +67,11 @@
       [&](RunId id) { return state.runs.at(id).latency_target.count() > 0; }));
 }
 
+std::int64_t CountPermanentRuns(const State& state, const Host& host) {
+  return std::count_if(host.runs.begin(), host.runs.end(),
+                       [&](RunId id) { return state.runs.at(id).permanent; });
+}
+
 /// Returns the rack on which runs of a colocated step already are.
 std::optional<core::RackName> RackOfStep(const State& state, const Job& job,
                                          const StepInstance& instance) {
@@ -94,15 +99,17 @@
 
 /// Chooses the host for a task: preferably on the rack of its data or of its
 /// step's other tasks, not the host of its last failure, and with the fewest
-/// free cores, so that other hosts stay free. Best-effort tasks go to hosts
-/// with few serving and best-effort runs and most free cores.
+/// free cores, so that other hosts stay free. Permanent tasks go to hosts with
+/// most permanent runs, as a host with one of them can never leave its pool.
+/// Best-effort tasks go to hosts with few serving and best-effort runs and most
+/// free cores.
 Host* ChooseHost(const State& state, const Job& job,
                  const StepInstance& instance, const Task& task,
                  const std::vector<Host*>& hosts,
                  const std::optional<core::RackName>& rack,
                  bool must_match_rack) {
   const workload::Step& step = job.spec.steps[instance.step];
-  using Score = std::tuple<bool, bool, std::size_t, std::int64_t>;
+  using Score = std::tuple<bool, bool, std::int64_t, std::size_t, std::int64_t>;
   Host* best = nullptr;
   Score best_score;
   for (Host* host : hosts) {
@@ -113,6 +120,8 @@
     }
     const Score score{
         off_rack, host->listing.id == task.failed_on,
+        step.permanent && !step.best_effort ? -CountPermanentRuns(state, *host)
+                                            : 0,
         step.best_effort
             ? CountServingRuns(state, *host) + host->best_effort_runs
             : 0,
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -26,6 +26,8 @@
   /// Minimum time between orders of two different lease holders for the same
   /// machine.
   core::Millis machine_lease{3000};
+  /// Orders for machines that the platform accepts per second.
+  std::uint32_t machine_orders_per_second = 64;
   /// Time that a final job state remains available to callers.
   core::Millis status_retention{120'000};
   /// Time after a store outage by which the entries that it removed from the
@@ -285,6 +287,9 @@
   core::MonotonicTime last_listing;
   core::MonotonicTime next_check;
   core::MonotonicTime next_balance;
+  /// Moves that may be ordered now without exceeding the platform's limit.
+  double move_budget = 0;
+  core::MonotonicTime move_budget_updated;
   core::MonotonicTime next_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
   std::map<core::PoolName, ArrivalRate> arrival_rates;
--- a/test/coordinator/node_settings_test.cpp
+++ b/test/coordinator/node_settings_test.cpp
@@ -24,6 +24,7 @@
 status_kept = 120s
 [machines]
 lease = 3000ms
+orders_per_second = 310.0
 )";
 
 core::Result<NodeSettings, settings::Problems> Parse(const std::string& text) {
@@ -38,6 +39,7 @@
   EXPECT_EQ(parsed.value().scheduler.remote_factor, 1.5);
   // Never longer than the platform's limit.
   EXPECT_EQ(parsed.value().scheduler.lease, core::Millis(4000));
+  EXPECT_EQ(parsed.value().scheduler.machine_orders_per_second, 310U);
 }
 
 // Guards against a node that starts with misread settings.
--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -46,7 +46,7 @@
   fleet.AddHosts("pool", 8);
   fleet.AddHosts("calm", 8);
   for (int i = 0; i < 60; ++i) {
-    RecordRejectedSubmission(fleet.state, {"q"}, fleet.now);
+    RecordRejectedSubmission(fleet.state, MakeJob(1, "q", 1, 1, {}), fleet.now);
     fleet.Advance(core::Millis(100));
   }
   std::size_t kept = 0;
@@ -99,6 +99,50 @@
   EXPECT_EQ(fleet.CountStarts(job.id.value), 24U);
 }
 
+// Guards against a surge that waits for its hosts although the platform accepts
+// more moves per second.
+TEST(BalanceTest, MovesKeepUpWithTheLimitOfThePlatform) {
+  for (const std::uint32_t limit : {64U, 300U}) {
+    Fleet fleet;
+    fleet.state.settings.machine_orders_per_second = limit;
+    fleet.AddQueue("q", "pool");
+    fleet.AddStandbyPool("spare");
+    fleet.AddHosts("pool", 4);
+    fleet.AddHosts("spare", 200);
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+      (void)fleet.Submit(MakeJob(i, "q", 8, 20, core::Millis(2000)));
+    }
+    fleet.Advance(core::Millis(1000));
+    const std::size_t moves = CountMovesTo(fleet, "pool");
+    EXPECT_GE(moves, limit / 2);
+    EXPECT_LE(moves, limit + limit / 2);
+  }
+}
+
+// Guards against powering on a host while another pool pays for idle ones,
+// which are parked later.
+TEST(BalanceTest, IdleHostsOfOtherPoolsMoveBeforeStandbyOnes) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddQueue("other", "calm");
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("pool", 4);
+  fleet.AddHosts("calm", 6);
+  fleet.AddHosts("spare", 20);
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    (void)fleet.Submit(MakeJob(i, "q", 8, 20, core::Millis(2000)));
+  }
+  fleet.Advance(core::Millis(10));
+  std::size_t from_calm = 0;
+  for (const Order& order : fleet.sent) {
+    const auto* move = std::get_if<MoveMachine>(&order);
+    from_calm +=
+        move != nullptr && move->machine.value.starts_with("m-calm") ? 1U : 0U;
+  }
+  EXPECT_EQ(from_calm, 4U);  // The pool keeps two hosts of its own.
+  EXPECT_GT(CountMovesTo(fleet, "pool"), 4U);
+}
+
 // Guards against paying for idle hosts.
 TEST(BalanceTest, IdleHostsGoToTheStandbyPool) {
   Fleet fleet;
--- a/test/scheduler/placing_test.cpp
+++ b/test/scheduler/placing_test.cpp
@@ -1,5 +1,7 @@
 #include "camphormux/scheduler/placing.hpp"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/hosts.hpp"
@@ -8,6 +10,38 @@
 namespace camphormux::scheduler {
 namespace {
 
+// Guards against permanent tasks that are spread over a pool which a surge has
+// enlarged: a host with one of them can never leave the pool again.
+TEST(PlacingTest, PermanentTasksShareHosts) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 30);
+  // Short tasks leave a different number of cores free on each host.
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    (void)fleet.Submit(MakeJob(i, "q", 1, 33 + static_cast<std::int64_t>(i / 2),
+                               core::Millis(60'000)));
+    fleet.Advance(core::Millis(10));
+  }
+  for (std::uint64_t i = 101; i <= 103; ++i) {
+    auto job = MakeJob(i, "q", 6, 4, core::Millis(1000));
+    job.steps[0].permanent = true;
+    job.steps[0].max_per_host = 1;
+    (void)fleet.Submit(job);
+    fleet.Advance(core::Millis(100));
+  }
+  std::size_t hosts = 0;
+  std::size_t runs = 0;
+  for (const auto& [id, host] : fleet.state.hosts) {
+    const auto permanent = static_cast<std::size_t>(std::count_if(
+        host.runs.begin(), host.runs.end(),
+        [&](RunId run) { return fleet.state.runs.at(run).permanent; }));
+    hosts += permanent > 0 ? 1U : 0U;
+    runs += permanent;
+  }
+  EXPECT_EQ(runs, 18U);
+  EXPECT_EQ(hosts, 6U);
+}
+
 // Guards against placing more than a host's capacity.
 TEST(PlacingTest, RunsNeverExceedAHostsCapacity) {
   Fleet fleet;
