Let an exception cost one request, not the process

Cause: no handler of requests from callers or other nodes caught anything, so that an exception left the event loop and ended the process. No input that does so is known.

Change: handlers run guarded; the exception is logged and the request gets 500, which leaves open whether it took effect.

NodeTest.ExceptionInAHandlerCostsOnlyItsRequest and JobFrontendTest.SubmissionOnWhichTheHolderFailsMayBeStored pass; they were not run on the code before. loop_late_ms of a holder's first line is 0 now (it was the time since boot).

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -474,15 +474,18 @@
     return;
   }
   last_load_report_ = now;
-  telemetry::Log(
-      telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo, "planning",
-      {{"passes", std::to_string(plan_passes_.count)},
-       {"total_ms", std::to_string(plan_passes_.total.count())},
-       {"longest_ms", std::to_string(plan_passes_.longest.count())},
-       {"jobs", std::to_string(state_.jobs.size())},
-       {"runs", std::to_string(state_.runs.size())},
-       {"hosts", std::to_string(state_.hosts.size())},
-       {"loop_late_ms", std::to_string((now - next_tick_).count())}});
+  // No tick was due before the first one.
+  const core::Millis loop_late =
+      next_tick_ == core::MonotonicTime() ? core::Millis(0) : now - next_tick_;
+  telemetry::Log(telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo,
+                 "planning",
+                 {{"passes", std::to_string(plan_passes_.count)},
+                  {"total_ms", std::to_string(plan_passes_.total.count())},
+                  {"longest_ms", std::to_string(plan_passes_.longest.count())},
+                  {"jobs", std::to_string(state_.jobs.size())},
+                  {"runs", std::to_string(state_.runs.size())},
+                  {"hosts", std::to_string(state_.hosts.size())},
+                  {"loop_late_ms", std::to_string(loop_late.count())}});
   plan_passes_ = {};
   const RunLatency run_latency = std::exchange(run_latency_, {});
   telemetry::Log(
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -10,6 +10,7 @@
 #include "camphormux/coordinator/candidate_rank.hpp"
 #include "camphormux/core/boot_time.hpp"
 #include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/telemetry/guard.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
@@ -64,26 +65,11 @@
       server_(
           loop, settings_.peer,
           [this](const peer::Request& request, const peer::Respond& respond) {
-            if (request.path == kForwardPath) {
-              ports_.serve_forwarded(
-                  request.body, [respond](std::string result) {
-                    respond({peer::kStatusOk, std::move(result)});
-                  });
-              return;
+            const bool served = telemetry::RunGuarded(
+                request.path, [&] { ServePeer(request, respond); });
+            if (!served) {
+              respond({peer::kStatusInternalError, ""});
             }
-            if (request.path == kHostCallsPath) {
-              host_agent_->Serve(request, respond);
-              return;
-            }
-            if (request.path == kConfirmHolderPath) {
-              respond(AnswerConfirmHolder(
-                  // Without a catalog this node cannot become the holder.
-                  {holder_ != nullptr, !catalog_ || election_->is_store_lost(),
-                   election_->holder()},
-                  request));
-              return;
-            }
-            ServeHolderRequest(holder_, request, respond);
           }),
       check_timer_(loop) {
   election_ = std::make_shared<Election>(
@@ -103,6 +89,25 @@
                                                 });
 }
 
+void Node::ServePeer(const peer::Request& request,
+                     const peer::Respond& respond) {
+  if (request.path == kForwardPath) {
+    ports_.serve_forwarded(request.body, [respond](std::string result) {
+      respond({peer::kStatusOk, std::move(result)});
+    });
+  } else if (request.path == kHostCallsPath) {
+    host_agent_->Serve(request, respond);
+  } else if (request.path == kConfirmHolderPath) {
+    // Without a catalog this node cannot become the holder.
+    const HolderView view{holder_ != nullptr,
+                          !catalog_ || election_->is_store_lost(),
+                          election_->holder()};
+    respond(AnswerConfirmHolder(view, request));
+  } else {
+    ServeHolderRequest(holder_, request, respond);
+  }
+}
+
 void Node::Start() {
   ports_.feed.start(
       {[this](workload::Catalog catalog) { OnCatalog(std::move(catalog)); },
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -57,6 +57,7 @@
   [[nodiscard]] NodeMetrics& node_metrics() { return node_metrics_; }
 
  private:
+  void ServePeer(const peer::Request& request, const peer::Respond& respond);
   void OnGain(core::Epoch token);
   void OnLoss();
   void StopHolder();
--- a/src/camphormux/peer/message.hpp
+++ b/src/camphormux/peer/message.hpp
@@ -14,6 +14,8 @@
 inline constexpr int kStatusBadRequest = 400;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusTooLarge = 413;
+/// The request failed in an unknown way; it may have taken effect.
+inline constexpr int kStatusInternalError = 500;
 inline constexpr int kStatusUnavailable = 503;
 
 /// Default bound of a request or response body.
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -164,6 +164,20 @@
   EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
 }
 
+// Guards against a job that is rejected and runs: the holder failed after it
+// had stored the job.
+TEST(JobFrontendTest, SubmissionOnWhichTheHolderFailsMayBeStored) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitAnswer> answer;
+  harness.holder_client.Submit(Harness::Spec(), kDeadline,
+                               [&](SubmitAnswer a) { answer = a; });
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.unanswered.empty(); }));
+  harness.unanswered[0]({peer::kStatusInternalError, ""});
+  ASSERT_TRUE(harness.RunUntil([&] { return answer.has_value(); }));
+  EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
+}
+
 // Guards against a job that is reported as not accepted and runs: an earlier
 // attempt may have stored it before its queue was removed.
 TEST(JobFrontendTest, RemovedQueueDoesNotHideAnEarlierAttempt) {
--- a/test/coordinator/node_test.cpp
+++ b/test/coordinator/node_test.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <cstdio>
 #include <memory>
+#include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -90,6 +92,18 @@
         });
   }
 
+  /// Sends a forwarded request to the first node and returns the status.
+  int Forward(const std::string& body) {
+    peer::Client client(loop_, addresses_[0]);
+    std::optional<int> status;
+    client.Send({std::string(kForwardPath), body}, core::Millis(5000),
+                [&](const peer::Result& result) {
+                  status = result ? result.value().status : 0;
+                });
+    RunUntil([&] { return status.has_value(); });
+    return status.value_or(0);
+  }
+
   [[nodiscard]] bool IsReady() const { return nodes_[0]->is_ready(); }
   [[nodiscard]] std::size_t Accepted() const { return accepted_; }
   [[nodiscard]] const Calls& CallsOf(std::size_t node) const {
@@ -137,6 +151,12 @@
       listener.on_catalog(catalog);
       listeners_.push_back(listener);
     };
+    ports.serve_forwarded = [](const std::string& body, auto done) {
+      if (body == "throw") {
+        throw std::runtime_error("malformed request");
+      }
+      done(body);
+    };
     ports.feed.follow_hosts = [this, node](bool follow) {
       if (follow) {
         asio::post(loop_, [this, node] {
@@ -158,6 +178,14 @@
   std::size_t accepted_ = 0;
 };
 
+// Guards against a malformed message that ends the whole process.
+TEST(NodeTest, ExceptionInAHandlerCostsOnlyItsRequest) {
+  Deployment deployment(1);
+  ASSERT_TRUE(deployment.RunUntil([&] { return deployment.IsReady(); }));
+  EXPECT_EQ(deployment.Forward("throw"), peer::kStatusInternalError);
+  EXPECT_EQ(deployment.Forward("well-formed"), peer::kStatusOk);
+}
+
 // Guards against a holder that calls all hosts of a large fleet itself during a
 // surge: a call takes half of the processor time that the holder may spend on
 // one start.
