--- a/test/coordinator/node_test.cpp
+++ b/test/coordinator/node_test.cpp
@@ -104,6 +104,14 @@
     return status.value_or(0);
   }
 
+  /// Publishes a catalog to the first node and returns the version in force.
+  std::uint64_t PublishCatalog(std::uint64_t version) {
+    workload::Catalog catalog = *nodes_[0]->catalog();
+    catalog.version.value = version;
+    listeners_[0].on_catalog(catalog);
+    return nodes_[0]->catalog()->version.value;
+  }
+
   [[nodiscard]] bool IsReady() const { return nodes_[0]->is_ready(); }
   [[nodiscard]] std::size_t Accepted() const { return accepted_; }
   [[nodiscard]] const Calls& CallsOf(std::size_t node) const {
@@ -178,6 +186,15 @@
   std::size_t accepted_ = 0;
 };
 
+// Guards against a key or a service that was withdrawn and is in use again,
+// because an older configuration arrives late.
+TEST(NodeTest, OlderCatalogIsIgnored) {
+  Deployment deployment(1);
+  EXPECT_EQ(deployment.PublishCatalog(5), 5U);
+  EXPECT_EQ(deployment.PublishCatalog(4), 5U);
+  EXPECT_EQ(deployment.PublishCatalog(6), 6U);
+}
+
 // Guards against a malformed message that ends the whole process.
 TEST(NodeTest, ExceptionInAHandlerCostsOnlyItsRequest) {
   Deployment deployment(1);
