Make two scheduler tests fail without their changes

BalanceTest.IdleHostsOfOtherPoolsMoveBeforeStandbyOnes and PlacingTest.PermanentTasksShareHosts passed also with the order of before: in the first the demand took all idle hosts anyway, in the second the host with fewest free cores was the one with permanent tasks.

--- a/test/scheduler/balance_test.cpp
+++ b/test/scheduler/balance_test.cpp
@@ -129,9 +129,7 @@
   fleet.AddHosts("pool", 4);
   fleet.AddHosts("calm", 6);
   fleet.AddHosts("spare", 20);
-  for (std::uint64_t i = 1; i <= 4; ++i) {
-    (void)fleet.Submit(MakeJob(i, "q", 8, 20, core::Millis(2000)));
-  }
+  (void)fleet.Submit(MakeJob(1, "q", 16, 20, core::Millis(100)));
   fleet.Advance(core::Millis(10));
   std::size_t from_calm = 0;
   for (const Order& order : fleet.sent) {
@@ -139,8 +137,8 @@
     from_calm +=
         move != nullptr && move->machine.value.starts_with("m-calm") ? 1U : 0U;
   }
-  EXPECT_EQ(from_calm, 4U);  // The pool keeps two hosts of its own.
-  EXPECT_GT(CountMovesTo(fleet, "pool"), 4U);
+  EXPECT_GT(from_calm, 0U);
+  EXPECT_EQ(CountMovesTo(fleet, "pool"), from_calm);
 }
 
 // Guards against paying for idle hosts.
--- a/test/scheduler/placing_test.cpp
+++ b/test/scheduler/placing_test.cpp
@@ -16,14 +16,11 @@
   Fleet fleet;
   fleet.AddQueue("q", "pool");
   fleet.AddHosts("pool", 30);
-  // Short tasks leave a different number of cores free on each host.
-  for (std::uint64_t i = 1; i <= 20; ++i) {
-    (void)fleet.Submit(MakeJob(i, "q", 1, 33 + static_cast<std::int64_t>(i / 2),
-                               core::Millis(60'000)));
-    fleet.Advance(core::Millis(10));
-  }
-  for (std::uint64_t i = 101; i <= 103; ++i) {
-    auto job = MakeJob(i, "q", 6, 4, core::Millis(1000));
+  // Short tasks fill some hosts, but for 14 cores.
+  (void)fleet.Submit(MakeJob(1, "q", 6, 50, core::Millis(60'000)));
+  fleet.Advance(core::Millis(100));
+  for (std::uint64_t i = 2; i <= 3; ++i) {
+    auto job = MakeJob(i, "q", 6, i == 2 ? 20 : 4, core::Millis(1000));
     job.steps[0].permanent = true;
     job.steps[0].max_per_host = 1;
     (void)fleet.Submit(job);
@@ -38,7 +35,7 @@
     hosts += permanent > 0 ? 1U : 0U;
     runs += permanent;
   }
-  EXPECT_EQ(runs, 18U);
+  EXPECT_EQ(runs, 12U);
   EXPECT_EQ(hosts, 6U);
 }
 
