Look a silent holder up often

Cause: with ranks, the node that goes first takes over, and it learns of the lapsed ownership by its next regular lookup, up to a second later.

Change: for 1.2 s after a call without an answer, nodes look the holder up every 150 ms.

--- a/src/camphormux/coordinator/election.cpp
+++ b/src/camphormux/coordinator/election.cpp
@@ -16,6 +16,9 @@
 constexpr core::Millis kLookupInterval{1000};
 /// Minimum interval between lookups; a fraction of the time of a takeover.
 constexpr core::Millis kMinLookupInterval{150};
+/// A holder that did not answer counts as silent for this long; longer than the
+/// interval of the calls to it.
+constexpr core::Millis kSilenceDuration{1200};
 /// Without a holder for this long, twice the time of a takeover, even a
 /// last-resort node becomes a candidate.
 constexpr core::Millis kLastResortDelay{4000};
@@ -134,8 +137,10 @@
 
 void Election::OnOwnership(const std::optional<Ownership>& ownership) {
   UpdateStoreState(ownership.has_value());
-  ScheduleLookup(ownership ? internal::kLookupInterval
-                           : internal::kMinLookupInterval);
+  const bool is_answering =
+      ownership && core::MonotonicNow() >= holder_silent_until_;
+  ScheduleLookup(is_answering ? internal::kLookupInterval
+                              : internal::kMinLookupInterval);
   if (!ownership || is_holder_) {
     return;
   }
@@ -310,6 +315,8 @@
 
 void Election::Refresh() {
   if (!is_holder_) {
+    // All nodes must find out soon, as those of a low rank go first.
+    holder_silent_until_ = core::MonotonicNow() + internal::kSilenceDuration;
     ScheduleLookup(core::Millis(0));
   }
 }
--- a/src/camphormux/coordinator/election.hpp
+++ b/src/camphormux/coordinator/election.hpp
@@ -97,6 +97,7 @@
   std::chrono::nanoseconds confirmed_by_nodes_{0};
   core::MonotonicTime last_lookup_;
   core::MonotonicTime next_lookup_;
+  core::MonotonicTime holder_silent_until_;
   /// When the holder was first found missing; empty while there is one.
   std::optional<core::MonotonicTime> no_holder_since_;
   bool lookup_pending_ = false;
--- a/test/coordinator/election_test.cpp
+++ b/test/coordinator/election_test.cpp
@@ -73,6 +73,25 @@
   EXPECT_GT(harness.looks, before);
 }
 
+// Guards against a takeover that waits for the next regular lookup of the node
+// that goes first.
+TEST(ElectionTest, SilentHolderIsLookedUpOften) {
+  Harness harness;
+  harness.ownership->holder = core::Address{"10.0.0.1", 1};
+  harness.election->Start();
+  harness.RunFor(std::chrono::milliseconds(300));
+  harness.election->Refresh();
+  const int before = harness.looks;
+  harness.RunFor(std::chrono::milliseconds(900));
+  EXPECT_GE(harness.looks, before + 4);
+  EXPECT_LE(harness.looks, before + 8);
+  // The holder answers again.
+  harness.RunFor(std::chrono::milliseconds(1500));
+  const int later = harness.looks;
+  harness.RunFor(std::chrono::milliseconds(1000));
+  EXPECT_LE(harness.looks, later + 2);
+}
+
 // Guards against a membership that expires because refreshes by callers without
 // an answer postpone the renewal.
 TEST(ElectionTest, RefreshesDoNotPostponeJoins) {
