--- a/test/coordinator/candidate_rank_test.cpp
+++ b/test/coordinator/candidate_rank_test.cpp
@@ -18,6 +18,7 @@
 
 std::vector<Member> MakeMembers(int large, int small) {
   std::vector<Member> members;
+  members.reserve(static_cast<std::size_t>(large + small));
   for (int i = 0; i < large + small; ++i) {
     members.push_back(MakeMember(i, i < large ? 500 : 120));
   }
