--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -150,32 +150,33 @@
   EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
 }
 
+/// Submits a job to a holder that answers with this response.
+std::optional<SubmitOutcome> OutcomeOf(const peer::Response& response) {
+  Harness harness;
+  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
+  std::optional<SubmitOutcome> outcome;
+  harness.holder_client.Submit(
+      Harness::Spec(), kDeadline,
+      [&](const SubmitAnswer& answer) { outcome = answer.outcome; });
+  if (harness.RunUntil([&] { return !harness.unanswered.empty(); })) {
+    harness.unanswered[0](response);
+    harness.RunUntil([&] { return outcome.has_value(); });
+  }
+  return outcome;
+}
+
 // Guards against a job that is rejected and runs: the holder stored it, and its
 // answer could not be read.
 TEST(JobFrontendTest, SubmissionWithAnUnreadableAnswerIsNotRejected) {
-  Harness harness;
-  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
-  std::optional<SubmitAnswer> answer;
-  harness.holder_client.Submit(Harness::Spec(), kDeadline,
-                               [&](SubmitAnswer a) { answer = a; });
-  ASSERT_TRUE(harness.RunUntil([&] { return !harness.unanswered.empty(); }));
-  harness.unanswered[0]({peer::kStatusOk, "unreadable"});
-  ASSERT_TRUE(harness.RunUntil([&] { return answer.has_value(); }));
-  EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
+  EXPECT_EQ(OutcomeOf({peer::kStatusOk, "unreadable"}),
+            SubmitOutcome::kUnknown);
 }
 
 // Guards against a job that is rejected and runs: the holder failed after it
 // had stored the job.
 TEST(JobFrontendTest, SubmissionOnWhichTheHolderFailsMayBeStored) {
-  Harness harness;
-  harness.holder_client.SetHolder({{"127.0.0.1", harness.server.port()}});
-  std::optional<SubmitAnswer> answer;
-  harness.holder_client.Submit(Harness::Spec(), kDeadline,
-                               [&](SubmitAnswer a) { answer = a; });
-  ASSERT_TRUE(harness.RunUntil([&] { return !harness.unanswered.empty(); }));
-  harness.unanswered[0]({peer::kStatusInternalError, ""});
-  ASSERT_TRUE(harness.RunUntil([&] { return answer.has_value(); }));
-  EXPECT_EQ(answer->outcome, SubmitOutcome::kUnknown);
+  EXPECT_EQ(OutcomeOf({peer::kStatusInternalError, ""}),
+            SubmitOutcome::kUnknown);
 }
 
 // Guards against a job that is reported as not accepted and runs: an earlier
