Tell starts that were sent from starts that wait to be stored

What callers can see: a task runs on two hosts at the same time. Cause: a host that restarts under its id turned all its starts into starts in doubt, also those that still wait for the store. After 3 s such a start was repeated although it was not stored. When the store answered again, the withdrawal of the original start ended the run that the repetition had begun, as it spared only runs in doubt, and the task started elsewhere. Change: a run knows whether its start was sent. One that was not is removed when its host restarts, and only such a one is withdrawn. Evidence: StaleOrdersTest.StartThatWasNotSentIsNotRepeatedAfterARestart and .WithdrawnStartDoesNotEndARunThatIsAtWork failed before ("FirstSent<RepeatStart>" not null; orders not empty after the withdrawal) and pass now. Tests: the fleet of the tests can leave starts unsent; WithdrawnStartIsDecidedAgain uses that, as it is about such a start.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -283,31 +283,20 @@
 
 void HostLinks::Send(const scheduler::StartRun& order) {
   Enqueue(order.host, [this, order](const std::function<void()>& done) {
-    const auto run = state_.runs.find(order.run);
-    const auto host = state_.hosts.find(order.host);
-    if (run == state_.runs.end() || host == state_.hosts.end() ||
-        run->second.phase != scheduler::RunPhase::kOrdered ||
-        core::MonotonicNow() >
-            run->second.ordered + scheduler::kOrderValidity) {
-      // The order expired before it was sent, so it cannot take effect.
-      // If the host has restarted meanwhile, a repetition may have been sent.
-      if (run != state_.runs.end() && host != state_.hosts.end() &&
-          run->second.phase != scheduler::RunPhase::kUnanswered) {
-        scheduler::RemoveRun(state_, order.run,
-                             scheduler::EndEvidence::kNotSent);
-      }
-      done();
-      return;
-    }
     const core::MonotonicTime now = core::MonotonicNow();
-    const core::Millis waited = now - run->second.ordered;
-    if (!CallStart(order, done)) {
-      scheduler::RemoveRun(state_, order.run, scheduler::EndEvidence::kNotSent);
+    const auto run = state_.runs.find(order.run);
+    const bool is_due = run != state_.runs.end() &&
+                        run->second.phase == scheduler::RunPhase::kOrdered &&
+                        now <= run->second.ordered + scheduler::kOrderValidity;
+    const core::Millis waited =
+        is_due ? now - run->second.ordered : core::Millis(0);
+    if (!is_due || !CallStart(order, done)) {
+      scheduler::WithdrawStart(state_, order.run);
       done();
       return;
     }
     RecordStage(run_latency_.sent, waited);
-    run->second.ordered = now;
+    scheduler::OnStartSent(state_, order.run, now);
   });
 }
 
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -165,6 +165,10 @@
   const std::vector<RunId> runs = host.runs;
   for (const RunId id : runs) {
     Run& run = state.runs.at(id);
+    if (!run.is_sent) {
+      RemoveRun(state, id, EndEvidence::kNotSent);
+      continue;
+    }
     if (run.was_listed && !run.has_open_copy) {
       RemoveRun(state, id, EndEvidence::kHostReplaced);
       continue;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -30,6 +30,7 @@
     // start.
     Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
+    run.is_sent = true;
     run.has_open_copy = true;
     run.last_open_copy = now;
   }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -191,7 +191,10 @@
         host.lease_end =
             std::max(host.lease_end,
                      state.took_over + PreviousLeasesDuration(state.settings));
-        return &AddRun(state, job, *position, listed.name.attempt, host, now);
+        Run& run =
+            AddRun(state, job, *position, listed.name.attempt, host, now);
+        run.is_sent = true;
+        return &run;
       }
       unexpected.is_open = !task.progress.done;
       if (!task.runs.empty()) {
@@ -354,6 +357,21 @@
   state.orders.emplace_back(StopRun{run.host, run.name});
 }
 
+void OnStartSent(State& state, RunId id, core::MonotonicTime now) {
+  const auto found = state.runs.find(id);
+  if (found != state.runs.end()) {
+    found->second.is_sent = true;
+    found->second.ordered = now;
+  }
+}
+
+void WithdrawStart(State& state, RunId id) {
+  const auto found = state.runs.find(id);
+  if (found != state.runs.end() && !found->second.is_sent) {
+    RemoveRun(state, id, EndEvidence::kNotSent);
+  }
+}
+
 void OnStartAnswer(State& state, RunId id, StartOutcome outcome,
                    core::MonotonicTime now) {
   const auto found = state.runs.find(id);
--- a/src/camphormux/scheduler/runs.hpp
+++ b/src/camphormux/scheduler/runs.hpp
@@ -22,6 +22,17 @@
 /// @brief Orders a run to stop; has no effect if that was done before.
 void RequestStop(State& state, Run& run);
 
+/// @brief Records that the start order of a run was sent.
+/// @param state The state.
+/// @param id The run; has no effect if it is unknown.
+/// @param now The time.
+void OnStartSent(State& state, RunId id, core::MonotonicTime now);
+
+/// @brief Removes a run whose start order will not be sent any more.
+/// @param state The state.
+/// @param id The run; has no effect if it is unknown or its start was sent.
+void WithdrawStart(State& state, RunId id);
+
 /// @brief Handles the answer to an order to start a run.
 void OnStartAnswer(State& state, RunId id, StartOutcome outcome,
                    core::MonotonicTime now);
--- a/src/camphormux/scheduler/stale_orders.cpp
+++ b/src/camphormux/scheduler/stale_orders.cpp
@@ -20,11 +20,7 @@
 
 bool Withdraw(State& state, const Order& order, core::MonotonicTime now) {
   if (const auto* start = std::get_if<StartRun>(&order)) {
-    const auto run = state.runs.find(start->run);
-    // If the host has restarted meanwhile, a repetition may have been sent.
-    if (run != state.runs.end() && run->second.phase != RunPhase::kUnanswered) {
-      RemoveRun(state, start->run, EndEvidence::kNotSent);
-    }
+    WithdrawStart(state, start->run);
     return true;
   }
   if (const auto* move = std::get_if<MoveMachine>(&order)) {
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -68,6 +68,8 @@
   std::string checkpoint;
   /// Checkpoint that the start order carries.
   std::string resumed_from;
+  /// The start order was sent. Until then, no copy of it can take effect.
+  bool is_sent = false;
   bool stop_confirmed = false;
   /// A copy of the start order has no answer and may still take effect, so the
   /// refusal of another copy does not end the run.
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -97,7 +97,10 @@
     Execute(
         StartRun{repeat->run, repeat->host, repeat->name, repeat->checkpoint});
   } else if (const auto* start = std::get_if<StartRun>(&order)) {
-    if (!execute_starts) {
+    if (send_starts) {
+      OnStartSent(state, start->run, now);
+    }
+    if (!send_starts || !execute_starts) {
       return;
     }
     const auto found = state.runs.find(start->run);
--- a/test/scheduler/fleet.hpp
+++ b/test/scheduler/fleet.hpp
@@ -32,7 +32,8 @@
   /// When moved machines are up again.
   std::map<MachineId, core::MonotonicTime> returns_at;
   std::set<core::HostId> unresponsive;
-  bool execute_starts = true;
+  bool send_starts = true;
+  bool execute_starts = true;  ///< Otherwise, starts are sent without effect.
   bool execute_machine_orders = true;
   core::Millis run_time{0};  ///< Zero: runs take their estimate.
 
--- a/test/scheduler/stale_orders_test.cpp
+++ b/test/scheduler/stale_orders_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/plan.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "test/scheduler/fleet.hpp"
 
@@ -24,7 +25,7 @@
   Fleet fleet;
   fleet.AddQueue("q", "pool");
   fleet.AddHosts("pool", 1);
-  fleet.execute_starts = false;
+  fleet.send_starts = false;
   (void)fleet.Submit(MakeJob(1, "q", 1, 64, core::Millis(500)));
   fleet.Step();
   const auto* first = FirstSent<StartRun>(fleet);
@@ -37,6 +38,49 @@
   EXPECT_GT(fleet.state.runs.begin()->second.name.attempt, name.attempt);
 }
 
+/// A fleet with a job of one task whose start waits to be stored while its host
+/// restarts.
+struct UnsentStart {
+  UnsentStart() {
+    fleet.AddQueue("q", "pool");
+    fleet.AddHosts("pool", 2);
+    fleet.send_starts = false;
+    spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+    (void)fleet.Submit(spec);
+    fleet.Step();
+    order = *FirstSent<StartRun>(fleet);
+    for (HostListing& listing : fleet.listings) {
+      listing.incarnation.value = 2;
+    }
+    fleet.Publish();
+    fleet.send_starts = true;
+  }
+
+  Fleet fleet;
+  workload::JobSpec spec;
+  StartRun order;
+};
+
+// Guards against a run that a successor does not know: a start that is not
+// stored yet was repeated after a restart of its host.
+TEST(StaleOrdersTest, StartThatWasNotSentIsNotRepeatedAfterARestart) {
+  UnsentStart test;
+  test.fleet.Advance(core::Millis(5000));
+  EXPECT_EQ(FirstSent<RepeatStart>(test.fleet), nullptr);
+}
+
+// Guards against a task that runs twice: the withdrawal of a start ended a run
+// of the next incarnation of its host.
+TEST(StaleOrdersTest, WithdrawnStartDoesNotEndARunThatIsAtWork) {
+  UnsentStart test;
+  test.fleet.Advance(core::Millis(5000));
+  ASSERT_EQ(test.fleet.running.size(), 1U);
+  (void)Withdraw(test.fleet.state, test.order, test.fleet.now);
+  // The planning pass comes before the next report of the host.
+  Plan(test.fleet.state, test.fleet.now, test.fleet.wall);
+  EXPECT_TRUE(test.fleet.state.orders.empty());
+}
+
 /// A fleet whose idle hosts have been ordered to a standby pool; machine orders
 /// are not executed.
 Fleet FleetWithMove() {
