Count the answer of a slow start as outstanding when it is repeated

What callers can see: a task runs on two hosts at the same time. Cause: a start that was on its way when its host restarted is repeated after 3 s. A call that another node makes can take longer (two nodes that fail, 1.8 s each). The run did not know of an open copy, so the refusal of the repetition ended it while the first copy could still take effect. Change: a repetition marks the first copy as open; a refusal then leads to a stop that the host has to confirm. Evidence: RunsTest.RefusalOfARepetitionDoesNotAnswerASlowStart failed before (the run was gone) and passes now.

--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -241,6 +241,11 @@
   const bool was_repeated = run.start_repeated != core::MonotonicTime{};
   if (!was_repeated || now >= run.start_repeated + kStartRepeatInterval) {
     run.start_repeated = now;
+    if (!run.has_open_copy) {
+      // The answer to the first copy is still to come.
+      run.has_open_copy = true;
+      run.last_open_copy = now;
+    }
     state.orders.emplace_back(
         RepeatStart{run.id, run.host, run.name, run.resumed_from});
   }
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -240,6 +240,26 @@
   EXPECT_EQ(fleet.CountStarts(MakeJob(1, "q", 1, 1, {}).id.value), 2U);
 }
 
+// Guards against a task that runs twice: a start whose answer takes longer than
+// a call should is repeated, and the repetition is refused.
+TEST(RunsTest, RefusalOfARepetitionDoesNotAnswerASlowStart) {
+  Fleet fleet = SmallFleet();
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(1000)));
+  fleet.Step();
+  const RunId id = OnlyRun(fleet).id;
+  for (HostListing& listing : fleet.listings) {
+    listing.incarnation.value = 2;
+  }
+  fleet.Publish();
+  fleet.now += core::Millis(3100);
+  fleet.Report(OnlyRun(fleet).host);
+  ASSERT_EQ(fleet.state.orders.size(), 1U);
+  ASSERT_NE(std::get_if<RepeatStart>(&fleet.state.orders[0]), nullptr);
+  OnStartAnswer(fleet.state, id, StartOutcome::kNoCapacity, fleet.now);
+  EXPECT_TRUE(fleet.state.runs.contains(id));
+}
+
 // Guards against counting a failure twice when a host lists it again.
 TEST(RunsTest, EndThatIsListedAgainCountsOnce) {
   Fleet fleet = SmallFleet();
