Keep starts in mind that may still take effect after their run was removed

What callers can see: a task runs on two hosts at the same time. Cause: at the end of a silent host's lease its runs were removed and forgotten, also those with a copy of their start under way. The host got leases and work again as soon as it answered. A late copy is harmless only if the host judges it by the deadline of that copy; the protocol says that a deadline applies to all that runs on the host and never shortens. The same copy can reach the next incarnation of a host, which knows nothing of a stop or an end that the last one confirmed. Change: a host keeps the open copies of its removed runs until no copy can take effect (12 s). It gets no work until its present incarnation has listed, ended or confirmed to have stopped each such attempt; stops are sent as soon as it answers. A host that leaves the list is kept for that long. "run presumed ended" says whether a copy was open. Evidence: RunsTest.StartGivenUpWithItsLeaseIsStoppedBeforeItsHostGetsWork, .HostWithAnOpenCopyIsRememberedWhileItIsNotListed and .StoppedStartIsStoppedAgainAfterARestart failed before and pass now.

--- a/src/camphormux/coordinator/run_log.cpp
+++ b/src/camphormux/coordinator/run_log.cpp
@@ -88,6 +88,7 @@
          {"evidence", std::string(internal::Describe(end.evidence))},
          {"phase", std::string(internal::Describe(end.phase))},
          {"was_listed", end.was_listed ? "yes" : "no"},
+         {"open_copy", end.has_open_copy ? "yes" : "no"},
          {"age_ms", std::to_string((now - end.ordered).count())},
          {"lease_left_ms", std::to_string((end.lease_end - now).count())}});
   }
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -206,7 +206,7 @@
     const bool is_gone = !host.listed && now >= host.gone_at;
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
       internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
-      if (is_gone) {
+      if (is_gone && host.open_copies.empty()) {
         gone.push_back(id);
       }
     }
@@ -245,9 +245,16 @@
 }
 
 bool IsUsable(const Host& host, core::MonotonicTime now) {
+  // With a lease, the host might carry out a start that was given up.
+  const bool refuses_open_copies =
+      std::all_of(host.open_copies.begin(), host.open_copies.end(),
+                  [&](const OpenCopy& copy) {
+                    return copy.refused_by == host.listing.incarnation;
+                  });
   return host.listed && host.synced && !host.reserved &&
          !host.listing.draining && !host.unresponsive_since &&
-         now >= host.busy_until && now >= host.quarantined_until;
+         now >= host.busy_until && now >= host.quarantined_until &&
+         refuses_open_copies;
 }
 
 placement::Resources FreeResources(const Host& host) {
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -207,6 +207,44 @@
   return nullptr;
 }
 
+/// Keeps a copy of a removed run's start in mind that may still take effect.
+void RememberOpenCopy(Host& host, const Run& run,
+                      std::optional<EndEvidence> evidence) {
+  if (!run.has_open_copy) {
+    return;
+  }
+  OpenCopy& copy = host.open_copies.emplace_back();
+  copy.name = run.name;
+  copy.until = run.last_open_copy + kMaxCallDelay;
+  // A host refuses the start of a run that it has stopped or that has ended.
+  if (!evidence || *evidence == EndEvidence::kStopConfirmed || run.was_listed) {
+    copy.refused_by = host.listing.incarnation;
+  }
+}
+
+void MarkRefused(Host& host, const RunName& name) {
+  for (OpenCopy& copy : host.open_copies) {
+    if (copy.name == name) {
+      copy.refused_by = host.listing.incarnation;
+    }
+  }
+}
+
+void StopOpenCopies(State& state, Host& host, core::MonotonicTime now) {
+  std::erase_if(host.open_copies,
+                [&](const OpenCopy& copy) { return now >= copy.until; });
+  if (!host.synced || host.unresponsive_since) {
+    return;
+  }
+  for (OpenCopy& copy : host.open_copies) {
+    if (copy.refused_by != host.listing.incarnation &&
+        now >= copy.stop_sent + kStopRetryInterval) {
+      copy.stop_sent = now;
+      state.orders.emplace_back(StopRun{host.listing.id, copy.name});
+    }
+  }
+}
+
 Run* FindRunOnHost(State& state, Host& host, const RunName& name) {
   for (const RunId id : host.runs) {
     Run& run = state.runs.at(id);
@@ -332,8 +370,10 @@
     if (evidence) {
       state.presumed_ends.push_back(
           {run.name, run.host, host->second.listing.incarnation, *evidence,
-           run.phase, run.was_listed, run.ordered, host->second.lease_end});
+           run.phase, run.was_listed, run.has_open_copy, run.ordered,
+           host->second.lease_end});
     }
+    internal::RememberOpenCopy(host->second, run, evidence);
     host->second.committed -= run.reserved;
     host->second.best_effort_runs -= run.best_effort ? 1U : 0U;
     std::erase(host->second.runs, id);
@@ -443,6 +483,7 @@
       found->second.listing.incarnation != incarnation) {
     return;
   }
+  internal::MarkRefused(found->second, name);
   if (Run* run = internal::FindRunOnHost(state, found->second, name)) {
     run->stop_confirmed = true;
     run->confirmed = now;
@@ -461,6 +502,7 @@
   host.unresponsive_since.reset();
   host.address_taken = false;
   for (const ReportedEnd& end : report.ended) {
+    internal::MarkRefused(host, end.name);
     if (end.number > host.ended) {
       host.ended = end.number;
       internal::ProcessEnd(state, host, end, now, wall);
@@ -468,6 +510,7 @@
   }
   std::set<RunId> listed_runs;
   for (const ReportedRun& listed : report.running) {
+    internal::MarkRefused(host, listed.name);
     Run* run = internal::FindRunOnHost(state, host, listed.name);
     if (run == nullptr) {
       run = internal::AdoptRun(state, host, listed, now);
@@ -488,6 +531,9 @@
 }
 
 void CheckRuns(State& state, core::MonotonicTime now) {
+  for (auto& [id, host] : state.hosts) {
+    internal::StopOpenCopies(state, host, now);
+  }
   for (auto& [id, run] : state.runs) {
     Host& host = state.hosts.at(run.host);
     if (run.phase == RunPhase::kStopping && !run.stop_confirmed &&
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -87,6 +87,18 @@
   bool was_listed = false;
 };
 
+/// @brief A copy of a start without an answer whose run was removed. It may
+/// still take effect.
+struct OpenCopy {
+  RunName name;
+  /// The copy can take effect until this time.
+  core::MonotonicTime until;
+  /// Incarnation of the host that knows of the attempt and refuses further
+  /// copies.
+  std::optional<core::Incarnation> refused_by;
+  core::MonotonicTime stop_sent;
+};
+
 /// @brief What shows that a run is over, other than its end in a report of its
 /// host.
 enum class EndEvidence {
@@ -109,6 +121,8 @@
   RunPhase phase = RunPhase::kOrdered;  ///< Phase before the end.
   /// Whether a report of this incarnation of the host has listed the run.
   bool was_listed = false;
+  /// Whether a copy of the start has no answer.
+  bool has_open_copy = false;
   core::MonotonicTime ordered;
   core::MonotonicTime lease_end;
 };
@@ -177,6 +191,7 @@
   placement::Resources committed;
   std::vector<RunId> runs;
   std::uint32_t best_effort_runs = 0;  ///< Runs that only use idle cores.
+  std::vector<OpenCopy> open_copies;
   EndNumber ended;  ///< Highest sequence number of a processed end.
   /// No run that was ordered so far runs or starts on the host after this time.
   core::MonotonicTime lease_end;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -1,5 +1,6 @@
 #include "camphormux/scheduler/runs.hpp"
 
+#include <algorithm>
 #include <variant>
 #include <vector>
 
@@ -260,6 +261,76 @@
   EXPECT_TRUE(fleet.state.runs.contains(id));
 }
 
+/// Lets a start without an answer run into the end of its host's lease, and
+/// the host answer again.
+struct GivenUpStart {
+  GivenUpStart() : fleet(SmallFleet(1)) {
+    fleet.execute_starts = false;
+    (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+    fleet.Step();
+    const Run& run = OnlyRun(fleet);
+    name = run.name;
+    host = run.host;
+    OnStartAnswer(fleet.state, run.id, StartOutcome::kNoAnswer, fleet.now);
+    fleet.unresponsive.insert(host);
+    fleet.state.hosts.at(host).lease_end = fleet.now + core::Millis(5000);
+    fleet.Advance(core::Millis(5000));
+    fleet.unresponsive.clear();
+    fleet.Report(host);
+  }
+
+  [[nodiscard]] bool IsStopSent() const {
+    return std::any_of(
+        fleet.sent.begin(), fleet.sent.end(), [&](const Order& order) {
+          const auto* stop = std::get_if<StopRun>(&order);
+          return stop != nullptr && stop->host == host && stop->name == name;
+        });
+  }
+
+  Fleet fleet;
+  RunName name;
+  core::HostId host;
+};
+
+// Guards against a task that runs twice: a start that was given up with its
+// host's lease takes effect once the host has a lease again.
+TEST(RunsTest, StartGivenUpWithItsLeaseIsStoppedBeforeItsHostGetsWork) {
+  GivenUpStart test;
+  ASSERT_TRUE(test.fleet.state.runs.empty());
+  EXPECT_FALSE(IsUsable(test.fleet.state.hosts.at(test.host), test.fleet.now));
+  test.fleet.Advance(core::Millis(100));
+  EXPECT_TRUE(test.IsStopSent());
+  EXPECT_TRUE(IsUsable(test.fleet.state.hosts.at(test.host), test.fleet.now));
+}
+
+// Guards against a task that runs twice: a host that leaves the list
+// meanwhile and returns would be taken for one without open copies.
+TEST(RunsTest, HostWithAnOpenCopyIsRememberedWhileItIsNotListed) {
+  GivenUpStart test;
+  ApplyListings(test.fleet.state, {}, test.fleet.now, test.fleet.now);
+  CheckHosts(test.fleet.state, test.fleet.now + core::Millis(100));
+  ASSERT_TRUE(test.fleet.state.hosts.contains(test.host));
+  CheckRuns(test.fleet.state, test.fleet.now + core::Millis(12'000));
+  CheckHosts(test.fleet.state, test.fleet.now + core::Millis(12'000));
+  EXPECT_FALSE(test.fleet.state.hosts.contains(test.host));
+}
+
+// Guards against a task that runs twice: the next incarnation of a host does
+// not know what the last one has stopped.
+TEST(RunsTest, StoppedStartIsStoppedAgainAfterARestart) {
+  GivenUpStart test;
+  test.fleet.Advance(core::Millis(100));
+  test.fleet.sent.clear();
+  for (HostListing& listing : test.fleet.listings) {
+    listing.incarnation.value = 2;
+  }
+  test.fleet.now += core::Millis(500);
+  test.fleet.Publish();
+  EXPECT_FALSE(IsUsable(test.fleet.state.hosts.at(test.host), test.fleet.now));
+  test.fleet.Advance(core::Millis(100));
+  EXPECT_TRUE(test.IsStopSent());
+}
+
 // Guards against counting a failure twice when a host lists it again.
 TEST(RunsTest, EndThatIsListedAgainCountsOnce) {
   Fleet fleet = SmallFleet();
