Do not repeat calls of a node whose handler has thrown

What callers can see: a task runs on two hosts at the same time (fleets whose hosts are called through other nodes). HostRouter took each status but 200 and 503 for a refusal and sent the calls of the batch to their hosts by another way, although the node may have made some of them. If the second copy of a start was refused, the refusal was believed, and the task started elsewhere beside the first copy. Change: only a status that rules out any effect counts as a refusal, as for the calls to the holder; the test of the status moved to peer. Evidence: HostRouterTest.CallsToAnAgentThatThrowsAreNotRepeated failed before (two calls made by the holder, outcomes done) and passes now.

--- a/src/camphormux/coordinator/holder_client.cpp
+++ b/src/camphormux/coordinator/holder_client.cpp
@@ -56,12 +56,6 @@
   return {peer::kStatusOk, cbor::Serialize(json::array({first, second}))};
 }
 
-/// @return Whether a node that answers so has done nothing.
-bool IsRejection(int status) {
-  return status == peer::kStatusBadRequest || status == peer::kStatusNotFound ||
-         status == peer::kStatusTooLarge || status == peer::kStatusUnavailable;
-}
-
 std::string NameIn(const peer::Request& request) {
   const auto value = cbor::Parse(request.body);
   if (!value) {
@@ -111,7 +105,7 @@
                                                 : SubmitOutcome::kUnavailable});
           return;
         }
-        if (internal::IsRejection(result.value().status)) {
+        if (peer::IsRejection(result.value().status)) {
           done({SubmitOutcome::kUnavailable});
           return;
         }
--- a/src/camphormux/coordinator/host_router.cpp
+++ b/src/camphormux/coordinator/host_router.cpp
@@ -260,8 +260,11 @@
     OnAgentLeaving(agent, sent);
     return;
   }
-  if (result.value().status != peer::kStatusOk) {
-    OnAgentFailed(agent, sent, "refused");
+  const int status = result.value().status;
+  if (status != peer::kStatusOk) {
+    const bool is_rejected = peer::IsRejection(status);
+    OnAgentFailed(agent, is_rejected ? sent : std::vector<std::uint64_t>{},
+                  is_rejected ? "refused" : "failed");
     return;
   }
   auto answers = DecodeAnswers(result.value().body);
--- a/src/camphormux/peer/message.hpp
+++ b/src/camphormux/peer/message.hpp
@@ -45,6 +45,14 @@
   kTooLarge,  ///< The request or the response is above the bound.
 };
 
+/// @brief Whether a peer that answers with a status has not acted on the
+/// request.
+/// @param status The status of a complete response.
+[[nodiscard]] constexpr bool IsRejection(int status) noexcept {
+  return status == kStatusBadRequest || status == kStatusNotFound ||
+         status == kStatusTooLarge || status == kStatusUnavailable;
+}
+
 /// @brief Why there is no response.
 struct Failure {
   Error error = Error::kConnect;
--- a/test/coordinator/host_router_test.cpp
+++ b/test/coordinator/host_router_test.cpp
@@ -28,7 +28,10 @@
     server = std::make_unique<peer::Server>(
         loop, core::Address{"127.0.0.1", 0},
         [this](const peer::Request& request, const peer::Respond& respond) {
-          if (!agent_silent) {
+          if (agent_throws) {
+            agent->Serve(request, [](const peer::Response&) {});
+            respond({peer::kStatusInternalError, ""});
+          } else if (!agent_silent) {
             agent->Serve(request, respond);
           }
         });
@@ -71,6 +74,7 @@
   int agent_calls = 0;
   int holder_calls = 0;
   bool agent_silent = false;
+  bool agent_throws = false;  ///< After it has made the calls.
   std::vector<std::function<void(CallOutcome)>> pending_responses;
   std::vector<CallOutcome> outcomes;
   std::shared_ptr<HostAgent> agent;
@@ -125,6 +129,18 @@
   EXPECT_EQ(harness.holder_calls, 1);
 }
 
+// Guards against a call that is carried out twice: a node whose handler throws
+// may have made some of the calls before.
+TEST(HostRouterTest, CallsToAnAgentThatThrowsAreNotRepeated) {
+  Harness harness;
+  harness.agent_throws = true;
+  harness.Stop(2);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.outcomes.size() == 2; }));
+  EXPECT_EQ(harness.outcomes[0], CallOutcome::kNoAnswer);
+  EXPECT_EQ(harness.outcomes[1], CallOutcome::kNoAnswer);
+  EXPECT_EQ(harness.holder_calls, 0);
+}
+
 // Guards against hosts that look unresponsive because the node in between has
 // failed.
 TEST(HostRouterTest, CallsThatCannotHaveReachedAnAgentAreRerouted) {
