Treat a store call as possibly sent when the node that forwards it fails

What callers can see: a job is rejected with 503 and runs (REFUSED). A node without the store that forwards an append took each answer but 200 for a proof that nothing was sent, so that the append counted as certainly not stored and its new jobs were rejected. Change: only a status that rules out any effect counts so; the same test as for the calls to the holder and to hosts. Evidence: PeerForwarderTest.RequestOnWhichANodeFailsMayHaveReachedTheStore failed before (may_have_reached was false) and passes now.

--- a/src/camphormux/coordinator/peer_forwarder.cpp
+++ b/src/camphormux/coordinator/peer_forwarder.cpp
@@ -42,20 +42,22 @@
     client = std::make_shared<peer::Client>(loop_, members_[chosen],
                                             internal::PeerOptions(self_.ip));
   }
-  client->Send(
-      {std::string(kForwardPath), std::move(body)}, timeout,
-      [this, chosen, client = client,
-       done = std::move(done)](const peer::Result& result) {
-        if (result && result.value().status == peer::kStatusOk) {
-          done({true, false, result.value().body});
-          return;
-        }
-        if (next_ == chosen || members_.empty() ||
-            next_ % members_.size() == chosen) {
-          next_ = chosen + 1;
-        }
-        done({false, result ? false : result.error().may_have_reached, ""});
-      });
+  client->Send({std::string(kForwardPath), std::move(body)}, timeout,
+               [this, chosen, client = client,
+                done = std::move(done)](const peer::Result& result) {
+                 if (result && result.value().status == peer::kStatusOk) {
+                   done({true, false, result.value().body});
+                   return;
+                 }
+                 if (next_ == chosen || members_.empty() ||
+                     next_ % members_.size() == chosen) {
+                   next_ = chosen + 1;
+                 }
+                 const bool may_have_reached =
+                     result ? !peer::IsRejection(result.value().status)
+                            : result.error().may_have_reached;
+                 done({false, may_have_reached, ""});
+               });
 }
 
 }  // namespace camphormux::coordinator
--- a/test/coordinator/peer_forwarder_test.cpp
+++ b/test/coordinator/peer_forwarder_test.cpp
@@ -13,8 +13,8 @@
       : server(
             loop, {"127.0.0.1", 0},
             [this](const peer::Request& request, const peer::Respond& respond) {
-              pending_responses.push_back([respond, body = request.body] {
-                respond({peer::kStatusOk, "done " + body});
+              pending_responses.push_back([this, respond, body = request.body] {
+                respond({status, "done " + body});
               });
             }),
         peer_forwarder(loop, {"127.0.0.1", 1}) {
@@ -31,6 +31,7 @@
   }
 
   asio::io_context loop;
+  int status = peer::kStatusOk;
   std::vector<std::function<void()>> pending_responses;
   peer::Server server;
   PeerForwarder peer_forwarder;
@@ -53,6 +54,23 @@
   EXPECT_EQ(result->body, "done work");
 }
 
+// Guards against an append that is taken for not stored: a node whose handler
+// throws may have sent it before.
+TEST(PeerForwarderTest, RequestOnWhichANodeFailsMayHaveReachedTheStore) {
+  Harness harness;
+  harness.status = peer::kStatusInternalError;
+  std::optional<ForwardResult> result;
+  harness.peer_forwarder.Forward("work", core::Millis(5000),
+                                 [&](const ForwardResult& r) { result = r; });
+  harness.RunUntil([&] { return !harness.pending_responses.empty(); });
+  ASSERT_FALSE(harness.pending_responses.empty());
+  harness.pending_responses[0]();
+  harness.RunUntil([&] { return result.has_value(); });
+  ASSERT_TRUE(result);
+  EXPECT_FALSE(result->answered);
+  EXPECT_TRUE(result->may_have_reached);
+}
+
 // Guards against a request that waits although there is no other node.
 TEST(PeerForwarderTest, FailsAtOnceWithoutMembers) {
   Harness harness;
