Keep a start in mind that is on its way when the lease of its host ends

What callers can see: a task runs on two hosts at the same time. Cause: a lease is shortened to the authority of its holder, so it can end before the answer to a start is overdue. Such a start has no open copy yet, and was forgotten with its run. Change: it counts as open until the answer is overdue and no copy can take effect any more. The time of a decided start is read once. Evidence: RunsTest.StartOnItsWayAtTheEndOfALeaseIsStoppedBeforeItsHostGetsWork failed before (the host was usable) and passes now.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -288,14 +288,13 @@
     const bool is_due = run != state_.runs.end() &&
                         run->second.phase == scheduler::RunPhase::kOrdered &&
                         now <= run->second.ordered + scheduler::kOrderValidity;
-    const core::Millis waited =
-        is_due ? now - run->second.ordered : core::Millis(0);
+    const core::MonotonicTime ordered = is_due ? run->second.ordered : now;
     if (!is_due || !CallStart(order, done)) {
       scheduler::WithdrawStart(state_, order.run);
       done();
       return;
     }
-    RecordStage(run_latency_.sent, waited);
+    RecordStage(run_latency_.sent, now - ordered);
     scheduler::OnStartSent(state_, order.run, now);
   });
 }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -210,12 +210,16 @@
 /// Keeps a copy of a removed run's start in mind that may still take effect.
 void RememberOpenCopy(Host& host, const Run& run,
                       std::optional<EndEvidence> evidence) {
-  if (!run.has_open_copy) {
+  const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered &&
+                             evidence == EndEvidence::kLeaseExpired;
+  if (!run.has_open_copy && !is_on_its_way) {
     return;
   }
   OpenCopy& copy = host.open_copies.emplace_back();
   copy.name = run.name;
-  copy.until = run.last_open_copy + kMaxCallDelay;
+  copy.until =
+      (is_on_its_way ? run.ordered + kMaxCallDuration : run.last_open_copy) +
+      kMaxCallDelay;
   // A host refuses the start of a run that it has stopped or that has ended.
   if (!evidence || *evidence == EndEvidence::kStopConfirmed || run.was_listed) {
     copy.refused_by = host.listing.incarnation;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -303,6 +303,21 @@
   EXPECT_TRUE(IsUsable(test.fleet.state.hosts.at(test.host), test.fleet.now));
 }
 
+// Guards against a task that runs twice: a lease that is shortened to the
+// authority of the holder can end before the answer to a start is overdue.
+TEST(RunsTest, StartOnItsWayAtTheEndOfALeaseIsStoppedBeforeItsHostGetsWork) {
+  Fleet fleet = SmallFleet(1);
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Step();
+  const core::HostId host = OnlyRun(fleet).host;
+  MarkUnresponsive(fleet.state.hosts.at(host), fleet.now);
+  CheckHosts(fleet.state, fleet.now + core::Millis(500));
+  ASSERT_TRUE(fleet.state.runs.empty());
+  fleet.Report(host);
+  EXPECT_FALSE(IsUsable(fleet.state.hosts.at(host), fleet.now));
+}
+
 // Guards against a task that runs twice: a host that leaves the list
 // meanwhile and returns would be taken for one without open copies.
 TEST(RunsTest, HostWithAnOpenCopyIsRememberedWhileItIsNotListed) {
