--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -394,6 +394,32 @@
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
 }
 
+// Guards against a task that runs twice: after a takeover, the stored run is on
+// a host that does not answer, and another host lists an earlier attempt.
+TEST(RunsTest, RunIsNotAdoptedWhileTheStoredOneIsInDoubt) {
+  Fleet fleet = SmallFleet(2);
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  const core::HostId silent = fleet.listings[0].id;
+  const core::HostId other = fleet.listings[1].id;
+  fleet.unresponsive.insert(silent);
+  workload::Progress stored;
+  stored.state = workload::JobState::kRunning;
+  stored.accepted = fleet.wall;
+  stored.tasks.resize(1);
+  stored.tasks[0].runs = {{silent, {1}, 2}};
+  stored.tasks[0].next_attempt = 3;
+  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  const RunName earlier{spec.id, {}, 1};
+  fleet.running.push_back({earlier, other, fleet.now + core::Millis(60'000)});
+  fleet.Report(other);
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  EXPECT_EQ(OnlyRun(fleet).host, silent);
+  ASSERT_EQ(fleet.state.orders.size(), 1U);
+  const auto* stop = std::get_if<StopRun>(&fleet.state.orders[0]);
+  ASSERT_NE(stop, nullptr);
+  EXPECT_EQ(stop->name, earlier);
+}
+
 // Guards against a task that runs twice: a host that is listed for the first
 // time after a takeover reports a run on a lease of the previous holder, and
 // stops answering before it gets a new one.
