--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -206,6 +206,7 @@
     const bool is_gone = !host.listed && now >= host.gone_at;
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
       internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
+      // A host with open copies may be listed again.
       if (is_gone && host.open_copies.empty()) {
         gone.push_back(id);
       }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -207,7 +207,7 @@
   return nullptr;
 }
 
-/// Keeps a copy of a removed run's start in mind that may still take effect.
+/// Records a copy of a removed run's start that may still take effect.
 void RememberOpenCopy(Host& host, const Run& run,
                       std::optional<EndEvidence> evidence) {
   const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered &&
