--- a/test/coordinator/host_router_test.cpp
+++ b/test/coordinator/host_router_test.cpp
@@ -129,8 +129,7 @@
   EXPECT_EQ(harness.holder_calls, 1);
 }
 
-// Guards against a call that is carried out twice: a node whose handler throws
-// may have made some of the calls before.
+// Guards against a call that is carried out twice.
 TEST(HostRouterTest, CallsToAnAgentThatThrowsAreNotRepeated) {
   Harness harness;
   harness.agent_throws = true;
--- a/test/coordinator/peer_forwarder_test.cpp
+++ b/test/coordinator/peer_forwarder_test.cpp
@@ -54,8 +54,7 @@
   EXPECT_EQ(result->body, "done work");
 }
 
-// Guards against an append that is taken for not stored: a node whose handler
-// throws may have sent it before.
+// Guards against an append that is wrongly taken for not stored.
 TEST(PeerForwarderTest, RequestOnWhichANodeFailsMayHaveReachedTheStore) {
   Harness harness;
   harness.status = peer::kStatusInternalError;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -241,8 +241,7 @@
   EXPECT_EQ(fleet.CountStarts(MakeJob(1, "q", 1, 1, {}).id.value), 2U);
 }
 
-// Guards against a task that runs twice: a start whose answer takes longer than
-// a call should is repeated, and the repetition is refused.
+// Guards against a task that runs twice: the first copy can still start it.
 TEST(RunsTest, RefusalOfARepetitionDoesNotAnswerASlowStart) {
   Fleet fleet = SmallFleet();
   fleet.execute_starts = false;
@@ -292,8 +291,7 @@
   core::HostId host;
 };
 
-// Guards against a task that runs twice: a start that was given up with its
-// host's lease takes effect once the host has a lease again.
+// Guards against a late copy that runs under the next lease of its host.
 TEST(RunsTest, StartGivenUpWithItsLeaseIsStoppedBeforeItsHostGetsWork) {
   GivenUpStart test;
   ASSERT_TRUE(test.fleet.state.runs.empty());
@@ -303,8 +301,7 @@
   EXPECT_TRUE(IsUsable(test.fleet.state.hosts.at(test.host), test.fleet.now));
 }
 
-// Guards against a task that runs twice: a lease that is shortened to the
-// authority of the holder can end before the answer to a start is overdue.
+// Guards against the same for a lease shortened to the holder's authority.
 TEST(RunsTest, StartOnItsWayAtTheEndOfALeaseIsStoppedBeforeItsHostGetsWork) {
   Fleet fleet = SmallFleet(1);
   fleet.execute_starts = false;
@@ -318,8 +315,7 @@
   EXPECT_FALSE(IsUsable(fleet.state.hosts.at(host), fleet.now));
 }
 
-// Guards against a task that runs twice: a host that leaves the list
-// meanwhile and returns would be taken for one without open copies.
+// Guards against the same for a host that is cut off from the list.
 TEST(RunsTest, HostWithAnOpenCopyIsRememberedWhileItIsNotListed) {
   GivenUpStart test;
   ApplyListings(test.fleet.state, {}, test.fleet.now, test.fleet.now);
@@ -330,8 +326,7 @@
   EXPECT_FALSE(test.fleet.state.hosts.contains(test.host));
 }
 
-// Guards against a task that runs twice: the next incarnation of a host does
-// not know what the last one has stopped.
+// Guards against a copy that reaches an incarnation without the stop.
 TEST(RunsTest, StoppedStartIsStoppedAgainAfterARestart) {
   GivenUpStart test;
   test.fleet.Advance(core::Millis(100));
@@ -394,8 +389,7 @@
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
 }
 
-// Guards against a task that runs twice: after a takeover, the stored run is on
-// a host that does not answer, and another host lists an earlier attempt.
+// Guards against two runs after a takeover: the stored host is silent.
 TEST(RunsTest, RunIsNotAdoptedWhileTheStoredOneIsInDoubt) {
   Fleet fleet = SmallFleet(2);
   const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
--- a/test/scheduler/stale_orders_test.cpp
+++ b/test/scheduler/stale_orders_test.cpp
@@ -61,16 +61,14 @@
   StartRun order;
 };
 
-// Guards against a run that a successor does not know: a start that is not
-// stored yet was repeated after a restart of its host.
+// Guards against a run that the store, and so a successor, does not know.
 TEST(StaleOrdersTest, StartThatWasNotSentIsNotRepeatedAfterARestart) {
   UnsentStart test;
   test.fleet.Advance(core::Millis(5000));
   EXPECT_EQ(FirstSent<RepeatStart>(test.fleet), nullptr);
 }
 
-// Guards against a task that runs twice: the withdrawal of a start ended a run
-// of the next incarnation of its host.
+// Guards against a task that starts elsewhere beside its run.
 TEST(StaleOrdersTest, WithdrawnStartDoesNotEndARunThatIsAtWork) {
   UnsentStart test;
   test.fleet.Advance(core::Millis(5000));
