--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
 
 
 def started(system, job):
-    return sum(1 for event in system.events() if event["what"] == "start" and event["task"].startswith(job))
+    return len({event["task"] for event in system.events() if event["what"] == "start" and job in event["task"]})
 
 
 def run(system):
@@ -28,7 +28,7 @@
         return 2
     if not (system.submit("audits", LASTING_A, LASTING) and system.submit("ledgers", LASTING_B, LASTING)):
         return 2
-    if not system.wait_for(15, lambda: started(system, LASTING_A) == 3 and started(system, LASTING_B) == 3):
+    if not system.wait_for(25, lambda: started(system, LASTING_A) == 3 and started(system, LASTING_B) == 3):
         return 2
     time.sleep(4)
     if TROUBLE:
