Review: answer orders for machines that do not fit as the page says

The stand-in refused each order with 409. Case 1 sends orders for a pool without a name, to which the page answers 400.

--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -241,8 +241,15 @@
             self.answer(200, {"machines": machines, "nextToken": None})
 
         def do_POST(self):
-            self.body()
-            self.answer(409, {"reason": "busy"})
+            body = json.loads(self.body())
+            runners = store.entries("keyed.servers")
+            pools = {json.loads(value)["service"] for value in runners.values()}
+            known = body.get("machine", "")[2:] in runners
+            # No script leads to an order that would be carried out.
+            if not known or ("pool" in body and body["pool"] not in pools):
+                self.answer(400, {})
+            else:
+                self.answer(409, {"reason": "busy"})
 
     for address, handler in ((store_address, StoreHandler), (cloud_address, CloudHandler)):
         threading.Thread(target=Server(address, handler).serve_forever, daemon=True).start()
