Store a job's policy, so that the removal of its queue does not stop it

Cause: pool, priority, number of attempts and objective were taken from the catalog when a job was loaded. A holder whose catalog lacks the queue loaded the job without a pool, where no host fits; a later catalog did not reach open jobs. Such a job also failed with its first failed attempt, and machines were ordered for a pool without a name.

Change: the policy is decided at acceptance and stored after the fields of the job's record. A job without one, of the previous version, takes that of its queue from the first catalog that has it; it is then stored. The previous version ignores what follows the fields that it knows, and its records are read as jobs without a policy (CodecTest). What is loaded without a record or without a policy is logged; a gauge counts the jobs that wait.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -246,20 +246,20 @@
   const core::MonotonicTime now = core::MonotonicNow();
   const core::WallTime wall = core::WallNow();
   std::map<core::JobId, std::optional<workload::Progress>> progress;
-  std::map<core::JobId, std::optional<workload::JobSpec>> specs;
+  std::map<core::JobId, std::optional<workload::StoredJob>> jobs;
   for (const StoreRecord& record : records) {
     if (!record.value) {
       continue;
     }
     if (record.key.starts_with(kSpecKeyPrefix)) {
-      auto spec = workload::DecodeSpec(*record.value);
-      if (!spec) {
+      auto job = workload::DecodeStoredJob(*record.value);
+      if (!job) {
         telemetry::Log(telemetry::Level::kError, "stored job is malformed",
                        {{"key", record.key}});
         continue;
       }
-      const core::JobId id = spec->id;
-      specs[id] = std::move(spec);
+      const core::JobId id = job->spec.id;
+      jobs[id] = std::move(job);
     } else if (record.key.starts_with(kProgressKeyPrefix)) {
       auto decoded = workload::DecodeProgress(*record.value);
       if (!decoded) {
@@ -269,16 +269,22 @@
       }
       const core::JobId id{record.key.substr(kProgressKeyPrefix.size())};
       progress[id] = std::move(decoded);
-      specs.try_emplace(id);
+      jobs.try_emplace(id);
     } else if (record.key.starts_with(kWaveKeyPrefix)) {
       LoadWave(record);
     } else if (record.key.starts_with(kMachineKeyPrefix)) {
       LoadMachineOrder(record);
     }
   }
-  for (auto& [id, spec] : specs) {
-    scheduler::LoadJob(state_, id, std::move(spec), progress[id], now, wall);
+  for (auto& [id, job] : jobs) {
+    if (!job && !workload::IsFinal(progress[id]->state)) {
+      telemetry::Log(telemetry::Level::kError,
+                     "accepted job has no readable record",
+                     {{"job", id.value}});
+    }
+    scheduler::LoadJob(state_, id, std::move(job), progress[id], now, wall);
   }
+  LogJobsWithoutPolicy();
   scheduler::RebuildArrivalRates(state_, now);
   loaded_ = true;
   for (const scheduler::WaveRequest& wave :
@@ -308,10 +314,28 @@
 }
 
 void Holder::OnCatalog(workload::Catalog catalog) {
-  state_.catalog = std::move(catalog);
+  scheduler::ApplyCatalog(state_, std::move(catalog), core::WallNow());
   SchedulePlan();
 }
 
+std::size_t Holder::CountJobsWithoutPolicy() const {
+  return static_cast<std::size_t>(std::count_if(
+      state_.jobs.begin(), state_.jobs.end(),
+      [](const auto& entry) { return !scheduler::HasPolicy(entry.second); }));
+}
+
+void Holder::LogJobsWithoutPolicy() const {
+  for (const auto& [id, job] : state_.jobs) {
+    if (!scheduler::HasPolicy(job)) {
+      telemetry::Log(telemetry::Level::kWarning,
+                     "job waits until its queue is configured again",
+                     {{"job", id.value},
+                      {"queue", job.spec.queue.value},
+                      {"token", std::to_string(token_.value)}});
+    }
+  }
+}
+
 void Holder::OnWave(const scheduler::WaveRequest& wave) {
   if (!loaded_) {
     waves_before_load_.push_back(wave);
@@ -455,6 +479,8 @@
     store_writer_->Drop(id);
   }
   node_metrics_.open_jobs->Set(static_cast<double>(state_.jobs.size()));
+  node_metrics_.jobs_without_policy->Set(
+      static_cast<double>(CountJobsWithoutPolicy()));
   LogLoads(now);
   PollMachines(now);
   SchedulePlan();
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -83,6 +83,8 @@
   void OnLoaded(const std::vector<StoreRecord>& records);
   void LoadWave(const StoreRecord& record);
   void LoadMachineOrder(const StoreRecord& record);
+  [[nodiscard]] std::size_t CountJobsWithoutPolicy() const;
+  void LogJobsWithoutPolicy() const;
   void SchedulePlan();
   void Plan();
   void Tick();
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -49,6 +49,9 @@
                   "Runs that a host listed although they were not expected.");
   node_metrics.open_jobs = &AddGauge(registry, "camphormux_open_jobs",
                                      "Jobs that are not final, at the holder.");
+  node_metrics.jobs_without_policy = &AddGauge(
+      registry, "camphormux_jobs_without_policy",
+      "Jobs at the holder that wait until their queue is configured again.");
   node_metrics.holds_ownership = &AddGauge(
       registry, "camphormux_holder", "1 if this node is the holder, else 0.");
   node_metrics.submit_seconds = &AddLatencyHistogram(
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -24,6 +24,7 @@
   prometheus::Counter* presumed_ends = nullptr;
   prometheus::Counter* unexpected_runs = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
+  prometheus::Gauge* jobs_without_policy = nullptr;
   prometheus::Gauge* holds_ownership = nullptr;
   prometheus::Histogram* submit_seconds = nullptr;
   prometheus::Histogram* store_seconds = nullptr;
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -31,6 +31,10 @@
       nlohmann::json::array({wave.complete ? 1 : 0, std::move(begun)}));
 }
 
+std::string EncodeJob(const scheduler::Job& job) {
+  return workload::EncodeStoredJob({job.spec, job.policy});
+}
+
 /// Encodes the time of an order, from which a later holder computes its age.
 std::string EncodeOrderTime(core::WallTime now) {
   return cbor::Serialize(
@@ -115,7 +119,7 @@
     const auto job = state_.jobs.find(id);
     if (job != state_.jobs.end()) {
       add(std::string(kSpecKeyPrefix) + id.value,
-          workload::EncodeSpec(job->second.spec));
+          internal::EncodeJob(job->second));
       batch.submissions.push_back(id);
       state_.unsaved.insert(id);
     }
@@ -128,6 +132,11 @@
     if (job == state_.jobs.end()) {
       continue;
     }
+    if (scheduler::HasPolicy(job->second) && !job->second.policy_saved) {
+      job->second.policy_saved = true;
+      add(std::string(kSpecKeyPrefix) + id.value,
+          internal::EncodeJob(job->second));
+    }
     const workload::Progress progress =
         scheduler::ProgressOf(state_, job->second);
     add(std::string(kProgressKeyPrefix) + id.value,
--- a/src/camphormux/scheduler/arrivals.cpp
+++ b/src/camphormux/scheduler/arrivals.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <vector>
 
+#include "camphormux/scheduler/jobs.hpp"
+
 namespace camphormux::scheduler {
 namespace internal {
 
@@ -33,17 +35,18 @@
   if (job.permanent || job.spec.occurrences > 0) {
     return;
   }
-  ArrivalRate arrival_rate = internal::ArrivalRateAt(state, job.pool, now);
+  ArrivalRate arrival_rate =
+      internal::ArrivalRateAt(state, job.policy.pool, now);
   const double work = job.core_seconds * internal::kMillisPerSecond;
   arrival_rate.fast += work / internal::kFastTimeConstantMillis;
   arrival_rate.slow += work / internal::kSlowTimeConstantMillis;
-  state.arrival_rates[job.pool] = arrival_rate;
+  state.arrival_rates[job.policy.pool] = arrival_rate;
 }
 
 void RebuildArrivalRates(State& state, core::MonotonicTime now) {
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : state.jobs) {
-    if (job.submitted <= now) {
+    if (HasPolicy(job) && job.submitted <= now) {
       jobs.push_back(&job);
     }
   }
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -65,37 +65,58 @@
   UpdateRemainingPath(job);
 }
 
-/// Applies the queue's policy to a job. If the catalog no longer has the queue,
-/// the job keeps its current policy.
-void ApplyQueue(Job& job, const workload::Queue* queue) {
-  if (queue == nullptr) {
-    return;
-  }
-  job.pool = queue->pool;
-  job.priority = queue->priority;
-  job.max_failures = std::max(1U, queue->max_failures);
-  if (!job.permanent && job.spec.occurrences == 0) {
+workload::JobPolicy PolicyOf(const workload::Queue& queue,
+                             const workload::JobSpec& spec) {
+  workload::JobPolicy policy;
+  policy.pool = queue.pool;
+  policy.priority = queue.priority;
+  policy.max_failures = std::max(1U, queue.max_failures);
+  if (!IsPermanent(spec) && spec.occurrences == 0) {
     const auto path =
-        static_cast<double>(workload::CriticalPath(job.spec, {}).count());
-    job.objective =
-        core::Millis(static_cast<std::int64_t>(path * queue->stretch)) +
-        queue->latency_target;
+        static_cast<double>(workload::CriticalPath(spec, {}).count());
+    policy.objective =
+        core::Millis(static_cast<std::int64_t>(path * queue.stretch)) +
+        queue.latency_target;
   }
+  return policy;
 }
 
-Job MakeJob(workload::JobSpec spec, const workload::Queue* queue) {
+Job MakeJob(workload::JobSpec spec, workload::JobPolicy policy) {
   Job job;
   job.spec = std::move(spec);
+  job.policy = std::move(policy);
   job.permanent = IsPermanent(job.spec);
   job.core_seconds = workload::CoreSeconds(job.spec);
   job.tasks.resize(workload::TaskCount(job.spec));
-  ApplyQueue(job, queue);
   CountOpenTasks(job);
   return job;
 }
 
+/// Gives a job without a policy that of its queue, if the catalog has it.
+void AssignPolicy(State& state, Job& job, core::WallTime wall) {
+  if (HasPolicy(job)) {
+    return;
+  }
+  const workload::Queue* queue =
+      workload::FindQueue(state.catalog, job.spec.queue);
+  if (queue == nullptr) {
+    return;
+  }
+  job.policy = PolicyOf(*queue, job.spec);
+  state.unsaved.insert(job.spec.id);
+  const bool failed =
+      std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task& task) {
+        return task.progress.failed_attempts.size() >= job.policy.max_failures;
+      });
+  if (failed) {
+    EndJob(state, job, workload::JobState::kFailed, wall);
+  }
+}
+
 }  // namespace internal
 
+bool HasPolicy(const Job& job) { return !job.policy.pool.value.empty(); }
+
 AdmissionResult Submit(State& state, workload::JobSpec spec,
                        core::MonotonicTime now, core::WallTime wall) {
   if (state.closed.contains(spec.id)) {
@@ -109,7 +130,9 @@
   if (queue == nullptr) {
     return {Admission::kNoQueue};
   }
-  Job job = internal::MakeJob(std::move(spec), queue);
+  workload::JobPolicy policy = internal::PolicyOf(*queue, spec);
+  Job job = internal::MakeJob(std::move(spec), std::move(policy));
+  job.policy_saved = true;
   job.submitted = now;
   job.accepted = wall;
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
@@ -130,7 +153,8 @@
     return;
   }
   state.last_pending[queue->pool] = now;
-  RecordArrival(state, internal::MakeJob(spec, queue), now);
+  RecordArrival(state,
+                internal::MakeJob(spec, internal::PolicyOf(*queue, spec)), now);
 }
 
 void ConfirmSubmission(State& state, const core::JobId& id) {
@@ -173,7 +197,7 @@
 }
 
 void LoadJob(State& state, const core::JobId& id,
-             std::optional<workload::JobSpec> spec,
+             std::optional<workload::StoredJob> stored,
              const std::optional<workload::Progress>& progress,
              core::MonotonicTime now, core::WallTime wall) {
   if (progress && workload::IsFinal(progress->state)) {
@@ -183,13 +207,14 @@
     state.closed[id] = ClosedJob{progress->state, now + kept};
     return;
   }
-  if (!spec) {
+  if (!stored) {
     return;
   }
-  const workload::Queue* queue =
-      workload::FindQueue(state.catalog, spec->queue);
-  Job job = internal::MakeJob(*std::move(spec), queue);
+  Job job = internal::MakeJob(
+      std::move(stored->spec),
+      std::move(stored->policy).value_or(workload::JobPolicy{}));
   job.saved = true;
+  job.policy_saved = HasPolicy(job);
   job.accepted = progress ? progress->accepted : wall;
   const core::Millis age = std::max(core::Millis(0), wall - job.accepted);
   job.submitted = now - age;
@@ -207,6 +232,15 @@
     }
     loaded.tasks[i].progress.runs.clear();
   }
+  internal::AssignPolicy(state, loaded, wall);
+}
+
+void ApplyCatalog(State& state, workload::Catalog catalog,
+                  core::WallTime wall) {
+  state.catalog = std::move(catalog);
+  for (auto& [id, job] : state.jobs) {
+    internal::AssignPolicy(state, job, wall);
+  }
 }
 
 std::optional<workload::JobState> VisibleState(const State& state,
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -48,15 +48,23 @@
 /// @return False if there is no such job.
 bool Cancel(State& state, const core::JobId& id, core::WallTime wall);
 
+/// @brief Returns whether the policy of a job is known. Without one, none of
+/// its tasks starts.
+[[nodiscard]] bool HasPolicy(const Job& job);
+
+/// @brief Replaces the catalog. Jobs keep the policy with which they were
+/// accepted; those without one take that of their queue.
+void ApplyCatalog(State& state, workload::Catalog catalog, core::WallTime wall);
+
 /// @brief Adds a job that a previous lease holder accepted.
 /// @param state The state.
 /// @param id The job's id.
-/// @param spec The job; nothing if only its final state is stored.
+/// @param stored The job; nothing if only its final state is stored.
 /// @param progress The job's progress; nothing if none was stored.
 /// @param now Monotonic time.
 /// @param wall Wall-clock time.
 void LoadJob(State& state, const core::JobId& id,
-             std::optional<workload::JobSpec> spec,
+             std::optional<workload::StoredJob> stored,
              const std::optional<workload::Progress>& progress,
              core::MonotonicTime now, core::WallTime wall);
 
--- a/src/camphormux/scheduler/load.cpp
+++ b/src/camphormux/scheduler/load.cpp
@@ -27,34 +27,34 @@
     }
   }
   for (const auto& [id, job] : state.jobs) {
-    if (job.objective.count() == 0 || workload::IsFinal(job.state)) {
+    if (job.policy.objective.count() == 0 || workload::IsFinal(job.state)) {
       continue;
     }
-    PoolLoad& load = loads[job.pool];
+    PoolLoad& load = loads[job.policy.pool];
     ++load.open_jobs;
-    load.late_jobs += now > job.submitted + job.objective ? 1U : 0U;
+    load.late_jobs += now > job.submitted + job.policy.objective ? 1U : 0U;
   }
   return loads;
 }
 
 void RecordStart(State& state, const Job& job, core::MonotonicTime now) {
-  if (job.objective.count() == 0) {
+  if (job.policy.objective.count() == 0) {
     return;
   }
-  PoolWork& work = state.work[job.pool];
+  PoolWork& work = state.work[job.policy.pool];
   ++(UrgencyOf(job, now) == Urgency::kOnTime ? work.started_in_time
                                              : work.started_late);
 }
 
 void RecordCompletion(State& state, const Job& job, core::MonotonicTime now) {
-  if (job.objective.count() == 0) {
+  if (job.policy.objective.count() == 0) {
     return;
   }
-  PoolWork& work = state.work[job.pool];
+  PoolWork& work = state.work[job.policy.pool];
   const core::Millis took = now - job.submitted;
-  if (took <= job.objective) {
+  if (took <= job.policy.objective) {
     work.done_in_time += job.core_seconds;
-  } else if (took <= job.objective * kLateFactor) {
+  } else if (took <= job.policy.objective * kLateFactor) {
     work.done_late += job.core_seconds;
   } else {
     work.done_worthless += job.core_seconds;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -151,8 +151,8 @@
   const auto remote = core::Millis(
       static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) *
                                 state.settings.remote_factor));
-  return job.objective.count() > 0 &&
-         now + remote > job.submitted + job.objective &&
+  return job.policy.objective.count() > 0 &&
+         now + remote > job.submitted + job.policy.objective &&
          now < job.submitted + kDataRackTimeout;
 }
 
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -5,6 +5,7 @@
 
 #include "camphormux/scheduler/balance.hpp"
 #include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/placing.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
@@ -33,8 +34,8 @@
     State& state, core::MonotonicTime now) {
   std::map<core::PoolName, std::vector<std::pair<Rank, Job*>>> ranked;
   for (auto& [id, job] : state.jobs) {
-    if (job.saved && !workload::IsFinal(job.state)) {
-      ranked[job.pool].emplace_back(RankOf(job, now), &job);
+    if (job.saved && HasPolicy(job) && !workload::IsFinal(job.state)) {
+      ranked[job.policy.pool].emplace_back(RankOf(job, now), &job);
     }
   }
   for (auto& [pool, jobs] : ranked) {
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -77,7 +77,7 @@
   auto& failed = job.tasks[counted].progress.failed_attempts;
   failed.insert(attempt);
   state.unsaved.insert(job.spec.id);
-  if (failed.size() >= job.max_failures) {
+  if (HasPolicy(job) && failed.size() >= job.policy.max_failures) {
     EndJob(state, job, workload::JobState::kFailed, wall);
   }
 }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -149,16 +149,14 @@
 /// stopped.
 struct Job {
   workload::JobSpec spec;
-  core::PoolName pool;
-  std::uint32_t priority = 0;
-  std::uint32_t max_failures = 1;
+  /// Its pool is empty if no policy is known: an earlier version of the program
+  /// stored the job, and the catalog does not have its queue.
+  workload::JobPolicy policy;
+  bool policy_saved = false;  ///< The policy is stored, or is being stored.
   workload::JobState state = workload::JobState::kQueued;
   core::WallTime accepted;
   core::WallTime ended;
   core::MonotonicTime submitted;
-  /// Target time from submission to completion; 0 for permanent and scheduled
-  /// jobs.
-  core::Millis objective{0};
   double core_seconds = 0;
   core::Millis remaining_path{0};  ///< Critical path of the incomplete steps.
   bool permanent = false;
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -31,10 +31,11 @@
     return Urgency::kPermanent;
   }
   const core::MonotonicTime end = now + job.remaining_path;
-  if (end <= job.submitted + job.objective) {
+  if (end <= job.submitted + job.policy.objective) {
     return Urgency::kOnTime;
   }
-  const core::MonotonicTime last = job.submitted + job.objective * kLateFactor;
+  const core::MonotonicTime last =
+      job.submitted + job.policy.objective * kLateFactor;
   if (end > last) {
     return Urgency::kOverdue;
   }
@@ -43,7 +44,7 @@
 }
 
 Rank RankOf(const Job& job, core::MonotonicTime now) {
-  return {UrgencyOf(job, now), job.priority,
+  return {UrgencyOf(job, now), job.policy.priority,
           job.state == workload::JobState::kQueued, job.core_seconds,
           job.submitted};
 }
@@ -51,21 +52,22 @@
 std::optional<core::Millis> RefusalRetryAfter(const State& state,
                                               const Job& job,
                                               core::MonotonicTime now) {
-  if (job.objective.count() == 0) {
+  if (job.policy.objective.count() == 0) {
     return std::nullopt;
   }
   double backlog = 0;
   for (const auto& [id, other] : state.jobs) {
-    if (other.pool == job.pool && !other.permanent &&
+    if (other.policy.pool == job.policy.pool && !other.permanent &&
         !workload::IsFinal(other.state) && other.spec.occurrences == 0 &&
-        now < other.submitted + other.objective * kLateFactor) {
+        now < other.submitted + other.policy.objective * kLateFactor) {
       backlog += internal::RemainingWork(other);
     }
   }
   double cores = 0;
   for (const auto& [id, host] : state.hosts) {
     // Idle hosts of other pools can be moved to this pool.
-    if (host.listed && (host.listing.pool == job.pool || host.runs.empty())) {
+    if (host.listed &&
+        (host.listing.pool == job.policy.pool || host.runs.empty())) {
       cores += static_cast<double>(host.listing.capacity.cores.value) /
                internal::kMilliCoresPerCore;
     }
@@ -84,7 +86,7 @@
   const auto wait = core::Millis(
       static_cast<std::int64_t>(backlog / cores * internal::kMillisPerSecond));
   const core::Millis useful =
-      job.objective * kLateFactor - workload::CriticalPath(job.spec, {});
+      job.policy.objective * kLateFactor - workload::CriticalPath(job.spec, {});
   if (wait <= useful) {
     return std::nullopt;
   }
--- a/src/camphormux/workload/codec.cpp
+++ b/src/camphormux/workload/codec.cpp
@@ -90,6 +90,57 @@
   return step;
 }
 
+json ToJson(const JobSpec& spec) {
+  json steps = json::array();
+  for (const Step& step : spec.steps) {
+    steps.push_back(ToJson(step));
+  }
+  return json::array({spec.id.value, spec.queue.value, spec.payload,
+                      std::move(steps), spec.occurrences,
+                      Millis(spec.first_run), spec.interval.count()});
+}
+
+/// Reads the elements of a job; returns nothing if they are malformed or the
+/// job is invalid.
+std::optional<JobSpec> ReadSpec(cbor::ArrayReader& reader) {
+  JobSpec spec;
+  bool ok = true;
+  spec.id.value = reader.Text(kJobIdDigits);
+  spec.queue.value = reader.Text(kMaxNameBytes);
+  spec.payload = reader.Text(kMaxPayloadBytes);
+  for (const json& step : reader.Array(kMaxSteps)) {
+    spec.steps.push_back(StepFrom(step, ok));
+  }
+  spec.occurrences = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  spec.first_run = core::WallTime(
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount))));
+  spec.interval =
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount)));
+  if (!ok || !reader.ok() || Validate(spec)) {
+    return std::nullopt;
+  }
+  return spec;
+}
+
+json ToJson(const JobPolicy& policy) {
+  return json::array({policy.pool.value, policy.priority, policy.max_failures,
+                      policy.objective.count()});
+}
+
+std::optional<JobPolicy> PolicyFrom(const json& value) {
+  cbor::ArrayReader reader(value);
+  JobPolicy policy;
+  policy.pool.value = reader.Text(kMaxNameBytes);
+  policy.priority = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  policy.max_failures = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
+  policy.objective =
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount)));
+  if (!reader.ok() || policy.pool.value.empty()) {
+    return std::nullopt;
+  }
+  return policy;
+}
+
 bool IsInitial(const TaskProgress& task) { return task == TaskProgress{}; }
 
 json ToJson(std::size_t position, const TaskProgress& task) {
@@ -145,15 +196,7 @@
 }  // namespace internal
 
 std::string EncodeSpec(const JobSpec& spec) {
-  using internal::json;
-  json steps = json::array();
-  for (const Step& step : spec.steps) {
-    steps.push_back(internal::ToJson(step));
-  }
-  return cbor::Serialize(
-      json::array({spec.id.value, spec.queue.value, spec.payload,
-                   std::move(steps), spec.occurrences,
-                   internal::Millis(spec.first_run), spec.interval.count()}));
+  return cbor::Serialize(internal::ToJson(spec));
 }
 
 std::optional<JobSpec> DecodeSpec(std::string_view data) {
@@ -162,23 +205,32 @@
     return std::nullopt;
   }
   cbor::ArrayReader reader(*value);
-  JobSpec spec;
-  bool ok = true;
-  spec.id.value = reader.Text(kJobIdDigits);
-  spec.queue.value = reader.Text(internal::kMaxNameBytes);
-  spec.payload = reader.Text(kMaxPayloadBytes);
-  for (const internal::json& step : reader.Array(kMaxSteps)) {
-    spec.steps.push_back(internal::StepFrom(step, ok));
+  return internal::ReadSpec(reader);
+}
+
+std::string EncodeStoredJob(const StoredJob& job) {
+  internal::json value = internal::ToJson(job.spec);
+  if (job.policy) {
+    value.push_back(internal::ToJson(*job.policy));
   }
-  spec.occurrences = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
-  spec.first_run = core::WallTime(core::Millis(
-      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
-  spec.interval = core::Millis(
-      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount)));
-  if (!ok || !reader.ok() || Validate(spec)) {
+  return cbor::Serialize(value);
+}
+
+std::optional<StoredJob> DecodeStoredJob(std::string_view data) {
+  const auto value = cbor::Parse(data);
+  if (!value) {
     return std::nullopt;
   }
-  return spec;
+  cbor::ArrayReader reader(*value);
+  auto spec = internal::ReadSpec(reader);
+  if (!spec) {
+    return std::nullopt;
+  }
+  StoredJob job{*std::move(spec), std::nullopt};
+  if (reader.has_more()) {
+    job.policy = internal::PolicyFrom(reader.Array(SIZE_MAX));
+  }
+  return job;
 }
 
 std::string EncodeProgress(const Progress& progress) {
--- a/src/camphormux/workload/codec.hpp
+++ b/src/camphormux/workload/codec.hpp
@@ -9,8 +9,7 @@
 
 namespace camphormux::workload {
 
-/// @brief Encodes a job as CBOR, the form in which jobs are sent between nodes
-/// and stored.
+/// @brief Encodes a job as CBOR, the form in which jobs are sent between nodes.
 [[nodiscard]] std::string EncodeSpec(const JobSpec& spec);
 
 /// @brief Decodes a job.
@@ -18,6 +17,15 @@
 /// invalid.
 [[nodiscard]] std::optional<JobSpec> DecodeSpec(std::string_view data);
 
+/// @brief Encodes a job as it is stored: as EncodeSpec does, with the policy
+/// appended. DecodeSpec ignores the policy.
+[[nodiscard]] std::string EncodeStoredJob(const StoredJob& job);
+
+/// @brief Decodes a stored job.
+/// @return The job, or nothing if the bytes are malformed or the job is
+/// invalid. A job whose policy cannot be read has none.
+[[nodiscard]] std::optional<StoredJob> DecodeStoredJob(std::string_view data);
+
 /// @brief Encodes a job's progress as CBOR. Tasks in their initial state are
 /// omitted.
 [[nodiscard]] std::string EncodeProgress(const Progress& progress);
--- a/src/camphormux/workload/fwd.hpp
+++ b/src/camphormux/workload/fwd.hpp
@@ -6,6 +6,8 @@
 enum class JobState;
 struct Step;
 struct JobSpec;
+struct JobPolicy;
+struct StoredJob;
 struct Advice;
 struct Queue;
 struct PoolPolicy;
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -65,6 +65,29 @@
   friend bool operator==(const JobSpec&, const JobSpec&) = default;
 };
 
+/// @brief Scheduling policy of a job, taken from its queue when the job is
+/// accepted. It is stored with the job, because the queue can be removed or
+/// changed while the job runs.
+struct JobPolicy {
+  core::PoolName pool;
+  std::uint32_t priority = 0;  ///< 0 is the highest priority.
+  std::uint32_t max_failures = 1;
+  /// Target time from submission to completion; 0 for permanent and scheduled
+  /// jobs.
+  core::Millis objective{0};
+
+  friend bool operator==(const JobPolicy&, const JobPolicy&) = default;
+};
+
+/// @brief A job as it is stored.
+struct StoredJob {
+  JobSpec spec;
+  /// Nothing if a version of the program stored it that kept no policy.
+  std::optional<JobPolicy> policy;
+
+  friend bool operator==(const StoredJob&, const StoredJob&) = default;
+};
+
 /// @brief Placement advice that a queue's policy requires for its starts; a
 /// ticket of limited validity confirms it.
 struct Advice {
--- a/test/coordinator/fake_platform.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -120,6 +120,23 @@
            [this, &host, done = std::move(done)] { done(Report(host)); });
 }
 
+AppendOutcome FakePlatform::Append(const std::vector<StoreRecord>& records) {
+  for (const StoreRecord& record : records) {
+    stored_bytes_ += record.value ? record.value->size() : 0;
+  }
+  if (store_down_) {
+    return AppendOutcome::kNotStored;
+  }
+  for (const StoreRecord& record : records) {
+    if (record.value) {
+      records_[record.key] = *record.value;
+    } else {
+      records_.erase(record.key);
+    }
+  }
+  return AppendOutcome::kStored;
+}
+
 Ports FakePlatform::MakePorts() {
   Ports ports;
   ports.store.fence = [this](core::Epoch,
@@ -129,15 +146,15 @@
   ports.store.append = [this](core::Epoch, std::uint64_t,
                               const std::vector<StoreRecord>& records,
                               const std::function<void(AppendOutcome)>& done) {
-    for (const StoreRecord& record : records) {
-      stored_bytes_ += record.value ? record.value->size() : 0;
-    }
-    const AppendOutcome outcome =
-        store_down_ ? AppendOutcome::kNotStored : AppendOutcome::kStored;
+    const AppendOutcome outcome = Append(records);
     RunAfter(kStoreCallDelay, [done, outcome] { done(outcome); });
   };
   ports.store.load = [this](auto done) {
-    RunAfter(kStoreCallDelay, [done] { done(std::vector<StoreRecord>{}); });
+    std::vector<StoreRecord> records;
+    for (const auto& [key, value] : records_) {
+      records.push_back({key, value});
+    }
+    RunAfter(kStoreCallDelay, [done, records] { done(records); });
   };
   ports.store.publish_wave = [](auto, bool, auto) {};
   ports.host.start = [this](const StartCall& call, auto done) {
--- a/test/coordinator/fake_platform.hpp
+++ b/test/coordinator/fake_platform.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -37,6 +38,10 @@
   }
   [[nodiscard]] std::uint64_t starts() const { return starts_; }
   [[nodiscard]] std::uint64_t stored_bytes() const { return stored_bytes_; }
+  /// @return Newest record of each key in the store.
+  [[nodiscard]] const std::map<std::string, std::string>& records() const {
+    return records_;
+  }
 
  private:
   struct FakeHost {
@@ -47,6 +52,7 @@
   };
 
   void RunAfter(core::Millis delay, std::function<void()> action);
+  [[nodiscard]] AppendOutcome Append(const std::vector<StoreRecord>& records);
   void Start(const StartCall& call, std::function<void(StartAnswer)> done);
   void Renew(const RenewCall& call, std::function<void(RenewAnswer)> done);
   void EndRun(const core::HostId& id, const std::string& key);
@@ -55,6 +61,7 @@
   asio::io_context& loop_;
   core::Millis run_time_;
   std::map<core::HostId, FakeHost> hosts_;
+  std::map<std::string, std::string> records_;
   std::vector<scheduler::MoveMachine> moves_;
   bool store_down_ = false;
   std::uint64_t starts_ = 0;
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -17,24 +17,36 @@
 constexpr core::Millis kRunTime{3500};
 constexpr std::int64_t kHostMillicores = 64'000;
 
+workload::Catalog CatalogWithQueue() {
+  workload::Queue queue;
+  queue.name.value = "q";
+  queue.pool.value = "pool";
+  queue.stretch = 10.0;
+  queue.latency_target = core::Millis(60'000);
+  workload::Catalog catalog;
+  catalog.queues = {queue};
+  catalog.pools[{"pool"}];
+  catalog.pools[{"spare"}].standby = true;
+  return catalog;
+}
+
 /// A holder with one pool of hosts and a standby pool.
 struct Harness {
-  Harness()
-      : platform(loop, kHosts, kRunTime),
+  explicit Harness(core::Millis run_time = kRunTime)
+      : platform(loop, kHosts, run_time),
         node_metrics(RegisterNodeMetrics(registry)) {
-    workload::Queue queue;
-    queue.name.value = "q";
-    queue.pool.value = "pool";
-    queue.stretch = 10.0;
-    queue.latency_target = core::Millis(60'000);
-    workload::Catalog catalog;
-    catalog.queues = {queue};
-    catalog.pools[{"pool"}];
-    catalog.pools[{"spare"}].standby = true;
+    StartHolder(CatalogWithQueue());
+  }
+
+  /// Replaces the holder by one with a newer token.
+  void StartHolder(workload::Catalog catalog) {
+    if (holder) {
+      holder->Stop();
+    }
     holder = std::make_shared<Holder>(
-        loop, scheduler::Settings{}, platform.MakePorts(), core::Epoch{1},
+        loop, scheduler::Settings{}, platform.MakePorts(), core::Epoch{++token},
         node_metrics, UnlimitedAuthority(), [] {});
-    holder->Start(catalog);
+    holder->Start(std::move(catalog));
     holder->OnHosts(platform.Listings(), core::MonotonicTime{});
   }
 
@@ -63,6 +75,7 @@
   FakePlatform platform;
   prometheus::Registry registry;
   NodeMetrics node_metrics;
+  std::uint64_t token = 0;
   std::shared_ptr<Holder> holder;
 };
 
@@ -98,5 +111,25 @@
   EXPECT_EQ(harness.MovesToStandby(), 0);
 }
 
+// Guards against an accepted job that is never continued: its queue is removed
+// while it runs, and the next holder knows only the catalog without the queue.
+TEST(HolderTest, JobOfARemovedQueueContinuesAfterATakeover) {
+  Harness harness(core::Millis(300));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.holder->Submit(SmallThenWide(), [](const SubmitAnswer&) {});
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.platform.starts() == 1; }));
+  workload::Catalog without_queue = CatalogWithQueue();
+  without_queue.queues.clear();
+  harness.StartHolder(without_queue);
+  EXPECT_TRUE(harness.RunUntil([&] {
+    return harness.holder->JobStateOf(SmallThenWide().id) ==
+           workload::JobState::kSucceeded;
+  }));
+  EXPECT_EQ(harness.platform.starts(), 1 + kHosts);
+  for (const scheduler::MoveMachine& move : harness.platform.moves()) {
+    EXPECT_FALSE(move.pool.value.empty());
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/workload/codec.hpp"
 
 namespace camphormux::coordinator {
 namespace {
@@ -26,6 +27,7 @@
   Harness() {
     workload::Queue queue;
     queue.name.value = "q";
+    queue.pool.value = "pool";
     state.catalog.queues = {queue};
     StorePort port;
     port.append = [this](core::Epoch, std::uint64_t sequence,
@@ -233,6 +235,25 @@
   EXPECT_EQ(harness.ends.at({"i-1"}).number.value, 3U);
 }
 
+// Guards against a job of the previous version that is lost when its queue is
+// removed after this version has taken over.
+TEST(StoreWriterTest, PolicyOfAJobIsStoredOnceItIsKnown) {
+  Harness harness;
+  harness.Submit();
+  harness.WaitForAppends(1);
+  harness.appends[0].done(AppendOutcome::kStored);
+  scheduler::Job& job = harness.state.jobs.at(Spec().id);
+  job.policy_saved = false;
+  harness.state.unsaved.insert(Spec().id);
+  harness.store_writer->ScheduleAppend();
+  harness.WaitForAppends(2);
+  const StoreRecord& record = harness.appends[1].records.front();
+  EXPECT_EQ(record.key, "j/" + Spec().id.value);
+  const auto stored = workload::DecodeStoredJob(*record.value);
+  ASSERT_TRUE(stored);
+  EXPECT_EQ(stored->policy, job.policy);
+}
+
 // Guards against an old holder that continues after a newer one has started.
 TEST(StoreWriterTest, FencedAppendReportsANewerHolder) {
   Harness harness;
--- a/test/scheduler/arrivals_test.cpp
+++ b/test/scheduler/arrivals_test.cpp
@@ -15,8 +15,8 @@
 void SimulateArrivals(State& state, core::MonotonicTime& now, core::Millis span,
                       double first, double last) {
   Job job;
-  job.pool = kPool;
-  job.objective = core::Millis(1000);
+  job.policy.pool = kPool;
+  job.policy.objective = core::Millis(1000);
   const auto steps = span.count() / kGap.count();
   for (std::int64_t i = 0; i < steps; ++i) {
     job.core_seconds = first + (last - first) * static_cast<double>(i) /
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -213,7 +213,8 @@
   stored.tasks[0].next_attempt = 2;
   fleet.running.push_back(
       {{spec.id, {}, 1}, fleet.listings[0].id, fleet.now + core::Millis(300)});
-  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          fleet.now, fleet.wall);
   // The planning pass comes before the first report.
   fleet.unresponsive.insert(fleet.listings[0].id);
   fleet.Advance(core::Millis(20));
--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -113,7 +113,8 @@
   // The next lease holder does not see the task's host in the list.
   Fleet after;
   after.AddQueue("q", "pool");
-  LoadJob(after.state, spec.id, spec, stored, after.now, after.wall);
+  LoadJob(after.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          after.now, after.wall);
   after.AddHosts("pool", 3);
   std::erase_if(after.listings, [&](const HostListing& listing) {
     return listing.id == stored.tasks[0].runs[0].host;
@@ -136,7 +137,8 @@
   stored.tasks.resize(1);
   stored.tasks[0].next_attempt = 5;
   stored.tasks[0].failed_attempts = {3, 4};
-  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          fleet.now, fleet.wall);
   fleet.Advance(core::Millis(20));
   ASSERT_EQ(fleet.running.size(), 1U);
   EXPECT_EQ(fleet.running[0].name.attempt, 5U);
@@ -158,5 +160,91 @@
   EXPECT_EQ(PendingJobs(fleet.state, {"q"}), 0U);
 }
 
+/// Loads a job into a state whose catalog does not have its queue.
+Fleet FleetWithoutQueue(const workload::StoredJob& stored,
+                        const workload::Progress& progress) {
+  Fleet fleet;
+  fleet.AddHosts("pool", 3);
+  LoadJob(fleet.state, stored.spec.id, stored, progress, fleet.now, fleet.wall);
+  return fleet;
+}
+
+workload::Progress RunningProgress(const Fleet& fleet) {
+  workload::Progress progress;
+  progress.state = workload::JobState::kRunning;
+  progress.accepted = fleet.wall;
+  return progress;
+}
+
+// Guards against an accepted job that is never continued because its queue was
+// removed before another node took over.
+TEST(JobsTest, JobOfARemovedQueueRunsWithItsStoredPolicy) {
+  const auto spec = MakeJob(1, "q", 2, 4, core::Millis(100));
+  const workload::JobPolicy policy{{"pool"}, 1, 3, core::Millis(2000)};
+  Fleet fleet = FleetWithoutQueue({spec, policy}, RunningProgress(Fleet()));
+  EXPECT_EQ(fleet.state.jobs.at(spec.id).policy, policy);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
+}
+
+// Guards against a job that the previous version stored and that is never
+// continued, and against moving machines to a pool without a name for it.
+TEST(JobsTest, JobWithoutAPolicyWaitsForItsQueue) {
+  const auto spec = MakeJob(1, "q", 2, 4, core::Millis(100));
+  workload::Progress progress = RunningProgress(Fleet());
+  progress.tasks.resize(1);
+  progress.tasks[0].failed_attempts = {1};
+  progress.tasks[0].next_attempt = 2;
+  Fleet fleet = FleetWithoutQueue({spec, std::nullopt}, progress);
+  fleet.AddHosts("other", 3);
+  fleet.Advance(core::Millis(3000));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kQueued);
+  for (const Order& order : fleet.sent) {
+    EXPECT_FALSE(std::holds_alternative<MoveMachine>(order));
+  }
+  Fleet other;
+  other.AddQueue("q", "pool");
+  ApplyCatalog(fleet.state, other.state.catalog, fleet.wall);
+  EXPECT_TRUE(fleet.state.unsaved.contains(spec.id));
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
+}
+
+// Guards against a job that is shown as failed although it has attempts left:
+// the number of attempts was not known when a task failed.
+TEST(JobsTest, JobWithoutAPolicyFailsOnlyByTheLimitOfItsQueue) {
+  Fleet limit;
+  limit.AddQueue("q", "pool");
+  const auto max_failures = limit.state.catalog.queues[0].max_failures;
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(100));
+  for (std::uint32_t failures = 1; failures <= max_failures; ++failures) {
+    workload::Progress progress = RunningProgress(Fleet());
+    progress.tasks.resize(1);
+    for (std::uint32_t attempt = 1; attempt <= failures; ++attempt) {
+      progress.tasks[0].failed_attempts.insert(attempt);
+    }
+    progress.tasks[0].next_attempt = failures + 1;
+    Fleet fleet = FleetWithoutQueue({spec, std::nullopt}, progress);
+    ApplyCatalog(fleet.state, limit.state.catalog, fleet.wall);
+    EXPECT_EQ(fleet.state.jobs.at(spec.id).state == workload::JobState::kFailed,
+              failures == max_failures);
+  }
+}
+
+// Guards against a job that changes its pool, its limit of attempts or its
+// objective while it runs.
+TEST(JobsTest, JobKeepsThePolicyOfItsAcceptance) {
+  Fleet fleet = SmallFleet();
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(5000));
+  (void)fleet.Submit(spec);
+  const workload::JobPolicy accepted = fleet.state.jobs.at(spec.id).policy;
+  Fleet other;
+  other.AddQueue("q", "other", 9.0);
+  ApplyCatalog(fleet.state, other.state.catalog, fleet.wall);
+  EXPECT_EQ(fleet.state.jobs.at(spec.id).policy, accepted);
+  ApplyCatalog(fleet.state, {}, fleet.wall);
+  EXPECT_EQ(fleet.state.jobs.at(spec.id).policy, accepted);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -383,7 +383,8 @@
   stored.tasks[0].next_attempt = 2;
   fleet.running.push_back(
       {{spec.id, {}, 1}, fleet.listings[0].id, fleet.now + core::Millis(300)});
-  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          fleet.now, fleet.wall);
   fleet.Advance(core::Millis(400));
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
@@ -402,7 +403,8 @@
   stored.tasks.resize(1);
   stored.tasks[0].runs = {{silent, {1}, 2}};
   stored.tasks[0].next_attempt = 3;
-  LoadJob(fleet.state, spec.id, spec, stored, fleet.now, fleet.wall);
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          fleet.now, fleet.wall);
   const RunName earlier{spec.id, {}, 1};
   fleet.running.push_back({earlier, other, fleet.now + core::Millis(60'000)});
   fleet.Report(other);
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -207,7 +207,8 @@
   progress.tasks[0].next_attempt = 2;
   progress.tasks[0].runs = {{{"i-old"}, {7}, 1}};
   const workload::JobSpec spec = MakeJob(1, "q", 1, 4, core::Millis(500));
-  LoadJob(fleet.state, spec.id, spec, progress, fleet.now, fleet.wall);
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, progress,
+          fleet.now, fleet.wall);
   fleet.Step();
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
   return fleet;
--- a/test/scheduler/urgency_test.cpp
+++ b/test/scheduler/urgency_test.cpp
@@ -11,7 +11,7 @@
 Job LateJob(core::Millis age, double core_seconds, core::MonotonicTime now) {
   Job job;
   job.spec = MakeJob(1, "q", 1, 1, core::Millis(500));
-  job.objective = core::Millis(2000);
+  job.policy.objective = core::Millis(2000);
   job.remaining_path = core::Millis(500);
   job.submitted = now - age;
   job.core_seconds = core_seconds;
--- a/test/workload/codec_test.cpp
+++ b/test/workload/codec_test.cpp
@@ -42,6 +42,26 @@
   EXPECT_EQ(*decoded, FullSpec());
 }
 
+// Guards against an accepted job that a node of the previous version cannot
+// read: during an upgrade, either may become the lease holder.
+TEST(CodecTest, StoredJobIsReadableByThePreviousVersion) {
+  const StoredJob job{FullSpec(), JobPolicy{{"pool"}, 1, 3, core::Millis(9)}};
+  const auto decoded = DecodeSpec(EncodeStoredJob(job));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(*decoded, FullSpec());
+  EXPECT_EQ(DecodeStoredJob(EncodeStoredJob(job)), job);
+}
+
+// Guards against an accepted job that is lost because a node of another version
+// stored it without a policy, or with one of another form.
+TEST(CodecTest, StoredJobWithoutAReadablePolicyIsKept) {
+  const StoredJob job{FullSpec(), std::nullopt};
+  EXPECT_EQ(DecodeStoredJob(EncodeSpec(FullSpec())), job);
+  StoredJob without_pool = job;
+  without_pool.policy = JobPolicy{};
+  EXPECT_EQ(DecodeStoredJob(EncodeStoredJob(without_pool)), job);
+}
+
 // Guards against a stored start that a later lease holder does not know of.
 TEST(CodecTest, ProgressKeepsRunsFailuresAndCheckpoints) {
   Progress progress;
