--- a/src/camphormux/coordinator/fwd.hpp
+++ b/src/camphormux/coordinator/fwd.hpp
@@ -13,6 +13,8 @@
 struct FeedPort;
 struct Ports;
 struct NodeMetrics;
+struct StoredProgress;
+struct LoadedJobs;
 class ConfirmationPoll;
 class Election;
 class JobFrontend;
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -16,7 +16,6 @@
 #include "camphormux/scheduler/stale_orders.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "camphormux/telemetry/log.hpp"
-#include "camphormux/workload/codec.hpp"
 
 namespace camphormux::coordinator {
 namespace internal {
@@ -115,6 +114,17 @@
                       {"withdrawn", std::to_string(withdrawn)}});
     }
   };
+  stored.on_orders_rejected = [this](const std::vector<StoredOrder>& orders) {
+    for (const StoredOrder& order : orders) {
+      // An earlier copy of a machine order may still be carried out, so it is
+      // repeated until it has an answer.
+      if (!scheduler::Withdraw(state_, order.order, core::MonotonicNow())) {
+        RunAfter(internal::kMachineRetryDelay, [order](Holder& holder) {
+          holder.store_writer_->AddOrder(order.order);
+        });
+      }
+    }
+  };
   stored.on_fenced = [this] { StepDown("the store rejected its epoch"); };
   store_writer_ = std::make_shared<StoreWriter>(loop_, ports_.store, token_,
                                                 state_, std::move(stored));
@@ -242,49 +252,43 @@
                               core::WallNow() - ordered);
 }
 
+void Holder::LoadJobs(const std::vector<StoreRecord>& records,
+                      core::MonotonicTime now, core::WallTime wall) {
+  LoadedJobs loaded = LoadJobRecords(records, wall);
+  for (const std::string& key : loaded.malformed) {
+    telemetry::Log(telemetry::Level::kError, "stored record is malformed",
+                   {{"key", key}});
+  }
+  for (auto& [id, entry] : loaded.jobs) {
+    const bool is_final =
+        entry.progress && workload::IsFinal(entry.progress->state);
+    if (!entry.job && !is_final) {
+      telemetry::Log(telemetry::Level::kError,
+                     "accepted job has no readable record",
+                     {{"job", id.value}});
+    }
+    store_writer_->SetStoredProgress(id, std::move(entry.stored));
+    scheduler::LoadJob(state_, id, std::move(entry.job), entry.progress, now,
+                       wall);
+  }
+  store_writer_->DeleteRecords(loaded.obsolete);
+  LogJobsWithoutPolicy();
+}
+
 void Holder::OnLoaded(const std::vector<StoreRecord>& records) {
   const core::MonotonicTime now = core::MonotonicNow();
   const core::WallTime wall = core::WallNow();
-  std::map<core::JobId, std::optional<workload::Progress>> progress;
-  std::map<core::JobId, std::optional<workload::StoredJob>> jobs;
   for (const StoreRecord& record : records) {
     if (!record.value) {
       continue;
     }
-    if (record.key.starts_with(kSpecKeyPrefix)) {
-      auto job = workload::DecodeStoredJob(*record.value);
-      if (!job) {
-        telemetry::Log(telemetry::Level::kError, "stored job is malformed",
-                       {{"key", record.key}});
-        continue;
-      }
-      const core::JobId id = job->spec.id;
-      jobs[id] = std::move(job);
-    } else if (record.key.starts_with(kProgressKeyPrefix)) {
-      auto decoded = workload::DecodeProgress(*record.value);
-      if (!decoded) {
-        telemetry::Log(telemetry::Level::kError, "stored progress is malformed",
-                       {{"key", record.key}});
-        continue;
-      }
-      const core::JobId id{record.key.substr(kProgressKeyPrefix.size())};
-      progress[id] = std::move(decoded);
-      jobs.try_emplace(id);
-    } else if (record.key.starts_with(kWaveKeyPrefix)) {
+    if (record.key.starts_with(kWaveKeyPrefix)) {
       LoadWave(record);
     } else if (record.key.starts_with(kMachineKeyPrefix)) {
       LoadMachineOrder(record);
     }
   }
-  for (auto& [id, job] : jobs) {
-    if (!job && !workload::IsFinal(progress[id]->state)) {
-      telemetry::Log(telemetry::Level::kError,
-                     "accepted job has no readable record",
-                     {{"job", id.value}});
-    }
-    scheduler::LoadJob(state_, id, std::move(job), progress[id], now, wall);
-  }
-  LogJobsWithoutPolicy();
+  LoadJobs(records, now, wall);
   scheduler::RebuildArrivalRates(state_, now);
   loaded_ = true;
   for (const scheduler::WaveRequest& wave :
@@ -481,6 +485,9 @@
   node_metrics_.open_jobs->Set(static_cast<double>(state_.jobs.size()));
   node_metrics_.jobs_without_policy->Set(
       static_cast<double>(CountJobsWithoutPolicy()));
+  const std::uint64_t rejections = store_writer_->rejections();
+  node_metrics_.store_rejections->Increment(static_cast<double>(
+      rejections - std::exchange(reported_rejections_, rejections)));
   LogLoads(now);
   PollMachines(now);
   SchedulePlan();
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -83,6 +83,8 @@
   void OnLoaded(const std::vector<StoreRecord>& records);
   void LoadWave(const StoreRecord& record);
   void LoadMachineOrder(const StoreRecord& record);
+  void LoadJobs(const std::vector<StoreRecord>& records,
+                core::MonotonicTime now, core::WallTime wall);
   [[nodiscard]] std::size_t CountJobsWithoutPolicy() const;
   void LogJobsWithoutPolicy() const;
   void SchedulePlan();
@@ -137,6 +139,7 @@
   RunLatency run_latency_;
   core::MonotonicTime last_machine_poll_;
   core::MonotonicTime last_load_report_;
+  std::uint64_t reported_rejections_ = 0;
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
   bool hosts_known_ = false;
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -47,6 +47,9 @@
   node_metrics.unexpected_runs =
       &AddCounter(registry, "camphormux_unexpected_runs_total",
                   "Runs that a host listed although they were not expected.");
+  node_metrics.store_rejections =
+      &AddCounter(registry, "camphormux_store_rejections_total",
+                  "Changes whose records the store does not accept.");
   node_metrics.open_jobs = &AddGauge(registry, "camphormux_open_jobs",
                                      "Jobs that are not final, at the holder.");
   node_metrics.jobs_without_policy = &AddGauge(
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -23,6 +23,7 @@
   prometheus::Counter* machine_orders = nullptr;
   prometheus::Counter* presumed_ends = nullptr;
   prometheus::Counter* unexpected_runs = nullptr;
+  prometheus::Counter* store_rejections = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
   prometheus::Gauge* jobs_without_policy = nullptr;
   prometheus::Gauge* holds_ownership = nullptr;
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -33,7 +33,8 @@
 enum class AppendOutcome {
   kStored,
   kFenced,     ///< A newer holder has fenced this one.
-  kNotStored,  ///< Certainly nothing was stored.
+  kNotStored,  ///< Certainly nothing was stored; a repetition may be.
+  kRejected,   ///< Nothing was stored, and these records never will be.
   kUnknown,    ///< May be stored, now or later; repeat it unchanged.
 };
 
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -1,12 +1,12 @@
 #include "camphormux/coordinator/store_writer.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "camphormux/cbor/cbor.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/telemetry/log.hpp"
-#include "camphormux/workload/codec.hpp"
 
 namespace camphormux::coordinator {
 namespace internal {
@@ -18,9 +18,12 @@
 /// A new job that could not be stored within this time is refused early enough
 /// for its caller to retry.
 constexpr core::Millis kSubmissionTimeout{600};
-/// Maximum size of the records of one append, in bytes; below the store's limit
-/// of 2 MiB.
+/// Size of the records of an append, in bytes, after which no more are added.
+/// With the records of the last job it stays below the store's limit of 2 MiB.
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20;
+/// Time after which records that the store rejected are tried again; they may
+/// have changed.
+constexpr core::Millis kRejectedRetryDelay{10'000};
 
 std::string EncodeWave(const scheduler::Wave& wave) {
   nlohmann::json begun = nlohmann::json::array();
@@ -31,10 +34,6 @@
       nlohmann::json::array({wave.complete ? 1 : 0, std::move(begun)}));
 }
 
-std::string EncodeJob(const scheduler::Job& job) {
-  return workload::EncodeStoredJob({job.spec, job.policy});
-}
-
 /// Encodes the time of an order, from which a later holder computes its age.
 std::string EncodeOrderTime(core::WallTime now) {
   return cbor::Serialize(
@@ -78,7 +77,20 @@
   ScheduleAppend();
 }
 
-void StoreWriter::Drop(const core::JobId& id) { dropped_jobs_.push_back(id); }
+void StoreWriter::Drop(const core::JobId& id) {
+  deleted_keys_.push_back(std::string(kProgressKeyPrefix) + id.value);
+}
+
+void StoreWriter::SetStoredProgress(const core::JobId& id,
+                                    StoredProgress stored) {
+  if (stored.is_split) {
+    split_jobs_[id] = std::move(stored);
+  }
+}
+
+void StoreWriter::DeleteRecords(const std::vector<std::string>& keys) {
+  deleted_keys_.insert(deleted_keys_.end(), keys.begin(), keys.end());
+}
 
 void StoreWriter::Close() {
   closed_ = true;
@@ -108,94 +120,194 @@
   });
 }
 
-StoreWriter::Batch StoreWriter::CollectBatch() {
-  Batch batch;
-  std::size_t bytes = 0;
-  const auto add = [&](std::string key, std::optional<std::string> value) {
-    bytes += key.size() + (value ? value->size() : 0);
-    batch.records.push_back({std::move(key), std::move(value)});
-  };
-  for (const core::JobId& id : submissions_) {
+bool StoreWriter::is_deferred(const core::JobId& id,
+                              core::MonotonicTime now) const {
+  const auto found = rejected_jobs_.find(id);
+  if (found == rejected_jobs_.end() || now >= found->second) {
+    return false;
+  }
+  // The record of a final state is small.
+  const auto job = state_.jobs.find(id);
+  return job != state_.jobs.end() && !workload::IsFinal(job->second.state);
+}
+
+bool StoreWriter::has_work(core::MonotonicTime now) const {
+  const auto deferred = static_cast<std::size_t>(std::count_if(
+      rejected_jobs_.begin(), rejected_jobs_.end(), [&](const auto& entry) {
+        return is_deferred(entry.first, now) &&
+               state_.unsaved.contains(entry.first);
+      }));
+  return !submissions_.empty() || state_.unsaved.size() > deferred ||
+         !waves_.empty() || !deleted_keys_.empty() || !orders_.empty();
+}
+
+void StoreWriter::CollectJobs(Batch& batch, std::size_t& bytes) {
+  std::unordered_map<core::JobId, std::size_t> changes;
+  std::size_t taken = 0;
+  for (; taken < submissions_.size() && bytes < internal::kMaxBatchBytes;
+       ++taken) {
+    const core::JobId& id = submissions_[taken];
     const auto job = state_.jobs.find(id);
-    if (job != state_.jobs.end()) {
-      add(std::string(kSpecKeyPrefix) + id.value,
-          internal::EncodeJob(job->second));
-      batch.submissions.push_back(id);
-      state_.unsaved.insert(id);
+    if (job == state_.jobs.end()) {
+      continue;
     }
+    changes[id] = batch.changes.size();
+    Change& change = batch.changes.emplace_back();
+    change.job = id;
+    change.is_submission = true;
+    change.records.push_back(SubmissionRecord(job->second));
+    bytes += TotalBytes(change.records);
+    state_.unsaved.insert(id);
   }
-  submissions_.clear();
-  while (!state_.unsaved.empty() && bytes < internal::kMaxBatchBytes) {
+  submissions_.erase(submissions_.begin(),
+                     submissions_.begin() + static_cast<std::ptrdiff_t>(taken));
+  const core::MonotonicTime now = core::MonotonicNow();
+  std::set<core::JobId> deferred;
+  bool complete = true;
+  while (complete && !state_.unsaved.empty() &&
+         bytes < internal::kMaxBatchBytes) {
     const core::JobId id = *state_.unsaved.begin();
     state_.unsaved.erase(state_.unsaved.begin());
+    if (is_deferred(id, now)) {
+      deferred.insert(id);
+      continue;
+    }
     const auto job = state_.jobs.find(id);
     if (job == state_.jobs.end()) {
       continue;
     }
-    if (scheduler::HasPolicy(job->second) && !job->second.policy_saved) {
-      job->second.policy_saved = true;
-      add(std::string(kSpecKeyPrefix) + id.value,
-          internal::EncodeJob(job->second));
+    const auto known = changes.try_emplace(id, batch.changes.size());
+    if (known.second) {
+      batch.changes.emplace_back().job = id;
+    }
+    Change& change = batch.changes[known.first->second];
+    const std::size_t before = TotalBytes(change.records);
+    StoredProgress& stored = split_jobs_[id];
+    complete =
+        CollectJobRecords(state_, job->second, stored,
+                          internal::kMaxBatchBytes - bytes, change.records);
+    if (complete) {
+      change.state = job->second.state;
+    } else {
+      state_.unsaved.insert(id);
     }
-    const workload::Progress progress =
-        scheduler::ProgressOf(state_, job->second);
-    add(std::string(kProgressKeyPrefix) + id.value,
-        workload::EncodeProgress(progress));
-    if (workload::IsFinal(progress.state)) {
-      add(std::string(kSpecKeyPrefix) + id.value, std::nullopt);
+    if (!stored.is_split) {
+      split_jobs_.erase(id);
     }
-    batch.progress.emplace_back(id, progress.state);
+    bytes += TotalBytes(change.records) - before;
   }
-  for (const scheduler::WaveId id : waves_) {
-    add(std::string(kWaveKeyPrefix) + std::to_string(id.value),
-        internal::EncodeWave(state_.waves[id]));
+  state_.unsaved.merge(deferred);
+}
+
+void StoreWriter::CollectOrders(Batch& batch, std::size_t& bytes) {
+  const core::WallTime wall = core::WallNow();
+  const core::MonotonicTime now = core::MonotonicNow();
+  std::unordered_map<core::JobId, std::size_t> changes;
+  for (std::size_t i = 0; i < batch.changes.size(); ++i) {
+    changes.emplace(batch.changes[i].job, i);
   }
-  waves_.clear();
-  // A start whose job did not fit into this batch waits for a later one.
+  std::vector<StoredOrder> rejected;
   for (StoredOrder& stored : std::exchange(orders_, {})) {
     const auto* start = std::get_if<scheduler::StartRun>(&stored.order);
-    const bool is_stored =
-        start == nullptr || !state_.unsaved.contains(start->name.job);
-    (is_stored ? batch.orders : orders_).push_back(std::move(stored));
-  }
-  const core::WallTime wall = core::WallNow();
-  for (const StoredOrder& stored : batch.orders) {
-    if (const scheduler::MachineId* machine =
-            internal::MachineOfOrder(stored.order)) {
-      add(std::string(kMachineKeyPrefix) + machine->value,
-          internal::EncodeOrderTime(wall));
+    if (start != nullptr && is_deferred(start->name.job, now)) {
+      rejected.push_back(std::move(stored));
+      continue;
+    }
+    const scheduler::MachineId* machine =
+        internal::MachineOfOrder(stored.order);
+    // A start whose job did not fit into this batch waits for a later one.
+    const bool must_wait = start != nullptr
+                               ? state_.unsaved.contains(start->name.job)
+                               : bytes >= internal::kMaxBatchBytes;
+    if (must_wait) {
+      orders_.push_back(std::move(stored));
+      continue;
     }
+    const auto known =
+        start != nullptr ? changes.find(start->name.job) : changes.end();
+    Change& target = known != changes.end() ? batch.changes[known->second]
+                                            : batch.changes.emplace_back();
+    if (machine != nullptr) {
+      target.records.push_back({std::string(kMachineKeyPrefix) + machine->value,
+                                internal::EncodeOrderTime(wall)});
+      bytes += TotalBytes(target.records);
+    }
+    target.orders.push_back(std::move(stored));
   }
-  for (const core::JobId& id : dropped_jobs_) {
-    add(std::string(kProgressKeyPrefix) + id.value, std::nullopt);
+  if (!rejected.empty()) {
+    listener_.on_orders_rejected(rejected);
   }
-  dropped_jobs_.clear();
+}
+
+void StoreWriter::CollectEnds(Batch& batch) {
   if (stored_ends_.size() > state_.hosts.size()) {
     std::erase_if(stored_ends_, [&](const auto& entry) {
       return !state_.hosts.contains(entry.first);
     });
   }
   // Run ends are acknowledged only once all changes that they caused are
-  // stored.
-  if (state_.unsaved.empty()) {
-    for (const auto& [id, host] : state_.hosts) {
-      const StoredEnd end{host.listing.incarnation, host.ended};
-      if (host.ended.value > 0 && end != stored_ends_[id]) {
-        batch.ends[id] = end;
-      }
+  // stored. Changes that the store rejects do not hold up those of other jobs.
+  const core::MonotonicTime now = core::MonotonicNow();
+  const bool all_collected =
+      std::all_of(state_.unsaved.begin(), state_.unsaved.end(),
+                  [&](const core::JobId& id) { return is_deferred(id, now); });
+  if (!all_collected) {
+    return;
+  }
+  for (const auto& [id, host] : state_.hosts) {
+    const StoredEnd end{host.listing.incarnation, host.ended};
+    if (host.ended.value > 0 && end != stored_ends_[id]) {
+      batch.ends[id] = end;
     }
   }
+}
+
+StoreWriter::Batch StoreWriter::CollectBatch() {
+  Batch batch;
+  std::size_t bytes = 0;
+  CollectJobs(batch, bytes);
+  for (const scheduler::WaveId id : waves_) {
+    Change& change = batch.changes.emplace_back();
+    change.records.push_back(
+        {std::string(kWaveKeyPrefix) + std::to_string(id.value),
+         internal::EncodeWave(state_.waves[id])});
+    bytes += TotalBytes(change.records);
+  }
+  waves_.clear();
+  CollectOrders(batch, bytes);
+  for (std::string& key : std::exchange(deleted_keys_, {})) {
+    if (bytes >= internal::kMaxBatchBytes) {
+      deleted_keys_.push_back(std::move(key));
+      continue;
+    }
+    bytes += key.size();
+    batch.changes.emplace_back().records.push_back(
+        {std::move(key), std::nullopt});
+  }
+  CollectEnds(batch);
   return batch;
 }
 
+std::vector<StoreRecord> StoreWriter::RecordsOf(const Batch& batch) {
+  std::vector<StoreRecord> records;
+  for (const Change& change : batch.changes) {
+    records.insert(records.end(), change.records.begin(), change.records.end());
+  }
+  return records;
+}
+
 void StoreWriter::BeginAppend() {
   if (closed_ || batch_ != nullptr) {
     return;
   }
-  auto batch = std::make_unique<Batch>(CollectBatch());
-  batch->begun = core::MonotonicNow();
-  last_append_start_ = batch->begun;
-  batch_ = std::move(batch);
+  batch_ = std::make_unique<Batch>(CollectBatch());
+  batch_->begun = core::MonotonicNow();
+  last_append_start_ = batch_->begun;
+  SendBatch();
+}
+
+void StoreWriter::SendBatch() {
+  batch_->records = RecordsOf(*batch_);
   if (batch_->records.empty()) {
     OnStored();
     return;
@@ -244,30 +356,90 @@
     case AppendOutcome::kNotStored:
       Retry(true);
       return;
+    case AppendOutcome::kRejected:
+      OnRejected();
+      return;
     case AppendOutcome::kUnknown:
       Retry(false);
       return;
   }
 }
 
+void StoreWriter::OnRejected() {
+  // Nothing is stored, so the sequence number is free again.
+  next_sequence_ = batch_->sequence;
+  if (batch_->changes.size() > 1) {
+    // Halves until the change is alone that the store does not accept.
+    const auto middle = batch_->changes.begin() +
+                        static_cast<std::ptrdiff_t>(batch_->changes.size() / 2);
+    Batch rest;
+    rest.changes.assign(std::make_move_iterator(middle),
+                        std::make_move_iterator(batch_->changes.end()));
+    rest.ends = std::exchange(batch_->ends, {});
+    rest.begun = batch_->begun;
+    batch_->changes.erase(middle, batch_->changes.end());
+    batch_->outcome_certain = true;
+    parts_.push_front(std::move(rest));
+    SendBatch();
+    return;
+  }
+  for (Change& change : std::exchange(batch_->changes, {})) {
+    Reject(change);
+  }
+  OnStored();
+}
+
+void StoreWriter::Reject(Change& change) {
+  ++rejections_;
+  telemetry::Log(telemetry::Level::kError, "store does not accept records",
+                 {{"key", change.records.front().key},
+                  {"job", change.job.value},
+                  {"records", std::to_string(change.records.size())},
+                  {"bytes", std::to_string(TotalBytes(change.records))}});
+  if (change.is_submission) {
+    split_jobs_.erase(change.job);
+    listener_.on_dropped(change.job);
+    return;
+  }
+  const auto job = state_.jobs.find(change.job);
+  if (job != state_.jobs.end()) {
+    job->second.rejected = true;
+    job->second.policy_saved = false;
+    rejected_jobs_[change.job] =
+        core::MonotonicNow() + internal::kRejectedRetryDelay;
+    state_.unsaved.insert(change.job);
+    const auto stored = split_jobs_.find(change.job);
+    if (stored != split_jobs_.end()) {
+      InvalidateStoredProgress(stored->second);
+    }
+  }
+  listener_.on_orders_rejected(change.orders);
+}
+
+void StoreWriter::DropSubmissions() {
+  std::vector<Change> kept;
+  for (Change& change : batch_->changes) {
+    if (change.is_submission) {
+      split_jobs_.erase(change.job);
+      listener_.on_dropped(change.job);
+    } else {
+      kept.push_back(std::move(change));
+    }
+  }
+  batch_->changes = std::move(kept);
+  batch_->records = RecordsOf(*batch_);
+}
+
 void StoreWriter::Retry(bool outcome_certain) {
   batch_->outcome_certain = batch_->outcome_certain && outcome_certain;
   const core::MonotonicTime now = core::MonotonicNow();
-  if (batch_->outcome_certain && is_overdue(now) &&
-      !batch_->submissions.empty()) {
+  const bool has_submissions =
+      std::any_of(batch_->changes.begin(), batch_->changes.end(),
+                  [](const Change& change) { return change.is_submission; });
+  if (batch_->outcome_certain && is_overdue(now) && has_submissions) {
     // Nothing of this batch is stored, so its new jobs can be reported as not
     // stored.
-    for (const core::JobId& id : batch_->submissions) {
-      const std::string key = std::string(kSpecKeyPrefix) + id.value;
-      const std::string progress = std::string(kProgressKeyPrefix) + id.value;
-      std::erase_if(batch_->records, [&](const StoreRecord& record) {
-        return record.key == key || record.key == progress;
-      });
-      std::erase_if(batch_->progress,
-                    [&](const auto& entry) { return entry.first == id; });
-      listener_.on_dropped(id);
-    }
-    batch_->submissions.clear();
+    DropSubmissions();
     if (batch_->records.empty()) {
       next_sequence_ = batch_->sequence;
       OnStored();
@@ -287,22 +459,39 @@
   overdue_timer_.cancel();
   const auto batch = std::move(batch_);
   const core::MonotonicTime now = core::MonotonicNow();
-  for (const core::JobId& id : batch->submissions) {
-    listener_.on_submitted(id);
+  for (const Change& change : batch->changes) {
+    if (change.is_submission) {
+      listener_.on_submitted(change.job);
+    }
   }
-  for (const auto& [id, stored] : batch->progress) {
-    scheduler::ConfirmProgress(state_, id, stored, now);
+  std::vector<StoredOrder> orders;
+  for (Change& change : batch->changes) {
+    if (change.state) {
+      const auto job = state_.jobs.find(change.job);
+      if (rejected_jobs_.erase(change.job) > 0 && job != state_.jobs.end()) {
+        job->second.rejected = false;
+      }
+      scheduler::ConfirmProgress(state_, change.job, *change.state, now);
+    }
+    std::move(change.orders.begin(), change.orders.end(),
+              std::back_inserter(orders));
   }
-  listener_.on_orders(batch->orders);
+  listener_.on_orders(orders);
   for (const auto& [host, end] : batch->ends) {
     stored_ends_[host] = end;
     listener_.on_ends(host, end);
   }
   listener_.on_stored();
-  const bool more = !submissions_.empty() || !state_.unsaved.empty() ||
-                    !waves_.empty() || !dropped_jobs_.empty() ||
-                    !orders_.empty();
-  if (more) {
+  if (closed_) {
+    return;
+  }
+  if (!parts_.empty()) {
+    batch_ = std::make_unique<Batch>(std::move(parts_.front()));
+    parts_.pop_front();
+    SendBatch();
+    return;
+  }
+  if (has_work(now)) {
     ScheduleAppend();
   }
 }
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_COORDINATOR_STORE_WRITER_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,15 +15,13 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "camphormux/coordinator/job_records.hpp"
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::coordinator {
 
-/// Key prefixes in the store: jobs as submitted, their progress, waves, and the
-/// last orders of machines.
-inline constexpr std::string_view kSpecKeyPrefix = "j/";
-inline constexpr std::string_view kProgressKeyPrefix = "p/";
+/// Key prefixes in the store: waves, and the last orders of machines.
 inline constexpr std::string_view kWaveKeyPrefix = "w/";
 inline constexpr std::string_view kMachineKeyPrefix = "m/";
 
@@ -55,6 +54,8 @@
     std::function<void(const core::HostId&, StoredEnd)> on_ends;
     /// The orders are stored and may be sent.
     std::function<void(const std::vector<StoredOrder>&)> on_orders;
+    /// The store does not accept the records that these orders need.
+    std::function<void(const std::vector<StoredOrder>&)> on_orders_rejected;
     /// A batch was stored.
     std::function<void()> on_stored;
     /// A newer holder has taken over.
@@ -79,6 +80,11 @@
   void AddWave(scheduler::WaveId id);
   /// @brief Deletes the stored record of an expired job.
   void Drop(const core::JobId& id);
+  /// @brief Sets in which records a job is stored that a previous holder
+  /// accepted.
+  void SetStoredProgress(const core::JobId& id, StoredProgress stored);
+  /// @brief Deletes records.
+  void DeleteRecords(const std::vector<std::string>& keys);
   /// @brief Starts an append soon if there is something to store.
   void ScheduleAppend();
   /// @brief Starts no more appends.
@@ -88,25 +94,51 @@
   /// wait too long: the store does not answer.
   [[nodiscard]] bool is_overdue(core::MonotonicTime now) const;
   [[nodiscard]] std::uint64_t appends() const { return appends_; }
+  /// @return Number of changes that the store rejected.
+  [[nodiscard]] std::uint64_t rejections() const { return rejections_; }
 
  private:
-  struct Batch {
-    std::uint64_t sequence = 0;
+  /// Records that are stored together, and what depends on them.
+  struct Change {
     std::vector<StoreRecord> records;
-    std::vector<core::JobId> submissions;
-    std::vector<std::pair<core::JobId, workload::JobState>> progress;
-    std::map<core::HostId, StoredEnd> ends;
+    /// Job to which the records belong; empty if they belong to none.
+    core::JobId job;
+    bool is_submission = false;
+    /// State of the job, if its progress is stored completely.
+    std::optional<workload::JobState> state;
     std::vector<StoredOrder> orders;
+  };
+
+  /// Changes that one append stores.
+  struct Batch {
+    std::uint64_t sequence = 0;  ///< 0 until it is sent.
+    std::vector<Change> changes;
+    /// Ends that may be acknowledged once the batch is stored.
+    std::map<core::HostId, StoredEnd> ends;
+    std::vector<StoreRecord> records;  ///< Those of the changes.
     core::MonotonicTime begun;
     bool outcome_certain = true;  ///< No attempt had an unknown outcome.
   };
 
+  [[nodiscard]] static std::vector<StoreRecord> RecordsOf(const Batch& batch);
+
   void BeginAppend();
   [[nodiscard]] Batch CollectBatch();
+  void CollectJobs(Batch& batch, std::size_t& bytes);
+  void CollectOrders(Batch& batch, std::size_t& bytes);
+  void CollectEnds(Batch& batch);
+  void SendBatch();
   void Send();
   void OnOutcome(AppendOutcome outcome);
   void OnStored();
+  void OnRejected();
+  void DropSubmissions();
+  void Reject(Change& change);
   void Retry(bool outcome_certain);
+  /// @return Whether a job's records were rejected and wait to be tried again.
+  [[nodiscard]] bool is_deferred(const core::JobId& id,
+                                 core::MonotonicTime now) const;
+  [[nodiscard]] bool has_work(core::MonotonicTime now) const;
   /// Drops new jobs that wait behind an append without an answer.
   void DropQueued();
 
@@ -120,11 +152,17 @@
   std::vector<core::JobId> submissions_;
   std::vector<StoredOrder> orders_;
   std::set<scheduler::WaveId> waves_;
-  std::vector<core::JobId> dropped_jobs_;
+  std::vector<std::string> deleted_keys_;
   std::unique_ptr<Batch> batch_;
+  /// Parts of a rejected batch that are stored one after the other.
+  std::deque<Batch> parts_;
+  std::unordered_map<core::JobId, StoredProgress> split_jobs_;
+  /// Jobs whose records the store rejected, and when they are tried again.
+  std::map<core::JobId, core::MonotonicTime> rejected_jobs_;
   std::unordered_map<core::HostId, StoredEnd> stored_ends_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t appends_ = 0;
+  std::uint64_t rejections_ = 0;
   core::MonotonicTime last_append_start_;
   bool scheduled_ = false;
   bool closed_ = false;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -278,7 +278,7 @@
                   core::MonotonicTime now, core::WallTime wall) {
   const std::uint64_t started = state.counters.started;
   Unplaced unplaced;
-  if (!job.saved || workload::IsFinal(job.state)) {
+  if (!job.saved || job.rejected || workload::IsFinal(job.state)) {
     return unplaced;
   }
   const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
@@ -315,7 +315,7 @@
 
 void PlaceCopies(State& state, Job& job, const std::vector<Host*>& hosts,
                  core::MonotonicTime now) {
-  if (workload::IsFinal(job.state) ||
+  if (workload::IsFinal(job.state) || job.rejected ||
       UrgencyOf(job, now) == Urgency::kOverdue) {
     return;
   }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -8,6 +8,7 @@
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/pacing.hpp"
+#include "camphormux/workload/validate.hpp"
 
 namespace camphormux::scheduler {
 namespace internal {
@@ -50,7 +51,8 @@
 /// continue from the same checkpoint.
 void SetCheckpoint(Job& job, std::uint32_t task,
                    const std::string& checkpoint) {
-  if (checkpoint.empty() || job.tasks[task].progress.done) {
+  if (checkpoint.empty() || checkpoint.size() > workload::kMaxCheckpointBytes ||
+      job.tasks[task].progress.done) {
     return;
   }
   const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -162,6 +162,8 @@
   bool permanent = false;
   bool saved = false;        ///< The submission is stored.
   bool final_saved = false;  ///< The final state is stored.
+  /// The store rejected the records of the job, so none of its tasks starts.
+  bool rejected = false;
   std::vector<Task> tasks;
   /// Number of incomplete tasks for each step of each occurrence.
   std::vector<std::uint32_t> open_in_step;
--- a/src/camphormux/workload/codec.cpp
+++ b/src/camphormux/workload/codec.cpp
@@ -20,10 +20,6 @@
   kBestEffort = 32,
 };
 
-constexpr std::size_t kMaxNameBytes = 1024;
-constexpr std::size_t kMaxCheckpointBytes = std::size_t{64} << 10;
-constexpr std::uint64_t kMaxAmount = std::uint64_t{1} << 50;
-
 std::int64_t Millis(core::WallTime time) {
   return time.time_since_epoch().count();
 }
@@ -157,9 +153,8 @@
                       std::move(failed), task.checkpoint, std::move(runs)});
 }
 
-/// Decodes a task into its position in the list; returns false if it is
-/// malformed.
-bool ReadTask(const json& value, std::vector<TaskProgress>& tasks) {
+/// Decodes a task and its position; returns nothing if it is malformed.
+std::optional<PositionedTask> TaskFrom(const json& value) {
   cbor::ArrayReader reader(value);
   const std::uint64_t position = reader.Unsigned(kMaxTasks);
   TaskProgress task;
@@ -167,7 +162,7 @@
   task.next_attempt = static_cast<std::uint32_t>(reader.Unsigned(UINT32_MAX));
   for (const json& attempt : reader.Array(kMaxTasks)) {
     if (!attempt.is_number_unsigned()) {
-      return false;
+      return std::nullopt;
     }
     task.failed_attempts.insert(attempt.get<std::uint32_t>());
   }
@@ -179,18 +174,25 @@
     run.incarnation.value = fields.Unsigned();
     run.attempt = static_cast<std::uint32_t>(fields.Unsigned(UINT32_MAX));
     if (!fields.ok()) {
-      return false;
+      return std::nullopt;
     }
     task.runs.push_back(std::move(run));
   }
   if (!reader.ok()) {
-    return false;
+    return std::nullopt;
   }
-  if (tasks.size() <= position) {
-    tasks.resize(position + 1);
+  return PositionedTask{position, std::move(task)};
+}
+
+json TasksToJson(const std::vector<TaskProgress>& tasks, std::size_t first,
+                 std::size_t end) {
+  json values = json::array();
+  for (std::size_t i = first; i < end; ++i) {
+    if (!IsInitial(tasks[i])) {
+      values.push_back(ToJson(i, tasks[i]));
+    }
   }
-  tasks[position] = std::move(task);
-  return true;
+  return values;
 }
 
 }  // namespace internal
@@ -234,17 +236,10 @@
 }
 
 std::string EncodeProgress(const Progress& progress) {
-  using internal::json;
-  json tasks = json::array();
-  for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
-    if (!internal::IsInitial(progress.tasks[i])) {
-      tasks.push_back(internal::ToJson(i, progress.tasks[i]));
-    }
-  }
-  return cbor::Serialize(
-      json::array({static_cast<int>(progress.state), progress.queue.value,
-                   internal::Millis(progress.accepted),
-                   internal::Millis(progress.ended), std::move(tasks)}));
+  return cbor::Serialize(internal::json::array(
+      {static_cast<int>(progress.state), progress.queue.value,
+       internal::Millis(progress.accepted), internal::Millis(progress.ended),
+       internal::TasksToJson(progress.tasks, 0, progress.tasks.size())}));
 }
 
 std::optional<Progress> DecodeProgress(std::string_view data) {
@@ -256,15 +251,21 @@
   Progress progress;
   progress.state = static_cast<JobState>(
       reader.Unsigned(static_cast<std::uint64_t>(JobState::kCancelled)));
-  progress.queue.value = reader.Text(internal::kMaxNameBytes);
-  progress.accepted = core::WallTime(core::Millis(
-      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
-  progress.ended = core::WallTime(core::Millis(
-      static_cast<std::int64_t>(reader.Unsigned(internal::kMaxAmount))));
+  progress.queue.value = reader.Text(kMaxNameBytes);
+  progress.accepted = core::WallTime(
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount))));
+  progress.ended = core::WallTime(
+      core::Millis(static_cast<std::int64_t>(reader.Unsigned(kMaxAmount))));
   for (const internal::json& task : reader.Array(kMaxTasks)) {
-    if (!internal::ReadTask(task, progress.tasks)) {
+    auto decoded = internal::TaskFrom(task);
+    if (!decoded) {
       return std::nullopt;
     }
+    auto& [position, decoded_task] = *decoded;
+    if (progress.tasks.size() <= position) {
+      progress.tasks.resize(position + 1);
+    }
+    progress.tasks[position] = std::move(decoded_task);
   }
   if (!reader.ok()) {
     return std::nullopt;
@@ -272,4 +273,25 @@
   return progress;
 }
 
+std::string EncodeTasks(const std::vector<TaskProgress>& tasks,
+                        std::size_t first, std::size_t end) {
+  return cbor::Serialize(internal::TasksToJson(tasks, first, end));
+}
+
+std::optional<std::vector<PositionedTask>> DecodeTasks(std::string_view data) {
+  const auto value = cbor::Parse(data);
+  if (!value || !value->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<PositionedTask> tasks;
+  for (const internal::json& entry : *value) {
+    auto task = internal::TaskFrom(entry);
+    if (!task) {
+      return std::nullopt;
+    }
+    tasks.push_back(*std::move(task));
+  }
+  return tasks;
+}
+
 }  // namespace camphormux::workload
--- a/src/camphormux/workload/codec.hpp
+++ b/src/camphormux/workload/codec.hpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "camphormux/workload/model.hpp"
 
@@ -36,6 +38,22 @@
 /// tasks ends with the last encoded task and may be shorter than the job's.
 [[nodiscard]] std::optional<Progress> DecodeProgress(std::string_view data);
 
+/// @brief Encodes the progress of some tasks as CBOR. Tasks in their initial
+/// state are omitted.
+/// @param tasks All tasks of a job.
+/// @param first Position of the first task to encode.
+/// @param end Position after the last one.
+[[nodiscard]] std::string EncodeTasks(const std::vector<TaskProgress>& tasks,
+                                      std::size_t first, std::size_t end);
+
+/// @brief A task's position in the list of all tasks, and its progress.
+using PositionedTask = std::pair<std::size_t, TaskProgress>;
+
+/// @brief Decodes the progress of some tasks.
+/// @return The tasks, or nothing if the bytes are malformed.
+[[nodiscard]] std::optional<std::vector<PositionedTask>> DecodeTasks(
+    std::string_view data);
+
 }  // namespace camphormux::workload
 
 #endif  // CAMPHORMUX_WORKLOAD_CODEC_HPP_
--- a/src/camphormux/workload/validate.cpp
+++ b/src/camphormux/workload/validate.cpp
@@ -1,23 +1,52 @@
 #include "camphormux/workload/validate.hpp"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace camphormux::workload {
 namespace internal {
 
+bool IsAmount(std::int64_t number) {
+  return number >= 0 && number <= kMaxAmount;
+}
+
 std::optional<FieldProblem> ValidateStep(const Step& step, std::size_t index) {
   const std::string name = "steps[" + std::to_string(index) + "].";
   if (step.count == 0 || step.count > kMaxTasks) {
     return FieldProblem{name + "count",
                         "1 to " + std::to_string(kMaxTasks) + " tasks"};
   }
-  if (step.size.cores.value < 0 || step.size.memory.value < 0 ||
-      step.size.accelerators.value < 0) {
-    return FieldProblem{name + "size", "amounts that are not negative"};
+  for (const std::int64_t amount :
+       {step.size.cores.value, step.size.memory.value,
+        step.size.accelerators.value}) {
+    if (!IsAmount(amount)) {
+      return FieldProblem{name + "size",
+                          "amounts from 0 to " + std::to_string(kMaxAmount)};
+    }
   }
-  if (step.estimate.count() < 0) {
+  if (!IsAmount(step.estimate.count())) {
     return FieldProblem{name + "estimate", "a duration that is not negative"};
   }
+  if (!IsAmount(step.latency_target.count())) {
+    return FieldProblem{name + "latency_target",
+                        "a duration that is not negative"};
+  }
+  const std::array<std::pair<const char*, const std::string*>, 3> names{{
+      {"required_label", &step.required_label},
+      {"data_rack", &step.data_rack.value},
+      {"image", &step.image},
+  }};
+  for (const auto& [field, text] : names) {
+    if (text->size() > kMaxNameBytes) {
+      return FieldProblem{
+          name + field, "at most " + std::to_string(kMaxNameBytes) + " bytes"};
+    }
+  }
+  if (step.after.size() > kMaxSteps) {
+    return FieldProblem{name + "after",
+                        "at most " + std::to_string(kMaxSteps) + " steps"};
+  }
   for (const std::uint32_t before : step.after) {
     if (before >= index) {
       return FieldProblem{name + "after", "numbers of earlier steps"};
@@ -40,6 +69,10 @@
   if (!IsJobId(spec.id.value)) {
     return FieldProblem{"id", "16 hexadecimal digits"};
   }
+  if (spec.queue.value.size() > kMaxNameBytes) {
+    return FieldProblem{"queue",
+                        "at most " + std::to_string(kMaxNameBytes) + " bytes"};
+  }
   if (spec.payload.size() > kMaxPayloadBytes) {
     return FieldProblem{
         "payload", "at most " + std::to_string(kMaxPayloadBytes) + " bytes"};
@@ -59,9 +92,12 @@
     return FieldProblem{
         "steps", "at most " + std::to_string(kMaxTasks) + " tasks in all"};
   }
-  if (spec.occurrences > 0 && spec.interval.count() < 0) {
+  if (!internal::IsAmount(spec.interval.count())) {
     return FieldProblem{"interval", "a duration that is not negative"};
   }
+  if (!internal::IsAmount(spec.first_run.time_since_epoch().count())) {
+    return FieldProblem{"first_run", "a time after 1970"};
+  }
   return std::nullopt;
 }
 
--- a/src/camphormux/workload/validate.hpp
+++ b/src/camphormux/workload/validate.hpp
@@ -22,6 +22,14 @@
 /// memory use.
 inline constexpr std::uint32_t kMaxTasks = 20'000;
 
+/// Maximum size of names in a job, in bytes. With the other limits it keeps a
+/// job within one record of the store.
+inline constexpr std::size_t kMaxNameBytes = 1024;
+/// Maximum size of a task's checkpoint in bytes. Longer ones are not kept.
+inline constexpr std::size_t kMaxCheckpointBytes = std::size_t{64} << 10;
+/// Maximum of amounts and of times in milliseconds.
+inline constexpr std::int64_t kMaxAmount = std::int64_t{1} << 50;
+
 /// @brief The first invalid field of a submitted job and what was expected
 /// there.
 struct FieldProblem {
--- a/test/coordinator/fake_platform.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -1,5 +1,6 @@
 #include "test/coordinator/fake_platform.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -8,6 +9,7 @@
 
 constexpr core::Millis kHostCallDelay{1};
 constexpr core::Millis kStoreCallDelay{5};
+constexpr std::size_t kRecordBytes = 262'144;
 constexpr std::int64_t kHostMillicores = 64'000;
 constexpr std::int64_t kHostMemoryMib = 262'144;
 
@@ -127,6 +129,14 @@
   if (store_down_) {
     return AppendOutcome::kNotStored;
   }
+  const bool accepted = std::all_of(
+      records.begin(), records.end(), [](const StoreRecord& record) {
+        return !record.value ||
+               1 + record.key.size() + record.value->size() <= kRecordBytes;
+      });
+  if (!accepted) {
+    return AppendOutcome::kRejected;
+  }
   for (const StoreRecord& record : records) {
     if (record.value) {
       records_[record.key] = *record.value;
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "camphormux/workload/validate.hpp"
 #include "test/coordinator/fake_platform.hpp"
 
 namespace camphormux::coordinator {
@@ -131,5 +132,51 @@
   }
 }
 
+/// A job of as many tasks as a job can have, which all fit the hosts at the
+/// same time.
+workload::JobSpec LargeJob() {
+  workload::JobSpec spec;
+  spec.id.value = "00000000000000aa";
+  spec.queue.value = "q";
+  spec.steps.resize(1);
+  spec.steps[0].count = workload::kMaxTasks;
+  spec.steps[0].size = {{25}, {64}, {0}};
+  spec.steps[0].estimate = core::Millis(60'000);
+  return spec;
+}
+
+// Guards against a large job that keeps the jobs of all callers from being
+// stored and started.
+TEST(HolderTest, LargeJobDoesNotStopOthers) {
+  Harness harness(core::Millis(60'000));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.holder->Submit(LargeJob(), [](const SubmitAnswer&) {});
+  ASSERT_TRUE(harness.RunUntil(
+      [&] { return harness.platform.starts() == LargeJob().steps[0].count; }));
+  std::optional<SubmitOutcome> outcome;
+  harness.holder->Submit(SmallThenWide(), [&](const SubmitAnswer& answer) {
+    outcome = answer.outcome;
+  });
+  EXPECT_TRUE(harness.RunUntil([&] { return outcome.has_value(); }));
+  EXPECT_EQ(outcome, SubmitOutcome::kAccepted);
+}
+
+// Guards against tasks of a large job that run twice after a takeover.
+TEST(HolderTest, LargeJobContinuesAfterATakeover) {
+  Harness harness(core::Millis(60'000));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.holder->Submit(LargeJob(), [](const SubmitAnswer&) {});
+  const std::uint64_t tasks = LargeJob().steps[0].count;
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.platform.starts() == tasks; }));
+  harness.StartHolder(CatalogWithQueue());
+  ASSERT_TRUE(harness.RunUntil([&] {
+    return harness.holder->JobStateOf(LargeJob().id) ==
+           workload::JobState::kRunning;
+  }));
+  harness.RunFor(core::Millis(2000));
+  EXPECT_EQ(harness.platform.starts(), tasks);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -1,9 +1,15 @@
 #include "camphormux/coordinator/store_writer.hpp"
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/runs.hpp"
 #include "camphormux/workload/codec.hpp"
+#include "camphormux/workload/validate.hpp"
 
 namespace camphormux::coordinator {
 namespace {
@@ -50,6 +56,10 @@
     listener.on_orders = [this](const std::vector<StoredOrder>& released) {
       orders += released.size();
     };
+    listener.on_orders_rejected =
+        [this](const std::vector<StoredOrder>& rejected) {
+          orders_rejected += rejected.size();
+        };
     listener.on_stored = [] {};
     listener.on_fenced = [this] { fenced = true; };
     store_writer = std::make_shared<StoreWriter>(loop, port, core::Epoch{7},
@@ -80,6 +90,7 @@
   std::vector<core::JobId> dropped;
   std::map<core::HostId, StoredEnd> ends;
   std::size_t orders = 0;
+  std::size_t orders_rejected = 0;
   bool fenced = false;
   std::shared_ptr<StoreWriter> store_writer;
 };
@@ -254,6 +265,169 @@
   EXPECT_EQ(stored->policy, job.policy);
 }
 
+/// Answers appends until nothing is left to store. The store rejects records
+/// whose key contains a text.
+/// @return Keys of the records that were stored.
+std::set<std::string> StoreAllBut(Harness& harness, const std::string& text) {
+  std::set<std::string> stored;
+  for (std::size_t i = harness.appends.size(); i < 50; ++i) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+    while (harness.appends.size() <= i &&
+           std::chrono::steady_clock::now() < end) {
+      harness.loop.restart();
+      harness.loop.run_one_for(std::chrono::milliseconds(20));
+    }
+    if (harness.appends.size() <= i) {
+      break;
+    }
+    const Harness::Append append = harness.appends[i];
+    const bool rejected =
+        std::any_of(append.records.begin(), append.records.end(),
+                    [&](const StoreRecord& record) {
+                      return record.key.find(text) != std::string::npos;
+                    });
+    for (const StoreRecord& record : append.records) {
+      if (!rejected) {
+        stored.insert(record.key);
+      }
+    }
+    append.done(rejected ? AppendOutcome::kRejected : AppendOutcome::kStored);
+  }
+  return stored;
+}
+
+// Guards against one job that keeps those of all other callers from being
+// stored, started and acknowledged.
+TEST(StoreWriterTest, RecordsThatTheStoreRejectsDoNotHoldUpOthers) {
+  Harness harness;
+  std::vector<core::JobId> jobs;
+  for (int i = 0; i < 5; ++i) {
+    workload::JobSpec spec = Spec();
+    spec.id.value = "000000000000000" + std::to_string(i);
+    jobs.push_back(spec.id);
+    (void)scheduler::Submit(harness.state, spec, core::MonotonicNow(),
+                            core::WallNow());
+    harness.store_writer->AddSubmission(spec.id);
+  }
+  (void)StoreAllBut(harness, "none");
+  ASSERT_EQ(harness.submitted.size(), jobs.size());
+  scheduler::Host host;
+  host.listing.id.value = "i-1";
+  host.ended.value = 3;
+  harness.state.hosts.emplace(host.listing.id, host);
+  for (const core::JobId& id : jobs) {
+    harness.state.unsaved.insert(id);
+    harness.store_writer->AddOrder(
+        scheduler::StartRun{{1}, {"i-1"}, {id, {}, 1}, ""});
+  }
+  const std::size_t before = harness.appends.size();
+  const std::set<std::string> stored = StoreAllBut(harness, jobs[2].value);
+  EXPECT_EQ(stored.size(), jobs.size() - 1);
+  EXPECT_EQ(harness.orders, jobs.size() - 1);
+  EXPECT_EQ(harness.orders_rejected, 1U);
+  EXPECT_EQ(harness.ends.count({"i-1"}), 1U);
+  EXPECT_TRUE(harness.state.jobs.at(jobs[2]).rejected);
+  EXPECT_EQ(harness.store_writer->rejections(), 1U);
+  // The sequence of stored appends has no gap.
+  std::uint64_t sequence = harness.appends[before].sequence;
+  for (std::size_t i = before; i < harness.appends.size(); ++i) {
+    EXPECT_LE(harness.appends[i].sequence, sequence + 1);
+    sequence = harness.appends[i].sequence;
+  }
+  // Its final state is stored at once.
+  (void)scheduler::Cancel(harness.state, jobs[2], core::WallNow());
+  harness.store_writer->ScheduleAppend();
+  EXPECT_TRUE(StoreAllBut(harness, "none").contains("p/" + jobs[2].value));
+}
+
+// Guards against callers that wait for a job that can never be stored.
+TEST(StoreWriterTest, SubmissionThatTheStoreRejectsIsDropped) {
+  Harness harness;
+  harness.Submit();
+  (void)StoreAllBut(harness, Spec().id.value);
+  EXPECT_EQ(harness.dropped.size(), 1U);
+  EXPECT_FALSE(harness.state.jobs.contains(Spec().id));
+}
+
+/// A job with as many tasks as a job can have, each with a run on a host whose
+/// id is as long as the platform allows.
+scheduler::Job& SubmitLargestJob(Harness& harness) {
+  constexpr std::size_t kHostIdBytes = 128;
+  workload::JobSpec spec = Spec();
+  spec.steps[0].count = workload::kMaxTasks;
+  (void)scheduler::Submit(harness.state, spec, core::MonotonicNow(),
+                          core::WallNow());
+  harness.store_writer->AddSubmission(spec.id);
+  scheduler::Job& job = harness.state.jobs.at(spec.id);
+  scheduler::Host host;
+  host.listing.id.value = std::string(kHostIdBytes, 'h');
+  host.listing.incarnation.value = 1'796'000'000'000;
+  scheduler::Host& listed =
+      harness.state.hosts.emplace(host.listing.id, host).first->second;
+  for (std::uint32_t task = 0; task < workload::kMaxTasks; ++task) {
+    job.tasks[task].progress.next_attempt = 2;
+    scheduler::AddRun(harness.state, job, task, 1, listed,
+                      core::MonotonicNow());
+  }
+  return job;
+}
+
+/// Stores everything that has changed and checks the store's limits.
+/// @return The size of all records in bytes.
+std::size_t StoreWithinLimits(Harness& harness, std::size_t first,
+                              std::map<std::string, std::string>& store) {
+  constexpr std::size_t kRecordBytes = 262'144;
+  constexpr std::size_t kRequestBytes = 2'097'152;
+  std::size_t total = 0;
+  harness.store_writer->ScheduleAppend();
+  for (std::size_t i = first; i < first + 100; ++i) {
+    if (harness.state.unsaved.empty() && i > first) {
+      break;
+    }
+    harness.WaitForAppends(i + 1);
+    std::size_t bytes = 0;
+    for (const StoreRecord& record : harness.appends[i].records) {
+      const std::size_t size =
+          1 + record.key.size() + (record.value ? record.value->size() : 0);
+      EXPECT_LE(size, kRecordBytes) << record.key;
+      bytes += size + sizeof(std::uint32_t);
+      if (record.value) {
+        store[record.key] = *record.value;
+      } else {
+        store.erase(record.key);
+      }
+    }
+    EXPECT_LE(bytes, kRequestBytes);
+    total += bytes;
+    harness.appends[i].done(AppendOutcome::kStored);
+  }
+  EXPECT_TRUE(harness.state.unsaved.empty());
+  return total;
+}
+
+// Guards against a job that the store refuses, which kept everything else from
+// being stored.
+TEST(StoreWriterTest, LargestJobFitsTheRecordsOfTheStore) {
+  constexpr std::size_t kCheckpointBytes = 64;
+  Harness harness;
+  scheduler::Job& job = SubmitLargestJob(harness);
+  std::map<std::string, std::string> store;
+  (void)StoreWithinLimits(harness, 0, store);
+  for (scheduler::Task& task : job.tasks) {
+    task.progress.checkpoint = std::string(kCheckpointBytes, 'c');
+  }
+  harness.state.unsaved.insert(job.spec.id);
+  (void)StoreWithinLimits(harness, harness.appends.size(), store);
+  std::vector<StoreRecord> records;
+  for (const auto& [key, value] : store) {
+    records.push_back({key, value});
+  }
+  const LoadedJobs loaded = LoadJobRecords(records, core::WallNow());
+  EXPECT_EQ(loaded.jobs.at(job.spec.id).progress,
+            scheduler::ProgressOf(harness.state, job));
+}
+
 // Guards against an old holder that continues after a newer one has started.
 TEST(StoreWriterTest, FencedAppendReportsANewerHolder) {
   Harness harness;
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -89,6 +89,14 @@
   EXPECT_EQ(fixture.fake_store.executed_appends, 0U);
 }
 
+// Guards against records that are sent again for good although the store never
+// accepts them.
+TEST(StoreTest, AppendWithContentThatTheStoreDoesNotAcceptIsRejected) {
+  StoreFixture fixture;
+  fixture.fake_store.append_status = 400;
+  EXPECT_EQ(fixture.Append(1, 1, {{"j/a", "1"}}), AppendOutcome::kRejected);
+}
+
 // Guards against a job that is rejected and runs: the answer came from
 // something between this node and the store, which had stored the job.
 TEST(StoreTest, AppendWithAnAnswerThatTheProtocolDoesNotNameMayBeStored) {
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -9,6 +9,8 @@
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/plan.hpp"
+#include "camphormux/workload/codec.hpp"
+#include "camphormux/workload/validate.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
@@ -550,5 +552,29 @@
   EXPECT_FALSE(fleet.state.runs.contains(id));
 }
 
+// Guards against stored progress that no later lease holder can read.
+TEST(RunsTest, CheckpointThatCannotBeStoredIsNotKept) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(60'000));
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  HostReport report;
+  report.host = fleet.running[0].host;
+  report.incarnation = fleet.state.hosts.at(report.host).listing.incarnation;
+  const std::string longest(workload::kMaxCheckpointBytes, 'c');
+  report.ended = {
+      {{1}, fleet.running[0].name, EndKind::kStopped, longest},
+      {{2}, fleet.running[0].name, EndKind::kStopped, longest + "c"}};
+  report.asked = fleet.now;
+  OnReport(fleet.state, report, fleet.now, fleet.wall);
+  const Job& job = fleet.state.jobs.at(spec.id);
+  EXPECT_EQ(job.tasks[0].progress.checkpoint, longest);
+  EXPECT_TRUE(workload::DecodeProgress(
+      workload::EncodeProgress(ProgressOf(fleet.state, job))));
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/workload/validate_test.cpp
+++ b/test/workload/validate_test.cpp
@@ -53,5 +53,38 @@
   EXPECT_EQ(FieldOf(spec), "steps");
 }
 
+// Guards against a job that is accepted although no later lease holder can read
+// it.
+TEST(ValidateTest, BoundsNamesAmountsAndTimes) {
+  const std::string long_name(kMaxNameBytes + 1, 'x');
+  JobSpec spec = Valid();
+  spec.steps[0].image = long_name;
+  EXPECT_EQ(FieldOf(spec), "steps[0].image");
+  spec = Valid();
+  spec.steps[1].required_label = long_name;
+  EXPECT_EQ(FieldOf(spec), "steps[1].required_label");
+  spec = Valid();
+  spec.steps[1].data_rack.value = long_name;
+  EXPECT_EQ(FieldOf(spec), "steps[1].data_rack");
+  spec = Valid();
+  spec.steps[1].after.assign(kMaxSteps + 1, 0);
+  EXPECT_EQ(FieldOf(spec), "steps[1].after");
+  spec = Valid();
+  spec.steps[0].size.cores.value = kMaxAmount + 1;
+  EXPECT_EQ(FieldOf(spec), "steps[0].size");
+  spec = Valid();
+  spec.steps[0].estimate = core::Millis(kMaxAmount + 1);
+  EXPECT_EQ(FieldOf(spec), "steps[0].estimate");
+  spec = Valid();
+  spec.queue.value = long_name;
+  EXPECT_EQ(FieldOf(spec), "queue");
+  spec = Valid();
+  spec.first_run = core::WallTime(core::Millis(kMaxAmount + 1));
+  EXPECT_EQ(FieldOf(spec), "first_run");
+  spec = Valid();
+  spec.interval = core::Millis(-1);
+  EXPECT_EQ(FieldOf(spec), "interval");
+}
+
 }  // namespace
 }  // namespace camphormux::workload
