Keep half of a pool in service during an upkeep, and stop tasks that cannot move

Cause: a wave reserved as many hosts as it may take down and two more, without a look at the pool, and several waves added up. Permanent tasks were stopped only if another host had room at that moment, which no reserved host has. Reservations ended only with a refused order.

Change: reservations are made anew in each pass. Half of a pool stays in service over all waves; the last host only leaves if its runs end soon; a host on which a waiting permanent task fits stays. Permanent tasks that fit nowhere else are stopped together, within the budgets of their steps, once nothing else keeps the machine from its upkeep. If they may not be stopped, the pool gets another host. After a refused upkeep the machine is left alone for 3 s. Each open wave is logged with what its machines wait for.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -520,6 +520,7 @@
                   {"hosts", std::to_string(state_.hosts.size())},
                   {"loop_late_ms", std::to_string(loop_late.count())}});
   plan_passes_ = {};
+  LogWaves(now);
   const RunLatency run_latency = std::exchange(run_latency_, {});
   telemetry::Log(
       telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo, "run flow",
@@ -558,6 +559,30 @@
   }
 }
 
+void Holder::LogWaves(core::MonotonicTime now) const {
+  for (const auto& [id, wave] : state_.waves) {
+    if (wave.complete || wave.request.machines.empty()) {
+      continue;
+    }
+    const scheduler::WaveBacklog& backlog = wave.backlog;
+    telemetry::Log(
+        telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo,
+        "wave progress",
+        {{"wave", std::to_string(id.value)},
+         {"machines", std::to_string(wave.request.machines.size())},
+         {"begun", std::to_string(wave.begun.size())},
+         {"left_ms",
+          std::to_string((wave.seen + wave.request.deadline - now).count())},
+         {"ordered", std::to_string(backlog.ordered)},
+         {"draining", std::to_string(backlog.draining)},
+         {"queued", std::to_string(backlog.queued)},
+         {"pool_in_service", std::to_string(backlog.pool_in_service)},
+         {"needed_by_task", std::to_string(backlog.needed_by_task)},
+         {"tasks_must_run", std::to_string(backlog.tasks_must_run)},
+         {"unavailable", std::to_string(backlog.unavailable)}});
+  }
+}
+
 void Holder::Dispatch() {
   const std::vector<scheduler::Order> orders = std::exchange(state_.orders, {});
   for (const scheduler::Order& order : orders) {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -91,6 +91,7 @@
   void Plan();
   void Tick();
   void LogLoads(core::MonotonicTime now);
+  void LogWaves(core::MonotonicTime now) const;
   void Dispatch();
   /// Sends an order that had to be stored first, unless storing it took too
   /// long.
--- a/src/camphormux/scheduler/availability.hpp
+++ b/src/camphormux/scheduler/availability.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_SCHEDULER_AVAILABILITY_HPP_
 
 #include <cstdint>
+#include <vector>
 
 #include "camphormux/scheduler/state.hpp"
 
@@ -19,6 +20,11 @@
 /// through orders of the lease holder; at least 1.
 [[nodiscard]] std::uint32_t AvailabilityBudget(const workload::Step& step);
 
+/// @brief Returns whether all these runs of permanent tasks may be stopped at
+/// the same time: each step can miss its tasks among them.
+[[nodiscard]] bool MayStopTogether(const State& state,
+                                   const std::vector<RunId>& runs);
+
 /// @brief Returns whether a run may be stopped: its step is not permanent, or
 /// it can miss this task too.
 [[nodiscard]] bool MayStopWithinBudget(const State& state, const Run& run);
--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -122,11 +122,13 @@
         std::max(reserved_cores, balance.permanent + arriving);
     // Tasks can be unplaced although cores are free: they must run on different
     // hosts or need more memory than is left on any host.
+    const std::uint32_t hosts =
+        std::max(view.hosts_to_spread,
+                 state.pools_without_room_for_upkeep.contains(pool) ? 1U : 0U);
     const std::int64_t spread =
         view.usable.empty()
             ? 0
-            : view.hosts_to_spread *
-                  view.usable.front()->listing.capacity.cores.value;
+            : hosts * view.usable.front()->listing.capacity.cores.value;
     const std::int64_t waiting =
         std::max(view.unplaced.value - view.unplaced_late.value, spread);
     if (waiting > 0) {
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -346,6 +346,13 @@
   }
 }
 
+bool FitsOn(const State& state, const Host& host, const Job& job,
+            std::uint32_t task) {
+  const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+  return internal::CanRunOn(state, host, job, job.spec.steps[place.step],
+                            {place.occurrence, place.step, task - place.index});
+}
+
 bool FitsElsewhere(const State& state, const Run& run,
                    const std::vector<Host*>& hosts) {
   const Job& job = state.jobs.at(run.name.job);
--- a/src/camphormux/scheduler/placing.hpp
+++ b/src/camphormux/scheduler/placing.hpp
@@ -41,6 +41,14 @@
 void PlaceCopies(State& state, Job& job, const std::vector<Host*>& hosts,
                  core::MonotonicTime now);
 
+/// @brief Returns whether a task without runs fits on a host.
+/// @param state The state.
+/// @param host The host.
+/// @param job The job.
+/// @param task Position of the task in the job.
+[[nodiscard]] bool FitsOn(const State& state, const Host& host, const Job& job,
+                          std::uint32_t task);
+
 /// @brief Returns whether a run's task fits on another host.
 [[nodiscard]] bool FitsElsewhere(const State& state, const Run& run,
                                  const std::vector<Host*>& hosts);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -225,17 +225,35 @@
   /// may still.
   std::optional<core::MonotonicTime> unanswered_since;
   core::MonotonicTime ordered;
+  /// No upkeep is prepared before this time, as the platform refused one.
+  core::MonotonicTime upkeep_allowed_from;
   /// Destination of a move in progress; otherwise empty.
   core::PoolName target;
   /// Host that ends when the last order takes effect.
   core::HostId ordered_host;
 };
 
+/// @brief Machines of a wave that have not begun their upkeep, by what they
+/// wait for.
+struct WaveBacklog {
+  std::uint32_t ordered = 0;   ///< Down, or about to be.
+  std::uint32_t draining = 0;  ///< The host is being emptied.
+  /// Enough machines of the wave are down or being emptied.
+  std::uint32_t queued = 0;
+  std::uint32_t pool_in_service = 0;  ///< The pool needs the host in service.
+  /// A permanent task without a host fits on this one.
+  std::uint32_t needed_by_task = 0;
+  /// Permanent tasks on the host may not be stopped.
+  std::uint32_t tasks_must_run = 0;
+  std::uint32_t unavailable = 0;  ///< Not up, or not to be ordered yet.
+};
+
 /// @brief A maintenance wave and its progress.
 struct Wave {
   WaveRequest request;
   core::MonotonicTime seen;
   std::set<MachineId> begun;
+  WaveBacklog backlog;     ///< As of the last pass.
   bool announced = false;  ///< The state "running" was written to the store.
   bool complete = false;
 };
@@ -308,6 +326,9 @@
   double move_budget = 0;
   core::MonotonicTime move_budget_updated;
   core::MonotonicTime next_upkeep;
+  /// Pools that need another host, to which permanent tasks can move from a
+  /// host that waits for its upkeep.
+  std::set<core::PoolName> pools_without_room_for_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
   std::map<core::PoolName, ArrivalRate> arrival_rates;
   /// Cores of ready tasks that were not placed in the last planning pass.
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -6,6 +6,7 @@
 
 #include "camphormux/scheduler/availability.hpp"
 #include "camphormux/scheduler/hosts.hpp"
+#include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/placing.hpp"
 #include "camphormux/scheduler/runs.hpp"
 
@@ -16,6 +17,14 @@
 /// the same time, so that the next one is empty when a machine returns.
 constexpr std::size_t kHostsDrainedAhead = 2;
 
+/// Time in which the runs on the last host of a pool in service must be
+/// expected to end before the host takes no new ones.
+constexpr core::Millis kLastHostDrainTime{2000};
+
+/// Time after a refused upkeep before another is prepared for the machine, for
+/// which tasks may be stopped.
+constexpr core::Millis kUpkeepRetryDelay{3000};
+
 /// Interval of planning the waves; a small fraction of the duration of an
 /// upkeep.
 constexpr core::Millis kUpkeepInterval{50};
@@ -127,6 +136,194 @@
   Host* host = nullptr;
 };
 
+/// Hosts of a pool.
+struct PoolHosts {
+  std::size_t in_service = 0;
+  /// Hosts that are down for upkeep, about to be, or reserved for it.
+  std::size_t out = 0;
+};
+
+/// What a pass over the open waves has to regard.
+struct UpkeepPass {
+  std::map<core::PoolName, PoolHosts> pools;
+  /// Hosts that the previous pass reserved.
+  std::set<core::HostId> reserved_before;
+  /// Permanent tasks without a host, by pool.
+  std::map<core::PoolName, std::vector<std::pair<const Job*, std::uint32_t>>>
+      waiting;
+};
+
+bool IsInService(const Host& host) {
+  return host.listed && host.synced && !host.listing.draining &&
+         !host.unresponsive_since;
+}
+
+/// Returns the permanent tasks of each pool that have no run.
+auto WaitingPermanentTasks(const State& state) {
+  decltype(UpkeepPass::waiting) waiting;
+  for (const auto& [id, job] : state.jobs) {
+    if (!job.permanent || !job.saved || job.rejected || !HasPolicy(job) ||
+        workload::IsFinal(job.state)) {
+      continue;
+    }
+    for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+      const Task& entry = job.tasks[task];
+      const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
+      if (job.spec.steps[place.step].permanent && !entry.progress.done &&
+          entry.runs.empty()) {
+        waiting[job.policy.pool].emplace_back(&job, task);
+      }
+    }
+  }
+  return waiting;
+}
+
+/// Ends all reservations of earlier passes, which are made anew, so that none
+/// outlasts its wave or its machine.
+UpkeepPass BeginPass(State& state) {
+  UpkeepPass pass;
+  std::set<core::HostId> ordered;
+  for (const auto& [id, machine] : state.machines) {
+    if (machine.order_pending) {
+      ordered.insert(machine.ordered_host);
+    }
+    if (IsDown(machine)) {
+      ++pass.pools[machine.listing.pool].out;
+    }
+  }
+  for (auto& [id, host] : state.hosts) {
+    if (ordered.contains(id)) {
+      continue;
+    }
+    if (host.reserved) {
+      host.reserved = false;
+      pass.reserved_before.insert(id);
+    }
+    if (IsInService(host)) {
+      ++pass.pools[host.listing.pool].in_service;
+    }
+  }
+  pass.waiting = WaitingPermanentTasks(state);
+  return pass;
+}
+
+/// Returns whether all runs on a host other than permanent ones are expected to
+/// end within a time.
+bool EndsWithin(const State& state, const Host& host, core::Millis time,
+                core::MonotonicTime now) {
+  return std::all_of(host.runs.begin(), host.runs.end(), [&](RunId id) {
+    const Run& run = state.runs.at(id);
+    return run.permanent || run.ordered + run.estimate <= now + time;
+  });
+}
+
+/// Returns the runs of permanent tasks on a host that fit on no other host.
+std::vector<RunId> ImmovableRuns(const State& state, const Host& host,
+                                 const PoolViews& views) {
+  std::vector<RunId> runs;
+  const auto view = views.find(host.listing.pool);
+  for (const RunId id : host.runs) {
+    const Run& run = state.runs.at(id);
+    if (run.permanent && run.phase != RunPhase::kStopping &&
+        (view == views.end() ||
+         !FitsElsewhere(state, run, view->second.usable))) {
+      runs.push_back(id);
+    }
+  }
+  return runs;
+}
+
+bool HasEmptyHost(const core::PoolName& pool, const PoolViews& views) {
+  const auto view = views.find(pool);
+  return view != views.end() &&
+         std::any_of(view->second.usable.begin(), view->second.usable.end(),
+                     [](const Host* host) { return host->runs.empty(); });
+}
+
+/// Returns whether a host may be taken out of service to prepare its upkeep:
+/// enough hosts of its pool stay in service, and it can become empty without
+/// permanent tasks being away that have to run. Otherwise counts the machine in
+/// the backlog, and requests another host if the tasks could move to one.
+bool MayReserve(State& state, const Host& host, const UpkeepPass& pass,
+                const PoolViews& views, core::MonotonicTime now,
+                WaveBacklog& backlog) {
+  if (!IsInService(host)) {
+    return true;
+  }
+  const bool is_stopping = std::all_of(
+      host.runs.begin(), host.runs.end(),
+      [&](RunId id) { return state.runs.at(id).phase == RunPhase::kStopping; });
+  if (is_stopping && pass.reserved_before.contains(host.listing.id)) {
+    return true;
+  }
+  const PoolHosts& pool = pass.pools.at(host.listing.pool);
+  const std::size_t total = pool.in_service + pool.out;
+  const bool is_last = pool.in_service == 1;
+  if (pool.out >= std::max<std::size_t>(1, total / 2) ||
+      (is_last && !EndsWithin(state, host, kLastHostDrainTime, now))) {
+    ++backlog.pool_in_service;
+    return false;
+  }
+  const auto waiting = pass.waiting.find(host.listing.pool);
+  const bool is_needed =
+      waiting != pass.waiting.end() && !host.runs.empty() &&
+      std::any_of(waiting->second.begin(), waiting->second.end(),
+                  [&](const auto& entry) {
+                    return FitsOn(state, host, *entry.first, entry.second);
+                  });
+  if (is_needed) {
+    ++backlog.needed_by_task;
+    return false;
+  }
+  if (!MayStopTogether(state, ImmovableRuns(state, host, views))) {
+    ++backlog.tasks_must_run;
+    if (!HasEmptyHost(host.listing.pool, views)) {
+      state.pools_without_room_for_upkeep.insert(host.listing.pool);
+    }
+    return false;
+  }
+  return true;
+}
+
+void Reserve(Host& host, UpkeepPass& pass) {
+  host.reserved = true;
+  if (IsInService(host)) {
+    PoolHosts& pool = pass.pools[host.listing.pool];
+    --pool.in_service;
+    ++pool.out;
+  }
+}
+
+/// Stops the permanent tasks that no other host has room for, once nothing else
+/// keeps the machine from its upkeep.
+/// @return Whether only runs that are being stopped are left.
+bool StopImmovableRuns(State& state, const Host& host, const PoolViews& views) {
+  const std::vector<RunId> immovable = ImmovableRuns(state, host, views);
+  const bool others_left =
+      std::any_of(host.runs.begin(), host.runs.end(), [&](RunId id) {
+        const Run& run = state.runs.at(id);
+        const bool is_immovable = std::find(immovable.begin(), immovable.end(),
+                                            id) != immovable.end();
+        return run.phase != RunPhase::kStopping &&
+               (!is_immovable || run.phase != RunPhase::kRunning);
+      });
+  if (others_left || !MayStopTogether(state, immovable)) {
+    return false;
+  }
+  for (const RunId id : immovable) {
+    RequestStop(state, state.runs.at(id));
+  }
+  return true;
+}
+
+void OrderUpkeep(State& state, Machine& machine, WaveId wave,
+                 core::MonotonicTime now) {
+  machine.order_pending = true;
+  machine.ordered = now;
+  machine.ordered_host = machine.listing.host;
+  state.orders.emplace_back(UpkeepMachine{machine.listing.id, wave});
+}
+
 void CompleteWave(State& state, Wave& wave) {
   const bool complete = std::all_of(
       wave.request.machines.begin(), wave.request.machines.end(),
@@ -139,10 +336,12 @@
   }
 }
 
-void AdvanceWave(State& state, Wave& wave, const PoolViews& views,
-                 core::MonotonicTime now) {
+void AdvanceWave(State& state, Wave& wave, UpkeepPass& pass,
+                 const PoolViews& views, core::MonotonicTime now) {
   std::size_t down = 0;
   std::vector<Candidate> waiting;
+  WaveBacklog& backlog = wave.backlog;
+  backlog = {};
   for (const MachineId& id : wave.request.machines) {
     const auto found = state.machines.find(id);
     if (found == state.machines.end()) {
@@ -151,13 +350,18 @@
     Machine& machine = found->second;
     if (IsDown(machine)) {
       ++down;
+      backlog.ordered += wave.begun.contains(id) ? 0U : 1U;
     } else if (!wave.begun.contains(id) && MayOrder(state, id, now) &&
+               now >= machine.upkeep_allowed_from &&
                machine.listing.state == MachineState::kUp) {
       Host* host = HostOf(state, machine);
       // Hosts that were chosen in an earlier pass stay chosen.
-      const bool chosen = host != nullptr && host->reserved;
+      const bool chosen =
+          host != nullptr && pass.reserved_before.contains(host->listing.id);
       waiting.push_back(
           {{!chosen, DrainCost(state, host), id}, &machine, host});
+    } else if (!wave.begun.contains(id)) {
+      ++backlog.unavailable;
     }
   }
   std::sort(
@@ -169,26 +373,38 @@
   std::size_t chosen = 0;
   for (const auto& [key, machine, host] : waiting) {
     if (chosen >= headroom + kHostsDrainedAhead) {
-      break;
+      ++backlog.queued;
+      continue;
     }
-    ++chosen;
     if (host != nullptr) {
-      host->reserved = true;
+      // Another wave may have reserved it for the same machine.
+      if (!host->reserved &&
+          !MayReserve(state, *host, pass, views, now, backlog)) {
+        continue;
+      }
+      if (!host->reserved) {
+        Reserve(*host, pass);
+      }
       if (!host->runs.empty()) {
+        ++chosen;
+        ++backlog.draining;
         if (now >= state.took_over + kStopSettleTime) {
           Evacuate(state, *host, views, true);
+          if (ordered < headroom && StopImmovableRuns(state, *host, views)) {
+            ++ordered;
+          }
         }
         continue;
       }
     }
-    if (ordered < headroom) {
-      ++ordered;
-      machine->order_pending = true;
-      machine->ordered = now;
-      machine->ordered_host = machine->listing.host;
-      state.orders.emplace_back(
-          UpkeepMachine{machine->listing.id, wave.request.id});
+    ++chosen;
+    if (ordered >= headroom) {
+      ++backlog.queued;
+      continue;
     }
+    ++ordered;
+    ++backlog.ordered;
+    OrderUpkeep(state, *machine, wave.request.id, now);
   }
   CompleteWave(state, wave);
 }
@@ -319,6 +535,9 @@
     return;
   }
   entry.target.value.clear();
+  if (wave != nullptr && outcome == MachineOutcome::kBusy) {
+    entry.upkeep_allowed_from = now + internal::kUpkeepRetryDelay;
+  }
   if (outcome == MachineOutcome::kRejected && wave != nullptr) {
     state.waves[*wave].begun.insert(machine);
   }
@@ -333,9 +552,11 @@
     return;
   }
   state.next_upkeep = now + internal::kUpkeepInterval;
+  state.pools_without_room_for_upkeep.clear();
+  internal::UpkeepPass pass = internal::BeginPass(state);
   for (auto& [id, wave] : state.waves) {
     if (!wave.complete && !wave.request.machines.empty()) {
-      internal::AdvanceWave(state, wave, views, now);
+      internal::AdvanceWave(state, wave, pass, views, now);
     }
   }
 }
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -140,13 +140,10 @@
   } else if (!execute_machine_orders) {
     return;
   } else if (const auto* move = std::get_if<MoveMachine>(&order)) {
-    returns_at[move->machine] = now + kMoveDuration;
     OnMachineAnswer(state, move->machine, nullptr, MachineOutcome::kDone, now);
     for (MachineListing& machine : machines) {
       if (machine.id == move->machine) {
-        std::erase_if(listings, [&](const HostListing& listing) {
-          return listing.id == machine.host;
-        });
+        TakeDown(machine, now + kMoveDuration);
         machine.pool = move->pool;
         machine.state = MachineState::kMoving;
       }
@@ -154,9 +151,24 @@
   } else if (const auto* upkeep = std::get_if<UpkeepMachine>(&order)) {
     OnMachineAnswer(state, upkeep->machine, &upkeep->wave,
                     MachineOutcome::kDone, now);
+    for (MachineListing& machine : machines) {
+      if (machine.id == upkeep->machine && upkeep_duration.count() > 0) {
+        TakeDown(machine, now + upkeep_duration);
+        machine.state = MachineState::kUpkeep;
+      }
+    }
   }
 }
 
+void Fleet::TakeDown(MachineListing& machine, core::MonotonicTime until) {
+  returns_at[machine.id] = until;
+  std::erase_if(listings, [&](const HostListing& listing) {
+    return listing.id == machine.host;
+  });
+  std::erase_if(running,
+                [&](const Running& run) { return run.host == machine.host; });
+}
+
 void Fleet::EndRunsAndMoves() {
   for (auto it = running.begin(); it != running.end();) {
     if (it->end <= now) {
--- a/test/scheduler/fleet.hpp
+++ b/test/scheduler/fleet.hpp
@@ -35,6 +35,9 @@
   bool send_starts = true;
   bool execute_starts = true;  ///< Otherwise, starts are sent without effect.
   bool execute_machine_orders = true;
+  /// Machines return from upkeep with their next host after this time; 0:
+  /// never.
+  core::Millis upkeep_duration{0};
   core::Millis run_time{0};  ///< Zero: runs take their estimate.
 
   Fleet();
@@ -55,6 +58,8 @@
 
  private:
   void Execute(const Order& order);
+  /// Ends the host of a machine; the next one follows at a time.
+  void TakeDown(MachineListing& machine, core::MonotonicTime until);
   void EndRunsAndMoves();
 };
 
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -358,5 +358,228 @@
   EXPECT_EQ(fleet.CountStarts(spec.id.value), 2U);
 }
 
+/// Counts the tasks of a job that are at work.
+std::size_t CountRunning(const Fleet& fleet, const workload::JobSpec& spec) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.running.begin(), fleet.running.end(),
+      [&](const Fleet::Running& run) { return run.name.job == spec.id; }));
+}
+
+std::size_t CountReserved(const Fleet& fleet) {
+  return static_cast<std::size_t>(
+      std::count_if(fleet.state.hosts.begin(), fleet.state.hosts.end(),
+                    [](const auto& entry) { return entry.second.reserved; }));
+}
+
+workload::JobSpec PermanentJob(std::uint64_t number, std::uint32_t tasks,
+                               std::uint32_t max_per_host,
+                               std::uint32_t max_unavailable) {
+  workload::JobSpec spec = MakeJob(number, "q", tasks, 4, core::Millis(0));
+  spec.steps[0].permanent = true;
+  spec.steps[0].max_per_host = max_per_host;
+  spec.steps[0].max_unavailable = max_unavailable;
+  return spec;
+}
+
+/// A pool whose machines return from their upkeep.
+Fleet FleetWithHosts(int hosts, std::int64_t cores = 16) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", hosts, cores);
+  fleet.upkeep_duration = core::Millis(2000);
+  return fleet;
+}
+
+// Guards against jobs that never start, and a wave that never ends: all hosts
+// of a pool were reserved for upkeep, and none could become empty.
+TEST(UpkeepTest, WaveOverAPoolWhosePermanentTasksFitNowhereElse) {
+  Fleet fleet = FleetWithHosts(3);
+  const auto permanent = PermanentJob(1, 3, 1, 1);
+  (void)fleet.Submit(permanent);
+  fleet.Advance(core::Millis(500));
+  ASSERT_EQ(fleet.running.size(), 3U);
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Advance(core::Millis(200));
+  const auto job = MakeJob(2, "q", 2, 1, core::Millis(1000));
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(fleet.CountStarts(job.id.value), 2U);
+  for (int i = 0; i < 2000 && !fleet.state.waves.at({1}).complete; ++i) {
+    fleet.Advance(core::Millis(10));
+    EXPECT_GE(CountRunning(fleet, permanent), 2U);
+  }
+  EXPECT_TRUE(fleet.state.waves.at({1}).complete);
+  fleet.Advance(core::Millis(3000));
+  EXPECT_EQ(CountRunning(fleet, permanent), 3U);
+  EXPECT_EQ(CountReserved(fleet), 0U);
+}
+
+// Guards against several waves that together take a pool out of service.
+TEST(UpkeepTest, WavesLeaveHalfOfAPoolInService) {
+  constexpr std::size_t kPoolHosts = 8;
+  Fleet fleet = FleetWithHosts(kPoolHosts);
+  // Each host has a run, so that none is empty at first.
+  (void)fleet.Submit(MakeJob(1, "q", kPoolHosts, 16, core::Millis(1500)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), kPoolHosts);
+  WaveRequest first = WaveOf(fleet, 10);
+  WaveRequest second = first;
+  first.machines.resize(kPoolHosts / 2);
+  second.machines.erase(second.machines.begin(),
+                        second.machines.begin() + kPoolHosts / 2);
+  second.id.value = 2;
+  AddWave(fleet.state, first, fleet.now);
+  AddWave(fleet.state, second, fleet.now);
+  for (int i = 0; i < 1500; ++i) {
+    fleet.Advance(core::Millis(10));
+    const auto in_service =
+        std::count_if(fleet.state.hosts.begin(), fleet.state.hosts.end(),
+                      [](const auto& entry) {
+                        return entry.second.listed && !entry.second.reserved;
+                      });
+    EXPECT_GE(in_service, kPoolHosts / 2);
+  }
+  EXPECT_TRUE(fleet.state.waves.at({1}).complete);
+  EXPECT_TRUE(fleet.state.waves.at({2}).complete);
+}
+
+// Guards against a host that takes no work any more after the machine left the
+// wave's list or the wave is complete.
+TEST(UpkeepTest, ReservationEndsWithItsMachine) {
+  Fleet fleet = FleetWithHosts(4);
+  (void)fleet.Submit(MakeJob(1, "q", 4, 16, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  WaveRequest wave = WaveOf(fleet, 1);
+  wave.machines.resize(1);
+  AddWave(fleet.state, wave, fleet.now);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(CountReserved(fleet), 1U);
+  fleet.machines.erase(fleet.machines.begin());
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  fleet.Advance(core::Millis(100));
+  EXPECT_TRUE(fleet.state.waves.at({1}).complete);
+  EXPECT_EQ(CountReserved(fleet), 0U);
+}
+
+// Guards against a permanent task that is stopped again and again for a machine
+// whose upkeep the platform refuses.
+TEST(UpkeepTest, TaskIsNotStoppedAgainRightAfterARefusedUpkeep) {
+  Fleet fleet = FleetWithHosts(2);
+  fleet.execute_machine_orders = false;
+  (void)fleet.Submit(PermanentJob(1, 2, 1, 1));
+  fleet.Advance(core::Millis(500));
+  WaveRequest wave = WaveOf(fleet, 1);
+  wave.machines.resize(1);
+  AddWave(fleet.state, wave, fleet.now);
+  fleet.Advance(core::Millis(200));
+  ASSERT_EQ(CountUpkeeps(fleet), 1U);
+  ASSERT_EQ(CountStops(fleet), 1U);
+  const WaveId id{1};
+  OnMachineAnswer(fleet.state, wave.machines[0], &id, MachineOutcome::kBusy,
+                  fleet.now);
+  fleet.Advance(core::Millis(1500));
+  EXPECT_EQ(fleet.running.size(), 2U);
+  EXPECT_EQ(CountStops(fleet), 1U);
+  fleet.Advance(core::Millis(2500));
+  EXPECT_EQ(CountStops(fleet), 2U);
+}
+
+// Guards against a permanent task that stays away while a host with room for it
+// waits for its upkeep: another host failed meanwhile.
+TEST(UpkeepTest, HostIsNotDrainedWhileAPermanentTaskNeedsIt) {
+  Fleet fleet = FleetWithHosts(4);
+  auto first = MakeJob(1, "q", 2, 8, core::Millis(20'000));
+  first.steps[0].max_per_host = 1;
+  (void)fleet.Submit(first);
+  fleet.Advance(core::Millis(50));
+  const auto permanent = PermanentJob(2, 2, 1, 1);
+  (void)fleet.Submit(permanent);
+  fleet.Advance(core::Millis(50));
+  // The other two hosts have room for one of the permanent tasks each.
+  (void)fleet.Submit(MakeJob(3, "q", 2, 12, core::Millis(20'000)));
+  fleet.Advance(core::Millis(500));
+  ASSERT_EQ(CountRunning(fleet, permanent), 2U);
+  // A wave over the hosts without a permanent task.
+  WaveRequest wave = WaveOf(fleet, 4);
+  std::set<core::HostId> busy;
+  for (const Fleet::Running& run : fleet.running) {
+    if (run.name.job == permanent.id) {
+      busy.insert(run.host);
+    }
+  }
+  std::erase_if(wave.machines, [&](const MachineId& id) {
+    return busy.contains(fleet.state.machines.at(id).listing.host);
+  });
+  AddWave(fleet.state, wave, fleet.now);
+  fleet.Advance(core::Millis(200));
+  ASSERT_EQ(CountReserved(fleet), 2U);
+  const core::HostId lost = *busy.begin();
+  std::erase_if(fleet.running,
+                [&](const Fleet::Running& run) { return run.host == lost; });
+  std::erase_if(fleet.listings,
+                [&](const HostListing& listing) { return listing.id == lost; });
+  RemoveHost(fleet.state, lost, EndEvidence::kNoMachine);
+  fleet.Advance(core::Millis(200));
+  EXPECT_EQ(CountRunning(fleet, permanent), 2U);
+}
+
+// Guards against a pool of one host that starts nothing for as long as its
+// longest run lasts.
+TEST(UpkeepTest, LastHostOfAPoolServesUntilItCanBeEmptySoon) {
+  Fleet fleet = FleetWithHosts(1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(10'000)));
+  fleet.Advance(core::Millis(50));
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Advance(core::Millis(500));
+  const auto job = MakeJob(2, "q", 1, 4, core::Millis(500));
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(fleet.CountStarts(job.id.value), 1U);
+  fleet.Advance(core::Millis(12'000));
+  EXPECT_EQ(CountUpkeeps(fleet), 1U);
+}
+
+// Guards against a host that is drained although its permanent tasks may not be
+// stopped: it stays in service, and the wave waits.
+TEST(UpkeepTest, HostWhoseTasksMayNotBeStoppedStaysInService) {
+  Fleet fleet = FleetWithHosts(1);
+  const auto permanent = PermanentJob(1, 2, 0, 1);
+  (void)fleet.Submit(permanent);
+  fleet.Advance(core::Millis(500));
+  ASSERT_EQ(CountRunning(fleet, permanent), 2U);
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  const auto job = MakeJob(2, "q", 1, 4, core::Millis(500));
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(5000));
+  EXPECT_EQ(fleet.CountStarts(job.id.value), 1U);
+  EXPECT_EQ(CountRunning(fleet, permanent), 2U);
+  EXPECT_EQ(CountStops(fleet), 0U);
+}
+
+// Guards against a wave that never ends because permanent tasks have no host to
+// move to, although machines of other pools are idle.
+TEST(UpkeepTest, PoolWithoutRoomForPermanentTasksGetsAnotherHost) {
+  Fleet fleet = FleetWithHosts(3);
+  const auto permanent = PermanentJob(1, 6, 2, 1);
+  (void)fleet.Submit(permanent);
+  fleet.Advance(core::Millis(500));
+  ASSERT_EQ(CountRunning(fleet, permanent), 6U);
+  const WaveRequest wave = WaveOf(fleet, 3);
+  fleet.AddStandbyPool("spare");
+  fleet.AddHosts("spare", 2, 16);
+  AddWave(fleet.state, wave, fleet.now);
+  for (int i = 0; i < 2000 && !fleet.state.waves.at({1}).complete; ++i) {
+    fleet.Advance(core::Millis(10));
+    EXPECT_GE(CountRunning(fleet, permanent), 5U);
+  }
+  EXPECT_TRUE(fleet.state.waves.at({1}).complete);
+  const auto moves =
+      std::count_if(fleet.sent.begin(), fleet.sent.end(), [](const Order& o) {
+        const auto* move = std::get_if<MoveMachine>(&o);
+        return move != nullptr && move->pool.value == "pool";
+      });
+  EXPECT_LE(moves, 2);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
