--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -203,7 +203,13 @@
       ++pass.pools[host.listing.pool].in_service;
     }
   }
-  pass.waiting = WaitingPermanentTasks(state);
+  const bool has_open_wave = std::any_of(
+      state.waves.begin(), state.waves.end(), [](const auto& entry) {
+        return !entry.second.complete && !entry.second.request.machines.empty();
+      });
+  if (has_open_wave) {
+    pass.waiting = WaitingPermanentTasks(state);
+  }
   return pass;
 }
 
@@ -256,7 +262,11 @@
   if (is_stopping && pass.reserved_before.contains(host.listing.id)) {
     return true;
   }
-  const PoolHosts& pool = pass.pools.at(host.listing.pool);
+  const auto found = pass.pools.find(host.listing.pool);
+  if (found == pass.pools.end()) {
+    return false;
+  }
+  const PoolHosts& pool = found->second;
   const std::size_t total = pool.in_service + pool.out;
   const bool is_last = pool.in_service == 1;
   if (pool.out >= std::max<std::size_t>(1, total / 2) ||
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -420,6 +420,7 @@
   harness.state.unsaved.insert(job.spec.id);
   (void)StoreWithinLimits(harness, harness.appends.size(), store);
   std::vector<StoreRecord> records;
+  records.reserve(store.size());
   for (const auto& [key, value] : store) {
     records.push_back({key, value});
   }
