--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -24,6 +24,9 @@
 /// takeover.
 inline constexpr core::Millis kOwnershipTtl{1500};
 
+/// Maximum size of a record's key in bytes; its length is stored in one byte.
+inline constexpr std::size_t kMaxKeyBytes = 255;
+
 /// @brief The newest value of a key; a record without a value deletes the key.
 struct StoreRecord {
   std::string key;
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -215,6 +215,15 @@
     }
     const scheduler::MachineId* machine =
         internal::MachineOfOrder(stored.order);
+    if (machine != nullptr &&
+        kMachineKeyPrefix.size() + machine->value.size() > kMaxKeyBytes) {
+      ++rejections_;
+      telemetry::Log(telemetry::Level::kError,
+                     "id of a machine does not fit the key of a record",
+                     {{"machine", machine->value}});
+      rejected.push_back(std::move(stored));
+      continue;
+    }
     // A start whose job did not fit into this batch waits for a later one.
     const bool must_wait = start != nullptr
                                ? state_.unsaved.contains(start->name.job)
@@ -234,9 +243,21 @@
     }
     target.orders.push_back(std::move(stored));
   }
-  if (!rejected.empty()) {
-    listener_.on_orders_rejected(rejected);
+  RejectOrders(rejected);
+}
+
+void StoreWriter::RejectOrders(const std::vector<StoredOrder>& orders) {
+  if (orders.empty()) {
+    return;
+  }
+  const core::MonotonicTime retry =
+      core::MonotonicNow() + internal::kRejectedRetryDelay;
+  for (const StoredOrder& stored : orders) {
+    if (const auto* machine = internal::MachineOfOrder(stored.order)) {
+      state_.machine_order_allowed_from[*machine] = retry;
+    }
   }
+  listener_.on_orders_rejected(orders);
 }
 
 void StoreWriter::CollectEnds(Batch& batch) {
@@ -413,7 +434,7 @@
       InvalidateStoredProgress(stored->second);
     }
   }
-  listener_.on_orders_rejected(change.orders);
+  RejectOrders(change.orders);
 }
 
 void StoreWriter::DropSubmissions() {
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -134,6 +134,8 @@
   void OnRejected();
   void DropSubmissions();
   void Reject(Change& change);
+  /// Withdraws orders, and defers further ones for the same machines.
+  void RejectOrders(const std::vector<StoredOrder>& orders);
   void Retry(bool outcome_certain);
   /// @return Whether a job's records were rejected and wait to be tried again.
   [[nodiscard]] bool is_deferred(const core::JobId& id,
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -305,8 +305,8 @@
   std::unordered_map<RunId, Run> runs;
   RunId next_run{1};
   std::map<MachineId, Machine> machines;
-  /// Machines that a previous lease holder ordered recently: no orders before
-  /// this time.
+  /// No orders for these machines before this time: a previous lease holder
+  /// ordered them recently, or an order could not be stored.
   std::map<MachineId, core::MonotonicTime> machine_order_allowed_from;
   std::map<WaveId, Wave> waves;
   std::set<core::JobId> unsaved;  ///< Jobs whose progress has to be stored.
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -8,6 +8,7 @@
 
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/upkeep.hpp"
 #include "camphormux/workload/codec.hpp"
 #include "camphormux/workload/validate.hpp"
 
@@ -341,6 +342,20 @@
   EXPECT_TRUE(StoreAllBut(harness, "none").contains("p/" + jobs[2].value));
 }
 
+// Guards against a wave that is complete without one of its machines, and
+// against a record with a broken key: the machine's id is too long for one.
+TEST(StoreWriterTest, OrderOfAMachineWithALongIdIsRejected) {
+  Harness harness;
+  const scheduler::MachineId long_id{std::string(kMaxKeyBytes, 'm')};
+  harness.store_writer->AddOrder(scheduler::UpkeepMachine{long_id, {1}});
+  harness.store_writer->AddOrder(scheduler::UpkeepMachine{{"m-1"}, {1}});
+  EXPECT_EQ(StoreAllBut(harness, "none"), std::set<std::string>{"m/m-1"});
+  EXPECT_EQ(harness.orders, 1U);
+  EXPECT_EQ(harness.orders_rejected, 1U);
+  EXPECT_FALSE(
+      scheduler::MayOrder(harness.state, long_id, core::MonotonicNow()));
+}
+
 // Guards against callers that wait for a job that can never be stored.
 TEST(StoreWriterTest, SubmissionThatTheStoreRejectsIsDropped) {
   Harness harness;
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -176,6 +176,17 @@
   EXPECT_EQ(page->records[2].key, "gone");
 }
 
+// Guards against a wave that is reported as complete without a machine: one
+// that is not listed counts as gone.
+TEST(DecodeTest, MachineWithALongIdIsListed) {
+  const std::string id(300, 'm');
+  const auto page = DecodeMachinePage(R"({"machines":[{"machine":")" + id +
+                                      R"(","pool":"p","state":"up"}]})");
+  ASSERT_TRUE(page);
+  ASSERT_EQ(page->machines.size(), 1U);
+  EXPECT_EQ(page->machines[0].id.value, id);
+}
+
 RC_GTEST_PROP(DecodePropertyTest, NoDecoderThrows, (const std::string& bytes)) {
   (void)DecodeCatalog(bytes);
   (void)DecodeWave(bytes);
