Say 503 only if no attempt to store a job is without an answer

A caller would be told with 503 that a job never runs although an attempt to store it had no answer and may be carried out.

Cause: when an append was divided after a rejection, its parts counted as if all earlier attempts had a certain outcome.

Change: the parts keep what is known of the earlier attempts. A submission whose record is rejected after one without an answer is answered as unknown (504).

Evidence: StoreWriterTest.RejectionAfterAnUnknownOutcomeLeavesTheOutcomeUnknown fails with the old answer put back and passes. The tests of the writer, the records and the holder pass (30).

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -95,6 +95,10 @@
     scheduler::DropSubmission(state_, id);
     OnSubmitted(id, SubmitOutcome::kUnavailable);
   };
+  stored.on_unknown = [this](const core::JobId& id) {
+    scheduler::DropSubmission(state_, id);
+    OnSubmitted(id, SubmitOutcome::kUnknown);
+  };
   stored.on_ends = [this](const core::HostId& host, StoredEnd end) {
     links_->Acknowledge(host, end);
   };
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -398,8 +398,8 @@
                         std::make_move_iterator(batch_->changes.end()));
     rest.ends = std::exchange(batch_->ends, {});
     rest.begun = batch_->begun;
+    rest.outcome_certain = batch_->outcome_certain;
     batch_->changes.erase(middle, batch_->changes.end());
-    batch_->outcome_certain = true;
     parts_.push_front(std::move(rest));
     SendBatch();
     return;
@@ -419,7 +419,9 @@
                   {"bytes", std::to_string(TotalBytes(change.records))}});
   if (change.is_submission) {
     split_jobs_.erase(change.job);
-    listener_.on_dropped(change.job);
+    // An attempt without an answer may still be carried out.
+    (batch_->outcome_certain ? listener_.on_dropped
+                             : listener_.on_unknown)(change.job);
     return;
   }
   const auto job = state_.jobs.find(change.job);
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -50,6 +50,8 @@
     std::function<void(const core::JobId&)> on_submitted;
     /// The submission is certainly not stored.
     std::function<void(const core::JobId&)> on_dropped;
+    /// The submission is given up, and may be stored.
+    std::function<void(const core::JobId&)> on_unknown;
     /// Ends of a host's incarnation up to this number are stored.
     std::function<void(const core::HostId&, StoredEnd)> on_ends;
     /// The orders are stored and may be sent.
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -51,6 +51,10 @@
       scheduler::DropSubmission(state, id);
       dropped.push_back(id);
     };
+    listener.on_unknown = [this](const core::JobId& id) {
+      scheduler::DropSubmission(state, id);
+      unknown.push_back(id);
+    };
     listener.on_ends = [this](const core::HostId& host, StoredEnd end) {
       ends[host] = end;
     };
@@ -89,6 +93,7 @@
   std::vector<Append> appends;
   std::vector<core::JobId> submitted;
   std::vector<core::JobId> dropped;
+  std::vector<core::JobId> unknown;
   std::map<core::HostId, StoredEnd> ends;
   std::size_t orders = 0;
   std::size_t orders_rejected = 0;
@@ -365,6 +370,24 @@
   EXPECT_FALSE(harness.state.jobs.contains(Spec().id));
 }
 
+// Guards against a caller who is told that a job never runs although an earlier
+// attempt to store it had no answer.
+TEST(StoreWriterTest, RejectionAfterAnUnknownOutcomeLeavesTheOutcomeUnknown) {
+  Harness harness;
+  harness.Submit();
+  workload::JobSpec other = Spec();
+  other.id.value = "00000000000000aa";
+  (void)scheduler::Submit(harness.state, other, core::MonotonicNow(),
+                          core::WallNow());
+  harness.store_writer->AddSubmission(other.id);
+  harness.WaitForAppends(1);
+  harness.appends[0].done(AppendOutcome::kUnknown);
+  (void)StoreAllBut(harness, Spec().id.value);
+  EXPECT_TRUE(harness.dropped.empty());
+  EXPECT_EQ(harness.unknown, std::vector<core::JobId>{Spec().id});
+  EXPECT_EQ(harness.submitted, std::vector<core::JobId>{other.id});
+}
+
 /// A job with as many tasks as a job can have, each with a run on a host whose
 /// id is as long as the platform allows.
 scheduler::Job& SubmitLargestJob(Harness& harness) {
