--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -1,17 +1,16 @@
 #include "camphormux/coordinator/holder.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include <asio/post.hpp>
 
 #include "camphormux/cbor/cbor.hpp"
 #include "camphormux/coordinator/run_log.hpp"
+#include "camphormux/coordinator/state_log.hpp"
 #include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
-#include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/plan.hpp"
 #include "camphormux/scheduler/stale_orders.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
@@ -44,10 +43,6 @@
 /// Delay before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetryDelay{400};
 
-std::string RoundedText(double value) {
-  return std::to_string(std::lround(value));
-}
-
 std::string_view Name(SubmitOutcome outcome) {
   switch (outcome) {
     case SubmitOutcome::kAccepted:
@@ -276,7 +271,7 @@
                        wall);
   }
   store_writer_->DeleteRecords(loaded.obsolete);
-  LogJobsWithoutPolicy();
+  LogJobsWithoutPolicy(state_, token_);
 }
 
 void Holder::OnLoaded(const std::vector<StoreRecord>& records) {
@@ -326,24 +321,6 @@
   SchedulePlan();
 }
 
-std::size_t Holder::CountJobsWithoutPolicy() const {
-  return static_cast<std::size_t>(std::count_if(
-      state_.jobs.begin(), state_.jobs.end(),
-      [](const auto& entry) { return !scheduler::HasPolicy(entry.second); }));
-}
-
-void Holder::LogJobsWithoutPolicy() const {
-  for (const auto& [id, job] : state_.jobs) {
-    if (!scheduler::HasPolicy(job)) {
-      telemetry::Log(telemetry::Level::kWarning,
-                     "job waits until its queue is configured again",
-                     {{"job", id.value},
-                      {"queue", job.spec.queue.value},
-                      {"token", std::to_string(token_.value)}});
-    }
-  }
-}
-
 void Holder::OnWave(const scheduler::WaveRequest& wave) {
   if (!loaded_) {
     waves_before_load_.push_back(wave);
@@ -488,7 +465,7 @@
   }
   node_metrics_.open_jobs->Set(static_cast<double>(state_.jobs.size()));
   node_metrics_.jobs_without_policy->Set(
-      static_cast<double>(CountJobsWithoutPolicy()));
+      static_cast<double>(scheduler::CountJobsWithoutPolicy(state_)));
   const std::uint64_t rejections = store_writer_->rejections();
   node_metrics_.store_rejections->Increment(static_cast<double>(
       rejections - std::exchange(reported_rejections_, rejections)));
@@ -524,7 +501,6 @@
                   {"hosts", std::to_string(state_.hosts.size())},
                   {"loop_late_ms", std::to_string(loop_late.count())}});
   plan_passes_ = {};
-  LogWaves(now);
   const RunLatency run_latency = std::exchange(run_latency_, {});
   telemetry::Log(
       telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo, "run flow",
@@ -539,52 +515,8 @@
        {"answered_ms", std::to_string(Mean(run_latency.answered).count())},
        {"answered_longest_ms",
         std::to_string(run_latency.answered.longest.count())}});
-  auto work = std::exchange(state_.work, {});
-  for (const auto& [pool, load] : scheduler::MeasureLoads(state_, now)) {
-    const scheduler::PoolWork& done = work[pool];
-    telemetry::Log(
-        telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo,
-        "pool load",
-        {{"pool", pool.value},
-         {"hosts", std::to_string(load.hosts)},
-         {"idle_hosts", std::to_string(load.idle_hosts)},
-         {"millicores", std::to_string(load.capacity.value)},
-         {"permanent", std::to_string(load.permanent.value)},
-         {"urgent", std::to_string(load.urgent.value)},
-         {"waiting", std::to_string(load.waiting.value)},
-         {"open_jobs", std::to_string(load.open_jobs)},
-         {"late_jobs", std::to_string(load.late_jobs)},
-         {"inflow", std::to_string(std::lround(load.arrival_rate))},
-         {"started_in_time", std::to_string(done.started_in_time)},
-         {"started_late", std::to_string(done.started_late)},
-         {"done_in_time", internal::RoundedText(done.done_in_time)},
-         {"done_late", internal::RoundedText(done.done_late)},
-         {"done_worthless", internal::RoundedText(done.done_worthless)}});
-  }
-}
-
-void Holder::LogWaves(core::MonotonicTime now) const {
-  for (const auto& [id, wave] : state_.waves) {
-    if (wave.complete || wave.request.machines.empty()) {
-      continue;
-    }
-    const scheduler::WaveBacklog& backlog = wave.backlog;
-    telemetry::Log(
-        telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo,
-        "wave progress",
-        {{"wave", std::to_string(id.value)},
-         {"machines", std::to_string(wave.request.machines.size())},
-         {"begun", std::to_string(wave.begun.size())},
-         {"left_ms",
-          std::to_string((wave.seen + wave.request.deadline - now).count())},
-         {"ordered", std::to_string(backlog.ordered)},
-         {"draining", std::to_string(backlog.draining)},
-         {"queued", std::to_string(backlog.queued)},
-         {"pool_in_service", std::to_string(backlog.pool_in_service)},
-         {"needed_by_task", std::to_string(backlog.needed_by_task)},
-         {"tasks_must_run", std::to_string(backlog.tasks_must_run)},
-         {"unavailable", std::to_string(backlog.unavailable)}});
-  }
+  LogPoolLoads(state_, now);
+  LogWaveProgress(state_, now);
 }
 
 void Holder::Dispatch() {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -85,13 +85,10 @@
   void LoadMachineOrder(const StoreRecord& record);
   void LoadJobs(const std::vector<StoreRecord>& records,
                 core::MonotonicTime now, core::WallTime wall);
-  [[nodiscard]] std::size_t CountJobsWithoutPolicy() const;
-  void LogJobsWithoutPolicy() const;
   void SchedulePlan();
   void Plan();
   void Tick();
   void LogLoads(core::MonotonicTime now);
-  void LogWaves(core::MonotonicTime now) const;
   void Dispatch();
   /// Sends an order that had to be stored first, unless storing it took too
   /// long.
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -117,6 +117,12 @@
 
 bool HasPolicy(const Job& job) { return !job.policy.pool.value.empty(); }
 
+std::size_t CountJobsWithoutPolicy(const State& state) {
+  return static_cast<std::size_t>(std::count_if(
+      state.jobs.begin(), state.jobs.end(),
+      [](const auto& entry) { return !HasPolicy(entry.second); }));
+}
+
 AdmissionResult Submit(State& state, workload::JobSpec spec,
                        core::MonotonicTime now, core::WallTime wall) {
   if (state.closed.contains(spec.id)) {
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -52,6 +52,9 @@
 /// its tasks starts.
 [[nodiscard]] bool HasPolicy(const Job& job);
 
+/// @brief Counts the jobs whose policy is not known.
+[[nodiscard]] std::size_t CountJobsWithoutPolicy(const State& state);
+
 /// @brief Replaces the catalog. Jobs keep the policy with which they were
 /// accepted; those without one take that of their queue.
 void ApplyCatalog(State& state, workload::Catalog catalog, core::WallTime wall);
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -143,14 +143,20 @@
   std::size_t out = 0;
 };
 
-/// What a pass over the open waves has to regard.
+/// A task of a job, by its position in the job.
+struct WaitingTask {
+  const Job* job = nullptr;
+  std::uint32_t task = 0;
+};
+
+using WaitingTasks = std::map<core::PoolName, std::vector<WaitingTask>>;
+
+/// State of a pass over the open waves.
 struct UpkeepPass {
   std::map<core::PoolName, PoolHosts> pools;
   /// Hosts that the previous pass reserved.
   std::set<core::HostId> reserved_before;
-  /// Permanent tasks without a host, by pool.
-  std::map<core::PoolName, std::vector<std::pair<const Job*, std::uint32_t>>>
-      waiting;
+  WaitingTasks waiting;  ///< Permanent tasks without a host, by pool.
 };
 
 bool IsInService(const Host& host) {
@@ -159,8 +165,8 @@
 }
 
 /// Returns the permanent tasks of each pool that have no run.
-auto WaitingPermanentTasks(const State& state) {
-  decltype(UpkeepPass::waiting) waiting;
+WaitingTasks WaitingPermanentTasks(const State& state) {
+  WaitingTasks waiting;
   for (const auto& [id, job] : state.jobs) {
     if (!job.permanent || !job.saved || job.rejected || !HasPolicy(job) ||
         workload::IsFinal(job.state)) {
@@ -171,7 +177,7 @@
       const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
       if (job.spec.steps[place.step].permanent && !entry.progress.done &&
           entry.runs.empty()) {
-        waiting[job.policy.pool].emplace_back(&job, task);
+        waiting[job.policy.pool].push_back({&job, task});
       }
     }
   }
@@ -246,62 +252,93 @@
                      [](const Host* host) { return host->runs.empty(); });
 }
 
-/// Returns whether a host may be taken out of service to prepare its upkeep:
-/// enough hosts of its pool stay in service, and it can become empty without
-/// permanent tasks being away that have to run. Otherwise counts the machine in
-/// the backlog, and requests another host if the tasks could move to one.
-bool MayReserve(State& state, const Host& host, const UpkeepPass& pass,
-                const PoolViews& views, core::MonotonicTime now,
-                WaveBacklog& backlog) {
+/// Whether a host may be taken out of service to prepare its upkeep.
+enum class Reservation {
+  kAllowed,
+  kPoolInService,  ///< Its pool needs the host in service.
+  kNeededByTask,   ///< A permanent task without a host fits on this one.
+  /// Permanent tasks on the host fit on no other, and their steps cannot miss
+  /// all of them.
+  kTasksMustRun,
+};
+
+Reservation CheckReservation(const State& state, const Host& host,
+                             const UpkeepPass& pass, const PoolViews& views,
+                             core::MonotonicTime now) {
   if (!IsInService(host)) {
-    return true;
+    return Reservation::kAllowed;
   }
   const bool is_stopping = std::all_of(
       host.runs.begin(), host.runs.end(),
       [&](RunId id) { return state.runs.at(id).phase == RunPhase::kStopping; });
   if (is_stopping && pass.reserved_before.contains(host.listing.id)) {
-    return true;
+    return Reservation::kAllowed;
   }
   const auto found = pass.pools.find(host.listing.pool);
   if (found == pass.pools.end()) {
-    return false;
+    return Reservation::kPoolInService;
   }
   const PoolHosts& pool = found->second;
   const std::size_t total = pool.in_service + pool.out;
   const bool is_last = pool.in_service == 1;
   if (pool.out >= std::max<std::size_t>(1, total / 2) ||
       (is_last && !EndsWithin(state, host, kLastHostDrainTime, now))) {
-    ++backlog.pool_in_service;
-    return false;
+    return Reservation::kPoolInService;
   }
   const auto waiting = pass.waiting.find(host.listing.pool);
   const bool is_needed =
       waiting != pass.waiting.end() && !host.runs.empty() &&
       std::any_of(waiting->second.begin(), waiting->second.end(),
                   [&](const auto& entry) {
-                    return FitsOn(state, host, *entry.first, entry.second);
+                    return FitsOn(state, host, *entry.job, entry.task);
                   });
   if (is_needed) {
-    ++backlog.needed_by_task;
-    return false;
+    return Reservation::kNeededByTask;
   }
-  if (!MayStopTogether(state, ImmovableRuns(state, host, views))) {
-    ++backlog.tasks_must_run;
-    if (!HasEmptyHost(host.listing.pool, views)) {
-      state.pools_without_room_for_upkeep.insert(host.listing.pool);
-    }
-    return false;
+  return MayStopTogether(state, ImmovableRuns(state, host, views))
+             ? Reservation::kAllowed
+             : Reservation::kTasksMustRun;
+}
+
+void CountInBacklog(Reservation reservation, WaveBacklog& backlog) {
+  switch (reservation) {
+    case Reservation::kAllowed:
+      return;
+    case Reservation::kPoolInService:
+      ++backlog.pool_in_service;
+      return;
+    case Reservation::kNeededByTask:
+      ++backlog.needed_by_task;
+      return;
+    case Reservation::kTasksMustRun:
+      ++backlog.tasks_must_run;
+      return;
   }
-  return true;
 }
 
-void Reserve(Host& host, UpkeepPass& pass) {
+/// Reserves a host if that is allowed. If only its permanent tasks prevent it,
+/// requests another host for its pool, unless the pool has an empty one.
+Reservation TryReserve(State& state, Host& host, UpkeepPass& pass,
+                       const PoolViews& views, core::MonotonicTime now) {
+  if (host.reserved) {
+    return Reservation::kAllowed;  // By another wave, for the same machine.
+  }
+  const Reservation reservation =
+      CheckReservation(state, host, pass, views, now);
+  if (reservation == Reservation::kTasksMustRun &&
+      !HasEmptyHost(host.listing.pool, views)) {
+    state.pools_without_room_for_upkeep.insert(host.listing.pool);
+  }
+  if (reservation != Reservation::kAllowed) {
+    return reservation;
+  }
   host.reserved = true;
   if (IsInService(host)) {
     PoolHosts& pool = pass.pools[host.listing.pool];
     --pool.in_service;
     ++pool.out;
   }
+  return reservation;
 }
 
 /// Stops the permanent tasks that no other host has room for, once nothing else
@@ -387,14 +424,12 @@
       continue;
     }
     if (host != nullptr) {
-      // Another wave may have reserved it for the same machine.
-      if (!host->reserved &&
-          !MayReserve(state, *host, pass, views, now, backlog)) {
+      const Reservation reservation =
+          TryReserve(state, *host, pass, views, now);
+      if (reservation != Reservation::kAllowed) {
+        CountInBacklog(reservation, backlog);
         continue;
       }
-      if (!host->reserved) {
-        Reserve(*host, pass);
-      }
       if (!host->runs.empty()) {
         ++chosen;
         ++backlog.draining;
