Log cancellations where they are answered, and calls made for a holder

The record of the incident had no line of the two jobs: a node that calls hosts for a holder logged none of its calls, the frontend did not log what a cancellation was answered, and the holder did not say with which token and on what ground it did not know a job.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -390,8 +390,12 @@
 void Holder::Cancel(const core::JobId& id,
                     std::function<void(std::optional<bool> known)> done) {
   const bool known = scheduler::Cancel(state_, id, core::WallNow());
-  telemetry::Log(telemetry::Level::kInfo, "job cancelled",
-                 {{"job", id.value}, {"known", known ? "yes" : "no"}});
+  telemetry::Log(
+      telemetry::Level::kInfo, "job cancelled",
+      {{"job", id.value},
+       {"known", known ? "yes" : "no"},
+       {"token", std::to_string(token_.value)},
+       {"ownership_confirmed", authority_.is_confirmed() ? "yes" : "no"}});
   if (!known || state_.closed.contains(id)) {
     done(known);
     return;
--- a/src/camphormux/coordinator/host_agent.cpp
+++ b/src/camphormux/coordinator/host_agent.cpp
@@ -1,7 +1,10 @@
 #include "camphormux/coordinator/host_agent.hpp"
 
+#include <optional>
+#include <string>
 #include <utility>
 
+#include "camphormux/coordinator/run_log.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
@@ -14,6 +17,46 @@
 /// several times as long as the holder waits for an answer.
 constexpr core::Millis kSessionTtl{10'000};
 
+/// A start or stop that this node makes for a holder.
+struct OrderedCall {
+  std::string_view message;
+  scheduler::RunName name;
+  core::HostId host;
+  core::Epoch token;
+  core::MonotonicTime begun;
+};
+
+/// @return The call, or nothing if it changes no run.
+std::optional<OrderedCall> OrderedCallOf(const HostCall& call,
+                                         core::MonotonicTime now) {
+  const HostTarget& target = TargetOf(call);
+  if (const auto* start = std::get_if<StartCall>(&call)) {
+    return OrderedCall{"start called for a holder", start->name, target.host,
+                       target.token, now};
+  }
+  if (const auto* stop = std::get_if<StopCall>(&call)) {
+    return OrderedCall{"stop called for a holder", stop->name, target.host,
+                       target.token, now};
+  }
+  return std::nullopt;
+}
+
+void LogOutcome(const OrderedCall& call, const HostAnswer& answer) {
+  const auto* start = std::get_if<StartAnswer>(&answer);
+  const std::string_view outcome =
+      start != nullptr ? Describe(start->outcome)
+                       : Describe(std::get<CallOutcome>(answer));
+  telemetry::Log(
+      telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo, call.message,
+      {{"task", DescribeTask(call.name)},
+       {"attempt", std::to_string(call.name.attempt)},
+       {"host", call.host.value},
+       {"token", std::to_string(call.token.value)},
+       {"outcome", std::string(outcome)},
+       {"milliseconds",
+        std::to_string((core::MonotonicNow() - call.begun).count())}});
+}
+
 }  // namespace internal
 
 HostAgent::HostAgent(asio::io_context& loop, HostPort port)
@@ -51,8 +94,12 @@
                          : now + internal::kAnswerBatchDelay);
   for (const NumberedCall& entry : batch->calls) {
     MakeCall(port_, entry.call,
-             [weak = weak_from_this(), session,
-              number = entry.number](HostAnswer answer) {
+             [weak = weak_from_this(), session, number = entry.number,
+              ordered =
+                  internal::OrderedCallOf(entry.call, now)](HostAnswer answer) {
+               if (ordered) {
+                 internal::LogOutcome(*ordered, answer);
+               }
                if (const auto self = weak.lock()) {
                  self->Add(session, {number, std::move(answer)});
                }
--- a/src/camphormux/coordinator/host_calls.cpp
+++ b/src/camphormux/coordinator/host_calls.cpp
@@ -257,6 +257,49 @@
 
 }  // namespace internal
 
+std::string_view Describe(scheduler::StartOutcome outcome) {
+  using scheduler::StartOutcome;
+  switch (outcome) {
+    case StartOutcome::kStarted:
+      return "started";
+    case StartOutcome::kNoCapacity:
+      return "no capacity";
+    case StartOutcome::kStaleAttempt:
+      return "stale attempt";
+    case StartOutcome::kLeaseExpired:
+      return "lease expired";
+    case StartOutcome::kFenced:
+      return "fenced";
+    case StartOutcome::kNoTicket:
+      return "no ticket";
+    case StartOutcome::kHostRestarted:
+      return "host restarted";
+    case StartOutcome::kUnhealthy:
+      return "host unhealthy";
+    case StartOutcome::kBadRequest:
+      return "bad request";
+    case StartOutcome::kNoAnswer:
+      return "no answer";
+  }
+  return "unknown";
+}
+
+std::string_view Describe(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kDone:
+      return "done";
+    case CallOutcome::kFenced:
+      return "fenced";
+    case CallOutcome::kHostRestarted:
+      return "host restarted";
+    case CallOutcome::kRefused:
+      return "refused";
+    case CallOutcome::kNoAnswer:
+      return "no answer";
+  }
+  return "unknown";
+}
+
 const HostTarget& TargetOf(const HostCall& call) {
   return std::visit(
       [](const auto& alternative) -> const HostTarget& {
--- a/src/camphormux/coordinator/host_calls.hpp
+++ b/src/camphormux/coordinator/host_calls.hpp
@@ -52,6 +52,10 @@
   std::vector<NumberedCall> calls;
 };
 
+/// @return Name of an outcome in log lines.
+[[nodiscard]] std::string_view Describe(scheduler::StartOutcome outcome);
+[[nodiscard]] std::string_view Describe(CallOutcome outcome);
+
 /// @return The target of a call.
 [[nodiscard]] const HostTarget& TargetOf(const HostCall& call);
 
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/coordinator/host_calls.hpp"
 #include "camphormux/coordinator/run_log.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
@@ -26,33 +27,6 @@
 /// A host that reported within this time counts as reachable.
 constexpr core::Millis kReachableWindow{2500};
 
-std::string_view Describe(scheduler::StartOutcome outcome) {
-  using scheduler::StartOutcome;
-  switch (outcome) {
-    case StartOutcome::kStarted:
-      return "started";
-    case StartOutcome::kNoCapacity:
-      return "no capacity";
-    case StartOutcome::kStaleAttempt:
-      return "stale attempt";
-    case StartOutcome::kLeaseExpired:
-      return "lease expired";
-    case StartOutcome::kFenced:
-      return "fenced";
-    case StartOutcome::kNoTicket:
-      return "no ticket";
-    case StartOutcome::kHostRestarted:
-      return "host restarted";
-    case StartOutcome::kUnhealthy:
-      return "host unhealthy";
-    case StartOutcome::kBadRequest:
-      return "bad request";
-    case StartOutcome::kNoAnswer:
-      return "no answer";
-  }
-  return "unknown";
-}
-
 }  // namespace internal
 
 HostLinks::HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
@@ -344,18 +318,17 @@
     if (answer.clock_ms) {
       self->RecordClock(order.host, incarnation, *answer.clock_ms);
     }
-    telemetry::Log(
-        telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
-        "run ordered",
-        {{"task", DescribeTask(order.name)},
-         {"attempt", std::to_string(order.name.attempt)},
-         {"host", order.host.value},
-         {"incarnation", std::to_string(incarnation.value)},
-         {"host_clock_ms",
-          answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
-         {"token", std::to_string(self->token_.value)},
-         {"repeated", is_repeated ? "yes" : "no"},
-         {"outcome", std::string(internal::Describe(answer.outcome))}});
+    telemetry::Log(telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+                   "run ordered",
+                   {{"task", DescribeTask(order.name)},
+                    {"attempt", std::to_string(order.name.attempt)},
+                    {"host", order.host.value},
+                    {"incarnation", std::to_string(incarnation.value)},
+                    {"host_clock_ms",
+                     answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
+                    {"token", std::to_string(self->token_.value)},
+                    {"repeated", is_repeated ? "yes" : "no"},
+                    {"outcome", std::string(Describe(answer.outcome))}});
     if (answer.outcome == scheduler::StartOutcome::kFenced) {
       self->listener_.on_fenced(order.host);
       return;
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -208,11 +208,33 @@
                   core::MonotonicNow() + kQueryTimeout);
 }
 
+std::string_view DescribeCancel(QueryOutcome outcome) {
+  switch (outcome) {
+    case QueryOutcome::kKnown:
+      return "cancelled";
+    case QueryOutcome::kNone:
+      return "no such job";
+    case QueryOutcome::kUnavailable:
+      return "unavailable";
+  }
+  return "unavailable";
+}
+
 }  // namespace internal
 
 void JobFrontend::State(const core::JobId& id, core::MonotonicTime deadline,
                         std::function<void(StateAnswer)> done) {
   const core::MonotonicTime until = internal::MaxQueryDeadline(deadline);
+  auto log_unknown = [this, id,
+                      done = std::move(done)](const StateAnswer& answer) {
+    if (answer.outcome == QueryOutcome::kNone) {
+      telemetry::Log(
+          telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+          "job not known",
+          {{"job", id.value}, {"holder", is_holder() ? "here" : "elsewhere"}});
+    }
+    done(answer);
+  };
   QueryWithRetry<StateAnswer>(
       [this, id, until](std::function<void(StateAnswer)> answer) {
         if (is_holder()) {
@@ -229,14 +251,38 @@
       [](const StateAnswer& answer) {
         return answer.outcome != QueryOutcome::kUnavailable;
       },
-      until, std::move(done));
+      until, std::move(log_unknown));
 }
 
 void JobFrontend::Cancel(const core::JobId& id, core::MonotonicTime deadline,
                          std::function<void(QueryOutcome)> done) {
   const core::MonotonicTime until = deadline - internal::kAnswerMargin;
+  auto tries = std::make_shared<std::uint32_t>(0);
+  auto log_answer = [this, id, tries, arrived = core::MonotonicNow(),
+                     done = std::move(done)](QueryOutcome outcome) {
+    const core::Millis took = core::MonotonicNow() - arrived;
+    switch (outcome) {
+      case QueryOutcome::kKnown:
+        node_metrics_.cancelled->Increment();
+        break;
+      case QueryOutcome::kNone:
+        node_metrics_.cancelled_unknown->Increment();
+        break;
+      case QueryOutcome::kUnavailable:
+        node_metrics_.cancel_unavailable->Increment();
+        break;
+    }
+    telemetry::Log(telemetry::Level::kInfo, "cancellation answered",
+                   {{"job", id.value},
+                    {"outcome", std::string(internal::DescribeCancel(outcome))},
+                    {"tries", std::to_string(*tries)},
+                    {"holder", is_holder() ? "here" : "elsewhere"},
+                    {"milliseconds", std::to_string(took.count())}});
+    done(outcome);
+  };
   QueryWithRetry<QueryOutcome>(
-      [this, id, until](std::function<void(QueryOutcome)> answer) {
+      [this, id, until, tries](std::function<void(QueryOutcome)> answer) {
+        ++*tries;
         if (is_holder()) {
           holder_->Cancel(
               id, [answer = std::move(answer)](std::optional<bool> known) {
@@ -256,7 +302,7 @@
       [](const QueryOutcome& answer) {
         return answer != QueryOutcome::kUnavailable;
       },
-      until, std::move(done));
+      until, std::move(log_answer));
 }
 
 void JobFrontend::Pending(const workload::QueueName& queue,
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -21,6 +21,17 @@
   node_metrics.unanswered =
       &AddCounter(registry, "camphormux_requests_unanswered_total",
                   "Submissions whose fate was not known at their deadline.");
+  constexpr const char* kCancellations = "camphormux_cancellations_total";
+  constexpr const char* kCancellationsHelp =
+      "Cancellations that this node answered, by outcome.";
+  node_metrics.cancelled = &AddCounter(
+      registry, kCancellations, kCancellationsHelp, {{"outcome", "cancelled"}});
+  node_metrics.cancelled_unknown =
+      &AddCounter(registry, kCancellations, kCancellationsHelp,
+                  {{"outcome", "no such job"}});
+  node_metrics.cancel_unavailable =
+      &AddCounter(registry, kCancellations, kCancellationsHelp,
+                  {{"outcome", "unavailable"}});
   node_metrics.renewals =
       &AddCounter(registry, "camphormux_host_renewals_total",
                   "Renewals of leases and questions to hosts.");
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -15,6 +15,9 @@
   prometheus::Counter* refused = nullptr;
   prometheus::Counter* unavailable = nullptr;
   prometheus::Counter* unanswered = nullptr;
+  prometheus::Counter* cancelled = nullptr;
+  prometheus::Counter* cancelled_unknown = nullptr;
+  prometheus::Counter* cancel_unavailable = nullptr;
   prometheus::Counter* renewals = nullptr;
   prometheus::Counter* host_calls_direct = nullptr;
   prometheus::Counter* host_calls_shared = nullptr;
