--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -1,5 +1,6 @@
 """A small deployment for the scripts: nodes with the command of the deploy file, stand-ins for the rest."""
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -15,14 +16,24 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HERE = pathlib.Path(__file__).resolve().parent
+NODE = os.environ.get("CAMPHORMUX_NODE", "target/bin/camphormux-node")
 IP = "127.0.0.1"
 BOUNDS = {"graceS": 6, "maxHoldMs": 10_000, "early_ms": 250, "remoteFactor": 3, "status_s": 120, "leaseMs": 3_000}
 
 
+# Below the range from which the system takes the ports of outgoing connections.
+PORTS = itertools.cycle(range(15_000 + os.getpid() % 300 * 50, 30_000))
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((IP, 0))
-        return probe.getsockname()[1]
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((IP, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
 
 
 def render(template, values):
@@ -78,7 +89,7 @@
         path = pathlib.Path(self.temporary.name) / f"{name}.ini"
         path.write_text(settings, encoding="utf-8")
         with open(pathlib.Path(self.temporary.name) / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen(["target/bin/camphormux-node", "--config", str(path)], cwd=ROOT,
+            self.processes[name] = subprocess.Popen([NODE, "--config", str(path)], cwd=ROOT,
                                                     stdout=log, stderr=log)
 
     def configure(self, version, queues):
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <gtest/gtest.h>
 
@@ -178,5 +179,57 @@
   EXPECT_EQ(harness.platform.starts(), tasks);
 }
 
+/// Cancels a job; the result is filled in with the answer.
+std::shared_ptr<std::optional<std::optional<bool>>> Cancel(
+    Harness& harness, const core::JobId& id) {
+  auto answer = std::make_shared<std::optional<std::optional<bool>>>();
+  harness.holder->Cancel(
+      id, [answer](std::optional<bool> known) { *answer = known; });
+  return answer;
+}
+
+// Guards against a start after a cancellation that overtook the submission.
+TEST(HolderTest, JobCancelledBeforeItsSubmissionArrivesNeverStarts) {
+  Harness harness(core::Millis(100));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  const auto cancelled = Cancel(harness, SmallThenWide().id);
+  ASSERT_TRUE(harness.RunUntil([&] { return cancelled->has_value(); }));
+  EXPECT_EQ(**cancelled, std::optional(false));
+  std::optional<SubmitOutcome> submitted;
+  harness.holder->Submit(SmallThenWide(), [&](const SubmitAnswer& answer) {
+    submitted = answer.outcome;
+  });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  harness.RunFor(core::Millis(500));
+  EXPECT_EQ(harness.platform.starts(), 0U);
+}
+
+// Guards against a start after the cancellation of a job that is dropped
+// because the store does not answer.
+TEST(HolderTest, JobCancelledWhileItsSubmissionIsDroppedNeverStarts) {
+  Harness harness(core::Millis(100));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.platform.SetStoreDown(true);
+  std::optional<SubmitOutcome> submitted;
+  const auto on_submitted = [&](const SubmitAnswer& answer) {
+    submitted = answer.outcome;
+  };
+  harness.holder->Submit(SmallThenWide(), on_submitted);
+  auto cancelled = Cancel(harness, SmallThenWide().id);
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  harness.platform.SetStoreDown(false);
+  ASSERT_TRUE(harness.RunUntil([&] { return cancelled->has_value(); }));
+  if (!**cancelled) {
+    cancelled = Cancel(harness, SmallThenWide().id);
+    ASSERT_TRUE(harness.RunUntil([&] { return cancelled->has_value(); }));
+  }
+  EXPECT_TRUE((*cancelled)->has_value());
+  submitted.reset();
+  harness.holder->Submit(SmallThenWide(), on_submitted);
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  harness.RunFor(core::Millis(500));
+  EXPECT_EQ(harness.platform.starts(), 0U);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -253,5 +253,17 @@
   EXPECT_TRUE(harness.NextRenewal().call.lease_end_ms.has_value());
 }
 
+// Guards against a start that takes effect seconds after the job's cancellation
+// was acknowledged, because it was held up on its way to the host.
+TEST(HostLinksTest, StartExpiresOnTheClockOfItsHost) {
+  Harness harness;
+  const std::int64_t clock_ms = 1000;
+  harness.NextRenewal().done(Harness::Report(kFirst, clock_ms));
+  (void)harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  constexpr std::int64_t kCancelMs = 3000;
+  EXPECT_LT(harness.starts[0].call.lease_end_ms, clock_ms + kCancelMs);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/isolated_holder_test.cpp
+++ b/test/coordinator/isolated_holder_test.cpp
@@ -23,8 +23,11 @@
 constexpr std::size_t kHosts = 4;
 /// Longer than the interval of confirmations; a successor waits two leases.
 constexpr core::Millis kLease{1000};
+/// With this lease a holder that lost the store continues for 10 s.
+constexpr core::Millis kLongLease{5000};
 constexpr core::Millis kCallDelay{1};
 constexpr core::Millis kCallTimeout{100};
+constexpr core::Millis kQueryTimeout{500};
 
 /// A run on a host, which ends with its lease.
 struct HostRun {
@@ -38,7 +41,7 @@
 /// reaches which host and the store can be set.
 class Deployment {
  public:
-  Deployment() {
+  explicit Deployment(core::Millis lease = kLease) {
     for (std::size_t i = 0; i < kNodes; ++i) {
       addresses_[i] = {"127.0.0.1", FreePort(loop_)};
     }
@@ -48,8 +51,8 @@
     for (std::size_t i = 0; i < kNodes; ++i) {
       NodeSettings settings;
       settings.peer = addresses_[i];
-      settings.scheduler.lease = kLease;
-      settings.scheduler.longest_lease = kLease;
+      settings.scheduler.lease = lease;
+      settings.scheduler.longest_lease = lease;
       peer_forwarder_.push_back(
           std::make_unique<PeerForwarder>(loop_, settings.peer));
       nodes_.push_back(std::make_unique<Node>(loop_, settings, MakePorts(i),
@@ -78,9 +81,14 @@
     return condition();
   }
 
-  void SubmitPermanentTask() {
+  static core::JobId JobId() { return {"5c0e7a21d94b36f8"}; }
+
+  /// Submits a job with one permanent task at a node.
+  /// @return Receives the answer.
+  std::shared_ptr<std::optional<SubmitOutcome>> SubmitPermanentTask(
+      std::size_t node = 0) {
     workload::JobSpec spec;
-    spec.id.value = "5c0e7a21d94b36f8";
+    spec.id = JobId();
     spec.queue.value = "q";
     workload::Step step;
     step.count = 1;
@@ -88,9 +96,28 @@
     step.estimate = core::Millis(500);
     step.permanent = true;
     spec.steps = {step};
-    nodes_[0]->job_frontend().Submit(spec,
-                                     core::MonotonicNow() + core::Millis(9000),
-                                     [](const SubmitAnswer&) {});
+    auto outcome = std::make_shared<std::optional<SubmitOutcome>>();
+    nodes_[node]->job_frontend().Submit(
+        spec, core::MonotonicNow() + core::Millis(9000),
+        [outcome](const SubmitAnswer& answer) { *outcome = answer.outcome; });
+    return outcome;
+  }
+
+  /// Cancels that job at a node, or asks for its state.
+  /// @return Receives the answer.
+  std::shared_ptr<std::optional<QueryOutcome>> CancelJob(std::size_t node) {
+    auto outcome = std::make_shared<std::optional<QueryOutcome>>();
+    nodes_[node]->job_frontend().Cancel(
+        JobId(), core::MonotonicNow() + kQueryTimeout,
+        [outcome](QueryOutcome answer) { *outcome = answer; });
+    return outcome;
+  }
+  std::shared_ptr<std::optional<QueryOutcome>> AskForState(std::size_t node) {
+    auto outcome = std::make_shared<std::optional<QueryOutcome>>();
+    nodes_[node]->job_frontend().State(
+        JobId(), core::MonotonicNow() + kQueryTimeout,
+        [outcome](const StateAnswer& answer) { *outcome = answer.outcome; });
+    return outcome;
   }
 
   /// Cuts a node off from the store.
@@ -387,5 +414,48 @@
   EXPECT_EQ(deployment.runs().size(), 1U);
 }
 
+/// A deployment whose first node lost the ownership and does not know it; the
+/// second one is the holder and has accepted a job.
+void ReplaceHolder(Deployment& deployment) {
+  ASSERT_TRUE(deployment.RunUntil([&] { return deployment.IsReady(); },
+                                  core::Millis(20'000)));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    deployment.SetOnlyReachedBy(host, host == 0 ? 1 : 0);
+  }
+  deployment.CutFromStore(0);
+  deployment.SetOwner(1);
+  // The second node rejects jobs until it has taken over.
+  const core::MonotonicTime end = core::MonotonicNow() + core::Millis(8000);
+  std::optional<SubmitOutcome> submitted;
+  while (submitted != SubmitOutcome::kAccepted && core::MonotonicNow() < end) {
+    const auto outcome = deployment.SubmitPermanentTask(1);
+    deployment.RunUntil([&] { return outcome->has_value(); },
+                        core::Millis(8000));
+    submitted = *outcome;
+  }
+  ASSERT_EQ(submitted, SubmitOutcome::kAccepted);
+}
+
+// Guards against a job that runs although its cancellation was acknowledged: a
+// holder that had been replaced denied the job.
+TEST(IsolatedHolderTest, ReplacedHolderDoesNotAcknowledgeACancellation) {
+  Deployment deployment(kLongLease);
+  ASSERT_NO_FATAL_FAILURE(ReplaceHolder(deployment));
+  const auto cancelled = deployment.CancelJob(0);
+  ASSERT_TRUE(deployment.RunUntil([&] { return cancelled->has_value(); },
+                                  core::Millis(20'000)));
+  EXPECT_EQ(**cancelled, QueryOutcome::kUnavailable);
+}
+
+// Guards against an accepted job that is reported as not known.
+TEST(IsolatedHolderTest, ReplacedHolderDoesNotDenyAJob) {
+  Deployment deployment(kLongLease);
+  ASSERT_NO_FATAL_FAILURE(ReplaceHolder(deployment));
+  const auto state = deployment.AskForState(0);
+  ASSERT_TRUE(deployment.RunUntil([&] { return state->has_value(); },
+                                  core::Millis(20'000)));
+  EXPECT_EQ(**state, QueryOutcome::kUnavailable);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -246,5 +246,21 @@
   EXPECT_EQ(fleet.state.jobs.at(spec.id).policy, accepted);
 }
 
+// Guards against a submission that starts a cancelled job again, because a step
+// of the clock made its final state expire early.
+TEST(JobsTest, StepOfTheClockDoesNotShortenTheRetentionOfAFinalState) {
+  Fleet fleet;
+  workload::Progress progress;
+  progress.state = workload::JobState::kCancelled;
+  progress.queue.value = "q";
+  progress.accepted = fleet.wall;
+  progress.ended = fleet.wall;
+  const core::JobId id{"5c0e7a21d94b36f8"};
+  LoadJob(fleet.state, id, std::nullopt, progress, fleet.now,
+          fleet.wall + fleet.state.settings.status_retention);
+  (void)ExpireClosedJobs(fleet.state, fleet.now + core::Millis(1));
+  EXPECT_EQ(VisibleState(fleet.state, id), workload::JobState::kCancelled);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
