Store a cancellation before it is acknowledged, also of a job that is not known

What callers saw: a DELETE was answered with 410, and tasks of the job started seconds later.

Cause: "no such job" was answered from the memory of the holder, and nothing kept the cancellation. The memory does not have a job whose submission is still on its way (in a node that is stopped or sends again, or in an append without an answer), and that of a holder which has been replaced does not have the jobs of its successor. Both are accepted or have been, and run.

Change: the cancellation of a job that is not known stores a tombstone, the final progress of a job that was never accepted, and is answered once that is stored. A submission that arrives later is accepted as cancelled. A holder that was replaced cannot store one: the append is fenced, it stops, and the cancellation goes to its successor. Tombstones are kept as long as final states, 20,000 at most. A cancellation whose job is dropped meanwhile is answered "unavailable" at once and tried again; before, it waited for its time to be over, and then the next one got 410. At the holder's own node a cancellation now has the time limit that it has on other nodes, as it may wait for the store.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -396,10 +396,25 @@
        {"known", known ? "yes" : "no"},
        {"token", std::to_string(token_.value)},
        {"ownership_confirmed", authority_.is_confirmed() ? "yes" : "no"}});
-  if (!known || state_.closed.contains(id)) {
-    done(known);
+  if (known && state_.closed.contains(id)) {
+    done(true);
     return;
   }
+  if (!known) {
+    switch (scheduler::AddTombstone(state_, id)) {
+      case scheduler::TombstoneStatus::kAdded:
+        store_writer_->AddTombstone(id);
+        break;
+      case scheduler::TombstoneStatus::kStoring:
+        break;
+      case scheduler::TombstoneStatus::kStored:
+        done(false);
+        return;
+      case scheduler::TombstoneStatus::kTooMany:
+        done(std::nullopt);
+        return;
+    }
+  }
   pending_cancels_.emplace(id, std::move(done));
   Dispatch();
   store_writer_->ScheduleAppend();
@@ -407,12 +422,21 @@
 
 void Holder::AnswerCancels() {
   for (auto it = pending_cancels_.begin(); it != pending_cancels_.end();) {
-    if (state_.closed.contains(it->first)) {
-      it->second(true);
-      it = pending_cancels_.erase(it);
-    } else {
+    const core::JobId& id = it->first;
+    const auto tombstone = state_.tombstones.find(id);
+    const bool has_tombstone = tombstone != state_.tombstones.end();
+    std::optional<bool> known;
+    if (state_.closed.contains(id)) {
+      known = true;
+    } else if (has_tombstone && tombstone->second.is_stored) {
+      known = false;
+    } else if (has_tombstone || state_.jobs.contains(id)) {
       ++it;
+      continue;
     }
+    // Otherwise the job was dropped, as it could not be stored.
+    it->second(known);
+    it = pending_cancels_.erase(it);
   }
 }
 
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -254,6 +254,23 @@
       until, std::move(log_unknown));
 }
 
+void JobFrontend::CancelAtHolder(const core::JobId& id, core::Millis timeout,
+                                 std::function<void(QueryOutcome)> done) {
+  auto answer_once = [answered = std::make_shared<bool>(false),
+                      done = std::move(done)](std::optional<bool> known) {
+    if (std::exchange(*answered, true)) {
+      return;
+    }
+    if (!known) {
+      done(QueryOutcome::kUnavailable);
+    } else {
+      done(*known ? QueryOutcome::kKnown : QueryOutcome::kNone);
+    }
+  };
+  RunAfter(timeout, [answer_once] { answer_once(std::nullopt); });
+  holder_->Cancel(id, answer_once);
+}
+
 void JobFrontend::Cancel(const core::JobId& id, core::MonotonicTime deadline,
                          std::function<void(QueryOutcome)> done) {
   const core::MonotonicTime until = deadline - internal::kAnswerMargin;
@@ -284,14 +301,8 @@
       [this, id, until, tries](std::function<void(QueryOutcome)> answer) {
         ++*tries;
         if (is_holder()) {
-          holder_->Cancel(
-              id, [answer = std::move(answer)](std::optional<bool> known) {
-                if (!known) {
-                  answer(QueryOutcome::kUnavailable);
-                } else {
-                  answer(*known ? QueryOutcome::kKnown : QueryOutcome::kNone);
-                }
-              });
+          CancelAtHolder(id, internal::TimeLeft(Bounded(until)),
+                         std::move(answer));
         } else if (holder_client_.has_holder()) {
           holder_client_.Cancel(id, internal::TimeLeft(Bounded(until)),
                                 std::move(answer));
--- a/src/camphormux/coordinator/job_frontend.hpp
+++ b/src/camphormux/coordinator/job_frontend.hpp
@@ -63,6 +63,10 @@
   [[nodiscard]] bool is_holder() const {
     return holder_ && holder_->is_ready();
   }
+  /// Cancels a job at the holder on this node, which answers only once the
+  /// store does.
+  void CancelAtHolder(const core::JobId& id, core::Millis timeout,
+                      std::function<void(QueryOutcome)> done);
   void RunAfter(core::Millis delay, std::function<void()> action);
   /// @return The deadline, or the time of the last answer if it is earlier.
   [[nodiscard]] core::MonotonicTime Bounded(core::MonotonicTime deadline) const;
--- a/src/camphormux/coordinator/job_records.cpp
+++ b/src/camphormux/coordinator/job_records.cpp
@@ -288,6 +288,13 @@
   return internal::JobRecord(kSpecKeyPrefix, job);
 }
 
+std::vector<StoreRecord> TombstoneRecords(const core::JobId& id,
+                                          core::WallTime cancelled) {
+  return {{internal::Key(kProgressKeyPrefix, id),
+           workload::EncodeProgress(workload::MakeTombstone(cancelled))},
+          {internal::Key(kSpecKeyPrefix, id), std::nullopt}};
+}
+
 LoadedJobs LoadJobRecords(const std::vector<StoreRecord>& records,
                           core::WallTime now) {
   LoadedJobs loaded;
--- a/src/camphormux/coordinator/job_records.hpp
+++ b/src/camphormux/coordinator/job_records.hpp
@@ -73,6 +73,11 @@
 /// @brief Encodes the record of a job that was submitted.
 [[nodiscard]] StoreRecord SubmissionRecord(const scheduler::Job& job);
 
+/// @brief Encodes the records of a job that was cancelled before it was known.
+/// A submission whose outcome is unknown may have been stored before.
+[[nodiscard]] std::vector<StoreRecord> TombstoneRecords(
+    const core::JobId& id, core::WallTime cancelled);
+
 /// @brief A job as read from its records.
 struct LoadedJob {
   std::optional<workload::StoredJob> job;
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -67,6 +67,11 @@
   ScheduleAppend();
 }
 
+void StoreWriter::AddTombstone(const core::JobId& id) {
+  tombstones_.push_back(id);
+  ScheduleAppend();
+}
+
 void StoreWriter::AddOrder(scheduler::Order order) {
   orders_.push_back({std::move(order), core::MonotonicNow()});
   ScheduleAppend();
@@ -137,8 +142,24 @@
         return is_deferred(entry.first, now) &&
                state_.unsaved.contains(entry.first);
       }));
-  return !submissions_.empty() || state_.unsaved.size() > deferred ||
-         !waves_.empty() || !deleted_keys_.empty() || !orders_.empty();
+  return !submissions_.empty() || !tombstones_.empty() ||
+         state_.unsaved.size() > deferred || !waves_.empty() ||
+         !deleted_keys_.empty() || !orders_.empty();
+}
+
+void StoreWriter::CollectTombstones(Batch& batch, std::size_t& bytes) {
+  const core::WallTime wall = core::WallNow();
+  for (const core::JobId& id : std::exchange(tombstones_, {})) {
+    if (bytes >= internal::kMaxBatchBytes) {
+      tombstones_.push_back(id);
+      continue;
+    }
+    Change& change = batch.changes.emplace_back();
+    change.job = id;
+    change.is_tombstone = true;
+    change.records = TombstoneRecords(id, wall);
+    bytes += TotalBytes(change.records);
+  }
 }
 
 void StoreWriter::CollectJobs(Batch& batch, std::size_t& bytes) {
@@ -286,6 +307,9 @@
 StoreWriter::Batch StoreWriter::CollectBatch() {
   Batch batch;
   std::size_t bytes = 0;
+  // Before the jobs: the record of a job that was submitted since replaces that
+  // of its tombstone.
+  CollectTombstones(batch, bytes);
   CollectJobs(batch, bytes);
   for (const scheduler::WaveId id : waves_) {
     Change& change = batch.changes.emplace_back();
@@ -424,6 +448,10 @@
                              : listener_.on_unknown)(change.job);
     return;
   }
+  if (change.is_tombstone) {
+    scheduler::DropTombstone(state_, change.job);
+    return;
+  }
   const auto job = state_.jobs.find(change.job);
   if (job != state_.jobs.end()) {
     job->second.rejected = true;
@@ -483,6 +511,9 @@
   const auto batch = std::move(batch_);
   const core::MonotonicTime now = core::MonotonicNow();
   for (const Change& change : batch->changes) {
+    if (change.is_tombstone) {
+      scheduler::ConfirmTombstone(state_, change.job, now);
+    }
     if (change.is_submission) {
       listener_.on_submitted(change.job);
     }
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -74,6 +74,8 @@
 
   /// @brief Stores a new job with the next append.
   void AddSubmission(const core::JobId& id);
+  /// @brief Stores the tombstone of a cancelled job with the next append.
+  void AddTombstone(const core::JobId& id);
   /// @brief Stores an order before it is sent: a later holder must know where a
   /// task may run and when a machine was last ordered.
   /// @param order A start of a run, or a move or maintenance of a machine.
@@ -106,6 +108,7 @@
     /// Job to which the records belong; empty if they belong to none.
     core::JobId job;
     bool is_submission = false;
+    bool is_tombstone = false;
     /// State of the job, if its progress is stored completely.
     std::optional<workload::JobState> state;
     std::vector<StoredOrder> orders;
@@ -126,6 +129,7 @@
 
   void BeginAppend();
   [[nodiscard]] Batch CollectBatch();
+  void CollectTombstones(Batch& batch, std::size_t& bytes);
   void CollectJobs(Batch& batch, std::size_t& bytes);
   void CollectOrders(Batch& batch, std::size_t& bytes);
   void CollectEnds(Batch& batch);
@@ -154,6 +158,7 @@
   scheduler::State& state_;
   Listener listener_;
   std::vector<core::JobId> submissions_;
+  std::vector<core::JobId> tombstones_;
   std::vector<StoredOrder> orders_;
   std::set<scheduler::WaveId> waves_;
   std::vector<std::string> deleted_keys_;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -11,6 +11,9 @@
 namespace camphormux::scheduler {
 namespace internal {
 
+/// Maximum number of tombstones: about 3 MB in memory.
+constexpr std::size_t kMaxTombstones = 20'000;
+
 /// Adds the stored runs of a task that a previous lease holder started. Whether
 /// they exist is known once their hosts report or their leases expire.
 void LoadRuns(State& state, Job& job, std::uint32_t task,
@@ -141,6 +144,12 @@
   job.policy_saved = true;
   job.submitted = now;
   job.accepted = wall;
+  if (state.tombstones.contains(job.spec.id)) {
+    const core::JobId id = job.spec.id;
+    EndJob(state, state.jobs.emplace(id, std::move(job)).first->second,
+           workload::JobState::kCancelled, wall);
+    return {Admission::kStoring};
+  }
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
     ++state.counters.refused;
     return {Admission::kRefused, *wait};
@@ -202,6 +211,34 @@
   return true;
 }
 
+TombstoneStatus AddTombstone(State& state, const core::JobId& id) {
+  const auto found = state.tombstones.find(id);
+  if (found != state.tombstones.end()) {
+    return found->second.is_stored ? TombstoneStatus::kStored
+                                   : TombstoneStatus::kStoring;
+  }
+  if (state.tombstones.size() >= internal::kMaxTombstones) {
+    return TombstoneStatus::kTooMany;
+  }
+  state.tombstones.emplace(id, Tombstone{});
+  return TombstoneStatus::kAdded;
+}
+
+void ConfirmTombstone(State& state, const core::JobId& id,
+                      core::MonotonicTime now) {
+  const auto found = state.tombstones.find(id);
+  if (found != state.tombstones.end()) {
+    found->second = {true, now + state.settings.status_retention};
+  }
+}
+
+void DropTombstone(State& state, const core::JobId& id) {
+  const auto found = state.tombstones.find(id);
+  if (found != state.tombstones.end() && !found->second.is_stored) {
+    state.tombstones.erase(found);
+  }
+}
+
 void LoadJob(State& state, const core::JobId& id,
              std::optional<workload::StoredJob> stored,
              const std::optional<workload::Progress>& progress,
@@ -210,7 +247,11 @@
     const core::Millis age = std::max(core::Millis(0), wall - progress->ended);
     const core::Millis kept =
         std::max(core::Millis(0), state.settings.status_retention - age);
-    state.closed[id] = ClosedJob{progress->state, now + kept};
+    if (workload::IsTombstone(*progress)) {
+      state.tombstones[id] = {true, now + kept};
+    } else {
+      state.closed[id] = ClosedJob{progress->state, now + kept};
+    }
     return;
   }
   if (!stored) {
@@ -309,6 +350,7 @@
                   [](const Task& task) { return !task.runs.empty(); });
   state.closed[id] =
       ClosedJob{job.state, now + state.settings.status_retention};
+  state.tombstones.erase(id);
   if (!runs_left) {
     state.jobs.erase(found);
   }
@@ -325,6 +367,15 @@
       ++it;
     }
   }
+  for (auto it = state.tombstones.begin(); it != state.tombstones.end();) {
+    if (it->second.is_stored && it->second.forget_at <= now &&
+        !state.jobs.contains(it->first)) {
+      forgotten.push_back(it->first);
+      it = state.tombstones.erase(it);
+    } else {
+      ++it;
+    }
+  }
   return forgotten;
 }
 
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -24,6 +24,7 @@
 };
 
 /// @brief Handles a submission. Submissions with the same id are the same job.
+/// A job that was cancelled before is accepted as cancelled.
 /// @param state The state; a new job is added to it as not yet saved.
 /// @param spec A valid job.
 /// @param now Monotonic time.
@@ -48,6 +49,25 @@
 /// @return False if there is no such job.
 bool Cancel(State& state, const core::JobId& id, core::WallTime wall);
 
+enum class TombstoneStatus {
+  kAdded,    ///< It is new and has to be stored.
+  kStoring,  ///< It is being stored.
+  kStored,
+  kTooMany,  ///< Nothing was done.
+};
+
+/// @brief Adds the tombstone of a job that is not known.
+/// @return Status of the tombstone; the cancellation may be acknowledged once
+/// it is stored.
+[[nodiscard]] TombstoneStatus AddTombstone(State& state, const core::JobId& id);
+
+/// @brief Records that a tombstone was stored.
+void ConfirmTombstone(State& state, const core::JobId& id,
+                      core::MonotonicTime now);
+
+/// @brief Removes a tombstone that was not stored.
+void DropTombstone(State& state, const core::JobId& id);
+
 /// @brief Returns whether the policy of a job is known. Without one, none of
 /// its tasks starts.
 [[nodiscard]] bool HasPolicy(const Job& job);
@@ -91,7 +111,7 @@
 void ConfirmProgress(State& state, const core::JobId& id,
                      workload::JobState stored, core::MonotonicTime now);
 
-/// @brief Removes final states whose retention time has passed.
+/// @brief Removes final states and tombstones whose retention time has passed.
 /// @return The removed jobs.
 [[nodiscard]] std::vector<core::JobId> ExpireClosedJobs(
     State& state, core::MonotonicTime now);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -176,6 +176,13 @@
   core::MonotonicTime forget_at;
 };
 
+/// @brief Cancellation of a job that was not known. Its submission may still
+/// arrive, and must not run then.
+struct Tombstone {
+  bool is_stored = false;
+  core::MonotonicTime forget_at;  ///< Set once it is stored.
+};
+
 /// @brief A host: one incarnation of a machine as a member of a pool.
 struct Host {
   HostListing listing;
@@ -299,6 +306,7 @@
   workload::Catalog catalog;
   std::unordered_map<core::JobId, Job> jobs;
   std::unordered_map<core::JobId, ClosedJob> closed;
+  std::unordered_map<core::JobId, Tombstone> tombstones;
   std::map<core::HostId, Host> hosts;
   /// Host incarnations that are known to have ended.
   std::map<core::HostId, EndedIncarnations> ended_incarnations;
--- a/src/camphormux/workload/model.cpp
+++ b/src/camphormux/workload/model.cpp
@@ -14,6 +14,18 @@
 
 }  // namespace internal
 
+Progress MakeTombstone(core::WallTime cancelled) {
+  Progress progress;
+  progress.state = JobState::kCancelled;
+  progress.ended = cancelled;
+  return progress;
+}
+
+bool IsTombstone(const Progress& progress) noexcept {
+  return progress.state == JobState::kCancelled &&
+         progress.accepted == core::WallTime{};
+}
+
 const Queue* FindQueue(const Catalog& catalog, std::string_view authority,
                        std::string_view path) {
   const std::string_view host = internal::WithoutPort(authority);
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -175,6 +175,14 @@
   return state != JobState::kQueued && state != JobState::kRunning;
 }
 
+/// @brief Returns the progress that marks a job as cancelled which was not
+/// known.
+[[nodiscard]] Progress MakeTombstone(core::WallTime cancelled);
+
+/// @brief Returns whether a progress is a tombstone: no job of that id was
+/// accepted.
+[[nodiscard]] bool IsTombstone(const Progress& progress) noexcept;
+
 /// @brief Finds the queue of a request: the authority must match, and the
 /// longest matching path prefix wins.
 /// @param catalog The catalog.
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -231,5 +231,32 @@
   EXPECT_EQ(harness.platform.starts(), 0U);
 }
 
+// Guards against a start after a cancellation that overtook the submission, if
+// the holder changes between the two.
+TEST(HolderTest, NextHolderKnowsOfACancellationThatOvertookItsSubmission) {
+  Harness harness(core::Millis(100));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  const auto cancelled = Cancel(harness, SmallThenWide().id);
+  ASSERT_TRUE(harness.RunUntil([&] { return cancelled->has_value(); }));
+  harness.StartHolder(CatalogWithQueue());
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  const auto state = [&] {
+    return harness.holder->JobStateOf(SmallThenWide().id);
+  };
+  EXPECT_EQ(state(), std::nullopt);
+  std::optional<SubmitOutcome> submitted;
+  harness.holder->Submit(SmallThenWide(), [&](const SubmitAnswer& answer) {
+    submitted = answer.outcome;
+  });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_EQ(submitted, SubmitOutcome::kAccepted);
+  EXPECT_EQ(state(), workload::JobState::kCancelled);
+  harness.StartHolder(CatalogWithQueue());
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  EXPECT_EQ(state(), workload::JobState::kCancelled);
+  harness.RunFor(core::Millis(500));
+  EXPECT_EQ(harness.platform.starts(), 0U);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -246,6 +246,25 @@
   EXPECT_EQ(fleet.state.jobs.at(spec.id).policy, accepted);
 }
 
+// Guards against memory that grows with cancellations of jobs that nobody has
+// submitted.
+TEST(JobsTest, TombstonesAreLimitedAndExpire) {
+  Fleet fleet;
+  TombstoneStatus status = TombstoneStatus::kAdded;
+  std::size_t added = 0;
+  while (status == TombstoneStatus::kAdded && added < 1'000'000) {
+    const core::JobId id{std::to_string(added)};
+    status = AddTombstone(fleet.state, id);
+    ConfirmTombstone(fleet.state, id, fleet.now);
+    ++added;
+  }
+  EXPECT_EQ(status, TombstoneStatus::kTooMany);
+  const auto forgotten = ExpireClosedJobs(
+      fleet.state, fleet.now + fleet.state.settings.status_retention);
+  EXPECT_EQ(forgotten.size(), added - 1);
+  EXPECT_TRUE(fleet.state.tombstones.empty());
+}
+
 // Guards against a submission that starts a cancelled job again, because a step
 // of the clock made its final state expire early.
 TEST(JobsTest, StepOfTheClockDoesNotShortenTheRetentionOfAFinalState) {
