Keep a stored final state for the whole retention time after a takeover

Cause: a new holder took the age of a final state from the time of day, which can be set forward. The record of a cancelled job, or its tombstone, then expired early: a GET was answered with 410 before status_s was over, and a submission that arrived once more was a new job.

Change: the retention time counts from the takeover. Final states are kept longer than before if the holder changes within it.

Evidence: StepOfTheClockDoesNotShortenTheRetentionOfAFinalState failed before, also for a step of the whole retention time, and passes.

--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -244,13 +244,12 @@
              const std::optional<workload::Progress>& progress,
              core::MonotonicTime now, core::WallTime wall) {
   if (progress && workload::IsFinal(progress->state)) {
-    const core::Millis age = std::max(core::Millis(0), wall - progress->ended);
-    const core::Millis kept =
-        std::max(core::Millis(0), state.settings.status_retention - age);
+    // Counted from now: the age is not known, as clocks can be set.
+    const core::MonotonicTime forget_at = now + state.settings.status_retention;
     if (workload::IsTombstone(*progress)) {
-      state.tombstones[id] = {true, now + kept};
+      state.tombstones[id] = {true, forget_at};
     } else {
-      state.closed[id] = ClosedJob{progress->state, now + kept};
+      state.closed[id] = ClosedJob{progress->state, forget_at};
     }
     return;
   }
