Let a start expire on the clock of its host

What callers saw: tasks started seconds after the cancellation of their job was acknowledged, and nothing stopped them.

Cause: whether an order is still valid was checked only where the call leaves the holder. A call that lies in a stopped node, in a queue of the router, in a socket or at its host carried a lease of 5 s from the time of sending, longer than the 3 s within which a cancelled job has to be at rest. What protects a host otherwise, the stop that follows and the fencing token, is missing if the holder has ended and its successor has not reached the host.

Change: a start is valid for 2 s on the clock of its host, whatever way it goes; the host refuses it later. The run gets a lease of 5 s with the renewal that follows the answer. The estimate of a host's clock is too early by up to a fiftieth of the age of its reading, so idle hosts are asked for it every 30 s.

Evidence: StartExpiresOnTheClockOfItsHost failed before and passes.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -20,6 +20,13 @@
 constexpr core::Millis kRenewInterval{1500};
 /// Delay after a failed renewal.
 constexpr core::Millis kRetryDelay{300};
+/// A start that reaches its host later than this is refused. Shorter than the
+/// time by which a cancelled job has to be at rest; a host that accepts a start
+/// gets a longer lease at once.
+constexpr core::Millis kStartValidity{2000};
+/// Age of the reading of a host's clock after which an idle host is asked
+/// again. A slow clock differs from its estimate by a fiftieth of this.
+constexpr core::Millis kMaxClockAge{30'000};
 /// Interval between checks of which hosts are due; a small part of a lease.
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
@@ -56,9 +63,10 @@
 
 std::optional<std::int64_t> HostLinks::GrantLease(scheduler::Host& host,
                                                   const Link& link,
+                                                  core::Millis longest,
                                                   core::MonotonicTime now) {
-  const core::Millis lease =
-      LimitLease(state_.settings.lease, authority_.time_left());
+  const core::Millis lease = LimitLease(
+      std::min(longest, state_.settings.lease), authority_.time_left());
   if (!link.clock_ms || host.address_taken || lease.count() == 0) {
     return std::nullopt;
   }
@@ -83,7 +91,7 @@
   // An unresponsive host gets no extension: its lease must expire so that its
   // runs can start elsewhere.
   if (link.failures == 0 && !host.runs.empty()) {
-    call.lease_end_ms = GrantLease(host, link, now);
+    call.lease_end_ms = GrantLease(host, link, state_.settings.lease, now);
   }
   link.renewing = true;
   link.sent = now;
@@ -115,6 +123,7 @@
   // remains the holder, so idle hosts are asked too.
   if (!host.synced || !host.runs.empty() || host.unresponsive_since ||
       link.acknowledged > link.sent_acknowledged ||
+      now >= link.clock_read_at + internal::kMaxClockAge ||
       (due && !authority_.is_confirmed())) {
     Renew(host, link, now);
   }
@@ -294,7 +303,8 @@
     return false;
   }
   const core::MonotonicTime now = core::MonotonicNow();
-  const auto lease_end = GrantLease(host->second, LinkOf(host->second), now);
+  const auto lease_end = GrantLease(host->second, LinkOf(host->second),
+                                    internal::kStartValidity, now);
   if (!lease_end) {
     return false;
   }
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -78,11 +78,13 @@
 
   [[nodiscard]] Link& LinkOf(const scheduler::Host& host);
   [[nodiscard]] HostTarget TargetOf(const scheduler::Host& host) const;
+  /// @param longest Longest lease to grant.
   /// @return Latest lease end that may be granted now, on the host's clock;
   /// empty if none may be granted or the host's clock is not known.
   /// Also records in the state until when the host may run.
   [[nodiscard]] std::optional<std::int64_t> GrantLease(scheduler::Host& host,
                                                        const Link& link,
+                                                       core::Millis longest,
                                                        core::MonotonicTime now);
   void RenewIfDue(scheduler::Host& host, core::MonotonicTime now);
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
