Deny a job only while no other node can have taken over

Same class as the cancellation that a replaced holder answered with 410: a GET for an accepted job was answered with 410, and the number of pending jobs was that of a holder which had been replaced.

Cause: is_ready() says only that the state was loaded once. Whether the store has confirmed the ownership since was not asked for answers.

Change: the holder says that there is no such job only while the store has confirmed its ownership within the ownership's time to live, also counted over a suspension; else the query is "unavailable" and tried again, by then at the successor. A count of pending jobs needs a confirmation by the store or all other nodes in the last 2 s.

Evidence: ReplacedHolderDoesNotDenyAJob failed before and passes (3 of 3). The test now waits for the time to live before the second node takes over, as the store does; with that it still failed on the code before.

--- a/src/camphormux/coordinator/authority.hpp
+++ b/src/camphormux/coordinator/authority.hpp
@@ -15,6 +15,8 @@
   /// Time until a successor may treat the leases of this holder as expired; 0
   /// when it may do so already.
   std::function<core::Millis()> time_left;
+  /// Time since no other node can have taken over.
+  std::function<core::Millis()> since_confirmation;
 };
 
 /// @brief Computes the time for which a holder may still rely on its ownership.
--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -40,6 +40,8 @@
 constexpr core::Millis kLoadReportInterval{1000};
 /// Time after which callers retry whose jobs cannot be stored.
 constexpr core::Millis kOutageRetryAfter{1000};
+/// Age at which a number of pending jobs is too old for callers.
+constexpr core::Millis kMaxCountAge{2000};
 /// Delay before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetryDelay{400};
 
@@ -440,13 +442,19 @@
   }
 }
 
-std::optional<workload::JobState> Holder::JobStateOf(
-    const core::JobId& id) const {
-  return scheduler::VisibleState(state_, id);
+StateAnswer Holder::StateOf(const core::JobId& id) const {
+  if (const auto state = scheduler::VisibleState(state_, id)) {
+    return {QueryOutcome::kKnown, *state};
+  }
+  return {authority_.is_confirmed() ? QueryOutcome::kNone
+                                    : QueryOutcome::kUnavailable};
 }
 
-std::size_t Holder::Pending(const workload::QueueName& queue) const {
-  return scheduler::PendingJobs(state_, queue);
+CountAnswer Holder::Pending(const workload::QueueName& queue) const {
+  if (authority_.since_confirmation() > internal::kMaxCountAge) {
+    return {QueryOutcome::kUnavailable};
+  }
+  return {QueryOutcome::kKnown, scheduler::PendingJobs(state_, queue)};
 }
 
 double Holder::reachable_share() const {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -35,6 +35,22 @@
   core::Millis retry_after{0};
 };
 
+enum class QueryOutcome {
+  kKnown,
+  kNone,         ///< There is no such job or queue.
+  kUnavailable,  ///< No node can answer now.
+};
+
+struct StateAnswer {
+  QueryOutcome outcome = QueryOutcome::kUnavailable;
+  workload::JobState state = workload::JobState::kQueued;
+};
+
+struct CountAnswer {
+  QueryOutcome outcome = QueryOutcome::kUnavailable;
+  std::uint64_t count = 0;
+};
+
 /// @brief Leader of the nodes: the holder of the ownership, which makes all
 /// scheduling decisions while its fencing token is the newest. Fences its
 /// predecessor, loads the stored jobs, reads from the hosts which runs they
@@ -63,10 +79,12 @@
   /// is known; empty if that is not certain.
   void Cancel(const core::JobId& id,
               std::function<void(std::optional<bool> known)> done);
-  /// @return State of a job; empty if the job is not known.
-  [[nodiscard]] std::optional<workload::JobState> JobStateOf(
-      const core::JobId& id) const;
-  [[nodiscard]] std::size_t Pending(const workload::QueueName& queue) const;
+  /// @return State of a job. That there is no such job is only said while no
+  /// other node can have taken over, which would know of it.
+  [[nodiscard]] StateAnswer StateOf(const core::JobId& id) const;
+  /// @return Number of jobs of a queue of which no task has started, if no
+  /// other node can have taken over long ago.
+  [[nodiscard]] CountAnswer Pending(const workload::QueueName& queue) const;
 
   void OnCatalog(workload::Catalog catalog);
   void OnWave(const scheduler::WaveRequest& wave);
--- a/src/camphormux/coordinator/holder_client.cpp
+++ b/src/camphormux/coordinator/holder_client.cpp
@@ -184,10 +184,12 @@
   } else if (request.path == internal::kSubmitPath) {
     internal::AnswerSubmit(holder, request, respond);
   } else if (request.path == internal::kStatePath) {
-    const auto state = holder->JobStateOf({internal::NameIn(request)});
-    respond(internal::Reply(
-        state ? 1 : 0,
-        static_cast<std::uint64_t>(state.value_or(workload::JobState()))));
+    const StateAnswer answer = holder->StateOf({internal::NameIn(request)});
+    respond(
+        answer.outcome == QueryOutcome::kUnavailable
+            ? peer::Response{peer::kStatusUnavailable, ""}
+            : internal::Reply(answer.outcome == QueryOutcome::kKnown ? 1 : 0,
+                              static_cast<std::uint64_t>(answer.state)));
   } else if (request.path == internal::kCancelPath) {
     holder->Cancel({internal::NameIn(request)},
                    [respond](std::optional<bool> known) {
@@ -198,7 +200,10 @@
                      }
                    });
   } else if (request.path == internal::kPendingPath) {
-    respond(internal::Reply(1, holder->Pending({internal::NameIn(request)})));
+    const CountAnswer answer = holder->Pending({internal::NameIn(request)});
+    respond(answer.outcome == QueryOutcome::kKnown
+                ? internal::Reply(1, answer.count)
+                : peer::Response{peer::kStatusUnavailable, ""});
   } else if (request.path == internal::kPingPath) {
     respond({peer::kStatusOk, ""});
   } else {
--- a/src/camphormux/coordinator/holder_client.hpp
+++ b/src/camphormux/coordinator/holder_client.hpp
@@ -13,22 +13,6 @@
 
 namespace camphormux::coordinator {
 
-enum class QueryOutcome {
-  kKnown,
-  kNone,         ///< There is no such job or queue.
-  kUnavailable,  ///< No node can answer now.
-};
-
-struct StateAnswer {
-  QueryOutcome outcome = QueryOutcome::kUnavailable;
-  workload::JobState state = workload::JobState::kQueued;
-};
-
-struct CountAnswer {
-  QueryOutcome outcome = QueryOutcome::kUnavailable;
-  std::uint64_t count = 0;
-};
-
 /// @brief Sends requests to the holder on another node over one connection.
 class HolderClient {
  public:
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -238,9 +238,7 @@
   QueryWithRetry<StateAnswer>(
       [this, id, until](std::function<void(StateAnswer)> answer) {
         if (is_holder()) {
-          const auto state = holder_->JobStateOf(id);
-          answer({state ? QueryOutcome::kKnown : QueryOutcome::kNone,
-                  state.value_or(workload::JobState::kQueued)});
+          answer(holder_->StateOf(id));
         } else if (holder_client_.has_holder()) {
           holder_client_.State(id, internal::TimeLeft(Bounded(until)),
                                std::move(answer));
@@ -323,7 +321,7 @@
   QueryWithRetry<CountAnswer>(
       [this, queue, until](std::function<void(CountAnswer)> answer) {
         if (is_holder()) {
-          answer({QueryOutcome::kKnown, holder_->Pending(queue)});
+          answer(holder_->Pending(queue));
         } else if (holder_client_.has_holder()) {
           holder_client_.Pending(queue, internal::TimeLeft(Bounded(until)),
                                  std::move(answer));
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -160,7 +160,8 @@
   holder_ = std::make_shared<Holder>(
       loop_, settings_.scheduler, ports, token, node_metrics_,
       Authority{[this] { return election_->is_confirmed(); },
-                [this] { return authority_left(); }},
+                [this] { return authority_left(); },
+                [this] { return election_->since_confirmation(); }},
       [this] {
         StopHolder();
         election_->Rejoin();
--- a/test/coordinator/fake_platform.cpp
+++ b/test/coordinator/fake_platform.cpp
@@ -21,7 +21,8 @@
 }  // namespace
 
 Authority UnlimitedAuthority() {
-  return {[] { return true; }, [] { return core::Millis(3'600'000); }};
+  return {[] { return true; }, [] { return core::Millis(3'600'000); },
+          [] { return core::Millis(0); }};
 }
 
 FakePlatform::FakePlatform(asio::io_context& loop, std::size_t hosts,
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -124,7 +124,7 @@
   without_queue.queues.clear();
   harness.StartHolder(without_queue);
   EXPECT_TRUE(harness.RunUntil([&] {
-    return harness.holder->JobStateOf(SmallThenWide().id) ==
+    return harness.holder->StateOf(SmallThenWide().id).state ==
            workload::JobState::kSucceeded;
   }));
   EXPECT_EQ(harness.platform.starts(), 1 + kHosts);
@@ -172,7 +172,7 @@
       harness.RunUntil([&] { return harness.platform.starts() == tasks; }));
   harness.StartHolder(CatalogWithQueue());
   ASSERT_TRUE(harness.RunUntil([&] {
-    return harness.holder->JobStateOf(LargeJob().id) ==
+    return harness.holder->StateOf(LargeJob().id).state ==
            workload::JobState::kRunning;
   }));
   harness.RunFor(core::Millis(2000));
@@ -241,7 +241,9 @@
   harness.StartHolder(CatalogWithQueue());
   ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
   const auto state = [&] {
-    return harness.holder->JobStateOf(SmallThenWide().id);
+    const StateAnswer answer = harness.holder->StateOf(SmallThenWide().id);
+    return answer.outcome == QueryOutcome::kKnown ? std::optional(answer.state)
+                                                  : std::nullopt;
   };
   EXPECT_EQ(state(), std::nullopt);
   std::optional<SubmitOutcome> submitted;
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -44,7 +44,8 @@
     };
     links = std::make_shared<HostLinks>(
         port, core::Epoch{1}, state, node_metrics, run_latency,
-        Authority{[] { return true; }, [this] { return authority_left; }},
+        Authority{[] { return true; }, [this] { return authority_left; },
+                  [] { return core::Millis(0); }},
         HostLinks::Listener{[] {}, [](const core::HostId&) {}});
     List(kFirst);
   }
--- a/test/coordinator/isolated_holder_test.cpp
+++ b/test/coordinator/isolated_holder_test.cpp
@@ -423,6 +423,8 @@
     deployment.SetOnlyReachedBy(host, host == 0 ? 1 : 0);
   }
   deployment.CutFromStore(0);
+  // The store gives the ownership away once it has lapsed.
+  deployment.RunUntil([] { return false; }, kOwnershipTtl);
   deployment.SetOwner(1);
   // The second node rejects jobs until it has taken over.
   const core::MonotonicTime end = core::MonotonicNow() + core::Millis(8000);
