--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -11,7 +11,7 @@
 namespace camphormux::scheduler {
 namespace internal {
 
-/// Maximum number of tombstones: about 3 MB in memory.
+/// Limits the memory that cancellations of unknown jobs can take.
 constexpr std::size_t kMaxTombstones = 20'000;
 
 /// Adds the stored runs of a task that a previous lease holder started. Whether
