Test that a tombstone outlasts the deletion of a forgotten job

Fails: a batch puts the deletions of forgotten jobs after the tombstones, so the newest record of the key is the deletion, and the store does not keep a cancellation that was acknowledged.

--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
+#include <string>
 
 #include <gtest/gtest.h>
 
@@ -101,6 +103,24 @@
   std::shared_ptr<StoreWriter> store_writer;
 };
 
+// Guards against an acknowledged cancellation that the store does not keep: the
+// deletion of a forgotten job was stored after the tombstone of the same job.
+TEST(StoreWriterTest, TombstoneOutlastsTheDeletionOfAForgottenJob) {
+  Harness harness;
+  harness.store_writer->Drop(Spec().id);
+  ASSERT_EQ(scheduler::AddTombstone(harness.state, Spec().id),
+            scheduler::TombstoneStatus::kAdded);
+  harness.store_writer->AddTombstone(Spec().id);
+  harness.WaitForAppends(1);
+  std::map<std::string, std::optional<std::string>> stored;
+  for (const StoreRecord& record : harness.appends[0].records) {
+    stored[record.key] = record.value;
+  }
+  const std::string key = std::string(kProgressKeyPrefix) + Spec().id.value;
+  ASSERT_TRUE(stored.contains(key));
+  EXPECT_TRUE(stored[key].has_value());
+}
+
 // Guards against an accepted job that is lost in a power failure.
 TEST(StoreWriterTest, SubmissionIsConfirmedOnlyAfterTheAppend) {
   Harness harness;
