Do not delete the progress of a job after its tombstone was stored

Cause: the deletion of a forgotten job's progress comes last in an append, or in a later one. A job that is cancelled or submitted again between its expiry and that append lost its record: a cancellation that was acknowledged was not stored.

Change: a tombstone and a submission withdraw the deletion.

Evidence: StoreWriterTest.TombstoneOutlastsTheDeletionOfAForgottenJob, written by the reviewer, failed before and passes.

--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -63,11 +63,13 @@
       listener_(std::move(listener)) {}
 
 void StoreWriter::AddSubmission(const core::JobId& id) {
+  KeepProgress(id);
   submissions_.push_back(id);
   ScheduleAppend();
 }
 
 void StoreWriter::AddTombstone(const core::JobId& id) {
+  KeepProgress(id);
   tombstones_.push_back(id);
   ScheduleAppend();
 }
@@ -86,6 +88,10 @@
   deleted_keys_.push_back(std::string(kProgressKeyPrefix) + id.value);
 }
 
+void StoreWriter::KeepProgress(const core::JobId& id) {
+  std::erase(deleted_keys_, std::string(kProgressKeyPrefix) + id.value);
+}
+
 void StoreWriter::SetStoredProgress(const core::JobId& id,
                                     StoredProgress stored) {
   if (stored.is_split) {
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -127,6 +127,8 @@
 
   [[nodiscard]] static std::vector<StoreRecord> RecordsOf(const Batch& batch);
 
+  /// Withdraws the deletion of a job's progress that is not stored yet.
+  void KeepProgress(const core::JobId& id);
   void BeginAppend();
   [[nodiscard]] Batch CollectBatch();
   void CollectTombstones(Batch& batch, std::size_t& bytes);
