Delete the record of a job that has a final state when the state is loaded

Cause: a submission of a cancelled job can be stored in one append and its final state in the next. If the holder changes in between, the record of the job stays, and outlives its tombstone: the holder after next would run it.

Evidence: JobRecordsTest.JobRecordBesideAFinalStateIsRemoved passes; it was not run without the change.

--- a/src/camphormux/coordinator/job_records.cpp
+++ b/src/camphormux/coordinator/job_records.cpp
@@ -317,6 +317,9 @@
     entry.stored.is_split |= keys.split_jobs.contains(id);
     entry.stored.is_split_job_stored =
         keys.split_jobs.contains(id) && !keys.jobs.contains(id);
+    if (is_final && keys.jobs.contains(id)) {
+      loaded.obsolete.push_back(internal::Key(kSpecKeyPrefix, id));
+    }
     // A split job that is stored as such always has a progress. Without one, a
     // node of an earlier version has ended and forgotten the job.
     const bool is_forgotten = entry.stored.is_split &&
--- a/test/coordinator/job_records_test.cpp
+++ b/test/coordinator/job_records_test.cpp
@@ -112,6 +112,16 @@
             harness.job().spec);
 }
 
+// Guards against a cancelled job that starts once its final state is forgotten:
+// its record was stored in an append of its own, before that state.
+TEST(JobRecordsTest, JobRecordBesideAFinalStateIsRemoved) {
+  Harness harness(1);
+  const std::vector<StoreRecord> tombstone = TombstoneRecords(harness.id, kNow);
+  harness.Store({tombstone.front()});
+  const LoadedJobs loaded = harness.Load();
+  EXPECT_EQ(loaded.obsolete, std::vector<std::string>{"j/" + harness.id.value});
+}
+
 // Guards against a holder that starts tasks of a large job again, or forgets
 // their ends.
 TEST(JobRecordsTest, SplitJobIsReadBackAsItWas) {
