Renew the lease of a start in time if the first renewal is lost

Cause: the start of a run on an idle host is valid for 2 s. The first renewal asked the host to wait up to 1 s; if it was lost, it was given up after 1.9 s, or 2.8 s through another node, and the next one is sent without a lease. The run lapsed.

Change: a host whose lease is only that of a start is asked for an answer at once, and a start is valid for 2.5 s, longer than a lost call through another node and its retry, and still shorter than the 3 s within which a cancelled job has to be at rest.

Evidence: HostLinksTest.FirstRenewalAfterAStartIsAnsweredAtOnce passes; it was not run without the change. coordinator_test passes: 104 of 104 before the last test was added.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -21,9 +21,9 @@
 /// Delay after a failed renewal.
 constexpr core::Millis kRetryDelay{300};
 /// A start that reaches its host later than this is refused. Shorter than the
-/// time by which a cancelled job has to be at rest; a host that accepts a start
-/// gets a longer lease at once.
-constexpr core::Millis kStartValidity{2000};
+/// time by which a cancelled job has to be at rest, and long enough for a
+/// second renewal if the first one through another node has no answer.
+constexpr core::Millis kStartValidity{2500};
 /// Age of the reading of a host's clock after which an idle host is asked
 /// again. A slow clock differs from its estimate by a fiftieth of this.
 constexpr core::Millis kMaxClockAge{30'000};
@@ -85,24 +85,33 @@
   call.target = TargetOf(host);
   call.acknowledged = link.acknowledged;
   const bool has_unstored_ends = host.ended > link.acknowledged;
-  if (host.synced && !host.runs.empty() && !has_unstored_ends) {
-    call.wait = internal::kMaxRenewWait;
-  }
   // An unresponsive host gets no extension: its lease must expire so that its
   // runs can start elsewhere.
   if (link.failures == 0 && !host.runs.empty()) {
     call.lease_end_ms = GrantLease(host, link, state_.settings.lease, now);
   }
+  const core::Millis lease =
+      call.lease_end_ms
+          ? LimitLease(state_.settings.lease, authority_.time_left())
+          : core::Millis(0);
+  // A host whose lease is only that of a start is asked for a prompt answer, so
+  // that there is time for another renewal if this one is lost.
+  const bool is_lease_short =
+      link.renewed_until < now + std::min(internal::kStartValidity, lease / 2);
+  if (host.synced && !host.runs.empty() && !has_unstored_ends &&
+      !is_lease_short) {
+    call.wait = internal::kMaxRenewWait;
+  }
   link.renewing = true;
   link.sent = now;
   link.sent_acknowledged = link.acknowledged;
   node_metrics_.renewals->Increment();
   port_.renew(call, [weak = weak_from_this(), id = host.listing.id,
-                     incarnation = host.listing.incarnation,
-                     now](const RenewAnswer& answer) {
+                     incarnation = host.listing.incarnation, now,
+                     lease](const RenewAnswer& answer) {
     const auto self = weak.lock();
     if (self && !self->closed_) {
-      self->OnRenewed(id, incarnation, now, answer);
+      self->OnRenewed(id, incarnation, now, lease, answer);
     }
   });
 }
@@ -165,7 +174,7 @@
 }
 
 void HostLinks::OnRenewed(const core::HostId& id, core::Incarnation incarnation,
-                          core::MonotonicTime asked,
+                          core::MonotonicTime asked, core::Millis lease,
                           const RenewAnswer& answer) {
   const core::MonotonicTime now = core::MonotonicNow();
   const auto found = links_.find(id);
@@ -185,6 +194,7 @@
                        {{"host", id.value}});
       }
       link.failures = 0;
+      link.renewed_until = std::max(link.renewed_until, asked + lease);
       RecordClock(id, incarnation, answer.clock_ms);
       scheduler::OnReport(state_,
                           {id, incarnation, asked, answer.running, answer.ended,
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -72,6 +72,8 @@
     scheduler::EndNumber acknowledged;       ///< Highest end to acknowledge.
     scheduler::EndNumber sent_acknowledged;  ///< Highest acknowledged end.
     std::uint32_t failures = 0;
+    /// End of the lease of the last renewal that the host has answered.
+    core::MonotonicTime renewed_until;
     std::deque<Order> queue;
     std::size_t calls_in_flight = 0;
   };
@@ -88,8 +90,10 @@
                                                        core::MonotonicTime now);
   void RenewIfDue(scheduler::Host& host, core::MonotonicTime now);
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
+  /// @param lease Lease that the renewal granted; 0 if it granted none.
   void OnRenewed(const core::HostId& id, core::Incarnation incarnation,
-                 core::MonotonicTime asked, const RenewAnswer& answer);
+                 core::MonotonicTime asked, core::Millis lease,
+                 const RenewAnswer& answer);
   /// Sends a start and handles its answer; `done` is called afterwards.
   /// @return Whether it was sent; `done` is not called otherwise.
   bool CallStart(const scheduler::StartRun& order, std::function<void()> done);
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -266,5 +266,21 @@
   EXPECT_LT(harness.starts[0].call.lease_end_ms, clock_ms + kCancelMs);
 }
 
+// Guards against a run that lapses because the first renewal after its start is
+// lost: a host that may wait before it answers is given up too late.
+TEST(HostLinksTest, FirstRenewalAfterAStartIsAnsweredAtOnce) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  const scheduler::RunId run = harness.OrderRun();
+  const Harness::Renewal first = harness.NextRenewal();
+  EXPECT_EQ(first.call.wait, core::Millis(0));
+  EXPECT_GT(first.call.lease_end_ms, harness.starts[0].call.lease_end_ms);
+  harness.starts[0].done({scheduler::StartOutcome::kStarted, 1010});
+  RenewAnswer report = Harness::Report(kFirst, 1020);
+  report.running.push_back({harness.state.runs.at(run).name, "", 0, 0});
+  first.done(report);
+  EXPECT_GT(harness.NextRenewal().call.wait, core::Millis(0));
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
