Test requests to the store that a stopped node carries out late (both fail)

StoreTest.OlderStateOfAWaveDoesNotReplaceItsCompletion and StoreTest.WithdrawalOfAnEarlierCandidacyDoesNotEndTheOwnership fail: the publication of a wave has neither an epoch nor a position, and a withdrawal names the process but not the candidacy. The fake store ends memberships on request and when a member leaves.

--- a/test/platform/fake_store.cpp
+++ b/test/platform/fake_store.cpp
@@ -58,6 +58,7 @@
                     request.path == "/-/log-append"   ? Append(request)
                     : request.path == "/-/log-newest" ? Newest(request)
                     : request.path == "/-/log-join"   ? Join(request)
+                    : request.path == "/-/log-leave"  ? Leave(request)
                     : request.path == "/-/log-owners"
                         ? Owners(request)
                         : Answer(200, json::object());
@@ -148,6 +149,22 @@
   return Answer(200, {{"generation", generation_}, {"parts", parts}});
 }
 
+http::ServerResponse FakeStore::Leave(const http::ServerRequest& request) {
+  const json body = json::parse(request.body);
+  Group& group = groups_[body["group"].get<std::string>()];
+  const std::string member = body["member"].get<std::string>();
+  generation_ += std::erase_if(
+      group, [&](const auto& entry) { return entry.first == member; });
+  return Answer(200, json::object());
+}
+
+void FakeStore::EndMemberships() {
+  for (auto& [name, group] : groups_) {
+    generation_ += group.size();
+    group.clear();
+  }
+}
+
 http::ServerResponse FakeStore::Owners(const http::ServerRequest& request) {
   const Group& group = groups_[request.query.at("group")];
   std::set<std::string> topics;
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -20,6 +20,9 @@
  public:
   FakeStore(asio::io_context& loop, std::uint16_t port);
 
+  /// Ends all memberships, as if their times to live were over.
+  void EndMemberships();
+
   bool rejects_requests = false;     ///< Answers 503 and stores nothing.
   int append_status = 0;             ///< Answer to appends instead of 200.
   std::size_t partitions = 24;       ///< Of each topic.
@@ -39,6 +42,7 @@
 
   http::ServerResponse Append(const http::ServerRequest& request);
   http::ServerResponse Join(const http::ServerRequest& request);
+  http::ServerResponse Leave(const http::ServerRequest& request);
   http::ServerResponse Owners(const http::ServerRequest& request);
   [[nodiscard]] std::vector<std::string> Deal(const Group& group,
                                               const std::string& topic) const;
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -1,5 +1,7 @@
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
@@ -233,5 +235,89 @@
   EXPECT_EQ(fake_store.received(), 2U);
 }
 
+/// A node that receives forwarded requests but does not run, so that it carries
+/// them out only when the test continues it.
+class StoppedNode {
+ public:
+  explicit StoppedNode(asio::io_context& loop)
+      : server_(loop, {"127.0.0.1", 0},
+                [this](const peer::Request& request,
+                       const peer::Respond& /*respond*/) {
+                  requests_.push_back(request.body);
+                }) {}
+
+  [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+
+  /// Carries out the received requests.
+  /// @return Number of requests.
+  std::size_t Continue(asio::io_context& loop, StoreClient& store) {
+    for (const std::string& request : requests_) {
+      WaitFor<std::string>(loop, [&](auto done) {
+        store.ServeForwarded(request, std::move(done));
+      });
+    }
+    return requests_.size();
+  }
+
+ private:
+  std::vector<std::string> requests_;
+  peer::Server server_;
+};
+
+// Guards against a wave that stays "running" for the operator although it is
+// complete: a node that was stopped publishes the older state last.
+TEST(StoreTest, OlderStateOfAWaveDoesNotReplaceItsCompletion) {
+  StoreFixture fixture;
+  StoppedNode stopped(fixture.loop);
+  // Nothing listens on this port, so this node does not reach the store.
+  coordinator::PeerForwarder peer_forwarder(fixture.loop, {"127.0.0.1", 1});
+  peer_forwarder.SetMembers({{"127.0.0.1", stopped.port()}});
+  StoreClient cut_off(fixture.client, peer_forwarder,
+                      {"127.0.0.1", FreePort(fixture.loop)});
+  coordinator::StorePort cut_off_port = MakeStorePort(cut_off);
+  const scheduler::WaveId wave{7};
+  EXPECT_FALSE(WaitFor<bool>(fixture.loop, [&](auto done) {
+    cut_off_port.publish_wave(wave, false, std::move(done));
+  }));
+  EXPECT_TRUE(WaitFor<bool>(fixture.loop, [&](auto done) {
+    fixture.port.publish_wave(wave, true, std::move(done));
+  }));
+  ASSERT_EQ(stopped.Continue(fixture.loop, fixture.store), 1U);
+  EXPECT_EQ(fixture.fake_store.newest_values["keyed.status"]["wave/7"],
+            R"({"state":"succeeded"})");
+}
+
+// Guards against an ownership that the store takes from a holder that counts it
+// as confirmed: a node that was stopped carries out the withdrawal of an earlier
+// candidacy.
+TEST(StoreTest, WithdrawalOfAnEarlierCandidacyDoesNotEndTheOwnership) {
+  StoreFixture fixture;
+  StoppedNode stopped(fixture.loop);
+  fixture.peer_forwarder.SetMembers({{"127.0.0.1", stopped.port()}});
+  const coordinator::NodeSettings settings;
+  coordinator::ElectionPort election =
+      MakeElectionPort(fixture.store, settings);
+  const auto join = [&] {
+    return WaitFor<std::optional<coordinator::MembershipAnswer>>(
+        fixture.loop, [&](auto done) { election.join(std::move(done)); });
+  };
+  ASSERT_TRUE(join());
+  fixture.fake_store.rejects_requests = true;
+  WaitFor<bool>(fixture.loop,
+                [&](auto done) { election.leave([done] { done(true); }); });
+  fixture.fake_store.rejects_requests = false;
+  // The membership's time to live ends, and the node is a candidate again.
+  fixture.fake_store.EndMemberships();
+  fixture.peer_forwarder.SetMembers({});
+  const auto answer = join();
+  ASSERT_TRUE(answer);
+  ASSERT_TRUE(answer->holder);
+  ASSERT_EQ(stopped.Continue(fixture.loop, fixture.store), 1U);
+  const auto ownership = WaitFor<std::optional<coordinator::Ownership>>(
+      fixture.loop, [&](auto done) { election.find_holder(std::move(done)); });
+  ASSERT_TRUE(ownership);
+  EXPECT_TRUE(ownership->is_self);
+}
+
 }  // namespace
 }  // namespace camphormux::platform
