--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -5,7 +5,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
+#include <vector>
 
+#include <asio/post.hpp>
 #include <gtest/gtest.h>
 
 #include "camphormux/workload/validate.hpp"
@@ -42,11 +45,14 @@
 
   /// Replaces the holder by one with a newer token.
   void StartHolder(workload::Catalog catalog) {
+    StartHolder(std::move(catalog), platform.MakePorts());
+  }
+  void StartHolder(workload::Catalog catalog, Ports ports) {
     if (holder) {
       holder->Stop();
     }
     holder = std::make_shared<Holder>(
-        loop, scheduler::Settings{}, platform.MakePorts(), core::Epoch{++token},
+        loop, scheduler::Settings{}, std::move(ports), core::Epoch{++token},
         node_metrics, UnlimitedAuthority(), [] {});
     holder->Start(std::move(catalog));
     holder->OnHosts(platform.Listings(), core::MonotonicTime{});
@@ -260,5 +266,131 @@
   EXPECT_EQ(harness.platform.starts(), 0U);
 }
 
+/// A wave that is complete at once, as its only machine does not exist.
+scheduler::WaveRequest WaveWithoutMachines() {
+  scheduler::WaveRequest wave;
+  wave.id.value = 7;
+  wave.machines = {{"missing"}};
+  wave.deadline = core::Millis(60'000);
+  return wave;
+}
+
+// Guards against a wave that its operator sees as "running" again after it has
+// succeeded: a holder that was stopped and replaced learns of the wave late.
+TEST(HolderTest, ReplacedHolderDoesNotPublishTheStateOfAWave) {
+  Harness harness;
+  bool is_replaced = false;
+  std::size_t published = 0;
+  Ports ports = harness.platform.MakePorts();
+  const auto append = ports.store.append;
+  ports.store.append = [&](core::Epoch epoch, std::uint64_t sequence,
+                           const std::vector<StoreRecord>& records,
+                           const std::function<void(AppendOutcome)>& done) {
+    if (is_replaced) {
+      asio::post(harness.loop, [done] { done(AppendOutcome::kFenced); });
+    } else {
+      append(epoch, sequence, records, done);
+    }
+  };
+  ports.store.publish_wave = [&](scheduler::WaveId, bool, auto done) {
+    ++published;
+    asio::post(harness.loop, [done] { done(true); });
+  };
+  harness.StartHolder(CatalogWithQueue(), std::move(ports));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  is_replaced = true;
+  harness.holder->OnWave(WaveWithoutMachines());
+  harness.RunFor(core::Millis(1000));
+  EXPECT_EQ(published, 0U);
+}
+
+// Guards against a wave that stays "running" for its operator: the holder
+// stored that it is complete and ended before it published that.
+TEST(HolderTest, NextHolderPublishesACompletionThatWasNotPublished) {
+  Harness harness;
+  bool is_publishing = false;
+  bool is_complete = false;
+  bool is_complete_published = false;
+  const auto make_ports = [&] {
+    Ports ports = harness.platform.MakePorts();
+    ports.store.publish_wave = [&](scheduler::WaveId, bool complete,
+                                   auto done) {
+      is_complete |= complete;
+      is_complete_published |= complete && is_publishing;
+      asio::post(harness.loop, [done, is_publishing] { done(is_publishing); });
+    };
+    return ports;
+  };
+  harness.StartHolder(CatalogWithQueue(), make_ports());
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.holder->OnWave(WaveWithoutMachines());
+  ASSERT_TRUE(harness.RunUntil([&] { return is_complete; }));
+  harness.RunFor(core::Millis(200));
+  ASSERT_TRUE(harness.platform.records().contains("w/7"));
+  is_publishing = true;
+  harness.StartHolder(CatalogWithQueue(), make_ports());
+  harness.holder->OnWave(WaveWithoutMachines());
+  harness.RunFor(core::Millis(2000));
+  EXPECT_TRUE(is_complete_published);
+}
+
+// Guards against a wave that is published as succeeded before the upkeep of one
+// of its machines: the pages of one list were read while the machine moved, so
+// that it was on none of them.
+TEST(HolderTest, MachineThatOneListLacksKeepsItsWaveOpen) {
+  Harness harness;
+  std::vector<scheduler::MachineListing> machines = harness.platform.Machines();
+  const scheduler::MachineId moving = machines.front().id;
+  machines.front().state = scheduler::MachineState::kMoving;
+  std::size_t lists = 0;
+  bool is_complete = false;
+  Ports ports = harness.platform.MakePorts();
+  ports.cloud.list = [&](auto done) {
+    std::vector<scheduler::MachineListing> list = machines;
+    if (++lists == 2) {
+      list.erase(list.begin());
+    }
+    asio::post(harness.loop, [done, list] { done(list); });
+  };
+  ports.store.publish_wave = [&](scheduler::WaveId, bool complete, auto done) {
+    is_complete |= complete;
+    asio::post(harness.loop, [done] { done(true); });
+  };
+  harness.StartHolder(CatalogWithQueue(), std::move(ports));
+  scheduler::WaveRequest wave = WaveWithoutMachines();
+  wave.machines = {moving};
+  harness.holder->OnWave(wave);
+  ASSERT_TRUE(harness.RunUntil([&] { return lists >= 4; }));
+  EXPECT_FALSE(is_complete);
+}
+
+// Guards against more machines of a wave that are down than its cap: the order
+// of a holder that ended has no answer yet and may be carried out after the
+// takeover.
+TEST(HolderTest, UpkeepOrderOfThePreviousHolderCountsTowardsTheCap) {
+  Harness harness;
+  std::vector<scheduler::MachineId> ordered;
+  const auto make_ports = [&] {
+    Ports ports = harness.platform.MakePorts();
+    ports.cloud.upkeep = [&](const scheduler::UpkeepMachine& order, core::Epoch,
+                             auto) { ordered.push_back(order.machine); };
+    return ports;
+  };
+  const std::vector<scheduler::MachineListing> machines =
+      harness.platform.Machines();
+  scheduler::WaveRequest wave = WaveWithoutMachines();
+  wave.machines = {machines[0].id, machines[1].id};
+  wave.max_down = 1;
+  harness.StartHolder(CatalogWithQueue(), make_ports());
+  harness.holder->OnWave(wave);
+  ASSERT_TRUE(harness.RunUntil([&] { return !ordered.empty(); }));
+  ASSERT_EQ(ordered.size(), 1U);
+  harness.StartHolder(CatalogWithQueue(), make_ports());
+  harness.holder->OnWave(wave);
+  harness.RunFor(core::Millis(2500));
+  EXPECT_EQ(std::count(ordered.begin(), ordered.end(), ordered.front()),
+            static_cast<std::ptrdiff_t>(ordered.size()));
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -288,8 +288,8 @@
 }
 
 // Guards against an ownership that the store takes from a holder that counts it
-// as confirmed: a node that was stopped carries out the withdrawal of an earlier
-// candidacy.
+// as confirmed: a node that was stopped carries out the withdrawal of an
+// earlier candidacy.
 TEST(StoreTest, WithdrawalOfAnEarlierCandidacyDoesNotEndTheOwnership) {
   StoreFixture fixture;
   StoppedNode stopped(fixture.loop);
