--- a/test/coordinator/election_test.cpp
+++ b/test/coordinator/election_test.cpp
@@ -4,6 +4,7 @@
 #include <list>
 #include <set>
 #include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -24,7 +25,13 @@
     };
     port.find_holder = [this](auto done) {
       ++looks;
-      done(ownership);
+      const std::optional<Ownership> read = ownership;
+      if (stop_in_lookup.count() > 0) {
+        std::this_thread::sleep_for(stop_in_lookup);
+        stop_in_lookup = core::Millis(0);
+        ownership = Ownership{core::Address{"10.0.0.2", 1}};
+      }
+      done(read);
     };
     port.evict_previous_process = [this](auto done) {
       ++evictions;
@@ -55,6 +62,9 @@
   int looks = 0;
   int losses = 0;
   int evictions = 0;
+  /// Time for which the process is stopped between the answer to the next
+  /// lookup and its handling. Another node is the holder then.
+  core::Millis stop_in_lookup{0};
   std::shared_ptr<Election> election;
 };
 
@@ -202,6 +212,32 @@
   EXPECT_EQ(harness.leaves, 1);
 }
 
+// Guards against a node that takes the ownership from a holder: it was stopped
+// before it handled the answer that there was none.
+TEST(ElectionTest, LateAnswerToALookupCausesNoCandidacy) {
+  Harness harness;
+  harness.stop_in_lookup = kOwnershipTtl + core::Millis(500);
+  harness.election->Start();
+  harness.RunFor(std::chrono::milliseconds(600));
+  EXPECT_EQ(harness.joins, 0);
+}
+
+// The same for a holder that asks before it joins again.
+TEST(ElectionTest, LateAnswerToALookupCausesNoJoinOfAFormerHolder) {
+  Harness harness;
+  harness.answer = MembershipAnswer{{1}, true};
+  harness.election->Start();
+  harness.RunFor(std::chrono::milliseconds(100));
+  ASSERT_EQ(harness.tokens.size(), 1U);
+  harness.answer.reset();  // The store does not answer.
+  harness.RunFor(kOwnershipTtl + core::Millis(500));
+  ASSERT_FALSE(harness.election->is_confirmed());
+  const int joins = harness.joins;
+  harness.stop_in_lookup = kOwnershipTtl + core::Millis(500);
+  harness.RunFor(kOwnershipTtl + core::Millis(1500));
+  EXPECT_EQ(harness.joins, joins);
+}
+
 /// Several nodes in one group, which assigns the ownership to the candidate
 /// that joined last.
 struct Group {
