Test a forwarded answer that is read after its timeout (fails)

StoreTest.ForwardedAnswerThatIsReadAfterItsTimeoutIsNotUsed: after a stop, the peer client handles the socket before its timer, so that an answer counts whatever its age.

--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -1,9 +1,13 @@
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 #include "camphormux/cbor/cbor.hpp"
@@ -319,5 +323,49 @@
   EXPECT_TRUE(ownership->is_self);
 }
 
+// Guards against a node that takes the ownership from a holder: it was stopped
+// for longer than a membership lives while the forwarded answer that there is
+// no holder waited in its socket.
+TEST(StoreTest, ForwardedAnswerThatIsReadAfterItsTimeoutIsNotUsed) {
+  constexpr std::chrono::milliseconds kAnswerDelay{150};
+  constexpr std::chrono::milliseconds kTimeToSend{80};
+  constexpr std::chrono::milliseconds kStop{2000};
+  const std::string no_holder = cbor::Serialize(
+      nlohmann::json::array({200, cbor::Bytes(R"({"owners":[]})")}));
+  asio::io_context other_loop;
+  asio::steady_timer delay(other_loop);
+  peer::Server server(
+      other_loop, {"127.0.0.1", 0},
+      [&](const peer::Request& /*request*/, const peer::Respond& respond) {
+        delay.expires_after(kAnswerDelay);
+        delay.async_wait([&no_holder, respond](const asio::error_code&) {
+          respond({peer::kStatusOk, no_holder});
+        });
+      });
+  // The other node runs while this one is stopped.
+  std::thread other_node([&] { other_loop.run_for(kStop * 2); });
+  std::optional<std::optional<coordinator::Ownership>> found;
+  {
+    asio::io_context loop;
+    http::Client client(loop);
+    coordinator::PeerForwarder peer_forwarder(loop, {"127.0.0.1", 1});
+    peer_forwarder.SetMembers({{"127.0.0.1", server.port()}});
+    StoreClient store(client, peer_forwarder, {"127.0.0.1", FreePort(loop)});
+    coordinator::ElectionPort election =
+        MakeElectionPort(store, coordinator::NodeSettings{});
+    election.find_holder(
+        [&](const std::optional<coordinator::Ownership>& answer) {
+          found = answer;
+        });
+    loop.run_for(kTimeToSend);
+    std::this_thread::sleep_for(kStop);
+    loop.restart();
+    loop.run_for(kTimeToSend);
+  }
+  other_node.join();
+  ASSERT_TRUE(found.has_value());
+  EXPECT_FALSE(found->has_value());
+}
+
 }  // namespace
 }  // namespace camphormux::platform
