--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -23,7 +23,6 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 STORE_ANSWER_S = 0.004
 HEARTBEAT_S = 1.5
-STOP_S = 0.1
 MAX_HOLD_MS = 10_000
 START_UP_S = 0.3
 PARTITIONS = 24
@@ -307,7 +306,13 @@
 
 
 class Runner:
-    """One runner; `plan(task, attempt, spec)` tells how a run goes: (seconds until its end or None, how it ends)."""
+    """One runner; `plan(task, attempt, spec)` tells how a run goes: (seconds until its end or None, how it ends).
+
+    A runner that guards its capacity rejects what does not fit; another starts it, and the record says so ("over").
+    """
+
+    guards = True
+    stop_s = 0.1
 
     def __init__(self, world, name, pool, cpu, memory, labels, zone="rabat-a"):
         self.world = world
@@ -446,7 +451,8 @@
         else:
             spec = json.loads(ask["spec"])
             size = {"cpu": spec.get("cpu", 0), "memMb": spec.get("memMb", 0)}
-            if any(self.used(key) + size[key] > self.capacity[key] for key in size):
+            is_over = any(self.used(key) + size[key] > self.capacity[key] for key in size)
+            if is_over and self.guards:
                 refusal = "room"
         if refusal in ("old", "room"):
             self.extend(ask)
@@ -460,6 +466,10 @@
                            "stop_at": None, "size": size, "lasting": bool(spec.get("lasting"))}
         self.record.add("start", runner=self.id, born=self.born, task=name, attempt=attempt, token=ask.get("fencingToken"),
                         labels=",".join(self.labels))
+        if is_over:
+            stopping = sum(1 for run in self.runs.values() if run["stop_at"])
+            self.record.add("over", runner=self.id, task=name, token=ask.get("fencingToken"), cpu=self.used("cpu"),
+                            capacity=self.capacity["cpu"], stopping=stopping)
         return 200, {"clockMs": self.clock()}
 
     def on_stop(self, ask):
@@ -467,7 +477,7 @@
         self.highest[name] = max(self.highest.get(name, 0), attempt)
         run = self.runs.get(name)
         if run and run["attempt"] <= attempt and not run["stop_at"]:
-            run["stop_at"] = time.monotonic() + STOP_S
+            run["stop_at"] = time.monotonic() + self.stop_s
         self.record.add("stop", runner=self.id, task=name, attempt=attempt)
         return 200, {"clockMs": self.clock()}
 
@@ -731,8 +741,8 @@
             "targetLatencyMs": 600, "priority": 0, "service": service, "maxAttempts": attempts, "stretch": 1.6}
 
 
-def service(name, standby=False):
-    return {"name": name, "enforcesCapacity": True, "standby": standby}
+def service(name, standby=False, guards=True):
+    return {"name": name, "enforcesCapacity": guards, "standby": standby}
 
 
 def config(version, routes, services):
