--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -72,6 +72,23 @@
     raise OSError("no free port")
 
 
+class Signal:
+    """Wakes all that wait for it."""
+
+    def __init__(self):
+        self.event = asyncio.Event()
+
+    def notify(self):
+        self.event.set()
+        self.event = asyncio.Event()
+
+    async def wait(self, seconds):
+        try:
+            await asyncio.wait_for(self.event.wait(), seconds)
+        except asyncio.TimeoutError:
+            pass
+
+
 class HttpServer:
     """HTTP/1.1 server; `handle(method, path, headers, body)` returns (status, body) or None for no answer."""
 
@@ -204,7 +221,7 @@
         self.newest = {}
         self.producers = {}
         self.groups = {}
-        self.grown = asyncio.Condition()
+        self.grown = Signal()
         self.http = HttpServer(self.handle)
 
     def log(self, topic, part=0):
@@ -227,8 +244,7 @@
                     keys[key] = (value, len(log) - 1)
                 else:
                     keys.pop(key, None)
-        async with self.grown:
-            self.grown.notify_all()
+        self.grown.notify()
         return first, len(log)
 
     def status(self, key):
@@ -296,11 +312,7 @@
         start = int(query["from"])
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while len(log) <= start and time.monotonic() < until:
-            try:
-                async with self.grown:
-                    await asyncio.wait_for(self.grown.wait(), max(0.001, until - time.monotonic()))
-            except asyncio.TimeoutError:
-                pass
+            await self.grown.wait(max(0.001, until - time.monotonic()))
         data = struct.pack(">QQ", len(log), 0)
         for content in log[start:start + 2000]:
             data += struct.pack(">I", len(content)) + content
@@ -345,7 +357,7 @@
         self.ends = []
         self.number = 0
         self.sequence = 0
-        self.ended = asyncio.Condition()
+        self.ended = Signal()
         await self.http.start("127.0.0.1", port)
         self.up = True
         self.record.add("runner-up", runner=self.id, born=self.born, labels=",".join(self.labels), pool=self.pool)
@@ -395,12 +407,6 @@
                     self.end(name, "stopped")
                 elif run["ends_at"] and now >= run["ends_at"]:
                     self.end(name, run["how"])
-            if self.fresh_end:
-                self.fresh_end = False
-                async with self.ended:
-                    self.ended.notify_all()
-
-    fresh_end = False
 
     def end(self, name, how):
         run = self.runs.pop(name, None)
@@ -409,7 +415,7 @@
         self.number += 1
         self.ends.append([self.number, name, run["attempt"], how, ""])
         self.highest[name] = max(self.highest.get(name, 0), run["attempt"])
-        self.fresh_end = True
+        self.ended.notify()
         self.record.add("ended", runner=self.id, task=name, attempt=run["attempt"], how=how)
 
     def percent(self, run):
@@ -499,11 +505,7 @@
                     self.record.add("noted", runner=self.id, task=row[1], attempt=row[2], how=row[3])
             self.ends = [row for row in self.ends if row[0] > cursor]
         if ask.get("waitMs") and not self.ends:
-            try:
-                async with self.ended:
-                    await asyncio.wait_for(self.ended.wait(), ask["waitMs"] / 1000)
-            except asyncio.TimeoutError:
-                pass
+            await self.ended.wait(ask["waitMs"] / 1000)
         running = [[name, run["attempt"], "", self.percent(run), 0] for name, run in self.runs.items()]
         return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "finished": self.ends[:MAX_ENDS]}
 
