Logs and metrics that tell for which incarnation a call to a host was meant

New: 'renewal not answered by its host' (incarnation that it was meant for, the one that answered, token, deadline, acknowledged ends), 'first report of a host', 'host has forgotten ends that were not read' with camphormux_missing_ends_total, 'host reports the end of a run that was presumed ended'; deadline_ms of 'run ordered', incarnation and token of 'run stopped', incarnation of 'run paced'. No change of logic.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -496,6 +496,7 @@
   const core::MonotonicTime now = core::MonotonicNow();
   scheduler::Plan(state_, now, core::WallNow());
   LogRunEvents(state_, token_, node_metrics_, now);
+  LogReportEvents(state_, token_, node_metrics_, now);
   Dispatch();
   links_->RenewAllDue(now);
   store_writer_->ScheduleAppend();
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -106,12 +106,15 @@
   link.sent = now;
   link.sent_acknowledged = link.acknowledged;
   node_metrics_.renewals->Increment();
-  port_.renew(call, [weak = weak_from_this(), id = host.listing.id,
-                     incarnation = host.listing.incarnation, now,
+  port_.renew(call, [weak = weak_from_this(), call, now,
                      lease](const RenewAnswer& answer) {
     const auto self = weak.lock();
     if (self && !self->closed_) {
-      self->OnRenewed(id, incarnation, now, lease, answer);
+      if (answer.outcome != CallOutcome::kDone) {
+        self->LogUnanswered(call, answer, now);
+      }
+      self->OnRenewed(call.target.host, call.target.incarnation, now, lease,
+                      answer);
     }
   });
 }
@@ -162,6 +165,26 @@
   }
 }
 
+void HostLinks::LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
+                              core::MonotonicTime asked) const {
+  // A call that grants and acknowledges nothing has no effect.
+  if (!call.lease_end_ms && call.acknowledged.value == 0) {
+    return;
+  }
+  telemetry::Log(
+      telemetry::Level::kInfo, "renewal not answered by its host",
+      {{"host", call.target.host.value},
+       {"incarnation", std::to_string(call.target.incarnation.value)},
+       {"reported", std::to_string(answer.incarnation.value)},
+       {"token", std::to_string(call.target.token.value)},
+       {"acknowledged", std::to_string(call.acknowledged.value)},
+       {"deadline_ms",
+        call.lease_end_ms ? std::to_string(*call.lease_end_ms) : ""},
+       {"outcome", std::string(Describe(answer.outcome))},
+       {"milliseconds",
+        std::to_string((core::MonotonicNow() - asked).count())}});
+}
+
 void HostLinks::OnAddressTaken(scheduler::Host& host, core::MonotonicTime now) {
   if (!host.address_taken) {
     telemetry::Log(telemetry::Level::kWarning,
@@ -326,6 +349,7 @@
       run->second.phase == scheduler::RunPhase::kUnanswered;
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
                      incarnation = call.target.incarnation,
+                     deadline_ms = call.lease_end_ms,
                      done = std::move(done)](const StartAnswer& answer) {
     const auto self = weak.lock();
     if (!self || self->closed_) {
@@ -347,6 +371,7 @@
                     {"host_clock_ms",
                      answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
                     {"token", std::to_string(self->token_.value)},
+                    {"deadline_ms", std::to_string(deadline_ms)},
                     {"repeated", is_repeated ? "yes" : "no"},
                     {"outcome", std::string(Describe(answer.outcome))}});
     if (answer.outcome == scheduler::StartOutcome::kFenced) {
@@ -394,6 +419,8 @@
               {{"task", DescribeTask(order.name)},
                {"attempt", std::to_string(order.name.attempt)},
                {"host", order.host.value},
+               {"incarnation", std::to_string(incarnation.value)},
+               {"token", std::to_string(self->token_.value)},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
           if (outcome == CallOutcome::kFenced) {
             self->listener_.on_fenced(order.host);
@@ -418,6 +445,7 @@
     port_.pace(
         TargetOf(host->second), order.name, order.percent,
         [weak = weak_from_this(), order,
+         incarnation = host->second.listing.incarnation,
          done = std::move(done)](CallOutcome outcome) {
           const auto self = weak.lock();
           if (!self || self->closed_) {
@@ -429,6 +457,7 @@
               {{"task", DescribeTask(order.name)},
                {"percent", std::to_string(order.percent)},
                {"host", order.host.value},
+               {"incarnation", std::to_string(incarnation.value)},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
           if (outcome == CallOutcome::kFenced) {
             self->listener_.on_fenced(order.host);
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -88,6 +88,10 @@
                                                        const Link& link,
                                                        core::Millis longest,
                                                        core::MonotonicTime now);
+  /// Logs what a renewal carried that may have reached another incarnation, or
+  /// may still do so.
+  void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
+                     core::MonotonicTime asked) const;
   void RenewIfDue(scheduler::Host& host, core::MonotonicTime now);
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
   /// @param lease Lease that the renewal granted; 0 if it granted none.
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -58,6 +58,9 @@
   node_metrics.unexpected_runs =
       &AddCounter(registry, "camphormux_unexpected_runs_total",
                   "Runs that a host listed although they were not expected.");
+  node_metrics.missing_ends =
+      &AddCounter(registry, "camphormux_missing_ends_total",
+                  "Ends of runs that a host forgot before they were read.");
   node_metrics.store_rejections =
       &AddCounter(registry, "camphormux_store_rejections_total",
                   "Changes whose records the store does not accept.");
--- a/src/camphormux/coordinator/run_log.cpp
+++ b/src/camphormux/coordinator/run_log.cpp
@@ -47,6 +47,25 @@
   return "unknown";
 }
 
+std::string_view Describe(scheduler::EndKind kind) {
+  using scheduler::EndKind;
+  switch (kind) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLeaseExpired:
+      return "lease expired";
+    case EndKind::kBroken:
+      return "broken";
+    case EndKind::kAlone:
+      return "alone";
+  }
+  return "unknown";
+}
+
 /// A host decides about a refusal, and a start that was not sent has no effect:
 /// only the other kinds of evidence rest on what this process believes.
 telemetry::LogRateClass RateClassOf(scheduler::EndEvidence evidence) {
@@ -106,6 +125,46 @@
   }
 }
 
+void LogReportEvents(scheduler::State& state, core::Epoch token,
+                     NodeMetrics& node_metrics, core::MonotonicTime now) {
+  for (const scheduler::FirstReport& report :
+       std::exchange(state.first_reports, {})) {
+    telemetry::Log(
+        telemetry::Level::kInfo, "first report of a host",
+        {{"host", report.host.value},
+         {"incarnation", std::to_string(report.incarnation.value)},
+         {"token", std::to_string(token.value)},
+         {"running", std::to_string(report.running)},
+         {"ended", std::to_string(report.ended)},
+         {"first_end", std::to_string(report.first_end.value)},
+         {"lease_left_ms", std::to_string((report.lease_end - now).count())}});
+  }
+  for (const scheduler::MissingEnds& ends :
+       std::exchange(state.missing_ends, {})) {
+    node_metrics.missing_ends->Increment(
+        static_cast<double>(ends.last.value - ends.first.value + 1));
+    telemetry::Log(telemetry::Level::kWarning,
+                   "host has forgotten ends that were not read",
+                   {{"host", ends.host.value},
+                    {"incarnation", std::to_string(ends.incarnation.value)},
+                    {"token", std::to_string(token.value)},
+                    {"first", std::to_string(ends.first.value)},
+                    {"last", std::to_string(ends.last.value)}});
+  }
+  for (const scheduler::UnexpectedEnd& end :
+       std::exchange(state.unexpected_ends, {})) {
+    telemetry::Log(telemetry::Level::kInfo,
+                   "host reports the end of a run that was presumed ended",
+                   {{"task", DescribeTask(end.name)},
+                    {"attempt", std::to_string(end.name.attempt)},
+                    {"host", end.host.value},
+                    {"incarnation", std::to_string(end.incarnation.value)},
+                    {"token", std::to_string(token.value)},
+                    {"end", std::string(internal::Describe(end.kind))},
+                    {"other_host", end.other_host.value}});
+  }
+}
+
 void LogListingChanges(const scheduler::ListingChanges& changes,
                        core::Epoch token) {
   for (const scheduler::ReplacedHost& host : changes.replaced) {
--- a/src/camphormux/coordinator/run_log.hpp
+++ b/src/camphormux/coordinator/run_log.hpp
@@ -21,6 +21,16 @@
 void LogRunEvents(scheduler::State& state, core::Epoch token,
                   NodeMetrics& node_metrics, core::MonotonicTime now);
 
+/// @brief Logs the first reports of hosts, and what reports show to have gone
+/// unnoticed: ends that a host has forgotten, and ends of runs that were
+/// presumed ended.
+/// @param state The state; its lists of such events are emptied.
+/// @param token Fencing token of this holder.
+/// @param node_metrics Receives the counts.
+/// @param now Monotonic time.
+void LogReportEvents(scheduler::State& state, core::Epoch token,
+                     NodeMetrics& node_metrics, core::MonotonicTime now);
+
 /// @brief Logs what a list of hosts has changed.
 void LogListingChanges(const scheduler::ListingChanges& changes,
                        core::Epoch token);
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -191,6 +191,7 @@
   host.gone_at = now + state.settings.listing_grace;
   host.missed_machine_lists = 0;
   host.synced = false;
+  host.restarted = true;
   host.ended = {};
   host.unresponsive_since.reset();
   host.failed_jobs.clear();
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -93,6 +93,28 @@
   }
 }
 
+void RecordMissingEnds(State& state, const Host& host, EndNumber reported) {
+  const EndNumber expected = core::Next(host.ended);
+  // The ends before the first report were acknowledged by a previous holder,
+  // unless the host has restarted since.
+  if ((host.synced || host.restarted) && reported > expected) {
+    state.missing_ends.push_back({host.listing.id, host.listing.incarnation,
+                                  expected, EndNumber{reported.value - 1}});
+  }
+}
+
+void RecordUnexpectedEnd(State& state, const Host& host, const Task& task,
+                         const ReportedEnd& end) {
+  UnexpectedEnd& unexpected = state.unexpected_ends.emplace_back();
+  unexpected.name = end.name;
+  unexpected.host = host.listing.id;
+  unexpected.incarnation = host.listing.incarnation;
+  unexpected.kind = end.kind;
+  if (!task.runs.empty()) {
+    unexpected.other_host = state.runs.at(task.runs.front()).host;
+  }
+}
+
 void ProcessEnd(State& state, Host& host, const ReportedEnd& end,
                 core::MonotonicTime now, core::WallTime wall) {
   const auto found = state.jobs.find(end.name.job);
@@ -108,6 +130,8 @@
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
     RemoveRun(state, run->id, std::nullopt);
+  } else if (host.synced || host.restarted) {
+    RecordUnexpectedEnd(state, host, task, end);
   }
   task.progress.next_attempt =
       std::max(task.progress.next_attempt, end.name.attempt + 1);
@@ -507,9 +531,17 @@
   host.last_report = now;
   host.unresponsive_since.reset();
   host.address_taken = false;
+  if (!host.synced) {
+    state.first_reports.push_back(
+        {report.host, report.incarnation, report.running.size(),
+         report.ended.size(),
+         report.ended.empty() ? EndNumber{} : report.ended.front().number,
+         host.lease_end});
+  }
   for (const ReportedEnd& end : report.ended) {
     internal::MarkRefused(host, end.name);
     if (end.number > host.ended) {
+      internal::RecordMissingEnds(state, host, end.number);
       host.ended = end.number;
       internal::ProcessEnd(state, host, end, now, wall);
     }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -138,6 +138,35 @@
   core::HostId other_host;
 };
 
+/// @brief Ends that are missing between those that a host has reported: it has
+/// forgotten them, as they were acknowledged to it.
+struct MissingEnds {
+  core::HostId host;
+  core::Incarnation incarnation;
+  EndNumber first;
+  EndNumber last;
+};
+
+/// @brief The reported end of a run that this lease holder no longer knew.
+struct UnexpectedEnd {
+  RunName name;
+  core::HostId host;
+  core::Incarnation incarnation;
+  EndKind kind = EndKind::kDone;
+  /// Host of another run of the task; empty if there is none.
+  core::HostId other_host;
+};
+
+/// @brief The first report of an incarnation of a host to this lease holder.
+struct FirstReport {
+  core::HostId host;
+  core::Incarnation incarnation;
+  std::size_t running = 0;
+  std::size_t ended = 0;
+  EndNumber first_end;  ///< 0 if no end is listed.
+  core::MonotonicTime lease_end;
+};
+
 /// @brief A task of a job and its present runs.
 struct Task {
   workload::TaskProgress progress;
@@ -193,6 +222,8 @@
   std::uint32_t missed_machine_lists = 0;
   /// The host has reported all its runs to this lease holder.
   bool synced = false;
+  /// This lease holder has seen an earlier incarnation of the host.
+  bool restarted = false;
   /// The host takes no new runs, as it is about to leave.
   bool reserved = false;
   placement::Resources committed;
@@ -323,6 +354,9 @@
   /// Emptied by the owner of the state, which logs them.
   std::vector<PresumedEnd> presumed_ends;
   std::vector<UnexpectedRun> unexpected_runs;
+  std::vector<MissingEnds> missing_ends;
+  std::vector<UnexpectedEnd> unexpected_ends;
+  std::vector<FirstReport> first_reports;
   /// Orders to send; the owner of the state empties the list.
   std::vector<Order> orders;
   core::MonotonicTime took_over;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -525,6 +525,28 @@
   EXPECT_EQ(fleet.state.unexpected_runs[0].other_host, first.host);
 }
 
+// Guards against ends that a host forgets unnoticed: it takes acknowledgements
+// that were meant for its previous incarnation.
+TEST(RunsTest, EndsThatWereNotReadAreRecorded) {
+  Fleet fleet = SmallFleet(1);
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 1U);
+  HostReport report;
+  report.host = fleet.running[0].host;
+  report.incarnation = {2};
+  ReplaceIncarnation(fleet.state, fleet.state.hosts.at(report.host), {2},
+                     fleet.now);
+  report.asked = fleet.now;
+  report.ended = {{{4}, fleet.running[0].name, EndKind::kStopped, ""}};
+  OnReport(fleet.state, report, fleet.now, fleet.wall);
+  ASSERT_EQ(fleet.state.missing_ends.size(), 1U);
+  EXPECT_EQ(fleet.state.missing_ends[0].first, EndNumber{1});
+  EXPECT_EQ(fleet.state.missing_ends[0].last, EndNumber{3});
+  ASSERT_EQ(fleet.state.unexpected_ends.size(), 1U);
+  EXPECT_EQ(fleet.state.unexpected_ends[0].incarnation.value, 2U);
+}
+
 // Guards against a start that takes effect after a stop was confirmed by an
 // incarnation of the host that has ended.
 TEST(RunsTest, StopConfirmedByAnEarlierIncarnationDoesNotEndTheRun) {
