Tests: a task runs twice after a restart of its host under the same id

- RunOnACutOffHostLapsesBeforeItStartsElsewhere: two runs at once (hypothesis 1, leases).
- EndIsReadBeforeAnEarlierAcknowledgementReachesIt: started again after an end as done that was acknowledged (hypothesis 2).
- EndOfAStartForAnEarlierIncarnationIsRead: the same, with a start for the previous incarnation and before the holder has heard of the restart (hypotheses 2 and 3 together).

--- /dev/null
+++ b/test/coordinator/restarted_host_test.cpp
@@ -0,0 +1,197 @@
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include "camphormux/coordinator/holder.hpp"
+#include "test/coordinator/fake_platform.hpp"
+#include "test/coordinator/restartable_hosts.hpp"
+
+namespace camphormux::coordinator {
+namespace {
+
+constexpr core::Millis kShortRun{60};
+constexpr core::Millis kLongRun{60'000};
+
+workload::Catalog CatalogWithQueue() {
+  workload::Queue queue;
+  queue.name.value = "q";
+  queue.pool.value = "pool";
+  queue.stretch = 10.0;
+  queue.latency_target = core::Millis(60'000);
+  workload::Catalog catalog;
+  catalog.queues = {queue};
+  catalog.pools[{"pool"}];
+  return catalog;
+}
+
+workload::JobSpec SingleTask(const std::string& id) {
+  workload::JobSpec spec;
+  spec.id.value = id;
+  spec.queue.value = "q";
+  spec.steps.resize(1);
+  spec.steps[0].size = {{1000}, {1000}, {0}};
+  spec.steps[0].estimate = kLongRun;
+  return spec;
+}
+
+/// A holder with one host, whose calls the test can hold up.
+struct Harness {
+  explicit Harness(core::Millis run_time)
+      : platform(loop, 0, run_time),
+        hosts(loop, run_time),
+        node_metrics(RegisterNodeMetrics(registry)) {
+    hosts.Add(id);
+    StartHolder();
+  }
+
+  /// Replaces the holder by one with a newer token.
+  void StartHolder() {
+    if (holder) {
+      holder->Stop();
+    }
+    Ports ports = platform.MakePorts();
+    ports.host = hosts.MakePort();
+    holder = std::make_shared<Holder>(
+        loop, scheduler::Settings{}, std::move(ports), core::Epoch{++epoch},
+        node_metrics, UnlimitedAuthority(), [this] { ++superseded; });
+    holder->Start(CatalogWithQueue());
+    List();
+  }
+
+  void List() { holder->OnHosts(hosts.Listings(), core::MonotonicTime{}); }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(40);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    return condition();
+  }
+
+  void RunFor(core::Millis span) {
+    const auto end = std::chrono::steady_clock::now() + span;
+    RunUntil([&] { return std::chrono::steady_clock::now() >= end; });
+  }
+
+  void Submit(const workload::JobSpec& spec) {
+    ASSERT_TRUE(RunUntil([&] { return holder->is_ready(); }));
+    bool accepted = false;
+    holder->Submit(spec, [&](const SubmitAnswer& answer) {
+      accepted = answer.outcome == SubmitOutcome::kAccepted;
+    });
+    ASSERT_TRUE(RunUntil([&] { return accepted; }));
+  }
+
+  [[nodiscard]] bool IsDone(const workload::JobSpec& spec) const {
+    return holder->StateOf(spec.id).state == workload::JobState::kSucceeded;
+  }
+
+  bool RunUntilStarted(const workload::JobSpec& spec, std::size_t times) {
+    return RunUntil(
+        [&] { return hosts.ExecutionsOf(spec.id).size() >= times; });
+  }
+
+  asio::io_context loop;
+  FakePlatform platform;
+  RestartableHosts hosts;
+  prometheus::Registry registry;
+  NodeMetrics node_metrics;
+  core::HostId id{"i-1"};
+  std::uint64_t epoch = 0;
+  int superseded = 0;
+  std::shared_ptr<Holder> holder;
+};
+
+// Guards against two runs at once: a renewal that was meant for the previous
+// incarnation gives the next one a lease after the holder learned of it.
+TEST(RestartedHostTest, RunOnACutOffHostLapsesBeforeItStartsElsewhere) {
+  Harness harness(kLongRun);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.hosts.HoldCalls(
+      [](const RenewCall& call) { return call.lease_end_ms.has_value(); },
+      false);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_renewals() > 0; }));
+  harness.hosts.Restart(harness.id);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.List();
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  harness.RunFor(core::Millis(400));
+  harness.hosts.DeliverHeldRenewals();
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.Add({"i-2"});
+  harness.List();
+  ASSERT_TRUE(harness.RunUntilStarted(job, 3));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
+/// Lets a run end and holds up the renewal that acknowledges its end.
+void HoldUpAcknowledgement(Harness& harness) {
+  harness.hosts.HoldCalls(
+      [&harness](const RenewCall& call) {
+        return call.acknowledged.value > 0 &&
+               harness.hosts.held_renewals() == 0;
+      },
+      false);
+  const auto first = SingleTask("00000000000000aa");
+  harness.Submit(first);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_renewals() > 0; }));
+}
+
+// Guards against a task that is started again: a renewal that was meant for the
+// previous incarnation acknowledges an end that the holder has not read.
+TEST(RestartedHostTest, EndIsReadBeforeAnEarlierAcknowledgementReachesIt) {
+  Harness harness(kShortRun);
+  HoldUpAcknowledgement(harness);
+  harness.hosts.Restart(harness.id);
+  harness.List();
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.RunFor(kShortRun * 2);
+  harness.hosts.DeliverHeldRenewals();
+  harness.hosts.SetCutOff(harness.id, false);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsDone(job); }));
+  EXPECT_FALSE(harness.hosts.HasStartAfterAcknowledgedEnd());
+  EXPECT_EQ(harness.hosts.ExecutionsOf(job.id).size(), 1U);
+}
+
+// Guards against the same before the holder has heard of the restart: both the
+// start and the acknowledgement were meant for the previous incarnation.
+TEST(RestartedHostTest, EndOfAStartForAnEarlierIncarnationIsRead) {
+  Harness harness(kShortRun);
+  HoldUpAcknowledgement(harness);
+  harness.hosts.HoldCalls(
+      [&harness](const RenewCall& call) {
+        return call.acknowledged.value > 0 &&
+               harness.hosts.held_renewals() == 0;
+      },
+      true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.hosts.DeliverHeldStarts();
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.RunFor(kShortRun * 2);
+  harness.hosts.DeliverHeldRenewals();
+  harness.hosts.SetCutOff(harness.id, false);
+  harness.List();
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsDone(job); }));
+  EXPECT_FALSE(harness.hosts.HasStartAfterAcknowledgedEnd());
+  EXPECT_EQ(harness.hosts.ExecutionsOf(job.id).size(), 1U);
+}
+
+}  // namespace
+}  // namespace camphormux::coordinator
