Call a host that has restarted with a higher fencing token

Cause: a call names the host's id, which all incarnations share. Calls that were meant for the previous incarnation and were on their way when the holder learned of the restart were taken by the next one: a renewal gave it a lease of up to 10 s from its arrival, later than ReplaceIncarnation assumed (two runs at once); an acknowledgement made it forget ends that nobody had read (started again after an end as done); a start was repeated there although it may have had another room or label.

Change: the fencing token of a host is raised when it restarts. The token is stored first, so that the next holder uses a higher one; the new incarnation is called with it only. A report to such a call is exact: what it does not list has no effect any more (evidence 'fenced'). The lease counts as the longest one from then on, or from 15 s after the restart if there was no report. A refusal of a call whose token was raised meanwhile does not end the ownership. Batches for other nodes carry one token each; their encoding is unchanged.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -78,6 +78,7 @@
       takeover_start_(core::MonotonicNow()) {
   state_.settings = settings;
   state_.took_over = takeover_start_;
+  state_.token = token_;
 }
 
 void Holder::Start(workload::Catalog catalog) {
@@ -97,6 +98,10 @@
   stored.on_ends = [this](const core::HostId& host, StoredEnd end) {
     links_->Acknowledge(host, end);
   };
+  stored.on_token = [this](core::Epoch token) { OnTokenStored(token); };
+  stored.on_token_rejected = [this] {
+    StepDown("the store does not accept the fencing token of calls to hosts");
+  };
   stored.on_stored = [this] {
     AnswerCancels();
     SchedulePlan();
@@ -128,7 +133,7 @@
   store_writer_ = std::make_shared<StoreWriter>(loop_, ports_.store, token_,
                                                 state_, std::move(stored));
   links_ = std::make_shared<HostLinks>(
-      ports_.host, token_, state_, node_metrics_, run_latency_, authority_,
+      ports_.host, state_, node_metrics_, run_latency_, authority_,
       HostLinks::Listener{[this] { SchedulePlan(); },
                           [this](const core::HostId& host) {
                             StepDown("host " + host.value +
@@ -235,6 +240,40 @@
   }
 }
 
+void Holder::LoadToken(const StoreRecord& record) {
+  const auto highest = DecodeToken(*record.value);
+  if (!highest) {
+    telemetry::Log(telemetry::Level::kError, "stored token is malformed",
+                   {{"key", record.key}});
+    return;
+  }
+  if (*highest < token_) {
+    return;
+  }
+  state_.token = *highest;
+  state_.is_token_used = true;
+  for (auto& [id, host] : state_.hosts) {
+    host.needs_token = true;
+  }
+}
+
+void Holder::RaiseTokenIfNeeded() {
+  if (!storing_token_ && scheduler::IsTokenNeeded(state_)) {
+    storing_token_ = true;
+    store_writer_->AddToken(core::Next(state_.token));
+  }
+}
+
+void Holder::OnTokenStored(core::Epoch token) {
+  storing_token_ = false;
+  telemetry::Log(telemetry::Level::kInfo, "fencing token raised",
+                 {{"token", std::to_string(token.value)},
+                  {"epoch", std::to_string(token_.value)}});
+  scheduler::RaiseToken(state_, token);
+  links_->RenewUnsynced(core::MonotonicNow());
+  SchedulePlan();
+}
+
 void Holder::LoadMachineOrder(const StoreRecord& record) {
   const auto value = cbor::Parse(*record.value);
   if (!value) {
@@ -281,7 +320,9 @@
     if (!record.value) {
       continue;
     }
-    if (record.key.starts_with(kWaveKeyPrefix)) {
+    if (record.key == kTokenKey) {
+      LoadToken(record);
+    } else if (record.key.starts_with(kWaveKeyPrefix)) {
       LoadWave(record);
     } else if (record.key.starts_with(kMachineKeyPrefix)) {
       LoadMachineOrder(record);
@@ -498,6 +539,7 @@
   LogRunEvents(state_, token_, node_metrics_, now);
   LogReportEvents(state_, token_, node_metrics_, now);
   Dispatch();
+  RaiseTokenIfNeeded();
   links_->RenewAllDue(now);
   store_writer_->ScheduleAppend();
   const core::MonotonicTime end = core::MonotonicNow();
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -101,6 +101,9 @@
   void OnLoaded(const std::vector<StoreRecord>& records);
   void LoadWave(const StoreRecord& record);
   void LoadMachineOrder(const StoreRecord& record);
+  void LoadToken(const StoreRecord& record);
+  void RaiseTokenIfNeeded();
+  void OnTokenStored(core::Epoch token);
   void LoadJobs(const std::vector<StoreRecord>& records,
                 core::MonotonicTime now, core::WallTime wall);
   void SchedulePlan();
@@ -159,6 +162,7 @@
   std::uint64_t reported_rejections_ = 0;
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
+  bool storing_token_ = false;
   bool hosts_known_ = false;
   bool loaded_ = false;
   bool stopped_ = false;
--- a/src/camphormux/coordinator/host_calls.cpp
+++ b/src/camphormux/coordinator/host_calls.cpp
@@ -280,6 +280,8 @@
       return "bad request";
     case StartOutcome::kNoAnswer:
       return "no answer";
+    case StartOutcome::kSuperseded:
+      return "superseded";
   }
   return "unknown";
 }
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -36,11 +36,10 @@
 
 }  // namespace internal
 
-HostLinks::HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
+HostLinks::HostLinks(HostPort port, scheduler::State& state,
                      NodeMetrics& node_metrics, RunLatency& run_latency,
                      Authority authority, Listener listener)
     : port_(std::move(port)),
-      token_(token),
       state_(state),
       node_metrics_(node_metrics),
       run_latency_(run_latency),
@@ -58,7 +57,7 @@
 
 HostTarget HostLinks::TargetOf(const scheduler::Host& host) const {
   return {host.listing.id, host.listing.incarnation, host.listing.address,
-          host.listing.zone, token_};
+          host.listing.zone, host.token};
 }
 
 std::optional<std::int64_t> HostLinks::GrantLease(scheduler::Host& host,
@@ -79,6 +78,12 @@
   return *link.clock_ms + elapsed + lease.count();
 }
 
+bool HostLinks::is_superseded(const HostTarget& target) const {
+  const auto host = state_.hosts.find(target.host);
+  return target.token <
+         (host == state_.hosts.end() ? state_.token : host->second.token);
+}
+
 void HostLinks::Renew(scheduler::Host& host, Link& link,
                       core::MonotonicTime now) {
   RenewCall call;
@@ -113,8 +118,7 @@
       if (answer.outcome != CallOutcome::kDone) {
         self->LogUnanswered(call, answer, now);
       }
-      self->OnRenewed(call.target.host, call.target.incarnation, now, lease,
-                      answer);
+      self->OnRenewed(call, now, lease, answer);
     }
   });
 }
@@ -123,7 +127,9 @@
   Link& link = LinkOf(host);
   // A host that is known only from a stored start has no address yet.
   const bool has_no_address = host.listing.address.port == 0;
-  if (link.renewing || now < link.retry_not_before || has_no_address) {
+  const bool is_fenced_off = host.needs_token && !host.synced;
+  if (link.renewing || now < link.retry_not_before || has_no_address ||
+      is_fenced_off) {
     return;
   }
   const bool has_unstored_ends = host.ended > link.acknowledged;
@@ -155,6 +161,14 @@
   });
 }
 
+void HostLinks::RenewUnsynced(core::MonotonicTime now) {
+  for (auto& [id, host] : state_.hosts) {
+    if (!host.synced) {
+      RenewIfDue(host, now);
+    }
+  }
+}
+
 void HostLinks::RecordClock(const core::HostId& host,
                             core::Incarnation incarnation,
                             std::int64_t clock_ms) {
@@ -196,10 +210,11 @@
   scheduler::OnAddressTaken(host, now);
 }
 
-void HostLinks::OnRenewed(const core::HostId& id, core::Incarnation incarnation,
-                          core::MonotonicTime asked, core::Millis lease,
-                          const RenewAnswer& answer) {
+void HostLinks::OnRenewed(const RenewCall& call, core::MonotonicTime asked,
+                          core::Millis lease, const RenewAnswer& answer) {
   const core::MonotonicTime now = core::MonotonicNow();
+  const core::HostId& id = call.target.host;
+  const core::Incarnation incarnation = call.target.incarnation;
   const auto found = links_.find(id);
   if (found != links_.end() && found->second.incarnation == incarnation) {
     found->second.renewing = false;
@@ -220,15 +235,19 @@
       link.renewed_until = std::max(link.renewed_until, asked + lease);
       RecordClock(id, incarnation, answer.clock_ms);
       scheduler::OnReport(state_,
-                          {id, incarnation, asked, answer.running, answer.ended,
-                           answer.is_partial},
+                          {id, incarnation, call.target.token, asked,
+                           answer.running, answer.ended, answer.is_partial},
                           now, core::WallNow());
       RenewIfDue(host->second, now);
       listener_.on_change();
       return;
     }
     case CallOutcome::kFenced:
-      listener_.on_fenced(id);
+      if (!is_superseded(call.target)) {
+        listener_.on_fenced(id);
+        return;
+      }
+      RenewIfDue(host->second, now);
       return;
     case CallOutcome::kHostRestarted:
       if (answer.incarnation.value == 0) {
@@ -324,7 +343,9 @@
         !CallStart({order.run, order.host, order.name, order.checkpoint},
                    done)) {
       done();
+      return;
     }
+    scheduler::OnStartRepeated(state_, order.run);
   });
 }
 
@@ -332,7 +353,8 @@
                           std::function<void()> done) {
   const auto host = state_.hosts.find(order.host);
   const auto job = state_.jobs.find(order.name.job);
-  if (host == state_.hosts.end() || job == state_.jobs.end()) {
+  if (host == state_.hosts.end() || job == state_.jobs.end() ||
+      host->second.needs_token) {
     return false;
   }
   const core::MonotonicTime now = core::MonotonicNow();
@@ -348,14 +370,19 @@
       run != state_.runs.end() &&
       run->second.phase == scheduler::RunPhase::kUnanswered;
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
-                     incarnation = call.target.incarnation,
-                     deadline_ms = call.lease_end_ms,
+                     target = call.target, deadline_ms = call.lease_end_ms,
                      done = std::move(done)](const StartAnswer& answer) {
     const auto self = weak.lock();
     if (!self || self->closed_) {
       return;
     }
     const core::MonotonicTime answered = core::MonotonicNow();
+    const core::Incarnation incarnation = target.incarnation;
+    const scheduler::StartOutcome outcome =
+        answer.outcome == scheduler::StartOutcome::kFenced &&
+                self->is_superseded(target)
+            ? scheduler::StartOutcome::kSuperseded
+            : answer.outcome;
     RecordStage(self->run_latency_.answered, answered - now);
     self->node_metrics_.start_seconds->Observe(
         std::chrono::duration<double>(answered - now).count());
@@ -370,11 +397,11 @@
                     {"incarnation", std::to_string(incarnation.value)},
                     {"host_clock_ms",
                      answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
-                    {"token", std::to_string(self->token_.value)},
+                    {"token", std::to_string(target.token.value)},
                     {"deadline_ms", std::to_string(deadline_ms)},
                     {"repeated", is_repeated ? "yes" : "no"},
-                    {"outcome", std::string(Describe(answer.outcome))}});
-    if (answer.outcome == scheduler::StartOutcome::kFenced) {
+                    {"outcome", std::string(Describe(outcome))}});
+    if (outcome == scheduler::StartOutcome::kFenced) {
       self->listener_.on_fenced(order.host);
       return;
     }
@@ -382,11 +409,11 @@
     const bool same_incarnation =
         known != self->state_.hosts.end() &&
         known->second.listing.incarnation == incarnation;
-    if (answer.outcome == scheduler::StartOutcome::kHostRestarted &&
+    if (outcome == scheduler::StartOutcome::kHostRestarted &&
         same_incarnation) {
       self->OnAddressTaken(known->second, answered);
     }
-    scheduler::OnStartAnswer(self->state_, order.run, answer.outcome, answered);
+    scheduler::OnStartAnswer(self->state_, order.run, outcome, answered);
     const auto again = self->state_.hosts.find(order.host);
     if (again != self->state_.hosts.end()) {
       self->RenewIfDue(again->second, answered);
@@ -404,10 +431,10 @@
       done();
       return;
     }
+    const HostTarget target = TargetOf(host->second);
     port_.stop(
-        TargetOf(host->second), order.name,
-        [weak = weak_from_this(), order,
-         incarnation = host->second.listing.incarnation,
+        target, order.name,
+        [weak = weak_from_this(), order, target,
          done = std::move(done)](CallOutcome outcome) {
           const auto self = weak.lock();
           if (!self || self->closed_) {
@@ -419,16 +446,17 @@
               {{"task", DescribeTask(order.name)},
                {"attempt", std::to_string(order.name.attempt)},
                {"host", order.host.value},
-               {"incarnation", std::to_string(incarnation.value)},
-               {"token", std::to_string(self->token_.value)},
+               {"incarnation", std::to_string(target.incarnation.value)},
+               {"token", std::to_string(target.token.value)},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
-          if (outcome == CallOutcome::kFenced) {
+          if (outcome == CallOutcome::kFenced && !self->is_superseded(target)) {
             self->listener_.on_fenced(order.host);
             return;
           }
           if (outcome == CallOutcome::kDone) {
-            scheduler::OnStopConfirmed(self->state_, order.host, incarnation,
-                                       order.name, core::MonotonicNow());
+            scheduler::OnStopConfirmed(self->state_, order.host,
+                                       target.incarnation, order.name,
+                                       core::MonotonicNow());
           }
           done();
         });
@@ -442,10 +470,10 @@
       done();
       return;
     }
+    const HostTarget target = TargetOf(host->second);
     port_.pace(
-        TargetOf(host->second), order.name, order.percent,
-        [weak = weak_from_this(), order,
-         incarnation = host->second.listing.incarnation,
+        target, order.name, order.percent,
+        [weak = weak_from_this(), order, target,
          done = std::move(done)](CallOutcome outcome) {
           const auto self = weak.lock();
           if (!self || self->closed_) {
@@ -457,9 +485,9 @@
               {{"task", DescribeTask(order.name)},
                {"percent", std::to_string(order.percent)},
                {"host", order.host.value},
-               {"incarnation", std::to_string(incarnation.value)},
+               {"incarnation", std::to_string(target.incarnation.value)},
                {"confirmed", outcome == CallOutcome::kDone ? "yes" : "no"}});
-          if (outcome == CallOutcome::kFenced) {
+          if (outcome == CallOutcome::kFenced && !self->is_superseded(target)) {
             self->listener_.on_fenced(order.host);
             return;
           }
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -31,19 +31,19 @@
   };
 
   /// @param port Calls to hosts.
-  /// @param token Fencing token of this holder.
   /// @param state The holder's state; outlives this object.
   /// @param node_metrics Metrics; outlive this object.
   /// @param run_latency Latencies of the stages of runs; outlives this object.
   /// @param authority Bounds the leases that are granted.
   /// @param listener Receives the results.
-  HostLinks(HostPort port, core::Epoch token, scheduler::State& state,
-            NodeMetrics& node_metrics, RunLatency& run_latency,
-            Authority authority, Listener listener);
+  HostLinks(HostPort port, scheduler::State& state, NodeMetrics& node_metrics,
+            RunLatency& run_latency, Authority authority, Listener listener);
 
   /// @brief Sends the renewals that are due. A renewal that becomes due because
   /// of an event is sent when the event is handled.
   void RenewAllDue(core::MonotonicTime now);
+  /// @brief Asks the hosts for their reports that have not reported yet.
+  void RenewUnsynced(core::MonotonicTime now);
   /// @brief Queues an order for a host.
   void Send(const scheduler::StartRun& order);
   void Send(const scheduler::RepeatStart& order);
@@ -92,12 +92,14 @@
   /// may still do so.
   void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
                      core::MonotonicTime asked) const;
+  /// @return Whether a host refused a call because it has seen a later one of
+  /// this holder.
+  [[nodiscard]] bool is_superseded(const HostTarget& target) const;
   void RenewIfDue(scheduler::Host& host, core::MonotonicTime now);
   void Renew(scheduler::Host& host, Link& link, core::MonotonicTime now);
   /// @param lease Lease that the renewal granted; 0 if it granted none.
-  void OnRenewed(const core::HostId& id, core::Incarnation incarnation,
-                 core::MonotonicTime asked, core::Millis lease,
-                 const RenewAnswer& answer);
+  void OnRenewed(const RenewCall& call, core::MonotonicTime asked,
+                 core::Millis lease, const RenewAnswer& answer);
   /// Sends a start and handles its answer; `done` is called afterwards.
   /// @return Whether it was sent; `done` is not called otherwise.
   bool CallStart(const scheduler::StartRun& order, std::function<void()> done);
@@ -110,7 +112,6 @@
                    std::int64_t clock_ms);
 
   HostPort port_;
-  core::Epoch token_;
   scheduler::State& state_;
   NodeMetrics& node_metrics_;
   RunLatency& run_latency_;
--- a/src/camphormux/coordinator/host_router.cpp
+++ b/src/camphormux/coordinator/host_router.cpp
@@ -206,19 +206,25 @@
   batch.holder = name_;
   batch.token = token_;
   std::vector<std::uint64_t> sent;
-  const std::size_t count =
-      std::min(agent_link.queue.size(), kMaxCallsPerBatch);
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::uint64_t number = agent_link.queue[i];
+  std::vector<std::uint64_t> unsent;
+  for (const std::uint64_t number : agent_link.queue) {
     const auto pending = agent_link.pending.find(number);
-    if (pending != agent_link.pending.end()) {
-      batch.calls.push_back({number, pending->second.call});
-      sent.push_back(number);
+    if (pending == agent_link.pending.end()) {
+      continue;
+    }
+    const core::Epoch token = TargetOf(pending->second.call).token;
+    if (batch.calls.empty()) {
+      batch.token = token;
+    }
+    // All calls of a batch carry one token.
+    if (token != batch.token || batch.calls.size() == kMaxCallsPerBatch) {
+      unsent.push_back(number);
+      continue;
     }
+    batch.calls.push_back({number, pending->second.call});
+    sent.push_back(number);
   }
-  agent_link.queue.erase(
-      agent_link.queue.begin(),
-      agent_link.queue.begin() + static_cast<std::ptrdiff_t>(count));
+  agent_link.queue = std::move(unsent);
   ++agent_link.open;
   agent_link.next_exchange =
       core::MonotonicNow() + internal::kMinExchangeInterval;
--- a/src/camphormux/coordinator/run_log.cpp
+++ b/src/camphormux/coordinator/run_log.cpp
@@ -28,6 +28,8 @@
       return "machine ordered";
     case EndEvidence::kNoMachine:
       return "no machine";
+    case EndEvidence::kFenced:
+      return "fenced";
   }
   return "unknown";
 }
@@ -133,7 +135,7 @@
         telemetry::Level::kInfo, "first report of a host",
         {{"host", report.host.value},
          {"incarnation", std::to_string(report.incarnation.value)},
-         {"token", std::to_string(token.value)},
+         {"token", std::to_string(report.token.value)},
          {"running", std::to_string(report.running)},
          {"ended", std::to_string(report.ended)},
          {"first_end", std::to_string(report.first_end.value)},
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -51,6 +51,20 @@
 
 }  // namespace internal
 
+std::string EncodeToken(core::Epoch token) {
+  return cbor::Serialize(nlohmann::json::array({token.value}));
+}
+
+std::optional<core::Epoch> DecodeToken(std::string_view value) {
+  const auto parsed = cbor::Parse(value);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  cbor::ArrayReader reader(*parsed);
+  const core::Epoch token{reader.Unsigned()};
+  return reader.ok() ? std::optional(token) : std::nullopt;
+}
+
 StoreWriter::StoreWriter(asio::io_context& loop, StorePort store,
                          core::Epoch epoch, scheduler::State& state,
                          Listener listener)
@@ -84,6 +98,11 @@
   ScheduleAppend();
 }
 
+void StoreWriter::AddToken(core::Epoch token) {
+  token_ = token;
+  ScheduleAppend();
+}
+
 void StoreWriter::Drop(const core::JobId& id) {
   deleted_keys_.push_back(std::string(kProgressKeyPrefix) + id.value);
 }
@@ -150,7 +169,7 @@
       }));
   return !submissions_.empty() || !tombstones_.empty() ||
          state_.unsaved.size() > deferred || !waves_.empty() ||
-         !deleted_keys_.empty() || !orders_.empty();
+         !deleted_keys_.empty() || !orders_.empty() || token_.has_value();
 }
 
 void StoreWriter::CollectTombstones(Batch& batch, std::size_t& bytes) {
@@ -325,6 +344,12 @@
     bytes += TotalBytes(change.records);
   }
   waves_.clear();
+  if (token_) {
+    Change& change = batch.changes.emplace_back();
+    change.records.push_back({std::string(kTokenKey), EncodeToken(*token_)});
+    change.token = std::exchange(token_, std::nullopt);
+    bytes += TotalBytes(change.records);
+  }
   CollectOrders(batch, bytes);
   for (std::string& key : std::exchange(deleted_keys_, {})) {
     if (bytes >= internal::kMaxBatchBytes) {
@@ -458,6 +483,10 @@
     scheduler::DropTombstone(state_, change.job);
     return;
   }
+  if (change.token) {
+    listener_.on_token_rejected();
+    return;
+  }
   const auto job = state_.jobs.find(change.job);
   if (job != state_.jobs.end()) {
     job->second.rejected = true;
@@ -535,6 +564,9 @@
     }
     std::move(change.orders.begin(), change.orders.end(),
               std::back_inserter(orders));
+    if (change.token) {
+      listener_.on_token(*change.token);
+    }
   }
   listener_.on_orders(orders);
   for (const auto& [host, end] : batch->ends) {
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -24,6 +24,14 @@
 /// Key prefixes in the store: waves, and the last orders of machines.
 inline constexpr std::string_view kWaveKeyPrefix = "w/";
 inline constexpr std::string_view kMachineKeyPrefix = "m/";
+/// Key of the highest fencing token of calls to hosts, if it is above the epoch
+/// of its holder. Versions that do not know it ignore it.
+inline constexpr std::string_view kTokenKey = "f/token";
+
+/// @return Value of the record of a fencing token.
+[[nodiscard]] std::string EncodeToken(core::Epoch token);
+/// @return The token; empty if the value is malformed.
+[[nodiscard]] std::optional<core::Epoch> DecodeToken(std::string_view value);
 
 /// @brief The highest stored end of one incarnation of a host; each
 /// incarnation numbers its ends from 1.
@@ -58,6 +66,10 @@
     std::function<void(const std::vector<StoredOrder>&)> on_orders;
     /// The store does not accept the records that these orders need.
     std::function<void(const std::vector<StoredOrder>&)> on_orders_rejected;
+    /// The fencing token is stored and may be used.
+    std::function<void(core::Epoch)> on_token;
+    /// The store does not accept the record of the fencing token.
+    std::function<void()> on_token_rejected;
     /// A batch was stored.
     std::function<void()> on_stored;
     /// A newer holder has taken over.
@@ -82,6 +94,9 @@
   void AddOrder(scheduler::Order order);
   /// @brief Stores which machines of a wave have begun their maintenance.
   void AddWave(scheduler::WaveId id);
+  /// @brief Stores a fencing token before it is used: the next holder must use
+  /// a higher one.
+  void AddToken(core::Epoch token);
   /// @brief Deletes the stored record of an expired job.
   void Drop(const core::JobId& id);
   /// @brief Sets in which records a job is stored that a previous holder
@@ -112,6 +127,7 @@
     /// State of the job, if its progress is stored completely.
     std::optional<workload::JobState> state;
     std::vector<StoredOrder> orders;
+    std::optional<core::Epoch> token;
   };
 
   /// Changes that one append stores.
@@ -164,6 +180,7 @@
   std::vector<StoredOrder> orders_;
   std::set<scheduler::WaveId> waves_;
   std::vector<std::string> deleted_keys_;
+  std::optional<core::Epoch> token_;  ///< Token to store.
   std::unique_ptr<Batch> batch_;
   /// Parts of a rejected batch that are stored one after the other.
   std::deque<Batch> parts_;
--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -91,6 +91,7 @@
 struct HostReport {
   core::HostId host;
   core::Incarnation incarnation;
+  core::Epoch token;          ///< Fencing token of the request.
   core::MonotonicTime asked;  ///< When the request for the report was sent.
   std::vector<ReportedRun> running;
   std::vector<ReportedEnd> ended;
@@ -110,6 +111,8 @@
   kUnhealthy,      ///< The host is unhealthy and refused; nothing was done.
   kBadRequest,
   kNoAnswer,  ///< The order may have been executed or may still be.
+  /// The host has seen a call of this lease holder with a higher token.
+  kSuperseded,
 };
 
 // Orders: requests to hosts, to the cloud API and to the store that the owner
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -60,7 +60,7 @@
 
 void AddHost(State& state, const HostListing& listing,
              core::MonotonicTime now) {
-  Host host;
+  Host host = MakeHost(state, listing.id);
   host.listing = listing;
   host.idle_since = now;
   // Previous lease holders may have granted leases until the takeover.
@@ -116,6 +116,33 @@
   return changes;
 }
 
+Host MakeHost(const State& state, const core::HostId& id) {
+  Host host;
+  host.listing.id = id;
+  host.token = state.token;
+  // Calls to an earlier incarnation may still be on their way.
+  host.needs_token =
+      state.is_token_used || state.ended_incarnations.contains(id);
+  return host;
+}
+
+bool IsTokenNeeded(const State& state) {
+  return std::any_of(
+      state.hosts.begin(), state.hosts.end(),
+      [](const auto& entry) { return entry.second.needs_token; });
+}
+
+void RaiseToken(State& state, core::Epoch token) {
+  state.token = token;
+  state.is_token_used = false;
+  for (auto& [id, host] : state.hosts) {
+    if (host.needs_token) {
+      host.token = token;
+      host.needs_token = false;
+    }
+  }
+}
+
 void MarkUnresponsive(Host& host, core::MonotonicTime now) {
   if (!host.unresponsive_since) {
     host.unresponsive_since = now;
@@ -192,13 +219,15 @@
   host.missed_machine_lists = 0;
   host.synced = false;
   host.restarted = true;
+  host.needs_token = true;
   host.ended = {};
   host.unresponsive_since.reset();
   host.failed_jobs.clear();
   // The end of a lease is a time on the clock of the incarnation for which it
   // was meant; on another clock it can be any time.
-  host.lease_end = std::max(
-      host.lease_end, now + MaxLeaseDuration(state.settings.longest_lease));
+  host.lease_end = std::max(host.lease_end,
+                            now + kMaxCallDuration + kMaxCallDelay +
+                                MaxLeaseDuration(state.settings.longest_lease));
 }
 
 void CheckHosts(State& state, core::MonotonicTime now) {
@@ -217,6 +246,7 @@
     }
   }
   for (const core::HostId& id : gone) {
+    state.ended_incarnations.try_emplace(id);
     state.hosts.erase(id);
   }
 }
@@ -253,7 +283,7 @@
                   [&](const OpenCopy& copy) {
                     return copy.refused_by == host.listing.incarnation;
                   });
-  return host.listed && host.synced && !host.reserved &&
+  return host.listed && host.synced && !host.needs_token && !host.reserved &&
          !host.listing.draining && !host.unresponsive_since &&
          now >= host.busy_until && now >= host.quarantined_until &&
          refuses_open_copies;
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -10,6 +10,12 @@
 /// Hosts' clocks may run slower than this node's clock by this fraction.
 inline constexpr double kMaxClockDrift = 0.02;
 
+/// Time by which a call to a host has an answer or has failed, also one that
+/// another node makes.
+inline constexpr core::Millis kMaxCallDuration{3000};
+/// A call without an answer is carried out at most this much later.
+inline constexpr core::Millis kMaxCallDelay{12'000};
+
 /// @brief A host that the list names with another incarnation than before.
 struct ReplacedHost {
   core::HostId id;
@@ -36,6 +42,18 @@
                              core::MonotonicTime now,
                              core::MonotonicTime trusted_from);
 
+/// @return A host that is not known yet, for calls with the present token.
+[[nodiscard]] Host MakeHost(const State& state, const core::HostId& id);
+
+/// @return Whether a host needs a higher fencing token.
+[[nodiscard]] bool IsTokenNeeded(const State& state);
+
+/// @brief Raises the fencing token of all hosts that need a higher one. Their
+/// earlier calls have no effect any more once a later one has an answer.
+/// @param state The state.
+/// @param token The token; no holder has used it, and the next holders know.
+void RaiseToken(State& state, core::Epoch token);
+
 /// @brief Marks a host as unresponsive: it did not answer.
 void MarkUnresponsive(Host& host, core::MonotonicTime now);
 
@@ -52,7 +70,9 @@
 
 /// @brief Records that a host has another incarnation. Its listed runs have
 /// ended. The other ones may have been accepted by the new incarnation, or may
-/// still be: they are kept until it has reported or has confirmed a stop.
+/// still be: they are kept until it has reported. All calls that were meant for
+/// an earlier incarnation can reach the new one until it has seen a higher
+/// token.
 /// @param state The state.
 /// @param host The host; not usable until it is listed and has reported.
 /// @param incarnation The new incarnation.
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -21,8 +21,7 @@
   for (const workload::StoredRun& placed : job.tasks[task].progress.runs) {
     auto host = state.hosts.find(placed.host);
     if (host == state.hosts.end()) {
-      Host missing;
-      missing.listing.id = placed.host;
+      Host missing = MakeHost(state, placed.host);
       missing.listing.incarnation = placed.incarnation;
       missing.listed = false;
       missing.gone_at = now + state.settings.listing_grace;
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -24,11 +24,6 @@
 /// A start without an answer is repeated after this time; longer than a call
 /// and its answer.
 constexpr core::Millis kStartRepeatInterval{1000};
-/// Time by which a call has an answer or has failed, also one that another node
-/// makes.
-constexpr core::Millis kMaxCallDuration{3000};
-/// A call without an answer is carried out at most this much later.
-constexpr core::Millis kMaxCallDelay{12'000};
 /// A run without progress is replaced after this minimum or a multiple of its
 /// estimate, whichever is longer; estimates are often wrong by a factor of two.
 constexpr core::Millis kMinStallTimeout{2000};
@@ -247,7 +242,8 @@
       (is_on_its_way ? run.ordered + kMaxCallDuration : run.last_open_copy) +
       kMaxCallDelay;
   // A host refuses the start of a run that it has stopped or that has ended.
-  if (!evidence || *evidence == EndEvidence::kStopConfirmed || run.was_listed) {
+  if (!evidence || *evidence == EndEvidence::kStopConfirmed ||
+      *evidence == EndEvidence::kFenced || run.was_listed) {
     copy.refused_by = host.listing.incarnation;
   }
 }
@@ -288,9 +284,6 @@
 /// Finds out what became of a start without an answer. A stop would settle it,
 /// too, but would end a run that takes effect just before.
 void SettleUnansweredStart(State& state, Run& run, core::MonotonicTime now) {
-  if (!run.has_open_copy && now < run.confirmed + kMaxCallDuration) {
-    return;  // Its answer is still to come.
-  }
   const Host& host = state.hosts.at(run.host);
   const bool is_leaving =
       host.reserved || (!host.listed && now >= host.gone_at);
@@ -309,16 +302,29 @@
   const bool was_repeated = run.start_repeated != core::MonotonicTime{};
   if (!was_repeated || now >= run.start_repeated + kStartRepeatInterval) {
     run.start_repeated = now;
-    if (!run.has_open_copy) {
-      // The answer to the first copy is still to come.
-      run.has_open_copy = true;
-      run.last_open_copy = now;
-    }
     state.orders.emplace_back(
         RepeatStart{run.id, run.host, run.name, run.resumed_from});
   }
 }
 
+/// Handles the first report of an incarnation to this lease holder: no earlier
+/// call takes effect any more.
+void OnFirstReport(State& state, Host& host, const HostReport& report,
+                   core::MonotonicTime now) {
+  const core::MonotonicTime longest =
+      now + MaxLeaseDuration(state.settings.longest_lease);
+  if (host.restarted) {
+    host.lease_end = longest;
+  } else if (now < state.took_over + kMaxCallDuration + kMaxCallDelay) {
+    host.lease_end = std::max(host.lease_end, longest);
+  }
+  state.first_reports.push_back(
+      {report.host, report.incarnation, report.token, report.running.size(),
+       report.ended.size(),
+       report.ended.empty() ? EndNumber{} : report.ended.front().number,
+       host.lease_end});
+}
+
 /// Handles a run that is missing from its host's report. If the report was
 /// requested in the millisecond of the run's confirmation, the request may have
 /// been sent before the confirmation; such a report does not end the run.
@@ -328,6 +334,11 @@
     return;  // The run or its end may be among those that are missing.
   }
   const bool asked_after = report.asked > run.confirmed;
+  if (run.is_sent && run.token < report.token &&
+      run.phase != RunPhase::kRunning) {
+    RemoveRun(state, run.id, EndEvidence::kFenced);
+    return;
+  }
   switch (run.phase) {
     case RunPhase::kOrdered:
       return;
@@ -437,6 +448,14 @@
   if (found != state.runs.end()) {
     found->second.is_sent = true;
     found->second.ordered = now;
+    found->second.token = state.hosts.at(found->second.host).token;
+  }
+}
+
+void OnStartRepeated(State& state, RunId id) {
+  const auto found = state.runs.find(id);
+  if (found != state.runs.end()) {
+    found->second.token = state.hosts.at(found->second.host).token;
   }
 }
 
@@ -479,6 +498,9 @@
     return;
   }
   ++state.counters.rejected_starts;
+  if (outcome == StartOutcome::kSuperseded && run.has_open_copy) {
+    return;  // The next report shows whether another copy took effect.
+  }
   workload::TaskProgress& task = job.tasks[run.task].progress;
   switch (outcome) {
     case StartOutcome::kNoCapacity:
@@ -528,15 +550,14 @@
     return;
   }
   Host& host = found->second;
+  if (!host.synced && (host.needs_token || report.token < host.token)) {
+    return;  // Earlier calls may still take effect.
+  }
   host.last_report = now;
   host.unresponsive_since.reset();
   host.address_taken = false;
   if (!host.synced) {
-    state.first_reports.push_back(
-        {report.host, report.incarnation, report.running.size(),
-         report.ended.size(),
-         report.ended.empty() ? EndNumber{} : report.ended.front().number,
-         host.lease_end});
+    internal::OnFirstReport(state, host, report, now);
   }
   for (const ReportedEnd& end : report.ended) {
     internal::MarkRefused(host, end.name);
--- a/src/camphormux/scheduler/runs.hpp
+++ b/src/camphormux/scheduler/runs.hpp
@@ -28,6 +28,11 @@
 /// @param now The time.
 void OnStartSent(State& state, RunId id, core::MonotonicTime now);
 
+/// @brief Records that the start order of a run was sent again.
+/// @param state The state.
+/// @param id The run; has no effect if it is unknown.
+void OnStartRepeated(State& state, RunId id);
+
 /// @brief Removes a run whose start order will not be sent any more.
 /// @param state The state.
 /// @param id The run; has no effect if it is unknown or its start was sent.
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -85,6 +85,8 @@
   /// A report of this incarnation of the host has listed the run. An answer to
   /// the start does not say which incarnation accepted it.
   bool was_listed = false;
+  /// Fencing token of the last copy of the start order that was sent.
+  core::Epoch token;
 };
 
 /// @brief A copy of a start without an answer whose run was removed. It may
@@ -110,6 +112,7 @@
   kHostReplaced,    ///< The host has another incarnation.
   kMachineOrdered,  ///< The host's machine was moved or taken down.
   kNoMachine,       ///< No machine has the host any more.
+  kFenced,          ///< Not listed by a report to a call with a higher token.
 };
 
 /// @brief A run that is treated as ended without a report of its end.
@@ -161,6 +164,7 @@
 struct FirstReport {
   core::HostId host;
   core::Incarnation incarnation;
+  core::Epoch token;  ///< Fencing token of the call.
   std::size_t running = 0;
   std::size_t ended = 0;
   EndNumber first_end;  ///< 0 if no end is listed.
@@ -224,6 +228,12 @@
   bool synced = false;
   /// This lease holder has seen an earlier incarnation of the host.
   bool restarted = false;
+  /// Fencing token of the calls to the host.
+  core::Epoch token;
+  /// Calls with the present token may still take effect and must not: no start
+  /// is sent before the token is raised, nor any call to a host that has not
+  /// reported.
+  bool needs_token = false;
   /// The host takes no new runs, as it is about to leave.
   bool reserved = false;
   placement::Resources committed;
@@ -334,6 +344,11 @@
 /// Plain data: decisions are free functions.
 struct State {
   Settings settings;
+  /// Highest fencing token of the calls to hosts; not below the epoch of the
+  /// lease holder.
+  core::Epoch token;
+  /// A previous holder has used the token, so it must be raised first.
+  bool is_token_used = false;
   workload::Catalog catalog;
   std::unordered_map<core::JobId, Job> jobs;
   std::unordered_map<core::JobId, ClosedJob> closed;
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -193,5 +193,27 @@
   EXPECT_EQ(harness.hosts.ExecutionsOf(job.id).size(), 1U);
 }
 
+// Guards against a holder that its hosts refuse: the previous one has raised
+// its token beyond the next epoch.
+TEST(RestartedHostTest, NextHolderUsesAHigherTokenThanThePreviousOne) {
+  Harness harness(kShortRun);
+  for (const char* id :
+       {"00000000000000aa", "00000000000000ab", "00000000000000ac"}) {
+    const auto job = SingleTask(id);
+    harness.Submit(job);
+    ASSERT_TRUE(harness.RunUntil([&] { return harness.IsDone(job); }));
+    harness.hosts.Restart(harness.id);
+    harness.List();
+  }
+  const auto last = SingleTask("00000000000000ad");
+  harness.Submit(last);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.IsDone(last); }));
+  harness.StartHolder();
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsDone(job); }));
+  EXPECT_EQ(harness.superseded, 0);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/store_writer_test.cpp
+++ b/test/coordinator/store_writer_test.cpp
@@ -67,6 +67,8 @@
         [this](const std::vector<StoredOrder>& rejected) {
           orders_rejected += rejected.size();
         };
+    listener.on_token = [this](core::Epoch token) { tokens.push_back(token); };
+    listener.on_token_rejected = [this] { token_rejected = true; };
     listener.on_stored = [] {};
     listener.on_fenced = [this] { fenced = true; };
     store_writer = std::make_shared<StoreWriter>(loop, port, core::Epoch{7},
@@ -99,10 +101,35 @@
   std::map<core::HostId, StoredEnd> ends;
   std::size_t orders = 0;
   std::size_t orders_rejected = 0;
+  std::vector<core::Epoch> tokens;
+  bool token_rejected = false;
   bool fenced = false;
   std::shared_ptr<StoreWriter> store_writer;
 };
 
+// Guards against a token that the next holder does not know of.
+TEST(StoreWriterTest, TokenIsUsedOnlyAfterItIsStored) {
+  Harness harness;
+  harness.store_writer->AddToken({9});
+  harness.WaitForAppends(1);
+  ASSERT_EQ(harness.appends[0].records.size(), 1U);
+  EXPECT_EQ(harness.appends[0].records[0].key, kTokenKey);
+  EXPECT_EQ(DecodeToken(harness.appends[0].records[0].value.value_or("")),
+            core::Epoch{9});
+  EXPECT_TRUE(harness.tokens.empty());
+  harness.appends[0].done(AppendOutcome::kStored);
+  EXPECT_EQ(harness.tokens, std::vector<core::Epoch>{{9}});
+}
+
+TEST(StoreWriterTest, TokenThatTheStoreRejectsIsReported) {
+  Harness harness;
+  harness.store_writer->AddToken({9});
+  harness.WaitForAppends(1);
+  harness.appends[0].done(AppendOutcome::kRejected);
+  EXPECT_TRUE(harness.token_rejected);
+  EXPECT_TRUE(harness.tokens.empty());
+}
+
 // Guards against an acknowledged cancellation that the store does not keep: the
 // deletion of a forgotten job was stored after the tombstone of the same job.
 TEST(StoreWriterTest, TombstoneOutlastsTheDeletionOfAForgottenJob) {
--- a/test/scheduler/fleet.cpp
+++ b/test/scheduler/fleet.cpp
@@ -79,8 +79,13 @@
   if (known == state.hosts.end()) {
     return;
   }
+  // The holder stores a token and raises it before it calls the host.
+  if (known->second.needs_token) {
+    RaiseToken(state, core::Next(state.token));
+  }
   HostReport report;
   report.host = host;
+  report.token = known->second.token;
   report.incarnation = known->second.listing.incarnation;
   report.asked = now;
   for (const Running& run : running) {
