Order acknowledgements of ends and starts so that no incarnation forgets an unread end

Cause: every renewal carried the acknowledgement of all ends so far, so that one was almost always on its way when a host restarted. Before the holder knew of the restart, the next incarnation could carry out a start for the previous one and then that acknowledgement: the end of the run was forgotten. The first report is exact about starts that can still take effect, but not about runs that have ended and are forgotten.

Change: ends are acknowledged once, not while a start is not yet listed by its host; starts wait for the answer to an acknowledgement, which is prompt; if it has none, the token is raised before the next start, so that the acknowledgement is refused wherever that start took effect.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -27,6 +27,9 @@
 /// Age of the reading of a host's clock after which an idle host is asked
 /// again. A slow clock differs from its estimate by a fiftieth of this.
 constexpr core::Millis kMaxClockAge{30'000};
+/// Interval between reports that are asked for so that ends can be
+/// acknowledged; a start is listed by the report after its answer.
+constexpr core::Millis kReportInterval{50};
 /// Interval between checks of which hosts are due; a small part of a lease.
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
@@ -78,6 +81,26 @@
   return *link.clock_ms + elapsed + lease.count();
 }
 
+bool HostLinks::may_acknowledge(const scheduler::Host& host,
+                                const Link& link) const {
+  return link.stored > link.acknowledged &&
+         std::none_of(host.runs.begin(), host.runs.end(),
+                      [&](scheduler::RunId id) {
+                        const scheduler::Run& run = state_.runs.at(id);
+                        return run.is_sent && !run.was_listed;
+                      });
+}
+
+bool HostLinks::is_report_due(const scheduler::Host& host, const Link& link,
+                              core::MonotonicTime now) const {
+  return now >= link.sent + internal::kReportInterval &&
+         std::none_of(
+             host.runs.begin(), host.runs.end(), [&](scheduler::RunId id) {
+               const scheduler::Run& run = state_.runs.at(id);
+               return run.is_sent && run.phase == scheduler::RunPhase::kOrdered;
+             });
+}
+
 bool HostLinks::is_superseded(const HostTarget& target) const {
   const auto host = state_.hosts.find(target.host);
   return target.token <
@@ -88,8 +111,12 @@
                       core::MonotonicTime now) {
   RenewCall call;
   call.target = TargetOf(host);
-  call.acknowledged = link.acknowledged;
-  const bool has_unstored_ends = host.ended > link.acknowledged;
+  if (may_acknowledge(host, link)) {
+    call.acknowledged = link.stored;
+  }
+  link.acknowledging = call.acknowledged.value > 0;
+  const bool has_ends_to_list =
+      host.ended > std::max(link.acknowledged, call.acknowledged);
   // An unresponsive host gets no extension: its lease must expire so that its
   // runs can start elsewhere.
   if (link.failures == 0 && !host.runs.empty()) {
@@ -103,13 +130,13 @@
   // that there is time for another renewal if this one is lost.
   const bool is_lease_short =
       link.renewed_until < now + std::min(internal::kStartValidity, lease / 2);
-  if (host.synced && !host.runs.empty() && !has_unstored_ends &&
-      !is_lease_short) {
+  // Starts wait for the answer to an acknowledgement, so it is prompt.
+  if (host.synced && !host.runs.empty() && !has_ends_to_list &&
+      !link.acknowledging && !is_lease_short) {
     call.wait = internal::kMaxRenewWait;
   }
   link.renewing = true;
   link.sent = now;
-  link.sent_acknowledged = link.acknowledged;
   node_metrics_.renewals->Increment();
   port_.renew(call, [weak = weak_from_this(), call, now,
                      lease](const RenewAnswer& answer) {
@@ -132,16 +159,19 @@
       is_fenced_off) {
     return;
   }
-  const bool has_unstored_ends = host.ended > link.acknowledged;
   const bool due = now >= link.sent + internal::kRenewInterval;
-  if (has_unstored_ends && !due) {
+  const bool has_unstored_ends = host.ended > link.stored;
+  const bool has_stored_ends = link.stored > link.acknowledged;
+  const bool must_wait =
+      has_unstored_ends || (has_stored_ends && !may_acknowledge(host, link) &&
+                            !is_report_due(host, link, now));
+  if (must_wait && !due) {
     return;
   }
   // Without the store, whether most hosts answer decides whether this node
   // remains the holder, so idle hosts are asked too.
   if (!host.synced || !host.runs.empty() || host.unresponsive_since ||
-      link.acknowledged > link.sent_acknowledged ||
-      now >= link.clock_read_at + internal::kMaxClockAge ||
+      has_stored_ends || now >= link.clock_read_at + internal::kMaxClockAge ||
       (due && !authority_.is_confirmed())) {
     Renew(host, link, now);
   }
@@ -218,6 +248,7 @@
   const auto found = links_.find(id);
   if (found != links_.end() && found->second.incarnation == incarnation) {
     found->second.renewing = false;
+    found->second.acknowledging = false;
   }
   const auto host = state_.hosts.find(id);
   if (host == state_.hosts.end() || found == links_.end() ||
@@ -225,6 +256,10 @@
     return;
   }
   Link& link = found->second;
+  if (answer.outcome == CallOutcome::kNoAnswer ||
+      answer.outcome == CallOutcome::kRefused) {
+    host->second.needs_token |= call.acknowledged.value > 0;
+  }
   switch (answer.outcome) {
     case CallOutcome::kDone: {
       if (host->second.unresponsive_since) {
@@ -233,11 +268,13 @@
       }
       link.failures = 0;
       link.renewed_until = std::max(link.renewed_until, asked + lease);
+      link.acknowledged = std::max(link.acknowledged, call.acknowledged);
       RecordClock(id, incarnation, answer.clock_ms);
       scheduler::OnReport(state_,
                           {id, incarnation, call.target.token, asked,
                            answer.running, answer.ended, answer.is_partial},
                           now, core::WallNow());
+      SendQueued(id);
       RenewIfDue(host->second, now);
       listener_.on_change();
       return;
@@ -247,6 +284,7 @@
         listener_.on_fenced(id);
         return;
       }
+      SendQueued(id);
       RenewIfDue(host->second, now);
       return;
     case CallOutcome::kHostRestarted:
@@ -276,6 +314,7 @@
                         {"runs", std::to_string(host->second.runs.size())}});
       }
       scheduler::MarkUnresponsive(host->second, now);
+      SendQueued(id);
       listener_.on_change();
       return;
   }
@@ -297,7 +336,7 @@
   }
   Link& link = found->second;
   while (link.calls_in_flight < internal::kMaxCallsPerHost &&
-         !link.queue.empty()) {
+         !link.acknowledging && !link.queue.empty()) {
     Order order = std::move(link.queue.front());
     link.queue.pop_front();
     ++link.calls_in_flight;
@@ -501,7 +540,7 @@
   const auto known = state_.hosts.find(host);
   if (link != links_.end() && known != state_.hosts.end() &&
       link->second.incarnation == end.incarnation) {
-    link->second.acknowledged = end.number;
+    link->second.stored = end.number;
     RenewIfDue(known->second, core::MonotonicNow());
   }
 }
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -69,8 +69,10 @@
     /// A reading of the host's clock and the time of its receipt.
     std::optional<std::int64_t> clock_ms;
     core::MonotonicTime clock_read_at;
-    scheduler::EndNumber acknowledged;       ///< Highest end to acknowledge.
-    scheduler::EndNumber sent_acknowledged;  ///< Highest acknowledged end.
+    scheduler::EndNumber stored;        ///< Highest end that is stored.
+    scheduler::EndNumber acknowledged;  ///< Highest end known as acknowledged.
+    /// The renewal in flight acknowledges ends.
+    bool acknowledging = false;
     std::uint32_t failures = 0;
     /// End of the lease of the last renewal that the host has answered.
     core::MonotonicTime renewed_until;
@@ -92,6 +94,15 @@
   /// may still do so.
   void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
                      core::MonotonicTime asked) const;
+  /// @return Whether stored ends may be acknowledged now. While a start may
+  /// take effect on the next incarnation, an acknowledgement that follows it
+  /// there would make the host forget the end of that run.
+  [[nodiscard]] bool may_acknowledge(const scheduler::Host& host,
+                                     const Link& link) const;
+  /// @return Whether a report would allow an acknowledgement that waits.
+  [[nodiscard]] bool is_report_due(const scheduler::Host& host,
+                                   const Link& link,
+                                   core::MonotonicTime now) const;
   /// @return Whether a host refused a call because it has seen a later one of
   /// this holder.
   [[nodiscard]] bool is_superseded(const HostTarget& target) const;
