Acknowledge no ends to a host that does not answer

Each acknowledgement without an answer raises the fencing token, which costs an append. A host that is cut off with a stored end was called with an acknowledgement in each retry, so that the token rose about once a second for the length of the cut.

Retries carry no acknowledgement now; it follows the first answer. UnresponsiveHostGetsNoAcknowledgements failed before.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -83,7 +83,7 @@
 
 bool HostLinks::may_acknowledge(const scheduler::Host& host,
                                 const Link& link) const {
-  return link.stored > link.acknowledged &&
+  return link.stored > link.acknowledged && link.failures == 0 &&
          std::none_of(host.runs.begin(), host.runs.end(),
                       [&](scheduler::RunId id) {
                         const scheduler::Run& run = state_.runs.at(id);
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -96,7 +96,8 @@
                      core::MonotonicTime asked) const;
   /// @return Whether stored ends may be acknowledged now. While a start may
   /// take effect on the next incarnation, an acknowledgement that follows it
-  /// there would make the host forget the end of that run.
+  /// there would make the host forget the end of that run. An unresponsive host
+  /// gets none, as each one without an answer costs a token.
   [[nodiscard]] bool may_acknowledge(const scheduler::Host& host,
                                      const Link& link) const;
   /// @return Whether a report would allow an acknowledgement that waits.
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -244,6 +244,19 @@
   EXPECT_EQ(harness.NextRenewal().call.acknowledged.value, 1U);
 }
 
+// Guards against a token that is raised with each call to a host that is cut
+// off.
+TEST(HostLinksTest, UnresponsiveHostGetsNoAcknowledgements) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.links->Acknowledge(harness.id, {kFirst, {1}});
+  harness.NextRenewal().done(RenewAnswer{});
+  const Harness::Renewal retry = harness.NextRenewal();
+  EXPECT_EQ(retry.call.acknowledged.value, 0U);
+  retry.done(Harness::Report(kFirst, 1020));
+  EXPECT_EQ(harness.NextRenewal().call.acknowledged.value, 1U);
+}
+
 // Guards against acknowledgements that are repeated for nothing: each one can
 // reach the next incarnation.
 TEST(HostLinksTest, EndsAreAcknowledgedOnce) {
