--- a/test/coordinator/restartable_hosts.cpp
+++ b/test/coordinator/restartable_hosts.cpp
@@ -253,7 +253,7 @@
 HostPort RestartableHosts::MakePort() {
   HostPort port;
   port.start = [this](const StartCall& call,
-                      std::function<void(StartAnswer)> done) {
+                      const std::function<void(StartAnswer)>& done) {
     const core::HostId id = call.target.host;
     if (hold_starts_ || hosts_.at(id).is_cut_off) {
       if (hold_starts_) {
@@ -267,7 +267,7 @@
                          [answer] { return answer; });
   };
   port.stop = [this](const HostTarget& target, const scheduler::RunName& name,
-                     std::function<void(CallOutcome)> done) {
+                     const std::function<void(CallOutcome)>& done) {
     if (hosts_.at(target.host).is_cut_off) {
       RunAfter(kCallTimeout, [done] { done(CallOutcome::kNoAnswer); });
       return;
@@ -277,7 +277,7 @@
   };
   port.pace = [](const HostTarget&, const scheduler::RunName&, int, auto) {};
   port.renew = [this](const RenewCall& call,
-                      std::function<void(RenewAnswer)> done) {
+                      const std::function<void(RenewAnswer)>& done) {
     const core::HostId id = call.target.host;
     const bool is_held = hold_renewals_ && hold_renewals_(call);
     if (is_held || hosts_.at(id).is_cut_off) {
