Let starts wait for acknowledgements only at hosts that have held up a call

The order of acknowledgements and starts cost callers more than expected: each end took a look of its own for its acknowledgement, during which the next end was not seen and starts waited.

Both are needed only at a host that holds up calls: an acknowledgement that the host took at once ends with its incarnation. At other hosts one renewal acknowledges and waits for the next end, as before.

Not covered is the first call that a host holds up, if it is an acknowledgement and a start follows within its time-out. EndOfAStartAfterAnUnansweredAcknowledgementIsRead covers the host that is in doubt; StartDoesNotWaitForAHostThatAnswers the cost.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -52,8 +52,10 @@
 HostLinks::Link& HostLinks::LinkOf(const scheduler::Host& host) {
   Link& link = links_[host.listing.id];
   if (link.incarnation != host.listing.incarnation) {
+    const core::MonotonicTime doubtful_until = link.doubtful_until;
     link = Link{};
     link.incarnation = host.listing.incarnation;
+    link.doubtful_until = doubtful_until;
   }
   return link;
 }
@@ -83,7 +85,10 @@
 
 bool HostLinks::may_acknowledge(const scheduler::Host& host,
                                 const Link& link) const {
-  return link.stored > link.acknowledged && link.failures == 0 &&
+  if (link.stored <= link.acknowledged || link.failures > 0) {
+    return false;
+  }
+  return core::MonotonicNow() >= link.doubtful_until ||
          std::none_of(host.runs.begin(), host.runs.end(),
                       [&](scheduler::RunId id) {
                         const scheduler::Run& run = state_.runs.at(id);
@@ -114,7 +119,7 @@
   if (may_acknowledge(host, link)) {
     call.acknowledged = link.stored;
   }
-  link.acknowledging = call.acknowledged.value > 0;
+  link.holds_starts = call.acknowledged.value > 0 && now < link.doubtful_until;
   const bool has_ends_to_list =
       host.ended > std::max(link.acknowledged, call.acknowledged);
   // An unresponsive host gets no extension: its lease must expire so that its
@@ -132,7 +137,7 @@
       link.renewed_until < now + std::min(internal::kStartValidity, lease / 2);
   // Starts wait for the answer to an acknowledgement, so it is prompt.
   if (host.synced && !host.runs.empty() && !has_ends_to_list &&
-      !link.acknowledging && !is_lease_short) {
+      !link.holds_starts && !is_lease_short) {
     call.wait = internal::kMaxRenewWait;
   }
   link.renewing = true;
@@ -248,7 +253,10 @@
   const auto found = links_.find(id);
   if (found != links_.end() && found->second.incarnation == incarnation) {
     found->second.renewing = false;
-    found->second.acknowledging = false;
+    found->second.holds_starts = false;
+  }
+  if (found != links_.end() && answer.outcome == CallOutcome::kNoAnswer) {
+    found->second.doubtful_until = now + scheduler::kMaxCallDelay;
   }
   const auto host = state_.hosts.find(id);
   if (host == state_.hosts.end() || found == links_.end() ||
@@ -336,7 +344,7 @@
   }
   Link& link = found->second;
   while (link.calls_in_flight < internal::kMaxCallsPerHost &&
-         !link.acknowledging && !link.queue.empty()) {
+         !link.holds_starts && !link.queue.empty()) {
     Order order = std::move(link.queue.front());
     link.queue.pop_front();
     ++link.calls_in_flight;
@@ -444,6 +452,11 @@
       self->listener_.on_fenced(order.host);
       return;
     }
+    const auto link = self->links_.find(order.host);
+    if (link != self->links_.end() &&
+        outcome == scheduler::StartOutcome::kNoAnswer) {
+      link->second.doubtful_until = answered + scheduler::kMaxCallDelay;
+    }
     const auto known = self->state_.hosts.find(order.host);
     const bool same_incarnation =
         known != self->state_.hosts.end() &&
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -71,8 +71,10 @@
     core::MonotonicTime clock_read_at;
     scheduler::EndNumber stored;        ///< Highest end that is stored.
     scheduler::EndNumber acknowledged;  ///< Highest end known as acknowledged.
-    /// The renewal in flight acknowledges ends.
-    bool acknowledging = false;
+    /// Calls without an answer may be carried out until then.
+    core::MonotonicTime doubtful_until;
+    /// The renewal in flight acknowledges ends to a host that is in doubt.
+    bool holds_starts = false;
     std::uint32_t failures = 0;
     /// End of the lease of the last renewal that the host has answered.
     core::MonotonicTime renewed_until;
@@ -94,10 +96,11 @@
   /// may still do so.
   void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
                      core::MonotonicTime asked) const;
-  /// @return Whether stored ends may be acknowledged now. While a start may
-  /// take effect on the next incarnation, an acknowledgement that follows it
-  /// there would make the host forget the end of that run. An unresponsive host
-  /// gets none, as each one without an answer costs a token.
+  /// @return Whether stored ends may be acknowledged now. If a host holds up
+  /// calls, a start may take effect on its next incarnation, and an
+  /// acknowledgement that follows it there would make the host forget the end
+  /// of that run. An unresponsive host gets none, as each one without an answer
+  /// costs a token.
   [[nodiscard]] bool may_acknowledge(const scheduler::Host& host,
                                      const Link& link) const;
   /// @return Whether a report would allow an acknowledgement that waits.
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -89,6 +89,17 @@
     return answer;
   }
 
+  /// Leaves a renewal without an answer, and answers the next one.
+  void HoldUpRenewal() {
+    NextRenewal().done(Report(kFirst, 1000));
+    (void)OrderRun();
+    starts.front().done({scheduler::StartOutcome::kNoCapacity, 1001});
+    starts.clear();
+    state.hosts.at(id).unresponsive_since = core::MonotonicNow();
+    NextRenewal().done(RenewAnswer{});
+    NextRenewal().done(Report(kFirst, 1005));
+  }
+
   /// Orders a run of a task on the host.
   scheduler::RunId OrderRun() {
     workload::JobSpec spec;
@@ -195,11 +206,22 @@
   EXPECT_TRUE(host.synced);
 }
 
+// Guards against starts that are late on hosts that answer.
+TEST(HostLinksTest, StartDoesNotWaitForAHostThatAnswers) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.links->Acknowledge(harness.id, {kFirst, {1}});
+  EXPECT_EQ(harness.NextRenewal().call.acknowledged.value, 1U);
+  (void)harness.OrderRun();
+  EXPECT_EQ(harness.starts.size(), 1U);
+}
+
 // Guards against an end that is forgotten unread: an acknowledgement must not
-// follow, on the next incarnation, a start that was sent after it.
+// follow, on the next incarnation, a start that was sent after it. A host that
+// held up one call may do so again.
 TEST(HostLinksTest, StartWaitsForTheAnswerToAnAcknowledgement) {
   Harness harness;
-  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.HoldUpRenewal();
   harness.links->Acknowledge(harness.id, {kFirst, {1}});
   const Harness::Renewal acknowledgement = harness.NextRenewal();
   ASSERT_EQ(acknowledgement.call.acknowledged.value, 1U);
@@ -213,7 +235,7 @@
 // Guards against the same if the acknowledgement has no answer.
 TEST(HostLinksTest, StartAfterAnUnansweredAcknowledgementHasAHigherToken) {
   Harness harness;
-  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.HoldUpRenewal();
   harness.links->Acknowledge(harness.id, {kFirst, {1}});
   const Harness::Renewal acknowledgement = harness.NextRenewal();
   const scheduler::RunId early = harness.OrderRun();
@@ -231,7 +253,7 @@
 // Guards against the same for an acknowledgement that is sent after the start.
 TEST(HostLinksTest, EndsAreNotAcknowledgedWhileAStartMayTakeEffect) {
   Harness harness;
-  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.HoldUpRenewal();
   const scheduler::RunId run = harness.OrderRun();
   ASSERT_EQ(harness.starts.size(), 1U);
   harness.links->Acknowledge(harness.id, {kFirst, {1}});
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -164,11 +164,9 @@
   EXPECT_EQ(harness.hosts.ExecutionsOf(job.id).size(), 1U);
 }
 
-// Guards against the same before the holder has heard of the restart: both the
-// start and the acknowledgement were meant for the previous incarnation.
-TEST(RestartedHostTest, EndOfAStartForAnEarlierIncarnationIsRead) {
-  Harness harness(kShortRun);
-  HoldUpAcknowledgement(harness);
+/// Lets the next incarnation carry out a start and then the acknowledgement
+/// that was held up, before the holder has heard of the restart.
+void TestStartForAnEarlierIncarnation(Harness& harness) {
   harness.hosts.HoldCalls(
       [&harness](const RenewCall& call) {
         return call.acknowledged.value > 0 &&
@@ -193,6 +191,23 @@
   EXPECT_EQ(harness.hosts.ExecutionsOf(job.id).size(), 1U);
 }
 
+// Guards against the same before the holder has heard of the restart: both the
+// start and the acknowledgement were meant for the previous incarnation.
+TEST(RestartedHostTest, EndOfAStartForAnEarlierIncarnationIsRead) {
+  Harness harness(kShortRun);
+  HoldUpAcknowledgement(harness);
+  TestStartForAnEarlierIncarnation(harness);
+}
+
+// Guards against the same after the acknowledgement was found to have no
+// answer.
+TEST(RestartedHostTest, EndOfAStartAfterAnUnansweredAcknowledgementIsRead) {
+  Harness harness(kShortRun);
+  HoldUpAcknowledgement(harness);
+  harness.RunFor(core::Millis(1000));
+  TestStartForAnEarlierIncarnation(harness);
+}
+
 // Guards against a holder that its hosts refuse: the previous one has raised
 // its token beyond the next epoch.
 TEST(RestartedHostTest, NextHolderUsesAHigherTokenThanThePreviousOne) {
