Send no stops to hosts that need a higher token first

After a takeover from a holder that had raised its token beyond the next epoch, the new one stored a higher token before it asked the hosts for their reports, but sent stops of ended jobs at once, with its epoch. The hosts refused them, and the holder took that for a newer holder and gave the ownership up.

Stops and paces wait for the token as renewals do. Test: HostThatNeedsATokenGetsNoStops.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -112,6 +112,11 @@
          (host == state_.hosts.end() ? state_.token : host->second.token);
 }
 
+bool HostLinks::may_call(const scheduler::Host& host) {
+  // A host that is known only from a stored start has no address yet.
+  return host.listing.address.port != 0 && (host.synced || !host.needs_token);
+}
+
 void HostLinks::Renew(scheduler::Host& host, Link& link,
                       core::MonotonicTime now) {
   RenewCall call;
@@ -157,11 +162,7 @@
 
 void HostLinks::RenewIfDue(scheduler::Host& host, core::MonotonicTime now) {
   Link& link = LinkOf(host);
-  // A host that is known only from a stored start has no address yet.
-  const bool has_no_address = host.listing.address.port == 0;
-  const bool is_fenced_off = host.needs_token && !host.synced;
-  if (link.renewing || now < link.retry_not_before || has_no_address ||
-      is_fenced_off) {
+  if (link.renewing || now < link.retry_not_before || !may_call(host)) {
     return;
   }
   const bool due = now >= link.sent + internal::kRenewInterval;
@@ -479,7 +480,7 @@
 void HostLinks::Send(const scheduler::StopRun& order) {
   Enqueue(order.host, [this, order](std::function<void()> done) {
     const auto host = state_.hosts.find(order.host);
-    if (host == state_.hosts.end() || host->second.listing.address.port == 0) {
+    if (host == state_.hosts.end() || !may_call(host->second)) {
       done();
       return;
     }
@@ -518,7 +519,7 @@
 void HostLinks::Send(const scheduler::PaceRun& order) {
   Enqueue(order.host, [this, order](std::function<void()> done) {
     const auto host = state_.hosts.find(order.host);
-    if (host == state_.hosts.end()) {
+    if (host == state_.hosts.end() || !may_call(host->second)) {
       done();
       return;
     }
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -107,6 +107,8 @@
   [[nodiscard]] bool is_report_due(const scheduler::Host& host,
                                    const Link& link,
                                    core::MonotonicTime now) const;
+  /// @return Whether calls other than starts may be sent to a host.
+  [[nodiscard]] static bool may_call(const scheduler::Host& host);
   /// @return Whether a host refused a call because it has seen a later one of
   /// this holder.
   [[nodiscard]] bool is_superseded(const HostTarget& target) const;
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -90,9 +90,9 @@
 
 void RecordMissingEnds(State& state, const Host& host, EndNumber reported) {
   const EndNumber expected = core::Next(host.ended);
-  // The ends before the first report were acknowledged by a previous holder,
-  // unless the host has restarted since.
-  if ((host.synced || host.restarted) && reported > expected) {
+  // A previous holder may have acknowledged ends, unless the host has restarted
+  // since.
+  if ((host.ended.value > 0 || host.restarted) && reported > expected) {
     state.missing_ends.push_back({host.listing.id, host.listing.incarnation,
                                   expected, EndNumber{reported.value - 1}});
   }
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -192,6 +192,19 @@
   EXPECT_GT(second.call.target.token, first.call.target.token);
 }
 
+// Guards against a holder that gives the ownership up after a takeover: a stop
+// with a token that its predecessor has exceeded is refused.
+TEST(HostLinksTest, HostThatNeedsATokenGetsNoStops) {
+  Harness harness;
+  harness.state.hosts.at(harness.id).needs_token = true;
+  const scheduler::RunName name{{"5c0e7a21d94b36f8"}, {}, 1};
+  harness.links->Send(scheduler::StopRun{harness.id, name});
+  EXPECT_TRUE(harness.stops.empty());
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  harness.links->Send(scheduler::StopRun{harness.id, name});
+  EXPECT_EQ(harness.stops.size(), 1U);
+}
+
 // Guards against a first report that was asked for with an earlier token.
 TEST(HostLinksTest, ReportToACallBeforeTheRestartIsNotTheFirstOne) {
   Harness harness;
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -557,6 +557,22 @@
   EXPECT_EQ(fleet.state.unexpected_ends[0].incarnation.value, 2U);
 }
 
+// Guards against a warning about ends that the previous holder has read.
+TEST(RunsTest, EndsAcknowledgedToThePreviousHolderAreNotMissing) {
+  Fleet fleet = SmallFleet(1);
+  HostReport report;
+  report.host = fleet.listings[0].id;
+  report.incarnation = {1};
+  report.asked = fleet.now;
+  const RunName name{{"5c0e7a21d94b36f8"}, {}, 1};
+  report.ended = {{{106}, name, EndKind::kDone, ""}};
+  OnReport(fleet.state, report, fleet.now, fleet.wall);
+  EXPECT_TRUE(fleet.state.missing_ends.empty());
+  report.ended = {{{108}, name, EndKind::kDone, ""}};
+  OnReport(fleet.state, report, fleet.now, fleet.wall);
+  EXPECT_EQ(fleet.state.missing_ends.size(), 1U);
+}
+
 // Guards against a start that takes effect after a stop was confirmed by an
 // incarnation of the host that has ended.
 TEST(RunsTest, StopConfirmedByAnEarlierIncarnationDoesNotEndTheRun) {
