Tests: a late start on an incarnation that the holder does not know, and on the one after the next

LateStartOnAnUnknownIncarnationLapsesFirst: ReplaceIncarnation waits for a lease on another clock, but only once the holder knows of the restart. If the host is cut off before, CheckHosts counts the lease that was granted on the clock of the previous incarnation. NextIncarnationOfARemovedHostIsWaitedForTheLongestLease: MakeHost does not set Host::restarted for an id that was removed before, so that OnFirstReport does not extend the lease. FencedStartDoesNotRunOnTheIncarnationAfterTheNext: RememberOpenCopy keeps no copy of a start without an answer yet that ends as fenced, and the incarnation after the next has seen no token.

--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -13,6 +13,9 @@
 
 constexpr core::Millis kShortRun{60};
 constexpr core::Millis kLongRun{60'000};
+/// Time after a takeover for which the leases and calls of a previous holder
+/// are waited for.
+constexpr core::Millis kTakeoverWait{15'500};
 
 workload::Catalog CatalogWithQueue() {
   workload::Queue queue;
@@ -208,6 +211,55 @@
   TestStartForAnEarlierIncarnation(harness);
 }
 
+// Guards against two runs at once: the holder has not heard of the restart when
+// it treats the lease of the host as expired. The next incarnation carried out
+// a start that was held up, with a deadline on the clock of the previous one,
+// so that its lease is the longest one.
+TEST(RestartedHostTest, LateStartOnAnUnknownIncarnationLapsesFirst) {
+  Harness harness(kLongRun);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.RunFor(kTakeoverWait);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  const auto earlier = harness.hosts.Listings();
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.RunFor(core::Millis(1000));
+  harness.hosts.DeliverHeldStarts();
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.hosts.Add({"i-2"});
+  auto listings = harness.hosts.Listings();
+  listings[0] = earlier[0];
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
+// Guards against two runs at once: a start that one incarnation refuses for its
+// token is carried out by the one after it, which has seen no token.
+TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
+  Harness harness(kLongRun);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.hosts.Add({"i-2"});
+  auto listings = harness.hosts.Listings();
+  listings[0].draining = true;
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.hosts.Restart(harness.id);
+  harness.hosts.DeliverHeldStarts();
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
 // Guards against a holder that its hosts refuse: the previous one has raised
 // its token beyond the next epoch.
 TEST(RestartedHostTest, NextHolderUsesAHigherTokenThanThePreviousOne) {
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -137,6 +137,24 @@
   EXPECT_FALSE(IsUsable(fleet.state.hosts.at(id), fleet.now));
 }
 
+// Guards against two runs at once: a renewal for an incarnation whose host was
+// removed can give the next one a lease until its first report.
+TEST(HostsTest, NextIncarnationOfARemovedHostIsWaitedForTheLongestLease) {
+  Fleet fleet = SmallFleet();
+  const core::HostId id = fleet.listings[0].id;
+  ApplyListings(fleet.state, {}, fleet.now, fleet.now);
+  fleet.now += core::Millis(3000);
+  CheckHosts(fleet.state, fleet.now);
+  ASSERT_TRUE(fleet.state.hosts.empty());
+  fleet.listings[0].incarnation.value = 2;
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  RaiseToken(fleet.state, core::Next(fleet.state.token));
+  fleet.Report(id);
+  ASSERT_TRUE(fleet.state.hosts.at(id).synced);
+  EXPECT_GE(fleet.state.hosts.at(id).lease_end,
+            fleet.now + MaxLeaseDuration(fleet.state.settings.longest_lease));
+}
+
 /// A fleet with a job of one task that a host has accepted but not listed yet.
 struct AcceptedStart {
   AcceptedStart() : fleet(SmallFleet()) {
