Wait for the longest lease on a host that was removed and returns

A renewal for the earlier incarnation that reached it before its first report could hold its runs for up to 10 s.

The first report now counts the longest lease for it as for a host whose restart was seen.

Also: 'host has forgotten ends that were not read' no longer comes for a host of which the holder knew only a stored start before its incarnation (found in trials with real processes).

--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -120,9 +120,8 @@
   Host host;
   host.listing.id = id;
   host.token = state.token;
-  // Calls to an earlier incarnation may still be on their way.
-  host.needs_token =
-      state.is_token_used || state.ended_incarnations.contains(id);
+  host.has_earlier_calls = state.ended_incarnations.contains(id);
+  host.needs_token = state.is_token_used || host.has_earlier_calls;
   return host;
 }
 
@@ -217,8 +216,9 @@
   host.listed = false;
   host.gone_at = now + state.settings.listing_grace;
   host.missed_machine_lists = 0;
+  host.restarted |= host.synced;
   host.synced = false;
-  host.restarted = true;
+  host.has_earlier_calls = true;
   host.needs_token = true;
   host.ended = {};
   host.unresponsive_since.reset();
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -313,7 +313,8 @@
                    core::MonotonicTime now) {
   const core::MonotonicTime longest =
       now + MaxLeaseDuration(state.settings.longest_lease);
-  if (host.restarted) {
+  if (host.has_earlier_calls) {
+    host.has_earlier_calls = false;
     host.lease_end = longest;
   } else if (now < state.took_over + kMaxCallDuration + kMaxCallDelay) {
     host.lease_end = std::max(host.lease_end, longest);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -226,8 +226,10 @@
   std::uint32_t missed_machine_lists = 0;
   /// The host has reported all its runs to this lease holder.
   bool synced = false;
-  /// This lease holder has seen an earlier incarnation of the host.
+  /// An earlier incarnation of the host has reported to this lease holder.
   bool restarted = false;
+  /// Calls to an earlier incarnation may take effect until the first report.
+  bool has_earlier_calls = false;
   /// Fencing token of the calls to the host.
   core::Epoch token;
   /// Calls with the present token may still take effect and must not: no start
