--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -43,6 +43,10 @@
                        std::function<void(CallOutcome)> done) {
       stops.emplace_back(target.incarnation, std::move(done));
     };
+    port.pace = [this](const HostTarget&, const scheduler::RunName&,
+                       int percent, std::function<void(CallOutcome)> done) {
+      paces.emplace_back(percent, std::move(done));
+    };
     links = std::make_shared<HostLinks>(
         port, state, node_metrics, run_latency,
         Authority{[] { return true; }, [this] { return authority_left; },
@@ -131,6 +135,7 @@
   std::deque<Start> starts;
   std::deque<std::pair<core::Incarnation, std::function<void(CallOutcome)>>>
       stops;
+  std::deque<std::pair<int, std::function<void(CallOutcome)>>> paces;
   int fenced = 0;
   std::shared_ptr<HostLinks> links;
 };
@@ -436,5 +441,40 @@
   EXPECT_GT(harness.NextRenewal().call.wait, core::Millis(0));
 }
 
+// Guards against a best-effort task that goes on at another pace than the
+// holder believes: a call without an answer may be carried out after newer ones
+// or not at all.
+TEST(HostLinksTest, PaceAfterAnUnansweredOneIsSentAgain) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  const scheduler::RunId id = harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  harness.starts[0].done({scheduler::StartOutcome::kStarted, 1001});
+  scheduler::Run& run = harness.state.runs.at(id);
+  run.best_effort = true;
+  harness.state.hosts.at(harness.id).best_effort_runs = 1;
+  run.pace = 100;
+  harness.links->Send(scheduler::PaceRun{harness.id, run.name, 0});
+  ASSERT_EQ(harness.paces.size(), 1U);
+  harness.links->Send(scheduler::PaceRun{harness.id, run.name, 100});
+  ASSERT_EQ(harness.paces.size(), 2U);
+  harness.paces[1].second(CallOutcome::kDone);
+  harness.paces[0].second(CallOutcome::kNoAnswer);
+  for (int i = 0; i < 5; ++i) {
+    RenewAnswer report = Harness::Report(kFirst, 1010 + i);
+    report.running.push_back({run.name, "", 100, 0});
+    harness.NextRenewal().done(report);
+    ASSERT_EQ(run.phase, scheduler::RunPhase::kRunning);
+    for (const scheduler::Order& order :
+         std::exchange(harness.state.orders, {})) {
+      if (const auto* pace = std::get_if<scheduler::PaceRun>(&order)) {
+        harness.links->Send(*pace);
+      }
+    }
+  }
+  ASSERT_GT(harness.paces.size(), 2U);
+  EXPECT_EQ(harness.paces.back().first, 100);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/host_router_test.cpp
+++ b/test/coordinator/host_router_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -189,5 +190,46 @@
   EXPECT_EQ(harness.outcomes[0], CallOutcome::kNoAnswer);
 }
 
+// Guards against a call that the next process of a node takes over from the
+// previous one, or an answer of one that is used for a call to the other.
+TEST(HostRouterTest, NextProcessOfAnAgentTakesNoCallsOfThePreviousOne) {
+  Harness harness;
+  harness.Stop(2);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.agent_calls == 2; }));
+  const core::Address address{"127.0.0.1", harness.server->port()};
+  const auto late_answers = std::move(harness.pending_responses);
+  harness.pending_responses.clear();
+  harness.server.reset();
+  harness.agent.reset();
+  HostPort next_port;
+  int next_calls = 0;
+  next_port.stop = [&](const HostTarget&, const scheduler::RunName&,
+                       const std::function<void(CallOutcome)>& done) {
+    ++next_calls;
+    done(CallOutcome::kRefused);
+  };
+  const auto next = std::make_shared<HostAgent>(harness.loop, next_port);
+  const peer::Server next_server(
+      harness.loop, address,
+      [&](const peer::Request& request, const peer::Respond& respond) {
+        next->Serve(request, respond);
+      });
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.outcomes.size() == 2; }));
+  EXPECT_EQ(harness.outcomes,
+            (std::vector<CallOutcome>{CallOutcome::kNoAnswer,
+                                      CallOutcome::kNoAnswer}));
+  EXPECT_EQ(next_calls, 0);
+  for (const auto& answer : late_answers) {
+    answer(CallOutcome::kDone);
+  }
+  // A failed node is used again after some time.
+  ASSERT_TRUE(harness.RunUntil([&] {
+    harness.Stop();
+    return next_calls > 0;
+  }));
+  ASSERT_TRUE(harness.RunUntil(
+      [&] { return harness.outcomes.back() == CallOutcome::kRefused; }));
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -195,5 +195,35 @@
   EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
 }
 
+// Guards against a job that is reported as not accepted and runs: the holder
+// stored it and ended, and the next process at its address rejects the retry.
+TEST(JobFrontendTest, RejectionByTheNextProcessDoesNotHideAnEarlierAttempt) {
+  Harness harness;
+  std::vector<peer::Respond> open;
+  auto holder = std::make_unique<peer::Server>(
+      harness.loop, core::Address{"127.0.0.1", 0},
+      [&](const peer::Request&, const peer::Respond& respond) {
+        open.push_back(respond);
+      });
+  const core::Address address{"127.0.0.1", holder->port()};
+  harness.holder_client.SetHolder(address);
+  std::optional<SubmitAnswer> submitted;
+  harness.frontend->Submit(Harness::Spec(),
+                           core::MonotonicNow() + core::Millis(1000),
+                           [&](SubmitAnswer answer) { submitted = answer; });
+  ASSERT_TRUE(harness.RunUntil([&] { return open.size() == 1; }));
+  holder.reset();
+  int rejected = 0;
+  const peer::Server next(
+      harness.loop, address,
+      [&](const peer::Request&, const peer::Respond& respond) {
+        ++rejected;
+        respond({peer::kStatusUnavailable, ""});
+      });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  EXPECT_GT(rejected, 0);
+  EXPECT_EQ(submitted->outcome, SubmitOutcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace camphormux::coordinator
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -367,5 +367,38 @@
   EXPECT_FALSE(found->has_value());
 }
 
+// Guards against an ownership that is taken from its holder: a node evicts the
+// previous process at its address after another node has taken over.
+TEST(StoreTest, EvictionOfAPreviousProcessDoesNotEndALaterOwnership) {
+  StoreFixture fixture;
+  coordinator::NodeSettings settings;
+  settings.peer = {"127.0.0.1", 1};
+  coordinator::NodeSettings other_settings;
+  other_settings.peer = {"127.0.0.2", 1};
+  const auto join = [&](const coordinator::ElectionPort& port) {
+    return WaitFor<std::optional<coordinator::MembershipAnswer>>(
+        fixture.loop, [&](auto done) { port.join(std::move(done)); });
+  };
+  const auto find = [&](const coordinator::ElectionPort& port) {
+    return WaitFor<std::optional<coordinator::Ownership>>(
+        fixture.loop, [&](auto done) { port.find_holder(std::move(done)); });
+  };
+  const auto previous = MakeElectionPort(fixture.store, settings);
+  const auto next = MakeElectionPort(fixture.store, settings);
+  const auto other = MakeElectionPort(fixture.store, other_settings);
+  ASSERT_TRUE(join(previous));
+  auto ownership = find(next);
+  ASSERT_TRUE(ownership);
+  ASSERT_TRUE(ownership->is_previous_process);
+  fixture.fake_store.EndMemberships();
+  ASSERT_TRUE(join(other));
+  WaitFor<bool>(fixture.loop, [&](auto done) {
+    next.evict_previous_process([done] { done(true); });
+  });
+  ownership = find(other);
+  ASSERT_TRUE(ownership);
+  EXPECT_TRUE(ownership->is_self);
+}
+
 }  // namespace
 }  // namespace camphormux::platform
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -313,5 +313,31 @@
   EXPECT_TRUE(IsUsable(fleet.state.hosts.at(id), fleet.now));
 }
 
+// Guards against a run that counts as gone because the next incarnation has
+// confirmed the stop that was meant for the previous one.
+TEST(HostsTest, StopConfirmedByTheNextIncarnationIsNotUsedForIt) {
+  Fleet fleet = SmallFleet();
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(5000)));
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  scheduler::Run& run = fleet.state.runs.begin()->second;
+  OnStartAnswer(fleet.state, run.id, StartOutcome::kNoAnswer, fleet.now);
+  RequestStop(fleet.state, run);
+  // The answer does not name its incarnation.
+  OnStopConfirmed(fleet.state, run.host, {1}, run.name, fleet.now);
+  ASSERT_TRUE(run.stop_confirmed);
+  for (HostListing& listing : fleet.listings) {
+    listing.incarnation.value = 2;
+  }
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  EXPECT_FALSE(fleet.state.runs.begin()->second.stop_confirmed);
+  // A late answer of the previous incarnation.
+  OnStopConfirmed(fleet.state, fleet.state.runs.begin()->second.host, {1},
+                  fleet.state.runs.begin()->second.name, fleet.now);
+  EXPECT_FALSE(fleet.state.runs.begin()->second.stop_confirmed);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/scheduler/pacing_test.cpp
+++ b/test/scheduler/pacing_test.cpp
@@ -1,5 +1,8 @@
 #include "camphormux/scheduler/pacing.hpp"
 
+#include <algorithm>
+#include <variant>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/runs.hpp"
@@ -64,5 +67,33 @@
   EXPECT_GT(PaceAfter(fleet, 30), slowed);
 }
 
+// Guards against a best-effort task that does not work any more after a
+// takeover: the previous holder halted it, and the next one takes it for one at
+// full pace.
+TEST(PacingTest, RunThatThePreviousHolderHaltedIsPacedAgain) {
+  Fleet previous = SharedHost();
+  for (int i = 0; i < 3; ++i) {
+    (void)PaceAfter(previous, 150);
+  }
+  ASSERT_EQ(PaceAfter(previous, 150), 0);
+  ASSERT_EQ(previous.running.size(), 2U);
+  // The next holder knows the jobs and learns of the runs by a report.
+  Fleet next;
+  next.running = previous.running;
+  next.AddQueue("q", "pool");
+  for (const auto& [id, job] : previous.state.jobs) {
+    (void)next.Submit(job.spec);
+  }
+  next.AddHosts("pool", 1);
+  ASSERT_EQ(next.state.runs.size(), 2U);
+  // The serving task is well below its target.
+  next.Advance(core::Millis(1000));
+  ASSERT_EQ(next.state.runs.size(), 2U);
+  EXPECT_TRUE(
+      std::any_of(next.sent.begin(), next.sent.end(), [](const Order& order) {
+        return std::holds_alternative<PaceRun>(order);
+      }));
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/scheduler/stale_orders_test.cpp
+++ b/test/scheduler/stale_orders_test.cpp
@@ -1,5 +1,10 @@
 #include "camphormux/scheduler/stale_orders.hpp"
 
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "camphormux/scheduler/plan.hpp"
@@ -140,5 +145,122 @@
   EXPECT_FALSE(fleet.state.hosts.at(host).reserved);
 }
 
+/// @return Moves among the orders that are to be sent.
+std::vector<MoveMachine> OpenMoves(const Fleet& fleet) {
+  std::vector<MoveMachine> moves;
+  for (const Order& order : fleet.state.orders) {
+    if (const auto* move = std::get_if<MoveMachine>(&order)) {
+      moves.push_back(*move);
+    }
+  }
+  return moves;
+}
+
+// Guards against tasks that a repeated order ends: it was given for an empty
+// host, and the machine has another host with a run since.
+TEST(StaleOrdersTest, MachineOrderIsNotRepeatedOnTheNextHostOfItsMachine) {
+  Fleet fleet = FleetWithMove();
+  const auto* first = FirstSent<MoveMachine>(fleet);
+  ASSERT_NE(first, nullptr);
+  const MoveMachine move = *first;
+  OnMachineAnswer(fleet.state, move.machine, nullptr, MachineOutcome::kNoAnswer,
+                  fleet.now);
+  fleet.state.orders.clear();
+  // The order was not carried out. The host crashes, and the next one follows.
+  const core::HostId ordered =
+      fleet.state.machines.at(move.machine).ordered_host;
+  const core::HostId next{"i-next"};
+  for (HostListing& listing : fleet.listings) {
+    listing.id = listing.id == ordered ? next : listing.id;
+  }
+  for (MachineListing& machine : fleet.machines) {
+    machine.host = machine.host == ordered ? next : machine.host;
+  }
+  fleet.now += core::Millis(2000);
+  fleet.Publish();
+  (void)fleet.Submit(MakeJob(1, "q", 4, 64, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.state.hosts.at(next).runs.size(), 1U);
+  OnMachineAnswer(fleet.state, move.machine, nullptr, MachineOutcome::kNoAnswer,
+                  fleet.now);
+  EXPECT_TRUE(OpenMoves(fleet).empty());
+}
+
+/// Repeats a move without an answer at an interval.
+/// @return The pools that the repetitions name; none if there is no move.
+std::set<std::string> PoolsOfRepeatedMoves(core::Millis interval) {
+  constexpr int kRepetitions = 20;
+  Fleet fleet = FleetWithMove();
+  const auto* first = FirstSent<MoveMachine>(fleet);
+  if (first == nullptr) {
+    return {};
+  }
+  const MachineId machine = first->machine;
+  std::set<std::string> pools;
+  for (int i = 0; i < kRepetitions; ++i) {
+    fleet.Advance(interval);
+    fleet.state.orders.clear();
+    OnMachineAnswer(fleet.state, machine, nullptr, MachineOutcome::kNoAnswer,
+                    fleet.now);
+    for (const MoveMachine& move : OpenMoves(fleet)) {
+      pools.insert(move.pool.value);
+    }
+  }
+  return pools;
+}
+
+// Guards against a repeated move to another pool than that of the first copy.
+TEST(StaleOrdersTest, RepeatedMoveNamesThePoolOfTheFirst) {
+  EXPECT_EQ(PoolsOfRepeatedMoves(core::Millis(400)),
+            std::set<std::string>{"spare"});
+}
+
+// Guards against the same for moves that wait for the store: the target of a
+// move is forgotten after some seconds.
+TEST(StaleOrdersTest, MoveThatIsRepeatedLateNamesThePoolOfTheFirst) {
+  EXPECT_EQ(PoolsOfRepeatedMoves(core::Millis(7000)),
+            std::set<std::string>{"spare"});
+}
+
+// Guards against tasks that a late copy of an earlier move ends: the machine
+// was moved back and has a run when the copy is carried out.
+TEST(StaleOrdersTest, MachineIsNotMovedBackWhileACopyOfItsMoveIsOpen) {
+  constexpr core::Millis kLongestDelay{12'000};
+  Fleet fleet = FleetWithMove();
+  const auto* first = FirstSent<MoveMachine>(fleet);
+  ASSERT_NE(first, nullptr);
+  const MoveMachine move = *first;
+  const core::MonotonicTime unanswered = fleet.now;
+  OnMachineAnswer(fleet.state, move.machine, nullptr, MachineOutcome::kNoAnswer,
+                  fleet.now);
+  fleet.state.orders.clear();
+  OnMachineAnswer(fleet.state, move.machine, nullptr, MachineOutcome::kDone,
+                  fleet.now);
+  // The machine arrives in the standby pool, and its old pool has more work
+  // than room.
+  for (MachineListing& machine : fleet.machines) {
+    if (machine.id == move.machine) {
+      std::erase_if(fleet.listings, [&](const HostListing& listing) {
+        return listing.id == machine.host;
+      });
+      machine.host.value = "i-parked";
+      machine.pool = move.pool;
+    }
+  }
+  fleet.now += core::Millis(2000);
+  fleet.Publish();
+  (void)fleet.Submit(MakeJob(1, "q", 6, 64, core::Millis(60'000)));
+  const std::size_t sent_before = fleet.sent.size();
+  while (fleet.now < unanswered + kLongestDelay - core::Millis(1000)) {
+    fleet.Advance(core::Millis(100));
+    for (std::size_t i = sent_before; i < fleet.sent.size(); ++i) {
+      const auto* later = std::get_if<MoveMachine>(&fleet.sent[i]);
+      ASSERT_FALSE(later != nullptr && later->machine == move.machine)
+          << "moved to " << later->pool.value << " "
+          << (fleet.now - unanswered).count() << " ms after the open copy";
+    }
+  }
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -90,6 +90,69 @@
   EXPECT_EQ(fleet.state.machines.at(machine).listing.host.value, "i-next");
 }
 
+/// A host that is ordered to its upkeep. The order has no answer.
+struct HostInUpkeep {
+  HostInUpkeep() {
+    fleet.AddQueue("q", "pool");
+    fleet.AddHosts("pool", 1);
+    fleet.execute_machine_orders = false;
+    listing = fleet.listings[0];
+    AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+    fleet.Step();
+    OnMachineAnswer(fleet.state, fleet.machines[0].id, &wave,
+                    MachineOutcome::kNoAnswer, fleet.now);
+  }
+
+  /// Lists the host again, as a new incarnation under its id, with a job.
+  void Return() {
+    listing.incarnation.value = 2;
+    fleet.listings = {listing};
+    fleet.machines[0].host = listing.id;
+    fleet.machines[0].state = MachineState::kUp;
+    fleet.Publish();
+    (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+    fleet.Advance(core::Millis(50));
+  }
+
+  Fleet fleet;
+  HostListing listing;
+  WaveId wave{1};
+};
+
+// Guards against tasks that run twice: the answer to a repeated order ends the
+// runs of the incarnation that the host's id names after the upkeep.
+TEST(UpkeepTest, LateAnswerDoesNotEndTheNextIncarnationOfAHost) {
+  HostInUpkeep test;
+  Fleet& fleet = test.fleet;
+  ASSERT_EQ(CountUpkeeps(fleet), 1U);
+  fleet.listings.clear();
+  fleet.machines[0].host.value.clear();
+  fleet.machines[0].state = MachineState::kUpkeep;
+  for (int i = 0; i < 10 && fleet.state.hosts.contains(test.listing.id); ++i) {
+    fleet.Advance(core::Millis(1000));
+    fleet.Publish();
+  }
+  ASSERT_FALSE(fleet.state.hosts.contains(test.listing.id));
+  test.Return();
+  ASSERT_EQ(fleet.running.size(), 1U);
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  OnMachineAnswer(fleet.state, fleet.machines[0].id, &test.wave,
+                  MachineOutcome::kDone, fleet.now);
+  EXPECT_TRUE(fleet.state.hosts.contains(test.listing.id));
+  EXPECT_EQ(fleet.state.runs.size(), 1U);
+}
+
+// Guards against tasks on an incarnation that an open order for the machine
+// still ends: the host restarts under its id and was not removed in between.
+TEST(UpkeepTest, RestartedHostGetsNoRunsWhileAnOrderForItsMachineIsOpen) {
+  HostInUpkeep test;
+  ASSERT_EQ(CountUpkeeps(test.fleet), 1U);
+  test.Return();
+  ASSERT_TRUE(
+      test.fleet.state.machines.at(test.fleet.machines[0].id).order_pending);
+  EXPECT_TRUE(test.fleet.state.runs.empty());
+}
+
 // Guards against exceeding a step's unavailability budget: right after a
 // takeover, a run that the previous lease holder has stopped still appears to
 // be serving.
