Tests: fix the bytes of host calls and job records for upgrades

Nodes of two versions run side by side in an upgrade: they exchange batches of host calls and read each other's job records. A record of an unknown key, such as f/token for that version, is ignored.

The answers of AnswersSurviveEncodingAndDecoding moved to a function that both tests use; its checks are the same.

--- a/test/coordinator/host_calls_test.cpp
+++ b/test/coordinator/host_calls_test.cpp
@@ -1,5 +1,8 @@
 #include "camphormux/coordinator/host_calls.hpp"
 
+#include <string>
+#include <string_view>
+
 #include <gtest/gtest.h>
 
 namespace camphormux::coordinator {
@@ -30,6 +33,32 @@
   return batch;
 }
 
+std::vector<NumberedAnswer> Answers() {
+  RenewAnswer renewed;
+  renewed.outcome = CallOutcome::kDone;
+  renewed.clock_ms = 4321;
+  renewed.incarnation.value = 1'790'329'676'759;
+  renewed.running.push_back({Name(1), "ab", 40, 2000});
+  renewed.ended.push_back(
+      {{7}, Name(2), scheduler::EndKind::kLeaseExpired, "cd"});
+  renewed.is_partial = true;
+  return {{1, StartAnswer{scheduler::StartOutcome::kNoCapacity, 99}},
+          {2, CallOutcome::kFenced},
+          {3, renewed}};
+}
+
+/// Converts bytes to hexadecimal digits.
+std::string ToHex(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  for (const char c : bytes) {
+    const auto byte = static_cast<unsigned char>(c);
+    hex += kDigits[byte >> 4U];
+    hex += kDigits[byte & 15U];
+  }
+  return hex;
+}
+
 TEST(HostCallsTest, CallsSurviveEncodingAndDecoding) {
   const auto decoded = DecodeCalls(EncodeCalls(Batch()));
   ASSERT_TRUE(decoded);
@@ -56,18 +85,7 @@
 }
 
 TEST(HostCallsTest, AnswersSurviveEncodingAndDecoding) {
-  RenewAnswer renewed;
-  renewed.outcome = CallOutcome::kDone;
-  renewed.clock_ms = 4321;
-  renewed.incarnation.value = 1'790'329'676'759;
-  renewed.running.push_back({Name(1), "ab", 40, 2000});
-  renewed.ended.push_back(
-      {{7}, Name(2), scheduler::EndKind::kLeaseExpired, "cd"});
-  renewed.is_partial = true;
-  const auto decoded = DecodeAnswers(
-      EncodeAnswers({{1, StartAnswer{scheduler::StartOutcome::kNoCapacity, 99}},
-                     {2, CallOutcome::kFenced},
-                     {3, renewed}}));
+  const auto decoded = DecodeAnswers(EncodeAnswers(Answers()));
   ASSERT_TRUE(decoded);
   ASSERT_EQ(decoded->size(), 3U);
   const auto& start = std::get<StartAnswer>((*decoded)[0].answer);
@@ -77,7 +95,7 @@
   const auto& answer = std::get<RenewAnswer>((*decoded)[2].answer);
   EXPECT_EQ(answer.outcome, CallOutcome::kDone);
   EXPECT_EQ(answer.clock_ms, 4321);
-  EXPECT_EQ(answer.incarnation, renewed.incarnation);
+  EXPECT_EQ(answer.incarnation.value, 1'790'329'676'759U);
   EXPECT_TRUE(answer.is_partial);
   ASSERT_EQ(answer.running.size(), 1U);
   EXPECT_EQ(answer.running[0].name, Name(1));
@@ -89,6 +107,30 @@
   EXPECT_EQ(answer.ended[0].checkpoint, "cd");
 }
 
+// Guards against nodes that do not understand each other during an upgrade, in
+// which nodes of two versions run side by side. The bytes are those that commit
+// 4b54cb4 writes.
+TEST(HostCallsTest, CallsAreEncodedAsInThePreviousVersion) {
+  EXPECT_EQ(ToHex(EncodeCalls(Batch())),
+            "846f31302e302e302e323a373037302f39098146ff0073706563868e01006369"
+            "2d31184d6831302e302e302e31191f9070356330653761323164393462333666"
+            "380102000300626162068e020063692d31184d6831302e302e302e31191f9070"
+            "356330653761323164393462333666380102010300626162068b030163692d31"
+            "184d6831302e302e302e31191f90703563306537613231643934623336663801"
+            "0202038c040263692d31184d6831302e302e302e31191f907035633065376132"
+            "31643934623336663801020303182889050363692d31184d6831302e302e302e"
+            "31191f900c001903e889060363692d31184d6831302e302e302e31191f900001"
+            "00");
+}
+
+// Guards against an answer that the holder of the previous version cannot read.
+TEST(HostCallsTest, AnswersAreEncodedAsInThePreviousVersion) {
+  EXPECT_EQ(ToHex(EncodeAnswers(Answers())),
+            "8384010001186483020101880302001910e28870356330653761323164393462"
+            "333666380102010362616218281907d088077035633065376132316439346233"
+            "36663801020203036263641b000001a0d7f6e3d701");
+}
+
 // Guards against a truncated message that is accepted as a shorter one: the
 // runs that it omits would count as gone.
 TEST(HostCallsTest, TruncatedMessagesAreRejected) {
--- a/test/coordinator/job_records_test.cpp
+++ b/test/coordinator/job_records_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -98,6 +99,18 @@
   std::size_t last_bytes = 0;
 };
 
+/// Converts bytes to hexadecimal digits.
+std::string ToHex(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  for (const char c : bytes) {
+    const auto byte = static_cast<unsigned char>(c);
+    hex += kDigits[byte >> 4U];
+    hex += kDigits[byte & 15U];
+  }
+  return hex;
+}
+
 // Guards against an upgrade that loses jobs: a node of the previous version may
 // be the next holder.
 TEST(JobRecordsTest, SmallJobIsStoredAsInThePreviousVersion) {
@@ -112,6 +125,49 @@
             harness.job().spec);
 }
 
+// Guards against records that a node of the other version cannot read when it
+// becomes the holder during an upgrade. The bytes are those that commit 4b54cb4
+// writes.
+TEST(JobRecordsTest, RecordsHaveTheBytesOfThePreviousVersion) {
+  Harness harness(2);
+  harness.StartAll();
+  ASSERT_TRUE(harness.Collect(kUnlimited));
+  EXPECT_EQ(ToHex(harness.store.at("j/" + harness.id.value)),
+            "887035633065376132316439346233366638617160818d020000000080006060"
+            "006000000000008464706f6f6c000100");
+  EXPECT_EQ(ToHex(harness.store.at("p/" + harness.id.value)),
+            "850061711b000001a229f12800008286000002806081836a692d376633613931"
+            "63321b000001a229f128000186010002806081836a692d37663361393163321b"
+            "000001a229f1280001");
+  const std::vector<StoreRecord> tombstone = TombstoneRecords(harness.id, kNow);
+  ASSERT_EQ(tombstone.size(), 2U);
+  EXPECT_EQ(tombstone[0].key, "p/" + harness.id.value);
+  EXPECT_EQ(ToHex(tombstone[0].value.value_or("")),
+            "850460001b000001a229f1280080");
+  EXPECT_EQ(tombstone[1].key, "j/" + harness.id.value);
+  EXPECT_FALSE(tombstone[1].value);
+}
+
+// Guards against a record of a later version that hides a job, is deleted or is
+// taken for a malformed one: a node of the previous version reads `f/token` in
+// this way.
+TEST(JobRecordsTest, RecordsOfUnknownKeysAreIgnored) {
+  Harness harness(1);
+  harness.StartAll();
+  ASSERT_TRUE(harness.Collect(kUnlimited));
+  harness.store["f/token"] = "\x81\x09";
+  harness.store["unknown"] = "\xff";
+  const LoadedJobs loaded = harness.Load();
+  EXPECT_TRUE(loaded.malformed.empty());
+  EXPECT_TRUE(loaded.obsolete.empty());
+  ASSERT_EQ(loaded.jobs.size(), 1U);
+  const LoadedJob& job = loaded.jobs.at(harness.id);
+  ASSERT_TRUE(job.job);
+  EXPECT_EQ(job.job->spec, harness.job().spec);
+  ASSERT_TRUE(job.progress);
+  EXPECT_EQ(job.progress->tasks.at(0).runs.size(), 1U);
+}
+
 // Guards against a cancelled job that starts once its final state is forgotten:
 // its record was stored in an append of its own, before that state.
 TEST(JobRecordsTest, JobRecordBesideAFinalStateIsRemoved) {
