Send calls with different tokens to another node without a pause

A batch of calls for another node names one token. Since hosts have tokens of their own, calls that were queued together went out in several exchanges 10 ms apart, one for each token, which delays starts on large sites.

Batches with further tokens follow at once; a full batch is still followed by a pause.

--- a/src/camphormux/coordinator/host_router.cpp
+++ b/src/camphormux/coordinator/host_router.cpp
@@ -245,7 +245,12 @@
                               self->OnExchanged(agent, sent, result);
                             }
                           });
-  if (!agent_link.queue.empty()) {
+  if (agent_link.queue.empty()) {
+    return;
+  }
+  if (batch.calls.size() < kMaxCallsPerBatch) {
+    Exchange(agent);  // The other calls carry another token.
+  } else {
     ScheduleExchange(agent);
   }
 }
--- a/test/coordinator/host_router_test.cpp
+++ b/test/coordinator/host_router_test.cpp
@@ -98,6 +98,22 @@
   EXPECT_EQ(harness.agent_tokens, (std::vector<core::Epoch>{{3}, {3}, {5}}));
 }
 
+// Guards against starts that are late because the tokens of hosts differ: each
+// exchange with an agent is followed by a pause.
+TEST(HostRouterTest, CallsWithDifferentTokensAreSentTogether) {
+  Harness harness;
+  harness.Stop();
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.agent_calls == 1; }));
+  constexpr int kTokens = 40;
+  for (int i = 0; i < kTokens; ++i) {
+    harness.Stop(1, core::Epoch{10 + static_cast<std::uint64_t>(i)});
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.agent_calls == 1 + kTokens; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, core::Millis(200));
+}
+
 TEST(HostRouterTest, HostsOfALargeFleetAreCalledThroughAnAgent) {
   Harness harness;
   harness.Stop(3);
