Client accounts: keys, owners of jobs, and the account in calls and records

Cause: nothing on the platform's path reads accounts or keys.

Change: accounts, digests of their keys and public queues in the catalog, with problems that name the field. Each call is checked by the node that answers it: 401 before anything is stored or forwarded. The account goes with the job through calls between nodes and the stored records, as an appended element; without accounts all bytes stay. Jobs, final states and tombstones of other accounts do not exist for a caller. Refusals carry a reason.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -400,8 +400,9 @@
           {{"job", id.value},
            {"open_jobs", std::to_string(state_.jobs.size())},
            {"catalog", std::to_string(state_.catalog.version.value)},
+           {"reason", std::string(scheduler::Describe(result.reason))},
            {"retry_after_ms", std::to_string(result.retry_after.count())}});
-      done({SubmitOutcome::kRefused, result.retry_after});
+      done({SubmitOutcome::kRefused, result.retry_after, result.reason});
       return;
     case scheduler::Admission::kStoring:
       pending_submits_.emplace(id, std::move(done));
@@ -440,25 +441,32 @@
   });
 }
 
-void Holder::Cancel(const core::JobId& id,
+void Holder::Cancel(const core::JobId& id, const workload::Caller& caller,
                     std::function<void(std::optional<bool> known)> done) {
   if (!loaded_ || stopped_) {
     done(std::nullopt);
     return;
   }
-  const bool known = scheduler::Cancel(state_, id, core::WallNow());
+  const bool is_foreign = scheduler::IsForeign(state_, id, caller);
+  const bool known = scheduler::Cancel(state_, id, core::WallNow(), caller);
   telemetry::Log(
       telemetry::Level::kInfo, "job cancelled",
       {{"job", id.value},
-       {"known", known ? "yes" : "no"},
+       {"known", known        ? "yes"
+                 : is_foreign ? "to another account"
+                              : "no"},
        {"token", std::to_string(token_.value)},
        {"ownership_confirmed", authority_.is_confirmed() ? "yes" : "no"}});
+  if (is_foreign) {
+    done(false);
+    return;
+  }
   if (known && state_.closed.contains(id)) {
     done(true);
     return;
   }
   if (!known) {
-    switch (scheduler::AddTombstone(state_, id)) {
+    switch (scheduler::AddTombstone(state_, id, caller)) {
       case scheduler::TombstoneStatus::kAdded:
         store_writer_->AddTombstone(id);
         break;
@@ -497,8 +505,9 @@
   }
 }
 
-StateAnswer Holder::StateOf(const core::JobId& id) const {
-  if (const auto state = scheduler::VisibleState(state_, id)) {
+StateAnswer Holder::StateOf(const core::JobId& id,
+                            const workload::Caller& caller) const {
+  if (const auto state = scheduler::VisibleState(state_, id, caller)) {
     return {QueryOutcome::kKnown, *state};
   }
   return {authority_.is_confirmed() ? QueryOutcome::kNone
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -16,6 +16,7 @@
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/coordinator/run_latency.hpp"
 #include "camphormux/coordinator/store_writer.hpp"
+#include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::coordinator {
@@ -33,6 +34,8 @@
   /// When the caller may retry. 0 from a holder that is unavailable for a
   /// reason that may not last.
   core::Millis retry_after{0};
+  /// Set if refused.
+  scheduler::RefusalReason reason = scheduler::RefusalReason::kNone;
 };
 
 enum class QueryOutcome {
@@ -75,13 +78,16 @@
 
   void Submit(workload::JobSpec spec, std::function<void(SubmitAnswer)> done);
   /// @param id The job.
+  /// @param caller On whose behalf; a job that it may not access is not known.
   /// @param done Called once the end of the job is stored, with whether the job
   /// is known; empty if that is not certain.
-  void Cancel(const core::JobId& id,
+  void Cancel(const core::JobId& id, const workload::Caller& caller,
               std::function<void(std::optional<bool> known)> done);
-  /// @return State of a job. That there is no such job is only said while no
-  /// other node can have taken over, which would know of it.
-  [[nodiscard]] StateAnswer StateOf(const core::JobId& id) const;
+  /// @return State of a job. That there is no such job that the caller may
+  /// access is only said while no other node can have taken over, which would
+  /// know of it.
+  [[nodiscard]] StateAnswer StateOf(const core::JobId& id,
+                                    const workload::Caller& caller = {}) const;
   /// @return Number of jobs of a queue of which no task has started, if no
   /// other node can have taken over long ago.
   [[nodiscard]] CountAnswer Pending(const workload::QueueName& queue) const;
--- a/src/camphormux/coordinator/holder_client.cpp
+++ b/src/camphormux/coordinator/holder_client.cpp
@@ -33,6 +33,15 @@
   return cbor::Serialize(json::array({name}));
 }
 
+/// Encodes a job and on whose behalf it is asked for.
+std::string Encode(const core::JobId& id, const workload::Caller& caller) {
+  json value = json::array({id.value});
+  if (caller.account) {
+    value.push_back(caller.account->value);
+  }
+  return cbor::Serialize(value);
+}
+
 /// Reads the two numbers of an answer; empty if there is no valid answer.
 std::optional<std::pair<std::uint64_t, std::uint64_t>> Numbers(
     const peer::Result& result) {
@@ -52,10 +61,44 @@
   return std::make_pair(first, second);
 }
 
+/// Reads the reason of a refusal, which nodes of earlier versions do not tell.
+scheduler::RefusalReason ReasonIn(const std::string& body) {
+  const auto value = cbor::Parse(body);
+  if (!value) {
+    return scheduler::RefusalReason::kNone;
+  }
+  cbor::ArrayReader reader(*value);
+  (void)reader.Unsigned();
+  (void)reader.Unsigned();
+  return static_cast<scheduler::RefusalReason>(reader.Unsigned(
+      static_cast<std::uint64_t>(scheduler::RefusalReason::kIdInUse)));
+}
+
 peer::Response Reply(std::uint64_t first, std::uint64_t second) {
   return {peer::kStatusOk, cbor::Serialize(json::array({first, second}))};
 }
 
+/// A job and on whose behalf it is asked for.
+struct JobQuery {
+  core::JobId id;
+  workload::Caller caller;
+};
+
+JobQuery JobQueryIn(const peer::Request& request) {
+  JobQuery query;
+  const auto value = cbor::Parse(request.body);
+  if (!value) {
+    return query;
+  }
+  cbor::ArrayReader reader(*value);
+  query.id.value = reader.Text(kMaxNameBytes);
+  // Nodes of earlier versions do not send the account.
+  if (reader.has_more()) {
+    query.caller.account = workload::AccountName{reader.Text(kMaxNameBytes)};
+  }
+  return query;
+}
+
 std::string NameIn(const peer::Request& request) {
   const auto value = cbor::Parse(request.body);
   if (!value) {
@@ -73,8 +116,11 @@
     return;
   }
   holder->Submit(*std::move(spec), [respond](SubmitAnswer answer) {
-    respond(Reply(static_cast<std::uint64_t>(answer.outcome),
-                  static_cast<std::uint64_t>(answer.retry_after.count())));
+    respond({peer::kStatusOk,
+             cbor::Serialize(json::array(
+                 {static_cast<std::uint64_t>(answer.outcome),
+                  static_cast<std::uint64_t>(answer.retry_after.count()),
+                  static_cast<std::uint64_t>(answer.reason)}))});
   });
 }
 
@@ -119,14 +165,17 @@
           return;
         }
         done({static_cast<SubmitOutcome>(numbers->first),
-              core::Millis(static_cast<std::int64_t>(numbers->second))});
+              core::Millis(static_cast<std::int64_t>(numbers->second)),
+              internal::ReasonIn(result.value().body)});
       });
 }
 
-void HolderClient::State(const core::JobId& id, core::Millis timeout,
+void HolderClient::State(const core::JobId& id, const workload::Caller& caller,
+                         core::Millis timeout,
                          std::function<void(StateAnswer)> done) {
   client_->Send(
-      {std::string(internal::kStatePath), internal::Encode(id.value)}, timeout,
+      {std::string(internal::kStatePath), internal::Encode(id, caller)},
+      timeout,
       [client = client_, done = std::move(done)](const peer::Result& result) {
         const auto numbers = internal::Numbers(result);
         if (!numbers) {
@@ -138,10 +187,12 @@
       });
 }
 
-void HolderClient::Cancel(const core::JobId& id, core::Millis timeout,
+void HolderClient::Cancel(const core::JobId& id, const workload::Caller& caller,
+                          core::Millis timeout,
                           std::function<void(QueryOutcome)> done) {
   client_->Send(
-      {std::string(internal::kCancelPath), internal::Encode(id.value)}, timeout,
+      {std::string(internal::kCancelPath), internal::Encode(id, caller)},
+      timeout,
       [client = client_, done = std::move(done)](const peer::Result& result) {
         const auto numbers = internal::Numbers(result);
         if (!numbers) {
@@ -184,14 +235,16 @@
   } else if (request.path == internal::kSubmitPath) {
     internal::AnswerSubmit(holder, request, respond);
   } else if (request.path == internal::kStatePath) {
-    const StateAnswer answer = holder->StateOf({internal::NameIn(request)});
+    const internal::JobQuery query = internal::JobQueryIn(request);
+    const StateAnswer answer = holder->StateOf(query.id, query.caller);
     respond(
         answer.outcome == QueryOutcome::kUnavailable
             ? peer::Response{peer::kStatusUnavailable, ""}
             : internal::Reply(answer.outcome == QueryOutcome::kKnown ? 1 : 0,
                               static_cast<std::uint64_t>(answer.state)));
   } else if (request.path == internal::kCancelPath) {
-    holder->Cancel({internal::NameIn(request)},
+    const internal::JobQuery query = internal::JobQueryIn(request);
+    holder->Cancel(query.id, query.caller,
                    [respond](std::optional<bool> known) {
                      if (known) {
                        respond(internal::Reply(*known ? 1 : 0, 0));
--- a/src/camphormux/coordinator/holder_client.hpp
+++ b/src/camphormux/coordinator/holder_client.hpp
@@ -26,10 +26,10 @@
 
   void Submit(const workload::JobSpec& spec, core::Millis timeout,
               std::function<void(SubmitAnswer)> done);
-  void State(const core::JobId& id, core::Millis timeout,
-             std::function<void(StateAnswer)> done);
-  void Cancel(const core::JobId& id, core::Millis timeout,
-              std::function<void(QueryOutcome)> done);
+  void State(const core::JobId& id, const workload::Caller& caller,
+             core::Millis timeout, std::function<void(StateAnswer)> done);
+  void Cancel(const core::JobId& id, const workload::Caller& caller,
+              core::Millis timeout, std::function<void(QueryOutcome)> done);
   void Pending(const workload::QueueName& queue, core::Millis timeout,
                std::function<void(CountAnswer)> done);
   /// @brief Checks whether the node at that address is the holder and can
--- a/src/camphormux/coordinator/job_frontend.cpp
+++ b/src/camphormux/coordinator/job_frontend.cpp
@@ -222,7 +222,8 @@
 
 }  // namespace internal
 
-void JobFrontend::State(const core::JobId& id, core::MonotonicTime deadline,
+void JobFrontend::State(const core::JobId& id, const workload::Caller& caller,
+                        core::MonotonicTime deadline,
                         std::function<void(StateAnswer)> done) {
   const core::MonotonicTime until = internal::MaxQueryDeadline(deadline);
   auto log_unknown = [this, id,
@@ -236,11 +237,11 @@
     done(answer);
   };
   QueryWithRetry<StateAnswer>(
-      [this, id, until](std::function<void(StateAnswer)> answer) {
+      [this, id, caller, until](std::function<void(StateAnswer)> answer) {
         if (is_holder()) {
-          answer(holder_->StateOf(id));
+          answer(holder_->StateOf(id, caller));
         } else if (holder_client_.has_holder()) {
-          holder_client_.State(id, internal::TimeLeft(Bounded(until)),
+          holder_client_.State(id, caller, internal::TimeLeft(Bounded(until)),
                                std::move(answer));
         } else {
           answer({QueryOutcome::kUnavailable});
@@ -252,7 +253,9 @@
       until, std::move(log_unknown));
 }
 
-void JobFrontend::CancelAtHolder(const core::JobId& id, core::Millis timeout,
+void JobFrontend::CancelAtHolder(const core::JobId& id,
+                                 const workload::Caller& caller,
+                                 core::Millis timeout,
                                  std::function<void(QueryOutcome)> done) {
   auto answer_once = [answered = std::make_shared<bool>(false),
                       done = std::move(done)](std::optional<bool> known) {
@@ -266,10 +269,11 @@
     }
   };
   RunAfter(timeout, [answer_once] { answer_once(std::nullopt); });
-  holder_->Cancel(id, answer_once);
+  holder_->Cancel(id, caller, answer_once);
 }
 
-void JobFrontend::Cancel(const core::JobId& id, core::MonotonicTime deadline,
+void JobFrontend::Cancel(const core::JobId& id, const workload::Caller& caller,
+                         core::MonotonicTime deadline,
                          std::function<void(QueryOutcome)> done) {
   const core::MonotonicTime until = deadline - internal::kAnswerMargin;
   auto tries = std::make_shared<std::uint32_t>(0);
@@ -296,13 +300,14 @@
     done(outcome);
   };
   QueryWithRetry<QueryOutcome>(
-      [this, id, until, tries](std::function<void(QueryOutcome)> answer) {
+      [this, id, caller, until,
+       tries](std::function<void(QueryOutcome)> answer) {
         ++*tries;
         if (is_holder()) {
-          CancelAtHolder(id, internal::TimeLeft(Bounded(until)),
+          CancelAtHolder(id, caller, internal::TimeLeft(Bounded(until)),
                          std::move(answer));
         } else if (holder_client_.has_holder()) {
-          holder_client_.Cancel(id, internal::TimeLeft(Bounded(until)),
+          holder_client_.Cancel(id, caller, internal::TimeLeft(Bounded(until)),
                                 std::move(answer));
         } else {
           answer(QueryOutcome::kUnavailable);
--- a/src/camphormux/coordinator/job_frontend.hpp
+++ b/src/camphormux/coordinator/job_frontend.hpp
@@ -39,9 +39,12 @@
   /// @param done Called once.
   void Submit(workload::JobSpec spec, core::MonotonicTime deadline,
               std::function<void(SubmitAnswer)> done);
-  void State(const core::JobId& id, core::MonotonicTime deadline,
+  /// @param caller On whose behalf; a job that it may not access is not known.
+  void State(const core::JobId& id, const workload::Caller& caller,
+             core::MonotonicTime deadline,
              std::function<void(StateAnswer)> done);
-  void Cancel(const core::JobId& id, core::MonotonicTime deadline,
+  void Cancel(const core::JobId& id, const workload::Caller& caller,
+              core::MonotonicTime deadline,
               std::function<void(QueryOutcome)> done);
   void Pending(const workload::QueueName& queue, core::MonotonicTime deadline,
                std::function<void(CountAnswer)> done);
@@ -65,7 +68,8 @@
   }
   /// Cancels a job at the holder on this node, which answers only once the
   /// store does.
-  void CancelAtHolder(const core::JobId& id, core::Millis timeout,
+  void CancelAtHolder(const core::JobId& id, const workload::Caller& caller,
+                      core::Millis timeout,
                       std::function<void(QueryOutcome)> done);
   void RunAfter(core::Millis delay, std::function<void()> action);
   /// @return The deadline, or the time of the last answer if it is earlier.
--- a/src/camphormux/coordinator/job_records.cpp
+++ b/src/camphormux/coordinator/job_records.cpp
@@ -289,10 +289,12 @@
 }
 
 std::vector<StoreRecord> TombstoneRecords(const core::JobId& id,
-                                          core::WallTime cancelled) {
-  return {{internal::Key(kProgressKeyPrefix, id),
-           workload::EncodeProgress(workload::MakeTombstone(cancelled))},
-          {internal::Key(kSpecKeyPrefix, id), std::nullopt}};
+                                          core::WallTime cancelled,
+                                          const workload::Caller& caller) {
+  return {
+      {internal::Key(kProgressKeyPrefix, id),
+       workload::EncodeProgress(workload::MakeTombstone(cancelled, caller))},
+      {internal::Key(kSpecKeyPrefix, id), std::nullopt}};
 }
 
 LoadedJobs LoadJobRecords(const std::vector<StoreRecord>& records,
--- a/src/camphormux/coordinator/job_records.hpp
+++ b/src/camphormux/coordinator/job_records.hpp
@@ -76,7 +76,8 @@
 /// @brief Encodes the records of a job that was cancelled before it was known.
 /// A submission whose outcome is unknown may have been stored before.
 [[nodiscard]] std::vector<StoreRecord> TombstoneRecords(
-    const core::JobId& id, core::WallTime cancelled);
+    const core::JobId& id, core::WallTime cancelled,
+    const workload::Caller& caller = {});
 
 /// @brief A job as read from its records.
 struct LoadedJob {
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -15,6 +15,9 @@
   node_metrics.refused =
       &AddCounter(registry, "camphormux_jobs_refused_total",
                   "Jobs refused because their queue is too far behind.");
+  node_metrics.unauthorized =
+      &AddCounter(registry, "camphormux_requests_unauthorized_total",
+                  "Requests without an API key of the configuration in force.");
   node_metrics.unavailable =
       &AddCounter(registry, "camphormux_requests_unavailable_total",
                   "Requests refused because no node could decide about them.");
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -13,6 +13,7 @@
 struct NodeMetrics {
   prometheus::Counter* accepted = nullptr;
   prometheus::Counter* refused = nullptr;
+  prometheus::Counter* unauthorized = nullptr;
   prometheus::Counter* unavailable = nullptr;
   prometheus::Counter* unanswered = nullptr;
   prometheus::Counter* cancelled = nullptr;
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -182,7 +182,11 @@
     Change& change = batch.changes.emplace_back();
     change.job = id;
     change.is_tombstone = true;
-    change.records = TombstoneRecords(id, wall);
+    const auto tombstone = state_.tombstones.find(id);
+    change.records = TombstoneRecords(id, wall,
+                                      tombstone == state_.tombstones.end()
+                                          ? workload::Caller{}
+                                          : tombstone->second.caller);
     bytes += TotalBytes(change.records);
   }
 }
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -13,6 +13,9 @@
 
 /// Limits the memory that cancellations of unknown jobs can take.
 constexpr std::size_t kMaxTombstones = 20'000;
+/// Ids are chosen at random, so that a caller whose id is in use hardly has a
+/// reason to send it again.
+constexpr core::Millis kIdInUseRetryAfter{10'000};
 
 /// Adds the stored runs of a task that a previous lease holder started. Whether
 /// they exist is known once their hosts report or their leases expire.
@@ -117,6 +120,22 @@
 
 }  // namespace internal
 
+std::string_view Describe(RefusalReason reason) noexcept {
+  switch (reason) {
+    case RefusalReason::kNone:
+      break;
+    case RefusalReason::kNoTimeLeft:
+      return "the job cannot complete in time";
+    case RefusalReason::kShareInUse:
+      return "the account has more work than its share";
+    case RefusalReason::kAboveCap:
+      return "the job exceeds the cap of its account";
+    case RefusalReason::kIdInUse:
+      return "the id of the job is in use";
+  }
+  return "";
+}
+
 bool HasPolicy(const Job& job) { return !job.policy.pool.value.empty(); }
 
 std::size_t CountJobsWithoutPolicy(const State& state) {
@@ -127,6 +146,10 @@
 
 AdmissionResult Submit(State& state, workload::JobSpec spec,
                        core::MonotonicTime now, core::WallTime wall) {
+  if (IsForeign(state, spec.id, {spec.account})) {
+    return {Admission::kRefused, internal::kIdInUseRetryAfter,
+            RefusalReason::kIdInUse};
+  }
   if (state.closed.contains(spec.id)) {
     return {Admission::kAccepted};
   }
@@ -143,7 +166,9 @@
   job.policy_saved = true;
   job.submitted = now;
   job.accepted = wall;
-  if (state.tombstones.contains(job.spec.id)) {
+  const auto tombstone = state.tombstones.find(job.spec.id);
+  if (tombstone != state.tombstones.end() &&
+      workload::MayAccess(tombstone->second.caller, job.spec.account)) {
     const core::JobId id = job.spec.id;
     EndJob(state, state.jobs.emplace(id, std::move(job)).first->second,
            workload::JobState::kCancelled, wall);
@@ -151,7 +176,7 @@
   }
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
     ++state.counters.refused;
-    return {Admission::kRefused, *wait};
+    return {Admission::kRefused, *wait, RefusalReason::kNoTimeLeft};
   }
   const core::JobId id = job.spec.id;
   RecordArrival(state, job, now);
@@ -201,7 +226,22 @@
   }
 }
 
-bool Cancel(State& state, const core::JobId& id, core::WallTime wall) {
+bool IsForeign(const State& state, const core::JobId& id,
+               const workload::Caller& caller) {
+  const auto open = state.jobs.find(id);
+  if (open != state.jobs.end()) {
+    return !workload::MayAccess(caller, open->second.spec.account);
+  }
+  const auto closed = state.closed.find(id);
+  return closed != state.closed.end() &&
+         !workload::MayAccess(caller, closed->second.account);
+}
+
+bool Cancel(State& state, const core::JobId& id, core::WallTime wall,
+            const workload::Caller& caller) {
+  if (IsForeign(state, id, caller)) {
+    return false;
+  }
   const auto found = state.jobs.find(id);
   if (found == state.jobs.end()) {
     return state.closed.contains(id);
@@ -210,16 +250,20 @@
   return true;
 }
 
-TombstoneStatus AddTombstone(State& state, const core::JobId& id) {
+TombstoneStatus AddTombstone(State& state, const core::JobId& id,
+                             const workload::Caller& caller) {
   const auto found = state.tombstones.find(id);
   if (found != state.tombstones.end()) {
+    if (found->second.caller != caller) {
+      return TombstoneStatus::kTooMany;
+    }
     return found->second.is_stored ? TombstoneStatus::kStored
                                    : TombstoneStatus::kStoring;
   }
   if (state.tombstones.size() >= internal::kMaxTombstones) {
     return TombstoneStatus::kTooMany;
   }
-  state.tombstones.emplace(id, Tombstone{});
+  state.tombstones.emplace(id, Tombstone{false, {}, caller});
   return TombstoneStatus::kAdded;
 }
 
@@ -227,7 +271,8 @@
                       core::MonotonicTime now) {
   const auto found = state.tombstones.find(id);
   if (found != state.tombstones.end()) {
-    found->second = {true, now + state.settings.status_retention};
+    found->second.is_stored = true;
+    found->second.forget_at = now + state.settings.status_retention;
   }
 }
 
@@ -246,9 +291,11 @@
     // Counted from now: the age is not known, as clocks can be set.
     const core::MonotonicTime forget_at = now + state.settings.status_retention;
     if (workload::IsTombstone(*progress)) {
-      state.tombstones[id] = {true, forget_at};
+      state.tombstones[id] = {true, forget_at, {progress->account}};
     } else {
-      state.closed[id] = ClosedJob{progress->state, forget_at};
+      state.closed[id] =
+          ClosedJob{progress->state, forget_at,
+                    progress->account.value_or(workload::AccountName{})};
     }
     return;
   }
@@ -289,7 +336,11 @@
 }
 
 std::optional<workload::JobState> VisibleState(const State& state,
-                                               const core::JobId& id) {
+                                               const core::JobId& id,
+                                               const workload::Caller& caller) {
+  if (IsForeign(state, id, caller)) {
+    return std::nullopt;
+  }
   const auto closed = state.closed.find(id);
   if (closed != state.closed.end()) {
     return closed->second.state;
@@ -320,6 +371,9 @@
   progress.queue = job.spec.queue;
   progress.accepted = job.accepted;
   progress.ended = job.ended;
+  if (!job.spec.account.value.empty()) {
+    progress.account = job.spec.account;
+  }
   if (!workload::IsFinal(job.state)) {
     for (const Task& task : job.tasks) {
       workload::TaskProgress& entry =
@@ -346,8 +400,8 @@
   const bool runs_left =
       std::any_of(job.tasks.begin(), job.tasks.end(),
                   [](const Task& task) { return !task.runs.empty(); });
-  state.closed[id] =
-      ClosedJob{job.state, now + state.settings.status_retention};
+  state.closed[id] = ClosedJob{job.state, now + state.settings.status_retention,
+                               job.spec.account};
   state.tombstones.erase(id);
   if (!runs_left) {
     state.jobs.erase(found);
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -3,24 +3,38 @@
 
 #include <cstddef>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "camphormux/scheduler/state.hpp"
 
 namespace camphormux::scheduler {
 
+/// @brief Why a job was refused.
+enum class RefusalReason {
+  kNone,
+  kNoTimeLeft,  ///< Its result would have no value by the time it completes.
+  kShareInUse,  ///< Its account has more work than its share of the pool.
+  kAboveCap,    ///< It can never run within the cap of its account.
+  kIdInUse,     ///< A job of another account has its id.
+};
+
+/// @brief Describes a reason for operators and callers.
+[[nodiscard]] std::string_view Describe(RefusalReason reason) noexcept;
+
 enum class Admission {
   kAccepted,  ///< The job is stored and may run.
   /// The job is accepted but not stored yet; answer the caller once it is.
   kStoring,
   kNoQueue,
-  kRefused,  ///< The job cannot complete while its result has value.
+  kRefused,
 };
 
 /// @brief Result of a submission.
 struct AdmissionResult {
   Admission admission = Admission::kRefused;
   core::Millis retry_after{0};  ///< Set if refused.
+  RefusalReason reason = RefusalReason::kNone;
 };
 
 /// @brief Handles a submission. Submissions with the same id are the same job.
@@ -46,8 +60,9 @@
 void DropSubmission(State& state, const core::JobId& id);
 
 /// @brief Cancels a job.
-/// @return False if there is no such job.
-bool Cancel(State& state, const core::JobId& id, core::WallTime wall);
+/// @return False if there is no such job that the caller may access.
+bool Cancel(State& state, const core::JobId& id, core::WallTime wall,
+            const workload::Caller& caller = {});
 
 enum class TombstoneStatus {
   kAdded,    ///< It is new and has to be stored.
@@ -56,10 +71,16 @@
   kTooMany,  ///< Nothing was done.
 };
 
+/// @brief Returns whether there is a job, accepted or ended, that a caller may
+/// not access.
+[[nodiscard]] bool IsForeign(const State& state, const core::JobId& id,
+                             const workload::Caller& caller);
+
 /// @brief Adds the tombstone of a job that is not known.
 /// @return Status of the tombstone; the cancellation may be acknowledged once
 /// it is stored.
-[[nodiscard]] TombstoneStatus AddTombstone(State& state, const core::JobId& id);
+[[nodiscard]] TombstoneStatus AddTombstone(State& state, const core::JobId& id,
+                                           const workload::Caller& caller = {});
 
 /// @brief Records that a tombstone was stored.
 void ConfirmTombstone(State& state, const core::JobId& id,
@@ -91,10 +112,12 @@
              const std::optional<workload::Progress>& progress,
              core::MonotonicTime now, core::WallTime wall);
 
-/// @brief Returns the job state that is reported to callers, or nothing if
-/// there is no such job. A final state is reported only once it is stored.
+/// @brief Returns the job state that is reported to a caller, or nothing if
+/// there is no such job that it may access. A final state is reported only once
+/// it is stored.
 [[nodiscard]] std::optional<workload::JobState> VisibleState(
-    const State& state, const core::JobId& id);
+    const State& state, const core::JobId& id,
+    const workload::Caller& caller = {});
 
 /// @brief Counts the stored jobs of a queue of which no task has started.
 [[nodiscard]] std::size_t PendingJobs(const State& state,
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -207,6 +207,7 @@
 struct ClosedJob {
   workload::JobState state = workload::JobState::kSucceeded;
   core::MonotonicTime forget_at;
+  workload::AccountName account;  ///< Empty if it has none.
 };
 
 /// @brief Cancellation of a job that was not known. Its submission may still
@@ -214,6 +215,7 @@
 struct Tombstone {
   bool is_stored = false;
   core::MonotonicTime forget_at;  ///< Set once it is stored.
+  workload::Caller caller;  ///< Only jobs that it may access are cancelled.
 };
 
 /// @brief A host: one incarnation of a machine as a member of a pool.
--- /dev/null
+++ b/src/camphormux/workload/account.cpp
@@ -0,0 +1,39 @@
+#include "camphormux/workload/account.hpp"
+
+#include <openssl/sha.h>
+
+#include "camphormux/workload/model.hpp"
+
+namespace camphormux::workload {
+
+KeyDigest DigestOf(std::string_view key) {
+  static_assert(kKeyDigestBytes == SHA256_DIGEST_LENGTH);
+  KeyDigest digest;
+  SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+         digest.bytes.data());
+  return digest;
+}
+
+std::optional<Caller> Authenticate(const Catalog& catalog, const Queue& queue,
+                                   std::optional<std::string_view> key) {
+  if (!catalog.needs_keys) {
+    return Caller{};
+  }
+  if (queue.is_public) {
+    return Caller{AccountName{}};
+  }
+  if (!key) {
+    return std::nullopt;
+  }
+  const auto found = catalog.keys.find(DigestOf(*key));
+  if (found == catalog.keys.end()) {
+    return std::nullopt;
+  }
+  return Caller{found->second};
+}
+
+bool MayAccess(const Caller& caller, const AccountName& owner) {
+  return !caller.account || owner.value.empty() || *caller.account == owner;
+}
+
+}  // namespace camphormux::workload
--- a/src/camphormux/workload/codec.cpp
+++ b/src/camphormux/workload/codec.cpp
@@ -96,8 +96,15 @@
                       Millis(spec.first_run), spec.interval.count()});
 }
 
-/// Reads the elements of a job; returns nothing if they are malformed or the
-/// job is invalid.
+/// Reads the account of a job, which follows its policy.
+void ReadAccount(cbor::ArrayReader& reader, JobSpec& spec) {
+  if (reader.has_more()) {
+    spec.account.value = reader.Text(kMaxNameBytes);
+  }
+}
+
+/// Reads the elements of a job but its account; returns nothing if they are
+/// malformed or the job is invalid.
 std::optional<JobSpec> ReadSpec(cbor::ArrayReader& reader) {
   JobSpec spec;
   bool ok = true;
@@ -198,7 +205,7 @@
 }  // namespace internal
 
 std::string EncodeSpec(const JobSpec& spec) {
-  return cbor::Serialize(internal::ToJson(spec));
+  return EncodeStoredJob({spec, std::nullopt});
 }
 
 std::optional<JobSpec> DecodeSpec(std::string_view data) {
@@ -207,7 +214,12 @@
     return std::nullopt;
   }
   cbor::ArrayReader reader(*value);
-  return internal::ReadSpec(reader);
+  auto spec = internal::ReadSpec(reader);
+  if (spec && reader.has_more()) {
+    (void)reader.Array(SIZE_MAX);  // The policy of a stored job.
+    internal::ReadAccount(reader, *spec);
+  }
+  return reader.ok() ? spec : std::nullopt;
 }
 
 std::string EncodeStoredJob(const StoredJob& job) {
@@ -215,6 +227,12 @@
   if (job.policy) {
     value.push_back(internal::ToJson(*job.policy));
   }
+  if (!job.spec.account.value.empty()) {
+    if (!job.policy) {
+      value.push_back(internal::json::array());
+    }
+    value.push_back(job.spec.account.value);
+  }
   return cbor::Serialize(value);
 }
 
@@ -232,14 +250,22 @@
   if (reader.has_more()) {
     job.policy = internal::PolicyFrom(reader.Array(SIZE_MAX));
   }
+  internal::ReadAccount(reader, job.spec);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
   return job;
 }
 
 std::string EncodeProgress(const Progress& progress) {
-  return cbor::Serialize(internal::json::array(
+  internal::json value = internal::json::array(
       {static_cast<int>(progress.state), progress.queue.value,
        internal::Millis(progress.accepted), internal::Millis(progress.ended),
-       internal::TasksToJson(progress.tasks, 0, progress.tasks.size())}));
+       internal::TasksToJson(progress.tasks, 0, progress.tasks.size())});
+  if (progress.account) {
+    value.push_back(progress.account->value);
+  }
+  return cbor::Serialize(value);
 }
 
 std::optional<Progress> DecodeProgress(std::string_view data) {
@@ -267,6 +293,9 @@
     }
     progress.tasks[position] = std::move(decoded_task);
   }
+  if (reader.has_more()) {
+    progress.account = AccountName{reader.Text(kMaxNameBytes)};
+  }
   if (!reader.ok()) {
     return std::nullopt;
   }
--- a/src/camphormux/workload/fwd.hpp
+++ b/src/camphormux/workload/fwd.hpp
@@ -4,6 +4,9 @@
 namespace camphormux::workload {
 
 enum class JobState;
+struct Account;
+struct Caller;
+struct KeyDigest;
 struct Step;
 struct JobSpec;
 struct JobPolicy;
--- a/src/camphormux/workload/model.cpp
+++ b/src/camphormux/workload/model.cpp
@@ -14,10 +14,11 @@
 
 }  // namespace internal
 
-Progress MakeTombstone(core::WallTime cancelled) {
+Progress MakeTombstone(core::WallTime cancelled, const Caller& caller) {
   Progress progress;
   progress.state = JobState::kCancelled;
   progress.ended = cancelled;
+  progress.account = caller.account;
   return progress;
 }
 
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -12,6 +12,7 @@
 #include "camphormux/core/ids.hpp"
 #include "camphormux/core/time.hpp"
 #include "camphormux/placement/resources.hpp"
+#include "camphormux/workload/account.hpp"
 
 namespace camphormux::workload {
 
@@ -61,6 +62,8 @@
   std::uint32_t occurrences = 0;
   core::WallTime first_run;  ///< Due time of occurrence 0.
   core::Millis interval{0};
+  /// Account that submitted it; empty if it has none.
+  AccountName account;
 
   friend bool operator==(const JobSpec&, const JobSpec&) = default;
 };
@@ -112,6 +115,7 @@
   core::Millis latency_target{0};
   core::Millis timeout{0};  ///< Timeout of a request.
   std::optional<Advice> advice;
+  bool is_public = false;  ///< Requests need no API key.
 
   friend bool operator==(const Queue&, const Queue&) = default;
 };
@@ -124,12 +128,16 @@
   friend bool operator==(const PoolPolicy&, const PoolPolicy&) = default;
 };
 
-/// @brief Queues and pools as configured by the operators.
+/// @brief Queues, pools and client accounts as configured by the operators.
 struct Catalog {
   CatalogVersion version;
   std::vector<Queue> queues;
   std::map<core::PoolName, PoolPolicy> pools;
   std::int64_t max_body_bytes = 0;
+  /// Requests need an API key of an account, except on public queues.
+  bool needs_keys = false;
+  std::map<AccountName, Account> accounts;
+  std::map<KeyDigest, AccountName> keys;
 
   friend bool operator==(const Catalog&, const Catalog&) = default;
 };
@@ -166,6 +174,9 @@
   core::WallTime accepted;
   core::WallTime ended;  ///< Set only if the state is final.
   std::vector<TaskProgress> tasks;
+  /// Account of the job, or of the caller whose cancellation a tombstone
+  /// records; nothing if it is not known or the job has none.
+  std::optional<AccountName> account;
 
   friend bool operator==(const Progress&, const Progress&) = default;
 };
@@ -177,7 +188,10 @@
 
 /// @brief Returns the progress that marks a job as cancelled which was not
 /// known.
-[[nodiscard]] Progress MakeTombstone(core::WallTime cancelled);
+/// @param cancelled When it was cancelled.
+/// @param caller Who cancelled it.
+[[nodiscard]] Progress MakeTombstone(core::WallTime cancelled,
+                                     const Caller& caller);
 
 /// @brief Returns whether a progress is a tombstone: no job of that id was
 /// accepted.
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -190,7 +190,7 @@
     Harness& harness, const core::JobId& id) {
   auto answer = std::make_shared<std::optional<std::optional<bool>>>();
   harness.holder->Cancel(
-      id, [answer](std::optional<bool> known) { *answer = known; });
+      id, {}, [answer](std::optional<bool> known) { *answer = known; });
   return answer;
 }
 
--- a/test/coordinator/isolated_holder_test.cpp
+++ b/test/coordinator/isolated_holder_test.cpp
@@ -108,14 +108,14 @@
   std::shared_ptr<std::optional<QueryOutcome>> CancelJob(std::size_t node) {
     auto outcome = std::make_shared<std::optional<QueryOutcome>>();
     nodes_[node]->job_frontend().Cancel(
-        JobId(), core::MonotonicNow() + kQueryTimeout,
+        JobId(), {}, core::MonotonicNow() + kQueryTimeout,
         [outcome](QueryOutcome answer) { *outcome = answer; });
     return outcome;
   }
   std::shared_ptr<std::optional<QueryOutcome>> AskForState(std::size_t node) {
     auto outcome = std::make_shared<std::optional<QueryOutcome>>();
     nodes_[node]->job_frontend().State(
-        JobId(), core::MonotonicNow() + kQueryTimeout,
+        JobId(), {}, core::MonotonicNow() + kQueryTimeout,
         [outcome](const StateAnswer& answer) { *outcome = answer.outcome; });
     return outcome;
   }
--- a/test/coordinator/job_frontend_test.cpp
+++ b/test/coordinator/job_frontend_test.cpp
@@ -74,9 +74,9 @@
   std::optional<QueryOutcome> cancelled;
   harness.frontend->Submit(Harness::Spec(), deadline,
                            [&](SubmitAnswer answer) { submitted = answer; });
-  harness.frontend->State({"5c0e7a21d94b36f8"}, deadline,
+  harness.frontend->State({"5c0e7a21d94b36f8"}, {}, deadline,
                           [&](StateAnswer answer) { state = answer; });
-  harness.frontend->Cancel({"5c0e7a21d94b36f8"}, deadline,
+  harness.frontend->Cancel({"5c0e7a21d94b36f8"}, {}, deadline,
                            [&](QueryOutcome answer) { cancelled = answer; });
   ASSERT_TRUE(harness.RunUntil([&] { return harness.unanswered.size() == 3; }));
   harness.frontend->SetLastAnswerTime(core::MonotonicNow() + kLastAnswer);
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -188,7 +188,8 @@
 }
 
 RC_GTEST_PROP(DecodePropertyTest, NoDecoderThrows, (const std::string& bytes)) {
-  (void)DecodeCatalog(bytes);
+  std::vector<workload::FieldProblem> problems;
+  (void)DecodeCatalog(bytes, problems);
   (void)DecodeWave(bytes);
   (void)DecodeHostListing("i-1", bytes);
   (void)DecodeMachinePage(bytes);
