--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -6,6 +6,7 @@
 #include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/shares.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
@@ -16,6 +17,8 @@
 /// Ids are chosen at random, so that a caller whose id is in use hardly has a
 /// reason to send it again.
 constexpr core::Millis kIdInUseRetryAfter{10'000};
+/// A job that exceeds a cap can run once operators have raised it.
+constexpr core::Millis kAboveCapRetryAfter{60'000};
 
 /// Adds the stored runs of a task that a previous lease holder started. Whether
 /// they exist is known once their hosts report or their leases expire.
@@ -174,6 +177,11 @@
            workload::JobState::kCancelled, wall);
     return {Admission::kStoring};
   }
+  if (ExceedsCap(state, job.spec)) {
+    ++state.counters.refused;
+    return {Admission::kRefused, internal::kAboveCapRetryAfter,
+            RefusalReason::kAboveCap};
+  }
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
     ++state.counters.refused;
     return {Admission::kRefused, *wait, RefusalReason::kNoTimeLeft};
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -9,6 +9,7 @@
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/shares.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
@@ -141,6 +142,7 @@
   const Run& run = AddRun(state, job, task, attempt, host, now);
   ++state.counters.started;
   RecordStart(state, job, now);
+  RecordServed(state, job, job.spec.steps[run.name.place.step], now);
   state.unsaved.insert(job.spec.id);
   state.orders.emplace_back(
       StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
@@ -197,12 +199,17 @@
     rack = rack ? rack : RackWithMostFreeCores(hosts);
   }
   core::MilliCores unplaced;
+  std::uint32_t within_cap = TasksWithinCap(state, job.spec.account, step.size);
   bool full = false;
   for (std::uint32_t i = 0; i < step.count; ++i) {
     Task& task = job.tasks[instance.first + i];
     if (task.progress.done || !task.runs.empty()) {
       continue;
     }
+    if (within_cap == 0) {
+      break;  // More hosts would not help.
+    }
+    --within_cap;
     Host* host =
         full ? nullptr
              : ChooseHost(state, job, instance, task, hosts, rack, must_match);
@@ -258,6 +265,7 @@
     progress.next_attempt = attempt + 1;
     ++state.counters.started;
     RecordStart(state, job, now);
+    RecordServed(state, job, step, now);
     state.orders.emplace_back(
         StartRun{run.id, run.host, run.name, progress.checkpoint});
   }
@@ -291,6 +299,11 @@
         continue;
       }
       const workload::Step& step = job.spec.steps[s];
+      // More hosts do not help an account that has reached its cap.
+      if (TasksWithinCap(state, job.spec.account, step.size) <
+          (step.gang ? step.count : 1)) {
+        continue;
+      }
       if (!placement::Fits(internal::ReservationOf(step), hosts.max_free)) {
         unplaced.cores += internal::WaitingCores(job, instance);
         continue;
@@ -328,7 +341,8 @@
     const workload::Step& step = job.spec.steps[run.name.place.step];
     if (!step.speculative || step.gang || step.permanent ||
         now < run.ordered + run.estimate * internal::kCopyFactor +
-                  internal::kCopyDelay) {
+                  internal::kCopyDelay ||
+        TasksWithinCap(state, job.spec.account, step.size) == 0) {
       continue;
     }
     std::vector<Host*> others = hosts;
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -8,6 +8,7 @@
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/placing.hpp"
 #include "camphormux/scheduler/runs.hpp"
+#include "camphormux/scheduler/shares.hpp"
 #include "camphormux/scheduler/upkeep.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
@@ -30,19 +31,28 @@
 }
 
 /// Returns the jobs of each pool in the order in which they are placed.
-std::map<core::PoolName, std::vector<std::pair<Rank, Job*>>> RankJobs(
-    State& state, core::MonotonicTime now) {
-  std::map<core::PoolName, std::vector<std::pair<Rank, Job*>>> ranked;
+std::map<core::PoolName, std::vector<RankedJob>> RankJobs(
+    State& state, const PoolViews& views, core::MonotonicTime now) {
+  std::map<core::PoolName, std::vector<RankedJob>> ranked;
   for (auto& [id, job] : state.jobs) {
     if (job.saved && HasPolicy(job) && !workload::IsFinal(job.state)) {
-      ranked[job.policy.pool].emplace_back(RankOf(job, now), &job);
+      ranked[job.policy.pool].push_back({RankOf(job, now), &job});
     }
   }
   for (auto& [pool, jobs] : ranked) {
-    std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
-      return a.first != b.first ? a.first < b.first
-                                : a.second->spec.id < b.second->spec.id;
-    });
+    std::sort(jobs.begin(), jobs.end(),
+              [](const RankedJob& a, const RankedJob& b) {
+                return a.rank != b.rank ? a.rank < b.rank
+                                        : a.job->spec.id < b.job->spec.id;
+              });
+    core::MilliCores capacity;
+    const auto view = views.find(pool);
+    if (view != views.end()) {
+      for (const Host* host : view->second.usable) {
+        capacity += host->listing.capacity.cores;
+      }
+    }
+    ApplyShares(state, pool, capacity, now, jobs);
   }
   return ranked;
 }
@@ -73,7 +83,8 @@
   }
   PoolViews views = internal::MakeViews(state, now);
   state.waiting.clear();
-  for (auto& [pool, jobs] : internal::RankJobs(state, now)) {
+  MeasureOpenCopies(state, now);
+  for (auto& [pool, jobs] : internal::RankJobs(state, views, now)) {
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -238,6 +238,8 @@
   }
   OpenCopy& copy = host.open_copies.emplace_back();
   copy.name = run.name;
+  copy.account = run.account;
+  copy.size = run.size;
   copy.until =
       (is_on_its_way ? run.ordered + kMaxCallDuration : run.last_open_copy) +
       kMaxCallDelay;
@@ -393,6 +395,11 @@
   run.permanent = step.permanent;
   run.estimate = step.estimate;
   run.latency_target = step.latency_target;
+  run.account = job.spec.account;
+  run.size = step.size;
+  if (!run.account.value.empty()) {
+    state.running_of_accounts[run.account] += run.size;
+  }
   run.resumed_from = job.tasks[task].progress.checkpoint;
   run.ordered = now;
   run.confirmed = now;
@@ -420,6 +427,13 @@
     host->second.best_effort_runs -= run.best_effort ? 1U : 0U;
     std::erase(host->second.runs, id);
   }
+  if (!run.account.value.empty()) {
+    const auto running = state.running_of_accounts.find(run.account);
+    running->second -= run.size;
+    if (running->second == placement::Resources{}) {
+      state.running_of_accounts.erase(running);
+    }
+  }
   const auto job = state.jobs.find(run.name.job);
   if (job != state.jobs.end()) {
     std::erase(job->second.tasks[run.task].runs, id);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -52,6 +52,8 @@
   core::HostId host;
   RunPhase phase = RunPhase::kOrdered;
   placement::Resources reserved;  ///< Resources that are reserved on the host.
+  workload::AccountName account;  ///< Account of the job; empty if it has none.
+  placement::Resources size;      ///< Counts against the cap of the account.
   bool best_effort = false;
   bool permanent = false;
   core::Millis estimate{0};
@@ -98,6 +100,8 @@
   /// Incarnation of the host that knows of the attempt and refuses further
   /// copies.
   std::optional<core::Incarnation> refused_by;
+  workload::AccountName account;  ///< Account of the job; empty if it has none.
+  placement::Resources size;
   core::MonotonicTime stop_sent;
 };
 
@@ -318,6 +322,13 @@
   core::MonotonicTime updated;
 };
 
+/// @brief Work that was started for a client account: an exponentially
+/// decaying sum.
+struct ServedWork {
+  double core_seconds = 0;
+  core::MonotonicTime updated;
+};
+
 /// @brief Work of a pool since the last report.
 struct PoolWork {
   /// Runs of jobs that could still meet their objective.
@@ -394,6 +405,13 @@
   std::map<core::PoolName, ArrivalRate> arrival_rates;
   /// Cores of ready tasks that were not placed in the last planning pass.
   std::map<core::PoolName, core::MilliCores> waiting;
+  /// What each client account has running, at any stage, and what copies of
+  /// starts without a run may still bring; the latter as of the last planning
+  /// pass.
+  std::map<workload::AccountName, placement::Resources> running_of_accounts;
+  std::map<workload::AccountName, placement::Resources> open_copies_of_accounts;
+  std::map<core::PoolName, std::map<workload::AccountName, ServedWork>>
+      served_work;
   /// Emptied by the owner of the state with each report.
   std::map<core::PoolName, PoolWork> work;
   Counters counters;
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -44,8 +44,11 @@
 }
 
 Rank RankOf(const Job& job, core::MonotonicTime now) {
-  return {UrgencyOf(job, now), job.policy.priority,
-          job.state == workload::JobState::kQueued, job.core_seconds,
+  return {false,
+          UrgencyOf(job, now),
+          job.policy.priority,
+          job.state == workload::JobState::kQueued,
+          job.core_seconds,
           job.submitted};
 }
 
--- a/src/camphormux/scheduler/urgency.hpp
+++ b/src/camphormux/scheduler/urgency.hpp
@@ -23,12 +23,15 @@
 /// now.
 [[nodiscard]] Urgency UrgencyOf(const Job& job, core::MonotonicTime now);
 
-/// @brief Order in which jobs are placed: urgency, priority, jobs that have
-/// started, least work first. It is made for surges of a few seconds whose
-/// demand exceeds the pool's capacity: small jobs yield the most value per core
-/// second, started work is not left half done, and late jobs are served before
-/// their results lose all value, as the pool is nearly idle between surges.
+/// @brief Order in which jobs are placed: jobs within the share of their client
+/// account, urgency, priority, jobs that have started, least work first. It is
+/// made for surges of a few seconds whose demand exceeds the pool's capacity:
+/// small jobs yield the most value per core second, started work is not left
+/// half done, and late jobs are served before their results lose all value, as
+/// the pool is nearly idle between surges.
 struct Rank {
+  /// The job exceeds the share of its client account.
+  bool beyond_share = false;
   Urgency urgency = Urgency::kOverdue;
   std::uint32_t priority = 0;
   bool waiting = true;  ///< No task has started yet.
