Shares: what accounts were really served is divided, and the state keeps the division

Cause: the capacity of all usable hosts was divided; it holds work without accounts, fragments and estimates that are wrong, so that an account could have more than its share without being marked. Nothing told whether a new job is beyond the share.

Change: what was started for accounts lately plus the free cores are divided. A run's recorded work is corrected by the time it took. The division stays in the state; IsBeyondShare reads it. Only ready tasks wait. Best-effort tasks and what a cap forbids do not count.

--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -41,6 +41,7 @@
     run.is_sent = true;
     run.has_open_copy = true;
     run.last_open_copy = now;
+    RecordServed(state, job, run, now);
   }
 }
 
@@ -179,15 +180,18 @@
   }
   if (ExceedsCap(state, job.spec)) {
     ++state.counters.refused;
+    RecordRefusal(state, job.spec.account, RefusalReason::kAboveCap);
     return {Admission::kRefused, internal::kAboveCapRetryAfter,
             RefusalReason::kAboveCap};
   }
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
     ++state.counters.refused;
+    RecordRefusal(state, job.spec.account, RefusalReason::kNoTimeLeft);
     return {Admission::kRefused, *wait, RefusalReason::kNoTimeLeft};
   }
   const core::JobId id = job.spec.id;
   RecordArrival(state, job, now);
+  RecordWaiting(state, job);
   state.jobs.emplace(id, std::move(job));
   ++state.counters.accepted;
   return {Admission::kStoring};
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -139,10 +139,10 @@
            Host& host, core::MonotonicTime now) {
   Task& entry = job.tasks[task];
   entry.progress.next_attempt = attempt + 1;
-  const Run& run = AddRun(state, job, task, attempt, host, now);
+  Run& run = AddRun(state, job, task, attempt, host, now);
   ++state.counters.started;
   RecordStart(state, job, now);
-  RecordServed(state, job, job.spec.steps[run.name.place.step], now);
+  RecordServed(state, job, run, now);
   state.unsaved.insert(job.spec.id);
   state.orders.emplace_back(
       StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
@@ -260,12 +260,12 @@
   }
   state.unsaved.insert(job.spec.id);
   for (const RunId member : members) {
-    const Run& run = state.runs.at(member);
+    Run& run = state.runs.at(member);
     workload::TaskProgress& progress = job.tasks[run.task].progress;
     progress.next_attempt = attempt + 1;
     ++state.counters.started;
     RecordStart(state, job, now);
-    RecordServed(state, job, step, now);
+    RecordServed(state, job, run, now);
     state.orders.emplace_back(
         StartRun{run.id, run.host, run.name, progress.checkpoint});
   }
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -45,14 +45,14 @@
                 return a.rank != b.rank ? a.rank < b.rank
                                         : a.job->spec.id < b.job->spec.id;
               });
-    core::MilliCores capacity;
+    core::MilliCores free;
     const auto view = views.find(pool);
     if (view != views.end()) {
       for (const Host* host : view->second.usable) {
-        capacity += host->listing.capacity.cores;
+        free += FreeResources(*host).cores;
       }
     }
-    ApplyShares(state, pool, capacity, now, jobs);
+    ApplyShares(state, pool, free, now, jobs);
   }
   return ranked;
 }
@@ -83,6 +83,7 @@
   }
   PoolViews views = internal::MakeViews(state, now);
   state.waiting.clear();
+  state.shares.clear();
   MeasureOpenCopies(state, now);
   for (auto& [pool, jobs] : internal::RankJobs(state, views, now)) {
     PoolView& view = views[pool];
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -8,6 +8,7 @@
 #include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/load.hpp"
 #include "camphormux/scheduler/pacing.hpp"
+#include "camphormux/scheduler/shares.hpp"
 #include "camphormux/workload/validate.hpp"
 
 namespace camphormux::scheduler {
@@ -124,6 +125,7 @@
   Task& task = job.tasks[*position];
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
+    RecordRunTime(state, job, *run, now - run->ordered);
     RemoveRun(state, run->id, std::nullopt);
   } else if (host.synced || host.restarted) {
     RecordUnexpectedEnd(state, host, task, end);
@@ -215,6 +217,7 @@
         Run& run =
             AddRun(state, job, *position, listed.name.attempt, host, now);
         run.is_sent = true;
+        RecordServed(state, job, run, now);
         return &run;
       }
       unexpected.is_open = !task.progress.done;
@@ -436,6 +439,10 @@
   }
   const auto job = state.jobs.find(run.name.job);
   if (job != state.jobs.end()) {
+    if (evidence == EndEvidence::kRefused ||
+        evidence == EndEvidence::kNotSent) {
+      RecordRunTime(state, job->second, run, core::Millis(0));
+    }
     std::erase(job->second.tasks[run.task].runs, id);
     internal::SetCheckpoint(job->second, run.task, run.checkpoint);
     if (workload::IsFinal(job->second.state)) {
--- a/src/camphormux/scheduler/shares.cpp
+++ b/src/camphormux/scheduler/shares.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <limits>
+#include <utility>
 
 namespace camphormux::scheduler {
 namespace internal {
@@ -11,12 +13,32 @@
 /// Time over which served work is averaged: about as long as callers wait for a
 /// job, so that an account is not charged for work that nobody waits for.
 constexpr std::chrono::duration<double> kServedMemory{4.0};
+/// Time for which free cores are divided: about the run time of a task.
+constexpr std::chrono::duration<double> kTimeOfFreeCores{1.0};
+/// What was served is forgotten when it is below a task's millisecond.
+constexpr double kForgottenWork = 0.001;
 constexpr double kMilliCoresPerCore = 1000.0;
 constexpr double kMillisPerSecond = 1000.0;
 
+double CoresOf(core::MilliCores cores) {
+  return static_cast<double>(cores.value) / kMilliCoresPerCore;
+}
+
+/// Core seconds of a task. Those of tasks without an estimate are not 0, so
+/// that they have a part in the division.
+double WorkOf(core::MilliCores cores, core::Millis duration) {
+  return CoresOf(cores) *
+         static_cast<double>(std::max(core::Millis(1), duration).count()) /
+         kMillisPerSecond;
+}
+
+/// Best-effort tasks only use idle cores and do not count.
 double TaskWork(const workload::Step& step) {
-  return static_cast<double>(step.size.cores.value) / kMilliCoresPerCore *
-         static_cast<double>(step.estimate.count()) / kMillisPerSecond;
+  return step.best_effort ? 0.0 : WorkOf(step.size.cores, step.estimate);
+}
+
+double DemandOf(const AccountShare& share) {
+  return share.served + share.waiting;
 }
 
 double ServedAt(const ServedWork& served, core::MonotonicTime now) {
@@ -35,6 +57,39 @@
          job.spec.occurrences == 0;
 }
 
+/// Adds what was served lately to the accounts' demands.
+/// @return Core seconds that were served to all of them.
+double AddServedWork(State& state, const core::PoolName& pool,
+                     core::MonotonicTime now, PoolShares& shares) {
+  double total = 0;
+  const auto works = state.served_work.find(pool);
+  if (works == state.served_work.end()) {
+    return total;
+  }
+  std::erase_if(works->second, [&](const auto& entry) {
+    return ServedAt(entry.second, now) < kForgottenWork;
+  });
+  for (const auto& [account, work] : works->second) {
+    const double served = ServedAt(work, now);
+    shares.accounts[account].served = served;
+    total += served;
+  }
+  return total;
+}
+
+/// Limits the demand to what the account's cap permits; the others' shares are
+/// not kept free for the rest.
+void LimitToCap(const State& state, const workload::AccountName& account,
+                AccountShare& share) {
+  const auto found = state.catalog.accounts.find(account);
+  if (found == state.catalog.accounts.end() ||
+      found->second.cap.cores.value == 0) {
+    return;
+  }
+  const double most = CoresOf(found->second.cap.cores) * kServedMemory.count();
+  share.waiting = std::clamp(most - share.served, 0.0, share.waiting);
+}
+
 /// Returns how often a part fits into what a cap leaves; 0 is no cap.
 std::int64_t TimesWithin(std::int64_t cap, std::int64_t used,
                          std::int64_t part) {
@@ -71,123 +126,173 @@
 
 }  // namespace internal
 
-std::map<workload::AccountName, double> Entitlements(
-    const AccountDemands& demands, double capacity) {
-  /// An account and the level at which its demand is met: demand by weight.
-  struct Claim {
-    double level = 0;
-    double demand = 0;
-    double weight = 0;
-    const workload::AccountName* account = nullptr;
-  };
-  std::vector<Claim> claims;
-  claims.reserve(demands.size());
+void Divide(PoolShares& shares, double capacity) {
+  std::vector<AccountShare*> by_level;
+  by_level.reserve(shares.accounts.size());
   double weights = 0;
-  for (const auto& [account, demand] : demands) {
-    const double total = demand.served + demand.waiting;
-    claims.push_back({total / demand.weight, total, demand.weight, &account});
-    weights += demand.weight;
+  for (auto& [account, share] : shares.accounts) {
+    by_level.push_back(&share);
+    weights += share.weight;
   }
-  std::sort(claims.begin(), claims.end(), [](const Claim& a, const Claim& b) {
-    return a.level != b.level ? a.level < b.level : *a.account < *b.account;
-  });
-  std::map<workload::AccountName, double> entitled;
+  std::sort(by_level.begin(), by_level.end(),
+            [](const AccountShare* a, const AccountShare* b) {
+              return internal::DemandOf(*a) * b->weight <
+                     internal::DemandOf(*b) * a->weight;
+            });
   double left = std::max(0.0, capacity);
-  for (const Claim& claim : claims) {
-    const double part = std::min(claim.demand, left * claim.weight / weights);
-    entitled[*claim.account] = part;
-    left -= part;
-    weights -= claim.weight;
+  shares.level = std::numeric_limits<double>::infinity();
+  for (AccountShare* share : by_level) {
+    const double demand = internal::DemandOf(*share);
+    const double part = left * share->weight / weights;
+    if (demand > part && std::isinf(shares.level)) {
+      shares.level = left / weights;
+    }
+    share->entitled = std::min(demand, part);
+    left -= share->entitled;
+    weights -= share->weight;
   }
-  return entitled;
 }
 
 double WaitingWork(const Job& job) {
   double work = 0;
   std::size_t first = 0;
-  const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
-  for (std::uint32_t k = 0; k < occurrences; ++k) {
-    for (const workload::Step& step : job.spec.steps) {
-      const auto waiting = std::count_if(
-          job.tasks.begin() + static_cast<std::ptrdiff_t>(first),
-          job.tasks.begin() + static_cast<std::ptrdiff_t>(first + step.count),
-          [](const Task& task) {
+  for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+    const workload::Step& step = job.spec.steps[s];
+    const bool is_ready = job.open_in_step[s] > 0 &&
+                          std::all_of(step.after.begin(), step.after.end(),
+                                      [&](std::uint32_t before) {
+                                        return job.open_in_step[before] == 0;
+                                      });
+    if (is_ready) {
+      const auto begin = job.tasks.begin() + static_cast<std::ptrdiff_t>(first);
+      const auto waiting =
+          std::count_if(begin, begin + step.count, [](const Task& task) {
             return !task.progress.done && task.runs.empty();
           });
       work += static_cast<double>(waiting) * internal::TaskWork(step);
-      first += step.count;
     }
+    first += step.count;
   }
   return work;
 }
 
-AccountDemands MeasureDemands(const State& state, const core::PoolName& pool,
-                              const std::vector<RankedJob>& jobs,
-                              core::MonotonicTime now) {
-  AccountDemands demands;
-  for (const RankedJob& ranked : jobs) {
-    if (internal::HasShare(*ranked.job)) {
-      demands[ranked.job->spec.account].waiting += WaitingWork(*ranked.job);
-    }
-  }
-  const auto served = state.served_work.find(pool);
-  for (auto& [account, demand] : demands) {
-    demand.weight = internal::WeightOf(state, account);
-  }
-  if (served != state.served_work.end()) {
-    for (const auto& [account, work] : served->second) {
-      AccountDemand& demand = demands[account];
-      demand.weight = internal::WeightOf(state, account);
-      demand.served = internal::ServedAt(work, now);
-    }
-  }
-  return demands;
-}
-
-void ApplyShares(const State& state, const core::PoolName& pool,
-                 core::MilliCores capacity, core::MonotonicTime now,
+void ApplyShares(State& state, const core::PoolName& pool,
+                 core::MilliCores free_cores, core::MonotonicTime now,
                  std::vector<RankedJob>& jobs) {
   if (!state.catalog.needs_keys) {
     return;
   }
-  const AccountDemands demands = MeasureDemands(state, pool, jobs, now);
-  const double core_seconds = static_cast<double>(capacity.value) /
-                              internal::kMilliCoresPerCore *
-                              internal::kServedMemory.count();
-  std::map<workload::AccountName, double> left =
-      Entitlements(demands, core_seconds);
-  for (auto& [account, amount] : left) {
-    amount -= demands.at(account).served;
-  }
-  bool any_beyond = false;
-  for (RankedJob& ranked : jobs) {
-    if (!internal::HasShare(*ranked.job)) {
-      continue;
+  PoolShares shares;
+  std::vector<double> waiting(jobs.size());
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    if (internal::HasShare(*jobs[i].job)) {
+      waiting[i] = WaitingWork(*jobs[i].job);
+      shares.accounts[jobs[i].job->spec.account].waiting += waiting[i];
     }
-    const double waiting = WaitingWork(*ranked.job);
-    double& amount = left[ranked.job->spec.account];
-    ranked.rank.beyond_share = waiting > 0 && amount <= 0;
-    any_beyond = any_beyond || ranked.rank.beyond_share;
-    amount -= waiting;
   }
-  if (any_beyond) {
+  const double served = internal::AddServedWork(state, pool, now, shares);
+  if (shares.accounts.empty()) {
+    return;
+  }
+  for (auto& [account, share] : shares.accounts) {
+    internal::LimitToCap(state, account, share);
+    share.weight = internal::WeightOf(state, account);
+  }
+  Divide(shares, served + internal::CoresOf(free_cores) *
+                              internal::kTimeOfFreeCores.count());
+  if (!std::isinf(shares.level)) {
+    std::map<workload::AccountName, double> left;
+    for (const auto& [account, share] : shares.accounts) {
+      left[account] = share.weight * shares.level - share.served;
+    }
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+      if (waiting[i] > 0) {
+        double& amount = left[jobs[i].job->spec.account];
+        jobs[i].rank.beyond_share = amount <= 0;
+        amount -= waiting[i];
+      }
+    }
     std::stable_partition(
         jobs.begin(), jobs.end(),
         [](const RankedJob& ranked) { return !ranked.rank.beyond_share; });
   }
+  state.shares[pool] = std::move(shares);
+}
+
+bool IsBeyondShare(const State& state, const Job& job,
+                   core::MonotonicTime now) {
+  const auto pool = state.shares.find(job.policy.pool);
+  if (!internal::HasShare(job) || pool == state.shares.end()) {
+    return false;
+  }
+  const auto account = pool->second.accounts.find(job.spec.account);
+  if (account == pool->second.accounts.end()) {
+    return false;
+  }
+  const auto works = state.served_work.find(job.policy.pool);
+  double demand = account->second.waiting;
+  if (works != state.served_work.end()) {
+    const auto work = works->second.find(job.spec.account);
+    demand += work == works->second.end()
+                  ? 0.0
+                  : internal::ServedAt(work->second, now);
+  }
+  return demand >= account->second.weight * pool->second.level;
+}
+
+void RecordWaiting(State& state, const Job& job) {
+  const auto pool = state.shares.find(job.policy.pool);
+  if (internal::HasShare(job) && pool != state.shares.end()) {
+    AccountShare& share = pool->second.accounts[job.spec.account];
+    share.weight = internal::WeightOf(state, job.spec.account);
+    share.waiting += WaitingWork(job);
+  }
 }
 
-void RecordServed(State& state, const Job& job, const workload::Step& step,
+void RecordRefusal(State& state, const workload::AccountName& account,
+                   RefusalReason reason) {
+  if (account.value.empty()) {
+    return;
+  }
+  AccountRefusals& refusals = state.refusals[account];
+  switch (reason) {
+    case RefusalReason::kAboveCap:
+      ++refusals.above_cap;
+      return;
+    case RefusalReason::kShareInUse:
+      ++refusals.share_in_use;
+      return;
+    case RefusalReason::kNoTimeLeft:
+      ++refusals.no_time_left;
+      return;
+    case RefusalReason::kNone:
+    case RefusalReason::kIdInUse:
+      return;
+  }
+}
+
+void RecordServed(State& state, const Job& job, Run& run,
                   core::MonotonicTime now) {
   if (!state.catalog.needs_keys || !internal::HasShare(job)) {
     return;
   }
+  run.recorded_work = internal::WorkOf(run.reserved.cores, run.estimate);
   ServedWork& served = state.served_work[job.policy.pool][job.spec.account];
-  served.core_seconds =
-      internal::ServedAt(served, now) + internal::TaskWork(step);
+  served.core_seconds = internal::ServedAt(served, now) + run.recorded_work;
   served.updated = now;
 }
 
+void RecordRunTime(State& state, const Job& job, const Run& run,
+                   core::Millis run_time) {
+  if (run.recorded_work <= 0) {
+    return;
+  }
+  ServedWork& served = state.served_work[job.policy.pool][job.spec.account];
+  const double work = internal::WorkOf(run.reserved.cores, run_time);
+  served.core_seconds =
+      std::max(0.0, served.core_seconds + work - run.recorded_work);
+}
+
 void MeasureOpenCopies(State& state, core::MonotonicTime now) {
   state.open_copies_of_accounts.clear();
   if (!state.catalog.needs_keys) {
--- a/src/camphormux/scheduler/shares.hpp
+++ b/src/camphormux/scheduler/shares.hpp
@@ -1,73 +1,77 @@
 #ifndef CAMPHORMUX_SCHEDULER_SHARES_HPP_
 #define CAMPHORMUX_SCHEDULER_SHARES_HPP_
 
-#include <map>
+#include <cstdint>
 #include <vector>
 
+#include "camphormux/scheduler/jobs.hpp"
 #include "camphormux/scheduler/state.hpp"
 #include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
 
-/// @brief Demand of a client account for a pool.
-struct AccountDemand {
-  double weight = 1.0;
-  double served = 0;   ///< Core seconds that were started for it lately.
-  double waiting = 0;  ///< Core seconds of its tasks that have no run.
-};
-
-using AccountDemands = std::map<workload::AccountName, AccountDemand>;
-
-/// @brief Divides a capacity among accounts by weighted max-min fairness: what
-/// an account does not need is divided among the others by their weights.
-/// @param demands Demand of each account.
-/// @param capacity Core seconds to be divided.
-/// @return Core seconds for each account; at most its demand.
-[[nodiscard]] std::map<workload::AccountName, double> Entitlements(
-    const AccountDemands& demands, double capacity);
-
 /// @brief A job in the order in which its pool's jobs are placed.
 struct RankedJob {
   Rank rank;
   Job* job = nullptr;
 };
 
-/// @brief Returns the core seconds of a job's tasks that are neither done nor
-/// have a run.
-[[nodiscard]] double WaitingWork(const Job& job);
+/// @brief Divides a capacity among accounts by weighted max-min fairness: what
+/// an account does not need is divided among the others by their weights. Sets
+/// what each is entitled to, at most its demand, and the level.
+/// @param shares Weight and demand of each account.
+/// @param capacity Core seconds to be divided.
+void Divide(PoolShares& shares, double capacity);
 
-/// @brief Computes the demand of each account for a pool. Permanent jobs do not
-/// count.
-/// @param state The state.
-/// @param pool The pool.
-/// @param jobs The pool's open jobs.
-/// @param now The time.
-[[nodiscard]] AccountDemands MeasureDemands(const State& state,
-                                            const core::PoolName& pool,
-                                            const std::vector<RankedJob>& jobs,
-                                            core::MonotonicTime now);
+/// @brief Returns the core seconds of a job's ready tasks that have no run.
+[[nodiscard]] double WaitingWork(const Job& job);
 
 /// @brief Puts the jobs behind all others that exceed what their account is
 /// entitled to. It is made for accounts that send many times their usual: the
 /// callers of the others are served as if the excess was not there, and room
-/// that they do not need goes to the excess.
-/// @param state The state; without client accounts nothing changes.
+/// that they do not need goes to the excess. What is divided is the work that
+/// was started for accounts lately and the free cores: what the pool can really
+/// do, whatever else runs there, however wrong estimates are and however well
+/// tasks fit on hosts.
+/// @param state The state; without client accounts nothing changes. Its shares
+/// of the pool are set.
 /// @param pool The pool.
-/// @param capacity Cores of the pool.
+/// @param free_cores Cores of the pool that are free.
 /// @param now The time.
 /// @param jobs The pool's open jobs in the order of their ranks.
-void ApplyShares(const State& state, const core::PoolName& pool,
-                 core::MilliCores capacity, core::MonotonicTime now,
+void ApplyShares(State& state, const core::PoolName& pool,
+                 core::MilliCores free_cores, core::MonotonicTime now,
                  std::vector<RankedJob>& jobs);
 
-/// @brief Records that work is started for an account.
+/// @brief Returns whether a new job would bring its account beyond its share of
+/// a pool that has no room for all. Does not say whether the job would end in
+/// time: an account that is alone can be beyond its share of a busy pool.
+/// @param state The state; its shares are those of the last planning pass.
+/// @param job The job.
+/// @param now The time.
+[[nodiscard]] bool IsBeyondShare(const State& state, const Job& job,
+                                 core::MonotonicTime now);
+
+/// @brief Counts the work of an accepted job as waiting until the next planning
+/// pass does.
+void RecordWaiting(State& state, const Job& job);
+
+/// @brief Counts a refused submission.
+void RecordRefusal(State& state, const workload::AccountName& account,
+                   RefusalReason reason);
+
+/// @brief Records that a run is started or adopted for an account.
 /// @param state The state.
 /// @param job The job; has no effect if it has no account or is permanent.
-/// @param step Step of the job whose task is started.
+/// @param run Its run; what was recorded is set.
 /// @param now The time.
-void RecordServed(State& state, const Job& job, const workload::Step& step,
+void RecordServed(State& state, const Job& job, Run& run,
                   core::MonotonicTime now);
 
+/// @brief Corrects what was recorded for a run by the time that it took.
+void RecordRunTime(State& state, const Job& job, const Run& run,
+                   core::Millis run_time);
+
 /// @brief Sums, for each account, the copies of starts that may still take
 /// effect although their run was removed.
 void MeasureOpenCopies(State& state, core::MonotonicTime now);
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -54,6 +54,8 @@
   placement::Resources reserved;  ///< Resources that are reserved on the host.
   workload::AccountName account;  ///< Account of the job; empty if it has none.
   placement::Resources size;      ///< Counts against the cap of the account.
+  /// Core seconds that count as served to the account.
+  double recorded_work = 0;
   bool best_effort = false;
   bool permanent = false;
   core::Millis estimate{0};
@@ -329,6 +331,29 @@
   core::MonotonicTime updated;
 };
 
+/// @brief Demand and share of a client account in a pool.
+struct AccountShare {
+  double weight = 1.0;
+  double served = 0;    ///< Core seconds that were started for it lately.
+  double waiting = 0;   ///< Core seconds of its ready tasks without a run.
+  double entitled = 0;  ///< Part of the pool's core seconds that is its own.
+};
+
+/// @brief Division of a pool among client accounts.
+struct PoolShares {
+  /// Core seconds by weight that each account may have; infinite if there is
+  /// room for all.
+  double level = 0;
+  std::map<workload::AccountName, AccountShare> accounts;
+};
+
+/// @brief Refused submissions of a client account since the last report.
+struct AccountRefusals {
+  std::uint64_t above_cap = 0;
+  std::uint64_t share_in_use = 0;
+  std::uint64_t no_time_left = 0;
+};
+
 /// @brief Work of a pool since the last report.
 struct PoolWork {
   /// Runs of jobs that could still meet their objective.
@@ -412,6 +437,10 @@
   std::map<workload::AccountName, placement::Resources> open_copies_of_accounts;
   std::map<core::PoolName, std::map<workload::AccountName, ServedWork>>
       served_work;
+  /// As of the last planning pass; only pools with demand of client accounts.
+  std::map<core::PoolName, PoolShares> shares;
+  /// Emptied by the owner of the state with each report.
+  std::map<workload::AccountName, AccountRefusals> refusals;
   /// Emptied by the owner of the state with each report.
   std::map<core::PoolName, PoolWork> work;
   Counters counters;
