Shares and caps: hosts held for tasks within the share, repeated starts and done tasks within caps, account report

Cause: a task within the share that needs several cores of a host never started while small tasks beyond it took each core that became free. A start without an answer was repeated although the cap had been lowered meanwhile. Runs of tasks that are done did not count after a takeover. Operators saw nothing of shares and caps.

Change: hosts are held for what waits within the share before jobs beyond it are placed. A start without an answer is stopped instead of repeated while its account is above its cap. Stored runs of done tasks are loaded if the job has an account. Line 'account load' and gauge camphormux_account_load for the ten accounts with most waiting work and the sum of the others.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -73,6 +73,7 @@
       ports_(std::move(ports)),
       token_(token),
       node_metrics_(node_metrics),
+      account_report_(*node_metrics.account_load),
       authority_(std::move(authority)),
       on_superseded_(std::move(on_superseded)),
       takeover_start_(core::MonotonicNow()) {
@@ -618,6 +619,7 @@
        {"answered_longest_ms",
         std::to_string(run_latency.answered.longest.count())}});
   LogPoolLoads(state_, now);
+  account_report_.Report(state_);
   LogWaveProgress(state_, now);
 }
 
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "camphormux/coordinator/account_report.hpp"
 #include "camphormux/coordinator/host_links.hpp"
 #include "camphormux/coordinator/node_metrics.hpp"
 #include "camphormux/coordinator/ports.hpp"
@@ -148,6 +149,7 @@
   Ports ports_;
   core::Epoch token_;
   NodeMetrics& node_metrics_;
+  AccountReport account_report_;
   Authority authority_;
   std::function<void()> on_superseded_;
   scheduler::State state_;
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -72,6 +72,13 @@
   node_metrics.jobs_without_policy = &AddGauge(
       registry, "camphormux_jobs_without_policy",
       "Jobs at the holder that wait until their queue is configured again.");
+  node_metrics.account_load =
+      &prometheus::BuildGauge()
+           .Name("camphormux_account_load")
+           .Help(
+               "What client accounts have, are entitled to and wait for, at "
+               "the holder.")
+           .Register(registry);
   node_metrics.holds_ownership = &AddGauge(
       registry, "camphormux_holder", "1 if this node is the holder, else 0.");
   node_metrics.submit_seconds = &AddLatencyHistogram(
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_COORDINATOR_NODE_METRICS_HPP_
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -31,6 +32,8 @@
   prometheus::Counter* store_rejections = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
   prometheus::Gauge* jobs_without_policy = nullptr;
+  /// Values of client accounts, with labels for the account and the value.
+  prometheus::Family<prometheus::Gauge>* account_load = nullptr;
   prometheus::Gauge* holds_ownership = nullptr;
   prometheus::Histogram* submit_seconds = nullptr;
   prometheus::Histogram* store_seconds = nullptr;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -331,7 +331,8 @@
   internal::CountOpenTasks(job);
   Job& loaded = state.jobs.insert_or_assign(id, std::move(job)).first->second;
   for (std::uint32_t i = 0; i < loaded.tasks.size(); ++i) {
-    if (!loaded.tasks[i].progress.done) {
+    // A run of a task that is done counts against the cap until it has ended.
+    if (!loaded.tasks[i].progress.done || !loaded.spec.account.value.empty()) {
       internal::LoadRuns(state, loaded, i, now);
     }
     loaded.tasks[i].progress.runs.clear();
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -272,6 +272,53 @@
   return {};
 }
 
+/// Returns what a host has for tasks that end.
+placement::Resources CapacityOfEndingTasks(const State& state,
+                                           const Host& host) {
+  placement::Resources capacity = host.listing.capacity;
+  for (const RunId id : host.runs) {
+    const Run& run = state.runs.at(id);
+    if (run.permanent) {
+      capacity -= run.reserved;
+    }
+  }
+  return capacity;
+}
+
+/// Sums the cores of a step's waiting tasks that can start once other tasks
+/// have ended. Tasks that wait for something else do not count: for the rack of
+/// their data, for other hosts than those of the step's tasks, for their cap.
+core::MilliCores StartableCores(
+    const State& state, const Job& job, const StepInstance& instance,
+    const std::vector<Host*>& hosts,
+    const std::vector<placement::Resources>& capacities) {
+  const workload::Step& step = job.spec.steps[instance.step];
+  if (step.max_per_host > 0 || !step.data_rack.value.empty()) {
+    return {};
+  }
+  const placement::Resources reservation = ReservationOf(step);
+  core::MilliCores room;
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    if (placement::Fits(reservation, capacities[i]) &&
+        (step.required_label.empty() ||
+         hosts[i]->listing.labels.contains(step.required_label))) {
+      room += capacities[i].cores;
+    }
+  }
+  const std::int64_t within_cap =
+      TasksWithinCap(state, job.spec.account, step.size);
+  core::MilliCores waiting = WaitingCores(job, instance);
+  if (step.gang) {
+    return within_cap < step.count || room < waiting ? core::MilliCores{0}
+                                                     : waiting;
+  }
+  if (within_cap < step.count) {
+    waiting = std::min(waiting,
+                       core::MilliCores{within_cap * reservation.cores.value});
+  }
+  return std::min(waiting, room);
+}
+
 }  // namespace internal
 
 void UpdateMaxFree(Candidates& candidates) {
@@ -326,6 +373,41 @@
   return unplaced;
 }
 
+void HoldHosts(const State& state, const std::vector<const Job*>& waiting,
+               Candidates& candidates, core::WallTime wall) {
+  std::vector<placement::Resources> capacities;
+  capacities.reserve(candidates.hosts.size());
+  for (const Host* host : candidates.hosts) {
+    capacities.push_back(internal::CapacityOfEndingTasks(state, *host));
+  }
+  core::MilliCores needed;
+  for (const Job* job : waiting) {
+    const std::uint32_t occurrences = std::max(1U, job->spec.occurrences);
+    std::uint32_t first = 0;
+    for (std::uint32_t k = 0; k < occurrences; ++k) {
+      for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
+        if (IsStepReady(state, *job, k, s, wall)) {
+          needed += internal::StartableCores(state, *job, {k, s, first},
+                                             candidates.hosts, capacities);
+        }
+        first += job->spec.steps[s].count;
+      }
+    }
+  }
+  while (needed.value > 0 && !candidates.hosts.empty()) {
+    const auto most_free = std::max_element(
+        candidates.hosts.begin(), candidates.hosts.end(),
+        [](const Host* a, const Host* b) {
+          return FreeResources(*a).cores < FreeResources(*b).cores;
+        });
+    const auto position = most_free - candidates.hosts.begin();
+    needed -= std::max(core::MilliCores{1}, capacities[position].cores);
+    capacities.erase(capacities.begin() + position);
+    candidates.hosts.erase(most_free);
+  }
+  UpdateMaxFree(candidates);
+}
+
 void PlaceCopies(State& state, Job& job, const std::vector<Host*>& hosts,
                  core::MonotonicTime now) {
   if (workload::IsFinal(job.state) || job.rejected ||
--- a/src/camphormux/scheduler/placing.hpp
+++ b/src/camphormux/scheduler/placing.hpp
@@ -36,6 +36,17 @@
 Unplaced PlaceJob(State& state, Job& job, Candidates& hosts,
                   core::MonotonicTime now, core::WallTime wall);
 
+/// @brief Removes hosts from the candidates on which waiting tasks can start
+/// soon. Otherwise smaller tasks, which are placed after them, would take each
+/// core that becomes free, and a task that needs several cores of a host would
+/// never start.
+/// @param state The state.
+/// @param waiting Jobs with ready tasks that could not be placed.
+/// @param candidates Usable hosts of the jobs' pool.
+/// @param wall Wall-clock time.
+void HoldHosts(const State& state, const std::vector<const Job*>& waiting,
+               Candidates& candidates, core::WallTime wall);
+
 /// @brief Starts copies of speculative tasks that run much longer than
 /// estimated.
 void PlaceCopies(State& state, Job& job, const std::vector<Host*>& hosts,
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -89,8 +89,16 @@
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
+    std::vector<const Job*> waiting;
+    bool are_hosts_held = false;
     for (const auto& [rank, job] : jobs) {
+      if (rank.beyond_share && !std::exchange(are_hosts_held, true)) {
+        HoldHosts(state, waiting, candidates, wall);
+      }
       const Unplaced unplaced = PlaceJob(state, *job, candidates, now, wall);
+      if (unplaced.cores.value > 0) {
+        waiting.push_back(job);
+      }
       view.unplaced += unplaced.cores;
       view.hosts_to_spread =
           std::max(view.hosts_to_spread, unplaced.hosts_to_spread);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -297,7 +297,9 @@
   const bool may_stop = now >= run.last_open_copy + kMaxCallDelay ||
                         MayStopWithinBudget(state, run);
   if (IsObsolete(state, run) || host.listing.draining || run.is_superseded ||
-      ((run.repetition_refused || is_leaving) && may_stop)) {
+      ((run.repetition_refused || is_leaving ||
+        IsAboveCap(state, run.account)) &&
+       may_stop)) {
     RequestStop(state, run);
     return;
   }
--- a/src/camphormux/scheduler/shares.cpp
+++ b/src/camphormux/scheduler/shares.cpp
@@ -90,6 +90,17 @@
   share.waiting = std::clamp(most - share.served, 0.0, share.waiting);
 }
 
+void Add(AccountLoad& sum, const AccountLoad& load) {
+  sum.accounts += load.accounts;
+  sum.running += load.running;
+  sum.share.served += load.share.served;
+  sum.share.waiting += load.share.waiting;
+  sum.share.entitled += load.share.entitled;
+  sum.refusals.above_cap += load.refusals.above_cap;
+  sum.refusals.share_in_use += load.refusals.share_in_use;
+  sum.refusals.no_time_left += load.refusals.no_time_left;
+}
+
 /// Returns how often a part fits into what a cap leaves; 0 is no cap.
 std::int64_t TimesWithin(std::int64_t cap, std::int64_t used,
                          std::int64_t part) {
@@ -124,6 +135,13 @@
   return found == amounts.end() ? placement::Resources{} : found->second;
 }
 
+/// Returns what counts against the cap of an account.
+placement::Resources UsedCap(const State& state,
+                             const workload::AccountName& account) {
+  return AmountOf(state.running_of_accounts, account) +
+         AmountOf(state.open_copies_of_accounts, account);
+}
+
 }  // namespace internal
 
 void Divide(PoolShares& shares, double capacity) {
@@ -293,6 +311,52 @@
       std::max(0.0, served.core_seconds + work - run.recorded_work);
 }
 
+std::vector<AccountLoad> MeasureAccounts(const State& state,
+                                         std::size_t limit) {
+  std::map<workload::AccountName, AccountLoad> by_name;
+  for (const auto& [pool, shares] : state.shares) {
+    for (const auto& [account, share] : shares.accounts) {
+      AccountLoad part;
+      part.share = share;
+      internal::Add(by_name[account], part);
+    }
+  }
+  for (const auto& [account, running] : state.running_of_accounts) {
+    by_name[account].running += running;
+  }
+  for (const auto& [account, copies] : state.open_copies_of_accounts) {
+    by_name[account].running += copies;
+  }
+  for (const auto& [account, refusals] : state.refusals) {
+    by_name[account].refusals = refusals;
+  }
+  std::vector<AccountLoad> loads;
+  loads.reserve(by_name.size());
+  for (auto& [account, load] : by_name) {
+    load.account = account;
+    load.accounts = 1;
+    load.share.weight = internal::WeightOf(state, account);
+    if (const auto* cap = internal::CapOf(state, account)) {
+      load.cap = *cap;
+    }
+    loads.push_back(std::move(load));
+  }
+  std::stable_sort(loads.begin(), loads.end(),
+                   [](const AccountLoad& a, const AccountLoad& b) {
+                     return a.share.waiting > b.share.waiting;
+                   });
+  if (loads.size() > limit) {
+    AccountLoad others;
+    others.accounts = 0;
+    for (std::size_t i = limit; i < loads.size(); ++i) {
+      internal::Add(others, loads[i]);
+    }
+    loads.resize(limit);
+    loads.push_back(std::move(others));
+  }
+  return loads;
+}
+
 void MeasureOpenCopies(State& state, core::MonotonicTime now) {
   state.open_copies_of_accounts.clear();
   if (!state.catalog.needs_keys) {
@@ -312,14 +376,23 @@
                              const workload::AccountName& account,
                              const placement::Resources& size) {
   const placement::Resources* cap = internal::CapOf(state, account);
+  return cap == nullptr ? UINT32_MAX
+                        : internal::TimesWithin(
+                              *cap, internal::UsedCap(state, account), size);
+}
+
+bool IsAboveCap(const State& state, const workload::AccountName& account) {
+  const placement::Resources* cap = internal::CapOf(state, account);
   if (cap == nullptr) {
-    return UINT32_MAX;
+    return false;
   }
-  return internal::TimesWithin(
-      *cap,
-      internal::AmountOf(state.running_of_accounts, account) +
-          internal::AmountOf(state.open_copies_of_accounts, account),
-      size);
+  const placement::Resources used = internal::UsedCap(state, account);
+  const auto is_above = [](auto used_amount, auto limit) {
+    return limit.value > 0 && used_amount > limit;
+  };
+  return is_above(used.cores, cap->cores) ||
+         is_above(used.memory, cap->memory) ||
+         is_above(used.accelerators, cap->accelerators);
 }
 
 bool ExceedsCap(const State& state, const workload::JobSpec& spec) {
--- a/src/camphormux/scheduler/shares.hpp
+++ b/src/camphormux/scheduler/shares.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_SCHEDULER_SHARES_HPP_
 #define CAMPHORMUX_SCHEDULER_SHARES_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -72,6 +73,26 @@
 void RecordRunTime(State& state, const Job& job, const Run& run,
                    core::Millis run_time);
 
+/// @brief What a client account has and waits for.
+struct AccountLoad {
+  workload::AccountName account;  ///< Empty for the sum of others.
+  std::size_t accounts = 1;       ///< Accounts that are summed.
+  placement::Resources running;   ///< What counts against the cap.
+  placement::Resources cap;       ///< 0: unlimited.
+  /// Sums over pools; the weight is that of each pool.
+  AccountShare share;
+  AccountRefusals refusals;
+};
+
+/// @brief Measures the client accounts that have work or were refused.
+/// @param state The state.
+/// @param limit Accounts that are listed on their own: those with most waiting
+/// work.
+/// @return Their loads and, as the last one, the sum of the others if there are
+/// any.
+[[nodiscard]] std::vector<AccountLoad> MeasureAccounts(const State& state,
+                                                       std::size_t limit);
+
 /// @brief Sums, for each account, the copies of starts that may still take
 /// effect although their run was removed.
 void MeasureOpenCopies(State& state, core::MonotonicTime now);
@@ -86,6 +107,11 @@
                                            const workload::AccountName& account,
                                            const placement::Resources& size);
 
+/// @brief Returns whether what counts against the cap of an account exceeds it,
+/// as the cap was lowered.
+[[nodiscard]] bool IsAboveCap(const State& state,
+                              const workload::AccountName& account);
+
 /// @brief Returns whether a job has a task or a gang that exceeds the cap of
 /// its account even if nothing else runs.
 [[nodiscard]] bool ExceedsCap(const State& state,
