--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -32,7 +32,9 @@
 
 /// Returns the jobs of each pool in the order in which they are placed.
 std::map<core::PoolName, std::vector<RankedJob>> RankJobs(
-    State& state, const PoolViews& views, core::MonotonicTime now) {
+    State& state, const PoolViews& views,
+    const std::map<core::PoolName, core::MilliCores>& waiting_before,
+    core::MonotonicTime now) {
   std::map<core::PoolName, std::vector<RankedJob>> ranked;
   for (auto& [id, job] : state.jobs) {
     if (job.saved && HasPolicy(job) && !workload::IsFinal(job.state)) {
@@ -47,7 +49,12 @@
               });
     core::MilliCores free;
     const auto view = views.find(pool);
-    if (view != views.end()) {
+    const auto before = waiting_before.find(pool);
+    const bool has_waited =
+        before != waiting_before.end() && before->second.value > 0;
+    // Cores that stay free beside waiting tasks are of no use to them, or are
+    // held for some of them.
+    if (view != views.end() && !has_waited) {
       for (const Host* host : view->second.usable) {
         free += FreeResources(*host).cores;
       }
@@ -82,10 +89,11 @@
     CheckRuns(state, now);
   }
   PoolViews views = internal::MakeViews(state, now);
-  state.waiting.clear();
+  const auto waiting_before = std::exchange(state.waiting, {});
   state.shares.clear();
   MeasureOpenCopies(state, now);
-  for (auto& [pool, jobs] : internal::RankJobs(state, views, now)) {
+  for (auto& [pool, jobs] :
+       internal::RankJobs(state, views, waiting_before, now)) {
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
--- a/src/camphormux/scheduler/shares.hpp
+++ b/src/camphormux/scheduler/shares.hpp
@@ -37,7 +37,7 @@
 /// @param state The state; without client accounts nothing changes. Its shares
 /// of the pool are set.
 /// @param pool The pool.
-/// @param free_cores Cores of the pool that are free.
+/// @param free_cores Cores of the pool that are free for any task.
 /// @param now The time.
 /// @param jobs The pool's open jobs in the order of their ranks.
 void ApplyShares(State& state, const core::PoolName& pool,
