Tests of clients outside the limits, failing

Real nodes get small crowds, one kind a test; each test checks that the process lives, that its peak memory (VmHWM) and its open descriptors stay under 48 MB and 512, and that an ordinary job is accepted while the crowd is connected. A crowd is over when its sends and the node's receive queues no longer change.

The untouched code has no settings of these limits, so the crowds are large enough for it: 20 to 700 connections. The settings name memory and descriptors through placeholders that the old template does not use.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -18,6 +18,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 NODE = os.environ.get("CAMPHORMUX_NODE", "target/bin/camphormux-node")
 IP = "127.0.0.1"
+LIMITS = {"cpuShare": 0.25, "memoryMb": 512, "maxFds": 4_100}
 BOUNDS = {"graceS": 6, "maxHoldMs": 10_000, "early_ms": 250, "remoteFactor": 3, "status_s": 120, "leaseMs": 3_000}
 
 
@@ -50,7 +51,8 @@
 
 
 class Fleet:
-    def __init__(self, folder, nodes, services, millicores=16_000):
+    def __init__(self, folder, nodes, services, millicores=16_000, limits=None):
+        self.limits = LIMITS | (limits or {})
         self.millicores = millicores
         self.record = pathlib.Path(folder) / "record.txt"
         self.record.write_text("", encoding="utf-8")
@@ -81,7 +83,7 @@
         ports = self.nodes[name]
         template = (ROOT / "deploy/node.ini.template").read_text(encoding="utf-8")
         settings = render(template, {
-            "nodeName": name, "zone": "a", "bounds": BOUNDS, "limits": {"cpuShare": 0.25}, "ip": IP,
+            "nodeName": name, "zone": "a", "bounds": BOUNDS, "limits": self.limits, "ip": IP,
             "listen": {"front": f"{IP}:{ports['front']}", "ready": f"{IP}:{ports['ready']}"},
             "internalPortRange": [ports["peer"], ports["metrics"]],
             "platform": {"address": f"{IP}:{self.store_port}"},
--- /dev/null
+++ b/test/platform/hostile_clients_test.py
@@ -0,0 +1,202 @@
+"""Clients outside the limits, against real nodes: none ends, outgrows its machine or stops answering.
+
+Only facts that do not depend on the machine's speed are checked: the process lives, its peak memory and its open
+descriptors stay under a bound, and an ordinary job is accepted while the crowd is still connected. Needs a built
+camphormux-node, whose path is in CAMPHORMUX_NODE.
+"""
+import pathlib
+import selectors
+import socket
+import sys
+import tempfile
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "review/standin"))
+
+import fleet  # noqa: E402
+
+# Limits of the machine that the settings of the nodes name, and the bounds of the checks.
+MEMORY_MB = 48
+DESCRIPTORS = 512
+QUEUE = "holds"
+JOB = 0x4D1C02B7E5A83F60
+BODY = 262_000
+HEAD = f"POST /{QUEUE}/{JOB:016x} HTTP/1.1\r\nHost: desk.example\r\n".encode()
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# When a crowd's sends and the node's receive queues have not changed for this long, the node has read all that it will.
+QUIET_S = 2.0
+
+
+class Crowd:
+    """Connections that each send their bytes and stay open without reading."""
+
+    def __init__(self, address, payloads, on_step, receive_buffer=None):
+        self.port = address[1]
+        self.sockets = []
+        self.left = {}
+        self.selector = selectors.DefaultSelector()
+        self.on_step = on_step
+        for payload in payloads:
+            client = socket.socket()
+            if receive_buffer:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+            client.settimeout(5)
+            try:
+                client.connect(address)
+            except OSError:
+                client.close()
+                continue
+            client.setblocking(False)
+            self.sockets.append(client)
+            self.left[client] = memoryview(payload)
+            self.selector.register(client, selectors.EVENT_WRITE)
+
+    def wait_until_read(self):
+        moved, last = time.monotonic(), None
+        while time.monotonic() < moved + QUIET_S:
+            self.on_step()
+            rows = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]]
+            unread = sorted((row[2], row[4][9:]) for row in rows
+                            if row[3] == "01" and row[1].endswith(f":{self.port:04X}") and int(row[4][9:], 16))
+            if not unread:
+                return
+            if unread != last:
+                moved, last = time.monotonic(), unread
+            time.sleep(0.1)
+
+    def send(self):
+        moved = time.monotonic()
+        while self.left and time.monotonic() < moved + QUIET_S:
+            self.on_step()
+            for key, _ in self.selector.select(0.1):
+                client = key.fileobj
+                try:
+                    sent = client.send(self.left[client][:65_536])
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    sent = len(self.left[client])  # The node closed the connection.
+                moved = time.monotonic()
+                self.left[client] = self.left[client][sent:]
+                if not self.left[client]:
+                    self.selector.unregister(client)
+                    del self.left[client]
+        self.wait_until_read()
+
+    def close(self):
+        self.selector.close()
+        for client in self.sockets:
+            client.close()
+
+
+class HostileClientsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.system = fleet.Fleet(folder.name, 1, {"venue-desk": 1}, limits={"memoryMb": MEMORY_MB,
+                                                                             "maxFds": DESCRIPTORS})
+        self.addCleanup(self.system.close)
+        self.assertTrue(self.system.begin(1, {QUEUE: "venue-desk"}), "no node became the holder")
+        self.node = next(iter(self.system.nodes))
+        self.process = self.system.processes[self.node]
+        self.most_descriptors = 0
+        self.assertTrue(self.accepts_a_job(JOB), "no ordinary job was accepted before the crowd")
+
+    def accepts_a_job(self, job):
+        return self.system.submit(QUEUE, f"{job:016x}", {
+            "spec": "{}", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estRuntimeMs": 100}]})
+
+    def peak_memory_mb(self):
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        return int(status.split("VmHWM:")[1].split()[0]) / 1024
+
+    def look(self):
+        if self.process.poll() is None:
+            open_now = len(list(pathlib.Path(f"/proc/{self.process.pid}/fd").iterdir()))
+            self.most_descriptors = max(self.most_descriptors, open_now)
+
+    def crowd(self, payloads, port="front", receive_buffer=None):
+        address = (fleet.IP, self.system.nodes[self.node][port])
+        crowd = Crowd(address, payloads, self.look, receive_buffer)
+        self.addCleanup(crowd.close)
+        crowd.send()
+        return crowd
+
+    def expect_unharmed(self):
+        self.assertIsNone(self.process.poll(), "the process ended")
+        accepted = self.accepts_a_job(JOB + 1)
+        self.look()
+        peak = self.peak_memory_mb()
+        print(f"{self.id().split('.')[-1]}: peak {peak:.1f} MB, {self.most_descriptors} descriptors", file=sys.stderr)
+        self.assertTrue(accepted, "no ordinary job was accepted")
+        self.assertIsNone(self.process.poll(), "the process ended")
+        self.assertLessEqual(peak, MEMORY_MB)
+        self.assertLessEqual(self.most_descriptors, DESCRIPTORS)
+
+    def test_bodies_in_one_chunk_that_stop_short(self):
+        """Guards against unfinished bodies of many connections that take all memory."""
+        self.crowd([CHUNKED + b"%x\r\n" % BODY + b" " * (BODY - 10)] * 300)
+        self.expect_unharmed()
+
+    def test_bodies_in_chunks_of_one_byte_that_stop_short(self):
+        """Guards against data kept for each chunk."""
+        self.crowd([CHUNKED + b"1\r\n \r\n" * BODY] * 40)
+        self.expect_unharmed()
+
+    def test_announced_bodies_over_the_limit(self):
+        """Guards against bodies that are read whole before their length is checked."""
+        self.crowd([HEAD + b"Content-Length: 900000\r\n\r\n" + b" " * 800_000] * 60
+                   + [HEAD + b"Content-Length: 10000000000\r\n\r\n" + b" " * 100_000] * 40)
+        self.expect_unharmed()
+
+    def test_bodies_without_end(self):
+        """Guards against chunks that are stored past the limit."""
+        self.crowd([CHUNKED + (b"4000\r\n" + b" " * 0x4000 + b"\r\n") * 60] * 60
+                   + [CHUNKED + (b"4000\r\n" + b" " * 0x4000 + b"\r\n") * 400] * 20)
+        self.expect_unharmed()
+
+    def test_heads_over_the_limit_in_size(self):
+        """Guards against fields of any length."""
+        self.crowd([HEAD + b"Note: " + b"x" * 1_000_000] * 100)
+        self.expect_unharmed()
+
+    def test_heads_with_too_many_fields(self):
+        """Guards against data kept for each of many short fields."""
+        self.crowd([HEAD + b"a:b\r\n" * 14_000] * 100)
+        self.expect_unharmed()
+
+    def test_heads_without_end(self):
+        """Guards against heads that stop just below the parser's own limit."""
+        self.crowd([HEAD + b"".join(b"Note-%d: %s\r\n" % (n, b"x" * 1000) for n in range(75))] * 400)
+        self.expect_unharmed()
+
+    def test_empty_lines_without_end(self):
+        """Guards against input before a request that counts towards no limit."""
+        self.crowd([b"\r\n" * 500_000] * 100)
+        self.expect_unharmed()
+
+    def test_slow_crowd(self):
+        """Guards against connections that are kept open by a byte now and then until no descriptor is left."""
+        crowd = self.crowd([HEAD] * 700)
+        for _ in range(3):
+            time.sleep(0.5)
+            for client in crowd.sockets:
+                try:
+                    client.send(b"x")
+                except OSError:
+                    pass
+            self.look()
+        self.expect_unharmed()
+
+    def test_clients_that_read_no_answer(self):
+        """Guards against answers that are held for clients that do not read them."""
+        ask = f"GET /{QUEUE}/ HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode()
+        self.crowd([ask * 2_000] * 200, receive_buffer=2_048)
+        self.crowd([b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n" * 500] * 400, "metrics", receive_buffer=2_048)
+        self.expect_unharmed()
+
+
+if __name__ == "__main__":
+    unittest.main()
