Bound what clients outside the limits make a node hold

Cause: RESTinio keeps an entry for each chunk of a body, allocates an announced body at once, stores bodies up to 1 MiB before the operators' limit is looked at, and bounds neither the number of connections nor what they hold together.

The parser callbacks of the server's connections are our own: no data of chunks and trailing fields, bodies are stored up to the operators' maxBodyBytes and then read to their end without being stored, to be answered with 413. The head limit of the parser is set to 16 KiB. A socket type of our own asks one budget for all connections before each read: past it, requests without a byte for a second are closed, those that hold most first; others wait, one at a time is read on. For a connection past the number allowed, the one that has not moved for longest and has no request in handling is closed. Memory and descriptors of the machine are read from the settings ([limits]).

--- /dev/null
+++ b/src/camphormux/http/connection_budget.cpp
@@ -0,0 +1,98 @@
+#include "camphormux/http/connection_budget.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace camphormux::http {
+namespace internal {
+
+/// A search looks at every connection.
+constexpr core::Millis kSearchInterval{100};
+
+void ShutDown(ConnectionBudget& budget, ConnectionUse& use,
+              ConnectionRefusal reason) {
+  use.closing = true;
+  budget.options.on_refusal(reason);
+  use.shut_down();
+}
+
+void DropStalled(ConnectionBudget& budget, core::MonotonicTime now) {
+  if (now - budget.searched < kSearchInterval) {
+    return;
+  }
+  budget.searched = now;
+  std::vector<ConnectionUse*> stalled;
+  for (ConnectionUse* use : budget.connections) {
+    if (use->unfinished && !use->handling && !use->paused && !use->closing &&
+        now - use->moved >= budget.options.stalled_after) {
+      stalled.push_back(use);
+    }
+  }
+  std::ranges::sort(stalled, std::greater(),
+                    [](const ConnectionUse* use) { return use->held; });
+  std::int64_t after = budget.held;
+  for (ConnectionUse* use : stalled) {
+    if (after <= budget.options.total.value) {
+      break;
+    }
+    after -= use->counted;
+    ShutDown(budget, *use, ConnectionRefusal::kMemoryShort);
+  }
+}
+
+}  // namespace internal
+
+void Count(ConnectionBudget& budget, ConnectionUse& use) {
+  budget.held += use.held - use.counted;
+  use.counted = use.held;
+}
+
+void Forget(ConnectionBudget& budget, ConnectionUse& use) {
+  use.held = 0;
+  Count(budget, use);
+  budget.connections.erase(&use);
+  if (budget.reads_past_budget == &use) {
+    budget.reads_past_budget = nullptr;
+  }
+}
+
+bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
+             core::MonotonicTime now) {
+  if (budget.held > budget.options.total.value) {
+    internal::DropStalled(budget, now);
+  }
+  const bool small = use.held <= budget.options.always_read.value;
+  if (small && budget.reads_past_budget == &use) {
+    budget.reads_past_budget = nullptr;
+  }
+  bool may_read = small || use.closing ||
+                  budget.held <= budget.options.total.value ||
+                  budget.reads_past_budget == &use;
+  if (!may_read && budget.reads_past_budget == nullptr) {
+    budget.reads_past_budget = &use;
+    may_read = true;
+  }
+  if (may_read && use.paused) {
+    // Its client could not move while it was paused.
+    use.moved = now;
+  }
+  use.paused = !may_read;
+  return may_read;
+}
+
+void MakeRoom(ConnectionBudget& budget,
+              const std::unordered_set<ConnectionUse*>& connections) {
+  ConnectionUse* oldest = nullptr;
+  for (ConnectionUse* use : connections) {
+    if (!use->handling && !use->closing &&
+        (oldest == nullptr || use->moved < oldest->moved)) {
+      oldest = use;
+    }
+  }
+  if (oldest != nullptr) {
+    internal::ShutDown(budget, *oldest, ConnectionRefusal::kTooManyConnections);
+  }
+}
+
+}  // namespace camphormux::http
--- a/src/camphormux/http/server.hpp
+++ b/src/camphormux/http/server.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_HTTP_SERVER_HPP_
 #define CAMPHORMUX_HTTP_SERVER_HPP_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 
 #include "camphormux/core/time.hpp"
 #include "camphormux/core/units.hpp"
+#include "camphormux/http/connection_budget.hpp"
 #include "camphormux/http/message.hpp"
 
 namespace camphormux::http {
@@ -42,11 +44,25 @@
 
 /// @brief Limits of a server.
 struct ServerOptions {
+  /// A body that goes on past this is cut off.
   core::Bytes max_body{std::int64_t{4} << 20};
+  /// Past this a body is no longer stored, and answered with 413 at its end;
+  /// asked at the begin of each request. Empty: `max_body`.
+  std::function<core::Bytes()> max_stored_body;
+  /// For one more, the connection that has not moved for longest is closed.
+  std::size_t max_connections = 10'000;
+  /// Shared by the servers of a process; null: a budget of its own.
+  std::shared_ptr<ConnectionBudget> budget;
   core::Millis idle_timeout = std::chrono::seconds(60);
   core::Millis handle_timeout = std::chrono::seconds(60);
 };
 
+/// @brief Limits the request line and the fields of requests to all servers of
+/// the process, as the parser has one limit for all. 80 KiB if it is not
+/// called.
+/// @param limit Connections with a longer head are closed.
+void LimitHeads(core::Bytes limit);
+
 /// @brief RESTinio server on an event loop that the caller runs on one thread.
 class Server {
  public:
