--- a/src/camphormux/http/connection_budget.cpp
+++ b/src/camphormux/http/connection_budget.cpp
@@ -24,8 +24,8 @@
   budget.searched = now;
   std::vector<ConnectionUse*> stalled;
   for (ConnectionUse* use : budget.connections) {
-    if (use->unfinished && !use->handling && !use->paused && !use->closing &&
-        now - use->moved >= budget.options.stalled_after) {
+    if (use->counted > 0 && use->unfinished && !use->handling && !use->paused &&
+        !use->closing && now - use->moved >= budget.options.stalled_after) {
       stalled.push_back(use);
     }
   }
@@ -46,6 +46,10 @@
 void Count(ConnectionBudget& budget, ConnectionUse& use) {
   budget.held += use.held - use.counted;
   use.counted = use.held;
+  if (budget.reads_past_budget == &use &&
+      use.held <= budget.options.always_read.value) {
+    budget.reads_past_budget = nullptr;
+  }
 }
 
 void Forget(ConnectionBudget& budget, ConnectionUse& use) {
@@ -63,9 +67,6 @@
     internal::DropStalled(budget, now);
   }
   const bool small = use.held <= budget.options.always_read.value;
-  if (small && budget.reads_past_budget == &use) {
-    budget.reads_past_budget = nullptr;
-  }
   bool may_read = small || use.closing ||
                   budget.held <= budget.options.total.value ||
                   budget.reads_past_budget == &use;
@@ -82,10 +83,11 @@
 }
 
 void MakeRoom(ConnectionBudget& budget,
-              const std::unordered_set<ConnectionUse*>& connections) {
+              const std::unordered_set<ConnectionUse*>& connections,
+              const ConnectionUse& newest) {
   ConnectionUse* oldest = nullptr;
   for (ConnectionUse* use : connections) {
-    if (!use->handling && !use->closing &&
+    if (use != &newest && !use->handling && !use->closing &&
         (oldest == nullptr || use->moved < oldest->moved)) {
       oldest = use;
     }
--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -78,8 +78,10 @@
 /// moved for the longest time.
 /// @param budget Is told of the refusal.
 /// @param connections The candidates.
+/// @param newest The connection that needs the room; it stays.
 void MakeRoom(ConnectionBudget& budget,
-              const std::unordered_set<ConnectionUse*>& connections);
+              const std::unordered_set<ConnectionUse*>& connections,
+              const ConnectionUse& newest);
 
 }  // namespace camphormux::http
 
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -123,7 +123,7 @@
     };
     Listener& listener = *connection_->listener;
     if (listener.connections.size() > listener.options.max_connections) {
-      MakeRoom(*listener.budget, listener.connections);
+      MakeRoom(*listener.budget, listener.connections, connection_->use);
     }
   }
 
