--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -13,8 +13,9 @@
 
 /// @brief Why a connection was closed or a request refused.
 enum class ConnectionRefusal {
-  kBodyTooLarge,       ///< Answered with 413, or closed if it goes on.
-  kMalformed,          ///< Not HTTP, or a head over the limit.
+  kBodyTooLarge,  ///< Answered with 413, or closed if it goes on.
+  kHeadTooLarge,
+  kMalformed,          ///< Not HTTP.
   kMemoryShort,        ///< Closed while it held much and moved nothing.
   kTooManyConnections  ///< Closed for a new connection.
 };
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -19,6 +19,10 @@
 /// Estimate of what RESTinio and the allocator hold for each header field
 /// besides its text.
 constexpr std::int64_t kFieldOverhead = 128;
+/// Colon and end of line of a field.
+constexpr std::size_t kFieldSeparators = 3;
+/// "GET ", " HTTP/1.1", the end of that line and of the head.
+constexpr std::size_t kRequestLineSeparators = 17;
 /// How often a paused connection asks again whether it is read.
 constexpr core::Millis kPausedRetry{200};
 /// Largest part of an announced body that is allocated before it arrives.
@@ -55,8 +59,9 @@
   std::shared_ptr<Listener> listener;
   ConnectionUse use;
   std::int64_t head_held = 0;  ///< In bytes.
+  std::size_t head_read = 0;   ///< In bytes, without optional spaces.
   std::uint64_t body_read = 0;
-  std::uint64_t max_stored_body = 0;
+  RequestLimits limits;
   bool body_too_large = false;
   bool refused = false;  ///< The refusal of this message has been counted.
   bool parsing = false;  ///< Within the completion of a read.
@@ -86,6 +91,15 @@
  public:
   using Base = asio::ip::tcp::socket;
   explicit BudgetedSocket(asio::io_context& loop) : Base(loop) {}
+  BudgetedSocket(BudgetedSocket&&) = default;
+  BudgetedSocket& operator=(BudgetedSocket&&) = default;
+  BudgetedSocket(const BudgetedSocket&) = delete;
+  BudgetedSocket& operator=(const BudgetedSocket&) = delete;
+  ~BudgetedSocket() {
+    if (connection_) {
+      connection_->Leave();
+    }
+  }
 
   template <typename Buffers, typename ReadHandler>
   void async_read_some(const Buffers& buffers, ReadHandler&& handler) {
@@ -209,26 +223,38 @@
   if (current != nullptr) {
     current->use.unfinished = true;
     current->use.held = current->head_held = 0;
-    const auto& options = current->listener->options;
-    current->max_stored_body = static_cast<std::uint64_t>(
-        options.max_stored_body ? options.max_stored_body().value
-                                : options.max_body.value);
+    current->limits = current->listener->options.request_limits();
+    current->head_read = kRequestLineSeparators;
     current->body_read = 0;
     current->body_too_large = current->refused = false;
   }
   return 0;
 }
 
-void AddToHead(std::int64_t bytes) {
-  if (current != nullptr) {
-    current->head_held += bytes;
-    current->use.held += bytes;
+/// Counts text of the head.
+/// @param text Size of the text.
+/// @param separators Bytes around the text that no head goes without.
+/// @param overhead What is held besides the text.
+/// @return 0, or -1 if the head is too large.
+int AddToHead(std::size_t text, std::size_t separators, std::int64_t overhead) {
+  if (current == nullptr) {
+    return 0;
+  }
+  current->head_read += text + separators;
+  current->head_held += static_cast<std::int64_t>(text) + overhead;
+  current->use.held = current->head_held;
+  if (current->head_read <=
+      static_cast<std::size_t>(current->limits.max_head.value)) {
+    return 0;
   }
+  current->Refuse(ConnectionRefusal::kHeadTooLarge);
+  return -1;
 }
 
 int OnUrl(http_parser* parser, const char* data, std::size_t size) {
-  AddToHead(static_cast<std::int64_t>(size));
-  return restinio::impl::restinio_url_cb(parser, data, size);
+  return AddToHead(size, 0, 0) != 0
+             ? -1
+             : restinio::impl::restinio_url_cb(parser, data, size);
 }
 
 int OnField(http_parser* parser, const char* data, std::size_t size) {
@@ -236,17 +262,20 @@
   if (context.m_leading_headers_completed) {
     return 0;  // Trailing fields are not used.
   }
-  AddToHead(static_cast<std::int64_t>(size) +
-            (context.m_last_was_value ? kFieldOverhead : 0));
-  return restinio::impl::restinio_header_field_cb(parser, data, size);
+  const bool starts = context.m_last_was_value;
+  return AddToHead(size, starts ? kFieldSeparators : 0,
+                   starts ? kFieldOverhead : 0) != 0
+             ? -1
+             : restinio::impl::restinio_header_field_cb(parser, data, size);
 }
 
 int OnValue(http_parser* parser, const char* data, std::size_t size) {
   if (ContextOf(parser).m_leading_headers_completed) {
     return 0;
   }
-  AddToHead(static_cast<std::int64_t>(size));
-  return restinio::impl::restinio_header_value_cb(parser, data, size);
+  return AddToHead(size, 0, 0) != 0
+             ? -1
+             : restinio::impl::restinio_header_value_cb(parser, data, size);
 }
 
 int OnHeadersComplete(http_parser* parser) {
@@ -277,7 +306,8 @@
     }
     return -1;
   }
-  if (current->body_read > current->max_stored_body &&
+  if (current->body_read >
+          static_cast<std::uint64_t>(current->limits.max_stored_body.value) &&
       !current->body_too_large) {
     current->body_too_large = true;
     current->Refuse(ConnectionRefusal::kBodyTooLarge);
@@ -405,7 +435,7 @@
           internal::SendResponse(handle, std::move(response));
         };
         if (connection && connection->body_too_large) {
-          const std::uint64_t limit = connection->max_stored_body;
+          const std::int64_t limit = connection->limits.max_stored_body.value;
           ServerResponse response;
           response.status = 413;
           response.body = R"({"error":"at most )" + std::to_string(limit) +
@@ -433,10 +463,6 @@
   impl_->server.open_sync();
 }
 
-void LimitHeads(core::Bytes limit) {
-  http_parser_set_max_header_size(static_cast<std::uint32_t>(limit.value));
-}
-
 Server::~Server() { Close(); }
 
 void Server::Close() {
--- a/src/camphormux/http/server.hpp
+++ b/src/camphormux/http/server.hpp
@@ -42,13 +42,22 @@
 /// `respond` is destroyed unused or the handling timeout passes.
 using Handler = std::function<void(ServerRequest request, Respond respond)>;
 
+/// @brief Limits that may change while a server runs.
+struct RequestLimits {
+  /// Past this a body is no longer stored, and answered with 413 at its end.
+  core::Bytes max_stored_body{std::int64_t{4} << 20};
+  /// Request line and fields; the connection is closed past it.
+  core::Bytes max_head{64 << 10};
+};
+
 /// @brief Limits of a server.
 struct ServerOptions {
   /// A body that goes on past this is cut off.
   core::Bytes max_body{std::int64_t{4} << 20};
-  /// Past this a body is no longer stored, and answered with 413 at its end;
-  /// asked at the begin of each request. Empty: `max_body`.
-  std::function<core::Bytes()> max_stored_body;
+  /// Limits of the next request; asked at its first byte.
+  std::function<RequestLimits()> request_limits = [] {
+    return RequestLimits{};
+  };
   /// For one more, the connection that has not moved for longest is closed.
   std::size_t max_connections = 10'000;
   /// Shared by the servers of a process; null: a budget of its own.
@@ -57,12 +66,6 @@
   core::Millis handle_timeout = std::chrono::seconds(60);
 };
 
-/// @brief Limits the request line and the fields of requests to all servers of
-/// the process, as the parser has one limit for all. 80 KiB if it is not
-/// called.
-/// @param limit Connections with a longer head are closed.
-void LimitHeads(core::Bytes limit);
-
 /// @brief RESTinio server on an event loop that the caller runs on one thread.
 class Server {
  public:
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -201,11 +201,14 @@
 }
 
 constexpr std::size_t kStoredBody = 20'000;
+constexpr std::size_t kMaxHead = 16'384;
 
 ServerOptions SmallBodies() {
   ServerOptions options;
   options.max_body = {100'000};
-  options.max_stored_body = [] { return core::Bytes{kStoredBody}; };
+  options.request_limits = [] {
+    return RequestLimits{core::Bytes{kStoredBody}, core::Bytes{kMaxHead}};
+  };
   return options;
 }
 
@@ -245,6 +248,34 @@
             "");
 }
 
+std::string GetWithHeadOf(std::size_t bytes) {
+  const std::string start = "GET /x HTTP/1.1\r\nHost: x\r\n";
+  const std::string field = "a:b\r\n";
+  std::string head = start;
+  while (head.size() + 2 * field.size() + 2 < bytes) {
+    head += field;
+  }
+  head += "c:";
+  head.append(bytes - head.size() - 4, 'd');
+  return head + "\r\n\r\n";
+}
+
+// Guards against a head at the limit that is refused, whatever its fields, and
+// against one over it that is read on.
+TEST(ClientServerTest, HoldsTheLimitOfHeadsWhileReading) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, "served", "text/plain", {}});
+      },
+      SmallBodies());
+  EXPECT_THAT(Talk(loop, port, "\r\n" + GetWithHeadOf(kMaxHead), "served"),
+              HasSubstr("served"));
+  EXPECT_EQ(Talk(loop, port, GetWithHeadOf(kMaxHead + 100), "served"), "");
+}
+
 // Guards against a connection that is refused although another one idles.
 TEST(ClientServerTest, ClosesTheIdleConnectionForANewOne) {
   asio::io_context loop;
