--- a/src/camphormux/http/connection_budget.cpp
+++ b/src/camphormux/http/connection_budget.cpp
@@ -31,9 +31,11 @@
   }
   std::ranges::sort(stalled, std::greater(),
                     [](const ConnectionUse* use) { return use->held; });
+  // Some room is made at once, as each search frees it for a short time only.
+  const std::int64_t wanted = budget.options.total.value * 3 / 4;
   std::int64_t after = budget.held;
   for (ConnectionUse* use : stalled) {
-    if (after <= budget.options.total.value) {
+    if (after <= wanted) {
       break;
     }
     after -= use->counted;
--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -67,7 +67,8 @@
 void Forget(ConnectionBudget& budget, ConnectionUse& use);
 
 /// @brief Decides whether a connection may be read. If the budget is used up,
-/// drops stalled connections, those that hold most first.
+/// drops stalled connections, those that hold most first, until a quarter of it
+/// is free.
 /// @param budget The budget.
 /// @param use The connection.
 /// @param now Current time.
