--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -32,6 +32,7 @@
 
 /// Capacity and demand of a pool in millicores.
 struct PoolBalance {
+  std::int64_t present = 0;  ///< Hosts that can take tasks now.
   /// Includes machines that are moving to the pool.
   std::int64_t capacity = 0;
   /// Demand of running tasks, of jobs that can still be on time and of the work
@@ -109,19 +110,22 @@
     PoolBalance& balance = pools[pool];
     std::int64_t reserved_cores = 0;
     for (const Host* host : view.usable) {
-      balance.capacity += host->listing.capacity.cores.value;
+      balance.present += host->listing.capacity.cores.value;
       reserved_cores += host->committed.cores.value;
       for (const RunId id : host->runs) {
         const Run& run = state.runs.at(id);
         balance.permanent += run.permanent ? run.reserved.cores.value : 0;
       }
     }
+    balance.capacity = balance.present;
     const auto arriving = static_cast<std::int64_t>(
         ForecastArrivalRate(state, pool, now) * kMilliCoresPerCore);
     balance.urgent_demand =
         std::max(reserved_cores, balance.permanent + arriving);
-    // Tasks can be unplaced although cores are free: they must run on different
-    // hosts or need more memory than is left on any host.
+    // Machines that are on their way will take what waits now, so that it adds
+    // to the present hosts only. Tasks can be unplaced although cores are free:
+    // they must run on different hosts or need more memory than is left on any
+    // host.
     const std::uint32_t hosts =
         std::max(view.hosts_to_spread,
                  state.pools_without_room_for_upkeep.contains(pool) ? 1U : 0U);
@@ -133,12 +137,12 @@
         std::max(view.unplaced.value - view.unplaced_late.value, spread);
     if (waiting > 0) {
       balance.urgent_demand =
-          std::max(balance.urgent_demand, balance.capacity + waiting);
+          std::max(balance.urgent_demand, balance.present + waiting);
     }
     balance.demand = balance.urgent_demand;
     if (view.unplaced_late.value > 0) {
       balance.demand =
-          std::max(balance.demand, balance.capacity + view.unplaced.value);
+          std::max(balance.demand, balance.present + view.unplaced.value);
     }
   }
   AddMovingCapacity(state, pools, now);
