--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -42,6 +42,10 @@
 constexpr core::Millis kOutageRetryAfter{1000};
 /// Age at which a number of pending jobs is too old for callers.
 constexpr core::Millis kMaxCountAge{2000};
+/// Least time and number of finished runs between two records of learned run
+/// times. A holder that takes over misses what was learned since the last.
+constexpr core::Millis kRunTimesInterval{3000};
+constexpr std::uint64_t kRunsBetweenRunTimeRecords = 100;
 /// Delay before a machine order without an answer is sent again.
 constexpr core::Millis kMachineRetryDelay{400};
 
@@ -326,6 +330,9 @@
       LoadWave(record);
     } else if (record.key.starts_with(kMachineKeyPrefix)) {
       LoadMachineOrder(record);
+    } else if (record.key == kRunTimesKey && state_.settings.learn_run_times) {
+      state_.run_times = scheduler::DecodeRunTimes(*record.value);
+      stored_run_times_ = state_.run_times.runs;
     }
   }
   LoadJobs(records, now, wall);
@@ -572,6 +579,7 @@
   node_metrics_.store_rejections->Increment(static_cast<double>(
       rejections - std::exchange(reported_rejections_, rejections)));
   LogLoads(now);
+  StoreRunTimes(now);
   PollMachines(now);
   SchedulePlan();
   next_tick_ = core::MonotonicNow() + internal::kTickInterval;
@@ -618,9 +626,21 @@
        {"answered_longest_ms",
         std::to_string(run_latency.answered.longest.count())}});
   LogPoolLoads(state_, now);
+  LogRunTimes(state_);
   LogWaveProgress(state_, now);
 }
 
+void Holder::StoreRunTimes(core::MonotonicTime now) {
+  if (state_.run_times.runs <
+          stored_run_times_ + internal::kRunsBetweenRunTimeRecords ||
+      now < last_run_times_ + internal::kRunTimesInterval) {
+    return;
+  }
+  stored_run_times_ = state_.run_times.runs;
+  last_run_times_ = now;
+  store_writer_->AddRunTimes();
+}
+
 void Holder::Dispatch() {
   const std::vector<scheduler::Order> orders = std::exchange(state_.orders, {});
   for (const scheduler::Order& order : orders) {
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -116,6 +116,7 @@
   void Plan();
   void Tick();
   void LogLoads(core::MonotonicTime now);
+  void StoreRunTimes(core::MonotonicTime now);
   void Dispatch();
   /// Sends an order that had to be stored first, unless storing it took too
   /// long.
@@ -166,6 +167,8 @@
   core::MonotonicTime last_machine_poll_;
   core::MonotonicTime last_load_report_;
   std::uint64_t reported_rejections_ = 0;
+  core::MonotonicTime last_run_times_;  ///< When run times were last stored.
+  std::uint64_t stored_run_times_ = 0;  ///< Runs learned from until then.
   bool polling_machines_ = false;
   bool plan_scheduled_ = false;
   bool storing_token_ = false;
--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -38,6 +38,9 @@
                              minutes(1), settings.max_early_start);
   settings.remote_factor = settings::ReadReal(reader, "runs", "remote_factor",
                                               1.0, kMaxRemoteFactor, 1.0);
+  settings.learn_run_times =
+      settings::ReadChoice(reader, "runs", "run_times",
+                           {"estimated", "learned"}, 0) == 1;
   settings.status_retention =
       settings::ReadDuration(reader, "runs", "status_kept", seconds(1),
                              minutes(60), settings.status_retention);
--- a/src/camphormux/coordinator/state_log.cpp
+++ b/src/camphormux/coordinator/state_log.cpp
@@ -11,6 +11,9 @@
 namespace camphormux::coordinator {
 namespace internal {
 
+constexpr std::size_t kMaxLoggedKinds = 8;
+constexpr double kPercent = 100;
+
 std::string RoundedText(double value) {
   return std::to_string(std::lround(value));
 }
@@ -42,6 +45,22 @@
   }
 }
 
+void LogRunTimes(const scheduler::State& state) {
+  for (const scheduler::RunTimeError& error :
+       scheduler::RunTimeErrors(state.run_times, internal::kMaxLoggedKinds)) {
+    telemetry::Log(
+        telemetry::LogRateClass::kPeriodic, telemetry::Level::kInfo,
+        "run times",
+        {{"queue", error.kind.queue.value},
+         {"image", error.kind.image},
+         {"runs", internal::RoundedText(error.runs)},
+         {"estimate_error_percent",
+          internal::RoundedText(internal::kPercent * error.estimate)},
+         {"expected_error_percent",
+          internal::RoundedText(internal::kPercent * error.expected)}});
+  }
+}
+
 void LogWaveProgress(const scheduler::State& state, core::MonotonicTime now) {
   for (const auto& [id, wave] : state.waves) {
     if (wave.complete || wave.request.machines.empty()) {
--- a/src/camphormux/coordinator/state_log.hpp
+++ b/src/camphormux/coordinator/state_log.hpp
@@ -12,6 +12,10 @@
 /// @param now Monotonic time.
 void LogPoolLoads(scheduler::State& state, core::MonotonicTime now);
 
+/// @brief Logs how far run times are from their estimates and from what is
+/// expected, for the kinds of work that were seen last.
+void LogRunTimes(const scheduler::State& state);
+
 /// @brief Logs for each open wave what its machines wait for.
 void LogWaveProgress(const scheduler::State& state, core::MonotonicTime now);
 
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -103,6 +103,11 @@
   ScheduleAppend();
 }
 
+void StoreWriter::AddRunTimes() {
+  has_run_times_ = true;
+  ScheduleAppend();
+}
+
 void StoreWriter::Drop(const core::JobId& id) {
   deleted_keys_.push_back(std::string(kProgressKeyPrefix) + id.value);
 }
@@ -169,7 +174,8 @@
       }));
   return !submissions_.empty() || !tombstones_.empty() ||
          state_.unsaved.size() > deferred || !waves_.empty() ||
-         !deleted_keys_.empty() || !orders_.empty() || token_.has_value();
+         !deleted_keys_.empty() || !orders_.empty() || token_.has_value() ||
+         has_run_times_;
 }
 
 void StoreWriter::CollectTombstones(Batch& batch, std::size_t& bytes) {
@@ -348,6 +354,11 @@
     bytes += TotalBytes(change.records);
   }
   waves_.clear();
+  if (std::exchange(has_run_times_, false)) {
+    batch.changes.emplace_back().records.push_back(
+        {std::string(kRunTimesKey),
+         scheduler::EncodeRunTimes(state_.run_times)});
+  }
   if (token_) {
     Change& change = batch.changes.emplace_back();
     change.records.push_back({std::string(kTokenKey), EncodeToken(*token_)});
--- a/src/camphormux/coordinator/store_writer.hpp
+++ b/src/camphormux/coordinator/store_writer.hpp
@@ -27,6 +27,7 @@
 /// Key of the highest fencing token of calls to hosts, if it is above the epoch
 /// of its holder. Versions that do not know it ignore it.
 inline constexpr std::string_view kTokenKey = "f/token";
+inline constexpr std::string_view kRunTimesKey = "r/times";
 
 /// @return Value of the record of a fencing token.
 [[nodiscard]] std::string EncodeToken(core::Epoch token);
@@ -97,6 +98,9 @@
   /// @brief Stores a fencing token before it is used: the next holder must use
   /// a higher one.
   void AddToken(core::Epoch token);
+  /// @brief Stores what was learned of run times, so that the next holder knows
+  /// it. A record that the store rejects is not repeated.
+  void AddRunTimes();
   /// @brief Deletes the stored record of an expired job.
   void Drop(const core::JobId& id);
   /// @brief Sets in which records a job is stored that a previous holder
@@ -181,6 +185,7 @@
   std::set<scheduler::WaveId> waves_;
   std::vector<std::string> deleted_keys_;
   std::optional<core::Epoch> token_;  ///< Token to store.
+  bool has_run_times_ = false;        ///< Learned run times have to be stored.
   std::unique_ptr<Batch> batch_;
   /// Parts of a rejected batch that are stored one after the other.
   std::deque<Batch> parts_;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -56,7 +56,8 @@
   for (std::size_t i = 0; i < complete.size(); ++i) {
     complete[i] = job.open_in_step[i] == 0;
   }
-  job.remaining_path = workload::CriticalPath(job.spec, complete);
+  job.remaining_path =
+      workload::CriticalPath(job.spec, complete, job.run_times);
 }
 
 void CountOpenTasks(Job& job) {
@@ -73,15 +74,30 @@
   UpdateRemainingPath(job);
 }
 
+std::vector<core::Millis> ExpectRunTimes(const State& state,
+                                         const workload::JobSpec& spec) {
+  std::vector<core::Millis> run_times;
+  run_times.reserve(spec.steps.size());
+  for (const workload::Step& step : spec.steps) {
+    run_times.push_back(state.settings.learn_run_times
+                            ? ExpectedRunTime(state.run_times,
+                                              {spec.queue, step.image},
+                                              step.estimate)
+                            : step.estimate);
+  }
+  return run_times;
+}
+
 workload::JobPolicy PolicyOf(const workload::Queue& queue,
-                             const workload::JobSpec& spec) {
+                             const workload::JobSpec& spec,
+                             const std::vector<core::Millis>& run_times) {
   workload::JobPolicy policy;
   policy.pool = queue.pool;
   policy.priority = queue.priority;
   policy.max_failures = std::max(1U, queue.max_failures);
   if (!IsPermanent(spec) && spec.occurrences == 0) {
-    const auto path =
-        static_cast<double>(workload::CriticalPath(spec, {}).count());
+    const auto path = static_cast<double>(
+        workload::CriticalPath(spec, {}, run_times).count());
     policy.objective =
         core::Millis(static_cast<std::int64_t>(path * queue.stretch)) +
         queue.latency_target;
@@ -89,12 +105,14 @@
   return policy;
 }
 
-Job MakeJob(workload::JobSpec spec, workload::JobPolicy policy) {
+Job MakeJob(workload::JobSpec spec, workload::JobPolicy policy,
+            std::vector<core::Millis> run_times) {
   Job job;
   job.spec = std::move(spec);
+  job.run_times = std::move(run_times);
   job.policy = std::move(policy);
   job.permanent = IsPermanent(job.spec);
-  job.core_seconds = workload::CoreSeconds(job.spec);
+  job.core_seconds = workload::CoreSeconds(job.spec, job.run_times);
   job.tasks.resize(workload::TaskCount(job.spec));
   CountOpenTasks(job);
   return job;
@@ -110,7 +128,7 @@
   if (queue == nullptr) {
     return;
   }
-  job.policy = PolicyOf(*queue, job.spec);
+  job.policy = PolicyOf(*queue, job.spec, job.run_times);
   state.unsaved.insert(job.spec.id);
   const bool failed =
       std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task& task) {
@@ -164,8 +182,10 @@
   if (queue == nullptr) {
     return {Admission::kNoQueue};
   }
-  workload::JobPolicy policy = internal::PolicyOf(*queue, spec);
-  Job job = internal::MakeJob(std::move(spec), std::move(policy));
+  std::vector<core::Millis> run_times = internal::ExpectRunTimes(state, spec);
+  workload::JobPolicy policy = internal::PolicyOf(*queue, spec, run_times);
+  Job job = internal::MakeJob(std::move(spec), std::move(policy),
+                              std::move(run_times));
   job.policy_saved = true;
   job.submitted = now;
   job.accepted = wall;
@@ -200,8 +220,12 @@
     return;
   }
   state.last_pending[queue->pool] = now;
-  RecordArrival(state,
-                internal::MakeJob(spec, internal::PolicyOf(*queue, spec)), now);
+  const auto run_times = internal::ExpectRunTimes(state, spec);
+  RecordArrival(
+      state,
+      internal::MakeJob(spec, internal::PolicyOf(*queue, spec, run_times),
+                        run_times),
+      now);
 }
 
 void ConfirmSubmission(State& state, const core::JobId& id) {
@@ -310,9 +334,12 @@
   if (!stored) {
     return;
   }
+  std::vector<core::Millis> run_times =
+      internal::ExpectRunTimes(state, stored->spec);
   Job job = internal::MakeJob(
       std::move(stored->spec),
-      std::move(stored->policy).value_or(workload::JobPolicy{}));
+      std::move(stored->policy).value_or(workload::JobPolicy{}),
+      std::move(run_times));
   job.saved = true;
   job.policy_saved = HasPolicy(job);
   job.accepted = progress ? progress->accepted : wall;
--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -148,11 +148,11 @@
       StartRun{run.id, host.listing.id, run.name, entry.progress.checkpoint});
 }
 
-bool WaitsForData(const State& state, const Job& job,
-                  const workload::Step& step, core::MonotonicTime now) {
-  const auto remote = core::Millis(
-      static_cast<std::int64_t>(static_cast<double>(step.estimate.count()) *
-                                state.settings.remote_factor));
+bool WaitsForData(const State& state, const Job& job, std::uint32_t step,
+                  core::MonotonicTime now) {
+  const auto remote = core::Millis(static_cast<std::int64_t>(
+      static_cast<double>(job.run_times[step].count()) *
+      state.settings.remote_factor));
   return job.policy.objective.count() > 0 &&
          now + remote > job.submitted + job.policy.objective &&
          now < job.submitted + kDataRackTimeout;
@@ -193,7 +193,7 @@
   bool must_match = false;
   if (!step.data_rack.value.empty()) {
     rack = step.data_rack;
-    must_match = WaitsForData(state, job, step, now);
+    must_match = WaitsForData(state, job, instance.step, now);
   } else if (step.colocated) {
     rack = RackOfStep(state, job, instance);
     rack = rack ? rack : RackWithMostFreeCores(hosts);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -110,6 +110,23 @@
   }
 }
 
+/// Learns how long a task took, if the run shows it: a whole run by itself,
+/// near its data, that this lease holder has started.
+void LearnRunTime(State& state, const Job& job, const Run& run,
+                  const Host& host, core::MonotonicTime now) {
+  const workload::Step& step = job.spec.steps[run.name.place.step];
+  const bool is_near =
+      step.data_rack.value.empty() || step.data_rack == host.listing.rack;
+  const bool is_started_here = run.token.value > 0 && !run.has_open_copy;
+  if (!state.settings.learn_run_times || step.gang || step.permanent ||
+      step.best_effort || step.colocated || !run.resumed_from.empty() ||
+      !is_near || !is_started_here || job.tasks[run.task].runs.size() != 1) {
+    return;
+  }
+  Learn(state.run_times,
+        {{job.spec.queue, step.image}, step.estimate, now - run.ordered});
+}
+
 void ProcessEnd(State& state, Host& host, const ReportedEnd& end,
                 core::MonotonicTime now, core::WallTime wall) {
   const auto found = state.jobs.find(end.name.job);
@@ -124,6 +141,9 @@
   Task& task = job.tasks[*position];
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
+    if (end.kind == EndKind::kDone) {
+      LearnRunTime(state, job, *run, host, now);
+    }
     RemoveRun(state, run->id, std::nullopt);
   } else if (host.synced || host.restarted) {
     RecordUnexpectedEnd(state, host, task, end);
@@ -393,7 +413,7 @@
   }
   run.best_effort = step.best_effort;
   run.permanent = step.permanent;
-  run.estimate = step.estimate;
+  run.estimate = job.run_times[place.step];
   run.latency_target = step.latency_target;
   run.account = job.spec.account;
   run.size = step.size;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "camphormux/scheduler/events.hpp"
+#include "camphormux/scheduler/run_times.hpp"
 
 namespace camphormux::scheduler {
 
@@ -35,6 +36,9 @@
   core::Millis listing_grace{2500};
   /// Run time multiplier for tasks that run on another rack than their data.
   double remote_factor = 1.0;
+  /// Run times are expected from finished runs instead of taken from the
+  /// estimates that come with jobs.
+  bool learn_run_times = false;
 };
 
 enum class RunPhase {
@@ -196,6 +200,7 @@
   core::MonotonicTime submitted;
   double core_seconds = 0;
   core::Millis remaining_path{0};  ///< Critical path of the incomplete steps.
+  std::vector<core::Millis> run_times;  ///< Expected for each step's tasks.
   bool permanent = false;
   bool saved = false;        ///< The submission is stored.
   bool final_saved = false;  ///< The final state is stored.
@@ -417,6 +422,7 @@
   std::map<workload::AccountName, placement::Resources> open_copies_of_accounts;
   std::map<core::PoolName, std::map<workload::AccountName, ServedWork>>
       served_work;
+  RunTimes run_times;
   /// Emptied by the owner of the state with each report.
   std::map<core::PoolName, PoolWork> work;
   Counters counters;
--- a/src/camphormux/workload/model.cpp
+++ b/src/camphormux/workload/model.cpp
@@ -86,7 +86,8 @@
 }
 
 core::Millis CriticalPath(const JobSpec& spec,
-                          const std::vector<bool>& complete) {
+                          const std::vector<bool>& complete,
+                          const std::vector<core::Millis>& run_times) {
   std::vector<core::Millis> ends(spec.steps.size(), core::Millis(0));
   core::Millis longest(0);
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
@@ -96,20 +97,25 @@
       begin = std::max(begin, ends[before]);
     }
     const bool left = (complete.empty() || !complete[i]) && !step.permanent;
-    ends[i] = begin + (left ? step.estimate : core::Millis(0));
+    const core::Millis run_time =
+        run_times.empty() ? step.estimate : run_times[i];
+    ends[i] = begin + (left ? run_time : core::Millis(0));
     longest = std::max(longest, ends[i]);
   }
   return longest;
 }
 
-double CoreSeconds(const JobSpec& spec) {
+double CoreSeconds(const JobSpec& spec,
+                   const std::vector<core::Millis>& run_times) {
   double work = 0;
-  for (const Step& step : spec.steps) {
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const Step& step = spec.steps[i];
+    const core::Millis run_time =
+        run_times.empty() ? step.estimate : run_times[i];
     work += static_cast<double>(step.count) *
             static_cast<double>(step.size.cores.value) /
             internal::kMilliCoresPerCore *
-            static_cast<double>(step.estimate.count()) /
-            internal::kMillisPerSecond;
+            static_cast<double>(run_time.count()) / internal::kMillisPerSecond;
   }
   return work;
 }
--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -242,12 +242,19 @@
 /// @brief Estimates the duration of the longest chain of incomplete steps.
 /// @param spec The job.
 /// @param complete Whether each step is complete; empty: no step is.
-[[nodiscard]] core::Millis CriticalPath(const JobSpec& spec,
-                                        const std::vector<bool>& complete);
+/// @param run_times Expected run time of a task of each step; empty: the
+/// estimates that came with the job.
+[[nodiscard]] core::Millis CriticalPath(
+    const JobSpec& spec, const std::vector<bool>& complete,
+    const std::vector<core::Millis>& run_times = {});
 
 /// @brief Estimates the work of all tasks of one occurrence.
+/// @param spec The job.
+/// @param run_times Expected run time of a task of each step; empty: the
+/// estimates that came with the job.
 /// @return Core seconds.
-[[nodiscard]] double CoreSeconds(const JobSpec& spec);
+[[nodiscard]] double CoreSeconds(
+    const JobSpec& spec, const std::vector<core::Millis>& run_times = {});
 
 }  // namespace camphormux::workload
 
