--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "camphormux/scheduler/events.hpp"
+#include "camphormux/scheduler/run_times.hpp"
 
 namespace camphormux::scheduler {
 
@@ -35,6 +36,9 @@
   core::Millis listing_grace{2500};
   /// Run time multiplier for tasks that run on another rack than their data.
   double remote_factor = 1.0;
+  /// Run times are expected from finished runs instead of taken from the
+  /// estimates that come with jobs.
+  bool learn_run_times = false;
 };
 
 enum class RunPhase {
@@ -198,6 +202,7 @@
   core::MonotonicTime submitted;
   double core_seconds = 0;
   core::Millis remaining_path{0};  ///< Critical path of the incomplete steps.
+  std::vector<core::Millis> run_times;  ///< Expected for each step's tasks.
   bool permanent = false;
   bool saved = false;        ///< The submission is stored.
   bool final_saved = false;  ///< The final state is stored.
@@ -310,6 +315,9 @@
 struct Wave {
   WaveRequest request;
   core::MonotonicTime seen;
+  /// A previous lease holder began the wave, so that `seen` does not tell how
+  /// much time is left.
+  bool is_resumed = false;
   std::set<MachineId> begun;
   WaveBacklog backlog;     ///< As of the last pass.
   bool announced = false;  ///< The state "running" was written to the store.
@@ -427,6 +435,8 @@
   /// host that waits for its upkeep.
   std::set<core::PoolName> pools_without_room_for_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
+  /// When tasks of jobs that could still be on time last waited for hosts.
+  std::map<core::PoolName, core::MonotonicTime> last_shortage;
   std::map<core::PoolName, ArrivalRate> arrival_rates;
   /// Cores of ready tasks that were not placed in the last planning pass.
   std::map<core::PoolName, core::MilliCores> waiting;
@@ -441,6 +451,7 @@
   std::map<core::PoolName, PoolShares> shares;
   /// Emptied by the owner of the state with each report.
   std::map<workload::AccountName, AccountRefusals> refusals;
+  RunTimes run_times;
   /// Emptied by the owner of the state with each report.
   std::map<core::PoolName, PoolWork> work;
   Counters counters;
