Client accounts: review of keys; malformed entries, retries by old nodes and cancellations of other accounts

Cause, by reading: - An account whose cap is malformed stayed, without a cap; keys of a second account of the same name counted for the first; apiKeys that are not a list gave no problem. - A retry without its account, by way of a node of the previous version or one with an older catalog, was refused with 429 as a job of another account, although the first attempt runs. - A cancellation of an unknown id by way of an old node, and its retry by way of a new one, never agreed: 503 until the tombstone expired. - A cancellation that waited for the store was answered 200 if a job of another account with its id ended in the same append. - A caller with a known key had no account on a public queue, so that it got 410 for its own jobs there. - A submission with the id of another account's job got 429, though that id has a job that runs.

Change: as above, each with a test. The answer of a submission between nodes has a third element only if there is a reason.

TasksOfAnAccountMayTakeNoResources passes before as well without sanitizers; the sanitizer presets were not run.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -159,8 +159,8 @@
     done({SubmitOutcome::kUnknown});
   }
   const auto cancels = std::exchange(pending_cancels_, {});
-  for (const auto& [id, done] : cancels) {
-    done(std::nullopt);
+  for (const auto& [id, cancel] : cancels) {
+    cancel.done(std::nullopt);
   }
   node_metrics_.holds_ownership->Set(0);
 }
@@ -480,7 +480,7 @@
         return;
     }
   }
-  pending_cancels_.emplace(id, std::move(done));
+  pending_cancels_.emplace(id, PendingCancel{caller, std::move(done)});
   Dispatch();
   store_writer_->ScheduleAppend();
 }
@@ -491,7 +491,10 @@
     const auto tombstone = state_.tombstones.find(id);
     const bool has_tombstone = tombstone != state_.tombstones.end();
     std::optional<bool> known;
-    if (state_.closed.contains(id)) {
+    if (scheduler::IsForeign(state_, id, it->second.caller)) {
+      // A job of another account has taken the id meanwhile.
+      known = false;
+    } else if (state_.closed.contains(id)) {
       known = true;
     } else if (has_tombstone && tombstone->second.is_stored) {
       known = false;
@@ -500,7 +503,7 @@
       continue;
     }
     // Otherwise the job was dropped, as it could not be stored.
-    it->second(known);
+    it->second.done(known);
     it = pending_cancels_.erase(it);
   }
 }
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -87,7 +87,7 @@
   /// access is only said while no other node can have taken over, which would
   /// know of it.
   [[nodiscard]] StateAnswer StateOf(const core::JobId& id,
-                                    const workload::Caller& caller = {}) const;
+                                    const workload::Caller& caller) const;
   /// @return Number of jobs of a queue of which no task has started, if no
   /// other node can have taken over long ago.
   [[nodiscard]] CountAnswer Pending(const workload::QueueName& queue) const;
@@ -141,6 +141,12 @@
     core::Millis longest{0};
   };
 
+  /// A cancellation whose effect is not stored yet.
+  struct PendingCancel {
+    workload::Caller caller;
+    std::function<void(std::optional<bool> known)> done;
+  };
+
   asio::io_context& loop_;
   asio::steady_timer plan_timer_;
   asio::steady_timer tick_timer_;
@@ -155,8 +161,7 @@
   std::shared_ptr<HostLinks> links_;
   std::multimap<core::JobId, std::function<void(SubmitAnswer)>>
       pending_submits_;
-  std::multimap<core::JobId, std::function<void(std::optional<bool>)>>
-      pending_cancels_;
+  std::multimap<core::JobId, PendingCancel> pending_cancels_;
   std::vector<scheduler::WaveRequest> waves_before_load_;
   core::MonotonicTime takeover_start_;
   core::MonotonicTime next_plan_;
--- a/src/camphormux/coordinator/holder_client.cpp
+++ b/src/camphormux/coordinator/holder_client.cpp
@@ -116,11 +116,13 @@
     return;
   }
   holder->Submit(*std::move(spec), [respond](SubmitAnswer answer) {
-    respond({peer::kStatusOk,
-             cbor::Serialize(json::array(
-                 {static_cast<std::uint64_t>(answer.outcome),
-                  static_cast<std::uint64_t>(answer.retry_after.count()),
-                  static_cast<std::uint64_t>(answer.reason)}))});
+    json value =
+        json::array({static_cast<std::uint64_t>(answer.outcome),
+                     static_cast<std::uint64_t>(answer.retry_after.count())});
+    if (answer.reason != scheduler::RefusalReason::kNone) {
+      value.push_back(static_cast<std::uint64_t>(answer.reason));
+    }
+    respond({peer::kStatusOk, cbor::Serialize(value)});
   });
 }
 
--- a/src/camphormux/coordinator/job_records.hpp
+++ b/src/camphormux/coordinator/job_records.hpp
@@ -77,7 +77,7 @@
 /// A submission whose outcome is unknown may have been stored before.
 [[nodiscard]] std::vector<StoreRecord> TombstoneRecords(
     const core::JobId& id, core::WallTime cancelled,
-    const workload::Caller& caller = {});
+    const workload::Caller& caller);
 
 /// @brief A job as read from its records.
 struct LoadedJob {
--- a/src/camphormux/coordinator/store_writer.cpp
+++ b/src/camphormux/coordinator/store_writer.cpp
@@ -175,6 +175,10 @@
 void StoreWriter::CollectTombstones(Batch& batch, std::size_t& bytes) {
   const core::WallTime wall = core::WallNow();
   for (const core::JobId& id : std::exchange(tombstones_, {})) {
+    const auto tombstone = state_.tombstones.find(id);
+    if (tombstone == state_.tombstones.end()) {
+      continue;  // The job was submitted meanwhile and its end is stored.
+    }
     if (bytes >= internal::kMaxBatchBytes) {
       tombstones_.push_back(id);
       continue;
@@ -182,11 +186,7 @@
     Change& change = batch.changes.emplace_back();
     change.job = id;
     change.is_tombstone = true;
-    const auto tombstone = state_.tombstones.find(id);
-    change.records = TombstoneRecords(id, wall,
-                                      tombstone == state_.tombstones.end()
-                                          ? workload::Caller{}
-                                          : tombstone->second.caller);
+    change.records = TombstoneRecords(id, wall, tombstone->second.caller);
     bytes += TotalBytes(change.records);
   }
 }
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -121,6 +121,26 @@
   }
 }
 
+/// Returns on whose behalf a job is submitted. Without an account, it is known
+/// to be nobody's only on a public queue: nodes of an earlier version, or with
+/// an earlier catalog, do not tell the account.
+workload::Caller SubmitterOf(const State& state,
+                             const workload::JobSpec& spec) {
+  if (!spec.account.value.empty()) {
+    return {spec.account};
+  }
+  const workload::Queue* queue = workload::FindQueue(state.catalog, spec.queue);
+  const bool is_public =
+      state.catalog.needs_keys && queue != nullptr && queue->is_public;
+  return is_public ? workload::Caller{workload::AccountName{}}
+                   : workload::Caller{};
+}
+
+/// Returns whether all jobs that a caller may access are accessible to another.
+bool Includes(const workload::Caller& other, const workload::Caller& caller) {
+  return !other.account || other == caller;
+}
+
 }  // namespace internal
 
 std::string_view Describe(RefusalReason reason) noexcept {
@@ -149,7 +169,7 @@
 
 AdmissionResult Submit(State& state, workload::JobSpec spec,
                        core::MonotonicTime now, core::WallTime wall) {
-  if (IsForeign(state, spec.id, {spec.account})) {
+  if (IsForeign(state, spec.id, internal::SubmitterOf(state, spec))) {
     return {Admission::kRefused, internal::kIdInUseRetryAfter,
             RefusalReason::kIdInUse};
   }
@@ -262,11 +282,15 @@
                              const workload::Caller& caller) {
   const auto found = state.tombstones.find(id);
   if (found != state.tombstones.end()) {
-    if (found->second.caller != caller) {
+    if (internal::Includes(found->second.caller, caller)) {
+      return found->second.is_stored ? TombstoneStatus::kStored
+                                     : TombstoneStatus::kStoring;
+    }
+    if (!internal::Includes(caller, found->second.caller)) {
       return TombstoneStatus::kTooMany;
     }
-    return found->second.is_stored ? TombstoneStatus::kStored
-                                   : TombstoneStatus::kStoring;
+    found->second = Tombstone{false, {}, caller};
+    return TombstoneStatus::kAdded;
   }
   if (state.tombstones.size() >= internal::kMaxTombstones) {
     return TombstoneStatus::kTooMany;
@@ -379,10 +403,12 @@
   progress.queue = job.spec.queue;
   progress.accepted = job.accepted;
   progress.ended = job.ended;
-  if (!job.spec.account.value.empty()) {
-    progress.account = job.spec.account;
-  }
-  if (!workload::IsFinal(job.state)) {
+  if (workload::IsFinal(job.state)) {
+    // The record of the job, which has the account as well, is removed.
+    if (!job.spec.account.value.empty()) {
+      progress.account = job.spec.account;
+    }
+  } else {
     for (const Task& task : job.tasks) {
       workload::TaskProgress& entry =
           progress.tasks.emplace_back(task.progress);
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -428,10 +428,13 @@
     std::erase(host->second.runs, id);
   }
   if (!run.account.value.empty()) {
+    // Runs that take no resources leave no entry.
     const auto running = state.running_of_accounts.find(run.account);
-    running->second -= run.size;
-    if (running->second == placement::Resources{}) {
-      state.running_of_accounts.erase(running);
+    if (running != state.running_of_accounts.end()) {
+      running->second -= run.size;
+      if (running->second == placement::Resources{}) {
+        state.running_of_accounts.erase(running);
+      }
     }
   }
   const auto job = state.jobs.find(run.name.job);
--- a/src/camphormux/workload/account.cpp
+++ b/src/camphormux/workload/account.cpp
@@ -19,17 +19,12 @@
   if (!catalog.needs_keys) {
     return Caller{};
   }
-  if (queue.is_public) {
-    return Caller{AccountName{}};
+  const auto found =
+      key ? catalog.keys.find(DigestOf(*key)) : catalog.keys.end();
+  if (found != catalog.keys.end()) {
+    return Caller{found->second};
   }
-  if (!key) {
-    return std::nullopt;
-  }
-  const auto found = catalog.keys.find(DigestOf(*key));
-  if (found == catalog.keys.end()) {
-    return std::nullopt;
-  }
-  return Caller{found->second};
+  return queue.is_public ? std::optional(Caller{AccountName{}}) : std::nullopt;
 }
 
 bool MayAccess(const Caller& caller, const AccountName& owner) {
--- a/test/coordinator/holder_test.cpp
+++ b/test/coordinator/holder_test.cpp
@@ -11,6 +11,8 @@
 #include <asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include "camphormux/cbor/cbor.hpp"
+#include "camphormux/coordinator/holder_client.hpp"
 #include "camphormux/workload/validate.hpp"
 #include "test/coordinator/fake_platform.hpp"
 
@@ -130,7 +132,7 @@
   without_queue.queues.clear();
   harness.StartHolder(without_queue);
   EXPECT_TRUE(harness.RunUntil([&] {
-    return harness.holder->StateOf(SmallThenWide().id).state ==
+    return harness.holder->StateOf(SmallThenWide().id, {}).state ==
            workload::JobState::kSucceeded;
   }));
   EXPECT_EQ(harness.platform.starts(), 1 + kHosts);
@@ -178,7 +180,7 @@
       harness.RunUntil([&] { return harness.platform.starts() == tasks; }));
   harness.StartHolder(CatalogWithQueue());
   ASSERT_TRUE(harness.RunUntil([&] {
-    return harness.holder->StateOf(LargeJob().id).state ==
+    return harness.holder->StateOf(LargeJob().id, {}).state ==
            workload::JobState::kRunning;
   }));
   harness.RunFor(core::Millis(2000));
@@ -210,6 +212,57 @@
   EXPECT_EQ(harness.platform.starts(), 0U);
 }
 
+/// Sends a call of another node to the holder and returns the numbers of its
+/// answer.
+nlohmann::json Ask(Harness& harness, const std::string& path,
+                   const nlohmann::json& body) {
+  std::optional<nlohmann::json> answer;
+  ServeHolderRequest(harness.holder, {path, cbor::Serialize(body)},
+                     [&](const peer::Response& response) {
+                       answer = cbor::Parse(response.body).value_or(nullptr);
+                     });
+  harness.RunUntil([&] { return answer.has_value(); });
+  return answer.value_or(nullptr);
+}
+
+// Guards against jobs hidden from callers of old nodes, or shown to others.
+TEST(HolderTest, QueriesHoldForTheirAccount) {
+  Harness harness;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  workload::JobSpec spec = SmallThenWide();
+  spec.account.value = "a";
+  std::optional<SubmitOutcome> submitted;
+  harness.holder->Submit(
+      spec, [&](const SubmitAnswer& answer) { submitted = answer.outcome; });
+  ASSERT_TRUE(harness.RunUntil([&] { return submitted.has_value(); }));
+  const std::string& id = spec.id.value;
+  EXPECT_EQ(Ask(harness, "/jobs/state", {id})[0], 1);
+  EXPECT_EQ(Ask(harness, "/jobs/state", {id, "a"})[0], 1);
+  EXPECT_EQ(Ask(harness, "/jobs/state", {id, "b"})[0], 0);
+  EXPECT_EQ(Ask(harness, "/jobs/state", {id, ""})[0], 0);
+  EXPECT_EQ(Ask(harness, "/jobs/cancel", {id, "b"})[0], 0);
+  EXPECT_EQ(Ask(harness, "/jobs/state", {id})[1], 0);
+  EXPECT_EQ(Ask(harness, "/jobs/cancel", {id})[0], 1);
+}
+
+// Guards against a cancellation that is told of another account's job.
+TEST(HolderTest, PendingCancellationDoesNotHoldForAnotherAccount) {
+  Harness harness;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  workload::JobSpec spec = SmallThenWide();
+  spec.account.value = "a";
+  std::optional<std::optional<bool>> other;
+  std::optional<std::optional<bool>> own;
+  harness.holder->Cancel(spec.id, workload::Caller{workload::AccountName{"b"}},
+                         [&](std::optional<bool> known) { other = known; });
+  harness.holder->Submit(spec, [](const SubmitAnswer&) {});
+  harness.holder->Cancel(spec.id, workload::Caller{spec.account},
+                         [&](std::optional<bool> known) { own = known; });
+  ASSERT_TRUE(harness.RunUntil([&] { return other && own; }));
+  EXPECT_EQ(*other, std::optional(false));
+  EXPECT_EQ(*own, std::optional(true));
+}
+
 // Guards against a start after the cancellation of a job that is dropped
 // because the store does not answer.
 TEST(HolderTest, JobCancelledWhileItsSubmissionIsDroppedNeverStarts) {
@@ -246,7 +299,7 @@
   harness.StartHolder(CatalogWithQueue());
   ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
   const auto state = [&] {
-    const StateAnswer answer = harness.holder->StateOf(SmallThenWide().id);
+    const StateAnswer answer = harness.holder->StateOf(SmallThenWide().id, {});
     return answer.outcome == QueryOutcome::kKnown ? std::optional(answer.state)
                                                   : std::nullopt;
   };
--- a/test/coordinator/job_records_test.cpp
+++ b/test/coordinator/job_records_test.cpp
@@ -139,7 +139,8 @@
             "850061711b000001a229f12800008286000002806081836a692d376633613931"
             "63321b000001a229f128000186010002806081836a692d37663361393163321b"
             "000001a229f1280001");
-  const std::vector<StoreRecord> tombstone = TombstoneRecords(harness.id, kNow);
+  const std::vector<StoreRecord> tombstone =
+      TombstoneRecords(harness.id, kNow, {});
   ASSERT_EQ(tombstone.size(), 2U);
   EXPECT_EQ(tombstone[0].key, "p/" + harness.id.value);
   EXPECT_EQ(ToHex(tombstone[0].value.value_or("")),
@@ -148,6 +149,26 @@
   EXPECT_FALSE(tombstone[1].value);
 }
 
+// Guards against a job that has no account after a takeover.
+TEST(JobRecordsTest, AccountIsReadBackFromEachKindOfRecord) {
+  for (const std::uint32_t tasks : {1U, kManyTasks}) {
+    Harness harness(tasks);
+    harness.job().spec.account.value = "a";
+    harness.Store({SubmissionRecord(harness.job())});
+    harness.StartAll();
+    ASSERT_TRUE(harness.Collect(kUnlimited));
+    EXPECT_EQ(harness.CountKeys("k/"), tasks == kManyTasks ? 1U : 0U);
+    const LoadedJobs open = harness.Load();
+    EXPECT_EQ(open.jobs.at(harness.id).job->spec.account.value, "a");
+    scheduler::EndJob(harness.state, harness.job(),
+                      workload::JobState::kCancelled, kNow);
+    ASSERT_TRUE(harness.Collect(kUnlimited));
+    const LoadedJobs ended = harness.Load();
+    EXPECT_EQ(ended.jobs.at(harness.id).progress->account,
+              workload::AccountName{"a"});
+  }
+}
+
 // Guards against a record of a later version that hides a job, is deleted or is
 // taken for a malformed one: a node of the previous version reads `f/token` in
 // this way.
@@ -172,7 +193,8 @@
 // its record was stored in an append of its own, before that state.
 TEST(JobRecordsTest, JobRecordBesideAFinalStateIsRemoved) {
   Harness harness(1);
-  const std::vector<StoreRecord> tombstone = TombstoneRecords(harness.id, kNow);
+  const std::vector<StoreRecord> tombstone =
+      TombstoneRecords(harness.id, kNow, {});
   harness.Store({tombstone.front()});
   const LoadedJobs loaded = harness.Load();
   EXPECT_EQ(loaded.obsolete, std::vector<std::string>{"j/" + harness.id.value});
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -90,7 +90,7 @@
   }
 
   [[nodiscard]] bool IsDone(const workload::JobSpec& spec) const {
-    return holder->StateOf(spec.id).state == workload::JobState::kSucceeded;
+    return holder->StateOf(spec.id, {}).state == workload::JobState::kSucceeded;
   }
 
   bool RunUntilStarted(const workload::JobSpec& spec, std::size_t times) {
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -187,6 +189,84 @@
   EXPECT_EQ(page->machines[0].id.value, id);
 }
 
+/// Decodes a configuration with client accounts.
+/// @param problem Receives the first malformed field; empty if there is none.
+workload::Catalog Accounts(const std::string& accounts, std::string& problem) {
+  std::vector<workload::FieldProblem> problems;
+  auto catalog =
+      DecodeCatalog(R"({"version":1,"tenants":)" + accounts + "}", problems);
+  problem = problems.empty() ? "" : problems.front().field;
+  return catalog.value_or(workload::Catalog{});
+}
+
+// Guards against an account whose key, weight or cap is not the configured one.
+TEST(DecodeTest, DecodesAccounts) {
+  std::string problem;
+  const workload::Catalog catalog = Accounts(
+      R"([{"name":"a","apiKeys":["k1","k2"],"weight":2.5,
+      "cap":{"cpu":4000,"memMb":512,"gpu":1}},
+      {"name":"b","apiKeys":["k3"],"weight":null,"cap":null}])",
+      problem);
+  EXPECT_EQ(problem, "");
+  EXPECT_TRUE(catalog.needs_keys);
+  EXPECT_EQ(catalog.keys.at(workload::DigestOf("k2")).value, "a");
+  EXPECT_EQ(catalog.keys.at(workload::DigestOf("k3")).value, "b");
+  EXPECT_EQ(catalog.accounts.at({"a"}).weight, 2.5);
+  EXPECT_EQ(catalog.accounts.at({"a"}).cap,
+            (placement::Resources{{4000}, {512}, {1}}));
+  EXPECT_EQ(catalog.accounts.at({"b"}), (workload::Account{{"b"}, 1.0, {}}));
+  EXPECT_FALSE(Accounts("[]", problem).needs_keys);
+  EXPECT_FALSE(Accounts("null", problem).needs_keys);
+}
+
+// Guards against a malformed entry that lets callers in or lifts a cap.
+TEST(DecodeTest, MalformedAccountsPermitNobody) {
+  const std::vector<std::pair<const char*, const char*>> cases{
+      {R"("all")", "tenants"},
+      {"[7]", "tenants[0]"},
+      {R"([{"apiKeys":["k"]}])", "tenants[0].name"},
+      {R"([{"name":"a","apiKeys":"k"}])", "tenants[0].apiKeys"},
+      {R"([{"name":"a","apiKeys":[7,""]}])", "tenants[0].apiKeys[0]"},
+      {R"([{"name":"a","apiKeys":["k"],"cap":{"cpu":"4"}}])", "tenants[0].cap"},
+      {R"([{"name":"a","apiKeys":["k"],"cap":9}])", "tenants[0].cap"},
+      {R"([{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["k"]},
+      {"name":"c","apiKeys":["k"]}])",
+       "tenants[1].apiKeys[0]"}};
+  for (const auto& [accounts, field] : cases) {
+    std::string problem;
+    const workload::Catalog catalog = Accounts(accounts, problem);
+    EXPECT_EQ(problem, field);
+    EXPECT_TRUE(catalog.needs_keys) << accounts;
+    EXPECT_TRUE(catalog.keys.empty()) << accounts;
+  }
+}
+
+// Guards against keys of two accounts of the same name that share one cap.
+TEST(DecodeTest, SecondAccountOfANameIsLeftOut) {
+  std::string problem;
+  const workload::Catalog catalog =
+      Accounts(R"([{"name":"a","apiKeys":["k1"],"cap":{"cpu":1}},
+      {"name":"a","apiKeys":["k2"]}])",
+               problem);
+  EXPECT_EQ(problem, "tenants[1].name");
+  EXPECT_EQ(catalog.accounts.at({"a"}).cap.cores.value, 1);
+  EXPECT_FALSE(catalog.keys.contains(workload::DigestOf("k2")));
+}
+
+// Guards against an account refused for its weight, and division by 0.
+TEST(DecodeTest, MalformedWeightCountsAsOne) {
+  for (const char* weight : {"-1", "0", R"("2")"}) {
+    std::string problem;
+    const workload::Catalog catalog =
+        Accounts(std::string(R"([{"name":"a","apiKeys":["k"],"weight":)") +
+                     weight + "}]",
+                 problem);
+    EXPECT_EQ(problem, "tenants[0].weight");
+    EXPECT_EQ(catalog.accounts.at({"a"}).weight, 1.0);
+    EXPECT_EQ(catalog.keys.size(), 1U);
+  }
+}
+
 RC_GTEST_PROP(DecodePropertyTest, NoDecoderThrows, (const std::string& bytes)) {
   std::vector<workload::FieldProblem> problems;
   (void)DecodeCatalog(bytes, problems);
--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -281,5 +281,117 @@
   EXPECT_EQ(VisibleState(fleet.state, id), workload::JobState::kCancelled);
 }
 
+const workload::Caller kOwner{workload::AccountName{"a"}};
+const workload::Caller kOther{workload::AccountName{"b"}};
+const workload::Caller kNobody{workload::AccountName{}};
+
+workload::JobSpec JobOf(const workload::Caller& caller) {
+  auto job = MakeJob(1, "q", 1, 4, core::Millis(5000));
+  job.account = caller.account.value_or(workload::AccountName{});
+  return job;
+}
+
+/// Asks for keys on the queue "q"; "open" is public.
+Fleet FleetWithKeys() {
+  Fleet fleet = SmallFleet();
+  fleet.AddQueue("open", "pool");
+  fleet.state.catalog.needs_keys = true;
+  fleet.state.catalog.queues.back().is_public = true;
+  return fleet;
+}
+
+// Guards against callers that see, cancel or replace a job of another account.
+TEST(JobsTest, AJobOfAnotherAccountCannotBeReached) {
+  Fleet fleet = FleetWithKeys();
+  const auto job = JobOf(kOwner);
+  (void)fleet.Submit(job);
+  for (int ended = 0; ended < 2; ++ended) {
+    for (const workload::Caller& caller : {kOther, kNobody}) {
+      EXPECT_FALSE(VisibleState(fleet.state, job.id, caller));
+      EXPECT_FALSE(Cancel(fleet.state, job.id, fleet.wall, caller));
+    }
+    auto other = JobOf(kOther);
+    EXPECT_EQ(fleet.Submit(other).reason, RefusalReason::kIdInUse);
+    other.account = {};
+    other.queue.value = "open";
+    EXPECT_EQ(fleet.Submit(other).reason, RefusalReason::kIdInUse);
+    EXPECT_TRUE(VisibleState(fleet.state, job.id, kOwner));
+    EXPECT_EQ(fleet.state.closed.contains(job.id), ended == 1);
+    EXPECT_TRUE(Cancel(fleet.state, job.id, fleet.wall, kOwner));
+    fleet.Advance(core::Millis(500));
+  }
+}
+
+// Guards against a job that runs although a retry by an old node was refused.
+TEST(JobsTest, AnAttemptWithoutItsAccountIsTheSameJob) {
+  Fleet fleet = FleetWithKeys();
+  EXPECT_EQ(fleet.Submit(JobOf(kOwner)).admission, Admission::kStoring);
+  EXPECT_EQ(fleet.Submit(JobOf({})).admission, Admission::kAccepted);
+  EXPECT_EQ(fleet.state.jobs.at(JobOf({}).id).spec.account, kOwner.account);
+}
+
+// Guards against a job that is cancelled by another account before it comes.
+TEST(JobsTest, ATombstoneOfAnotherAccountHasNoEffect) {
+  Fleet fleet = FleetWithKeys();
+  const auto job = JobOf(kOwner);
+  ASSERT_EQ(AddTombstone(fleet.state, job.id, kOther), TombstoneStatus::kAdded);
+  ConfirmTombstone(fleet.state, job.id, fleet.now);
+  EXPECT_EQ(fleet.Submit(job).admission, Admission::kStoring);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(VisibleState(fleet.state, job.id, kOwner),
+            workload::JobState::kRunning);
+  EXPECT_TRUE(
+      ExpireClosedJobs(fleet.state, fleet.now + core::Millis(86'400'000))
+          .empty());
+}
+
+// Guards against cancellations that are not acknowledged during an upgrade.
+TEST(JobsTest, ATombstoneHoldsForTheCallersThatItIncludes) {
+  Fleet fleet = FleetWithKeys();
+  const core::JobId id = JobOf({}).id;
+  EXPECT_EQ(AddTombstone(fleet.state, id, kOwner), TombstoneStatus::kAdded);
+  EXPECT_EQ(AddTombstone(fleet.state, id, kOwner), TombstoneStatus::kStoring);
+  EXPECT_EQ(AddTombstone(fleet.state, id, kOther), TombstoneStatus::kTooMany);
+  EXPECT_EQ(AddTombstone(fleet.state, id, {}), TombstoneStatus::kAdded);
+  ConfirmTombstone(fleet.state, id, fleet.now);
+  EXPECT_EQ(AddTombstone(fleet.state, id, kOwner), TombstoneStatus::kStored);
+  (void)fleet.Submit(JobOf(kOwner));
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(fleet.CountStarts(id.value), 0U);
+}
+
+// Guards against a holder that ends because of tasks that take no resources.
+TEST(JobsTest, TasksOfAnAccountMayTakeNoResources) {
+  Fleet fleet = FleetWithKeys();
+  auto job = MakeJob(1, "q", 3, 0, core::Millis(100));
+  job.account = *kOwner.account;
+  job.steps[0].size = {};
+  (void)fleet.Submit(job);
+  fleet.Advance(core::Millis(500));
+  EXPECT_EQ(VisibleState(fleet.state, job.id, kOwner),
+            workload::JobState::kSucceeded);
+}
+
+// Guards against ended jobs or cancellations without account after a takeover.
+TEST(JobsTest, NextHolderKnowsTheAccountsOfEndedJobs) {
+  Fleet fleet = FleetWithKeys();
+  const auto spec = JobOf(kOwner);
+  (void)fleet.Submit(spec);
+  Job& job = fleet.state.jobs.at(spec.id);
+  CompleteTask(fleet.state, job, 0, fleet.wall);
+  Fleet after = FleetWithKeys();
+  LoadJob(after.state, spec.id, std::nullopt, ProgressOf(fleet.state, job),
+          after.now, after.wall);
+  EXPECT_TRUE(VisibleState(after.state, spec.id, kOwner));
+  EXPECT_FALSE(VisibleState(after.state, spec.id, kOther));
+  Fleet cancelled = FleetWithKeys();
+  LoadJob(cancelled.state, spec.id, std::nullopt,
+          workload::MakeTombstone(cancelled.wall, kOther), cancelled.now,
+          cancelled.wall);
+  (void)cancelled.Submit(spec);
+  EXPECT_EQ(VisibleState(cancelled.state, spec.id, kOwner),
+            workload::JobState::kQueued);
+}
+
 }  // namespace
 }  // namespace camphormux::scheduler
--- a/test/workload/codec_test.cpp
+++ b/test/workload/codec_test.cpp
@@ -1,8 +1,14 @@
 #include "camphormux/workload/codec.hpp"
 
+#include <cstddef>
+#include <optional>
+#include <vector>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "camphormux/cbor/cbor.hpp"
+
 namespace camphormux::workload {
 namespace {
 
@@ -79,6 +85,34 @@
   EXPECT_EQ(*decoded, progress);
 }
 
+// Guards against a job without its account, or unreadable for old nodes.
+TEST(CodecTest, AccountFollowsWhatThePreviousVersionReads) {
+  StoredJob job{FullSpec(), JobPolicy{{"pool"}, 1, 3, core::Millis(9)}};
+  job.spec.account.value = "a";
+  EXPECT_EQ(DecodeSpec(EncodeSpec(job.spec)), job.spec);
+  EXPECT_EQ(DecodeSpec(EncodeStoredJob(job)), job.spec);
+  EXPECT_EQ(DecodeStoredJob(EncodeStoredJob(job)), job);
+  JobSpec without_account = job.spec;
+  without_account.account = {};
+  const auto before = cbor::Parse(EncodeSpec(without_account));
+  const auto now = cbor::Parse(EncodeSpec(job.spec));
+  ASSERT_TRUE(before && now && now->size() == before->size() + 2);
+  for (std::size_t i = 0; i < before->size(); ++i) {
+    EXPECT_EQ((*now)[i], (*before)[i]);
+  }
+}
+
+// Guards against a cancellation or an ended job that another account sees.
+TEST(CodecTest, ProgressKeepsItsAccount) {
+  const std::vector<std::optional<AccountName>> accounts{
+      std::nullopt, AccountName{}, AccountName{"a"}};
+  for (const auto& account : accounts) {
+    const Progress tombstone =
+        MakeTombstone(core::WallTime(core::Millis(5)), {account});
+    EXPECT_EQ(DecodeProgress(EncodeProgress(tombstone)), tombstone);
+  }
+}
+
 // Guards against a crash of the lease holder on bytes from another writer.
 RC_GTEST_PROP(CodecPropertyTest, ArbitraryBytesDoNotDecodeToAnInvalidJob,
               (const std::string& bytes)) {
