--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -92,22 +92,27 @@
             self.processes[name] = subprocess.Popen([NODE, "--config", str(path)], cwd=ROOT,
                                                     stdout=log, stderr=log)
 
-    def configure(self, version, queues):
-        """Writes the configuration as the operator does; `queues` gives the service of each queue."""
+    def configure(self, version, queues, accounts=None, public=()):
+        """Writes the configuration as the operator does; `queues` gives the service of each queue, `accounts` the keys of
+        each client account, `public` the queues that need no key."""
         routes = [{"name": name, "host": "desk.example", "pathPrefix": f"/{name}/", "kind": "non_idempotent",
                    "timeoutMs": 3000, "targetLatencyMs": 2500, "priority": 0, "service": service, "maxAttempts": 3,
-                   "stretch": 2.2} for name, service in queues.items()]
+                   "stretch": 2.2, "public": name in public} for name, service in queues.items()]
         services = [{"name": name, "enforcesCapacity": True} for name in {s for s, _ in self.runners.values()}]
         value = {"version": version, "routes": routes, "services": services, "limits": {"maxBodyBytes": 262_144}}
+        if accounts is not None:
+            value["tenants"] = [{"name": name, "apiKeys": keys} for name, keys in accounts.items()]
         self.store.put("keyed.op", "config", json.dumps(value).encode())
         self.log("configuration", version=version, queues=queues)
 
-    def call(self, node, method, path, body=None):
-        """Sends a client's request; status 0 stands for no answer."""
+    def call(self, node, method, path, body=None, key=None):
+        """Sends a client's request, with an API key if it has one; status 0 stands for no answer."""
         connection = http.client.HTTPConnection(IP, self.nodes[node]["front"], timeout=3)
+        headers = {"Host": "desk.example", "Content-Type": "application/json", "Deadline-Ms": "3000"}
+        if key is not None:
+            headers["Api-Key"] = key
         try:
-            connection.request(method, path, json.dumps(body) if body is not None else None,
-                               {"Host": "desk.example", "Content-Type": "application/json", "Deadline-Ms": "3000"})
+            connection.request(method, path, json.dumps(body) if body is not None else None, headers)
             response = connection.getresponse()
             data = response.read()
             status, answer = response.status, json.loads(data) if data else {}
@@ -128,6 +133,11 @@
             time.sleep(0.3)
         return False
 
+    def logs(self):
+        """Returns what all nodes have logged."""
+        return "".join(path.read_text(encoding="utf-8")
+                       for path in sorted(pathlib.Path(self.temporary.name).glob("*.log")))
+
     def holder(self):
         peer = self.store.holder()
         for name, ports in self.nodes.items():
