Start lasting gangs again after their tasks ended as done

Cause: an end as done was handled as that of a gang before it was looked at whether the step is permanent. Change: permanent steps are never completed by an end; the gang is placed again once all its runs have ended.

--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -138,9 +138,12 @@
   switch (end.kind) {
     case EndKind::kDone:
       RecordSuccess(host);
+      if (step.permanent) {
+        return;  // It runs again until its job is cancelled.
+      }
       if (step.gang) {
         CompleteGang(state, job, *position, wall);
-      } else if (!step.permanent) {
+      } else {
         CompleteTask(state, job, *position, wall);
       }
       if (job.state == workload::JobState::kSucceeded) {
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -604,6 +604,23 @@
   EXPECT_FALSE(fleet.state.runs.contains(id));
 }
 
+// Guards against a lasting gang that is never started again.
+TEST(RunsTest, LastingGangIsStartedAgainAfterItsTasksEndedAsDone) {
+  Fleet fleet = SmallFleet(3);
+  auto spec = MakeJob(1, "q", 3, 4, core::Millis(100));
+  spec.steps[0].permanent = true;
+  spec.steps[0].gang = true;
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 3U);
+  for (Fleet::Running& run : fleet.running) {
+    run.end = fleet.now;
+  }
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kRunning);
+  EXPECT_EQ(fleet.running.size(), 3U);
+}
+
 // Guards against stored progress that no later lease holder can read.
 TEST(RunsTest, CheckpointThatCannotBeStoredIsNotKept) {
   Fleet fleet;
