Lasting tasks that fail after they were at work do not quarantine their host

Cause: failures of three jobs, however far apart, put a host into quarantine until a run ends as done, which lasting tasks never do. Change: a permanent task that fails later than 2 s after its start counts neither for nor against its host. One that fails sooner counts as before, so that a faulty host is still left out.

--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -28,6 +28,9 @@
 /// estimate, whichever is longer; estimates are often wrong by a factor of two.
 constexpr core::Millis kMinStallTimeout{2000};
 constexpr int kStallFactor = 3;
+/// A permanent task that fails later than this after its start has been at
+/// work. Such tasks may fail at any time, so it says nothing about their host.
+constexpr core::Millis kMinPermanentRun{2000};
 /// Number of attempts to skip when a host has seen a newer attempt.
 constexpr std::uint32_t kAttemptSkip = 16;
 
@@ -59,13 +62,12 @@
   }
 }
 
-void CountFailure(State& state, Job& job, std::uint32_t task, Host& host,
-                  std::uint32_t attempt, core::WallTime wall,
-                  core::MonotonicTime now) {
+void CountFailure(State& state, Job& job, std::uint32_t task,
+                  const core::HostId& host, std::uint32_t attempt,
+                  core::WallTime wall) {
   const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
   const workload::Step& step = job.spec.steps[place.step];
-  job.tasks[task].failed_on = host.listing.id;
-  RecordFailure(state, host, job.spec.id, now);
+  job.tasks[task].failed_on = host;
   if (step.permanent) {
     return;
   }
@@ -122,8 +124,10 @@
     return;
   }
   Task& task = job.tasks[*position];
+  bool was_at_work = false;
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
+    was_at_work = run->permanent && now >= run->ordered + kMinPermanentRun;
     RemoveRun(state, run->id, std::nullopt);
   } else if (host.synced || host.restarted) {
     RecordUnexpectedEnd(state, host, task, end);
@@ -151,7 +155,11 @@
       }
       return;
     case EndKind::kFailed:
-      CountFailure(state, job, *position, host, end.name.attempt, wall, now);
+      if (!was_at_work) {
+        RecordFailure(state, host, job.spec.id, now);
+      }
+      CountFailure(state, job, *position, host.listing.id, end.name.attempt,
+                   wall);
       return;
     case EndKind::kStopped:
     case EndKind::kLeaseExpired:
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -621,6 +621,36 @@
   EXPECT_EQ(fleet.running.size(), 3U);
 }
 
+/// Lets lasting tasks of four jobs fail on one host some time after their
+/// start.
+/// @return Whether the host is usable afterwards.
+bool IsUsableAfterFailures(core::Millis life) {
+  Fleet fleet = SmallFleet(1);
+  for (std::uint64_t job = 1; job <= 4; ++job) {
+    auto spec = MakeJob(job, "q", 1, 4, core::Millis(100));
+    spec.steps[0].permanent = true;
+    (void)fleet.Submit(spec);
+  }
+  fleet.Advance(life);
+  EXPECT_EQ(fleet.running.size(), 4U);
+  for (Fleet::Running& run : fleet.running) {
+    run.end = fleet.now;
+    run.kind = EndKind::kFailed;
+  }
+  fleet.Advance(core::Millis(20));
+  return IsUsable(fleet.state.hosts.begin()->second, fleet.now);
+}
+
+// Guards against tasks that wait while sound hosts of a service are idle.
+TEST(RunsTest, LastingTasksThatFailNowAndThenDoNotQuarantineTheirHost) {
+  EXPECT_TRUE(IsUsableAfterFailures(core::Millis(3000)));
+}
+
+// Guards against a faulty host that attracts all lasting tasks.
+TEST(RunsTest, LastingTasksThatFailAtOnceQuarantineTheirHost) {
+  EXPECT_FALSE(IsUsableAfterFailures(core::Millis(200)));
+}
+
 // Guards against stored progress that no later lease holder can read.
 TEST(RunsTest, CheckpointThatCannotBeStoredIsNotKept) {
   Fleet fleet;
