Give hosts that do not guard their capacity no work while they stop unknown runs

Cause: a cancelled job is final in the store, so that the next holder neither knows its runs nor their size. It ordered their stop, but the same report made the host usable. Change: while the last report of such a host lists runs that the holder does not know, the host gets no work. A host without other runs is asked again every 100 ms meanwhile. Hosts that guard their capacity are used at once, as before.

Measured: RunsTest.HostThatStopsUnknownRunsGetsWorkOnceTheyHaveEnded failed before, passes.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -30,6 +30,9 @@
 /// Interval between reports that are asked for so that ends can be
 /// acknowledged; a start is listed by the report after its answer.
 constexpr core::Millis kReportInterval{50};
+/// Interval between reports of a host that gets no work until runs that it
+/// stops have ended; a small part of the duration of a stop.
+constexpr core::Millis kStopReportInterval{100};
 /// Interval between checks of which hosts are due; a small part of a lease.
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
@@ -178,6 +181,8 @@
   // remains the holder, so idle hosts are asked too.
   if (!host.synced || !host.runs.empty() || host.unresponsive_since ||
       has_stored_ends || now >= link.clock_read_at + internal::kMaxClockAge ||
+      (host.stops_unknown_runs &&
+       now >= link.sent + internal::kStopReportInterval) ||
       (due && !authority_.is_confirmed())) {
     Renew(host, link, now);
   }
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -238,6 +238,7 @@
   host.synced = false;
   host.has_earlier_calls = true;
   host.needs_token = true;
+  host.stops_unknown_runs = false;
   host.ended = {};
   host.unresponsive_since.reset();
   host.failed_jobs.clear();
@@ -302,9 +303,9 @@
                     return copy.refused_by == host.listing.incarnation;
                   });
   return host.listed && host.synced && !host.needs_token && !host.reserved &&
-         !host.listing.draining && !host.unresponsive_since &&
-         now >= host.busy_until && now >= host.quarantined_until &&
-         refuses_open_copies;
+         !host.stops_unknown_runs && !host.listing.draining &&
+         !host.unresponsive_since && now >= host.busy_until &&
+         now >= host.quarantined_until && refuses_open_copies;
 }
 
 placement::Resources FreeResources(const Host& host) {
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -374,6 +374,12 @@
   }
 }
 
+/// Whether a host refuses starts for which it has no room.
+bool EnforcesCapacity(const State& state, const Host& host) {
+  const auto pool = state.catalog.pools.find(host.listing.pool);
+  return pool == state.catalog.pools.end() || pool->second.enforces_capacity;
+}
+
 bool IsStalled(const Run& run, core::MonotonicTime now,
                core::MonotonicTime last_report) {
   if (run.phase != RunPhase::kRunning || run.permanent) {
@@ -594,6 +600,7 @@
     }
   }
   std::set<RunId> listed_runs;
+  bool lists_unknown_runs = false;
   for (const ReportedRun& listed : report.running) {
     internal::MarkRefused(host, listed.name);
     Run* run = internal::FindRunOnHost(state, host, listed.name);
@@ -604,6 +611,7 @@
       internal::UpdateRun(state, *run, listed, now);
       listed_runs.insert(run->id);
     }
+    lists_unknown_runs |= run == nullptr;
   }
   const std::vector<RunId> known = host.runs;
   for (const RunId id : known) {
@@ -612,6 +620,9 @@
     }
   }
   host.synced = true;
+  host.stops_unknown_runs =
+      (lists_unknown_runs && !internal::EnforcesCapacity(state, host)) ||
+      (report.is_partial && host.stops_unknown_runs);
   PaceBestEffortRuns(state, host, now);
 }
 
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -247,6 +247,9 @@
   bool needs_token = false;
   /// The host takes no new runs, as it is about to leave.
   bool reserved = false;
+  /// The last report listed runs that are not known and are being stopped. They
+  /// take resources that are not in `committed`.
+  bool stops_unknown_runs = false;
   placement::Resources committed;
   std::vector<RunId> runs;
   std::uint32_t best_effort_runs = 0;  ///< Runs that only use idle cores.
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -454,6 +454,18 @@
   EXPECT_GT(harness.NextRenewal().call.wait, core::Millis(0));
 }
 
+// Guards against idle hosts whose room is not used for seconds.
+TEST(HostLinksTest, HostThatStopsUnknownRunsIsAskedAgain) {
+  Harness harness;
+  harness.state.catalog.pools[{"pool"}].enforces_capacity = false;
+  RenewAnswer report = Harness::Report(kFirst, 1000);
+  report.running.push_back({{{"0123456789abcdef"}, {}, 1}, "", 100, 0});
+  harness.NextRenewal().done(report);
+  harness.NextRenewal().done(Harness::Report(kFirst, 1100));
+  const scheduler::Host& host = harness.state.hosts.at(harness.id);
+  EXPECT_TRUE(scheduler::IsUsable(host, core::MonotonicNow()));
+}
+
 // Guards against a best-effort task that goes on at another pace than the
 // holder believes: a call without an answer may be carried out after newer ones
 // or not at all.
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -381,6 +381,20 @@
   EXPECT_TRUE(fleet.running.empty());
 }
 
+// Guards against starts in the room of runs that are still being stopped.
+TEST(RunsTest, HostThatStopsUnknownRunsGetsWorkOnceTheyHaveEnded) {
+  Fleet fleet = SmallFleet(1);
+  fleet.state.catalog.pools[{"pool"}].enforces_capacity = false;
+  const core::HostId host = fleet.listings[0].id;
+  const RunName name{{"0123456789abcdef"}, {}, 1};
+  fleet.running.push_back({name, host, fleet.now + core::Millis(5000)});
+  fleet.Report(host);
+  EXPECT_FALSE(IsUsable(fleet.state.hosts.at(host), fleet.now));
+  fleet.running.clear();
+  fleet.Report(host);
+  EXPECT_TRUE(IsUsable(fleet.state.hosts.at(host), fleet.now));
+}
+
 // Guards against a takeover that stops healthy runs.
 TEST(RunsTest, RunOfThePreviousHolderIsAdopted) {
   Fleet fleet = SmallFleet();
