Take a host back into use if the machine list shows it after a confirmed order

Cause: the platform confirms an order that it carried out for a previous holder. The holder took the confirmation for the end of the host that the machine has now, and ignored its listing for good. Change: when a list of machines that was requested 2 s or more after the confirmation still shows the machine up with this host, its end is forgotten.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -348,11 +348,18 @@
   Tick();
 }
 
+void Holder::ApplyHosts() {
+  LogListingChanges(
+      scheduler::ApplyListings(state_, hosts_, core::MonotonicNow(),
+                               hosts_trusted_from_),
+      token_);
+}
+
 void Holder::OnHosts(const std::vector<scheduler::HostListing>& hosts,
                      core::MonotonicTime trusted_from) {
-  const core::MonotonicTime now = core::MonotonicNow();
-  LogListingChanges(scheduler::ApplyListings(state_, hosts, now, trusted_from),
-                    token_);
+  hosts_ = hosts;
+  hosts_trusted_from_ = trusted_from;
+  ApplyHosts();
   hosts_known_ = true;
   SchedulePlan();
 }
@@ -792,7 +799,9 @@
         }
         self->polling_machines_ = false;
         if (list) {
-          scheduler::ApplyMachines(self->state_, *list, now);
+          if (scheduler::ApplyMachines(self->state_, *list, now)) {
+            self->ApplyHosts();
+          }
           self->SchedulePlan();
         }
       });
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -105,6 +105,8 @@
   void Fence();
   void Load();
   void OnLoaded(const std::vector<StoreRecord>& records);
+  /// Applies the last list of hosts.
+  void ApplyHosts();
   void LoadWave(const StoreRecord& record);
   void LoadMachineOrder(const StoreRecord& record);
   void LoadToken(const StoreRecord& record);
@@ -170,6 +172,9 @@
   bool plan_scheduled_ = false;
   bool storing_token_ = false;
   bool hosts_known_ = false;
+  /// The last list of hosts, and until when missing entries are not trusted.
+  std::vector<scheduler::HostListing> hosts_;
+  core::MonotonicTime hosts_trusted_from_;
   bool loaded_ = false;
   bool stopped_ = false;
 };
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -34,6 +34,10 @@
 /// to stop may still appear as running.
 constexpr core::Millis kStopSettleTime{3000};
 
+/// A list of machines that was requested this long after the confirmation of an
+/// order shows its effect.
+constexpr core::Millis kOrderSettleTime{2000};
+
 /// Maximum difference between the wall clocks of two nodes: a jump of a clock,
 /// plus a margin.
 constexpr core::Millis kMaxClockDifference{4000};
@@ -79,6 +83,20 @@
   }
 }
 
+/// Corrects the end of a host that an order was taken to have ended. The
+/// platform also confirms an order that it carried out for a previous lease
+/// holder; the host may be the one that came after it.
+/// @return Whether the list of hosts has to be applied again.
+bool CorrectEnd(State& state, const Machine& machine,
+                core::MonotonicTime asked) {
+  const auto ended = state.ended_incarnations.find(machine.listing.host);
+  return ended != state.ended_incarnations.end() &&
+         machine.listing.host == machine.ordered_host &&
+         !machine.order_pending && machine.listing.state == MachineState::kUp &&
+         asked > machine.ordered + kOrderSettleTime &&
+         ended->second.incarnations.erase(machine.ordered_incarnation) > 0;
+}
+
 /// Stops permanent tasks on a host if they fit on another host and, if
 /// requested, as far as their budgets allow.
 void Evacuate(State& state, const Host& host, const PoolViews& views,
@@ -470,8 +488,9 @@
   return nullptr;
 }
 
-void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
+bool ApplyMachines(State& state, const std::vector<MachineListing>& listings,
                    core::MonotonicTime asked) {
+  bool has_corrected_end = false;
   std::set<MachineId> seen;
   std::set<core::HostId> machine_hosts;
   for (const MachineListing& listing : listings) {
@@ -487,6 +506,7 @@
       RemoveHost(state, machine.listing.host, EndEvidence::kNoMachine);
     }
     machine.listing = listing;
+    has_corrected_end |= internal::CorrectEnd(state, machine, asked);
     // Machines of a standby pool have no hosts.
     const bool arrived =
         state.hosts.contains(listing.host) ||
@@ -500,6 +520,7 @@
   });
   state.machines_known = true;
   internal::RemoveHostsWithoutMachine(state, machine_hosts);
+  return has_corrected_end;
 }
 
 void LoadMachineOrder(State& state, const MachineId& machine,
@@ -559,6 +580,10 @@
   entry.order_pending = false;
   entry.unanswered_since.reset();
   if (outcome == MachineOutcome::kDone) {
+    const auto host = state.hosts.find(entry.ordered_host);
+    entry.ordered_incarnation = host == state.hosts.end()
+                                    ? core::Incarnation{}
+                                    : host->second.listing.incarnation;
     RemoveHost(state, entry.ordered_host, EndEvidence::kMachineOrdered);
     // A repeated order may be answered when the machine already has its next
     // host.
--- a/src/camphormux/scheduler/upkeep.hpp
+++ b/src/camphormux/scheduler/upkeep.hpp
@@ -10,7 +10,9 @@
 /// @param state The state.
 /// @param listings All machines.
 /// @param asked When the list was requested.
-void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
+/// @return Whether it shows a host that was taken to have ended, so that the
+/// last list of hosts has to be applied again.
+bool ApplyMachines(State& state, const std::vector<MachineListing>& listings,
                    core::MonotonicTime asked);
 
 /// @brief Applies a stored machine order of a previous lease holder: a recent
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -90,6 +90,26 @@
   EXPECT_EQ(fleet.state.machines.at(machine).listing.host.value, "i-next");
 }
 
+// Guards against a sound host that gets no work, as its end was assumed.
+TEST(UpkeepTest, HostStaysInUseIfItsMachineHadTheUpkeepBefore) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 1);
+  const WaveId wave{1};
+  fleet.execute_machine_orders = false;
+  AddWave(fleet.state, WaveOf(fleet, 1), fleet.now);
+  fleet.Step();
+  ASSERT_EQ(CountUpkeeps(fleet), 1U);
+  OnMachineAnswer(fleet.state, fleet.machines[0].id, &wave,
+                  MachineOutcome::kDone, fleet.now);
+  fleet.now += core::Millis(2500);
+  fleet.Publish();
+  fleet.Publish();
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(fleet.running.size(), 1U);
+}
+
 /// A host that is ordered to its upkeep. The order has no answer.
 struct HostInUpkeep {
   HostInUpkeep() {
