A confirmed machine order does not end the next incarnation of the host

Change: a machine keeps the incarnation for which its order was given. An answer ends no other one.

Measured: UpkeepTest.LateAnswerDoesNotEndTheNextIncarnationOfAHost failed before, passes.

--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -156,8 +156,10 @@
   machine.ordered = now;
   machine.ordered_host = machine.listing.host;
   machine.target = pool;
+  machine.ordered_incarnation = {};
   const auto host = state.hosts.find(machine.listing.host);
   if (host != state.hosts.end()) {
+    machine.ordered_incarnation = host->second.listing.incarnation;
     host->second.reserved = true;
   }
   state.move_budget -= 1;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -293,7 +293,7 @@
   core::PoolName target;
   /// Host that ends when the last order takes effect.
   core::HostId ordered_host;
-  /// Its incarnation when the order was confirmed; 0 if it was not known.
+  /// Its incarnation; 0 if it was not known.
   core::Incarnation ordered_incarnation;
 };
 
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -386,9 +386,29 @@
   machine.order_pending = true;
   machine.ordered = now;
   machine.ordered_host = machine.listing.host;
+  const Host* host = HostOf(state, machine);
+  machine.ordered_incarnation =
+      host == nullptr ? core::Incarnation{} : host->listing.incarnation;
   state.orders.emplace_back(UpkeepMachine{machine.listing.id, wave});
 }
 
+/// Whether the host for which an order was given has another incarnation by
+/// now. Like the next host of the machine, it is not the one that has ended.
+bool HasNextIncarnation(const State& state, const Machine& machine) {
+  const auto host = state.hosts.find(machine.ordered_host);
+  return host != state.hosts.end() && machine.ordered_incarnation.value != 0 &&
+         host->second.listing.incarnation != machine.ordered_incarnation;
+}
+
+/// Removes the host that a confirmed order has ended.
+void EndOrderedHost(State& state, Machine& machine) {
+  const auto host = state.hosts.find(machine.ordered_host);
+  if (host != state.hosts.end()) {
+    machine.ordered_incarnation = host->second.listing.incarnation;
+    RemoveHost(state, machine.ordered_host, EndEvidence::kMachineOrdered);
+  }
+}
+
 void CompleteWave(State& state, Wave& wave) {
   const bool complete = std::all_of(
       wave.request.machines.begin(), wave.request.machines.end(),
@@ -580,14 +600,14 @@
   entry.order_pending = false;
   entry.unanswered_since.reset();
   if (outcome == MachineOutcome::kDone) {
-    const auto host = state.hosts.find(entry.ordered_host);
-    entry.ordered_incarnation = host == state.hosts.end()
-                                    ? core::Incarnation{}
-                                    : host->second.listing.incarnation;
-    RemoveHost(state, entry.ordered_host, EndEvidence::kMachineOrdered);
+    const bool is_next_incarnation = internal::HasNextIncarnation(state, entry);
+    if (!is_next_incarnation) {
+      internal::EndOrderedHost(state, entry);
+    }
     // A repeated order may be answered when the machine already has its next
     // host.
-    const bool listed_before = entry.listing.host == entry.ordered_host;
+    const bool listed_before =
+        entry.listing.host == entry.ordered_host && !is_next_incarnation;
     if (listed_before) {
       entry.listing.host.value.clear();
       entry.listing.state =
