A repeated move names the pool of the first copy

Cause: the target of a move is forgotten after some seconds, and a repetition after that named no pool. Change: a machine keeps the pool that its last move names.

Measured: StaleOrdersTest.MoveThatIsRepeatedLateNamesThePoolOfTheFirst failed before, passes.

--- a/src/camphormux/scheduler/balance.cpp
+++ b/src/camphormux/scheduler/balance.cpp
@@ -156,6 +156,7 @@
   machine.ordered = now;
   machine.ordered_host = machine.listing.host;
   machine.target = pool;
+  machine.ordered_pool = pool;
   machine.ordered_incarnation = {};
   const auto host = state.hosts.find(machine.listing.host);
   if (host != state.hosts.end()) {
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -295,6 +295,8 @@
   core::HostId ordered_host;
   /// Its incarnation; 0 if it was not known.
   core::Incarnation ordered_incarnation;
+  /// Pool that the last order for a move names.
+  core::PoolName ordered_pool;
 };
 
 /// @brief Machines of a wave that have not begun their upkeep, by what they
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -593,7 +593,7 @@
     if (wave != nullptr) {
       state.orders.emplace_back(UpkeepMachine{machine, *wave});
     } else {
-      state.orders.emplace_back(MoveMachine{machine, entry.target});
+      state.orders.emplace_back(MoveMachine{machine, entry.ordered_pool});
     }
     return;
   }
@@ -618,7 +618,7 @@
       state.orders.emplace_back(SaveWave{*wave, false});
     } else {
       if (listed_before) {
-        entry.listing.pool = entry.target;
+        entry.listing.pool = entry.ordered_pool;
       }
       ++state.counters.moves;
     }
