Do not repeat a move on the next host of its machine

Cause: a move without an answer was repeated although the machine had another host by then, whose runs the repetition ends. Change: such a move is given up. It was carried out, or is decided again. Upkeeps are still repeated, as the answer completes their wave.

Measured: StaleOrdersTest.MachineOrderIsNotRepeatedOnTheNextHostOfItsMachine failed before, passes.

--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -589,9 +589,16 @@
       (outcome == MachineOutcome::kNoAnswer ||
        now < *entry.unanswered_since + internal::kMaxCallDelay);
   if (is_open) {
-    // The order stays pending and is repeated.
+    // The order stays pending and is repeated, but a move not on the next host,
+    // which may have runs. A repeated upkeep completes its wave.
+    const bool has_next_host = !entry.listing.host.value.empty() &&
+                               entry.listing.host != entry.ordered_host;
     if (wave != nullptr) {
       state.orders.emplace_back(UpkeepMachine{machine, *wave});
+    } else if (has_next_host) {
+      entry.order_pending = false;
+      entry.unanswered_since.reset();
+      entry.target.value.clear();
     } else {
       state.orders.emplace_back(MoveMachine{machine, entry.ordered_pool});
     }
