Order the pace of runs of a previous holder again

Cause: the next holder takes a best-effort run that the previous one halted for one at full pace, and orders nothing. Change: the pace of adopted and stored runs is in doubt, and is ordered with the first report that lists them.

Measured: PacingTest.RunThatThePreviousHolderHaltedIsPacedAgain failed before, passes.

--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -39,6 +39,7 @@
     Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
     run.is_sent = true;
+    run.is_pace_in_doubt = true;
     run.has_open_copy = true;
     run.last_open_copy = now;
   }
--- a/src/camphormux/scheduler/pacing.cpp
+++ b/src/camphormux/scheduler/pacing.cpp
@@ -52,8 +52,9 @@
       continue;
     }
     const int pace = internal::NextPace(run.pace, worst);
-    if (pace != run.pace) {
+    if (pace != run.pace || run.is_pace_in_doubt) {
       run.pace = pace;
+      run.is_pace_in_doubt = false;
       state.orders.emplace_back(PaceRun{host.listing.id, run.name, pace});
     }
   }
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -226,6 +226,7 @@
         Run& run =
             AddRun(state, job, *position, listed.name.attempt, host, now);
         run.is_sent = true;
+        run.is_pace_in_doubt = true;
         return &run;
       }
       unexpected.is_open = !task.progress.done;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -66,6 +66,9 @@
   core::MonotonicTime stop_sent;
   int percent = 0;
   int pace = 100;
+  /// The host may run it at another pace: a previous lease holder set that, or
+  /// an order to set it has no answer.
+  bool is_pace_in_doubt = false;
   std::int64_t load = 0;
   std::string checkpoint;
   /// Checkpoint that the start order carries.
