Order a pace again if its order was not confirmed

Cause: an order for a pace without an answer may be carried out after newer ones or not at all; the holder took it for done. Change: the pace is in doubt then, and is ordered again with the next report. A copy that is carried out later than that is not covered.

Measured: HostLinksTest.PaceAfterAnUnansweredOneIsSentAgain failed before, passes.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -554,6 +554,9 @@
             self->listener_.on_fenced(order.host);
             return;
           }
+          if (outcome != CallOutcome::kDone) {
+            scheduler::OnPaceUnconfirmed(self->state_, order.host, order.name);
+          }
           done();
         });
   });
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -575,6 +575,17 @@
   }
 }
 
+void OnPaceUnconfirmed(State& state, const core::HostId& host,
+                       const RunName& name) {
+  const auto found = state.hosts.find(host);
+  if (found == state.hosts.end()) {
+    return;
+  }
+  if (Run* run = internal::FindRunOnHost(state, found->second, name)) {
+    run->is_pace_in_doubt = true;
+  }
+}
+
 void OnReport(State& state, const HostReport& report, core::MonotonicTime now,
               core::WallTime wall) {
   const auto found = state.hosts.find(report.host);
--- a/src/camphormux/scheduler/runs.hpp
+++ b/src/camphormux/scheduler/runs.hpp
@@ -38,6 +38,11 @@
 /// @param id The run; has no effect if it is unknown or its start was sent.
 void WithdrawStart(State& state, RunId id);
 
+/// @brief Handles an order for the pace of a run that was not confirmed: its
+/// pace is ordered again with the next report.
+void OnPaceUnconfirmed(State& state, const core::HostId& host,
+                       const RunName& name);
+
 /// @brief Handles the answer to an order to start a run.
 void OnStartAnswer(State& state, RunId id, StartOutcome outcome,
                    core::MonotonicTime now);
