--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -29,6 +29,9 @@
 /// estimate, whichever is longer; estimates are often wrong by a factor of two.
 constexpr core::Millis kMinStallTimeout{2000};
 constexpr int kStallFactor = 3;
+/// A permanent task that fails later than this after its start has been at
+/// work. Such tasks may fail at any time, so it says nothing about their host.
+constexpr core::Millis kMinPermanentRun{2000};
 /// Number of attempts to skip when a host has seen a newer attempt.
 constexpr std::uint32_t kAttemptSkip = 16;
 
@@ -60,13 +63,12 @@
   }
 }
 
-void CountFailure(State& state, Job& job, std::uint32_t task, Host& host,
-                  std::uint32_t attempt, core::WallTime wall,
-                  core::MonotonicTime now) {
+void CountFailure(State& state, Job& job, std::uint32_t task,
+                  const core::HostId& host, std::uint32_t attempt,
+                  core::WallTime wall) {
   const workload::TaskPlace place = workload::PlaceOf(job.spec, task);
   const workload::Step& step = job.spec.steps[place.step];
-  job.tasks[task].failed_on = host.listing.id;
-  RecordFailure(state, host, job.spec.id, now);
+  job.tasks[task].failed_on = host;
   if (step.permanent) {
     return;
   }
@@ -140,12 +142,14 @@
     return;
   }
   Task& task = job.tasks[*position];
+  bool was_at_work = false;
   if (const Run* run =
           FindRun(state, task, host.listing.id, end.name.attempt)) {
     RecordRunTime(state, job, *run, now - run->ordered);
     if (end.kind == EndKind::kDone) {
       LearnRunTime(state, job, *run, host, now);
     }
+    was_at_work = run->permanent && now >= run->ordered + kMinPermanentRun;
     RemoveRun(state, run->id, std::nullopt);
   } else if (host.synced || host.restarted) {
     RecordUnexpectedEnd(state, host, task, end);
@@ -160,9 +164,12 @@
   switch (end.kind) {
     case EndKind::kDone:
       RecordSuccess(host);
+      if (step.permanent) {
+        return;  // It runs again until its job is cancelled.
+      }
       if (step.gang) {
         CompleteGang(state, job, *position, wall);
-      } else if (!step.permanent) {
+      } else {
         CompleteTask(state, job, *position, wall);
       }
       if (job.state == workload::JobState::kSucceeded) {
@@ -170,7 +177,11 @@
       }
       return;
     case EndKind::kFailed:
-      CountFailure(state, job, *position, host, end.name.attempt, wall, now);
+      if (!was_at_work) {
+        RecordFailure(state, host, job.spec.id, now);
+      }
+      CountFailure(state, job, *position, host.listing.id, end.name.attempt,
+                   wall);
       return;
     case EndKind::kStopped:
     case EndKind::kLeaseExpired:
@@ -238,6 +249,7 @@
             AddRun(state, job, *position, listed.name.attempt, host, now);
         run.is_sent = true;
         RecordServed(state, job, run, now);
+        run.is_pace_in_doubt = true;
         return &run;
       }
       unexpected.is_open = !task.progress.done;
@@ -388,6 +400,12 @@
   }
 }
 
+/// Whether a host refuses starts for which it has no room.
+bool EnforcesCapacity(const State& state, const Host& host) {
+  const auto pool = state.catalog.pools.find(host.listing.pool);
+  return pool == state.catalog.pools.end() || pool->second.enforces_capacity;
+}
+
 bool IsStalled(const Run& run, core::MonotonicTime now,
                core::MonotonicTime last_report) {
   if (run.phase != RunPhase::kRunning || run.permanent) {
@@ -589,6 +607,17 @@
   }
 }
 
+void OnPaceUnconfirmed(State& state, const core::HostId& host,
+                       const RunName& name) {
+  const auto found = state.hosts.find(host);
+  if (found == state.hosts.end()) {
+    return;
+  }
+  if (Run* run = internal::FindRunOnHost(state, found->second, name)) {
+    run->is_pace_in_doubt = true;
+  }
+}
+
 void OnReport(State& state, const HostReport& report, core::MonotonicTime now,
               core::WallTime wall) {
   const auto found = state.hosts.find(report.host);
@@ -615,6 +644,7 @@
     }
   }
   std::set<RunId> listed_runs;
+  bool lists_unknown_runs = false;
   for (const ReportedRun& listed : report.running) {
     internal::MarkRefused(host, listed.name);
     Run* run = internal::FindRunOnHost(state, host, listed.name);
@@ -625,6 +655,7 @@
       internal::UpdateRun(state, *run, listed, now);
       listed_runs.insert(run->id);
     }
+    lists_unknown_runs |= run == nullptr;
   }
   const std::vector<RunId> known = host.runs;
   for (const RunId id : known) {
@@ -633,6 +664,9 @@
     }
   }
   host.synced = true;
+  host.stops_unknown_runs =
+      (lists_unknown_runs && !internal::EnforcesCapacity(state, host)) ||
+      (report.is_partial && host.stops_unknown_runs);
   PaceBestEffortRuns(state, host, now);
 }
 
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -72,6 +72,9 @@
   core::MonotonicTime stop_sent;
   int percent = 0;
   int pace = 100;
+  /// The host may run it at another pace: a previous lease holder set that, or
+  /// an order to set it has no answer.
+  bool is_pace_in_doubt = false;
   std::int64_t load = 0;
   std::string checkpoint;
   /// Checkpoint that the start order carries.
@@ -95,6 +98,9 @@
   bool was_listed = false;
   /// Fencing token of the last copy of the start order that was sent.
   core::Epoch token;
+  /// A copy of the start without an answer may be carried out by an incarnation
+  /// of the host that is not known yet. Its lease ends at the latest then.
+  core::MonotonicTime unknown_lease_end;
 };
 
 /// @brief A copy of a start without an answer whose run was removed. It may
@@ -251,6 +257,9 @@
   bool needs_token = false;
   /// The host takes no new runs, as it is about to leave.
   bool reserved = false;
+  /// The last report listed runs that are not known and are being stopped. They
+  /// take resources that are not in `committed`.
+  bool stops_unknown_runs = false;
   placement::Resources committed;
   std::vector<RunId> runs;
   std::uint32_t best_effort_runs = 0;  ///< Runs that only use idle cores.
@@ -294,6 +303,10 @@
   core::PoolName target;
   /// Host that ends when the last order takes effect.
   core::HostId ordered_host;
+  /// Its incarnation; 0 if it was not known.
+  core::Incarnation ordered_incarnation;
+  /// Pool that the last order for a move names.
+  core::PoolName ordered_pool;
 };
 
 /// @brief Machines of a wave that have not begun their upkeep, by what they
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -35,6 +35,10 @@
 /// to stop may still appear as running.
 constexpr core::Millis kStopSettleTime{3000};
 
+/// A list of machines that was requested this long after the confirmation of an
+/// order shows its effect.
+constexpr core::Millis kOrderSettleTime{2000};
+
 /// Maximum difference between the wall clocks of two nodes: a jump of a clock,
 /// plus a margin.
 constexpr core::Millis kMaxClockDifference{4000};
@@ -90,6 +94,20 @@
   }
 }
 
+/// Corrects the end of a host that an order was taken to have ended. The
+/// platform also confirms an order that it carried out for a previous lease
+/// holder; the host may be the one that came after it.
+/// @return Whether the list of hosts has to be applied again.
+bool CorrectEnd(State& state, const Machine& machine,
+                core::MonotonicTime asked) {
+  const auto ended = state.ended_incarnations.find(machine.listing.host);
+  return ended != state.ended_incarnations.end() &&
+         machine.listing.host == machine.ordered_host &&
+         !machine.order_pending && machine.listing.state == MachineState::kUp &&
+         asked > machine.ordered + kOrderSettleTime &&
+         ended->second.incarnations.erase(machine.ordered_incarnation) > 0;
+}
+
 /// Stops permanent tasks on a host if they fit on another host and, if
 /// requested, as far as their budgets allow.
 void Evacuate(State& state, const Host& host, const PoolViews& views,
@@ -379,9 +397,29 @@
   machine.order_pending = true;
   machine.ordered = now;
   machine.ordered_host = machine.listing.host;
+  const Host* host = HostOf(state, machine);
+  machine.ordered_incarnation =
+      host == nullptr ? core::Incarnation{} : host->listing.incarnation;
   state.orders.emplace_back(UpkeepMachine{machine.listing.id, wave});
 }
 
+/// Whether the host for which an order was given has another incarnation by
+/// now. Like the next host of the machine, it is not the one that has ended.
+bool HasNextIncarnation(const State& state, const Machine& machine) {
+  const auto host = state.hosts.find(machine.ordered_host);
+  return host != state.hosts.end() && machine.ordered_incarnation.value != 0 &&
+         host->second.listing.incarnation != machine.ordered_incarnation;
+}
+
+/// Removes the host that a confirmed order has ended.
+void EndOrderedHost(State& state, Machine& machine) {
+  const auto host = state.hosts.find(machine.ordered_host);
+  if (host != state.hosts.end()) {
+    machine.ordered_incarnation = host->second.listing.incarnation;
+    RemoveHost(state, machine.ordered_host, EndEvidence::kMachineOrdered);
+  }
+}
+
 void CompleteWave(State& state, Wave& wave) {
   const bool complete = std::all_of(
       wave.request.machines.begin(), wave.request.machines.end(),
@@ -512,8 +550,9 @@
   return nullptr;
 }
 
-void ApplyMachines(State& state, const std::vector<MachineListing>& listings,
+bool ApplyMachines(State& state, const std::vector<MachineListing>& listings,
                    core::MonotonicTime asked) {
+  bool has_corrected_end = false;
   std::set<MachineId> seen;
   std::set<core::HostId> machine_hosts;
   for (const MachineListing& listing : listings) {
@@ -529,6 +568,7 @@
       RemoveHost(state, machine.listing.host, EndEvidence::kNoMachine);
     }
     machine.listing = listing;
+    has_corrected_end |= internal::CorrectEnd(state, machine, asked);
     // Machines of a standby pool have no hosts.
     const bool arrived =
         state.hosts.contains(listing.host) ||
@@ -542,6 +582,7 @@
   });
   state.machines_known = true;
   internal::RemoveHostsWithoutMachine(state, machine_hosts);
+  return has_corrected_end;
 }
 
 void LoadMachineOrder(State& state, const MachineId& machine,
@@ -591,21 +632,32 @@
       (outcome == MachineOutcome::kNoAnswer ||
        now < *entry.unanswered_since + internal::kMaxCallDelay);
   if (is_open) {
-    // The order stays pending and is repeated.
+    // The order stays pending and is repeated, but a move not on the next host,
+    // which may have runs. A repeated upkeep completes its wave.
+    const bool has_next_host = !entry.listing.host.value.empty() &&
+                               entry.listing.host != entry.ordered_host;
     if (wave != nullptr) {
       state.orders.emplace_back(UpkeepMachine{machine, *wave});
+    } else if (has_next_host) {
+      entry.order_pending = false;
+      entry.unanswered_since.reset();
+      entry.target.value.clear();
     } else {
-      state.orders.emplace_back(MoveMachine{machine, entry.target});
+      state.orders.emplace_back(MoveMachine{machine, entry.ordered_pool});
     }
     return;
   }
   entry.order_pending = false;
   entry.unanswered_since.reset();
   if (outcome == MachineOutcome::kDone) {
-    RemoveHost(state, entry.ordered_host, EndEvidence::kMachineOrdered);
+    const bool is_next_incarnation = internal::HasNextIncarnation(state, entry);
+    if (!is_next_incarnation) {
+      internal::EndOrderedHost(state, entry);
+    }
     // A repeated order may be answered when the machine already has its next
     // host.
-    const bool listed_before = entry.listing.host == entry.ordered_host;
+    const bool listed_before =
+        entry.listing.host == entry.ordered_host && !is_next_incarnation;
     if (listed_before) {
       entry.listing.host.value.clear();
       entry.listing.state =
@@ -616,7 +668,7 @@
       state.orders.emplace_back(SaveWave{*wave, false});
     } else {
       if (listed_before) {
-        entry.listing.pool = entry.target;
+        entry.listing.pool = entry.ordered_pool;
       }
       ++state.counters.moves;
     }
--- a/test/scheduler/runs_test.cpp
+++ b/test/scheduler/runs_test.cpp
@@ -381,6 +381,20 @@
   EXPECT_TRUE(fleet.running.empty());
 }
 
+// Guards against starts in the room of runs that are still being stopped.
+TEST(RunsTest, HostThatStopsUnknownRunsGetsWorkOnceTheyHaveEnded) {
+  Fleet fleet = SmallFleet(1);
+  fleet.state.catalog.pools[{"pool"}].enforces_capacity = false;
+  const core::HostId host = fleet.listings[0].id;
+  const RunName name{{"0123456789abcdef"}, {}, 1};
+  fleet.running.push_back({name, host, fleet.now + core::Millis(5000)});
+  fleet.Report(host);
+  EXPECT_FALSE(IsUsable(fleet.state.hosts.at(host), fleet.now));
+  fleet.running.clear();
+  fleet.Report(host);
+  EXPECT_TRUE(IsUsable(fleet.state.hosts.at(host), fleet.now));
+}
+
 // Guards against a takeover that stops healthy runs.
 TEST(RunsTest, RunOfThePreviousHolderIsAdopted) {
   Fleet fleet = SmallFleet();
@@ -604,6 +618,53 @@
   EXPECT_FALSE(fleet.state.runs.contains(id));
 }
 
+// Guards against a lasting gang that is never started again.
+TEST(RunsTest, LastingGangIsStartedAgainAfterItsTasksEndedAsDone) {
+  Fleet fleet = SmallFleet(3);
+  auto spec = MakeJob(1, "q", 3, 4, core::Millis(100));
+  spec.steps[0].permanent = true;
+  spec.steps[0].gang = true;
+  (void)fleet.Submit(spec);
+  fleet.Advance(core::Millis(50));
+  ASSERT_EQ(fleet.running.size(), 3U);
+  for (Fleet::Running& run : fleet.running) {
+    run.end = fleet.now;
+  }
+  fleet.Advance(core::Millis(50));
+  EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kRunning);
+  EXPECT_EQ(fleet.running.size(), 3U);
+}
+
+/// Lets lasting tasks of four jobs fail on one host some time after their
+/// start.
+/// @return Whether the host is usable afterwards.
+bool IsUsableAfterFailures(core::Millis life) {
+  Fleet fleet = SmallFleet(1);
+  for (std::uint64_t job = 1; job <= 4; ++job) {
+    auto spec = MakeJob(job, "q", 1, 4, core::Millis(100));
+    spec.steps[0].permanent = true;
+    (void)fleet.Submit(spec);
+  }
+  fleet.Advance(life);
+  EXPECT_EQ(fleet.running.size(), 4U);
+  for (Fleet::Running& run : fleet.running) {
+    run.end = fleet.now;
+    run.kind = EndKind::kFailed;
+  }
+  fleet.Advance(core::Millis(20));
+  return IsUsable(fleet.state.hosts.begin()->second, fleet.now);
+}
+
+// Guards against tasks that wait while sound hosts of a service are idle.
+TEST(RunsTest, LastingTasksThatFailNowAndThenDoNotQuarantineTheirHost) {
+  EXPECT_TRUE(IsUsableAfterFailures(core::Millis(3000)));
+}
+
+// Guards against a faulty host that attracts all lasting tasks.
+TEST(RunsTest, LastingTasksThatFailAtOnceQuarantineTheirHost) {
+  EXPECT_FALSE(IsUsableAfterFailures(core::Millis(200)));
+}
+
 // Guards against stored progress that no later lease holder can read.
 TEST(RunsTest, CheckpointThatCannotBeStoredIsNotKept) {
   Fleet fleet;
