--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -56,8 +56,7 @@
   for (std::size_t i = 0; i < complete.size(); ++i) {
     complete[i] = job.open_in_step[i] == 0;
   }
-  job.remaining_path =
-      workload::CriticalPath(job.spec, complete, job.run_times);
+  job.remaining_path = workload::CriticalPath(job.spec, complete);
 }
 
 void CountOpenTasks(Job& job) {
@@ -89,15 +88,14 @@
 }
 
 workload::JobPolicy PolicyOf(const workload::Queue& queue,
-                             const workload::JobSpec& spec,
-                             const std::vector<core::Millis>& run_times) {
+                             const workload::JobSpec& spec) {
   workload::JobPolicy policy;
   policy.pool = queue.pool;
   policy.priority = queue.priority;
   policy.max_failures = std::max(1U, queue.max_failures);
   if (!IsPermanent(spec) && spec.occurrences == 0) {
-    const auto path = static_cast<double>(
-        workload::CriticalPath(spec, {}, run_times).count());
+    const auto path =
+        static_cast<double>(workload::CriticalPath(spec, {}).count());
     policy.objective =
         core::Millis(static_cast<std::int64_t>(path * queue.stretch)) +
         queue.latency_target;
@@ -128,7 +126,7 @@
   if (queue == nullptr) {
     return;
   }
-  job.policy = PolicyOf(*queue, job.spec, job.run_times);
+  job.policy = PolicyOf(*queue, job.spec);
   state.unsaved.insert(job.spec.id);
   const bool failed =
       std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task& task) {
@@ -183,7 +181,7 @@
     return {Admission::kNoQueue};
   }
   std::vector<core::Millis> run_times = internal::ExpectRunTimes(state, spec);
-  workload::JobPolicy policy = internal::PolicyOf(*queue, spec, run_times);
+  workload::JobPolicy policy = internal::PolicyOf(*queue, spec);
   Job job = internal::MakeJob(std::move(spec), std::move(policy),
                               std::move(run_times));
   job.policy_saved = true;
@@ -223,8 +221,7 @@
   const auto run_times = internal::ExpectRunTimes(state, spec);
   RecordArrival(
       state,
-      internal::MakeJob(spec, internal::PolicyOf(*queue, spec, run_times),
-                        run_times),
+      internal::MakeJob(spec, internal::PolicyOf(*queue, spec), run_times),
       now);
 }
 
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -89,8 +89,7 @@
   const auto wait = core::Millis(
       static_cast<std::int64_t>(backlog / cores * internal::kMillisPerSecond));
   const core::Millis useful =
-      job.policy.objective * kLateFactor -
-      workload::CriticalPath(job.spec, {}, job.run_times);
+      job.policy.objective * kLateFactor - workload::CriticalPath(job.spec, {});
   if (wait <= useful) {
     return std::nullopt;
   }
