Shares: hosts are held for one waiting job at a time

Cause: hosts for all jobs that waited within their share were held at once; in ordinary surges that left cores idle.

Change: hosts are held for the first job that has waited for 300 ms and that a host could run.

Measured: scheduler_test 138 of 138 pass.

--- a/src/camphormux/scheduler/placing.cpp
+++ b/src/camphormux/scheduler/placing.cpp
@@ -319,6 +319,23 @@
   return std::min(waiting, room);
 }
 
+core::MilliCores StartableCores(
+    const State& state, const Job& job, const std::vector<Host*>& hosts,
+    const std::vector<placement::Resources>& capacities, core::WallTime wall) {
+  core::MilliCores cores;
+  const std::uint32_t occurrences = std::max(1U, job.spec.occurrences);
+  std::uint32_t first = 0;
+  for (std::uint32_t k = 0; k < occurrences; ++k) {
+    for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+      if (IsStepReady(state, job, k, s, wall)) {
+        cores += StartableCores(state, job, {k, s, first}, hosts, capacities);
+      }
+      first += job.spec.steps[s].count;
+    }
+  }
+  return cores;
+}
+
 }  // namespace internal
 
 void UpdateMaxFree(Candidates& candidates) {
@@ -375,6 +392,9 @@
 
 void HoldHosts(const State& state, const std::vector<const Job*>& waiting,
                Candidates& candidates, core::WallTime wall) {
+  if (waiting.empty()) {
+    return;
+  }
   std::vector<placement::Resources> capacities;
   capacities.reserve(candidates.hosts.size());
   for (const Host* host : candidates.hosts) {
@@ -382,16 +402,10 @@
   }
   core::MilliCores needed;
   for (const Job* job : waiting) {
-    const std::uint32_t occurrences = std::max(1U, job->spec.occurrences);
-    std::uint32_t first = 0;
-    for (std::uint32_t k = 0; k < occurrences; ++k) {
-      for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
-        if (IsStepReady(state, *job, k, s, wall)) {
-          needed += internal::StartableCores(state, *job, {k, s, first},
-                                             candidates.hosts, capacities);
-        }
-        first += job->spec.steps[s].count;
-      }
+    needed = internal::StartableCores(state, *job, candidates.hosts, capacities,
+                                      wall);
+    if (needed.value > 0) {
+      break;
     }
   }
   while (needed.value > 0 && !candidates.hosts.empty()) {
--- a/src/camphormux/scheduler/placing.hpp
+++ b/src/camphormux/scheduler/placing.hpp
@@ -36,12 +36,14 @@
 Unplaced PlaceJob(State& state, Job& job, Candidates& hosts,
                   core::MonotonicTime now, core::WallTime wall);
 
-/// @brief Removes hosts from the candidates on which waiting tasks can start
-/// soon. Otherwise smaller tasks, which are placed after them, would take each
-/// core that becomes free, and a task that needs several cores of a host would
-/// never start.
+/// @brief Removes hosts from the candidates on which tasks of a waiting job can
+/// start soon. Otherwise smaller tasks, which are placed after them, would take
+/// each core that becomes free, and a task that needs several cores of a host
+/// would never start. One job at a time, as the hosts have idle cores
+/// meanwhile.
 /// @param state The state.
-/// @param waiting Jobs with ready tasks that could not be placed.
+/// @param waiting Jobs with ready tasks that could not be placed; the first one
+/// that a host could run counts.
 /// @param candidates Usable hosts of the jobs' pool.
 /// @param wall Wall-clock time.
 void HoldHosts(const State& state, const std::vector<const Job*>& waiting,
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -19,6 +19,10 @@
 /// a lease.
 constexpr core::Millis kCheckInterval{40};
 
+/// Hosts are held for a job that has waited for this time; until then its tasks
+/// often find room without idle cores.
+constexpr core::Millis kHoldDelay{300};
+
 PoolViews MakeViews(State& state, core::MonotonicTime now) {
   PoolViews views;
   for (auto& [id, host] : state.hosts) {
@@ -97,14 +101,14 @@
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
-    std::vector<const Job*> waiting;
-    bool are_hosts_held = false;
+    std::vector<const Job*> waiting;  // Within their shares.
     for (const auto& [rank, job] : jobs) {
-      if (rank.beyond_share && !std::exchange(are_hosts_held, true)) {
-        HoldHosts(state, waiting, candidates, wall);
+      if (rank.beyond_share) {
+        HoldHosts(state, std::exchange(waiting, {}), candidates, wall);
       }
       const Unplaced unplaced = PlaceJob(state, *job, candidates, now, wall);
-      if (unplaced.cores.value > 0) {
+      if (!rank.beyond_share && unplaced.cores.value > 0 &&
+          now >= job->submitted + internal::kHoldDelay) {
         waiting.push_back(job);
       }
       view.unplaced += unplaced.cores;
