Bound what clients outside the limits make a node hold

Cause: RESTinio keeps an entry for each chunk of a body, allocates an announced body at once, stores bodies up to 1 MiB before the operators' limit is looked at, and bounds neither a head as a whole nor what all connections hold together nor their number without keeping new callers out.

The callbacks of the HTTP parser are our own for the server's connections: no data of chunks and trailing fields is kept, heads are cut at 16,384 bytes, bodies are stored up to the operators' maxBodyBytes and then read to their end unstored, to be answered with 413. A socket type asks one budget for all listeners before each read: a connection that holds more than 20 KiB is admitted if all that its request may hold fits, and then read to its end; if it does not fit, requests without a byte for a second are closed, those that count most first, and the connection waits. For a connection past the number allowed, the one that has not moved for longest and has no request in handling is closed.

--- a/bin/node/main.cpp
+++ b/bin/node/main.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <csignal>
+#include <cstdint>
 #include <exception>
 #include <iostream>
 
@@ -33,6 +34,9 @@
 /// The last answers are given this long before the end of the process, so that
 /// they are on their way by then.
 constexpr core::Millis kAnswerMargin{300};
+/// Unfinished answers of hosts, the store and the cloud may hold this part of
+/// the memory of the machine.
+constexpr std::int64_t kAnswerMemoryParts = 8;
 
 core::Result<NodeSettings, settings::Problems> ReadSettings() {
   const auto file = settings::ReadIniFile(FLAGS_config);
@@ -59,7 +63,10 @@
               peer_forwarder_),
         callers_(loop_, settings, node_),
         signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-        timer_(loop_) {}
+        timer_(loop_) {
+    client_.LimitBuffered(
+        {settings.memory.value * (std::int64_t{1} << 20) / kAnswerMemoryParts});
+  }
 
   void Run() {
     telemetry::Log(
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -664,7 +664,8 @@
             ip = f"127.0.0.{10 + number}"
             ports = [free_port(ip) for _ in range(4)]
             fields = {"nodeName": f"edge-rabat-a-{number}", "zone": "rabat-a", "ip": ip, "bounds": BOUNDS,
-                      "limits": {"cpuShare": 0.25}, "listen": {"front": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
+                      "limits": {"cpuShare": 0.25, "memoryMb": 512, "maxFds": 4_100},
+                      "listen": {"front": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
                       "internalPortRange": [ports[2], ports[3]], "platform": {"address": self.store.http.address},
                       "cloud": {"address": self.cloud.http.address, "dutyPerS": 64.0}}
             path = pathlib.Path(self.folder) / f"node-{number}.ini"
--- a/src/camphormux/coordinator/node.hpp
+++ b/src/camphormux/coordinator/node.hpp
@@ -54,6 +54,8 @@
   [[nodiscard]] const prometheus::Registry& registry() const {
     return *registry_;
   }
+  /// @return For the metrics of the servers of this node.
+  [[nodiscard]] prometheus::Registry& mutable_registry() { return *registry_; }
   [[nodiscard]] NodeMetrics& node_metrics() { return node_metrics_; }
 
  private:
--- a/src/camphormux/coordinator/node_settings.cpp
+++ b/src/camphormux/coordinator/node_settings.cpp
@@ -16,6 +16,10 @@
 
 constexpr double kMaxRemoteFactor = 100.0;
 constexpr double kMaxCores = 1024.0;
+constexpr double kMinMemoryMb = 16.0;
+constexpr double kMaxMemoryMb = 1024.0 * 1024.0;
+constexpr double kMinDescriptors = 400.0;
+constexpr double kMaxDescriptors = 1'000'000.0;
 
 void ReadAddresses(settings::Reader& reader, NodeSettings& settings) {
   settings.callers = settings::ReadAddress(reader, "listen", "callers");
@@ -28,6 +32,15 @@
       settings::ReadAddressOr(reader, "platform", "advice", core::Address{});
 }
 
+void ReadLimits(settings::Reader& reader, NodeSettings& settings) {
+  settings.memory.value = static_cast<std::int64_t>(settings::ReadReal(
+      reader, "limits", "memory_mb", kMinMemoryMb, kMaxMemoryMb,
+      static_cast<double>(settings.memory.value)));
+  settings.max_descriptors = static_cast<std::int64_t>(settings::ReadReal(
+      reader, "limits", "descriptors", kMinDescriptors, kMaxDescriptors,
+      static_cast<double>(settings.max_descriptors)));
+}
+
 void ReadScheduler(settings::Reader& reader, scheduler::Settings& settings) {
   settings.longest_lease =
       settings::ReadDuration(reader, "runs", "longest_lease", seconds(1),
@@ -65,6 +78,7 @@
   settings.processor_share = settings::ReadReal(
       reader, "process", "processor_share", 0.0, internal::kMaxCores, 1.0);
   internal::ReadAddresses(reader, settings);
+  internal::ReadLimits(reader, settings);
   internal::ReadScheduler(reader, settings.scheduler);
   const std::size_t level = settings::ReadChoice(
       reader, "log", "level", {"debug", "info", "warning", "error"}, 1);
--- a/src/camphormux/coordinator/node_settings.hpp
+++ b/src/camphormux/coordinator/node_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_COORDINATOR_NODE_SETTINGS_HPP_
 #define CAMPHORMUX_COORDINATOR_NODE_SETTINGS_HPP_
 
+#include <cstdint>
 #include <string>
 
 #include "camphormux/core/ids.hpp"
@@ -24,6 +25,9 @@
   core::Address cloud;
   core::Address advice;          ///< Empty if it is not set.
   double processor_share = 1.0;  ///< In cores.
+  /// Of the machine, for this process.
+  core::Mebibytes memory{160};
+  std::int64_t max_descriptors = 4'100;
   core::Millis termination_grace{
       6000};  ///< From SIGTERM to the end of the process.
   scheduler::Settings scheduler;
--- a/src/camphormux/http/client.cpp
+++ b/src/camphormux/http/client.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/http/client.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <utility>
@@ -20,7 +21,20 @@
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 
+/// What the unfinished responses of a client hold.
+struct Buffered {
+  std::size_t bytes = 0;
+  std::size_t limit = SIZE_MAX;
+};
+
 struct Transfer {
+  ~Transfer() {
+    if (buffered != nullptr) {
+      buffered->bytes -= counted;
+    }
+  }
+  Buffered* buffered = nullptr;
+  std::size_t counted = 0;  ///< Part of `buffered` that is this response's.
   ClientRequest request;
   std::function<void(ClientResult)> done;
   std::unique_ptr<CURL, CurlDeleter> easy;
@@ -47,12 +61,17 @@
                    void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
   const std::size_t bytes = size * count;
-  if (transfer.response.body.size() + bytes >
-      transfer.request.max_response_bytes) {
+  const std::size_t length = transfer.response.body.size() + bytes;
+  Buffered& buffered = *transfer.buffered;
+  if (length > transfer.request.max_response_bytes ||
+      (buffered.bytes + bytes > buffered.limit &&
+       length > transfer.request.max_response_bytes_when_full)) {
     transfer.too_large = true;
     return 0;
   }
   transfer.response.body.append(data, bytes);
+  transfer.counted += bytes;
+  buffered.bytes += bytes;
   return bytes;
 }
 
@@ -137,6 +156,7 @@
 
   asio::io_context& loop;
   bool closed = false;
+  internal::Buffered buffered;
   std::map<CURL*, std::shared_ptr<internal::Transfer>> transfers;
   /// Handles for the next requests: setting one up costs more than a reset.
   std::vector<std::unique_ptr<CURL, internal::CurlDeleter>> spare;
@@ -187,6 +207,7 @@
     spare.pop_back();
   }
   CURL* easy = transfer->easy.get();
+  transfer->buffered = &buffered;
   const ClientRequest& request = transfer->request;
   curl_slist* lines = nullptr;
   for (const Header& header : request.headers) {
@@ -248,6 +269,10 @@
 Client::Client(asio::io_context& loop, std::string source_ip)
     : impl_(std::make_shared<Impl>(loop, std::move(source_ip))) {}
 
+void Client::LimitBuffered(core::Bytes limit) {
+  impl_->buffered.limit = static_cast<std::size_t>(limit.value);
+}
+
 Client::~Client() { impl_->Close(); }
 
 void Client::Send(ClientRequest request,
--- a/src/camphormux/http/client.hpp
+++ b/src/camphormux/http/client.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_HTTP_CLIENT_HPP_
 #define CAMPHORMUX_HTTP_CLIENT_HPP_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "camphormux/core/result.hpp"
 #include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
 #include "camphormux/http/message.hpp"
 
 namespace camphormux::http {
@@ -35,6 +37,8 @@
   core::Millis timeout = std::chrono::seconds(5);
   ConnectionReuse reuse = ConnectionReuse::kNone;  ///< Not used by GET.
   std::size_t max_response_bytes = std::size_t{16} << 20;
+  /// Longest response while the client's responses fill their memory.
+  std::size_t max_response_bytes_when_full = std::size_t{16} << 20;
 };
 
 /// @brief A complete response.
@@ -63,6 +67,11 @@
   /// @param source_ip Address of this host that connections come from; empty:
   /// the system chooses.
   explicit Client(asio::io_context& loop, std::string source_ip = "");
+  /// @brief Bounds what unfinished responses hold together.
+  /// @param limit Past it, responses that are longer than their request's
+  /// `max_response_bytes_when_full` fail.
+  void LimitBuffered(core::Bytes limit);
+
   /// Drops requests in flight without calling their callbacks.
   ~Client();
   Client(const Client&) = delete;
--- /dev/null
+++ b/src/camphormux/http/connection_budget.cpp
@@ -0,0 +1,108 @@
+#include "camphormux/http/connection_budget.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace camphormux::http {
+namespace internal {
+
+/// A search looks at every connection.
+constexpr core::Millis kSearchInterval{100};
+
+void ShutDown(ConnectionBudget& budget, ConnectionUse& use,
+              ConnectionRefusal reason) {
+  use.closing = true;
+  budget.options.on_refusal(reason);
+  use.shut_down();
+}
+
+void DropStalled(ConnectionBudget& budget, core::MonotonicTime now) {
+  if (now - budget.searched < kSearchInterval) {
+    return;
+  }
+  budget.searched = now;
+  std::vector<ConnectionUse*> stalled;
+  for (ConnectionUse* use : budget.connections) {
+    if (use->counted > 0 && use->unfinished && !use->handling && !use->paused &&
+        !use->closing && now - use->moved >= budget.options.stalled_after) {
+      stalled.push_back(use);
+    }
+  }
+  std::ranges::sort(stalled, std::greater(),
+                    [](const ConnectionUse* use) { return use->counted; });
+  // Some room is made at once, as each search frees it for a short time only.
+  const std::int64_t wanted = budget.options.total.value * 3 / 4;
+  std::int64_t after = budget.held;
+  for (ConnectionUse* use : stalled) {
+    if (after <= wanted) {
+      break;
+    }
+    after -= use->counted;
+    ShutDown(budget, *use, ConnectionRefusal::kMemoryShort);
+  }
+}
+
+}  // namespace internal
+
+void Count(ConnectionBudget& budget, ConnectionUse& use) {
+  if (use.admitted && use.held <= budget.options.always_read.value) {
+    use.admitted = false;
+    --budget.admitted;
+  }
+  const std::int64_t counted =
+      use.admitted ? std::max(use.held, use.may_hold) : use.held;
+  budget.held += counted - use.counted;
+  use.counted = counted;
+}
+
+void Forget(ConnectionBudget& budget, ConnectionUse& use) {
+  use.held = 0;
+  Count(budget, use);
+  budget.connections.erase(&use);
+}
+
+bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
+             core::MonotonicTime now) {
+  const auto fits = [&] {
+    const std::int64_t others = budget.held - use.counted;
+    return budget.admitted == 0 || others + std::max(use.held, use.may_hold) <=
+                                       budget.options.total.value;
+  };
+  if (!use.closing && !use.admitted &&
+      use.held > budget.options.always_read.value) {
+    if (!fits()) {
+      internal::DropStalled(budget, now);
+    }
+    if (!fits()) {
+      use.paused = true;
+      return false;
+    }
+    use.admitted = true;
+    ++budget.admitted;
+    Count(budget, use);
+  }
+  if (use.paused) {
+    // Its client could not move while it was paused.
+    use.moved = now;
+    use.paused = false;
+  }
+  return true;
+}
+
+void MakeRoom(ConnectionBudget& budget,
+              const std::unordered_set<ConnectionUse*>& connections,
+              const ConnectionUse& newest) {
+  ConnectionUse* oldest = nullptr;
+  for (ConnectionUse* use : connections) {
+    if (use != &newest && !use->handling && !use->closing &&
+        (oldest == nullptr || use->moved < oldest->moved)) {
+      oldest = use;
+    }
+  }
+  if (oldest != nullptr) {
+    internal::ShutDown(budget, *oldest, ConnectionRefusal::kTooManyConnections);
+  }
+}
+
+}  // namespace camphormux::http
--- /dev/null
+++ b/src/camphormux/http/connection_budget.hpp
@@ -0,0 +1,91 @@
+#ifndef CAMPHORMUX_HTTP_CONNECTION_BUDGET_HPP_
+#define CAMPHORMUX_HTTP_CONNECTION_BUDGET_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <unordered_set>
+
+#include "camphormux/core/time.hpp"
+#include "camphormux/core/units.hpp"
+
+namespace camphormux::http {
+
+/// @brief Why a connection was closed or a request refused.
+enum class ConnectionRefusal {
+  kBodyTooLarge,  ///< Answered with 413, or closed if it goes on.
+  kHeadTooLarge,
+  kMalformed,          ///< Not HTTP.
+  kMemoryShort,        ///< Closed while it held much and moved nothing.
+  kTooManyConnections  ///< Closed for a new connection.
+};
+
+/// @brief Limits of what all connections of the servers that share a budget
+/// hold together.
+struct ConnectionBudgetOptions {
+  /// Unfinished requests and requests that are being handled.
+  core::Bytes total{std::int64_t{40} << 20};
+  /// A connection that holds no more than this is always read.
+  core::Bytes always_read{20 << 10};
+  /// Without a byte for this long, an unfinished request may be dropped.
+  core::Millis stalled_after{1000};
+  /// Called for each refusal.
+  std::function<void(ConnectionRefusal)> on_refusal = [](ConnectionRefusal) {};
+};
+
+/// @brief What a server knows of one connection.
+struct ConnectionUse {
+  std::int64_t held = 0;      ///< In bytes.
+  std::int64_t may_hold = 0;  ///< Most that its request may hold.
+  std::int64_t counted = 0;   ///< What the budget counts for it.
+  bool admitted = false;      ///< Counts as what it may hold.
+  core::MonotonicTime moved;
+  bool unfinished = false;  ///< Part of a request has been read.
+  bool handling = false;    ///< A request has no response yet.
+  bool paused = false;      ///< Not read, as it does not fit.
+  bool closing = false;     ///< Shut down for another connection.
+  std::function<void()> shut_down;
+};
+
+/// @brief Connections that share a budget.
+struct ConnectionBudget {
+  ConnectionBudgetOptions options;
+  std::int64_t held = 0;  ///< In bytes.
+  std::unordered_set<ConnectionUse*> connections;
+  std::size_t admitted = 0;  ///< Connections that hold more than always_read.
+  core::MonotonicTime searched;  ///< Last search for stalled connections.
+};
+
+/// @brief Counts a change of what a connection holds.
+/// @param budget The budget.
+/// @param use The connection; its `held` is the new amount.
+void Count(ConnectionBudget& budget, ConnectionUse& use);
+
+/// @brief Removes a connection.
+/// @param budget The budget.
+/// @param use The connection.
+void Forget(ConnectionBudget& budget, ConnectionUse& use);
+
+/// @brief Decides whether a connection may be read. One that holds more than
+/// `always_read` is admitted if all that its request may hold fits, and then
+/// read to its end. If it does not fit, drops stalled connections, those that
+/// hold most first, until a quarter of the budget is free.
+/// @param budget The budget.
+/// @param use The connection.
+/// @param now Current time.
+/// @return Whether to read it now; if not, ask again later.
+[[nodiscard]] bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
+                           core::MonotonicTime now);
+
+/// @brief Shuts down the connection without a request in handling that has not
+/// moved for the longest time.
+/// @param budget Is told of the refusal.
+/// @param connections The candidates.
+/// @param newest The connection that needs the room; it stays.
+void MakeRoom(ConnectionBudget& budget,
+              const std::unordered_set<ConnectionUse*>& connections,
+              const ConnectionUse& newest);
+
+}  // namespace camphormux::http
+
+#endif  // CAMPHORMUX_HTTP_CONNECTION_BUDGET_HPP_
--- a/src/camphormux/http/server.hpp
+++ b/src/camphormux/http/server.hpp
@@ -1,6 +1,7 @@
 #ifndef CAMPHORMUX_HTTP_SERVER_HPP_
 #define CAMPHORMUX_HTTP_SERVER_HPP_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 
 #include "camphormux/core/time.hpp"
 #include "camphormux/core/units.hpp"
+#include "camphormux/http/connection_budget.hpp"
 #include "camphormux/http/message.hpp"
 
 namespace camphormux::http {
@@ -40,9 +42,26 @@
 /// `respond` is destroyed unused or the handling timeout passes.
 using Handler = std::function<void(ServerRequest request, Respond respond)>;
 
+/// @brief Limits that may change while a server runs.
+struct RequestLimits {
+  /// Past this a body is no longer stored, and answered with 413 at its end.
+  core::Bytes max_stored_body{std::int64_t{4} << 20};
+  /// Request line and fields; the connection is closed past it.
+  core::Bytes max_head{64 << 10};
+};
+
 /// @brief Limits of a server.
 struct ServerOptions {
+  /// A body that goes on past this is cut off.
   core::Bytes max_body{std::int64_t{4} << 20};
+  /// Limits of the next request; asked at its first byte.
+  std::function<RequestLimits()> request_limits = [] {
+    return RequestLimits{};
+  };
+  /// For one more, the connection that has not moved for longest is closed.
+  std::size_t max_connections = 10'000;
+  /// Shared by the servers of a process; null: a budget of its own.
+  std::shared_ptr<ConnectionBudget> budget;
   core::Millis idle_timeout = std::chrono::seconds(60);
   core::Millis handle_timeout = std::chrono::seconds(60);
 };
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -1,3 +1,6 @@
+#include <array>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -5,6 +8,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "camphormux/http/client.hpp"
@@ -14,6 +18,9 @@
 namespace camphormux::http {
 namespace {
 
+using ::testing::AllOf;
+using ::testing::HasSubstr;
+
 constexpr core::Millis kLimit = std::chrono::seconds(20);
 
 std::uint16_t FreePort() {
@@ -164,5 +171,165 @@
   }
 }
 
+// Sends bytes on a new connection; returns what comes back until `end` is seen
+// or the connection is closed.
+std::string Talk(asio::io_context& loop, std::uint16_t port,
+                 const std::string& bytes, const std::string& end) {
+  asio::ip::tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  std::string answer;
+  std::array<char, 4096> part{};
+  std::function<void()> read = [&] {
+    socket.async_read_some(
+        asio::buffer(part), [&](const asio::error_code& error, std::size_t n) {
+          answer.append(part.data(), n);
+          if (error || answer.find(end) != std::string::npos) {
+            loop.stop();
+          } else {
+            read();
+          }
+        });
+  };
+  read();
+  asio::async_write(socket, asio::buffer(bytes), [](auto, auto) {});
+  loop.restart();
+  loop.run_for(kLimit);
+  socket.close();
+  loop.restart();
+  loop.poll();
+  return answer;
+}
+
+constexpr std::size_t kStoredBody = 20'000;
+constexpr std::size_t kMaxHead = 16'384;
+
+ServerOptions SmallBodies() {
+  ServerOptions options;
+  options.max_body = {100'000};
+  options.request_limits = [] {
+    return RequestLimits{core::Bytes{kStoredBody}, core::Bytes{kMaxHead}};
+  };
+  return options;
+}
+
+std::string Chunks(std::size_t count) {
+  std::string text = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t i = 0; i < count; ++i) {
+    text += "1\r\nb\r\n";
+  }
+  return text + "0\r\nTrailer: x\r\n\r\n";
+}
+
+// Guards against limits that refuse a request inside them, and against a body
+// over the limit that reaches the handler.
+TEST(ClientServerTest, HoldsTheLimitOfBodiesWhileReading) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  std::size_t handled = 0;
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [&](const ServerRequest& request, const Respond& respond) {
+        ++handled;
+        respond({200,
+                 "has " + std::to_string(request.body.size()) + " bytes",
+                 "text/plain",
+                 {}});
+      },
+      SmallBodies());
+  EXPECT_THAT(Talk(loop, port, Chunks(kStoredBody), " bytes"),
+              HasSubstr("has 20000 bytes"));
+  // The connection serves the next request after a refusal.
+  EXPECT_THAT(
+      Talk(loop, port, Chunks(kStoredBody + 1) + Chunks(3), "has 3 bytes"),
+      AllOf(HasSubstr("413"), HasSubstr("has 3 bytes")));
+  EXPECT_EQ(handled, 2U);
+  EXPECT_EQ(Talk(loop, port,
+                 "POST /x HTTP/1.1\r\nContent-Length: 100001\r\n\r\n", "x"),
+            "");
+}
+
+std::string GetWithHeadOf(std::size_t bytes) {
+  const std::string start = "GET /x HTTP/1.1\r\nHost: x\r\n";
+  const std::string field = "a:b\r\n";
+  std::string head = start;
+  while (head.size() + 2 * field.size() + 2 < bytes) {
+    head += field;
+  }
+  head += "c:";
+  head.append(bytes - head.size() - 4, 'd');
+  return head + "\r\n\r\n";
+}
+
+// Guards against a head at the limit that is refused, whatever its fields, and
+// against one over it that is read on.
+TEST(ClientServerTest, HoldsTheLimitOfHeadsWhileReading) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, "served", "text/plain", {}});
+      },
+      SmallBodies());
+  EXPECT_THAT(Talk(loop, port, "\r\n" + GetWithHeadOf(kMaxHead), "served"),
+              HasSubstr("served"));
+  EXPECT_EQ(Talk(loop, port, GetWithHeadOf(kMaxHead + 100), "served"), "");
+}
+
+// Guards against a connection that is refused although another one idles.
+TEST(ClientServerTest, ClosesTheIdleConnectionForANewOne) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  ServerOptions options;
+  options.max_connections = 1;
+  int refusals = 0;
+  options.budget = std::make_shared<ConnectionBudget>();
+  options.budget->options.on_refusal = [&](ConnectionRefusal reason) {
+    EXPECT_EQ(reason, ConnectionRefusal::kTooManyConnections);
+    ++refusals;
+  };
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, "served", "text/plain", {}});
+      },
+      options);
+  asio::ip::tcp::socket idle(loop);
+  idle.connect({asio::ip::address_v4::loopback(), port});
+  loop.poll();
+  EXPECT_THAT(Talk(loop, port, "GET /x HTTP/1.1\r\n\r\n", "served"),
+              HasSubstr("served"));
+  EXPECT_EQ(refusals, 1);
+}
+
+// Guards against long answers of many hosts that together take all memory.
+TEST(ClientServerTest, FailsLongAnswersWhileTheirMemoryIsShort) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, std::string(kStoredBody, 'a'), "text/plain", {}});
+      });
+  Client client(loop);
+  client.LimitBuffered({100});
+  std::vector<ClientResult> results;
+  for (const std::size_t when_full : {kStoredBody, kStoredBody - 1}) {
+    ClientRequest request;
+    request.url = Url(port, "/x");
+    request.max_response_bytes_when_full = when_full;
+    client.Send(std::move(request), [&](ClientResult result) {
+      results.push_back(std::move(result));
+      loop.stop();
+    });
+    loop.restart();
+    loop.run_for(kLimit);
+  }
+  ASSERT_EQ(results.size(), 2U);
+  EXPECT_TRUE(results[0].has_value());
+  ASSERT_FALSE(results[1].has_value());
+  EXPECT_EQ(results[1].error().error, ClientError::kTooLarge);
+}
+
 }  // namespace
 }  // namespace camphormux::http
--- /dev/null
+++ b/test/http/connection_budget_test.cpp
@@ -0,0 +1,86 @@
+#include "camphormux/http/connection_budget.hpp"
+
+#include <array>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace camphormux::http {
+namespace {
+
+constexpr core::MonotonicTime kStart{std::chrono::seconds(100)};
+
+struct ConnectionBudgetTest : testing::Test {
+  ConnectionBudgetTest() {
+    budget.options.total = {1'000};
+    budget.options.always_read = {100};
+    for (std::size_t i = 0; i < uses.size(); ++i) {
+      uses[i].moved = kStart;
+      uses[i].unfinished = true;
+      uses[i].shut_down = [this, i] {
+        closed.push_back(i);
+        Forget(budget, uses[i]);
+      };
+      budget.connections.insert(&uses[i]);
+    }
+  }
+  void Hold(std::size_t index, std::int64_t bytes) {
+    uses[index].held = bytes;
+    Count(budget, uses[index]);
+  }
+  void Admit(std::size_t index, std::int64_t bytes, std::int64_t may_hold) {
+    Hold(index, bytes);
+    uses[index].may_hold = may_hold;
+    EXPECT_TRUE(MayRead(budget, uses[index], kStart));
+  }
+  ConnectionBudget budget;
+  std::array<ConnectionUse, 4> uses;
+  std::vector<std::size_t> closed;
+};
+
+// Guards against closing more than is needed, or connections that still move
+// or wait.
+TEST_F(ConnectionBudgetTest, ClosesTheLargestStalledConnectionFirst) {
+  Admit(0, 200, 300);
+  Admit(1, 200, 400);
+  Admit(2, 200, 250);
+  Hold(3, 150);
+  uses[2].moved = kStart + core::Millis(900);
+  uses[3].may_hold = 200;
+  EXPECT_FALSE(MayRead(budget, uses[3], kStart + core::Millis(500)));
+  EXPECT_TRUE(closed.empty());
+  EXPECT_TRUE(MayRead(budget, uses[3], kStart + core::Millis(1'000)));
+  EXPECT_EQ(closed, std::vector<std::size_t>{1});
+  EXPECT_EQ(budget.held, 750);
+  EXPECT_EQ(uses[3].moved, kStart + core::Millis(1'000));
+}
+
+// Guards against requests that all wait for each other half-way, and against a
+// budget that is smaller than one request.
+TEST_F(ConnectionBudgetTest, ReadsAnAdmittedRequestToItsEnd) {
+  Admit(0, 150, 2'000);
+  Hold(1, 150);
+  Hold(2, 100);
+  uses[1].may_hold = 300;
+  EXPECT_FALSE(MayRead(budget, uses[1], kStart));
+  EXPECT_TRUE(MayRead(budget, uses[2], kStart));
+  Hold(0, 2'000);
+  EXPECT_TRUE(MayRead(budget, uses[0], kStart));
+  Hold(0, 0);
+  EXPECT_TRUE(MayRead(budget, uses[1], kStart));
+  EXPECT_EQ(budget.held, 400);
+  EXPECT_TRUE(closed.empty());
+}
+
+// Guards against closing a connection whose request is being handled.
+TEST_F(ConnectionBudgetTest, MakesRoomByTheConnectionThatRestedLongest) {
+  uses[0].handling = true;
+  for (std::size_t i = 1; i < uses.size(); ++i) {
+    uses[i].moved = kStart + core::Millis(10 - i);
+  }
+  MakeRoom(budget, budget.connections, uses[3]);
+  EXPECT_EQ(closed, std::vector<std::size_t>{2});
+}
+
+}  // namespace
+}  // namespace camphormux::http
