--- a/src/camphormux/http/connection_budget.cpp
+++ b/src/camphormux/http/connection_budget.cpp
@@ -30,7 +30,7 @@
     }
   }
   std::ranges::sort(stalled, std::greater(),
-                    [](const ConnectionUse* use) { return use->held; });
+                    [](const ConnectionUse* use) { return use->counted; });
   // Some room is made at once, as each search frees it for a short time only.
   const std::int64_t wanted = budget.options.total.value * 3 / 4;
   std::int64_t after = budget.held;
@@ -46,42 +46,48 @@
 }  // namespace internal
 
 void Count(ConnectionBudget& budget, ConnectionUse& use) {
-  budget.held += use.held - use.counted;
-  use.counted = use.held;
-  if (budget.reads_past_budget == &use &&
-      use.held <= budget.options.always_read.value) {
-    budget.reads_past_budget = nullptr;
+  if (use.admitted && use.held <= budget.options.always_read.value) {
+    use.admitted = false;
+    --budget.admitted;
   }
+  const std::int64_t counted =
+      use.admitted ? std::max(use.held, use.may_hold) : use.held;
+  budget.held += counted - use.counted;
+  use.counted = counted;
 }
 
 void Forget(ConnectionBudget& budget, ConnectionUse& use) {
   use.held = 0;
   Count(budget, use);
   budget.connections.erase(&use);
-  if (budget.reads_past_budget == &use) {
-    budget.reads_past_budget = nullptr;
-  }
 }
 
 bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
              core::MonotonicTime now) {
-  if (budget.held > budget.options.total.value) {
-    internal::DropStalled(budget, now);
-  }
-  const bool small = use.held <= budget.options.always_read.value;
-  bool may_read = small || use.closing ||
-                  budget.held <= budget.options.total.value ||
-                  budget.reads_past_budget == &use;
-  if (!may_read && budget.reads_past_budget == nullptr) {
-    budget.reads_past_budget = &use;
-    may_read = true;
+  const auto fits = [&] {
+    const std::int64_t others = budget.held - use.counted;
+    return budget.admitted == 0 || others + std::max(use.held, use.may_hold) <=
+                                       budget.options.total.value;
+  };
+  if (!use.closing && !use.admitted &&
+      use.held > budget.options.always_read.value) {
+    if (!fits()) {
+      internal::DropStalled(budget, now);
+    }
+    if (!fits()) {
+      use.paused = true;
+      return false;
+    }
+    use.admitted = true;
+    ++budget.admitted;
+    Count(budget, use);
   }
-  if (may_read && use.paused) {
+  if (use.paused) {
     // Its client could not move while it was paused.
     use.moved = now;
+    use.paused = false;
   }
-  use.paused = !may_read;
-  return may_read;
+  return true;
 }
 
 void MakeRoom(ConnectionBudget& budget,
--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -35,12 +35,14 @@
 
 /// @brief What a server knows of one connection.
 struct ConnectionUse {
-  std::int64_t held = 0;     ///< In bytes.
-  std::int64_t counted = 0;  ///< Part of `held` that the budget counts.
+  std::int64_t held = 0;      ///< In bytes.
+  std::int64_t may_hold = 0;  ///< Most that its request may hold.
+  std::int64_t counted = 0;   ///< What the budget counts for it.
+  bool admitted = false;      ///< Counts as what it may hold.
   core::MonotonicTime moved;
   bool unfinished = false;  ///< Part of a request has been read.
   bool handling = false;    ///< A request has no response yet.
-  bool paused = false;      ///< Not read, as the budget is used up.
+  bool paused = false;      ///< Not read, as it does not fit.
   bool closing = false;     ///< Shut down for another connection.
   std::function<void()> shut_down;
 };
@@ -50,9 +52,7 @@
   ConnectionBudgetOptions options;
   std::int64_t held = 0;  ///< In bytes.
   std::unordered_set<ConnectionUse*> connections;
-  /// The connection that is read past the budget, so that one large request at
-  /// a time always ends.
-  const ConnectionUse* reads_past_budget = nullptr;
+  std::size_t admitted = 0;  ///< Connections that hold more than always_read.
   core::MonotonicTime searched;  ///< Last search for stalled connections.
 };
 
@@ -66,9 +66,10 @@
 /// @param use The connection.
 void Forget(ConnectionBudget& budget, ConnectionUse& use);
 
-/// @brief Decides whether a connection may be read. If the budget is used up,
-/// drops stalled connections, those that hold most first, until a quarter of it
-/// is free.
+/// @brief Decides whether a connection may be read. One that holds more than
+/// `always_read` is admitted if all that its request may hold fits, and then
+/// read to its end. If it does not fit, drops stalled connections, those that
+/// hold most first, until a quarter of the budget is free.
 /// @param budget The budget.
 /// @param use The connection.
 /// @param now Current time.
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -224,6 +224,7 @@
     current->use.unfinished = true;
     current->use.held = current->head_held = 0;
     current->limits = current->listener->options.request_limits();
+    current->use.may_hold = current->limits.max_stored_body.value;
     current->head_read = kRequestLineSeparators;
     current->body_read = 0;
     current->body_too_large = current->refused = false;
@@ -290,6 +291,11 @@
       return -1;
     }
     context.m_body.reserve(std::min(parser->content_length, kMaxReserved));
+    if (current != nullptr) {
+      current->use.may_hold =
+          std::min(static_cast<std::int64_t>(parser->content_length),
+                   current->limits.max_stored_body.value);
+    }
   }
   return 0;
 }
@@ -317,6 +323,12 @@
   if (current->body_too_large) {
     return 0;
   }
+  const std::size_t length = context.m_body.size() + size;
+  if (length > context.m_body.capacity()) {
+    context.m_body.reserve(std::min(
+        2 * length,
+        static_cast<std::size_t>(current->limits.max_stored_body.value)));
+  }
   context.m_body.append(data, size);
   current->use.held =
       current->head_held + static_cast<std::int64_t>(context.m_body.capacity());
@@ -456,8 +468,8 @@
       .read_next_http_message_timelimit(options.idle_timeout)
       .handle_request_timeout(options.handle_timeout)
       .incoming_http_msg_limits(limits)
-      .connection_state_listener(
-          std::make_shared<internal::StartListener>(std::move(listener)))
+      .connection_state_listener(std::make_shared<internal::StartListener>(
+          internal::StartListener{std::move(listener)}))
       .cleanup_func([] {});
   impl_ = std::make_unique<Impl>(loop, std::move(settings));
   impl_->server.open_sync();
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -302,5 +302,34 @@
   EXPECT_EQ(refusals, 1);
 }
 
+// Guards against long answers of many hosts that together take all memory.
+TEST(ClientServerTest, FailsLongAnswersWhileTheirMemoryIsShort) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, std::string(kStoredBody, 'a'), "text/plain", {}});
+      });
+  Client client(loop);
+  client.LimitBuffered({100});
+  std::vector<ClientResult> results;
+  for (const std::size_t when_full : {kStoredBody, kStoredBody - 1}) {
+    ClientRequest request;
+    request.url = Url(port, "/x");
+    request.max_response_bytes_when_full = when_full;
+    client.Send(std::move(request), [&](ClientResult result) {
+      results.push_back(std::move(result));
+      loop.stop();
+    });
+    loop.restart();
+    loop.run_for(kLimit);
+  }
+  ASSERT_EQ(results.size(), 2U);
+  EXPECT_TRUE(results[0].has_value());
+  ASSERT_FALSE(results[1].has_value());
+  EXPECT_EQ(results[1].error().error, ClientError::kTooLarge);
+}
+
 }  // namespace
 }  // namespace camphormux::http
