--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -45,9 +45,10 @@
 /// Time that a machine is away for its upkeep, from the order until the list of
 /// machines shows it again.
 constexpr double kUpkeepMillis = 3000;
-/// Part of the time left in which a wave is to end while hosts are short. The
-/// rest makes up for outages and hosts that cannot be drained.
-constexpr double kPacedPart = 0.6;
+/// Part of the time left in which the standby machines of a wave are to have
+/// their upkeep while hosts are short. The rest makes up for outages and for
+/// hosts that cannot be drained.
+constexpr double kPacedPart = 0.35;
 
 /// A call without an answer is carried out at most this much later.
 constexpr core::Millis kMaxCallDelay{12'000};
@@ -401,11 +402,12 @@
          now < found->second + kShortageMemory;
 }
 
-/// Returns how many machines of a wave may be down at a time. While tasks wait
-/// for hosts, as in a surge, no more than are needed to end the wave in time,
-/// because each machine that is down is a host less for them.
-std::size_t MaxDown(const State& state, const Wave& wave, std::size_t left,
-                    core::MonotonicTime now) {
+/// Returns how many standby machines of a wave may be down at a time. While
+/// tasks wait for hosts, as in a surge, no more than are needed to end the wave
+/// in time: each standby machine that is down is a host less for them, and
+/// those of a standby pool can be taken down at once when the surge is over.
+std::size_t MaxStandbyDown(const State& state, const Wave& wave,
+                           std::size_t left, core::MonotonicTime now) {
   const std::size_t cap = wave.request.max_down;
   const bool is_short =
       std::any_of(state.last_shortage.begin(), state.last_shortage.end(),
@@ -425,6 +427,8 @@
 void AdvanceWave(State& state, Wave& wave, UpkeepPass& pass,
                  const PoolViews& views, core::MonotonicTime now) {
   std::size_t down = 0;
+  std::size_t standby_down = 0;
+  std::size_t standby_left = 0;
   std::vector<Candidate> waiting;
   WaveBacklog& backlog = wave.backlog;
   backlog = {};
@@ -436,11 +440,13 @@
     Machine& machine = found->second;
     if (IsDown(machine)) {
       ++down;
+      standby_down += IsStandby(state, machine.listing.pool) ? 1U : 0U;
       backlog.ordered += wave.begun.contains(id) ? 0U : 1U;
     } else if (!wave.begun.contains(id) && MayOrder(state, id, now) &&
                now >= machine.upkeep_allowed_from &&
                machine.listing.state == MachineState::kUp) {
       Host* host = HostOf(state, machine);
+      standby_left += host == nullptr ? 1U : 0U;
       // Hosts that were chosen in an earlier pass stay chosen.
       const bool chosen =
           host != nullptr && pass.reserved_before.contains(host->listing.id);
@@ -456,8 +462,10 @@
   std::sort(
       waiting.begin(), waiting.end(),
       [](const Candidate& a, const Candidate& b) { return a.key < b.key; });
-  const std::size_t max_down = MaxDown(state, wave, waiting.size() + down, now);
-  const std::size_t headroom = max_down > down ? max_down - down : 0;
+  const std::size_t headroom =
+      wave.request.max_down > down ? wave.request.max_down - down : 0;
+  const std::size_t max_standby_down =
+      MaxStandbyDown(state, wave, standby_left + standby_down, now);
   std::size_t ordered = 0;
   std::size_t chosen = 0;
   for (const auto& [key, machine, host] : waiting) {
@@ -465,6 +473,10 @@
       ++backlog.queued;
       continue;
     }
+    if (host == nullptr && standby_down >= max_standby_down) {
+      ++backlog.queued;
+      continue;
+    }
     if (host != nullptr) {
       const Reservation reservation =
           TryReserve(state, *host, pass, views, now);
@@ -490,6 +502,7 @@
       continue;
     }
     ++ordered;
+    standby_down += host == nullptr ? 1U : 0U;
     ++backlog.ordered;
     OrderUpkeep(state, *machine, wave.request.id, now);
   }
