--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -1,6 +1,7 @@
 #include "camphormux/coordinator/holder.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -401,6 +402,9 @@
            {"open_jobs", std::to_string(state_.jobs.size())},
            {"catalog", std::to_string(state_.catalog.version.value)},
            {"reason", std::string(scheduler::Describe(result.reason))},
+           {"work_ahead_core_seconds",
+            std::to_string(std::llround(result.work_ahead))},
+           {"expected_wait_ms", std::to_string(result.expected_wait.count())},
            {"retry_after_ms", std::to_string(result.retry_after.count())}});
       done({SubmitOutcome::kRefused, result.retry_after, result.reason});
       return;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphormux/scheduler/admission.hpp"
 #include "camphormux/scheduler/arrivals.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/runs.hpp"
 #include "camphormux/scheduler/shares.hpp"
-#include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
 namespace internal {
@@ -182,9 +182,11 @@
     return {Admission::kRefused, internal::kAboveCapRetryAfter,
             RefusalReason::kAboveCap};
   }
-  if (const auto wait = RefusalRetryAfter(state, job, now)) {
+  const Verdict verdict = DecideAdmission(state, job, now);
+  if (!verdict.is_accepted) {
     ++state.counters.refused;
-    return {Admission::kRefused, *wait, RefusalReason::kNoTimeLeft};
+    return {Admission::kRefused, verdict.retry_after, verdict.reason,
+            verdict.work_ahead, verdict.expected_wait};
   }
   const core::JobId id = job.spec.id;
   RecordArrival(state, job, now);
--- a/src/camphormux/scheduler/jobs.hpp
+++ b/src/camphormux/scheduler/jobs.hpp
@@ -35,6 +35,8 @@
   Admission admission = Admission::kRefused;
   core::Millis retry_after{0};  ///< Set if refused.
   RefusalReason reason = RefusalReason::kNone;
+  double work_ahead = 0;          ///< Core seconds ahead of a refused job.
+  core::Millis expected_wait{0};  ///< Of a refused job, until its first start.
 };
 
 /// @brief Handles a submission. Submissions with the same id are the same job.
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -1,8 +1,10 @@
 #include "camphormux/scheduler/plan.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "camphormux/scheduler/admission.hpp"
 #include "camphormux/scheduler/balance.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
@@ -57,6 +59,17 @@
   return ranked;
 }
 
+/// Returns whether work of a pool will end and make room, so that overdue jobs
+/// can wait without another host.
+bool WillHaveRoom(const State& state, const PoolView& view) {
+  return std::any_of(
+      view.usable.begin(), view.usable.end(), [&](const Host* host) {
+        return std::any_of(
+            host->runs.begin(), host->runs.end(),
+            [&](RunId run) { return !state.runs.at(run).permanent; });
+      });
+}
+
 void RemoveEndedJobs(State& state) {
   for (const core::JobId& id : state.ended) {
     const auto found = state.jobs.find(id);
@@ -83,13 +96,36 @@
   }
   PoolViews views = internal::MakeViews(state, now);
   state.waiting.clear();
+  std::set<const Job*> beyond_share;
   MeasureOpenCopies(state, now);
   for (auto& [pool, jobs] : internal::RankJobs(state, views, now)) {
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
+    // Overdue jobs come last: they take only room that no job wants whose
+    // result can still have value.
+    std::stable_partition(jobs.begin(), jobs.end(),
+                          [](const RankedJob& ranked) {
+                            return ranked.rank.urgency != Urgency::kOverdue;
+                          });
+    Candidates no_hosts;
+    core::MilliCores in_time;
+    core::MilliCores overdue;
     for (const auto& [rank, job] : jobs) {
-      const Unplaced unplaced = PlaceJob(state, *job, candidates, now, wall);
+      if (rank.beyond_share) {
+        beyond_share.insert(job);
+      }
+      const bool is_overdue = rank.urgency == Urgency::kOverdue;
+      const Unplaced unplaced = PlaceJob(
+          state, *job, is_overdue && in_time.value > 0 ? no_hosts : candidates,
+          now, wall);
+      if (is_overdue && internal::WillHaveRoom(state, view)) {
+        overdue += unplaced.cores;
+        continue;
+      }
+      if (rank.urgency != Urgency::kPermanent && !is_overdue) {
+        in_time += unplaced.cores;
+      }
       view.unplaced += unplaced.cores;
       view.hosts_to_spread =
           std::max(view.hosts_to_spread, unplaced.hosts_to_spread);
@@ -98,7 +134,8 @@
       }
     }
     state.waiting[pool] = view.unplaced;
-    if (view.unplaced.value > 0) {
+    state.waiting[pool] += overdue;
+    if (state.waiting[pool].value > 0) {
       state.last_pending[pool] = now;
       continue;
     }
@@ -109,6 +146,7 @@
   EvacuateLeaving(state, views, now);
   PlanUpkeep(state, views, now);
   PlanMoves(state, views, now);
+  MeasureBacklogs(state, beyond_share, now);
   internal::RemoveEndedJobs(state);
 }
 
--- a/src/camphormux/scheduler/plan.hpp
+++ b/src/camphormux/scheduler/plan.hpp
@@ -11,7 +11,9 @@
 /// @brief State of a pool in one planning pass.
 struct PoolView {
   std::vector<Host*> usable;
-  core::MilliCores unplaced;  ///< Cores of ready tasks that were not placed.
+  /// Cores of ready tasks that were not placed. Those of overdue jobs count
+  /// only if nothing will end on the pool's hosts that makes room for them.
+  core::MilliCores unplaced;
   /// Of these, cores of jobs past their objective.
   core::MilliCores unplaced_late;
   /// Additional hosts for the job that needs most of them because of a limit of
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "camphormux/scheduler/backlog.hpp"
 #include "camphormux/scheduler/events.hpp"
 
 namespace camphormux::scheduler {
@@ -403,6 +404,7 @@
   std::set<core::PoolName> pools_without_room_for_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
   std::map<core::PoolName, ArrivalRate> arrival_rates;
+  Backlogs backlogs;  ///< As of the last planning pass.
   /// Cores of ready tasks that were not placed in the last planning pass.
   std::map<core::PoolName, core::MilliCores> waiting;
   /// What each client account has running, at any stage, and what copies of
