Refuse jobs by the order in which work is placed: expiring and hopeless work

The wait of a new job also counts work of larger jobs that becomes expiring meanwhile, as that is placed first then, and leaves out what will be overdue. A job several times smaller than accepted ones may take their place once it is expiring itself.

--- a/src/camphormux/scheduler/admission.cpp
+++ b/src/camphormux/scheduler/admission.cpp
@@ -33,6 +33,9 @@
 /// Backlogs are measured again if the last planning pass was longer ago.
 constexpr core::Millis kMaxAge{1'000};
 constexpr core::Millis kStopDuration{100};
+/// A job may take the place of accepted ones that are this much larger: their
+/// room serves more callers so.
+constexpr double kDisplacedSize = 4.0;
 
 double CoresOf(core::MilliCores cores) {
   return static_cast<double>(cores.value) / kMilliCoresPerCore;
@@ -97,12 +100,20 @@
 
 /// Work of a pool as seen from a rank.
 struct SplitWork {
-  double before = 0;  ///< Placed first.
-  /// Placed later, by the slot in which it becomes expiring.
-  std::array<double, PoolBacklog::kSlots> behind{};
+  /// Placed first, by the slot in which it becomes expiring.
+  std::array<double, PoolBacklog::kSlots> before{};
+  std::array<double, PoolBacklog::kSlots> behind{};  ///< Placed later.
 };
 
-SplitWork SplitByRank(const PoolBacklog& backlog, const Rank& rank) {
+std::size_t SlotOfExpiry(const BacklogEntry& entry,
+                         core::MonotonicTime measured) {
+  return static_cast<std::size_t>(std::clamp<std::int64_t>(
+      (entry.expiring_at - measured) / PoolBacklog::kSlot, 0,
+      static_cast<std::int64_t>(PoolBacklog::kSlots) - 1));
+}
+
+SplitWork SplitByRank(const PoolBacklog& backlog, const Rank& rank,
+                      core::MonotonicTime measured) {
   SplitWork split;
   for (std::size_t slot = 0; slot < PoolBacklog::kSlots; ++slot) {
     const std::vector<BacklogEntry>& entries = backlog.waiting[slot];
@@ -114,15 +125,66 @@
         [&](const BacklogEntry& entry) { return entry.rank <= rank; });
     const double before =
         first_behind == entries.begin() ? 0.0 : std::prev(first_behind)->total;
-    split.before += before;
+    split.before[slot] += before;
     split.behind[slot] = entries.back().total - before;
   }
   for (const BacklogEntry& entry : backlog.accepted) {
-    split.before += entry.rank <= rank ? entry.core_seconds : 0.0;
+    if (entry.rank <= rank) {
+      split.before[SlotOfExpiry(entry, measured)] += entry.core_seconds;
+    }
   }
   return split;
 }
 
+/// Sums the work of jobs that a job must not displace once it is expiring.
+double WorkOfSimilarSize(const PoolBacklog& backlog, Rank rank) {
+  rank.core_seconds *= kDisplacedSize;
+  double work = 0;
+  for (const Urgency urgency :
+       {Urgency::kExpiring, Urgency::kOnTime, Urgency::kLate}) {
+    rank.urgency = urgency;
+    const Rank first{rank.beyond_share, urgency, 0, false, 0, {}};
+    const auto is_ahead = [&](const BacklogEntry& entry) {
+      return first <= entry.rank && entry.rank <= rank;
+    };
+    for (const std::vector<BacklogEntry>& entries : backlog.waiting) {
+      const auto begin = std::partition_point(
+          entries.begin(), entries.end(),
+          [&](const BacklogEntry& entry) { return entry.rank < first; });
+      const auto end = std::partition_point(begin, entries.end(), is_ahead);
+      if (begin != end) {
+        work += std::prev(end)->total - begin->total + begin->core_seconds;
+      }
+    }
+    for (const BacklogEntry& entry : backlog.accepted) {
+      work += is_ahead(entry) ? entry.core_seconds : 0.0;
+    }
+  }
+  return work;
+}
+
+/// Sums the work that is placed before a job which starts in a slot.
+double WorkUntil(const SplitWork& split, std::size_t last) {
+  double work = 0;
+  for (std::size_t slot = 0; slot < PoolBacklog::kSlots; ++slot) {
+    work += split.before[slot] + (slot <= last ? split.behind[slot] : 0.0);
+  }
+  return work;
+}
+
+/// As WorkUntil, without work that cannot start before it is overdue.
+double PossibleWork(const SplitWork& split,
+                    const std::array<double, PoolBacklog::kSlots>& limits,
+                    std::size_t last) {
+  double work = 0;
+  for (std::size_t slot = 0; slot < PoolBacklog::kSlots; ++slot) {
+    const double added =
+        split.before[slot] + (slot <= last ? split.behind[slot] : 0.0);
+    work = std::min(work + added, std::max(work, limits[slot]));
+  }
+  return work;
+}
+
 /// Sums the work of refused jobs that are placed before a job when they return.
 /// @param until Only jobs that are to return by this time count.
 double RefusedAhead(const Backlogs& backlogs, const core::JobId& id,
@@ -287,10 +349,7 @@
 
 void AddWaiting(PoolBacklog& backlog, const BacklogEntry& entry,
                 core::MonotonicTime measured) {
-  const auto slot = std::clamp<std::int64_t>(
-      (entry.expiring_at - measured) / PoolBacklog::kSlot, 0,
-      static_cast<std::int64_t>(PoolBacklog::kSlots) - 1);
-  backlog.waiting[static_cast<std::size_t>(slot)].push_back(entry);
+  backlog.waiting[internal::SlotOfExpiry(entry, measured)].push_back(entry);
 }
 
 void SortWaiting(PoolBacklog& backlog) {
@@ -329,31 +388,59 @@
                work;
   };
   const internal::SplitWork split =
-      internal::SplitByRank(backlog, candidate.rank);
+      internal::SplitByRank(backlog, candidate.rank,
+                            backlogs.measured.value_or(core::MonotonicTime{}));
+  // What can start by the end of each slot before it is overdue.
+  std::array<double, PoolBacklog::kSlots> limits{};
+  for (std::size_t slot = 0; slot < PoolBacklog::kSlots; ++slot) {
+    const core::Millis last_start =
+        PoolBacklog::kSlot * static_cast<std::int64_t>(slot + 1) +
+        kExpiringMargin;
+    limits[slot] = internal::CoreSecondsUntil(backlog.room, last_start) +
+                   internal::CoreSecondsUntil(movable, last_start);
+  }
+  const auto search = [&](core::Millis start, core::Millis end, double work) {
+    while (start < end) {
+      const core::Millis middle = start + (end - start) / 2;
+      if (has_room(middle, work)) {
+        end = middle;
+      } else {
+        start = middle + core::Millis(1);
+      }
+    }
+    return end;
+  };
   Wait wait;
-  wait.work_ahead = reserved + split.before;
   core::Millis start{0};
   core::Millis end = internal::kMaxWait;
   for (std::size_t slot = 0; slot < PoolBacklog::kSlots; ++slot) {
     const core::Millis slot_end =
         PoolBacklog::kSlot * static_cast<std::int64_t>(slot + 1);
     // What becomes expiring in a slot is placed first from its beginning.
-    wait.work_ahead += split.behind[slot];
+    const double total = internal::WorkUntil(split, slot);
+    const double possible = internal::PossibleWork(split, limits, slot);
+    // Room of work that will be overdue is left to one job, not to all.
+    wait.work_ahead = reserved + possible +
+                      std::min(total - possible, candidate.core_seconds);
     if (has_room(slot_end, wait.work_ahead)) {
       end = slot_end;
       break;
     }
     start = slot_end;
   }
-  while (start < end) {
-    const core::Millis middle = start + (end - start) / 2;
-    if (has_room(middle, wait.work_ahead)) {
-      end = middle;
-    } else {
-      start = middle + core::Millis(1);
+  wait.start = search(start, end, wait.work_ahead);
+  // Once it is expiring itself, it goes before larger jobs.
+  const core::Millis expiring = std::max(
+      core::Millis(0), candidate.expiring_at -
+                           backlogs.measured.value_or(candidate.expiring_at));
+  if (wait.start > expiring && !candidate.rank.beyond_share) {
+    const double work =
+        reserved + internal::WorkOfSimilarSize(backlog, candidate.rank);
+    const core::Millis own = search(expiring, internal::kMaxWait, work);
+    if (own < wait.start) {
+      wait = {work, own};
     }
   }
-  wait.start = end;
   return wait;
 }
 
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -1,14 +1,6 @@
 #include "camphormux/scheduler/urgency.hpp"
 
 namespace camphormux::scheduler {
-namespace internal {
-
-/// A late job is placed before others when less than this is left beyond its
-/// estimated run time, which is often wrong by half.
-constexpr core::Millis kExpiringMargin{1500};
-
-}  // namespace internal
-
 Urgency UrgencyOf(const Job& job, core::MonotonicTime now) {
   if (job.permanent || job.spec.occurrences > 0) {
     return Urgency::kPermanent;
@@ -22,13 +14,12 @@
   if (end > last) {
     return Urgency::kOverdue;
   }
-  return end + internal::kExpiringMargin > last ? Urgency::kExpiring
-                                                : Urgency::kLate;
+  return end + kExpiringMargin > last ? Urgency::kExpiring : Urgency::kLate;
 }
 
 core::MonotonicTime ExpiringAt(const Job& job) {
   return job.submitted + job.policy.objective * kLateFactor -
-         job.remaining_path - internal::kExpiringMargin;
+         job.remaining_path - kExpiringMargin;
 }
 
 Rank RankOf(const Job& job, core::MonotonicTime now) {
--- a/src/camphormux/scheduler/urgency.hpp
+++ b/src/camphormux/scheduler/urgency.hpp
@@ -8,6 +8,9 @@
 
 /// A job's result has partial value up to this multiple of its objective.
 inline constexpr int kLateFactor = 3;
+/// A late job is placed before others when less than this is left beyond its
+/// estimated run time, which is often wrong by half.
+inline constexpr core::Millis kExpiringMargin{1500};
 
 /// @brief Returns what a job can still achieve if its remaining steps start
 /// now.
--- a/test/scheduler/surge_test.cpp
+++ b/test/scheduler/surge_test.cpp
@@ -95,6 +95,42 @@
   EXPECT_LE(served.unserved, (served.on_time + served.late) / 5);
 }
 
+// Guards against small jobs that are refused, and callers that are sent away
+// for ever, in a surge on a full fleet: callers return when they are told to.
+TEST(SurgeTest, CallersThatReturnAreServedAfterASurge) {
+  constexpr core::Millis kGap{40};
+  Fleet fleet;
+  fleet.AddQueue("q", "busy");
+  fleet.AddHosts("busy", 2);
+  std::multimap<core::MonotonicTime, workload::JobSpec> calls;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    calls.emplace(fleet.now + kGap * static_cast<std::int64_t>(i),
+                  i % 5 == 0 ? MakeJob(i + 1, "q", 1, 2, core::Millis(300))
+                             : MakeJob(i + 1, "q", 6, 8, core::Millis(640)));
+  }
+  int small_refused = 0;
+  std::map<core::JobId, int> refusals;
+  for (int step = 0; step < 6000 && !calls.empty(); ++step) {
+    while (!calls.empty() && calls.begin()->first <= fleet.now) {
+      const workload::JobSpec job = calls.begin()->second;
+      calls.erase(calls.begin());
+      const AdmissionResult result = fleet.Submit(job);
+      if (result.admission == Admission::kRefused) {
+        ++refusals[job.id];
+        small_refused += job.steps.front().count == 1 ? 1 : 0;
+        calls.emplace(fleet.now + result.retry_after, job);
+      }
+    }
+    fleet.Advance(core::Millis(10));
+  }
+  EXPECT_EQ(small_refused, 0);
+  EXPECT_TRUE(calls.empty());
+  EXPECT_GT(refusals.size(), 20U);
+  for (const auto& [id, count] : refusals) {
+    EXPECT_LE(count, 4) << id.value;
+  }
+}
+
 /// Two queues that surge alternately: the load of each rises for 4.5 s to twice
 /// its pool's capacity and falls again, while the other is almost idle.
 class AlternatingSurges {
