--- a/src/camphormux/scheduler/admission.cpp
+++ b/src/camphormux/scheduler/admission.cpp
@@ -322,18 +322,17 @@
 }  // namespace internal
 
 void AddCores(Room& room, core::Millis after, double cores) {
-  // The slot in which they become free counts in proportion.
   const std::size_t slot = internal::SlotOf(after);
-  const double part =
-      1.0 -
-      std::clamp(internal::Seconds(
-                     after - Room::kSlot * static_cast<std::int64_t>(slot)) /
-                     internal::Seconds(Room::kSlot),
-                 0.0, 1.0);
-  room.cores[slot] += cores * part;
-  if (slot + 1 < Room::kSlots) {
-    room.cores[slot + 1] += cores * (1.0 - part);
+  if (slot + 1 == Room::kSlots) {
+    room.cores[slot] += cores;
+    return;
   }
+  // The slot in which they become free counts in proportion.
+  const core::Millis slot_start = Room::kSlot * static_cast<std::int64_t>(slot);
+  const double part = 1.0 - internal::Seconds(after - slot_start) /
+                                internal::Seconds(Room::kSlot);
+  room.cores[slot] += cores * part;
+  room.cores[slot + 1] += cores * (1.0 - part);
 }
 
 void SumRoom(Room& room) {
