--- a/src/camphormux/scheduler/admission.cpp
+++ b/src/camphormux/scheduler/admission.cpp
@@ -37,7 +37,7 @@
 /// room serves more callers so.
 constexpr double kDisplacedSize = 4.0;
 
-double CoresOf(core::MilliCores cores) {
+double ToCores(core::MilliCores cores) {
   return static_cast<double>(cores.value) / kMilliCoresPerCore;
 }
 
@@ -226,13 +226,31 @@
                      });
 }
 
+/// Returns the core seconds of a job's tasks that are neither done nor have a
+/// run, also of steps that are not ready.
+double OpenWork(const Job& job) {
+  double work = 0;
+  std::size_t first = 0;
+  for (const workload::Step& step : job.spec.steps) {
+    const auto begin = job.tasks.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto open =
+        std::count_if(begin, begin + step.count, [](const Task& task) {
+          return !task.progress.done && task.runs.empty();
+        });
+    work += static_cast<double>(open) * ToCores(step.size.cores) *
+            Seconds(step.estimate);
+    first += step.count;
+  }
+  return work;
+}
+
 void MeasureWaiting(State& state, const std::set<const Job*>& beyond_share,
                     core::MonotonicTime now) {
   for (const auto& [id, job] : state.jobs) {
     if (!IsRanked(job) || job.rejected) {
       continue;
     }
-    const double work = WaitingWork(job);
+    const double work = OpenWork(job);
     if (work <= 0 || IsAtCap(state, job)) {
       continue;
     }
@@ -268,17 +286,17 @@
     }
     Room& room = state.backlogs.pools[host.listing.pool].room;
     Spare& spare = spares[host.listing.pool];
-    const double capacity = CoresOf(host.listing.capacity.cores);
+    const double capacity = ToCores(host.listing.capacity.cores);
     spare.capacity += capacity;
-    spare.reserved += CoresOf(host.committed.cores);
+    spare.reserved += ToCores(host.committed.cores);
     AddCores(room, core::Millis(0),
-             std::max(0.0, capacity - CoresOf(host.committed.cores)));
+             std::max(0.0, capacity - ToCores(host.committed.cores)));
     for (const RunId run_id : host.runs) {
       const Run& run = state.runs.at(run_id);
       if (run.permanent) {
-        spare.permanent += CoresOf(run.reserved.cores);
+        spare.permanent += ToCores(run.reserved.cores);
       } else {
-        AddCores(room, RemainingTime(run, now), CoresOf(run.reserved.cores));
+        AddCores(room, RemainingTime(run, now), ToCores(run.reserved.cores));
       }
     }
     if (!machine_hosts.contains(id)) {
@@ -289,7 +307,7 @@
   double machines = 0;
   double machine_cores = 0;
   for (const auto& [id, machine] : state.machines) {
-    const double cores = CoresOf(machine.listing.capacity.cores);
+    const double cores = ToCores(machine.listing.capacity.cores);
     ++machines;
     machine_cores += cores;
     if (!machine.target.value.empty()) {
@@ -513,7 +531,7 @@
   for (const workload::Step& step : job.spec.steps) {
     if (step.after.empty()) {
       const double cores =
-          step.best_effort ? 0.0 : internal::CoresOf(step.size.cores);
+          step.best_effort ? 0.0 : internal::ToCores(step.size.cores);
       candidate.task_cores = std::max(candidate.task_cores,
                                       step.gang ? cores * step.count : cores);
     }
@@ -559,7 +577,8 @@
   if (!backlogs.measured || now >= *backlogs.measured + internal::kMaxAge) {
     MeasureBacklogs(state, {}, now);
   }
-  const Candidate candidate = CandidateOf(job, now);
+  Candidate candidate = CandidateOf(job, now);
+  candidate.rank.beyond_share = IsBeyondShare(state, job, now);
   const Verdict verdict = Decide(backlogs, job.spec.id, candidate, now);
   if (verdict.is_accepted) {
     RecordAccepted(backlogs, job.spec.id, candidate);
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -41,6 +41,7 @@
     run.is_sent = true;
     run.has_open_copy = true;
     run.last_open_copy = now;
+    RecordServed(state, job, run, now);
   }
 }
 
@@ -179,17 +180,20 @@
   }
   if (ExceedsCap(state, job.spec)) {
     ++state.counters.refused;
+    RecordRefusal(state, job.spec.account, RefusalReason::kAboveCap);
     return {Admission::kRefused, internal::kAboveCapRetryAfter,
             RefusalReason::kAboveCap};
   }
   const Verdict verdict = DecideAdmission(state, job, now);
   if (!verdict.is_accepted) {
     ++state.counters.refused;
+    RecordRefusal(state, job.spec.account, verdict.reason);
     return {Admission::kRefused, verdict.retry_after, verdict.reason,
             verdict.work_ahead, verdict.expected_wait};
   }
   const core::JobId id = job.spec.id;
   RecordArrival(state, job, now);
+  RecordWaiting(state, job);
   state.jobs.emplace(id, std::move(job));
   ++state.counters.accepted;
   return {Admission::kStoring};
@@ -329,7 +333,8 @@
   internal::CountOpenTasks(job);
   Job& loaded = state.jobs.insert_or_assign(id, std::move(job)).first->second;
   for (std::uint32_t i = 0; i < loaded.tasks.size(); ++i) {
-    if (!loaded.tasks[i].progress.done) {
+    // A run of a task that is done counts against the cap until it has ended.
+    if (!loaded.tasks[i].progress.done || !loaded.spec.account.value.empty()) {
       internal::LoadRuns(state, loaded, i, now);
     }
     loaded.tasks[i].progress.runs.clear();
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -34,7 +34,9 @@
 
 /// Returns the jobs of each pool in the order in which they are placed.
 std::map<core::PoolName, std::vector<RankedJob>> RankJobs(
-    State& state, const PoolViews& views, core::MonotonicTime now) {
+    State& state, const PoolViews& views,
+    const std::map<core::PoolName, core::MilliCores>& waiting_before,
+    core::MonotonicTime now) {
   std::map<core::PoolName, std::vector<RankedJob>> ranked;
   for (auto& [id, job] : state.jobs) {
     if (job.saved && HasPolicy(job) && !workload::IsFinal(job.state)) {
@@ -47,14 +49,19 @@
                 return a.rank != b.rank ? a.rank < b.rank
                                         : a.job->spec.id < b.job->spec.id;
               });
-    core::MilliCores capacity;
+    core::MilliCores free;
     const auto view = views.find(pool);
-    if (view != views.end()) {
+    const auto before = waiting_before.find(pool);
+    const bool has_waited =
+        before != waiting_before.end() && before->second.value > 0;
+    // Cores that stay free beside waiting tasks are of no use to them, or are
+    // held for some of them.
+    if (view != views.end() && !has_waited) {
       for (const Host* host : view->second.usable) {
-        capacity += host->listing.capacity.cores;
+        free += FreeResources(*host).cores;
       }
     }
-    ApplyShares(state, pool, capacity, now, jobs);
+    ApplyShares(state, pool, free, now, jobs);
   }
   return ranked;
 }
@@ -95,10 +102,12 @@
     CheckRuns(state, now);
   }
   PoolViews views = internal::MakeViews(state, now);
-  state.waiting.clear();
+  const auto waiting_before = std::exchange(state.waiting, {});
+  state.shares.clear();
   std::set<const Job*> beyond_share;
   MeasureOpenCopies(state, now);
-  for (auto& [pool, jobs] : internal::RankJobs(state, views, now)) {
+  for (auto& [pool, jobs] :
+       internal::RankJobs(state, views, waiting_before, now)) {
     PoolView& view = views[pool];
     Candidates candidates{view.usable, {}};
     UpdateMaxFree(candidates);
@@ -108,17 +117,25 @@
                           [](const RankedJob& ranked) {
                             return ranked.rank.urgency != Urgency::kOverdue;
                           });
+    std::vector<const Job*> waiting;
+    bool are_hosts_held = false;
     Candidates no_hosts;
     core::MilliCores in_time;
     core::MilliCores overdue;
     for (const auto& [rank, job] : jobs) {
       if (rank.beyond_share) {
         beyond_share.insert(job);
+        if (!std::exchange(are_hosts_held, true)) {
+          HoldHosts(state, waiting, candidates, wall);
+        }
       }
       const bool is_overdue = rank.urgency == Urgency::kOverdue;
       const Unplaced unplaced = PlaceJob(
           state, *job, is_overdue && in_time.value > 0 ? no_hosts : candidates,
           now, wall);
+      if (unplaced.cores.value > 0) {
+        waiting.push_back(job);
+      }
       if (is_overdue && internal::WillHaveRoom(state, view)) {
         overdue += unplaced.cores;
         continue;
