--- a/src/camphormux/scheduler/admission.cpp
+++ b/src/camphormux/scheduler/admission.cpp
@@ -81,9 +81,9 @@
 
 const PoolBacklog& BacklogOf(const Backlogs& backlogs,
                              const core::PoolName& pool) {
-  static const PoolBacklog kEmpty;
+  static const PoolBacklog empty;
   const auto found = backlogs.pools.find(pool);
-  return found == backlogs.pools.end() ? kEmpty : found->second;
+  return found == backlogs.pools.end() ? empty : found->second;
 }
 
 MovableRoom MovableRoomOf(const Backlogs& backlogs, const PoolBacklog& backlog,
