--- a/src/camphormux/workload/model.hpp
+++ b/src/camphormux/workload/model.hpp
@@ -134,6 +134,8 @@
   std::vector<Queue> queues;
   std::map<core::PoolName, PoolPolicy> pools;
   std::int64_t max_body_bytes = 0;
+  /// Longest head of a request; 0: not set.
+  std::int64_t max_header_bytes = 0;
   /// Requests need an API key of an account, except on public queues.
   bool needs_keys = false;
   std::map<AccountName, Account> accounts;
