Use learned run times for the order of jobs only, not for arriving work

Cause: arrivals were computed from a job's estimates instead of its stored work, which ArrivalsTest sets (2 tests failed). Change: a job's work is that of its estimates, as before; its rank takes the expected run times.

--- a/src/camphormux/scheduler/arrivals.cpp
+++ b/src/camphormux/scheduler/arrivals.cpp
@@ -37,8 +37,7 @@
   }
   ArrivalRate arrival_rate =
       internal::ArrivalRateAt(state, job.policy.pool, now);
-  const double work =
-      workload::CoreSeconds(job.spec) * internal::kMillisPerSecond;
+  const double work = job.core_seconds * internal::kMillisPerSecond;
   arrival_rate.fast += work / internal::kFastTimeConstantMillis;
   arrival_rate.slow += work / internal::kSlowTimeConstantMillis;
   state.arrival_rates[job.policy.pool] = arrival_rate;
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -112,7 +112,7 @@
   job.run_times = std::move(run_times);
   job.policy = std::move(policy);
   job.permanent = IsPermanent(job.spec);
-  job.core_seconds = workload::CoreSeconds(job.spec, job.run_times);
+  job.core_seconds = workload::CoreSeconds(job.spec);
   job.tasks.resize(workload::TaskCount(job.spec));
   CountOpenTasks(job);
   return job;
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -44,11 +44,14 @@
 }
 
 Rank RankOf(const Job& job, core::MonotonicTime now) {
+  const double work = job.run_times.empty()
+                          ? job.core_seconds
+                          : workload::CoreSeconds(job.spec, job.run_times);
   return {false,
           UrgencyOf(job, now),
           job.policy.priority,
           job.state == workload::JobState::kQueued,
-          job.core_seconds,
+          work,
           job.submitted};
 }
 
