The backlog of one client account does not refuse the others

Cause: a new job is refused if all unfinished work of its pool would keep the hosts busy until its result has no value, also if that work is the excess of another account, which is placed behind it.

Change: where there are accounts, a job is still accepted while its account's open work is within its weighted share of what the pool can do in that time. The reason of a refusal names the share if the job is beyond it. Without accounts nothing changes.

Test: SharesTest.BacklogOfOneAccountDoesNotRefuseTheOthers.

--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -225,8 +225,11 @@
   }
   if (const auto wait = RefusalRetryAfter(state, job, now)) {
     ++state.counters.refused;
-    RecordRefusal(state, job.spec.account, RefusalReason::kNoTimeLeft);
-    return {Admission::kRefused, *wait, RefusalReason::kNoTimeLeft};
+    const RefusalReason reason = IsBeyondShare(state, job, now)
+                                     ? RefusalReason::kShareInUse
+                                     : RefusalReason::kNoTimeLeft;
+    RecordRefusal(state, job.spec.account, reason);
+    return {Admission::kRefused, *wait, reason};
   }
   const core::JobId id = job.spec.id;
   RecordArrival(state, job, now);
--- a/src/camphormux/scheduler/urgency.cpp
+++ b/src/camphormux/scheduler/urgency.cpp
@@ -1,6 +1,10 @@
 #include "camphormux/scheduler/urgency.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "camphormux/scheduler/shares.hpp"
 
 namespace camphormux::scheduler {
 namespace internal {
@@ -24,6 +28,28 @@
                    static_cast<double>(job.tasks.size());
 }
 
+/// Returns whether the work of a job and what its client account has open in
+/// the pool is within the account's share of what the pool can do in a time.
+/// @param open Open work of each account; that of the job is added.
+/// @param capacity Core seconds.
+bool IsWithinShare(const State& state, const Job& job, PoolShares open,
+                   double capacity) {
+  if (!state.catalog.needs_keys || job.spec.account.value.empty()) {
+    return false;
+  }
+  const workload::AccountName& account = job.spec.account;
+  open.accounts[account].waiting += job.core_seconds;
+  for (auto& [name, share] : open.accounts) {
+    const auto known = state.catalog.accounts.find(name);
+    share.weight = known == state.catalog.accounts.end()
+                       ? workload::Account{}.weight
+                       : known->second.weight;
+  }
+  Divide(open, capacity);
+  const AccountShare& own = open.accounts.at(account);
+  return own.entitled >= own.waiting;
+}
+
 }  // namespace internal
 
 Urgency UrgencyOf(const Job& job, core::MonotonicTime now) {
@@ -59,11 +85,14 @@
     return std::nullopt;
   }
   double backlog = 0;
+  PoolShares open;
   for (const auto& [id, other] : state.jobs) {
     if (other.policy.pool == job.policy.pool && !other.permanent &&
         !workload::IsFinal(other.state) && other.spec.occurrences == 0 &&
         now < other.submitted + other.policy.objective * kLateFactor) {
-      backlog += internal::RemainingWork(other);
+      const double work = internal::RemainingWork(other);
+      backlog += work;
+      open.accounts[other.spec.account].waiting += work;
     }
   }
   double cores = 0;
@@ -90,7 +119,10 @@
       static_cast<std::int64_t>(backlog / cores * internal::kMillisPerSecond));
   const core::Millis useful =
       job.policy.objective * kLateFactor - workload::CriticalPath(job.spec, {});
-  if (wait <= useful) {
+  if (wait <= useful ||
+      internal::IsWithinShare(
+          state, job, std::move(open),
+          cores * std::chrono::duration<double>(useful).count())) {
     return std::nullopt;
   }
   return std::clamp(wait - useful, internal::kMinRetryAfter,
--- a/src/camphormux/scheduler/urgency.hpp
+++ b/src/camphormux/scheduler/urgency.hpp
@@ -45,7 +45,9 @@
 [[nodiscard]] Rank RankOf(const Job& job, core::MonotonicTime now);
 
 /// @brief Decides whether a new job must be refused: the work ahead of it would
-/// keep its pool busy until the job's result has no value.
+/// keep its pool busy until the job's result has no value. The work of other
+/// client accounts is ahead of it only up to their shares, as what exceeds them
+/// is placed last: the backlog of one account does not refuse the others.
 /// @param state The state.
 /// @param job The job; not in the state yet.
 /// @param now The time.
--- a/test/scheduler/shares_test.cpp
+++ b/test/scheduler/shares_test.cpp
@@ -435,6 +435,25 @@
   EXPECT_GT(results.at("hot").served, 0.8 * 256 * 2);
 }
 
+// Guards against callers that are refused for the backlog of another account.
+TEST(SharesTest, BacklogOfOneAccountDoesNotRefuseTheOthers) {
+  AccountFleet fleet(2);
+  const auto submit = [&](const char* account, std::uint64_t number) {
+    return fleet
+        .Submit(account, MakeJob(number, "q", 4, 16, core::Millis(1000)))
+        .admission;
+  };
+  std::uint64_t number = 0;
+  while (submit("hot", ++number) != Admission::kRefused) {
+    ASSERT_LT(number, 1000U);
+  }
+  EXPECT_NE(submit("other", ++number), Admission::kRefused);
+  EXPECT_EQ(submit("hot", ++number), Admission::kRefused);
+  while (submit("other", ++number) != Admission::kRefused) {
+    ASSERT_LT(number, 2000U);
+  }
+}
+
 // Guards against decisions about new jobs that differ from the order of jobs.
 TEST(SharesTest, NewJobsOfTheHotAccountAreBeyondItsShare) {
   AccountFleet fleet(2);
