--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -506,13 +506,14 @@
     const auto tombstone = state_.tombstones.find(id);
     const bool has_tombstone = tombstone != state_.tombstones.end();
     std::optional<bool> known;
-    if (scheduler::IsForeign(state_, id, it->second.caller)) {
-      // A job of another account has taken the id meanwhile.
+    // A job of another account may have taken the id meanwhile.
+    const bool is_foreign =
+        scheduler::IsForeign(state_, id, it->second.caller);
+    if (is_foreign || (has_tombstone && tombstone->second.is_stored &&
+                       !state_.closed.contains(id))) {
       known = false;
     } else if (state_.closed.contains(id)) {
       known = true;
-    } else if (has_tombstone && tombstone->second.is_stored) {
-      known = false;
     } else if (has_tombstone || state_.jobs.contains(id)) {
       ++it;
       continue;
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -422,11 +422,6 @@
   const bool is_repeated =
       run != state_.runs.end() &&
       run->second.phase == scheduler::RunPhase::kUnanswered;
-  if (run != state_.runs.end()) {
-    run->second.unknown_lease_end =
-        now + scheduler::kMaxCallDuration + scheduler::kMaxCallDelay +
-        scheduler::MaxLeaseDuration(state_.settings.longest_lease);
-  }
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
                      target = call.target, deadline_ms = call.lease_end_ms,
                      done = std::move(done)](const StartAnswer& answer) {
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -51,24 +51,6 @@
   }
 }
 
-/// Whether an incarnation of which the lease holder does not know may have
-/// accepted a copy of a run's start that has no answer, and may still run it.
-bool MayRunOnUnknownIncarnation(const Run& run, core::MonotonicTime now) {
-  const bool has_unanswered_start =
-      run.has_open_copy || (run.is_sent && run.phase == RunPhase::kOrdered);
-  return has_unanswered_start && now < run.unknown_lease_end;
-}
-
-/// Removes the runs of a host whose lease has expired.
-void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
-  const std::vector<RunId> runs = host.runs;
-  for (const RunId run : runs) {
-    if (!MayRunOnUnknownIncarnation(state.runs.at(run), now)) {
-      RemoveRun(state, run, EndEvidence::kLeaseExpired);
-    }
-  }
-}
-
 void RemoveRuns(State& state, Host& host, EndEvidence evidence) {
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
@@ -254,9 +236,9 @@
   for (auto& [id, host] : state.hosts) {
     const bool is_gone = !host.listed && now >= host.gone_at;
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
-      internal::RemoveExpiredRuns(state, host, now);
+      internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
       // A host with open copies may be listed again.
-      if (is_gone && host.runs.empty() && host.open_copies.empty()) {
+      if (is_gone && host.open_copies.empty()) {
         gone.push_back(id);
       }
     }
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -98,9 +98,6 @@
   bool was_listed = false;
   /// Fencing token of the last copy of the start order that was sent.
   core::Epoch token;
-  /// A copy of the start without an answer may be carried out by an incarnation
-  /// of the host that is not known yet. Its lease ends at the latest then.
-  core::MonotonicTime unknown_lease_end;
 };
 
 /// @brief A copy of a start without an answer whose run was removed. It may
