--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -507,8 +507,7 @@
     const bool has_tombstone = tombstone != state_.tombstones.end();
     std::optional<bool> known;
     // A job of another account may have taken the id meanwhile.
-    const bool is_foreign =
-        scheduler::IsForeign(state_, id, it->second.caller);
+    const bool is_foreign = scheduler::IsForeign(state_, id, it->second.caller);
     if (is_foreign || (has_tombstone && tombstone->second.is_stored &&
                        !state_.closed.contains(id))) {
       known = false;
--- a/src/camphormux/scheduler/plan.cpp
+++ b/src/camphormux/scheduler/plan.cpp
@@ -119,9 +119,6 @@
       }
     }
     state.waiting[pool] = view.unplaced;
-    if (view.unplaced > view.unplaced_late) {
-      state.last_shortage[pool] = now;
-    }
     if (view.unplaced.value > 0) {
       state.last_pending[pool] = now;
       continue;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -325,9 +325,6 @@
 struct Wave {
   WaveRequest request;
   core::MonotonicTime seen;
-  /// A previous lease holder began the wave, so that `seen` does not tell how
-  /// much time is left.
-  bool is_resumed = false;
   std::set<MachineId> begun;
   WaveBacklog backlog;     ///< As of the last pass.
   bool announced = false;  ///< The state "running" was written to the store.
@@ -445,8 +442,6 @@
   /// host that waits for its upkeep.
   std::set<core::PoolName> pools_without_room_for_upkeep;
   std::map<core::PoolName, core::MonotonicTime> last_pending;
-  /// When tasks of jobs that could still be on time last waited for hosts.
-  std::map<core::PoolName, core::MonotonicTime> last_shortage;
   std::map<core::PoolName, ArrivalRate> arrival_rates;
   /// Cores of ready tasks that were not placed in the last planning pass.
   std::map<core::PoolName, core::MilliCores> waiting;
--- a/src/camphormux/scheduler/upkeep.cpp
+++ b/src/camphormux/scheduler/upkeep.cpp
@@ -1,7 +1,6 @@
 #include "camphormux/scheduler/upkeep.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -43,17 +42,6 @@
 /// plus a margin.
 constexpr core::Millis kMaxClockDifference{4000};
 
-/// A pool is short of hosts for this long after tasks last waited: a surge goes
-/// on while each host that joins is filled at once.
-constexpr core::Millis kShortageMemory{500};
-/// Time that a machine is away for its upkeep, from the order until the list of
-/// machines shows it again.
-constexpr double kUpkeepMillis = 3000;
-/// Part of the time left in which the standby machines of a wave are to have
-/// their upkeep while hosts are short. The rest makes up for outages and for
-/// hosts that cannot be drained.
-constexpr double kPacedPart = 0.35;
-
 /// A call without an answer is carried out at most this much later.
 constexpr core::Millis kMaxCallDelay{12'000};
 
@@ -161,7 +149,7 @@
 
 /// A machine that waits for its upkeep, with its sort key.
 struct Candidate {
-  std::tuple<bool, bool, std::tuple<std::size_t, std::size_t>, MachineId> key;
+  std::tuple<bool, std::tuple<std::size_t, std::size_t>, MachineId> key;
   Machine* machine = nullptr;
   Host* host = nullptr;
 };
@@ -433,40 +421,9 @@
   }
 }
 
-bool IsShortOfHosts(const State& state, const core::PoolName& pool,
-                    core::MonotonicTime now) {
-  const auto found = state.last_shortage.find(pool);
-  return found != state.last_shortage.end() &&
-         now < found->second + kShortageMemory;
-}
-
-/// Returns how many standby machines of a wave may be down at a time. While
-/// tasks wait for hosts, as in a surge, no more than are needed to end the wave
-/// in time: each standby machine that is down is a host less for them, and
-/// those of a standby pool can be taken down at once when the surge is over.
-std::size_t MaxStandbyDown(const State& state, const Wave& wave,
-                           std::size_t left, core::MonotonicTime now) {
-  const std::size_t cap = wave.request.max_down;
-  const bool is_short =
-      std::any_of(state.last_shortage.begin(), state.last_shortage.end(),
-                  [&](const auto& entry) {
-                    return IsShortOfHosts(state, entry.first, now);
-                  });
-  const core::Millis time_left = wave.seen + wave.request.deadline - now;
-  if (!is_short || wave.is_resumed || time_left.count() <= 0) {
-    return cap;
-  }
-  const double needed =
-      std::ceil(static_cast<double>(left) * kUpkeepMillis /
-                (static_cast<double>(time_left.count()) * kPacedPart));
-  return std::min(cap, static_cast<std::size_t>(std::max(1.0, needed)));
-}
-
 void AdvanceWave(State& state, Wave& wave, UpkeepPass& pass,
                  const PoolViews& views, core::MonotonicTime now) {
   std::size_t down = 0;
-  std::size_t standby_down = 0;
-  std::size_t standby_left = 0;
   std::vector<Candidate> waiting;
   WaveBacklog& backlog = wave.backlog;
   backlog = {};
@@ -478,21 +435,16 @@
     Machine& machine = found->second;
     if (IsDown(machine)) {
       ++down;
-      standby_down += IsStandby(state, machine.listing.pool) ? 1U : 0U;
       backlog.ordered += wave.begun.contains(id) ? 0U : 1U;
     } else if (!wave.begun.contains(id) && MayOrder(state, id, now) &&
                now >= machine.upkeep_allowed_from &&
                machine.listing.state == MachineState::kUp) {
       Host* host = HostOf(state, machine);
-      standby_left += host == nullptr ? 1U : 0U;
       // Hosts that were chosen in an earlier pass stay chosen.
       const bool chosen =
           host != nullptr && pass.reserved_before.contains(host->listing.id);
       waiting.push_back(
-          {{!chosen, IsShortOfHosts(state, machine.listing.pool, now),
-            DrainCost(state, host), id},
-           &machine,
-           host});
+          {{!chosen, DrainCost(state, host), id}, &machine, host});
     } else if (!wave.begun.contains(id)) {
       ++backlog.unavailable;
     }
@@ -502,8 +454,6 @@
       [](const Candidate& a, const Candidate& b) { return a.key < b.key; });
   const std::size_t headroom =
       wave.request.max_down > down ? wave.request.max_down - down : 0;
-  const std::size_t max_standby_down =
-      MaxStandbyDown(state, wave, standby_left + standby_down, now);
   std::size_t ordered = 0;
   std::size_t chosen = 0;
   for (const auto& [key, machine, host] : waiting) {
@@ -511,10 +461,6 @@
       ++backlog.queued;
       continue;
     }
-    if (host == nullptr && standby_down >= max_standby_down) {
-      ++backlog.queued;
-      continue;
-    }
     if (host != nullptr) {
       const Reservation reservation =
           TryReserve(state, *host, pass, views, now);
@@ -540,7 +486,6 @@
       continue;
     }
     ++ordered;
-    standby_down += host == nullptr ? 1U : 0U;
     ++backlog.ordered;
     OrderUpkeep(state, *machine, wave.request.id, now);
   }
@@ -620,7 +565,6 @@
   }
   wave.request = std::move(request);
   wave.seen = now;
-  wave.is_resumed = wave.announced;
   if (!wave.complete && !wave.announced) {
     wave.announced = true;
     state.orders.emplace_back(SaveWave{id, false});
