--- a/test/scheduler/shares_test.cpp
+++ b/test/scheduler/shares_test.cpp
@@ -335,6 +335,7 @@
 
 std::vector<Load> TwentyAccounts(double cores_of_each, double hot_cores) {
   std::vector<Load> loads;
+  loads.reserve(20);
   for (int i = 0; i < 19; ++i) {
     loads.push_back({"account-" + std::to_string(i), cores_of_each,
                      static_cast<std::uint32_t>(2 + i % 7), 2 + i % 3,
