--- a/src/camphormux/coordinator/job_frontend.hpp
+++ b/src/camphormux/coordinator/job_frontend.hpp
@@ -39,7 +39,10 @@
   /// @param done Called once.
   void Submit(workload::JobSpec spec, core::MonotonicTime deadline,
               std::function<void(SubmitAnswer)> done);
+  /// @param id The job.
   /// @param caller On whose behalf; a job that it may not access is not known.
+  /// @param deadline Deadline of the caller.
+  /// @param done Called once.
   void State(const core::JobId& id, const workload::Caller& caller,
              core::MonotonicTime deadline,
              std::function<void(StateAnswer)> done);
