Log when a host was last heard, its latest entry and the clock that a start expects

Cause: the logs do not tell the hypotheses of docs/incidents/twice-unknown-incarnation.md apart: no line says when a host that is given up was last heard, how far its clock was in its latest entry, or which clock the answer to a start should show.

Change: entries of hosts that change nothing but the clock reach the holder as heartbeats. `run presumed ended` has the age of the last report and of the last heartbeat, the clock of the latter and the latest deadline that was granted on it; `run ordered` has the earliest clock that the known incarnation can show. No decision uses them.

Measured: FeedTest.OddEntriesDoNotHideTheOtherHosts with the new expectations passes.

--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -372,6 +372,14 @@
   SchedulePlan();
 }
 
+void Holder::OnHeartbeats(
+    const std::vector<scheduler::Heartbeat>& heartbeats) {
+  const core::MonotonicTime now = core::MonotonicNow();
+  for (const scheduler::Heartbeat& heartbeat : heartbeats) {
+    scheduler::OnHeartbeat(state_, heartbeat, now);
+  }
+}
+
 void Holder::OnCatalog(workload::Catalog catalog) {
   scheduler::ApplyCatalog(state_, std::move(catalog), core::WallNow());
   SchedulePlan();
--- a/src/camphormux/coordinator/holder.hpp
+++ b/src/camphormux/coordinator/holder.hpp
@@ -97,6 +97,7 @@
   void OnWave(const scheduler::WaveRequest& wave);
   void OnHosts(const std::vector<scheduler::HostListing>& hosts,
                core::MonotonicTime trusted_from);
+  void OnHeartbeats(const std::vector<scheduler::Heartbeat>& heartbeats);
 
   [[nodiscard]] bool is_ready() const { return loaded_; }
   [[nodiscard]] core::Epoch token() const { return token_; }
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -77,13 +77,22 @@
   if (!link.clock_ms || host.address_taken || lease.count() == 0) {
     return std::nullopt;
   }
-  // The host's clock has advanced by at least this much since it was read.
+  host.lease_end =
+      std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
+  const std::int64_t deadline_ms = *EarliestClock(link, now) + lease.count();
+  host.deadline_ms = std::max(host.deadline_ms, deadline_ms);
+  return deadline_ms;
+}
+
+std::optional<std::int64_t> HostLinks::EarliestClock(const Link& link,
+                                                     core::MonotonicTime now) {
+  if (!link.clock_ms) {
+    return std::nullopt;
+  }
   const auto elapsed = static_cast<std::int64_t>(
       static_cast<double>((now - link.clock_read_at).count()) *
       (1.0 - scheduler::kMaxClockDrift));
-  host.lease_end =
-      std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
-  return *link.clock_ms + elapsed + lease.count();
+  return *link.clock_ms + elapsed;
 }
 
 bool HostLinks::may_acknowledge(const scheduler::Host& host,
@@ -424,6 +433,8 @@
       run->second.phase == scheduler::RunPhase::kUnanswered;
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
                      target = call.target, deadline_ms = call.lease_end_ms,
+                     earliest_clock_ms =
+                         EarliestClock(LinkOf(host->second), now),
                      done = std::move(done)](const StartAnswer& answer) {
     const auto self = weak.lock();
     if (!self || self->closed_) {
@@ -450,6 +461,9 @@
                     {"incarnation", std::to_string(incarnation.value)},
                     {"host_clock_ms",
                      answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
+                    {"earliest_clock_ms",
+                     earliest_clock_ms ? std::to_string(*earliest_clock_ms)
+                                       : ""},
                     {"token", std::to_string(target.token.value)},
                     {"deadline_ms", std::to_string(deadline_ms)},
                     {"repeated", is_repeated ? "yes" : "no"},
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -92,6 +92,10 @@
                                                        const Link& link,
                                                        core::Millis longest,
                                                        core::MonotonicTime now);
+  /// @return Earliest time that the host's clock can show, if the incarnation
+  /// of the link has been read.
+  [[nodiscard]] static std::optional<std::int64_t> EarliestClock(
+      const Link& link, core::MonotonicTime now);
   /// Logs what a renewal carried that may have reached another incarnation, or
   /// may still do so.
   void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -123,6 +123,11 @@
            host_router_->SetHosts(hosts.size());
            holder_->OnHosts(hosts, trusted_from);
          }
+       },
+       [this](const std::vector<scheduler::Heartbeat>& heartbeats) {
+         if (holder_) {
+           holder_->OnHeartbeats(heartbeats);
+         }
        }});
   CheckHolder();
 }
--- a/src/camphormux/coordinator/ports.hpp
+++ b/src/camphormux/coordinator/ports.hpp
@@ -184,6 +184,9 @@
     std::function<void(std::vector<scheduler::HostListing>,
                        core::MonotonicTime trusted_from)>
         on_hosts;
+    /// Entries that hosts have written, also if nothing else has changed.
+    /// Called after `on_hosts`.
+    std::function<void(const std::vector<scheduler::Heartbeat>&)> on_heartbeats;
   };
   std::function<void(Listener)> start;
   /// Starts or stops reading the hosts' entries; only the holder needs them.
--- a/src/camphormux/coordinator/run_log.cpp
+++ b/src/camphormux/coordinator/run_log.cpp
@@ -77,6 +77,12 @@
              : telemetry::LogRateClass::kOrdinary;
 }
 
+/// @return Milliseconds since a time; empty if it never came.
+std::string DescribeAge(core::MonotonicTime time, core::MonotonicTime now) {
+  return time == core::MonotonicTime{} ? ""
+                                       : std::to_string((now - time).count());
+}
+
 std::string JoinIds(const std::vector<core::HostId>& ids) {
   std::string text;
   for (const core::HostId& id : ids) {
@@ -111,7 +117,13 @@
          {"was_listed", end.was_listed ? "yes" : "no"},
          {"open_copy", end.has_open_copy ? "yes" : "no"},
          {"age_ms", std::to_string((now - end.ordered).count())},
-         {"lease_left_ms", std::to_string((end.lease_end - now).count())}});
+         {"lease_left_ms", std::to_string((end.lease_end - now).count())},
+         {"deadline_ms", std::to_string(end.deadline_ms)},
+         {"report_age_ms", internal::DescribeAge(end.last_report, now)},
+         {"heartbeat_age_ms", internal::DescribeAge(end.last_heartbeat, now)},
+         {"heartbeat_clock_ms", end.heartbeat_clock_ms
+                                    ? std::to_string(*end.heartbeat_clock_ms)
+                                    : ""}});
   }
   for (const scheduler::UnexpectedRun& run :
        std::exchange(state.unexpected_runs, {})) {
--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -2,6 +2,7 @@
 #define CAMPHORMUX_SCHEDULER_EVENTS_HPP_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -42,10 +43,20 @@
   core::RackName rack;
   placement::Resources capacity;
   bool draining = false;
+  /// The host's clock when it wrote the entry, if it names it.
+  std::optional<std::int64_t> clock_ms;
 
   friend bool operator==(const HostListing&, const HostListing&) = default;
 };
 
+/// @brief An entry that an incarnation of a host has written to the list, also
+/// if nothing but its clock has changed.
+struct Heartbeat {
+  core::HostId host;
+  core::Incarnation incarnation;
+  std::int64_t clock_ms = 0;  ///< The host's clock when it wrote the entry.
+};
+
 enum class MachineState { kUp, kMoving, kUpkeep, kDown };
 
 /// @brief An entry of the cloud API's list of physical machines.
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -116,6 +116,20 @@
   return changes;
 }
 
+void OnHeartbeat(State& state, const Heartbeat& heartbeat,
+                 core::MonotonicTime now) {
+  const auto found = state.hosts.find(heartbeat.host);
+  if (found == state.hosts.end() ||
+      found->second.listing.incarnation != heartbeat.incarnation) {
+    return;
+  }
+  Host& host = found->second;
+  host.heartbeat_clock_ms =
+      std::max(host.heartbeat_clock_ms.value_or(heartbeat.clock_ms),
+               heartbeat.clock_ms);
+  host.last_heartbeat = now;
+}
+
 Host MakeHost(const State& state, const core::HostId& id) {
   Host host;
   host.listing.id = id;
@@ -222,6 +236,9 @@
   host.needs_token = true;
   host.stops_unknown_runs = false;
   host.ended = {};
+  host.deadline_ms = 0;
+  host.heartbeat_clock_ms.reset();
+  host.last_heartbeat = {};
   host.unresponsive_since.reset();
   host.failed_jobs.clear();
   // The end of a lease is a time on the clock of the incarnation for which it
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -42,6 +42,10 @@
                              core::MonotonicTime now,
                              core::MonotonicTime trusted_from);
 
+/// @brief Records an entry of a host, unless another incarnation wrote it.
+void OnHeartbeat(State& state, const Heartbeat& heartbeat,
+                 core::MonotonicTime now);
+
 /// @return A host that is not known yet, for calls with the present token.
 [[nodiscard]] Host MakeHost(const State& state, const core::HostId& id);
 
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -463,7 +463,9 @@
       state.presumed_ends.push_back(
           {run.name, run.host, host->second.listing.incarnation, *evidence,
            run.phase, run.was_listed, run.has_open_copy, run.ordered,
-           host->second.lease_end});
+           host->second.lease_end, host->second.deadline_ms,
+           host->second.last_report, host->second.heartbeat_clock_ms,
+           host->second.last_heartbeat});
     }
     internal::RememberOpenCopy(host->second, run, evidence);
     host->second.committed -= run.reserved;
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -141,6 +141,11 @@
   bool has_open_copy = false;
   core::MonotonicTime ordered;
   core::MonotonicTime lease_end;
+  /// What is known of the host's incarnation: see `Host`.
+  std::int64_t deadline_ms = 0;
+  core::MonotonicTime last_report;
+  std::optional<std::int64_t> heartbeat_clock_ms;
+  core::MonotonicTime last_heartbeat;
 };
 
 /// @brief A run that a host lists although it was not expected there.
@@ -264,7 +269,13 @@
   EndNumber ended;  ///< Highest sequence number of a processed end.
   /// No run that was ordered so far runs or starts on the host after this time.
   core::MonotonicTime lease_end;
+  /// Latest deadline of a call, on the clock of the present incarnation.
+  std::int64_t deadline_ms = 0;
   core::MonotonicTime last_report;
+  /// Latest clock reading in the entries of the present incarnation, and when
+  /// that entry was read.
+  std::optional<std::int64_t> heartbeat_clock_ms;
+  core::MonotonicTime last_heartbeat;
   std::optional<core::MonotonicTime> unresponsive_since;
   /// Another host answers at its address. It may have ended, or may be alive
   /// and out of reach.
--- a/test/platform/feed_test.cpp
+++ b/test/platform/feed_test.cpp
@@ -35,7 +35,7 @@
   entries["i-3"] = HostEntry(R"(,"address":"10.0.0.1:70000")");
   entries["i-4"] = "\xff\xfe";
   entries["i-5"] = HostEntry(R"(,"born":1e400)");
-  entries["i-6"] = HostEntry("");
+  entries["i-6"] = HostEntry(R"(,"clockMs":5000)");
   http::Client client(loop);
   coordinator::PeerForwarder peer_forwarder(loop, {"127.0.0.1", 1});
   StoreClient store(client, peer_forwarder, {"127.0.0.1", port});
@@ -46,6 +46,11 @@
   listener.on_wave = [](const scheduler::WaveRequest&) {};
   listener.on_hosts = [&](std::vector<scheduler::HostListing> list,
                           core::MonotonicTime) { hosts = std::move(list); };
+  std::vector<scheduler::Heartbeat> heartbeats;
+  listener.on_heartbeats =
+      [&](const std::vector<scheduler::Heartbeat>& entry_clocks) {
+        heartbeats = entry_clocks;
+      };
   feed.start(listener);
   feed.follow_hosts(true);
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
@@ -58,6 +63,10 @@
   ASSERT_EQ(hosts->size(), 2U);
   EXPECT_EQ((*hosts)[0].id.value, "i-0");
   EXPECT_EQ((*hosts)[1].id.value, "i-6");
+  ASSERT_EQ(heartbeats.size(), 1U);
+  EXPECT_EQ(heartbeats[0].host.value, "i-6");
+  EXPECT_EQ(heartbeats[0].incarnation.value, 1700000000123U);
+  EXPECT_EQ(heartbeats[0].clock_ms, 5000);
 }
 
 }  // namespace
