--- a/src/camphormux/coordinator/holder.cpp
+++ b/src/camphormux/coordinator/holder.cpp
@@ -372,8 +372,7 @@
   SchedulePlan();
 }
 
-void Holder::OnHeartbeats(
-    const std::vector<scheduler::Heartbeat>& heartbeats) {
+void Holder::OnHeartbeats(const std::vector<scheduler::Heartbeat>& heartbeats) {
   const core::MonotonicTime now = core::MonotonicNow();
   for (const scheduler::Heartbeat& heartbeat : heartbeats) {
     scheduler::OnHeartbeat(state_, heartbeat, now);
--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -431,10 +431,10 @@
   const bool is_repeated =
       run != state_.runs.end() &&
       run->second.phase == scheduler::RunPhase::kUnanswered;
+  const auto earliest_clock_ms = EarliestClock(LinkOf(host->second), now);
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
                      target = call.target, deadline_ms = call.lease_end_ms,
-                     earliest_clock_ms =
-                         EarliestClock(LinkOf(host->second), now),
+                     earliest_clock_ms,
                      done = std::move(done)](const StartAnswer& answer) {
     const auto self = weak.lock();
     if (!self || self->closed_) {
@@ -453,21 +453,21 @@
     if (answer.clock_ms) {
       self->RecordClock(order.host, incarnation, *answer.clock_ms);
     }
-    telemetry::Log(telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
-                   "run ordered",
-                   {{"task", DescribeTask(order.name)},
-                    {"attempt", std::to_string(order.name.attempt)},
-                    {"host", order.host.value},
-                    {"incarnation", std::to_string(incarnation.value)},
-                    {"host_clock_ms",
-                     answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
-                    {"earliest_clock_ms",
-                     earliest_clock_ms ? std::to_string(*earliest_clock_ms)
-                                       : ""},
-                    {"token", std::to_string(target.token.value)},
-                    {"deadline_ms", std::to_string(deadline_ms)},
-                    {"repeated", is_repeated ? "yes" : "no"},
-                    {"outcome", std::string(Describe(outcome))}});
+    telemetry::Log(
+        telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+        "run ordered",
+        {{"task", DescribeTask(order.name)},
+         {"attempt", std::to_string(order.name.attempt)},
+         {"host", order.host.value},
+         {"incarnation", std::to_string(incarnation.value)},
+         {"host_clock_ms",
+          answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
+         {"earliest_clock_ms",
+          earliest_clock_ms ? std::to_string(*earliest_clock_ms) : ""},
+         {"token", std::to_string(target.token.value)},
+         {"deadline_ms", std::to_string(deadline_ms)},
+         {"repeated", is_repeated ? "yes" : "no"},
+         {"outcome", std::string(Describe(outcome))}});
     if (outcome == scheduler::StartOutcome::kFenced) {
       self->listener_.on_fenced(order.host);
       return;
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -124,9 +124,8 @@
     return;
   }
   Host& host = found->second;
-  host.heartbeat_clock_ms =
-      std::max(host.heartbeat_clock_ms.value_or(heartbeat.clock_ms),
-               heartbeat.clock_ms);
+  host.heartbeat_clock_ms = std::max(
+      host.heartbeat_clock_ms.value_or(heartbeat.clock_ms), heartbeat.clock_ms);
   host.last_heartbeat = now;
 }
 
