--- a/test/coordinator/restartable_hosts.cpp
+++ b/test/coordinator/restartable_hosts.cpp
@@ -100,6 +100,12 @@
   return listings;
 }
 
+scheduler::Heartbeat RestartableHosts::HeartbeatOf(
+    const core::HostId& id) const {
+  const FakeHost& host = hosts_.at(id);
+  return {id, host.incarnation, ClockOf(host)};
+}
+
 std::int64_t RestartableHosts::ClockOf(const FakeHost& host) const {
   return MonotonicMs() + host.clock_offset;
 }
--- a/test/coordinator/restartable_hosts.hpp
+++ b/test/coordinator/restartable_hosts.hpp
@@ -53,6 +53,8 @@
 
   [[nodiscard]] HostPort MakePort();
   [[nodiscard]] std::vector<scheduler::HostListing> Listings() const;
+  /// @return What the host's present incarnation would write to the list.
+  [[nodiscard]] scheduler::Heartbeat HeartbeatOf(const core::HostId& id) const;
   [[nodiscard]] std::size_t held_renewals() const {
     return held_renewals_.size();
   }
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -16,6 +16,7 @@
 /// Time after a takeover for which the leases and calls of a previous holder
 /// are waited for.
 constexpr core::Millis kTakeoverWait{15'500};
+constexpr core::Millis kLongestLease{10'000};
 
 workload::Catalog CatalogWithQueue() {
   workload::Queue queue;
@@ -232,6 +233,77 @@
   EXPECT_FALSE(harness.hosts.HasOverlap());
 }
 
+/// Lets an incarnation that no report or entry has named answer a start, and
+/// cuts its host off.
+/// @return The last list of hosts before the restart, and another host.
+std::vector<scheduler::HostListing> StartOnAnUnknownIncarnation(
+    Harness& harness, const workload::JobSpec& job) {
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.RunFor(kTakeoverWait);
+  const auto earlier = harness.hosts.Listings();
+  harness.hosts.HoldCalls([](const RenewCall&) { return true; }, false);
+  harness.hosts.Restart(harness.id);
+  harness.Submit(job);
+  EXPECT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.RunFor(core::Millis(50));
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Add({"i-2"});
+  auto listings = harness.hosts.Listings();
+  listings[0] = earlier[0];
+  return listings;
+}
+
+// Its answer says neither which incarnation gave it nor that there is another.
+TEST(RestartedHostTest, StartAnsweredByAnUnknownIncarnationLapsesFirst) {
+  Harness harness(kLongRun);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  const auto listings = StartOnAnUnknownIncarnation(harness, job);
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
+// The former incarnation has written its entry before the start was sent.
+TEST(RestartedHostTest, LateEntryOfTheFormerIncarnationDoesNotEndARun) {
+  Harness harness(kLongRun);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  const auto heartbeat = harness.hosts.HeartbeatOf(harness.id);
+  const auto listings = StartOnAnUnknownIncarnation(harness, job);
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  harness.RunFor(core::Millis(3000));
+  harness.holder->OnHeartbeats({heartbeat});
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
+// A host that is cut off from the nodes goes on writing entries.
+TEST(RestartedHostTest, StartOnALiveHostThatIsCutOffIsRepeatedSoon) {
+  Harness harness(kLongRun);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
+  harness.RunFor(kTakeoverWait);
+  harness.hosts.HoldCalls([](const RenewCall&) { return true; }, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Add({"i-2"});
+  harness.List();
+  const core::MonotonicTime cut_off = core::MonotonicNow();
+  core::MonotonicTime next_heartbeat = cut_off;
+  ASSERT_TRUE(harness.RunUntil([&] {
+    if (core::MonotonicNow() >= next_heartbeat) {
+      next_heartbeat = core::MonotonicNow() + core::Millis(1500);
+      harness.holder->OnHeartbeats({harness.hosts.HeartbeatOf(harness.id)});
+    }
+    return !harness.hosts.ExecutionsOf(job.id).empty();
+  }));
+  EXPECT_LT(core::MonotonicNow() - cut_off, kLongestLease);
+}
+
 // The incarnation after the next has seen no token.
 TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
   Harness harness(kLongRun);
