Do not take the answer of another incarnation for one of the known one

Cause: the answer to a start names no incarnation. One that came from an incarnation of which the holder does not know counted as that of the former one: its clock was taken for that of the former one, so that all later deadlines were wrong, and the run counted as accepted where it was not.

A start that is answered on another clock counts as one without an answer, and the clock is not read from it. Log line and counter.

Measured: HostLinksTest.AnswerOfAnotherIncarnationCountsAsNone failed before (3 checks), passes. HostLinksTest, HostRouterTest, HostCallsTest: 37 of 37 passed before the new test was added.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -37,6 +37,8 @@
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
 constexpr std::size_t kMaxCallsPerHost = 3;
+/// Clocks are read in whole milliseconds, at both ends of an interval.
+constexpr core::Millis kClockResolution{2};
 /// A host that reported within this time counts as reachable.
 constexpr core::Millis kReachableWindow{2500};
 
@@ -89,10 +91,27 @@
   if (!link.clock_ms) {
     return std::nullopt;
   }
-  const auto elapsed = static_cast<std::int64_t>(
-      static_cast<double>((now - link.clock_read_at).count()) *
-      (1.0 - scheduler::kMaxClockDrift));
-  return *link.clock_ms + elapsed;
+  const std::int64_t elapsed = (now - link.clock_read_at).count();
+  if (elapsed < 0) {
+    return *link.clock_ms + elapsed;
+  }
+  return *link.clock_ms +
+         static_cast<std::int64_t>(static_cast<double>(elapsed) *
+                                   (1.0 - scheduler::kMaxClockDrift));
+}
+
+bool HostLinks::IsClockOf(const Link& link, std::int64_t clock_ms,
+                          core::MonotonicTime asked, core::MonotonicTime now) {
+  const auto earliest = EarliestClock(link, asked);
+  if (!earliest) {
+    return false;
+  }
+  // The reading may have been as old as a call takes when it arrived.
+  const auto latest = static_cast<std::int64_t>(
+      *link.clock_ms +
+      (now - link.clock_read_at + scheduler::kMaxCallDuration).count());
+  return clock_ms >= *earliest - internal::kClockResolution.count() &&
+         clock_ms <= latest;
 }
 
 bool HostLinks::may_acknowledge(const scheduler::Host& host,
@@ -411,6 +430,34 @@
   });
 }
 
+scheduler::StartOutcome HostLinks::OutcomeOf(const StartAnswer& answer,
+                                             const HostTarget& target,
+                                             core::MonotonicTime asked,
+                                             core::MonotonicTime now) {
+  if (answer.outcome == scheduler::StartOutcome::kFenced &&
+      is_superseded(target)) {
+    return scheduler::StartOutcome::kSuperseded;
+  }
+  const auto link = links_.find(target.host);
+  if (!answer.clock_ms || link == links_.end() ||
+      link->second.incarnation != target.incarnation) {
+    return answer.outcome;
+  }
+  if (IsClockOf(link->second, *answer.clock_ms, asked, now)) {
+    RecordClock(target.host, target.incarnation, *answer.clock_ms);
+    return answer.outcome;
+  }
+  telemetry::Log(telemetry::Level::kWarning,
+                 "answer to a start shows another clock",
+                 {{"host", target.host.value},
+                  {"incarnation", std::to_string(target.incarnation.value)},
+                  {"host_clock_ms", std::to_string(*answer.clock_ms)}});
+  node_metrics_.foreign_clocks->Increment();
+  return answer.outcome == scheduler::StartOutcome::kStarted
+             ? scheduler::StartOutcome::kNoAnswer
+             : answer.outcome;
+}
+
 bool HostLinks::CallStart(const scheduler::StartRun& order,
                           std::function<void()> done) {
   const auto host = state_.hosts.find(order.host);
@@ -443,16 +490,10 @@
     const core::MonotonicTime answered = core::MonotonicNow();
     const core::Incarnation incarnation = target.incarnation;
     const scheduler::StartOutcome outcome =
-        answer.outcome == scheduler::StartOutcome::kFenced &&
-                self->is_superseded(target)
-            ? scheduler::StartOutcome::kSuperseded
-            : answer.outcome;
+        self->OutcomeOf(answer, target, now, answered);
     RecordStage(self->run_latency_.answered, answered - now);
     self->node_metrics_.start_seconds->Observe(
         std::chrono::duration<double>(answered - now).count());
-    if (answer.clock_ms) {
-      self->RecordClock(order.host, incarnation, *answer.clock_ms);
-    }
     telemetry::Log(
         telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
         "run ordered",
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -96,6 +96,20 @@
   /// of the link has been read.
   [[nodiscard]] static std::optional<std::int64_t> EarliestClock(
       const Link& link, core::MonotonicTime now);
+  /// @param clock_ms A reading of the clock of some incarnation of the host.
+  /// @param asked When the call was sent to which it is the answer.
+  /// @param now When the answer arrived.
+  /// @return Whether it is the clock of the incarnation of the link: each one
+  /// counts from a time of its own.
+  [[nodiscard]] static bool IsClockOf(const Link& link, std::int64_t clock_ms,
+                                      core::MonotonicTime asked,
+                                      core::MonotonicTime now);
+  /// @return What an answer to a start says of the incarnation for which the
+  /// start was meant.
+  [[nodiscard]] scheduler::StartOutcome OutcomeOf(const StartAnswer& answer,
+                                                  const HostTarget& target,
+                                                  core::MonotonicTime asked,
+                                                  core::MonotonicTime now);
   /// Logs what a renewal carried that may have reached another incarnation, or
   /// may still do so.
   void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
--- a/src/camphormux/coordinator/node_metrics.cpp
+++ b/src/camphormux/coordinator/node_metrics.cpp
@@ -64,6 +64,10 @@
   node_metrics.missing_ends =
       &AddCounter(registry, "camphormux_missing_ends_total",
                   "Ends of runs that a host forgot before they were read.");
+  node_metrics.foreign_clocks = &AddCounter(
+      registry, "camphormux_foreign_clocks_total",
+      "Answers to starts with another clock than that of the host's "
+      "incarnation.");
   node_metrics.store_rejections =
       &AddCounter(registry, "camphormux_store_rejections_total",
                   "Changes whose records the store does not accept.");
--- a/src/camphormux/coordinator/node_metrics.hpp
+++ b/src/camphormux/coordinator/node_metrics.hpp
@@ -29,6 +29,7 @@
   prometheus::Counter* presumed_ends = nullptr;
   prometheus::Counter* unexpected_runs = nullptr;
   prometheus::Counter* missing_ends = nullptr;
+  prometheus::Counter* foreign_clocks = nullptr;
   prometheus::Counter* store_rejections = nullptr;
   prometheus::Gauge* open_jobs = nullptr;
   prometheus::Gauge* jobs_without_policy = nullptr;
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -438,6 +438,23 @@
   EXPECT_LT(harness.starts[0].call.lease_end_ms, clock_ms + kCancelMs);
 }
 
+// Guards against deadlines on the clock of another incarnation, and against a
+// start that counts as accepted by the one that it was meant for.
+TEST(HostLinksTest, AnswerOfAnotherIncarnationCountsAsNone) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1'000'000));
+  for (const std::int64_t clock_ms : {30, 9'000'000}) {
+    const scheduler::RunId run = harness.OrderRun();
+    ASSERT_EQ(harness.starts.size(), 1U);
+    EXPECT_GE(harness.starts[0].call.lease_end_ms, 1'000'000);
+    EXPECT_LT(harness.starts[0].call.lease_end_ms, 1'010'000);
+    harness.starts.front().done({scheduler::StartOutcome::kStarted, clock_ms});
+    harness.starts.clear();
+    EXPECT_EQ(harness.state.runs.at(run).phase,
+              scheduler::RunPhase::kUnanswered);
+  }
+}
+
 // Guards against a run that lapses because the first renewal after its start is
 // lost: a host that may wait before it answers is given up too late.
 TEST(HostLinksTest, FirstRenewalAfterAStartIsAnsweredAtOnce) {
