Keep starts in doubt on silent hosts until no unknown incarnation can run them

Cause: a host restarts and is cut off before it has reported or written an entry. A start that was meant for its former incarnation is taken by the next one; its deadline is a time on the clock of the former one, so that the run holds the longest lease, 10 s. The holder, which knows nothing of the restart, took the lease of the start (2.5 s) for over and started the task elsewhere.

Change: when the lease of a silent host is over, runs whose start no report has settled stay until an entry of the known incarnation shows a clock past the last deadline, or until 25 s after the last lease was granted (call, delay, longest lease). All other runs end with the lease, as before.

Why it works: an entry with such a clock was written by the known incarnation after all its leases were over, so that it has ended or refused what it was asked. It holds for entries that arrive late, too.

Measured: RestartedHostTest.StartAnsweredByAnUnknownIncarnationLapsesFirst, LateEntryOfTheFormerIncarnationDoesNotEndARun and LateStartOnAnUnknownIncarnationLapsesFirst failed before, pass (1 run each); StartOnALiveHostThatIsCutOffIsRepeatedSoon passes as before.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -82,6 +82,7 @@
   host.lease_end =
       std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
   const std::int64_t deadline_ms = *EarliestClock(link, now) + lease.count();
+  host.granted = now;
   host.deadline_ms = std::max(host.deadline_ms, deadline_ms);
   return deadline_ms;
 }
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -51,6 +51,35 @@
   }
 }
 
+/// Whether an incarnation of the host that is not known yet may run a run: no
+/// report shows what became of a copy of its start.
+bool MayRunOnUnknownIncarnation(const Run& run, const Host& host) {
+  const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered;
+  return is_on_its_way ||
+         (run.has_open_copy &&
+          host.last_report < run.last_open_copy + kMaxCallDelay);
+}
+
+/// Whether the known incarnation was alive when its last lease expired, so that
+/// it has refused or ended all runs and no other one has a lease by then.
+bool HasOutlivedLeases(const Host& host) {
+  return host.heartbeat_clock_ms && *host.heartbeat_clock_ms > host.deadline_ms;
+}
+
+/// Removes the runs of a silent host whose leases have expired.
+void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
+  const core::MonotonicTime latest_lease_end =
+      host.granted + kMaxCallDuration + kMaxCallDelay +
+      MaxLeaseDuration(state.settings.longest_lease);
+  const bool is_certain = now >= latest_lease_end || HasOutlivedLeases(host);
+  const std::vector<RunId> runs = host.runs;
+  for (const RunId run : runs) {
+    if (is_certain || !MayRunOnUnknownIncarnation(state.runs.at(run), host)) {
+      RemoveRun(state, run, EndEvidence::kLeaseExpired);
+    }
+  }
+}
+
 void RemoveRuns(State& state, Host& host, EndEvidence evidence) {
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
@@ -252,9 +281,9 @@
   for (auto& [id, host] : state.hosts) {
     const bool is_gone = !host.listed && now >= host.gone_at;
     if ((is_gone || host.unresponsive_since) && now >= host.lease_end) {
-      internal::RemoveRuns(state, host, EndEvidence::kLeaseExpired);
+      internal::RemoveExpiredRuns(state, host, now);
       // A host with open copies may be listed again.
-      if (is_gone && host.open_copies.empty()) {
+      if (is_gone && host.runs.empty() && host.open_copies.empty()) {
         gone.push_back(id);
       }
     }
