Starts in doubt: hosts that this holder has granted no lease, reports that arrive late

Cause: a host to which this holder has granted nothing, after a takeover, has no time of a last lease; the wait counted from the start of the machine's clock. Change: no lease granted means nothing to wait for; the age of a report adds the duration of a call.

--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -56,8 +56,9 @@
 bool MayRunOnUnknownIncarnation(const Run& run, const Host& host) {
   const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered;
   return is_on_its_way ||
-         (run.has_open_copy &&
-          host.last_report < run.last_open_copy + kMaxCallDelay);
+         (run.has_open_copy && host.last_report < run.last_open_copy +
+                                                      kMaxCallDelay +
+                                                      kMaxCallDuration);
 }
 
 /// Whether the known incarnation was alive when its last lease expired, so that
@@ -68,10 +69,12 @@
 
 /// Removes the runs of a silent host whose leases have expired.
 void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
-  const core::MonotonicTime latest_lease_end =
-      host.granted + kMaxCallDuration + kMaxCallDelay +
+  const core::Millis longest_wait =
+      kMaxCallDuration + kMaxCallDelay +
       MaxLeaseDuration(state.settings.longest_lease);
-  const bool is_certain = now >= latest_lease_end || HasOutlivedLeases(host);
+  const bool is_certain = !host.granted ||
+                          now >= *host.granted + longest_wait ||
+                          HasOutlivedLeases(host);
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
     if (is_certain || !MayRunOnUnknownIncarnation(state.runs.at(run), host)) {
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -269,9 +269,9 @@
   EndNumber ended;  ///< Highest sequence number of a processed end.
   /// No run that was ordered so far runs or starts on the host after this time.
   core::MonotonicTime lease_end;
-  /// When the last lease was granted. Until its call can reach the host no
-  /// more, another incarnation may take it for the longest lease.
-  core::MonotonicTime granted;
+  /// When this lease holder granted the last lease. An incarnation that is not
+  /// known may take it for the longest lease.
+  std::optional<core::MonotonicTime> granted;
   /// Latest deadline of a call, on the clock of the present incarnation.
   std::int64_t deadline_ms = 0;
   core::MonotonicTime last_report;
