--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -57,6 +57,7 @@
         self.topics = {}
         self.groups = {}
         self.largest_refused = 0
+        self.runners = {}
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -76,6 +77,8 @@
             topic.records.append((key, value))
             if value:
                 topic.newest[key] = (value, len(topic.records) - 1)
+                if topic is self.topics.get("keyed.servers"):
+                    self.runners[key] = value
             else:
                 topic.newest.pop(key, None)
         self.lock.notify_all()
@@ -233,7 +236,8 @@
     class CloudHandler(Handler):
         def do_GET(self):
             machines = []
-            for name, value in sorted(store.entries("keyed.servers").items()):
+            # A runner whose entry has expired keeps its machine.
+            for name, value in sorted(store.runners.items()):
                 runner = json.loads(value)
                 machines.append({"machine": "m-" + name, "pool": runner["service"], "state": "up",
                                  "zone": runner["zone"], "labels": runner["labels"],
@@ -242,7 +246,7 @@
 
         def do_POST(self):
             body = json.loads(self.body())
-            runners = store.entries("keyed.servers")
+            runners = dict(store.runners)
             pools = {json.loads(value)["service"] for value in runners.values()}
             known = body.get("machine", "")[2:] in runners
             # No script leads to an order that would be carried out.
--- /dev/null
+++ b/test/platform/restarting_host.py
@@ -0,0 +1,52 @@
+"""Stand-in of a host that restarts under its id: each process has a clock of its own and may announce itself late.
+
+Usage: restarting_host.py ID IP PORT ANNOUNCED_PORT SERVICE STORE_IP STORE_PORT RECORD MILLICORES CLOCK_MS SILENT_S
+"""
+import pathlib
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "review/standin"))
+
+import runner  # noqa: E402
+from platform_standin import Handler, Server  # noqa: E402
+
+
+class RestartingHost(runner.Runner):
+    def __init__(self, name, record, cpu, first_clock_ms):
+        super().__init__(name, record, cpu)
+        self.first_clock_ms = first_clock_ms
+
+    def clock(self):
+        # A host's clock may be 2% slow.
+        return self.first_clock_ms + int((time.monotonic() - self.started) * 980)
+
+
+def main():
+    name, ip, port, announced_port, service, store_ip, store_port, record, cpu, clock_ms, silent_s = sys.argv[1:12]
+    host = RestartingHost(name, record, int(cpu), int(clock_ms))
+
+    class HostHandler(Handler):
+        def do_POST(self):
+            body = runner.json.loads(self.body())
+            if self.headers.get("Expected-Instance") not in (None, name):
+                self.answer(421, {"clockMs": host.clock()})
+                return
+            self.answer(*host.serve(self.path, body))
+
+    entry = {"service": service, "address": f"{ip}:{announced_port}", "zone": "a", "version": "v1", "slots": 8,
+             "state": "ready", "coldLeftMs": 0, "capacity": {"cpu": host.cpu, "memMb": 262_144, "gpu": 0},
+             "labels": ["a", "r1"]}
+
+    def announce():
+        time.sleep(float(silent_s))
+        runner.announce(host, entry, (store_ip, int(store_port)))
+
+    threading.Thread(target=host.watch, daemon=True).start()
+    threading.Thread(target=announce, daemon=True).start()
+    Server((ip, int(port)), HostHandler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
