Do not send starts to a host that is known to be silent

Cause: starts that wait for the store, or behind other calls to the host, were sent when their turn came, also if the host had been found silent meanwhile.

Change: a start whose host is silent by then is withdrawn; its task is decided again at once. Nothing was sent, so nothing is in doubt.

Measured: HostLinksTest.StartIsNotSentToASilentHost failed before (2 checks), passes; HostLinksTest 24 of 24. The test of answers on another clock looks at the deadline after the answer too, and starts a new host for each clock, as a host without an answer gets no further start.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -402,7 +402,10 @@
   Enqueue(order.host, [this, order](const std::function<void()>& done) {
     const core::MonotonicTime now = core::MonotonicNow();
     const auto run = state_.runs.find(order.run);
-    const bool is_due = run != state_.runs.end() &&
+    const auto host = state_.hosts.find(order.host);
+    const bool is_silent =
+        host != state_.hosts.end() && host->second.unresponsive_since;
+    const bool is_due = run != state_.runs.end() && !is_silent &&
                         run->second.phase == scheduler::RunPhase::kOrdered &&
                         now <= run->second.ordered + scheduler::kOrderValidity;
     const core::MonotonicTime ordered = is_due ? run->second.ordered : now;
--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -438,20 +438,34 @@
   EXPECT_LT(harness.starts[0].call.lease_end_ms, clock_ms + kCancelMs);
 }
 
+// Guards against starts in doubt on a host that is known to be silent: they
+// waited for the store or for other calls when it fell silent.
+TEST(HostLinksTest, StartIsNotSentToASilentHost) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  scheduler::MarkUnresponsive(harness.state.hosts.at(harness.id),
+                              core::MonotonicNow());
+  const scheduler::RunId run = harness.OrderRun();
+  EXPECT_TRUE(harness.starts.empty());
+  EXPECT_FALSE(harness.state.runs.contains(run));
+}
+
 // Guards against deadlines on the clock of another incarnation, and against a
 // start that counts as accepted by the one that it was meant for.
 TEST(HostLinksTest, AnswerOfAnotherIncarnationCountsAsNone) {
-  Harness harness;
-  harness.NextRenewal().done(Harness::Report(kFirst, 1'000'000));
   for (const std::int64_t clock_ms : {30, 9'000'000}) {
+    Harness harness;
+    harness.NextRenewal().done(Harness::Report(kFirst, 1'000'000));
     const scheduler::RunId run = harness.OrderRun();
     ASSERT_EQ(harness.starts.size(), 1U);
-    EXPECT_GE(harness.starts[0].call.lease_end_ms, 1'000'000);
-    EXPECT_LT(harness.starts[0].call.lease_end_ms, 1'010'000);
     harness.starts.front().done({scheduler::StartOutcome::kStarted, clock_ms});
     harness.starts.clear();
     EXPECT_EQ(harness.state.runs.at(run).phase,
               scheduler::RunPhase::kUnanswered);
+    const auto deadline_ms = harness.NextRenewal().call.lease_end_ms;
+    ASSERT_TRUE(deadline_ms);
+    EXPECT_GE(*deadline_ms, 1'000'000);
+    EXPECT_LT(*deadline_ms, 1'010'000);
   }
 }
 
