Soak of restarted hosts: starts reach the next process while reports do not

No starts were on their way when hosts fell silent, all that waited for the next process reached it at once, so that a report named it, and its clock was as often ahead of the former one as behind. Starts no longer name the incarnation in their answer. The judge also finds a start after an end that is acknowledged later, unless the lease of its host expired in between, as the rule has it; the check of starts after an acknowledgement stays.

--- a/test/platform/restarting_host.py
+++ b/test/platform/restarting_host.py
@@ -17,11 +17,37 @@
     def __init__(self, name, record, cpu, first_clock_ms):
         super().__init__(name, record, cpu)
         self.first_clock_ms = first_clock_ms
+        # Ends up to this number were listed while a lease expired.
+        self.lapsed_up_to = 0
 
     def clock(self):
         # A host's clock may be 2% slow.
         return self.first_clock_ms + int((time.monotonic() - self.started) * 980)
 
+    def log(self, what, **fields):
+        if what == "noted":
+            fields["lapsedUpTo"] = self.lapsed_up_to
+        super().log(what, **fields)
+
+    def note_lapse(self):
+        if self.clock() >= self.lease_ms:
+            self.lapsed_up_to = self.next_end - 1
+
+    def extend(self, deadline):
+        self.note_lapse()
+        super().extend(deadline)
+
+    def hold(self, body):
+        self.note_lapse()
+        return super().hold(body)
+
+    def serve(self, path, body):
+        status, value = super().serve(path, body)
+        if path != "/-/hold":
+            # Only lists of runs and entries name the incarnation.
+            value.pop("born", None)
+        return status, value
+
 
 def main():
     name, ip, port, announced_port, service, store_ip, store_port, record, cpu, clock_ms, silent_s = sys.argv[1:12]
