An entry settles starts in doubt only if it was read after the last lease was granted

Cause: a deadline is reckoned on a lower estimate of the host's clock. After a node stood still the estimate lags, so that the clock of an entry which was read before the start was sent is past the deadline already, and proves nothing.

Change: the entry has to be read after the last grant, and the deadline that it has to pass is at least a lease after the clock of the entry before the grant.

The review's own test with an entry 5.5 s ahead overlapped before; it was not run again.

--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -82,8 +82,12 @@
   host.lease_end =
       std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
   const std::int64_t deadline_ms = *EarliestClock(link, now) + lease.count();
-  host.granted = now;
-  host.deadline_ms = std::max(host.deadline_ms, deadline_ms);
+  host.last_grant = now;
+  // The host's clock may be ahead of its estimate, for example after a node
+  // stood still.
+  host.deadline_ms =
+      std::max({host.deadline_ms, deadline_ms,
+                host.heartbeat_clock_ms.value_or(0) + lease.count()});
   return deadline_ms;
 }
 
@@ -93,7 +97,7 @@
     return std::nullopt;
   }
   const std::int64_t elapsed = (now - link.clock_read_at).count();
-  if (elapsed < 0) {
+  if (elapsed < 0) {  // The reading is newer.
     return *link.clock_ms + elapsed;
   }
   return *link.clock_ms +
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -51,9 +51,16 @@
   }
 }
 
+/// Longest time from a call with a lease until an incarnation that takes it
+/// instead of the known one has ended all runs.
+core::Millis UnknownIncarnationWait(const Settings& settings) {
+  return kMaxCallDuration + kMaxCallDelay +
+         MaxLeaseDuration(settings.longest_lease);
+}
+
 /// Whether an incarnation of the host that is not known yet may run a run: no
 /// report shows what became of a copy of its start.
-bool MayRunOnUnknownIncarnation(const Run& run, const Host& host) {
+bool IsStartUnsettled(const Run& run, const Host& host) {
   const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered;
   return is_on_its_way ||
          (run.has_open_copy && host.last_report < run.last_open_copy +
@@ -61,23 +68,23 @@
                                                       kMaxCallDuration);
 }
 
-/// Whether the known incarnation was alive when its last lease expired, so that
-/// it has refused or ended all runs and no other one has a lease by then.
+/// Whether an entry shows that the known incarnation was alive when its last
+/// lease expired. Until then, no other one can have taken a call.
 bool HasOutlivedLeases(const Host& host) {
-  return host.heartbeat_clock_ms && *host.heartbeat_clock_ms > host.deadline_ms;
+  return host.heartbeat_clock_ms && host.last_grant &&
+         host.last_heartbeat > *host.last_grant &&
+         *host.heartbeat_clock_ms > host.deadline_ms;
 }
 
 /// Removes the runs of a silent host whose leases have expired.
 void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
-  const core::Millis longest_wait =
-      kMaxCallDuration + kMaxCallDelay +
-      MaxLeaseDuration(state.settings.longest_lease);
-  const bool is_certain = !host.granted ||
-                          now >= *host.granted + longest_wait ||
-                          HasOutlivedLeases(host);
+  const bool is_certain =
+      !host.last_grant ||
+      now >= *host.last_grant + UnknownIncarnationWait(state.settings) ||
+      HasOutlivedLeases(host);
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
-    if (is_certain || !MayRunOnUnknownIncarnation(state.runs.at(run), host)) {
+    if (is_certain || !IsStartUnsettled(state.runs.at(run), host)) {
       RemoveRun(state, run, EndEvidence::kLeaseExpired);
     }
   }
@@ -274,9 +281,8 @@
   host.failed_jobs.clear();
   // The end of a lease is a time on the clock of the incarnation for which it
   // was meant; on another clock it can be any time.
-  host.lease_end = std::max(host.lease_end,
-                            now + kMaxCallDuration + kMaxCallDelay +
-                                MaxLeaseDuration(state.settings.longest_lease));
+  host.lease_end = std::max(
+      host.lease_end, now + internal::UnknownIncarnationWait(state.settings));
 }
 
 void CheckHosts(State& state, core::MonotonicTime now) {
--- a/src/camphormux/scheduler/state.hpp
+++ b/src/camphormux/scheduler/state.hpp
@@ -94,7 +94,7 @@
   bool is_superseded = false;
   core::MonotonicTime start_repeated;
   /// A report of this incarnation of the host has listed the run. An answer to
-  /// the start does not say which incarnation accepted it.
+  /// the start names no incarnation.
   bool was_listed = false;
   /// Fencing token of the last copy of the start order that was sent.
   core::Epoch token;
@@ -267,12 +267,14 @@
   std::uint32_t best_effort_runs = 0;  ///< Runs that only use idle cores.
   std::vector<OpenCopy> open_copies;
   EndNumber ended;  ///< Highest sequence number of a processed end.
-  /// No run that was ordered so far runs or starts on the host after this time.
+  /// No run that was ordered so far runs or starts on the known incarnation of
+  /// the host after this time.
   core::MonotonicTime lease_end;
   /// When this lease holder granted the last lease. An incarnation that is not
   /// known may take it for the longest lease.
-  std::optional<core::MonotonicTime> granted;
-  /// Latest deadline of a call, on the clock of the present incarnation.
+  std::optional<core::MonotonicTime> last_grant;
+  /// Time on the clock of the present incarnation by which it has ended all
+  /// leases that it was granted.
   std::int64_t deadline_ms = 0;
   core::MonotonicTime last_report;
   /// Latest clock reading in the entries of the present incarnation, and when
