After a takeover, wait for the last calls of previous holders to reach another incarnation

Cause: after a takeover, runs on silent hosts were given up 10.3 s after it. A call of the previous holder, or of a node that called for it, may arrive up to 3 s after the takeover at an incarnation that nobody knows, which takes it under the longest lease.

Change: TakeoverWait, 3 s longer, for hosts that have not reported; the first report of a host after a takeover sets its lease as before. The authority of a holder is unchanged.

Two tests that named the former wait name the new one, to 0.2 s. RestartedHostTest.SettledStartDoesNotRunOnTheNextIncarnation fails and is listed: a start that was settled is carried out late by an incarnation that starts afterwards.

--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -104,7 +104,7 @@
   host.idle_since = now;
   // Previous lease holders may have granted leases until the takeover.
   host.lease_end =
-      std::max(now, state.took_over + PreviousLeasesDuration(state.settings));
+      std::max(now, state.took_over + TakeoverWait(state.settings));
   state.hosts.insert_or_assign(listing.id, std::move(host));
 }
 
@@ -233,6 +233,10 @@
                   MaxLeaseDuration(settings.longest_lease));
 }
 
+core::Millis TakeoverWait(const Settings& settings) {
+  return PreviousLeasesDuration(settings) + kMaxCallDuration;
+}
+
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
                         core::MonotonicTime now) {
   std::set<core::Incarnation>& ended =
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -98,6 +98,11 @@
 /// the longest lease.
 [[nodiscard]] core::Millis PreviousLeasesDuration(const Settings& settings);
 
+/// @return Time after a takeover by which runs of previous holders on a silent
+/// host have ended: their last calls may reach another incarnation of the host,
+/// which takes them under the longest lease.
+[[nodiscard]] core::Millis TakeoverWait(const Settings& settings);
+
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
 
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -31,7 +31,7 @@
       missing.listing.incarnation = placed.incarnation;
       missing.listed = false;
       missing.gone_at = now + state.settings.listing_grace;
-      missing.lease_end = now + PreviousLeasesDuration(state.settings);
+      missing.lease_end = now + TakeoverWait(state.settings);
       host = state.hosts.emplace(placed.host, std::move(missing)).first;
     }
     // Also if the host has another incarnation now, which may have accepted the
--- a/src/camphormux/scheduler/runs.cpp
+++ b/src/camphormux/scheduler/runs.cpp
@@ -352,11 +352,10 @@
                    core::MonotonicTime now) {
   const core::MonotonicTime longest =
       now + MaxLeaseDuration(state.settings.longest_lease);
-  if (host.has_earlier_calls) {
+  if (host.has_earlier_calls ||
+      now < state.took_over + kMaxCallDuration + kMaxCallDelay) {
     host.has_earlier_calls = false;
     host.lease_end = longest;
-  } else if (now < state.took_over + kMaxCallDuration + kMaxCallDelay) {
-    host.lease_end = std::max(host.lease_end, longest);
   }
   state.first_reports.push_back(
       {report.host, report.incarnation, report.token, report.running.size(),
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -278,6 +278,49 @@
   EXPECT_FALSE(harness.hosts.HasOverlap());
 }
 
+// A call of the previous holder arrives after the takeover.
+TEST(RestartedHostTest, StartOfThePreviousHolderOnAnUnknownIncarnation) {
+  Harness harness(kLongRun);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  auto listings = harness.hosts.Listings();
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.hosts.Add({"i-2"});
+  listings.push_back(harness.hosts.Listings()[1]);
+  harness.StartHolder();
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  harness.RunFor(core::Millis(1500));
+  harness.hosts.DeliverHeldStarts();
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
+// The start is carried out late, by an incarnation that starts after it was
+// settled at the one before.
+TEST(RestartedHostTest, SettledStartDoesNotRunOnTheNextIncarnation) {
+  Harness harness(kLongRun);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Add({"i-2"});
+  auto listings = harness.hosts.Listings();
+  listings[0].draining = true;
+  harness.holder->OnHosts(listings, core::MonotonicTime{});
+  ASSERT_TRUE(harness.RunUntilStarted(job, 1));
+  harness.RunFor(core::Millis(500));
+  harness.hosts.Restart(harness.id);
+  harness.hosts.DeliverHeldStarts();
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
 // A host that is cut off from the nodes goes on writing entries.
 TEST(RestartedHostTest, StartOnALiveHostThatIsCutOffIsRepeatedSoon) {
   Harness harness(kLongRun);
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -119,9 +119,8 @@
   HostListing listing = fleet.listings[0];
   listing.id.value = "i-late";
   ApplyListings(fleet.state, {listing}, fleet.now, fleet.now);
-  EXPECT_EQ(
-      fleet.state.hosts.at(listing.id).lease_end,
-      fleet.state.took_over + PreviousLeasesDuration(fleet.state.settings));
+  EXPECT_EQ(fleet.state.hosts.at(listing.id).lease_end,
+            fleet.state.took_over + TakeoverWait(fleet.state.settings));
 }
 
 // Guards against a host that is removed and listed again: calls to its earlier
--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -1,3 +1,4 @@
+#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 
 #include <gtest/gtest.h>
@@ -120,9 +121,9 @@
     return listing.id == stored.tasks[0].runs[0].host;
   });
   after.state.hosts.at(stored.tasks[0].runs[0].host).listed = false;
-  after.Advance(core::Millis(5000));
+  after.Advance(TakeoverWait(after.state.settings) - core::Millis(200));
   EXPECT_EQ(after.CountStarts(spec.id.value), 0U);
-  after.Advance(core::Millis(6000));
+  after.Advance(core::Millis(500));
   EXPECT_EQ(after.CountStarts(spec.id.value), 1U);
 }
 
