Tests: more clients outside the limits, beside takeovers, reloads and without descriptors

New against real nodes: connections reset at once, crowds of all kinds together, alone, beside a reload (SIGHUP and a new configuration) and beside a takeover (holder killed or terminated), large bodies sent one byte at a time, and a process without a descriptor left.

--- a/test/platform/hostile_clients_test.py
+++ b/test/platform/hostile_clients_test.py
@@ -4,11 +4,16 @@
 descriptors stay under a bound, and an ordinary job is accepted while the crowd is still connected. Needs a built
 camphormux-node, whose path is in CAMPHORMUX_NODE.
 """
+import http.client
 import pathlib
+import resource
 import selectors
+import signal
 import socket
+import struct
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
@@ -25,6 +30,19 @@
 BODY = 262_000
 HEAD = f"POST /{QUEUE}/{JOB:016x} HTTP/1.1\r\nHost: desk.example\r\n".encode()
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+SHORT_BODY = CHUNKED + b"%x\r\n" % BODY + b" " * (BODY - 10)
+# Some of each kind of client in this file, in turn; no more than the node's limit of callers' connections.
+MIXED = [payload for _ in range(5) for payload in
+         [SHORT_BODY] * 4 + [CHUNKED + b"1\r\n \r\n" * BODY] * 4
+         + [HEAD + b"Content-Length: 900000\r\n\r\n" + b" " * 800_000] * 2
+         + [CHUNKED + (b"4000\r\n" + b" " * 0x4000 + b"\r\n") * 400]
+         + [HEAD + b"Note: " + b"x" * 1_000_000, HEAD + b"a:b\r\n" * 14_000, b"\r\n" * 500_000, HEAD, HEAD, b""]
+         + [HEAD + b"".join(b"Note-%d: %s\r\n" % (n, b"x" * 1000) for n in range(75))] * 2
+         + [f"GET /{QUEUE}/ HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode() * 2_000]]
+# Descriptors that a node has left in the test in which it runs out of them.
+SPARE_DESCRIPTORS = 16
+# An unfinished request may take 60 s; no caller waits that long for room in the budget.
+LARGE_REQUEST_S = 30
 # When a crowd's sends and the node's receive queues have not changed for this long, the node has read all that it will.
 QUIET_S = 2.0
 
@@ -50,6 +68,8 @@
                 continue
             client.setblocking(False)
             self.sockets.append(client)
+            if not payload:
+                continue
             self.left[client] = memoryview(payload)
             self.selector.register(client, selectors.EVENT_WRITE)
 
@@ -91,21 +111,24 @@
             client.close()
 
 
-class HostileClientsTest(unittest.TestCase):
+class NodeTestCase(unittest.TestCase):
+    NODES = 1
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.system = fleet.Fleet(folder.name, 1, {"venue-desk": 1}, limits={"memoryMb": MEMORY_MB,
-                                                                             "maxFds": DESCRIPTORS})
+        self.system = fleet.Fleet(folder.name, self.NODES, {"venue-desk": 1},
+                                  limits={"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS})
         self.addCleanup(self.system.close)
         self.assertTrue(self.system.begin(1, {QUEUE: "venue-desk"}), "no node became the holder")
-        self.node = next(iter(self.system.nodes))
+        holder = self.system.holder()
+        self.node = next((name for name in self.system.nodes if name != holder), holder)
         self.process = self.system.processes[self.node]
         self.most_descriptors = 0
         self.assertTrue(self.accepts_a_job(JOB), "no ordinary job was accepted before the crowd")
 
-    def accepts_a_job(self, job):
-        return self.system.submit(QUEUE, f"{job:016x}", {
+    def accepts_a_job(self, job, queue=QUEUE):
+        return self.system.submit(queue, f"{job:016x}", {
             "spec": "{}", "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estRuntimeMs": 100}]})
 
     def peak_memory_mb(self):
@@ -124,6 +147,16 @@
         crowd.send()
         return crowd
 
+    def expect_answer(self, port, path):
+        connection = http.client.HTTPConnection(fleet.IP, self.system.nodes[self.node][port], timeout=5)
+        self.addCleanup(connection.close)
+        try:
+            connection.request("GET", path)
+            status = connection.getresponse().status
+        except OSError:
+            status = 0
+        self.assertNotEqual(status, 0, f"no answer to GET {path}")
+
     def expect_unharmed(self):
         self.assertIsNone(self.process.poll(), "the process ended")
         accepted = self.accepts_a_job(JOB + 1)
@@ -135,9 +168,10 @@
         self.assertLessEqual(peak, MEMORY_MB)
         self.assertLessEqual(self.most_descriptors, DESCRIPTORS)
 
+class HostileClientsTest(NodeTestCase):
     def test_bodies_in_one_chunk_that_stop_short(self):
         """Guards against unfinished bodies of many connections that take all memory."""
-        self.crowd([CHUNKED + b"%x\r\n" % BODY + b" " * (BODY - 10)] * 300)
+        self.crowd([SHORT_BODY] * 300)
         self.expect_unharmed()
 
     def test_bodies_in_chunks_of_one_byte_that_stop_short(self):
@@ -197,6 +231,112 @@
         self.crowd([b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n" * 500] * 400, "metrics", receive_buffer=2_048)
         self.expect_unharmed()
 
+    def test_connections_reset_at_once(self):
+        """Guards against a listener that ends as a connection is gone before it is accepted or read."""
+        ask = f"GET /{QUEUE}/ HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode()
+        for number in range(3_000):
+            for port in ("front", "ready", "metrics"):
+                client = socket.socket()
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                client.settimeout(5)
+                try:
+                    client.connect((fleet.IP, self.system.nodes[self.node][port]))
+                    client.sendall((b"", HEAD, ask)[number % 3])
+                except OSError:
+                    pass
+                client.close()
+            if number % 100 == 0:
+                self.look()
+        self.expect_unharmed()
+        self.expect_answer("ready", "/-/ready")
+        self.expect_answer("metrics", "/metrics")
+
+    def test_all_kinds_at_once(self):
+        """Guards against limits that hold for one kind of client only."""
+        self.crowd(MIXED)
+        self.crowd(MIXED)
+        self.expect_unharmed()
+
+    def test_reload_beside_a_crowd(self):
+        """Guards against a configuration that is not taken up, or limits that are lost with it."""
+        self.crowd(MIXED)
+        self.system.signal(self.node, signal.SIGHUP)
+        self.system.configure(2, {QUEUE: "venue-desk", "permits": "venue-desk"})
+        self.crowd(MIXED)
+        self.assertTrue(self.accepts_a_job(JOB + 2, "permits"), "the new configuration was not taken up")
+        self.system.signal(self.node, signal.SIGHUP)
+        self.expect_unharmed()
+
+    def test_large_bodies_one_byte_at_a_time(self):
+        """Guards against clients that keep the whole budget by a byte now and then."""
+        start = HEAD + b"Content-Length: %d\r\n\r\n" % BODY + b" " * 40_000
+        crowd = Crowd((fleet.IP, self.system.nodes[self.node]["front"]), [start] * 90, self.look)
+        self.addCleanup(crowd.close)
+        done = threading.Event()
+
+        def trickle():
+            left = dict.fromkeys(crowd.sockets, start)
+            while not done.wait(0.4):
+                for client in crowd.sockets:
+                    try:
+                        left[client] = left[client][client.send(left[client] or b" "):]
+                    except OSError:
+                        pass
+                self.look()
+
+        sender = threading.Thread(target=trickle)
+        sender.start()
+        try:
+            time.sleep(QUIET_S)
+            connection = http.client.HTTPConnection(fleet.IP, self.system.nodes[self.node]["front"],
+                                                    timeout=LARGE_REQUEST_S)
+            self.addCleanup(connection.close)
+            job = b'{"spec":"{}","steps":[{"count":1,"cpu":1000,"memMb":256,"estRuntimeMs":100}]}'
+            try:
+                connection.request("POST", f"/{QUEUE}/{JOB + 3:016x}", job + b" " * (BODY - len(job)),
+                                   {"Host": "desk.example", "Content-Type": "application/json"})
+                status = connection.getresponse().status
+            except OSError:
+                status = 0
+            self.expect_unharmed()
+        finally:
+            done.set()
+            sender.join()
+        self.assertNotEqual(status, 0, "a large request inside the limits was not answered")
+
+    def test_no_descriptor_left(self):
+        """Guards against a listener that ends as a connection cannot be accepted."""
+        self.look()
+        limit = self.most_descriptors + SPARE_DESCRIPTORS
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        ports = ("front", "ready", "metrics")
+        for crowd in [self.crowd([HEAD] * 100, port) for port in ports]:
+            crowd.close()
+        self.expect_unharmed()
+        self.expect_answer("ready", "/-/ready")
+        self.expect_answer("metrics", "/metrics")
+
+
+class HostileClientsBesideTakeoverTest(NodeTestCase):
+    NODES = 2
+
+    def take_over(self, number):
+        holder = self.system.holder()
+        self.assertNotEqual(holder, self.node)
+        self.crowd(MIXED)
+        self.system.signal(holder, number)
+        self.crowd(MIXED)
+        self.system.processes[holder].wait(60)
+        self.expect_unharmed()
+
+    def test_killed_holder(self):
+        """Guards against a crowd that keeps a node from taking over."""
+        self.take_over(signal.SIGKILL)
+
+    def test_terminated_holder(self):
+        """Guards against a crowd that keeps a node from taking over."""
+        self.take_over(signal.SIGTERM)
+
 
 if __name__ == "__main__":
     unittest.main()
