Keep accepting after the process had no descriptor left

Cause: RESTinio's acceptor starts the next accept only after one that succeeded, so that the callers', readiness or metrics listener ends for good once accept fails, for example at the descriptor limit. The kernel still completes connections, and their clients wait for nothing.

--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -12,6 +12,7 @@
 #include <restinio/all.hpp>
 
 #include "camphormux/http/reason_phrase.hpp"
+#include "camphormux/http/retrying_acceptor.hpp"
 
 namespace camphormux::http {
 namespace internal {
@@ -393,7 +394,23 @@
 }  // namespace internal
 }  // namespace camphormux::http
 
-namespace restinio::impl {
+namespace restinio {
+
+/// The server counts connections itself.
+template <>
+struct connection_count_limit_types<camphormux::http::internal::ServerTraits> {
+  using limiter_t = connection_count_limits::noop_connection_count_limiter_t;
+  struct lifetime_monitor_t {};
+};
+
+namespace impl {
+
+template <>
+class acceptor_t<camphormux::http::internal::ServerTraits> final
+    : public camphormux::http::internal::RetryingAcceptor<
+          camphormux::http::internal::ServerTraits> {
+  using RetryingAcceptor::RetryingAcceptor;
+};
 
 /// Replaces the callbacks that keep an entry for each chunk and whole bodies.
 template <>
@@ -412,7 +429,8 @@
   return settings;
 }
 
-}  // namespace restinio::impl
+}  // namespace impl
+}  // namespace restinio
 
 namespace camphormux::http {
 
--- a/test/http/client_server_test.cpp
+++ b/test/http/client_server_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <asio/write.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include "camphormux/http/client.hpp"
 #include "camphormux/http/server.hpp"
@@ -302,6 +304,43 @@
   EXPECT_EQ(refusals, 1);
 }
 
+/// Takes the descriptors that the process has left.
+std::vector<asio::ip::tcp::socket> TakeDescriptors(asio::io_context& loop) {
+  std::vector<asio::ip::tcp::socket> taken;
+  asio::error_code error;
+  while (!error) {
+    taken.emplace_back(loop).open(asio::ip::tcp::v4(), error);
+  }
+  return taken;
+}
+
+// Guards against a server that accepts nothing more after the process had no
+// descriptor left once.
+TEST(ClientServerTest, AcceptsAgainAfterTheDescriptorsRanOut) {
+  asio::io_context loop;
+  const std::uint16_t port = FreePort();
+  const Server server(
+      loop, {"127.0.0.1", port},
+      [](const ServerRequest& /*request*/, const Respond& respond) {
+        respond({200, "served", "text/plain", {}});
+      });
+  rlimit limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  const rlim_t few = std::min<rlim_t>(limit.rlim_cur, 200);
+  const rlimit lowered{few, limit.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+  {
+    asio::ip::tcp::socket client(loop);
+    client.open(asio::ip::tcp::v4());
+    const auto taken = TakeDescriptors(loop);
+    client.connect({asio::ip::address_v4::loopback(), port});
+    loop.poll();
+  }
+  setrlimit(RLIMIT_NOFILE, &limit);
+  EXPECT_THAT(Talk(loop, port, "GET /x HTTP/1.1\r\n\r\n", "served"),
+              HasSubstr("served"));
+}
+
 // Guards against long answers of many hosts that together take all memory.
 TEST(ClientServerTest, FailsLongAnswersWhileTheirMemoryIsShort) {
   asio::io_context loop;
