Bound how long a slow request keeps its room in the connection budget

Cause: an admitted request counts as all that it may hold until its end, and was closed for others only after 1 s without a byte. Clients that send a byte now and then kept the whole budget for up to 60 s, and no other request over 20 KiB was read.

The decision is the free function IsTooSlow.

--- a/src/camphormux/http/connection_budget.cpp
+++ b/src/camphormux/http/connection_budget.cpp
@@ -9,6 +9,7 @@
 
 /// A search looks at every connection.
 constexpr core::Millis kSearchInterval{100};
+constexpr std::int64_t kMillisPerSecond = 1000;
 
 void ShutDown(ConnectionBudget& budget, ConnectionUse& use,
               ConnectionRefusal reason) {
@@ -17,24 +18,24 @@
   use.shut_down();
 }
 
-void DropStalled(ConnectionBudget& budget, core::MonotonicTime now) {
+void DropSlow(ConnectionBudget& budget, core::MonotonicTime now) {
   if (now - budget.searched < kSearchInterval) {
     return;
   }
   budget.searched = now;
-  std::vector<ConnectionUse*> stalled;
+  std::vector<ConnectionUse*> slow;
   for (ConnectionUse* use : budget.connections) {
-    if (use->counted > 0 && use->unfinished && !use->handling && !use->paused &&
-        !use->closing && now - use->moved >= budget.options.stalled_after) {
-      stalled.push_back(use);
+    if (use->counted > 0 && !use->paused && !use->closing &&
+        IsTooSlow(budget.options, *use, now)) {
+      slow.push_back(use);
     }
   }
-  std::ranges::sort(stalled, std::greater(),
+  std::ranges::sort(slow, std::greater(),
                     [](const ConnectionUse* use) { return use->counted; });
   // Some room is made at once, as each search frees it for a short time only.
   const std::int64_t wanted = budget.options.total.value * 3 / 4;
   std::int64_t after = budget.held;
-  for (ConnectionUse* use : stalled) {
+  for (ConnectionUse* use : slow) {
     if (after <= wanted) {
       break;
     }
@@ -62,6 +63,22 @@
   budget.connections.erase(&use);
 }
 
+bool IsTooSlow(const ConnectionBudgetOptions& options, const ConnectionUse& use,
+               core::MonotonicTime now) {
+  if (!use.unfinished || use.handling) {
+    return false;
+  }
+  if (now - use.moved >= options.stalled_after) {
+    return true;
+  }
+  const core::Millis late =
+      std::chrono::duration_cast<core::Millis>(now - use.admitted_at) -
+      options.slow_after;
+  return use.admitted && late.count() > 0 &&
+         use.read - use.read_at_admission <
+             options.min_rate.value * late.count() / internal::kMillisPerSecond;
+}
+
 bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
              core::MonotonicTime now) {
   const auto fits = [&] {
@@ -72,13 +89,15 @@
   if (!use.closing && !use.admitted &&
       use.held > budget.options.always_read.value) {
     if (!fits()) {
-      internal::DropStalled(budget, now);
+      internal::DropSlow(budget, now);
     }
     if (!fits()) {
       use.paused = true;
       return false;
     }
     use.admitted = true;
+    use.admitted_at = now;
+    use.read_at_admission = use.read;
     ++budget.admitted;
     Count(budget, use);
   }
--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -16,7 +16,7 @@
   kBodyTooLarge,  ///< Answered with 413, or closed if it goes on.
   kHeadTooLarge,
   kMalformed,          ///< Not HTTP.
-  kMemoryShort,        ///< Closed while it held much and moved nothing.
+  kMemoryShort,        ///< Closed while it held much and moved too little.
   kTooManyConnections  ///< Closed for a new connection.
 };
 
@@ -29,6 +29,10 @@
   core::Bytes always_read{20 << 10};
   /// Without a byte for this long, an unfinished request may be dropped.
   core::Millis stalled_after{1000};
+  /// Later than this after its admission, a request that has arrived at less
+  /// than `min_rate` since then may be dropped as well.
+  core::Millis slow_after{3000};
+  core::Bytes min_rate{16 << 10};  ///< In a second.
   /// Called for each refusal.
   std::function<void(ConnectionRefusal)> on_refusal = [](ConnectionRefusal) {};
 };
@@ -38,7 +42,10 @@
   std::int64_t held = 0;      ///< In bytes.
   std::int64_t may_hold = 0;  ///< Most that its request may hold.
   std::int64_t counted = 0;   ///< What the budget counts for it.
+  std::int64_t read = 0;      ///< Head and body read so far, in bytes.
   bool admitted = false;      ///< Counts as what it may hold.
+  core::MonotonicTime admitted_at;
+  std::int64_t read_at_admission = 0;  ///< In bytes.
   core::MonotonicTime moved;
   bool unfinished = false;  ///< Part of a request has been read.
   bool handling = false;    ///< A request has no response yet.
@@ -66,10 +73,19 @@
 /// @param use The connection.
 void Forget(ConnectionBudget& budget, ConnectionUse& use);
 
+/// @brief Tells whether an unfinished request keeps what it holds for too long:
+/// nothing came for `stalled_after`, or too little since its admission.
+/// @param options The limits.
+/// @param use Its connection.
+/// @param now Current time.
+/// @return Whether it may be dropped for others.
+[[nodiscard]] bool IsTooSlow(const ConnectionBudgetOptions& options,
+                             const ConnectionUse& use, core::MonotonicTime now);
+
 /// @brief Decides whether a connection may be read. One that holds more than
 /// `always_read` is admitted if all that its request may hold fits, and then
-/// read to its end. If it does not fit, drops stalled connections, those that
-/// hold most first, until a quarter of the budget is free.
+/// read to its end. If it does not fit, drops connections that are too slow,
+/// those that hold most first, until a quarter of the budget is free.
 /// @param budget The budget.
 /// @param use The connection.
 /// @param now Current time.
--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -228,6 +228,7 @@
     current->use.may_hold = current->limits.max_stored_body.value;
     current->head_read = kRequestLineSeparators;
     current->body_read = 0;
+    current->use.read = 0;
     current->body_too_large = current->refused = false;
   }
   return 0;
@@ -243,6 +244,7 @@
     return 0;
   }
   current->head_read += text + separators;
+  current->use.read += static_cast<std::int64_t>(text);
   current->head_held += static_cast<std::int64_t>(text) + overhead;
   current->use.held = current->head_held;
   if (current->head_read <=
@@ -307,6 +309,7 @@
     return restinio::impl::restinio_body_cb(parser, data, size);
   }
   current->body_read += size;
+  current->use.read += static_cast<std::int64_t>(size);
   if (current->body_read > context.m_limits.max_body_size()) {
     if (!current->refused) {
       current->Refuse(ConnectionRefusal::kBodyTooLarge);
--- a/test/http/connection_budget_test.cpp
+++ b/test/http/connection_budget_test.cpp
@@ -55,6 +55,26 @@
   EXPECT_EQ(uses[3].moved, kStart + core::Millis(1'000));
 }
 
+// Guards against an admission that is kept by a byte now and then, and against
+// closing a request that arrives at the rate that is asked for.
+TEST_F(ConnectionBudgetTest, ClosesAnAdmittedConnectionThatIsTooSlow) {
+  budget.options.min_rate = {100};
+  Admit(0, 200, 500);
+  Admit(1, 200, 500);
+  Hold(2, 150);
+  uses[2].may_hold = 400;
+  const auto at = [&](core::Millis since, std::int64_t first_read) {
+    uses[0].read = first_read;
+    uses[1].read = 1;
+    uses[0].moved = uses[1].moved = uses[2].moved = kStart + since;
+    return MayRead(budget, uses[2], kStart + since);
+  };
+  EXPECT_FALSE(at(core::Millis(3'000), 1));
+  EXPECT_TRUE(closed.empty());
+  EXPECT_TRUE(at(core::Millis(4'000), 100));
+  EXPECT_EQ(closed, std::vector<std::size_t>{1});
+}
+
 // Guards against requests that all wait for each other half-way, and against a
 // budget that is smaller than one request.
 TEST_F(ConnectionBudgetTest, ReadsAnAdmittedRequestToItsEnd) {
