--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -203,6 +203,9 @@
   std::shared_ptr<Connection> connection_;
 };
 
+/// Stands for RESTinio's own count of connections, which is not used.
+struct NoLifetimeMonitor {};
+
 /// Parser callbacks of RESTinio's connections are chosen by this type.
 struct HttpMethods : restinio::default_http_methods_t {};
 
@@ -403,11 +406,12 @@
 template <>
 struct connection_count_limit_types<camphormux::http::internal::ServerTraits> {
   using limiter_t = connection_count_limits::noop_connection_count_limiter_t;
-  struct lifetime_monitor_t {};
+  using lifetime_monitor_t = camphormux::http::internal::NoLifetimeMonitor;
 };
 
 namespace impl {
 
+/// Replaces an acceptor that ends for good when it fails once.
 template <>
 class acceptor_t<camphormux::http::internal::ServerTraits> final
     : public camphormux::http::internal::RetryingAcceptor<
