--- a/src/camphormux/http/server.cpp
+++ b/src/camphormux/http/server.cpp
@@ -12,6 +12,7 @@
 #include <restinio/all.hpp>
 
 #include "camphormux/http/reason_phrase.hpp"
+#include "camphormux/http/retrying_acceptor.hpp"
 
 namespace camphormux::http {
 namespace internal {
@@ -202,6 +203,9 @@
   std::shared_ptr<Connection> connection_;
 };
 
+/// Stands for RESTinio's own count of connections, which is not used.
+struct NoLifetimeMonitor {};
+
 /// Parser callbacks of RESTinio's connections are chosen by this type.
 struct HttpMethods : restinio::default_http_methods_t {};
 
@@ -227,6 +231,7 @@
     current->use.may_hold = current->limits.max_stored_body.value;
     current->head_read = kRequestLineSeparators;
     current->body_read = 0;
+    current->use.read = 0;
     current->body_too_large = current->refused = false;
   }
   return 0;
@@ -242,6 +247,7 @@
     return 0;
   }
   current->head_read += text + separators;
+  current->use.read += static_cast<std::int64_t>(text);
   current->head_held += static_cast<std::int64_t>(text) + overhead;
   current->use.held = current->head_held;
   if (current->head_read <=
@@ -306,6 +312,7 @@
     return restinio::impl::restinio_body_cb(parser, data, size);
   }
   current->body_read += size;
+  current->use.read += static_cast<std::int64_t>(size);
   if (current->body_read > context.m_limits.max_body_size()) {
     if (!current->refused) {
       current->Refuse(ConnectionRefusal::kBodyTooLarge);
@@ -393,7 +400,24 @@
 }  // namespace internal
 }  // namespace camphormux::http
 
-namespace restinio::impl {
+namespace restinio {
+
+/// The server counts connections itself.
+template <>
+struct connection_count_limit_types<camphormux::http::internal::ServerTraits> {
+  using limiter_t = connection_count_limits::noop_connection_count_limiter_t;
+  using lifetime_monitor_t = camphormux::http::internal::NoLifetimeMonitor;
+};
+
+namespace impl {
+
+/// Replaces an acceptor that ends for good when it fails once.
+template <>
+class acceptor_t<camphormux::http::internal::ServerTraits> final
+    : public camphormux::http::internal::RetryingAcceptor<
+          camphormux::http::internal::ServerTraits> {
+  using RetryingAcceptor::RetryingAcceptor;
+};
 
 /// Replaces the callbacks that keep an entry for each chunk and whole bodies.
 template <>
@@ -412,7 +436,8 @@
   return settings;
 }
 
-}  // namespace restinio::impl
+}  // namespace impl
+}  // namespace restinio
 
 namespace camphormux::http {
 
