--- a/test/scheduler/jobs_test.cpp
+++ b/test/scheduler/jobs_test.cpp
@@ -1,8 +1,8 @@
-#include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
 
 #include <gtest/gtest.h>
 
+#include "camphormux/scheduler/hosts.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
