Wait before accepting again when accept fails at the listener between nodes

Cause: after an error the peer server called accept again at once. Without a free descriptor each call fails, so that the loop did nothing else. Change: 100 ms between a failed accept and the next one.

--- a/src/camphormux/peer/server.cpp
+++ b/src/camphormux/peer/server.cpp
@@ -6,12 +6,17 @@
 #include <utility>
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
+#include "camphormux/core/time.hpp"
 #include "camphormux/peer/connection.hpp"
 
 namespace camphormux::peer {
 namespace internal {
 
+/// Pause after a failed accept; without a free descriptor each one fails.
+constexpr core::Millis kAcceptRetry{100};
+
 /// A request of a peer and its response.
 struct Incoming {
   Request request;
@@ -151,12 +156,15 @@
 
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
   Impl(asio::io_context& loop, const core::Address& address)
-      : acceptor(loop, {asio::ip::make_address(address.ip), address.port}) {}
+      : acceptor(loop, {asio::ip::make_address(address.ip), address.port}),
+        accept_timer(loop) {}
 
   void Accept();
+  void AcceptLater();
   void Add(asio::ip::tcp::socket socket);
 
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   std::shared_ptr<const Handler> handler;
   ServerOptions options;
   std::map<internal::Accepted*, std::shared_ptr<internal::Accepted>> accepted;
@@ -169,13 +177,27 @@
         if (!self->acceptor.is_open()) {
           return;
         }
-        if (!error && self->accepted.size() < self->options.max_connections) {
+        if (error) {
+          self->AcceptLater();
+          return;
+        }
+        if (self->accepted.size() < self->options.max_connections) {
           self->Add(std::move(socket));
         }
         self->Accept();
       });
 }
 
+void Server::Impl::AcceptLater() {
+  accept_timer.expires_after(internal::kAcceptRetry);
+  accept_timer.async_wait(
+      [self = shared_from_this()](const asio::error_code& cancelled) {
+        if (!cancelled && self->acceptor.is_open()) {
+          self->Accept();
+        }
+      });
+}
+
 void Server::Impl::Add(asio::ip::tcp::socket socket) {
   auto added = std::make_shared<internal::Accepted>();
   added->connection = std::make_shared<internal::Connection>(std::move(socket));
@@ -211,6 +233,7 @@
 void Server::Close() {
   asio::error_code ignored;
   impl_->acceptor.close(ignored);
+  impl_->accept_timer.cancel();
   for (const auto& [raw, accepted] : impl_->accepted) {
     accepted->connection->Close();
   }
--- a/test/platform/hostile_peers_test.py
+++ b/test/platform/hostile_peers_test.py
@@ -4,11 +4,13 @@
 that was connected before the crowd and at one that starts after it: both reach the holder through that port. Needs a
 built camphormux-node, whose path is in CAMPHORMUX_NODE.
 """
+import os
 import resource
 import socket
 import struct
 import sys
 import tempfile
+import time
 import unittest
 
 import hostile_clients_test as clients
@@ -77,6 +79,11 @@
         finally:
             self.system.nodes = nodes
 
+    def processor_seconds(self):
+        with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def crowd(self, payloads, receive_buffer=None):
         return self.connect_crowd(payloads, "peer", receive_buffer)
 
@@ -150,14 +157,19 @@
         self.expect_unharmed()
 
     def test_no_descriptor_left(self):
-        """Guards against an acceptor that ends, or a node that ends, when accept fails."""
+        """Guards against a node that ends, or does nothing else any more, when accept fails."""
         number, hard = resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE)
         self.look()
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.most_descriptors + 30, hard))
         crowd = self.crowd([HELLO] * 200)
+        begun, used = time.monotonic(), self.processor_seconds()
+        time.sleep(2)
+        busy = (self.processor_seconds() - used) / (time.monotonic() - begun)
         crowd.close()
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (number, hard))
         self.expect_unharmed()
+        print(f"share of a processor without descriptors: {busy:.2f}", file=sys.stderr)
+        self.assertLess(busy, 0.5, "accept is tried again at once")
 
 
 if __name__ == "__main__":
