Bound what connections at the listener between nodes hold together

Cause: 512 connections with up to 1,024 streams each could hold unfinished bodies of 4 MiB, or answers that their client never took, without a common bound; once 512 silent connections were open, nodes were turned away.

Change: - Streams of all connections count towards one http::ConnectionBudget of an eighth of `[limits] memory_mb`, from their head until their answer has been taken. A connection holds 20 KiB in any case. More than that, past the budget, is refused with REFUSED_STREAM: the client fails with kRefused and knows that its request has had no effect. Before that, connections whose oldest stream has waited for its client for 2 s are closed. - The listener has an eighth of `[limits] descriptors` (512 at the default 4,100, as before). For one more, a connection is closed that was never served, else the one that rested longest; none whose requests are only in handling. - The server does not read a connection while its output is unread. The client still does, so that two nodes do not wait for each other. - camphormux_peer_connections_refused_total counts refusals by reason.

--- a/src/camphormux/coordinator/node.cpp
+++ b/src/camphormux/coordinator/node.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -9,9 +10,11 @@
 
 #include "camphormux/coordinator/candidate_rank.hpp"
 #include "camphormux/core/boot_time.hpp"
+#include "camphormux/http/connection_budget.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/telemetry/guard.hpp"
 #include "camphormux/telemetry/log.hpp"
+#include "camphormux/telemetry/metrics.hpp"
 
 namespace camphormux::coordinator {
 namespace internal {
@@ -38,6 +41,14 @@
 /// Time in which nodes that start together are all listed.
 constexpr core::Millis kListingTime{8000};
 constexpr double kMilliCoresPerCore = 1000;
+/// Part of the memory that streams of other nodes may hold.
+constexpr std::int64_t kPeerMemoryParts = 8;
+constexpr std::int64_t kBytesPerMebibyte = std::int64_t{1} << 20;
+/// Part of the descriptors that connections of other nodes may take. A node has
+/// up to four to another one.
+constexpr std::int64_t kPeerDescriptorParts = 8;
+/// A request of another node arrives, and its response is taken, in less.
+constexpr core::Millis kPeerStall{2000};
 
 Member AsMember(const NodeSettings& settings) {
   Member member;
@@ -48,6 +59,34 @@
   return member;
 }
 
+peer::ServerOptions PeerOptions(const NodeSettings& settings,
+                                prometheus::Registry& registry) {
+  peer::ServerOptions options;
+  options.max_connections =
+      static_cast<std::size_t>(settings.max_descriptors / kPeerDescriptorParts);
+  options.budget = std::make_shared<http::ConnectionBudget>();
+  options.budget->options.total.value =
+      settings.memory.value * kBytesPerMebibyte / kPeerMemoryParts;
+  options.budget->options.stalled_after = kPeerStall;
+  std::map<http::ConnectionRefusal, prometheus::Counter*> counters;
+  for (const auto reason : {http::ConnectionRefusal::kMemoryShort,
+                            http::ConnectionRefusal::kRequestRefused,
+                            http::ConnectionRefusal::kTooManyConnections}) {
+    counters[reason] = &telemetry::AddCounter(
+        registry, "camphormux_peer_connections_refused_total",
+        "Requests refused and connections closed at the listener for other "
+        "nodes, by reason.",
+        {{"reason", http::Name(reason)}});
+  }
+  options.budget->options.on_refusal = [counters](
+                                           http::ConnectionRefusal reason) {
+    counters.at(reason)->Increment();
+    telemetry::Log(telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+                   "peer outside the limits", {{"reason", http::Name(reason)}});
+  };
+  return options;
+}
+
 }  // namespace internal
 
 Node::Node(asio::io_context& loop, NodeSettings settings, Ports ports,
@@ -70,7 +109,8 @@
             if (!served) {
               respond({peer::kStatusInternalError, ""});
             }
-          }),
+          },
+          internal::PeerOptions(settings_, *registry_)),
       check_timer_(loop) {
   election_ = std::make_shared<Election>(
       loop, ports_.election,
--- a/src/camphormux/http/connection_budget.cpp
+++ b/src/camphormux/http/connection_budget.cpp
@@ -45,6 +45,24 @@
 
 }  // namespace internal
 
+const char* Name(ConnectionRefusal reason) {
+  switch (reason) {
+    case ConnectionRefusal::kBodyTooLarge:
+      return "body too large";
+    case ConnectionRefusal::kHeadTooLarge:
+      return "head too large";
+    case ConnectionRefusal::kMalformed:
+      return "malformed";
+    case ConnectionRefusal::kMemoryShort:
+      return "stalled while memory is short";
+    case ConnectionRefusal::kRequestRefused:
+      return "refused while memory is short";
+    case ConnectionRefusal::kTooManyConnections:
+      break;
+  }
+  return "too many connections";
+}
+
 void Count(ConnectionBudget& budget, ConnectionUse& use) {
   if (use.admitted && use.held <= budget.options.always_read.value) {
     use.admitted = false;
@@ -90,13 +108,26 @@
   return true;
 }
 
+bool MayHold(ConnectionBudget& budget, const ConnectionUse& use,
+             std::int64_t bytes, core::MonotonicTime now) {
+  const auto fits = [&] {
+    return use.held + bytes <= budget.options.always_read.value ||
+           budget.held + bytes <= budget.options.total.value;
+  };
+  if (!fits()) {
+    internal::DropStalled(budget, now);
+  }
+  return !use.closing && fits();
+}
+
 void MakeRoom(ConnectionBudget& budget,
               const std::unordered_set<ConnectionUse*>& connections,
               const ConnectionUse& newest) {
   ConnectionUse* oldest = nullptr;
   for (ConnectionUse* use : connections) {
     if (use != &newest && !use->handling && !use->closing &&
-        (oldest == nullptr || use->moved < oldest->moved)) {
+        (oldest == nullptr || std::pair(use->served, use->moved) <
+                                  std::pair(oldest->served, oldest->moved))) {
       oldest = use;
     }
   }
--- a/src/camphormux/http/connection_budget.hpp
+++ b/src/camphormux/http/connection_budget.hpp
@@ -15,11 +15,16 @@
 enum class ConnectionRefusal {
   kBodyTooLarge,  ///< Answered with 413, or closed if it goes on.
   kHeadTooLarge,
-  kMalformed,          ///< Not HTTP.
-  kMemoryShort,        ///< Closed while it held much and moved nothing.
-  kTooManyConnections  ///< Closed for a new connection.
+  kMalformed,           ///< Not HTTP.
+  kMemoryShort,         ///< Closed while it held much and moved nothing.
+  kTooManyConnections,  ///< Closed for a new connection.
+  kRequestRefused       ///< Too large for the memory that is left.
 };
 
+/// @param reason A refusal.
+/// @return Its name in metrics and log lines.
+[[nodiscard]] const char* Name(ConnectionRefusal reason);
+
 /// @brief Limits of what all connections of the servers that share a budget
 /// hold together.
 struct ConnectionBudgetOptions {
@@ -44,6 +49,7 @@
   bool handling = false;    ///< A request has no response yet.
   bool paused = false;      ///< Not read, as it does not fit.
   bool closing = false;     ///< Shut down for another connection.
+  bool served = false;      ///< Has had a response that was no refusal.
   std::function<void()> shut_down;
 };
 
@@ -77,8 +83,18 @@
 [[nodiscard]] bool MayRead(ConnectionBudget& budget, ConnectionUse& use,
                            core::MonotonicTime now);
 
+/// @brief Decides whether a connection may hold more. Always up to
+/// `always_read`; else, if it does not fit, drops stalled connections first.
+/// @param budget The budget.
+/// @param use The connection; one that is dropped itself may hold no more.
+/// @param bytes What is to be added to what it holds.
+/// @param now Current time.
+/// @return Whether it fits; if not, refuse the request.
+[[nodiscard]] bool MayHold(ConnectionBudget& budget, const ConnectionUse& use,
+                           std::int64_t bytes, core::MonotonicTime now);
+
 /// @brief Shuts down the connection without a request in handling that has not
-/// moved for the longest time.
+/// moved for the longest time; connections that were never served go first.
 /// @param budget Is told of the refusal.
 /// @param connections The candidates.
 /// @param newest The connection that needs the room; it stays.
--- a/src/camphormux/peer/client.cpp
+++ b/src/camphormux/peer/client.cpp
@@ -157,11 +157,12 @@
   failures = 0;
   connection = std::make_shared<internal::Connection>(std::move(*connecting));
   connecting.reset();
-  connection->Start(MakeSession(), [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->OnCut();
-    }
-  });
+  connection->Start(MakeSession(), {[weak = weak_from_this()] {
+                                      if (const auto self = weak.lock()) {
+                                        self->OnCut();
+                                      }
+                                    },
+                                    {}});
   for (const ExchangePtr& exchange : std::exchange(waiting, {})) {
     if (exchange->done) {
       Submit(exchange);
--- a/src/camphormux/peer/connection.cpp
+++ b/src/camphormux/peer/connection.cpp
@@ -59,9 +59,11 @@
 Connection::Connection(asio::ip::tcp::socket socket)
     : socket_(std::move(socket)) {}
 
-void Connection::Start(Session session, std::function<void()> on_close) {
+void Connection::Start(Session session, ConnectionEvents events,
+                       ReadPolicy read_policy) {
   session_ = std::move(session);
-  on_close_ = std::move(on_close);
+  events_ = std::move(events);
+  read_policy_ = read_policy;
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   const std::array<nghttp2_settings_entry, 3> settings{{
@@ -90,7 +92,7 @@
 
 void Connection::Close() {
   closed_ = true;
-  on_close_ = nullptr;
+  events_ = {};
   asio::error_code ignored;
   socket_.close(ignored);
 }
@@ -99,18 +101,34 @@
   if (closed_) {
     return;
   }
-  const auto on_close = std::move(on_close_);
+  const auto on_close = std::move(events_.on_close);
   Close();
   if (on_close) {
     on_close();
   }
 }
 
+void Connection::NotifyActivity() {
+  if (events_.on_activity) {
+    events_.on_activity();
+  }
+}
+
+void Connection::ReadIfAllowed() {
+  const bool is_allowed =
+      read_policy_ == ReadPolicy::kAlways || (!writing_ && !flush_scheduled_);
+  if (!closed_ && !reading_ && is_allowed) {
+    Read();
+  }
+}
+
 void Connection::Read() {
+  reading_ = true;
   socket_.async_read_some(
       asio::buffer(input_),
       [self = shared_from_this()](const asio::error_code& error,
                                   std::size_t count) {
+        self->reading_ = false;
         if (self->closed_) {
           return;
         }
@@ -127,10 +145,9 @@
           self->Fail();
           return;
         }
-        if (!self->closed_) {
-          self->Flush();
-          self->Read();
-        }
+        self->Flush();
+        self->NotifyActivity();
+        self->ReadIfAllowed();
       });
 }
 
@@ -159,17 +176,26 @@
     if (nghttp2_session_want_read(session_.get()) == 0) {
       Fail();
     }
+    ReadIfAllowed();
     return;
   }
   writing_ = true;
+  write_began_ = core::MonotonicNow();
+  NotifyActivity();
   asio::async_write(socket_, asio::buffer(output_),
                     [self = shared_from_this()](const asio::error_code& error,
                                                 std::size_t /*count*/) {
                       self->writing_ = false;
+                      self->output_.clear();
+                      if (self->output_.capacity() > kReadBytes) {
+                        self->output_.shrink_to_fit();
+                      }
                       if (error) {
                         self->Fail();
                         return;
                       }
+                      self->NotifyActivity();
+                      self->ReadIfAllowed();
                       self->Write();
                     });
 }
--- a/src/camphormux/peer/connection.hpp
+++ b/src/camphormux/peer/connection.hpp
@@ -11,6 +11,8 @@
 #include <asio/ip/tcp.hpp>
 #include <nghttp2/nghttp2.h>
 
+#include "camphormux/core/time.hpp"
+
 namespace camphormux::peer::internal {
 
 /// @brief A body that nghttp2 reads piece by piece.
@@ -48,6 +50,23 @@
 };
 using Session = std::unique_ptr<nghttp2_session, SessionDeleter>;
 
+/// When a connection reads.
+enum class ReadPolicy {
+  kAlways,
+  /// Not while the peer leaves output unread, which would grow with each read.
+  /// Only for servers: two ends that both wait for the other would stall.
+  kWhenWritten
+};
+
+/// @brief What a connection tells its owner.
+struct ConnectionEvents {
+  /// Called once when the connection ended by itself or by `Fail`.
+  std::function<void()> on_close;
+  /// Called after input was handled and after output has moved; may be empty.
+  /// Must not close the connection.
+  std::function<void()> on_activity;
+};
+
 /// @brief Moves bytes between a socket and an nghttp2 session. The session is
 /// destroyed with the connection, so callbacks of nghttp2 may close it.
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -56,33 +75,46 @@
 
   /// @brief Sends the settings frame and begins to read.
   /// @param session The session.
-  /// @param on_close Called once when the connection ended by itself.
-  void Start(Session session, std::function<void()> on_close);
+  /// @param events Callbacks.
+  /// @param read_policy When it reads.
+  void Start(Session session, ConnectionEvents events,
+             ReadPolicy read_policy = ReadPolicy::kAlways);
 
   /// @brief Schedules a write of what the session has to send. May be called
   /// within callbacks of nghttp2.
   void Flush();
 
-  /// @brief Closes the socket. `on_close` is not called.
+  /// @brief Closes the socket. No more events are called.
   void Close();
 
+  /// @brief Closes the socket and calls `on_close`.
+  void Fail();
+
   [[nodiscard]] nghttp2_session* session() { return session_.get(); }
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] std::uint64_t received_bytes() const { return received_; }
+  /// @return Size of the write that is under way.
+  [[nodiscard]] std::size_t unsent_bytes() const { return output_.size(); }
+  /// @return When the last write began.
+  [[nodiscard]] core::MonotonicTime write_began() const { return write_began_; }
 
  private:
   void Read();
+  void ReadIfAllowed();
   void Write();
-  void Fail();
+  void NotifyActivity();
 
   static constexpr std::size_t kReadBytes = std::size_t{16} << 10;
 
   asio::ip::tcp::socket socket_;
   Session session_;
-  std::function<void()> on_close_;
+  ConnectionEvents events_;
+  ReadPolicy read_policy_ = ReadPolicy::kAlways;
   std::array<std::uint8_t, kReadBytes> input_{};
   std::string output_;
   std::uint64_t received_ = 0;
+  core::MonotonicTime write_began_;
+  bool reading_ = false;
   bool flush_scheduled_ = false;
   bool writing_ = false;
   bool closed_ = false;
--- a/src/camphormux/peer/server.hpp
+++ b/src/camphormux/peer/server.hpp
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 
 #include "camphormux/core/units.hpp"
+#include "camphormux/http/connection_budget.hpp"
 #include "camphormux/peer/message.hpp"
 
 namespace camphormux::peer {
@@ -15,12 +16,18 @@
 /// @brief Limits of a server.
 struct ServerOptions {
   std::size_t max_body_bytes = kDefaultMaxBodyBytes;
+  /// For one more, the connection that has been answered nothing, or not for
+  /// the longest time, is closed.
   std::size_t max_connections = 512;
+  /// What the streams of all connections hold; null: a budget of its own.
+  std::shared_ptr<http::ConnectionBudget> budget = nullptr;
 };
 
 /// @brief Answers requests of other own processes. Use it on the loop's thread
 /// only. A connection that sends malformed frames is closed; a request above
 /// the bound is answered with `kStatusTooLarge` and does not reach the handler.
+/// A request for which there is no memory is refused, so that its client fails
+/// with `Error::kRefused`; it does not reach the handler either.
 class Server {
  public:
   /// @param loop Event loop; outlives the server.
--- a/test/http/connection_budget_test.cpp
+++ b/test/http/connection_budget_test.cpp
@@ -82,5 +82,30 @@
   EXPECT_EQ(closed, std::vector<std::size_t>{2});
 }
 
+// Guards against strangers that push out a node which is served now and then.
+TEST_F(ConnectionBudgetTest, MakesRoomByConnectionsThatWereNeverServed) {
+  for (std::size_t i = 0; i < uses.size(); ++i) {
+    uses[i].moved = kStart + core::Millis(i);
+    uses[i].served = i != 2;
+  }
+  MakeRoom(budget, budget.connections, uses[3]);
+  EXPECT_EQ(closed, std::vector<std::size_t>{2});
+}
+
+// Guards against small requests that find no memory, and against unfinished
+// requests that keep it.
+TEST_F(ConnectionBudgetTest, RefusesOnlyWhatIsLargeWhileMemoryIsShort) {
+  Hold(0, 600);
+  Hold(1, 350);
+  uses[0].moved = kStart + core::Millis(500);
+  EXPECT_TRUE(MayHold(budget, uses[2], 50, kStart));
+  EXPECT_TRUE(MayHold(budget, uses[2], 100, kStart));
+  EXPECT_FALSE(MayHold(budget, uses[2], 101, kStart));
+  EXPECT_TRUE(MayHold(budget, uses[2], 400, kStart + core::Millis(1'000)));
+  EXPECT_EQ(closed, std::vector<std::size_t>{1});
+  uses[0].closing = true;
+  EXPECT_FALSE(MayHold(budget, uses[0], 0, kStart + core::Millis(1'000)));
+}
+
 }  // namespace
 }  // namespace camphormux::http
--- a/test/peer/client_server_test.cpp
+++ b/test/peer/client_server_test.cpp
@@ -173,6 +173,65 @@
   EXPECT_EQ(handled, 1U);
 }
 
+// Guards against requests that are lost, or reported as carried out, when the
+// server has no memory for them, and against memory that stays counted.
+TEST(PeerTest, RefusesRequestsOverTheBudget) {
+  asio::io_context loop;
+  std::size_t handled = 0;
+  ServerOptions options;
+  options.budget = std::make_shared<http::ConnectionBudget>();
+  options.budget->options.total = {100'000};
+  Server server(
+      loop, {"127.0.0.1", 0},
+      [&handled](const Request&, const Respond& respond) {
+        ++handled;
+        respond({kStatusOk, std::string(300'000, 'r')});
+      },
+      options);
+  Client client(loop, {"127.0.0.1", server.port()});
+  Collected collected;
+  client.Send({"/x", std::string(200'000, 'q')}, kLimit,
+              collected.Add(loop, 1));
+  RunLoop(loop);
+  ASSERT_FALSE(collected.results.at(0).has_value());
+  EXPECT_EQ(collected.results[0].error().error, Error::kRefused);
+  EXPECT_FALSE(collected.results[0].error().may_have_reached);
+  EXPECT_EQ(handled, 0U);
+  client.Send({"/x", std::string(10'000, 'q')}, kLimit, collected.Add(loop, 2));
+  RunLoop(loop);
+  ASSERT_TRUE(collected.results.at(1).has_value());
+  loop.restart();
+  loop.poll();
+  EXPECT_EQ(options.budget->held, 0);
+}
+
+// Guards against silent connections that keep nodes out or cut off those that
+// are connected.
+TEST(PeerTest, ClosesSilentConnectionsForNewOnes) {
+  asio::io_context loop;
+  ServerOptions options;
+  options.max_connections = 4;
+  Server server(loop, {"127.0.0.1", 0}, Echo(), options);
+  const core::Address address{"127.0.0.1", server.port()};
+  Client early(loop, address);
+  Collected collected;
+  early.Send({"/a", ""}, kLimit, collected.Add(loop, 1));
+  RunLoop(loop);
+  std::vector<asio::ip::tcp::socket> silent;
+  for (int i = 0; i < 10; ++i) {
+    silent.emplace_back(loop).connect(
+        {asio::ip::address_v4::loopback(), server.port()});
+  }
+  Client late(loop, address);
+  early.Send({"/b", ""}, kLimit, collected.Add(loop, 3));
+  late.Send({"/c", ""}, kLimit, collected.Add(loop, 3));
+  RunLoop(loop);
+  ASSERT_EQ(collected.results.size(), 3U);
+  for (const Result& result : collected.results) {
+    EXPECT_TRUE(result.has_value());
+  }
+}
+
 // Guards against malformed frames that end the process or stop the server
 // from serving others.
 TEST(PeerTest, SurvivesMalformedFrames) {
