Do not keep closed streams of other nodes for priorities

Cause: nghttp2 keeps up to 1,024 closed streams of a connection for its priority tree, which the nodes do not use; they are outside the budget. Change: the server's sessions keep none.

--- a/src/camphormux/peer/connection.hpp
+++ b/src/camphormux/peer/connection.hpp
@@ -50,6 +50,11 @@
 };
 using Session = std::unique_ptr<nghttp2_session, SessionDeleter>;
 
+struct OptionDeleter {
+  void operator()(nghttp2_option* option) const { nghttp2_option_del(option); }
+};
+using Option = std::unique_ptr<nghttp2_option, OptionDeleter>;
+
 /// When a connection reads.
 enum class ReadPolicy {
   kAlways,
--- a/src/camphormux/peer/server.cpp
+++ b/src/camphormux/peer/server.cpp
@@ -292,8 +292,14 @@
                                                        &OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(callbacks.get(),
                                                          &OnStreamClose);
+  nghttp2_option* raw_option = nullptr;
+  nghttp2_option_new(&raw_option);
+  const Option option(raw_option);
+  // Kept for priorities, which are not used, and held outside the budget.
+  nghttp2_option_set_no_closed_streams(option.get(), 1);
   nghttp2_session* session = nullptr;
-  nghttp2_session_server_new(&session, callbacks.get(), &accepted);
+  nghttp2_session_server_new2(&session, callbacks.get(), &accepted,
+                              option.get());
   return Session(session);
 }
 
