--- a/src/camphormux/peer/server.cpp
+++ b/src/camphormux/peer/server.cpp
@@ -53,7 +53,6 @@
   http::ConnectionUse use;
   std::int64_t streams_held = 0;  ///< In bytes.
   core::MonotonicTime answered_at;
-
   std::size_t handling = 0;  ///< Requests without a response.
 
   void Enter();
