--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -208,16 +208,22 @@
   TestStartForAnEarlierIncarnation(harness);
 }
 
+/// Submits a job whose start is held up on its way to the host, like all starts
+/// after it.
+void HoldUpStart(Harness& harness, const workload::JobSpec& job) {
+  harness.hosts.HoldCalls(nullptr, true);
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+}
+
 // Its deadline is a time on the clock of the previous incarnation.
 TEST(RestartedHostTest, LateStartOnAnUnknownIncarnationLapsesFirst) {
   Harness harness(kLongRun);
   ASSERT_TRUE(harness.RunUntil([&] { return harness.holder->is_ready(); }));
   harness.RunFor(kTakeoverWait);
-  harness.hosts.HoldCalls(nullptr, true);
   const auto job = SingleTask("5c0e7a21d94b36f8");
-  harness.Submit(job);
-  ASSERT_TRUE(
-      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  HoldUpStart(harness, job);
   const auto earlier = harness.hosts.Listings();
   harness.hosts.SetCutOff(harness.id, true);
   harness.hosts.HoldCalls(nullptr, false);
@@ -281,11 +287,8 @@
 // A call of the previous holder arrives after the takeover.
 TEST(RestartedHostTest, StartOfThePreviousHolderOnAnUnknownIncarnation) {
   Harness harness(kLongRun);
-  harness.hosts.HoldCalls(nullptr, true);
   const auto job = SingleTask("5c0e7a21d94b36f8");
-  harness.Submit(job);
-  ASSERT_TRUE(
-      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  HoldUpStart(harness, job);
   auto listings = harness.hosts.Listings();
   harness.hosts.SetCutOff(harness.id, true);
   harness.hosts.HoldCalls(nullptr, false);
@@ -304,11 +307,8 @@
 // settled at the one before.
 TEST(RestartedHostTest, SettledStartDoesNotRunOnTheNextIncarnation) {
   Harness harness(kLongRun);
-  harness.hosts.HoldCalls(nullptr, true);
   const auto job = SingleTask("5c0e7a21d94b36f8");
-  harness.Submit(job);
-  ASSERT_TRUE(
-      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  HoldUpStart(harness, job);
   harness.hosts.HoldCalls(nullptr, false);
   harness.hosts.Add({"i-2"});
   auto listings = harness.hosts.Listings();
@@ -350,11 +350,8 @@
 // The incarnation after the next has seen no token.
 TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
   Harness harness(kLongRun);
-  harness.hosts.HoldCalls(nullptr, true);
   const auto job = SingleTask("5c0e7a21d94b36f8");
-  harness.Submit(job);
-  ASSERT_TRUE(
-      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  HoldUpStart(harness, job);
   harness.hosts.HoldCalls(nullptr, false);
   harness.hosts.Restart(harness.id);
   harness.hosts.Add({"i-2"});
