After a takeover, wait for a silent host that restarted as after a restart seen by the holder

Cause: a stored run names the incarnation that the previous holder knew. If the list named another one before the runs were loaded, a silent host was waited for 10.3 s from the takeover, as if calls of the previous holder could not arrive later; if the list came after the runs, it was 25.3 s (ReplaceIncarnation). A start that arrived after the takeover could run there beside the next attempt. Change: the same wait in both orders, until the first report, which fences all earlier calls. Price: none in calls; the runs on a host that restarted around a takeover and stays silent wait 15 s more, as the design says for restarts. Measured: HostsTest.StoredRunOnASilentNextIncarnationIsWaitedForAsAfterARestart failed before, passes.

--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -69,9 +69,7 @@
 
 /// Removes the runs of a silent host whose leases have expired.
 void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
-  const core::Millis longest_wait =
-      kMaxCallDuration + kMaxCallDelay +
-      MaxLeaseDuration(state.settings.longest_lease);
+  const core::Millis longest_wait = EarlierCallsDuration(state.settings);
   const bool is_certain = !host.granted ||
                           now >= *host.granted + longest_wait ||
                           HasOutlivedLeases(host);
@@ -226,6 +224,11 @@
                   MaxLeaseDuration(settings.longest_lease));
 }
 
+core::Millis EarlierCallsDuration(const Settings& settings) {
+  return kMaxCallDuration + kMaxCallDelay +
+         MaxLeaseDuration(settings.longest_lease);
+}
+
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
                         core::MonotonicTime now) {
   std::set<core::Incarnation>& ended =
@@ -274,9 +277,8 @@
   host.failed_jobs.clear();
   // The end of a lease is a time on the clock of the incarnation for which it
   // was meant; on another clock it can be any time.
-  host.lease_end = std::max(host.lease_end,
-                            now + kMaxCallDuration + kMaxCallDelay +
-                                MaxLeaseDuration(state.settings.longest_lease));
+  host.lease_end =
+      std::max(host.lease_end, now + EarlierCallsDuration(state.settings));
 }
 
 void CheckHosts(State& state, core::MonotonicTime now) {
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -98,6 +98,10 @@
 /// the longest lease.
 [[nodiscard]] core::Millis PreviousLeasesDuration(const Settings& settings);
 
+/// @return Time by which the lease of a call has expired that an incarnation
+/// took which the caller did not know of.
+[[nodiscard]] core::Millis EarlierCallsDuration(const Settings& settings);
+
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
 
--- a/src/camphormux/scheduler/jobs.cpp
+++ b/src/camphormux/scheduler/jobs.cpp
@@ -35,7 +35,13 @@
       host = state.hosts.emplace(placed.host, std::move(missing)).first;
     }
     // Also if the host has another incarnation now, which may have accepted the
-    // start.
+    // start, or may still do so.
+    if (!host->second.synced &&
+        host->second.listing.incarnation != placed.incarnation) {
+      host->second.has_earlier_calls = true;
+      host->second.lease_end = std::max(
+          host->second.lease_end, now + EarlierCallsDuration(state.settings));
+    }
     Run& run = AddRun(state, job, task, placed.attempt, host->second, now);
     run.phase = RunPhase::kUnanswered;
     run.is_sent = true;
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -261,6 +261,19 @@
   EXPECT_GT(test.fleet.now, replaced + longest);
 }
 
+// Guards against the same where an entry of the next incarnation is taken for
+// one that shows that its leases are over: no deadline on its clock is known.
+TEST(HostsTest, EntryOfTheNextIncarnationDoesNotEndAStartInDoubt) {
+  AcceptedStart test;
+  test.List(2);
+  test.fleet.unresponsive.insert(test.host);
+  MarkUnresponsive(test.fleet.state.hosts.at(test.host), test.fleet.now);
+  OnHeartbeat(test.fleet.state, {test.host, {2}, 5000}, test.fleet.now);
+  test.fleet.Advance(kMaxCallDuration + kMaxCallDelay +
+                     test.fleet.state.settings.longest_lease);
+  EXPECT_EQ(test.Starts(), 1U);
+}
+
 // Guards against a task that runs twice after a takeover: the stored run names
 // the incarnation that the previous holder knew.
 TEST(HostsTest, StoredRunOfAnEarlierIncarnationIsNotRepeatedElsewhere) {
@@ -289,6 +302,34 @@
   EXPECT_EQ(VisibleState(fleet.state, spec.id), workload::JobState::kSucceeded);
 }
 
+// Guards against the same where the next incarnation cannot be reached: a start
+// that the previous holder sent may arrive after the takeover.
+TEST(HostsTest, StoredRunOnASilentNextIncarnationIsWaitedForAsAfterARestart) {
+  Fleet fleet = SmallFleet();
+  fleet.state.took_over = fleet.now;
+  const core::HostId id = fleet.listings[0].id;
+  fleet.listings[0].incarnation.value = 2;
+  fleet.unresponsive.insert(id);
+  fleet.state.hosts.clear();
+  fleet.Publish();
+  MarkUnresponsive(fleet.state.hosts.at(id), fleet.now);
+  const auto spec = MakeJob(1, "q", 1, 4, core::Millis(1000));
+  workload::Progress stored;
+  stored.state = workload::JobState::kRunning;
+  stored.accepted = fleet.wall;
+  stored.tasks.resize(1);
+  stored.tasks[0].runs = {{id, {1}, 1}};
+  stored.tasks[0].next_attempt = 2;
+  LoadJob(fleet.state, spec.id, workload::StoredJob{spec, {}}, stored,
+          fleet.now, fleet.wall);
+  const core::Millis longest =
+      kMaxCallDuration + kMaxCallDelay + fleet.state.settings.longest_lease;
+  fleet.Advance(longest);
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 0U);
+  fleet.Advance(core::Millis(400));
+  EXPECT_EQ(fleet.CountStarts(spec.id.value), 1U);
+}
+
 // Guards against runs that are dropped because a record of the host's last
 // incarnation reaches the list late.
 TEST(HostsTest, LateRecordOfAnEndedIncarnationIsIgnored) {
