Tests that fail: starts in doubt after a takeover, and on a machine without a host

RestartedHostTest.StartOfThePreviousHolderLapsesFirst: a start of the previous holder that arrives 1.5 s after a takeover, within the duration of a call, runs until 11.7 s after it; the new holder starts the task again at 10.3 s.

UpkeepTest.StartInDoubtIsKeptUntilItsMachineHasAnotherHost: the evidence 'no machine' ends starts in doubt at once.

--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "camphormux/coordinator/holder.hpp"
+#include "camphormux/scheduler/hosts.hpp"
 #include "test/coordinator/fake_platform.hpp"
 #include "test/coordinator/restartable_hosts.hpp"
 
@@ -51,7 +52,9 @@
   }
 
   /// Replaces the holder by one with a newer token.
-  void StartHolder() {
+  void StartHolder() { StartHolder(hosts.Listings()); }
+
+  void StartHolder(const std::vector<scheduler::HostListing>& listings) {
     if (holder) {
       holder->Stop();
     }
@@ -61,7 +64,7 @@
         loop, scheduler::Settings{}, std::move(ports), core::Epoch{++epoch},
         node_metrics, UnlimitedAuthority(), [this] { ++superseded; });
     holder->Start(CatalogWithQueue());
-    List();
+    holder->OnHosts(listings, core::MonotonicTime{});
   }
 
   void List() { holder->OnHosts(hosts.Listings(), core::MonotonicTime{}); }
@@ -304,6 +307,29 @@
   EXPECT_LT(core::MonotonicNow() - cut_off, kLongestLease);
 }
 
+// The call is as old as a call may be when it arrives; nobody holds it up.
+TEST(RestartedHostTest, StartOfThePreviousHolderLapsesFirst) {
+  Harness harness(kLongRun);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  const core::MonotonicTime sent = core::MonotonicNow();
+  auto listings = harness.hosts.Listings();
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.hosts.Add({"i-2"});
+  listings.push_back(harness.hosts.Listings().back());
+  harness.StartHolder(listings);
+  harness.RunFor(core::Millis(1500));
+  harness.hosts.DeliverHeldStarts();
+  ASSERT_LT(core::MonotonicNow(), sent + scheduler::kMaxCallDuration);
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
 // The incarnation after the next has seen no token.
 TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
   Harness harness(kLongRun);
--- a/test/scheduler/upkeep_test.cpp
+++ b/test/scheduler/upkeep_test.cpp
@@ -9,6 +9,7 @@
 
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/jobs.hpp"
+#include "camphormux/scheduler/runs.hpp"
 #include "test/scheduler/fleet.hpp"
 
 namespace camphormux::scheduler {
@@ -337,6 +338,34 @@
   EXPECT_EQ(fleet.CountStarts(job), 2U);
 }
 
+// Guards against two runs at once: the next incarnation of the host, on the
+// same machine, can accept the start and be cut off.
+TEST(UpkeepTest, StartInDoubtIsKeptUntilItsMachineHasAnotherHost) {
+  Fleet fleet;
+  fleet.AddQueue("q", "pool");
+  fleet.AddHosts("pool", 4);
+  fleet.execute_starts = false;
+  (void)fleet.Submit(MakeJob(1, "q", 1, 4, core::Millis(60'000)));
+  fleet.Advance(core::Millis(20));
+  ASSERT_EQ(fleet.state.runs.size(), 1U);
+  const scheduler::Run& run = fleet.state.runs.begin()->second;
+  const core::HostId host = run.host;
+  fleet.unresponsive.insert(host);
+  OnStartAnswer(fleet.state, run.id, StartOutcome::kNoAnswer, fleet.now);
+  std::erase_if(fleet.listings,
+                [&](const HostListing& listing) { return listing.id == host; });
+  ApplyListings(fleet.state, fleet.listings, fleet.now, fleet.now);
+  for (MachineListing& machine : fleet.machines) {
+    if (machine.host == host) {
+      machine.host.value.clear();
+      machine.state = MachineState::kDown;
+    }
+  }
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  ApplyMachines(fleet.state, fleet.machines, fleet.now);
+  EXPECT_EQ(fleet.state.runs.size(), 1U);
+}
+
 // Guards against a task that runs twice on platforms that do not list machines.
 TEST(UpkeepTest, UnlistedHostIsWaitedForWithoutAListOfMachines) {
   Fleet fleet = FleetWithStoredRun();
