--- a/test/coordinator/host_router_test.cpp
+++ b/test/coordinator/host_router_test.cpp
@@ -40,15 +40,18 @@
             agent->Serve(request, respond);
           }
         });
-    HostPort direct;
     direct.stop = [this](const HostTarget&, const scheduler::RunName&,
                          const std::function<void(CallOutcome)>& done) {
       ++holder_calls;
       done(CallOutcome::kDone);
     };
-    router = std::make_shared<HostRouter>(loop, direct,
-                                          core::Address{"127.0.0.1", 1},
-                                          core::Epoch{3}, node_metrics);
+    UseRouter(core::Epoch{3});
+  }
+
+  /// Replaces the router by that of another ownership of the same node.
+  void UseRouter(core::Epoch epoch) {
+    router = std::make_shared<HostRouter>(
+        loop, direct, core::Address{"127.0.0.1", 1}, epoch, node_metrics);
     router->SetHosts(kMaxDirectHosts + 1);
     router->SetMembers({{{"127.0.0.1", 1}, {"z"}, {500}},
                         {{"127.0.0.1", server->port()}, {"z"}, {500}}});
@@ -85,6 +88,7 @@
   std::vector<CallOutcome> outcomes;
   std::shared_ptr<HostAgent> agent;
   std::unique_ptr<peer::Server> server;
+  HostPort direct;
   std::shared_ptr<HostRouter> router;
   HostPort port;
 };
@@ -241,6 +245,21 @@
   EXPECT_EQ(harness.outcomes[0], CallOutcome::kNoAnswer);
 }
 
+// Guards against an answer that is taken for one to a call of the same number,
+// made while the node held the ownership before.
+TEST(HostRouterTest, AnswersToAnEarlierOwnershipAreNotRead) {
+  Harness harness;
+  harness.Stop();
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.agent_calls == 1; }));
+  harness.UseRouter(core::Epoch{4});
+  harness.Stop(1, core::Epoch{4});
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.agent_calls == 2; }));
+  harness.pending_responses[0](CallOutcome::kDone);
+  harness.pending_responses[1](CallOutcome::kRefused);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.outcomes.size() == 1; }));
+  EXPECT_EQ(harness.outcomes[0], CallOutcome::kRefused);
+}
+
 // Guards against a call that the next process of a node takes over from the
 // previous one, or an answer of one that is used for a call to the other.
 TEST(HostRouterTest, NextProcessOfAnAgentTakesNoCallsOfThePreviousOne) {
