--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -51,13 +51,6 @@
   }
 }
 
-/// Longest time from a call with a lease until an incarnation that takes it
-/// instead of the known one has ended all runs.
-core::Millis UnknownIncarnationWait(const Settings& settings) {
-  return kMaxCallDuration + kMaxCallDelay +
-         MaxLeaseDuration(settings.longest_lease);
-}
-
 /// Whether an incarnation of the host that is not known yet may run a run: no
 /// report shows what became of a copy of its start.
 bool IsStartUnsettled(const Run& run, const Host& host) {
@@ -80,7 +73,7 @@
 void RemoveExpiredRuns(State& state, Host& host, core::MonotonicTime now) {
   const bool is_certain =
       !host.last_grant ||
-      now >= *host.last_grant + UnknownIncarnationWait(state.settings) ||
+      now >= *host.last_grant + EarlierCallsDuration(state.settings) ||
       HasOutlivedLeases(host);
   const std::vector<RunId> runs = host.runs;
   for (const RunId run : runs) {
@@ -237,6 +230,11 @@
   return PreviousLeasesDuration(settings) + kMaxCallDuration;
 }
 
+core::Millis EarlierCallsDuration(const Settings& settings) {
+  return kMaxCallDuration + kMaxCallDelay +
+         MaxLeaseDuration(settings.longest_lease);
+}
+
 void ReplaceIncarnation(State& state, Host& host, core::Incarnation incarnation,
                         core::MonotonicTime now) {
   std::set<core::Incarnation>& ended =
@@ -285,8 +283,8 @@
   host.failed_jobs.clear();
   // The end of a lease is a time on the clock of the incarnation for which it
   // was meant; on another clock it can be any time.
-  host.lease_end = std::max(
-      host.lease_end, now + internal::UnknownIncarnationWait(state.settings));
+  host.lease_end =
+      std::max(host.lease_end, now + EarlierCallsDuration(state.settings));
 }
 
 void CheckHosts(State& state, core::MonotonicTime now) {
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "camphormux/coordinator/holder.hpp"
+#include "camphormux/scheduler/hosts.hpp"
 #include "test/coordinator/fake_platform.hpp"
 #include "test/coordinator/restartable_hosts.hpp"
 
@@ -51,7 +52,9 @@
   }
 
   /// Replaces the holder by one with a newer token.
-  void StartHolder() {
+  void StartHolder() { StartHolder(hosts.Listings()); }
+
+  void StartHolder(const std::vector<scheduler::HostListing>& listings) {
     if (holder) {
       holder->Stop();
     }
@@ -61,7 +64,7 @@
         loop, scheduler::Settings{}, std::move(ports), core::Epoch{++epoch},
         node_metrics, UnlimitedAuthority(), [this] { ++superseded; });
     holder->Start(CatalogWithQueue());
-    List();
+    holder->OnHosts(listings, core::MonotonicTime{});
   }
 
   void List() { holder->OnHosts(hosts.Listings(), core::MonotonicTime{}); }
@@ -284,25 +287,6 @@
   EXPECT_FALSE(harness.hosts.HasOverlap());
 }
 
-// A call of the previous holder arrives after the takeover.
-TEST(RestartedHostTest, StartOfThePreviousHolderOnAnUnknownIncarnation) {
-  Harness harness(kLongRun);
-  const auto job = SingleTask("5c0e7a21d94b36f8");
-  HoldUpStart(harness, job);
-  auto listings = harness.hosts.Listings();
-  harness.hosts.SetCutOff(harness.id, true);
-  harness.hosts.HoldCalls(nullptr, false);
-  harness.hosts.Restart(harness.id);
-  harness.hosts.Add({"i-2"});
-  listings.push_back(harness.hosts.Listings()[1]);
-  harness.StartHolder();
-  harness.holder->OnHosts(listings, core::MonotonicTime{});
-  harness.RunFor(core::Millis(1500));
-  harness.hosts.DeliverHeldStarts();
-  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
-  EXPECT_FALSE(harness.hosts.HasOverlap());
-}
-
 // The start is carried out late, by an incarnation that starts after it was
 // settled at the one before.
 TEST(RestartedHostTest, SettledStartDoesNotRunOnTheNextIncarnation) {
@@ -347,6 +331,29 @@
   EXPECT_LT(core::MonotonicNow() - cut_off, kLongestLease);
 }
 
+// The call is as old as a call may be when it arrives; nobody holds it up.
+TEST(RestartedHostTest, StartOfThePreviousHolderLapsesFirst) {
+  Harness harness(kLongRun);
+  harness.hosts.HoldCalls(nullptr, true);
+  const auto job = SingleTask("5c0e7a21d94b36f8");
+  harness.Submit(job);
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  const core::MonotonicTime sent = core::MonotonicNow();
+  auto listings = harness.hosts.Listings();
+  harness.hosts.SetCutOff(harness.id, true);
+  harness.hosts.HoldCalls(nullptr, false);
+  harness.hosts.Restart(harness.id);
+  harness.hosts.Add({"i-2"});
+  listings.push_back(harness.hosts.Listings().back());
+  harness.StartHolder(listings);
+  harness.RunFor(core::Millis(1500));
+  harness.hosts.DeliverHeldStarts();
+  ASSERT_LT(core::MonotonicNow(), sent + scheduler::kMaxCallDuration);
+  ASSERT_TRUE(harness.RunUntilStarted(job, 2));
+  EXPECT_FALSE(harness.hosts.HasOverlap());
+}
+
 // The incarnation after the next has seen no token.
 TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
   Harness harness(kLongRun);
