--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -37,8 +37,6 @@
 constexpr core::Millis kRenewCheckInterval{50};
 /// Maximum number of calls in flight to one host; each needs a connection.
 constexpr std::size_t kMaxCallsPerHost = 3;
-/// Clocks are read in whole milliseconds, at both ends of an interval.
-constexpr core::Millis kClockResolution{2};
 /// A host that reported within this time counts as reachable.
 constexpr core::Millis kReachableWindow{2500};
 
@@ -76,12 +74,13 @@
                                                   core::MonotonicTime now) {
   const core::Millis lease = LimitLease(
       std::min(longest, state_.settings.lease), authority_.time_left());
-  if (!link.clock_ms || host.address_taken || lease.count() == 0) {
+  if (!link.clock || host.address_taken || lease.count() == 0) {
     return std::nullopt;
   }
   host.lease_end =
       std::max(host.lease_end, now + scheduler::MaxLeaseDuration(lease));
-  const std::int64_t deadline_ms = *EarliestClock(link, now) + lease.count();
+  const std::int64_t deadline_ms =
+      EarliestClock(*link.clock, now) + lease.count();
   host.last_grant = now;
   // The host's clock may be ahead of its estimate, for example after a node
   // stood still.
@@ -91,34 +90,6 @@
   return deadline_ms;
 }
 
-std::optional<std::int64_t> HostLinks::EarliestClock(const Link& link,
-                                                     core::MonotonicTime now) {
-  if (!link.clock_ms) {
-    return std::nullopt;
-  }
-  const std::int64_t elapsed = (now - link.clock_read_at).count();
-  if (elapsed < 0) {  // The reading is newer.
-    return *link.clock_ms + elapsed;
-  }
-  return *link.clock_ms +
-         static_cast<std::int64_t>(static_cast<double>(elapsed) *
-                                   (1.0 - scheduler::kMaxClockDrift));
-}
-
-bool HostLinks::IsClockOf(const Link& link, std::int64_t clock_ms,
-                          core::MonotonicTime asked, core::MonotonicTime now) {
-  const auto earliest = EarliestClock(link, asked);
-  if (!earliest) {
-    return false;
-  }
-  // The reading may have been as old as a call takes when it arrived.
-  const auto latest = static_cast<std::int64_t>(
-      *link.clock_ms +
-      (now - link.clock_read_at + scheduler::kMaxCallDuration).count());
-  return clock_ms >= *earliest - internal::kClockResolution.count() &&
-         clock_ms <= latest;
-}
-
 bool HostLinks::may_acknowledge(const scheduler::Host& host,
                                 const Link& link) const {
   if (link.stored <= link.acknowledged || link.failures > 0) {
@@ -189,7 +160,7 @@
     const auto self = weak.lock();
     if (self && !self->closed_) {
       if (answer.outcome != CallOutcome::kDone) {
-        self->LogUnanswered(call, answer, now);
+        LogUnansweredRenewal(call, answer, core::MonotonicNow() - now);
       }
       self->OnRenewed(call, now, lease, answer);
     }
@@ -213,7 +184,8 @@
   // Without the store, whether most hosts answer decides whether this node
   // remains the holder, so idle hosts are asked too.
   if (!host.synced || !host.runs.empty() || host.unresponsive_since ||
-      has_stored_ends || now >= link.clock_read_at + internal::kMaxClockAge ||
+      has_stored_ends || !link.clock ||
+      now >= link.clock->received + internal::kMaxClockAge ||
       (host.stops_unknown_runs &&
        now >= link.sent + internal::kStopReportInterval) ||
       (due && !authority_.is_confirmed())) {
@@ -248,29 +220,8 @@
                             std::int64_t clock_ms) {
   const auto link = links_.find(host);
   if (link != links_.end() && link->second.incarnation == incarnation) {
-    link->second.clock_ms = clock_ms;
-    link->second.clock_read_at = core::MonotonicNow();
-  }
-}
-
-void HostLinks::LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
-                              core::MonotonicTime asked) const {
-  // A call that grants and acknowledges nothing has no effect.
-  if (!call.lease_end_ms && call.acknowledged.value == 0) {
-    return;
+    link->second.clock = ClockReading{clock_ms, core::MonotonicNow()};
   }
-  telemetry::Log(
-      telemetry::Level::kInfo, "renewal not answered by its host",
-      {{"host", call.target.host.value},
-       {"incarnation", std::to_string(call.target.incarnation.value)},
-       {"reported", std::to_string(answer.incarnation.value)},
-       {"token", std::to_string(call.target.token.value)},
-       {"acknowledged", std::to_string(call.acknowledged.value)},
-       {"deadline_ms",
-        call.lease_end_ms ? std::to_string(*call.lease_end_ms) : ""},
-       {"outcome", std::string(Describe(answer.outcome))},
-       {"milliseconds",
-        std::to_string((core::MonotonicNow() - asked).count())}});
 }
 
 void HostLinks::OnAddressTaken(scheduler::Host& host, core::MonotonicTime now) {
@@ -448,10 +399,10 @@
   }
   const auto link = links_.find(target.host);
   if (!answer.clock_ms || link == links_.end() ||
-      link->second.incarnation != target.incarnation) {
+      link->second.incarnation != target.incarnation || !link->second.clock) {
     return answer.outcome;
   }
-  if (IsClockOf(link->second, *answer.clock_ms, asked, now)) {
+  if (IsSameClock(*link->second.clock, *answer.clock_ms, asked, now)) {
     RecordClock(target.host, target.incarnation, *answer.clock_ms);
     return answer.outcome;
   }
@@ -486,7 +437,8 @@
   const bool is_repeated =
       run != state_.runs.end() &&
       run->second.phase == scheduler::RunPhase::kUnanswered;
-  const auto earliest_clock_ms = EarliestClock(LinkOf(host->second), now);
+  const std::int64_t earliest_clock_ms =
+      EarliestClock(*LinkOf(host->second).clock, now);
   port_.start(call, [weak = weak_from_this(), order, now, is_repeated,
                      target = call.target, deadline_ms = call.lease_end_ms,
                      earliest_clock_ms,
@@ -502,21 +454,19 @@
     RecordStage(self->run_latency_.answered, answered - now);
     self->node_metrics_.start_seconds->Observe(
         std::chrono::duration<double>(answered - now).count());
-    telemetry::Log(
-        telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
-        "run ordered",
-        {{"task", DescribeTask(order.name)},
-         {"attempt", std::to_string(order.name.attempt)},
-         {"host", order.host.value},
-         {"incarnation", std::to_string(incarnation.value)},
-         {"host_clock_ms",
-          answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
-         {"earliest_clock_ms",
-          earliest_clock_ms ? std::to_string(*earliest_clock_ms) : ""},
-         {"token", std::to_string(target.token.value)},
-         {"deadline_ms", std::to_string(deadline_ms)},
-         {"repeated", is_repeated ? "yes" : "no"},
-         {"outcome", std::string(Describe(outcome))}});
+    telemetry::Log(telemetry::LogRateClass::kFrequent, telemetry::Level::kInfo,
+                   "run ordered",
+                   {{"task", DescribeTask(order.name)},
+                    {"attempt", std::to_string(order.name.attempt)},
+                    {"host", order.host.value},
+                    {"incarnation", std::to_string(incarnation.value)},
+                    {"host_clock_ms",
+                     answer.clock_ms ? std::to_string(*answer.clock_ms) : ""},
+                    {"earliest_clock_ms", std::to_string(earliest_clock_ms)},
+                    {"token", std::to_string(target.token.value)},
+                    {"deadline_ms", std::to_string(deadline_ms)},
+                    {"repeated", is_repeated ? "yes" : "no"},
+                    {"outcome", std::string(Describe(outcome))}});
     if (outcome == scheduler::StartOutcome::kFenced) {
       self->listener_.on_fenced(order.host);
       return;
--- a/src/camphormux/coordinator/host_links.hpp
+++ b/src/camphormux/coordinator/host_links.hpp
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 
 #include "camphormux/coordinator/authority.hpp"
+#include "camphormux/coordinator/host_clock.hpp"
 #include "camphormux/coordinator/node_metrics.hpp"
 #include "camphormux/coordinator/ports.hpp"
 #include "camphormux/coordinator/run_latency.hpp"
@@ -66,9 +67,7 @@
     bool renewing = false;
     core::MonotonicTime sent;
     core::MonotonicTime retry_not_before;
-    /// A reading of the host's clock and the time of its receipt.
-    std::optional<std::int64_t> clock_ms;
-    core::MonotonicTime clock_read_at;
+    std::optional<ClockReading> clock;  ///< Of this incarnation.
     scheduler::EndNumber stored;        ///< Highest end that is stored.
     scheduler::EndNumber acknowledged;  ///< Highest end known as acknowledged.
     /// Calls without an answer may be carried out until then.
@@ -92,28 +91,12 @@
                                                        const Link& link,
                                                        core::Millis longest,
                                                        core::MonotonicTime now);
-  /// @return Earliest time that the host's clock can show, if the incarnation
-  /// of the link has been read.
-  [[nodiscard]] static std::optional<std::int64_t> EarliestClock(
-      const Link& link, core::MonotonicTime now);
-  /// @param clock_ms A reading of the clock of some incarnation of the host.
-  /// @param asked When the call was sent to which it is the answer.
-  /// @param now When the answer arrived.
-  /// @return Whether it is the clock of the incarnation of the link: each one
-  /// counts from a time of its own.
-  [[nodiscard]] static bool IsClockOf(const Link& link, std::int64_t clock_ms,
-                                      core::MonotonicTime asked,
-                                      core::MonotonicTime now);
   /// @return What an answer to a start says of the incarnation for which the
   /// start was meant.
   [[nodiscard]] scheduler::StartOutcome OutcomeOf(const StartAnswer& answer,
                                                   const HostTarget& target,
                                                   core::MonotonicTime asked,
                                                   core::MonotonicTime now);
-  /// Logs what a renewal carried that may have reached another incarnation, or
-  /// may still do so.
-  void LogUnanswered(const RenewCall& call, const RenewAnswer& answer,
-                     core::MonotonicTime asked) const;
   /// @return Whether stored ends may be acknowledged now. If a host holds up
   /// calls, a start may take effect on its next incarnation, and an
   /// acknowledgement that follows it there would make the host forget the end
--- a/src/camphormux/coordinator/run_log.cpp
+++ b/src/camphormux/coordinator/run_log.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "camphormux/coordinator/host_calls.hpp"
 #include "camphormux/telemetry/log.hpp"
 
 namespace camphormux::coordinator {
@@ -179,6 +180,25 @@
   }
 }
 
+void LogUnansweredRenewal(const RenewCall& call, const RenewAnswer& answer,
+                          core::Millis duration) {
+  // A call that grants and acknowledges nothing has no effect.
+  if (!call.lease_end_ms && call.acknowledged.value == 0) {
+    return;
+  }
+  telemetry::Log(
+      telemetry::Level::kInfo, "renewal not answered by its host",
+      {{"host", call.target.host.value},
+       {"incarnation", std::to_string(call.target.incarnation.value)},
+       {"reported", std::to_string(answer.incarnation.value)},
+       {"token", std::to_string(call.target.token.value)},
+       {"acknowledged", std::to_string(call.acknowledged.value)},
+       {"deadline_ms",
+        call.lease_end_ms ? std::to_string(*call.lease_end_ms) : ""},
+       {"outcome", std::string(Describe(answer.outcome))},
+       {"milliseconds", std::to_string(duration.count())}});
+}
+
 void LogListingChanges(const scheduler::ListingChanges& changes,
                        core::Epoch token) {
   for (const scheduler::ReplacedHost& host : changes.replaced) {
--- a/src/camphormux/coordinator/run_log.hpp
+++ b/src/camphormux/coordinator/run_log.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "camphormux/coordinator/node_metrics.hpp"
+#include "camphormux/coordinator/ports.hpp"
 #include "camphormux/scheduler/hosts.hpp"
 #include "camphormux/scheduler/state.hpp"
 
@@ -31,6 +32,14 @@
 void LogReportEvents(scheduler::State& state, core::Epoch token,
                      NodeMetrics& node_metrics, core::MonotonicTime now);
 
+/// @brief Logs what a renewal without an answer of its host carried: it may
+/// have reached another incarnation, or may still do so.
+/// @param call The renewal.
+/// @param answer Its outcome.
+/// @param duration Time since the call.
+void LogUnansweredRenewal(const RenewCall& call, const RenewAnswer& answer,
+                          core::Millis duration);
+
 /// @brief Logs what a list of hosts has changed.
 void LogListingChanges(const scheduler::ListingChanges& changes,
                        core::Epoch token);
