--- a/test/coordinator/host_links_test.cpp
+++ b/test/coordinator/host_links_test.cpp
@@ -438,6 +438,19 @@
   EXPECT_LT(harness.starts[0].call.lease_end_ms, clock_ms + kCancelMs);
 }
 
+// Guards against an entry that settles a start whose deadline it had passed
+// before, as the estimate of the host's clock lags.
+TEST(HostLinksTest, DeadlineCountsFromTheLatestEntryOfTheHost) {
+  Harness harness;
+  harness.NextRenewal().done(Harness::Report(kFirst, 1000));
+  scheduler::OnHeartbeat(harness.state, {harness.id, kFirst, 6500},
+                         core::MonotonicNow());
+  (void)harness.OrderRun();
+  ASSERT_EQ(harness.starts.size(), 1U);
+  EXPECT_LT(harness.starts[0].call.lease_end_ms, 6500);
+  EXPECT_GT(harness.state.hosts.at(harness.id).deadline_ms, 6500);
+}
+
 // Guards against starts in doubt on a host that is known to be silent: they
 // waited for the store or for other calls when it fell silent.
 TEST(HostLinksTest, StartIsNotSentToASilentHost) {
--- a/test/coordinator/restarted_host_test.cpp
+++ b/test/coordinator/restarted_host_test.cpp
@@ -331,14 +331,13 @@
   EXPECT_LT(core::MonotonicNow() - cut_off, kLongestLease);
 }
 
-// The call is as old as a call may be when it arrives; nobody holds it up.
-TEST(RestartedHostTest, StartOfThePreviousHolderLapsesFirst) {
+/// Lets an incarnation that nobody knows take a start of the previous holder.
+/// @param delay Time from the takeover until the start arrives.
+/// @param longest Time from the call by which it has to arrive.
+void TestStartOfThePreviousHolder(core::Millis delay, core::Millis longest) {
   Harness harness(kLongRun);
-  harness.hosts.HoldCalls(nullptr, true);
   const auto job = SingleTask("5c0e7a21d94b36f8");
-  harness.Submit(job);
-  ASSERT_TRUE(
-      harness.RunUntil([&] { return harness.hosts.held_starts() > 0; }));
+  HoldUpStart(harness, job);
   const core::MonotonicTime sent = core::MonotonicNow();
   auto listings = harness.hosts.Listings();
   harness.hosts.SetCutOff(harness.id, true);
@@ -347,13 +346,23 @@
   harness.hosts.Add({"i-2"});
   listings.push_back(harness.hosts.Listings().back());
   harness.StartHolder(listings);
-  harness.RunFor(core::Millis(1500));
+  harness.RunFor(delay);
   harness.hosts.DeliverHeldStarts();
-  ASSERT_LT(core::MonotonicNow(), sent + scheduler::kMaxCallDuration);
+  ASSERT_LT(core::MonotonicNow(), sent + longest);
   ASSERT_TRUE(harness.RunUntilStarted(job, 2));
   EXPECT_FALSE(harness.hosts.HasOverlap());
 }
 
+// The call is as old as a call may be when it arrives; nobody holds it up.
+TEST(RestartedHostTest, StartOfThePreviousHolderLapsesFirst) {
+  TestStartOfThePreviousHolder(core::Millis(1500), scheduler::kMaxCallDuration);
+}
+
+// The host carries the start out late.
+TEST(RestartedHostTest, LateStartOfThePreviousHolderLapsesFirst) {
+  TestStartOfThePreviousHolder(core::Millis(8000), scheduler::kMaxCallDelay);
+}
+
 // The incarnation after the next has seen no token.
 TEST(RestartedHostTest, FencedStartDoesNotRunOnTheIncarnationAfterTheNext) {
   Harness harness(kLongRun);
--- a/test/scheduler/hosts_test.cpp
+++ b/test/scheduler/hosts_test.cpp
@@ -273,6 +273,27 @@
   EXPECT_EQ(test.Starts(), 1U);
 }
 
+// Guards against two runs at once: such an entry does not show that the host's
+// incarnation outlived the lease.
+TEST(HostsTest, EntryReadBeforeTheLastGrantDoesNotSettleAStart) {
+  AcceptedStart test;
+  Fleet& fleet = test.fleet;
+  Host& host = fleet.state.hosts.at(test.host);
+  OnStartAnswer(fleet.state, host.runs.at(0), StartOutcome::kNoAnswer,
+                fleet.now);
+  fleet.unresponsive.insert(test.host);
+  host.deadline_ms = 1000;
+  const Heartbeat heartbeat{test.host, host.listing.incarnation, 5000};
+  OnHeartbeat(fleet.state, heartbeat, fleet.now);
+  host.last_grant = fleet.now;
+  host.lease_end = fleet.now;
+  fleet.Advance(core::Millis(1000));
+  EXPECT_EQ(test.Starts(), 1U);
+  OnHeartbeat(fleet.state, heartbeat, fleet.now);
+  fleet.Advance(core::Millis(100));
+  EXPECT_EQ(test.Starts(), 2U);
+}
+
 // Guards against a task that runs twice after a takeover: the stored run names
 // the incarnation that the previous holder knew.
 TEST(HostsTest, StoredRunOfAnEarlierIncarnationIsNotRepeatedElsewhere) {
