--- a/src/camphormux/coordinator/host_links.cpp
+++ b/src/camphormux/coordinator/host_links.cpp
@@ -124,12 +124,11 @@
   if (link.stored <= link.acknowledged || link.failures > 0) {
     return false;
   }
-  return core::MonotonicNow() >= link.doubtful_until ||
-         std::none_of(host.runs.begin(), host.runs.end(),
-                      [&](scheduler::RunId id) {
-                        const scheduler::Run& run = state_.runs.at(id);
-                        return run.is_sent && !run.was_listed;
-                      });
+  return std::none_of(
+      host.runs.begin(), host.runs.end(), [&](scheduler::RunId id) {
+        const scheduler::Run& run = state_.runs.at(id);
+        return !run.was_listed && scheduler::IsStartUnsettled(run, host);
+      });
 }
 
 bool HostLinks::is_report_due(const scheduler::Host& host, const Link& link,
@@ -160,7 +159,7 @@
   if (may_acknowledge(host, link)) {
     call.acknowledged = link.stored;
   }
-  link.holds_starts = call.acknowledged.value > 0 && now < link.doubtful_until;
+  link.holds_starts = call.acknowledged.value > 0;
   const bool has_ends_to_list =
       host.ended > std::max(link.acknowledged, call.acknowledged);
   // An unresponsive host gets no extension: its lease must expire so that its
--- a/src/camphormux/scheduler/hosts.cpp
+++ b/src/camphormux/scheduler/hosts.cpp
@@ -51,16 +51,6 @@
   }
 }
 
-/// Whether an incarnation of the host that is not known yet may run a run: no
-/// report shows what became of a copy of its start.
-bool IsStartUnsettled(const Run& run, const Host& host) {
-  const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered;
-  return is_on_its_way ||
-         (run.has_open_copy && host.last_report < run.last_open_copy +
-                                                      kMaxCallDelay +
-                                                      kMaxCallDuration);
-}
-
 /// Whether an entry shows that the known incarnation was alive when its last
 /// lease expired. Until then, no other one can have taken a call.
 bool HasOutlivedLeases(const Host& host) {
@@ -103,6 +93,14 @@
 
 }  // namespace internal
 
+bool IsStartUnsettled(const Run& run, const Host& host) {
+  const bool is_on_its_way = run.is_sent && run.phase == RunPhase::kOrdered;
+  return is_on_its_way ||
+         (run.has_open_copy && host.last_report < run.last_open_copy +
+                                                      kMaxCallDelay +
+                                                      kMaxCallDuration);
+}
+
 ListingChanges ApplyListings(State& state,
                              const std::vector<HostListing>& listings,
                              core::MonotonicTime now,
--- a/src/camphormux/scheduler/hosts.hpp
+++ b/src/camphormux/scheduler/hosts.hpp
@@ -107,6 +107,11 @@
 /// took which the caller did not know of.
 [[nodiscard]] core::Millis EarlierCallsDuration(const Settings& settings);
 
+/// @return Whether an incarnation of the host that is not known yet may run a
+/// run: neither an answer nor a report shows what became of a copy of its
+/// start.
+[[nodiscard]] bool IsStartUnsettled(const Run& run, const Host& host);
+
 /// @brief Removes runs whose leases have expired and hosts that are gone.
 void CheckHosts(State& state, core::MonotonicTime now);
 
