Keep the clock of a host's entry apart from its listing

Cause: a listing had the clock of the entry as well as the heartbeat, took part in comparisons of listings with it, and went stale in the state. Change: the decoder returns both; only heartbeats carry the clock. No change of behaviour.

--- a/src/camphormux/scheduler/events.hpp
+++ b/src/camphormux/scheduler/events.hpp
@@ -2,7 +2,6 @@
 #define CAMPHORMUX_SCHEDULER_EVENTS_HPP_
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -43,8 +42,6 @@
   core::RackName rack;
   placement::Resources capacity;
   bool draining = false;
-  /// The host's clock when it wrote the entry, if it names it.
-  std::optional<std::int64_t> clock_ms;
 
   friend bool operator==(const HostListing&, const HostListing&) = default;
 };
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -65,10 +65,10 @@
       R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",
       "state":"ready","capacity":{"cpu":16000,"memMb":32768,"gpu":0},
       "labels":["a","r1-3"],"born":1700000000123,"future":[1]})";
-  const auto listing = DecodeHostListing("i-1", valid);
-  ASSERT_TRUE(listing);
-  EXPECT_EQ(listing->incarnation.value, 1'700'000'000'123U);
-  EXPECT_EQ(listing->rack.value, "r1-3");
+  const auto host = DecodeHostListing("i-1", valid);
+  ASSERT_TRUE(host);
+  EXPECT_EQ(host->listing.incarnation.value, 1'700'000'000'123U);
+  EXPECT_EQ(host->listing.rack.value, "r1-3");
   EXPECT_FALSE(DecodeHostListing("i-1", "\xff\x00garbage"));
   EXPECT_FALSE(DecodeHostListing("i-1", R"({"service":"s","state":"ready"})"));
   EXPECT_FALSE(DecodeHostListing(
